--- a/Makefile
+++ b/Makefile
@@ -7,15 +7,15 @@
 comma := ,
 CPPFLAGS := -Iinclude -Isrc/libbayhoist/include/private -Isrc/share -D_GNU_SOURCE -MMD -MP $(shell pkg-config --cflags $(PKGS))
 CFLAGS := -std=gnu11 -O2 -g -fno-omit-frame-pointer $(WARN) $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined)
-LDLIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lm
+LDLIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lhttp_parser -lm
 LDFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined)
 
 LIB_O := $(patsubst %.c,$B/%.o,$(wildcard src/libbayhoist/*.c))
 SHARE_O := $(patsubst %.c,$B/%.o,$(wildcard src/share/*.c))
-PROGS := bayhoistd bayhoistctl bh-fake-platform bh-fake-engine bh-fake-service bh-load bh-check
+PROGS := bayhoistd bayhoist-gate bayhoistctl bh-fake-platform bh-fake-engine bh-fake-service bh-load bh-check
 BENCHES := $(patsubst src/bench/%.c,%,$(wildcard src/bench/bench_*.c))
 TESTS := $(patsubst src/test_libbayhoist/%.c,%,$(wildcard src/test_libbayhoist/test_*.c))
-FORMATTED := $(wildcard include/bayhoist/*.h src/*/*.c src/*/*.h src/libbayhoist/include/private/*.h)
+FORMATTED := $(wildcard include/bayhoist/*.h src/*/*.c src/*/*.h src/libbayhoist/include/private/*.h platform/*.c platform/*.h)
 
 all: $(PROGS:%=$B/%) $(BENCHES:%=$B/%)
 
@@ -31,10 +31,15 @@
 define PROG
 $B/$(1): $$(patsubst %.c,$B/%.o,$$(wildcard src/$(1)/*.c)) $B/libshare.a $B/libbayhoist.a
 	@echo LD $$@
-	@$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(LDLIBS)
+	@$$(CC) $$(LDFLAGS) -o $$@ $$(filter %.o,$$^) $$(filter %.a,$$^) $$(LDLIBS)
 endef
 $(foreach p,$(PROGS),$(eval $(call PROG,$(p))))
 
+# the gateway, with its binding to the users' platform
+GATE_O := $(patsubst %.c,$B/%.o,$(wildcard platform/*.c))
+$B/bayhoist-gate: $(GATE_O)
+$(GATE_O) $B/src/bayhoist-gate/main.o: CPPFLAGS += -Isrc/bayhoist-gate -Iplatform
+
 BENCH_SHARED := $(patsubst %.c,$B/%.o,$(filter-out $(wildcard src/bench/bench_*.c),$(wildcard src/bench/*.c)))
 $(BENCHES:%=$B/%): $B/%: $B/src/bench/%.o $(BENCH_SHARED) $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
@@ -64,7 +69,7 @@
 lint:
 	@clang-format --dry-run -Werror $(FORMATTED)
 	@cppcheck --quiet --std=c11 --error-exitcode=1 --enable=warning,portability,performance --inline-suppr \
-		--suppress=missingIncludeSystem -Iinclude -Isrc/libbayhoist/include/private -Isrc/share src
+		--suppress=missingIncludeSystem -Iinclude -Isrc/libbayhoist/include/private -Isrc/share -Isrc/bayhoist-gate src platform
 
 clean:
 	rm -rf build build-san
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -32,6 +32,7 @@
 	BH__MESSAGE_CONFIG_DATA,
 	BH__MESSAGE_QUOTA_ASK,
 	BH__MESSAGE_QUOTA_GRANT,
+	BH__MESSAGE_QUEUED,
 	BH__MESSAGE_TYPE_COUNT
 } BH__MessageType;
 
@@ -82,6 +83,8 @@
 	uint64_t kv_bytes;
 	uint64_t deadline_us; /* time left */
 	uint64_t adapter_id;
+	uint64_t first_event_us; /* time left in which the first event is of full use; 0: not said */
+	uint64_t event_gap_us;   /* longest pause between events that is of full use; 0: not said */
 	uint32_t priority_level;
 	uint8_t avoid_count;
 	uint64_t avoid[BH__AVOID_MAX];
@@ -90,7 +93,7 @@
 
 typedef struct {
 	uint64_t endpoint_id;
-	uint64_t kv_bytes;
+	uint64_t kv_bytes;    /* memory that the grant holds there; tokens where engines count in tokens */
 	uint64_t first_token; /* of the part of the prompt that this engine holds */
 	uint64_t token_count;
 } BH__GrantMember;
@@ -105,8 +108,10 @@
 	uint32_t priority_level;
 	bool is_long;
 	bool tells_progress; /* the scheduler wants to hear when a prefill is done */
+	bool writes;         /* the answer's first event has come */
+	uint64_t event_gap_us;
 	uint8_t member_count;
-	BH__GrantMember member[BH__GANG_MAX];
+	BH__GrantMember member[BH__GRANT_MEMBERS_MAX];
 } BH__Grant;
 
 typedef enum {
@@ -164,7 +169,7 @@
 			uint64_t grant_id; /* of the ask in a withdrawal */
 			BH__ReleaseKind kind;
 			uint64_t failed_endpoint;
-		} release; /* also progress and withdraw */
+		} release; /* also progress, withdraw and queued */
 		struct {
 			uint64_t pool_id;
 			bool full; /* `grant` is whole; otherwise only the ids are set */
--- a/include/bayhoist/node.h
+++ b/include/bayhoist/node.h
@@ -35,8 +35,8 @@
 	uint32_t priority_level;
 	uint64_t piece_offset; /* pieces of the answer that the caller has */
 	uint8_t member_count;
-	uint64_t member[BH__GANG_MAX * BH__PARTS_MAX];         /* engines that hold the earlier segments */
-	uint64_t member_attempt[BH__GANG_MAX * BH__PARTS_MAX]; /* under these attempt ids */
+	uint64_t member[BH__GRANT_MEMBERS_MAX * BH__PARTS_MAX]; /* engines that hold the earlier segments */
+	uint64_t member_attempt[BH__GRANT_MEMBERS_MAX * BH__PARTS_MAX]; /* under these attempt ids */
 } BH__AttemptCall;
 
 typedef enum {
@@ -143,7 +143,7 @@
 void bh__node_process_tick(BH__Node *n, uint64_t now_us);
 void bh__node_process_message(BH__Node *n, const BH__Message *m, uint64_t now_us);
 void bh__node_process_unreachable(BH__Node *n, const char *peer_address, uint64_t now_us);
-void bh__node_process_vm_list(BH__Node *n, const BH__Vm *vms, unsigned count, uint64_t now_us);
+void bh__node_update_vm_list(BH__Node *n, const BH__Vm *vms, unsigned count, uint64_t now_us);
 void bh__node_process_report(BH__Node *n, const BH__LoadReport *report, const char *const *loaded,
 							 uint64_t now_us);
 void bh__node_process_store_reply(BH__Node *n, const BH__StoreReply *reply, uint64_t now_us);
--- a/include/bayhoist/types.h
+++ b/include/bayhoist/types.h
@@ -7,10 +7,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define BH__NAME_LEN 64     /* longest resource, node or hall name, with its terminator */
-#define BH__ADDRESS_LEN 48  /* "IP:port" with its terminator */
-#define BH__PREFIX_MAX 24   /* most prefix hashes that describe one prompt */
-#define BH__GANG_MAX 8      /* most engines that hold one prompt together */
+#define BH__NAME_LEN 64    /* longest resource, node or hall name, with its terminator */
+#define BH__ADDRESS_LEN 48 /* "IP:port" with its terminator */
+#define BH__PREFIX_MAX 24  /* most prefix hashes that describe one prompt */
+#define BH__GANG_MAX 8     /* most engines that hold one prompt together */
+#define BH__GRANT_MEMBERS_MAX                                                                                \
+	17                      /* most engines that one grant names: one that answers and 16 that help it read */
 #define BH__PARTS_MAX 3     /* most pools that hold one prompt together */
 #define BH__ADAPTERS_MAX 16 /* most adapters that one endpoint is known to hold */
 #define BH__AVOID_MAX 4     /* most endpoints that a retry asks to avoid */
--- /dev/null
+++ b/src/bayhoist-gate/main.c
@@ -0,0 +1,300 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* bayhoist-gate: start, signals, configuration and stop. */
+#include <errno.h>
+#include <event2/thread.h>
+#include <getopt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sysexits.h>
+#include "bayhoist/hash.h"
+#include "clock.h"
+#include "gate.h"
+#include "log.h"
+#include "platform.h"
+#include "version.h"
+#include "web.h"
+
+#define KEY_TRUST_SHARE 0.7 /* of the time that keys may be believed without a look at the configuration */
+#define STOP_LEAST_MS                                                                                        \
+	3200               /* callers learn of a stop from the directory, and hold old answers for this long */
+#define STOP_SHARE 0.9 /* of the grace of a stop that is used */
+#define STOP_CHECK_MS 50
+#define LOG_LINES_PER_S 400 /* a node takes some 20 requests a second, each with 3 to 6 lines */
+
+static void usage_(FILE *out);
+static bool start_(Gate *g);
+static void add_seeds_(Gate *g);
+static void add_event_(Gate *g, struct event *event, const struct timeval *period);
+static void on_terminate_(evutil_socket_t sig, short what, void *arg);
+static void on_reload_(evutil_socket_t sig, short what, void *arg);
+static void on_stop_check_(evutil_socket_t fd, short what, void *arg);
+static void stop_(Gate *g);
+
+static const char *SettingsPath_;
+
+static void usage_(FILE *out)
+{
+	fputs(
+		"Usage: bayhoist-gate --config FILE [--check]\n"
+		"  -c, --config FILE  settings, in JSON with comments\n"
+		"      --check        check the settings and exit\n"
+		"  -h, --help         show this text\n"
+		"  -V, --version      show the version\n"
+		"SIGTERM stops without cutting off a request; a second one stops at once. SIGHUP reads the settings "
+		"anew.\n"
+		"Exit status: 0 stopped as asked, 64 wrong usage, 69 an address cannot be used, 78 wrong settings.\n",
+		out);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct option Options[] = {{"config", required_argument, NULL, 'c'},
+											{"check", no_argument, NULL, 'k'},
+											{"help", no_argument, NULL, 'h'},
+											{"version", no_argument, NULL, 'V'},
+											{NULL, 0, NULL, 0}};
+	bool check = false;
+	GError *error = NULL;
+	Gate g = {0};
+	int option;
+
+	while ((option = getopt_long(argc, argv, "c:hV", Options, NULL)) != -1) {
+		switch (option) {
+		case 'c':
+			SettingsPath_ = optarg;
+			break;
+		case 'k':
+			check = true;
+			break;
+		case 'h':
+			usage_(stdout);
+			return EX_OK;
+		case 'V':
+			puts("bayhoist-gate " BAYHOIST_VERSION);
+			return EX_OK;
+		default:
+			usage_(stderr);
+			return EX_USAGE;
+		}
+	}
+	if (!SettingsPath_ || optind != argc) {
+		usage_(stderr);
+		return EX_USAGE;
+	}
+	if (!gate_settings_load(&g.settings, SettingsPath_, &error)) {
+		fprintf(stderr, "bayhoist-gate: %s\n", error->message);
+		g_error_free(error);
+		return EX_CONFIG;
+	}
+	if (check) {
+		printf("%s: settings are good\n", SettingsPath_);
+		gate_settings_finish(&g.settings);
+		return EX_OK;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	if (!start_(&g))
+		return EX_UNAVAILABLE;
+	event_base_dispatch(g.base);
+	stop_(&g);
+	return EX_OK;
+}
+
+static bool start_(Gate *g)
+{
+	g->boot_id = clock_new_boot_id();
+	g->started_us = clock_now_us();
+	log_init(g->settings.name, g->settings.hall, g->boot_id);
+	log_set_buffered(true);
+	log_set_limit(LOG_LINES_PER_S);
+	g->base = event_base_new();
+	g->port = &PlatformGatePort;
+	g->registry = bh__registry_new((uint32_t)g->boot_id);
+	g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
+	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
+	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
+	if (!cluster_start(g) || !web_start(g) || !inbounds_listen(g) || !g->port->start(g)) {
+		log_error("start-failed", "caller_address=%s peer_address=%s cause=\"%s\"",
+				  g->settings.caller_address, g->settings.peer_address, strerror(errno));
+		return false;
+	}
+	add_seeds_(g);
+	g->port->announce(g);
+	add_event_(g, evsignal_new(g->base, SIGTERM, on_terminate_, g), NULL);
+	add_event_(g, evsignal_new(g->base, SIGINT, on_terminate_, g), NULL);
+	add_event_(g, evsignal_new(g->base, SIGHUP, on_reload_, g), NULL);
+	log_event("start", "caller_address=%s peer_address=%s version=%s", g->settings.caller_address,
+			  g->settings.peer_address, BAYHOIST_VERSION);
+	return true;
+}
+
+/* The other nodes' peer ports are the same as ours. */
+static void add_seeds_(Gate *g)
+{
+	char ip[BH__ADDRESS_LEN];
+	char own_ip[BH__ADDRESS_LEN];
+	uint16_t port;
+	uint16_t peer_port;
+
+	web_split_address(g->settings.peer_address, own_ip, sizeof own_ip, &peer_port);
+	for (char **seed = g->settings.seeds; seed && *seed; seed++) {
+		char address[BH__ADDRESS_LEN + 8];
+		if (!web_split_address(*seed, ip, sizeof ip, &port) || !strcmp(ip, own_ip))
+			continue;
+		g_snprintf(address, sizeof address, "%s:%u", ip, peer_port);
+		cluster_add_seed(g->cluster, address);
+	}
+}
+
+/* Adds an event that lives as long as the process. */
+static void add_event_(Gate *g, struct event *event, const struct timeval *period)
+{
+	event_add(event, period);
+	g_ptr_array_add(g->own_events, event);
+}
+
+/* Returns true if keys may be believed: the configuration was looked at not long ago. */
+bool gate_trusts_keys(const Gate *g, uint64_t now_us)
+{
+	uint64_t trust_us = (uint64_t)((double)g->settings.key_trust_ms * KEY_TRUST_SHARE * BH__MS_US);
+
+	return g->routing && (!trust_us || now_us < g->routing_looked_us + trust_us);
+}
+
+/* Returns true if callers should be sent here. */
+bool gate_is_ready(const Gate *g, uint64_t now_us)
+{
+	return !g->leaving_since_us && gate_trusts_keys(g, now_us) && bh__registry_get_count(g->registry) > 0;
+}
+
+/* Takes a routing that was read from the platform; the look was begun at `looked_us`. A version never goes
+ * back. */
+void gate_set_routing(Gate *g, BH__Routing *routing, uint64_t looked_us)
+{
+	uint64_t version = bh__routing_get_version(routing);
+
+	if (g->routing && version <= bh__routing_get_version(g->routing)) {
+		bh__routing_unref(routing);
+	}
+	else {
+		log_event("configuration", "what=installed version=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT,
+				  version, g->routing ? bh__routing_get_version(g->routing) : 0);
+		bh__routing_unref(g->routing);
+		g->routing = routing;
+		cluster_follow_routing(g->cluster, clock_now_us());
+	}
+	gate_note_look(g, looked_us);
+}
+
+/* The configuration that is held was the newest when a look was begun. */
+void gate_note_look(Gate *g, uint64_t looked_us)
+{
+	if (looked_us > g->routing_looked_us)
+		g->routing_looked_us = looked_us;
+}
+
+/* Lets the planners follow endpoints that came or went. */
+void gate_follow_registry(Gate *g)
+{
+	if (g->registry_seen == bh__registry_get_version(g->registry))
+		return;
+	g->registry_seen = bh__registry_get_version(g->registry);
+	cluster_follow_registry(g->cluster, clock_now_us());
+}
+
+/* Returns the budget of repeated sendings to a service, of which this node has an even part. */
+BH__RepeatBudget *gate_get_budget(Gate *g, const char *service)
+{
+	BH__RepeatBudget *b = g_hash_table_lookup(g->budgets, service);
+
+	if (!b) {
+		b = g_new0(BH__RepeatBudget, 1);
+		bh__repeat_budget_init(b, g->settings.repeat_share, g->settings.repeat_extra);
+		g_hash_table_insert(g->budgets, g_strdup(service), b);
+	}
+	bh__repeat_budget_set_nodes(b, g->settings.repeat_extra, cluster_count_nodes(g->cluster));
+	return b;
+}
+
+/* Begins a planned stop: callers are sent elsewhere, and what is under way is finished. */
+static void on_terminate_(evutil_socket_t sig, short what, void *arg)
+{
+	Gate *g = arg;
+	struct timeval check = {0, STOP_CHECK_MS * 1000};
+
+	(void)what;
+	log_event("stop", "what=begun signal=%d calls=%u connections=%u", (int)sig, g_hash_table_size(g->calls),
+			  g_hash_table_size(g->inbounds));
+	if (g->leaving_since_us) {
+		event_base_loopbreak(g->base);
+		return;
+	}
+	g->leaving_since_us = clock_now_us();
+	cluster_leave(g->cluster, g->leaving_since_us);
+	g->port->withdraw(g);
+	add_event_(g, event_new(g->base, -1, EV_PERSIST, on_stop_check_, g), &check);
+}
+
+static void on_stop_check_(evutil_socket_t fd, short what, void *arg)
+{
+	Gate *g = arg;
+	uint64_t since_us = clock_now_us() - g->leaving_since_us;
+	bool done = since_us >= STOP_LEAST_MS * BH__MS_US && g_hash_table_size(g->calls) == 0;
+
+	(void)fd;
+	(void)what;
+	if (done || (double)since_us >= (double)g->settings.stop_grace_ms * BH__MS_US * STOP_SHARE)
+		event_base_loopbreak(g->base);
+}
+
+/* Reads the settings anew; those that are wrong change nothing. */
+static void on_reload_(evutil_socket_t sig, short what, void *arg)
+{
+	Gate *g = arg;
+	GateSettings s;
+	GError *error = NULL;
+
+	(void)sig;
+	(void)what;
+	if (!gate_settings_load(&s, SettingsPath_, &error)) {
+		log_error("reload", "what=kept cause=\"%s\"", error->message);
+		g_error_free(error);
+		return;
+	}
+	if (strcmp(s.name, g->settings.name) != 0 || strcmp(s.caller_address, g->settings.caller_address) != 0)
+		log_error("reload", "what=partial cause=\"name and addresses change with a restart only\"");
+	g->settings.max_connections = s.max_connections;
+	g->settings.stop_grace_ms = s.stop_grace_ms;
+	g->settings.endpoint_drain_ms = s.endpoint_drain_ms;
+	g->settings.configuration_ms = s.configuration_ms;
+	g->settings.key_trust_ms = s.key_trust_ms;
+	g->settings.memory_hold_max_ms = s.memory_hold_max_ms;
+	g->settings.directory_ttl_max_s = s.directory_ttl_max_s;
+	g->settings.repeat_share = s.repeat_share;
+	g->settings.repeat_extra = s.repeat_extra;
+	gate_settings_finish(&s);
+	log_event("reload", "what=done");
+}
+
+static void stop_(Gate *g)
+{
+	log_event("stop", "what=done calls=%u", g_hash_table_size(g->calls));
+	calls_free(g);
+	evconnlistener_free(g->listener);
+	g->listener = NULL;
+	inbounds_free(g);
+	g->port->stop(g);
+	web_stop(g);
+	cluster_free(g->cluster);
+	event_base_loop(g->base, EVLOOP_NONBLOCK); /* frees what was left to the loop */
+	g_ptr_array_unref(g->own_events);
+	event_base_free(g->base);
+	bh__routing_unref(g->routing);
+	bh__registry_delete(g->registry);
+	g_hash_table_unref(g->budgets);
+	g_hash_table_unref(g->calls);
+	g_hash_table_unref(g->inbounds);
+	gate_settings_finish(&g->settings);
+	log_finish();
+}
--- /dev/null
+++ b/src/bayhoist-gate/memory.c
@@ -0,0 +1,176 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Memory that is set aside on the engines which help hold a long prompt. It is held for a short time and
+ * renewed while the request lives, so that what a lost node held comes free by itself; and it is freed as
+ * soon as it is not needed, also where the answer to setting it aside comes late. */
+#include "gate.h"
+
+#include <string.h>
+#include "log.h"
+
+#define HOLD_MS 3500    /* that an engine keeps memory without a renewal */
+#define RENEW_MS 1200   /* between renewals: two may be lost */
+#define PATIENCE_MS 500 /* for an engine's answer */
+#define ID_LEN 64
+
+/* Memory on one engine. It outlives its hold while an answer is awaited. */
+typedef struct {
+	Gate *gate;
+	MemoryHold *hold; /* NULL: not wanted any more */
+	uint64_t endpoint_id;
+	char address[BH__ADDRESS_LEN];
+	char id[ID_LEN];
+	uint64_t tokens;
+	unsigned awaited; /* answers that are still to come */
+	bool held;
+} Part;
+
+struct MemoryHold {
+	Gate *gate;
+	unsigned count;
+	Part *part[BH__GRANT_MEMBERS_MAX];
+	struct event *timer;
+	bool told;
+	MemoryDone done;
+	void *ctx;
+};
+
+static void write_id_(char out[ID_LEN], const BH__Grant *grant, unsigned index);
+static void reserve_(Part *p);
+static void on_reserved_(void *part, bool held);
+static void check_(MemoryHold *h, bool failed);
+static void on_timer_(evutil_socket_t fd, short what, void *arg);
+static void set_timer_(MemoryHold *h, uint64_t ms);
+
+/* The id names grant and place, and through the grant the node's life. */
+static void write_id_(char out[ID_LEN], const BH__Grant *grant, unsigned index)
+{
+	g_snprintf(out, ID_LEN, "bh-%016" G_GINT64_MODIFIER "x-%u", grant->grant_id, index);
+}
+
+/* Sets aside what a grant takes on its helpers. `done` is called once, from the loop. */
+MemoryHold *memory_hold_new(Gate *g, const BH__Grant *grant, MemoryDone done, void *ctx)
+{
+	MemoryHold *h = g_new0(MemoryHold, 1);
+
+	h->gate = g;
+	h->done = done;
+	h->ctx = ctx;
+	h->timer = evtimer_new(g->base, on_timer_, h);
+	for (unsigned i = 1; i < grant->member_count; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, grant->member[i].endpoint_id);
+		Part *p;
+		if (!grant->member[i].kv_bytes || !e)
+			continue;
+		p = g_new0(Part, 1);
+		p->gate = g;
+		p->hold = h;
+		p->endpoint_id = e->endpoint_id;
+		p->tokens = grant->member[i].kv_bytes;
+		g_strlcpy(p->address, e->entry.address, sizeof p->address);
+		write_id_(p->id, grant, i);
+		h->part[h->count++] = p;
+	}
+	for (unsigned i = 0; i < h->count; i++)
+		reserve_(h->part[i]);
+	set_timer_(h, PATIENCE_MS);
+	return h;
+}
+
+/* Returns the name under which an engine holds memory, or NULL. */
+const char *memory_hold_get_id(const MemoryHold *h, uint64_t endpoint_id)
+{
+	for (unsigned i = 0; i < h->count; i++)
+		if (h->part[i]->endpoint_id == endpoint_id)
+			return h->part[i]->id;
+	return NULL;
+}
+
+static void reserve_(Part *p)
+{
+	p->awaited++;
+	p->gate->port->reserve(p->gate, p->address, p->id, p->tokens, HOLD_MS, on_reserved_, p);
+}
+
+static void on_reserved_(void *part, bool held)
+{
+	Part *p = part;
+
+	p->awaited--;
+	p->held |= held;
+	if (p->hold) {
+		check_(p->hold, !held && !p->held);
+		return;
+	}
+	p->gate->port->free_memory(p->gate, p->address,
+							   p->id); /* it may have been set aside after it was freed */
+	if (!p->awaited)
+		g_free(p);
+}
+
+/* Tells the owner once all is held or something is not to be had. */
+static void check_(MemoryHold *h, bool failed)
+{
+	bool all = true;
+
+	for (unsigned i = 0; i < h->count; i++)
+		all &= h->part[i]->held;
+	if (h->told || (!all && !failed))
+		return;
+	h->told = true;
+	set_timer_(h, RENEW_MS);
+	h->done(h->ctx, all);
+}
+
+static void set_timer_(MemoryHold *h, uint64_t ms)
+{
+	struct timeval tv = {(time_t)(ms / 1000), (suseconds_t)(ms % 1000 * 1000)};
+
+	evtimer_add(h->timer, &tv);
+}
+
+static void on_timer_(evutil_socket_t fd, short what, void *arg)
+{
+	MemoryHold *h = arg;
+
+	(void)fd;
+	(void)what;
+	if (!h->told) {
+		log_event("memory", "what=not-held cause=\"no answer in %u ms\" id=%s", PATIENCE_MS,
+				  h->count ? h->part[0]->id : "");
+		check_(h, true);
+		return;
+	}
+	for (unsigned i = 0; i < h->count; i++)
+		reserve_(h->part[i]);
+	set_timer_(h, RENEW_MS);
+}
+
+/* Frees the memory everywhere. `h` may be NULL. */
+void memory_hold_delete(MemoryHold *h)
+{
+	if (!h)
+		return;
+	for (unsigned i = 0; i < h->count; i++) {
+		Part *p = h->part[i];
+		p->hold = NULL;
+		h->gate->port->free_memory(h->gate, p->address, p->id);
+		if (!p->awaited)
+			g_free(p);
+	}
+	event_free(h->timer);
+	g_free(h);
+}
+
+/* Frees what a lost node held under a grant. */
+void memory_free_abandoned(Gate *g, const BH__Grant *grant)
+{
+	for (unsigned i = 1; i < grant->member_count; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, grant->member[i].endpoint_id);
+		char id[ID_LEN];
+		if (!grant->member[i].kv_bytes || !e)
+			continue;
+		write_id_(id, grant, i);
+		log_event("memory", "what=freed cause=\"its node is gone\" endpoint=%s id=%s", e->entry.id, id);
+		g->port->free_memory(g, e->entry.address, id);
+	}
+}
--- /dev/null
+++ b/src/bayhoist-gate/port.h
@@ -0,0 +1,88 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What the gateway needs of the platform that it runs on: the headers that callers and endpoints use, the
+ * source of routing and of registered endpoints, and memory that engines set aside. A platform's binding
+ * fills in a GatePort; nothing else in the gateway knows its names. */
+#ifndef BAYHOIST_GATE_PORT_H
+#define BAYHOIST_GATE_PORT_H
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include "bayhoist/event_stream.h"
+#include "bayhoist/message.h"
+#include "bayhoist/types.h"
+
+#define REQUEST_ID_LEN 80
+#define API_KEY_LEN 200
+#define MAC_LEN 200
+
+typedef struct Gate Gate;
+
+/* What a caller says of its request besides what is passed on untouched. */
+typedef struct {
+	char request_id[REQUEST_ID_LEN];      /* the caller's own name for it; empty: none */
+	char key[API_KEY_LEN];                /* API key; empty: none */
+	char last_event_id[BH__EVENT_ID_LEN]; /* a stream is to go on after this event; empty: from the start */
+	uint64_t time_left_us;                /* that the caller will wait; 0: not said */
+	uint64_t prompt_tokens;
+	uint64_t max_tokens;    /* of the answer, at most; 0: not said */
+	uint64_t likely_tokens; /* of the answer, as the caller guesses; 0: not said */
+} RequestMeta;
+
+/* One sending of a request to an endpoint. */
+typedef struct {
+	const char *endpoint;      /* id that must answer, and no other */
+	const char *account;       /* name of the client account; NULL: none */
+	const char *last_event_id; /* to go on after; empty: from the start */
+	uint64_t time_left_us;
+	int urgency; /* 0 is the most urgent; negative: not said */
+	unsigned helper_count;
+	struct {
+		const char *address;
+		const char *memory_id; /* set aside there; NULL: none */
+	} helper[BH__GRANT_MEMBERS_MAX];
+} SendingMeta;
+
+/* What an endpoint says in the head of its answer. */
+typedef struct {
+	char request_id[REQUEST_ID_LEN];
+	char mac[MAC_LEN];           /* shows that the answer is an endpoint's; empty: none */
+	char at_fault[BH__NAME_LEN]; /* endpoint that is the cause of a refusal; empty: not said */
+	bool not_run;
+	bool has_load;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+} AnswerMeta;
+
+/* What becomes of a header. */
+typedef enum {
+	HEADER_PASS, /* goes on as it is */
+	HEADER_DROP  /* does not: it is ours to set, or nobody's business */
+} HeaderUse;
+
+typedef struct GatePort {
+	HeaderUse (*read_request_header)(RequestMeta *meta, const char *name, const char *value);
+	void (*write_sending_headers)(struct evbuffer *out, const RequestMeta *meta, const SendingMeta *sending);
+	HeaderUse (*read_answer_header)(AnswerMeta *meta, const char *name, const char *value);
+	/* Headers of an answer of the gateway's own. `retry_after_ms` 0: the caller need not come back. */
+	void (*write_own_headers)(struct evbuffer *out, const RequestMeta *meta, uint64_t retry_after_ms);
+	/* Whether a status, in itself, says that the request did not run. */
+	bool (*status_says_not_run)(int status);
+
+	/* Follows routing and endpoints, and hands them to gate_set_routing() and the registry. */
+	bool (*start)(Gate *g);
+	void (*stop)(Gate *g);
+	/* Puts the node where nodes that start can find it, and takes it away. */
+	void (*announce)(Gate *g);
+	void (*withdraw)(Gate *g);
+	/* Answers a caller that asks where to go, or the platform that asks whether the node takes callers. */
+	void (*answer_directory)(Gate *g, struct evhttp_request *req);
+	void (*answer_readiness)(Gate *g, struct evhttp_request *req);
+
+	/* Sets memory aside on an engine, or renews that. `done` is called once, with whether it is held. */
+	void (*reserve)(Gate *g, const char *address, const char *memory_id, uint64_t tokens, uint64_t hold_ms,
+					void (*done)(void *ctx, bool held), void *ctx);
+	void (*free_memory)(Gate *g, const char *address, const char *memory_id);
+} GatePort;
+
+#endif
--- /dev/null
+++ b/src/bayhoist-gate/web.c
@@ -0,0 +1,177 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What the gateway answers besides callers' requests: where to go, whether it is ready, and its metrics.
+ * These are small requests without a body of interest, which evhttp serves well. */
+#include "gate.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <string.h>
+#include "bayhoist/verdict.h"
+#include "clock.h"
+#include "log.h"
+#include "web.h"
+
+#define IDLE_S 10
+#define BODY_MAX 65536
+#define HEADERS_MAX 16384
+
+static struct evhttp *listen_(Gate *g, const char *address, void (*cb)(struct evhttp_request *, void *));
+static void on_directory_(struct evhttp_request *req, void *arg);
+static void on_readiness_(struct evhttp_request *req, void *arg);
+static void on_control_(struct evhttp_request *req, void *arg);
+static void write_metrics_(Gate *g, struct evbuffer *out);
+static void write_histogram_(struct evbuffer *out, const char *name, const char *label,
+							 const BH__Histogram *h);
+
+static const char *const OutcomeString_[CALL_OUTCOME_COUNT] = {"served", "refused", "failed", "caller-gone"};
+
+/* Listens on the three addresses. Returns false if one can't be used; it is logged. */
+bool web_start(Gate *g)
+{
+	const GateSettings *s = &g->settings;
+
+	g->web[0] = listen_(g, s->directory_address, on_directory_);
+	g->web[1] = listen_(g, s->readiness_address, on_readiness_);
+	g->web[2] = listen_(g, s->control_address, on_control_);
+	return g->web[0] && g->web[1] && g->web[2];
+}
+
+void web_stop(Gate *g)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(g->web); i++)
+		if (g->web[i])
+			evhttp_free(g->web[i]);
+}
+
+static struct evhttp *listen_(Gate *g, const char *address, void (*cb)(struct evhttp_request *, void *))
+{
+	struct evhttp *http = evhttp_new(g->base);
+	char ip[BH__ADDRESS_LEN];
+	uint16_t port;
+
+	evhttp_set_allowed_methods(http, EVHTTP_REQ_GET);
+	evhttp_set_max_headers_size(http, HEADERS_MAX);
+	evhttp_set_max_body_size(http, BODY_MAX);
+	evhttp_set_timeout(http, IDLE_S);
+	evhttp_set_gencb(http, cb, g);
+	if (web_split_address(address, ip, sizeof ip, &port) && evhttp_bind_socket(http, ip, port) == 0)
+		return http;
+	log_error("listen-failed", "address=%s", address);
+	evhttp_free(http);
+	return NULL;
+}
+
+static void on_directory_(struct evhttp_request *req, void *arg)
+{
+	Gate *g = arg;
+
+	g->counters.directory_answers++;
+	g->port->answer_directory(g, req);
+}
+
+static void on_readiness_(struct evhttp_request *req, void *arg)
+{
+	Gate *g = arg;
+
+	g->port->answer_readiness(g, req);
+}
+
+/* Lists the caller addresses of nodes that take callers: those of `hall` if it has at least two, else all. */
+unsigned web_list_caller_addresses(Gate *g, const char *hall, const char *out[], unsigned max)
+{
+	const BH__Members *m = cluster_get_members(g->cluster);
+	unsigned count = 0;
+
+	for (int only_hall = 1; only_hall >= 0; only_hall--) {
+		count = 0;
+		for (unsigned i = 0; i < bh__members_get_count(m) && count < max; i++) {
+			const BH__MemberInfo *info = bh__members_get(m, i);
+			if (!bh__member_is_usable(info) || !info->config_revision ||
+				(only_hall && hall && strcmp(info->hall, hall) != 0))
+				continue;
+			out[count++] = info->caller_address;
+		}
+		if (count >= 2)
+			break;
+	}
+	return count;
+}
+
+static void on_control_(struct evhttp_request *req, void *arg)
+{
+	Gate *g = arg;
+	struct evbuffer *out;
+
+	if (strcmp(web_get_path(req), "/metrics") != 0) {
+		web_reply_error(req, 404, NULL, "not-found", "there is no such path");
+		return;
+	}
+	out = evbuffer_new();
+	write_metrics_(g, out);
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type", "text/plain; version=0.0.4");
+	evhttp_send_reply(req, 200, NULL, out);
+	evbuffer_free(out);
+}
+
+static void write_metrics_(Gate *g, struct evbuffer *out)
+{
+	static const char *const SizeLabel[BH__SIZE_CLASSES] = {"4k", "32k", "100k", "more"};
+	const GateCounters *k = &g->counters;
+	uint64_t now_us = clock_now_us();
+	GHashTableIter it;
+	gpointer name;
+	gpointer budget;
+	const struct {
+		const char *name;
+		uint64_t value;
+	} all[] = {{"requests_total", k->requests},
+			   {"sendings_total", k->sendings},
+			   {"repeats_total", k->repeats},
+			   {"resumes_total", k->resumes},
+			   {"local_grants_total", k->local_grants},
+			   {"denied_keys_total", k->denied_keys},
+			   {"no_route_total", k->no_route},
+			   {"stale_refusals_total", k->stale_refusals},
+			   {"directory_answers_total", k->directory_answers},
+			   {"bad_answers_total", k->bad_frames},
+			   {"calls", g_hash_table_size(g->calls)},
+			   {"connections", g_hash_table_size(g->inbounds)},
+			   {"endpoints", bh__registry_get_count(g->registry)},
+			   {"configuration_version", g->routing ? bh__routing_get_version(g->routing) : 0},
+			   {"configuration_age_ms", g->routing ? (now_us - g->routing_looked_us) / BH__MS_US : 0},
+			   {"log_lines_left_out_total", log_get_left_out()}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
+		evbuffer_add_printf(out, "bayhoist_%s %" G_GUINT64_FORMAT "\n", all[i].name, all[i].value);
+	for (int i = 0; i < CALL_OUTCOME_COUNT; i++)
+		evbuffer_add_printf(out, "bayhoist_outcomes_total{outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
+							OutcomeString_[i], k->outcomes[i]);
+	g_hash_table_iter_init(&it, g->budgets);
+	while (g_hash_table_iter_next(&it, &name, &budget)) {
+		const BH__RepeatBudget *b = budget;
+		evbuffer_add_printf(out,
+							"bayhoist_repeat_budget{service=\"%s\",what=\"spent\"} %" G_GUINT64_FORMAT "\n"
+							"bayhoist_repeat_budget{service=\"%s\",what=\"denied\"} %" G_GUINT64_FORMAT "\n",
+							(const char *)name, b->spent, (const char *)name, b->denied);
+	}
+	for (int i = 0; i < BH__SIZE_CLASSES; i++)
+		write_histogram_(out, "first_event_ms", SizeLabel[i], &k->first_event[i]);
+	write_histogram_(out, "grant_wait_ms", "all", &k->grant_wait);
+	write_histogram_(out, "whole_ms", "all", &k->whole);
+	cluster_write_status(g->cluster, out);
+}
+
+static void write_histogram_(struct evbuffer *out, const char *name, const char *label,
+							 const BH__Histogram *h)
+{
+	uint64_t sum = 0;
+
+	for (unsigned i = 0; i < BH__HISTOGRAM_BUCKETS; i++) {
+		sum += h->bucket[i];
+		evbuffer_add_printf(
+			out, "bayhoist_%s_bucket{size=\"%s\",le=\"%" G_GUINT64_FORMAT "\"} %" G_GUINT64_FORMAT "\n", name,
+			label, bh__histogram_get_limit_ms(i), sum);
+	}
+	evbuffer_add_printf(out, "bayhoist_%s_sum{size=\"%s\"} %" G_GUINT64_FORMAT "\n", name, label, h->sum_ms);
+	evbuffer_add_printf(out, "bayhoist_%s_count{size=\"%s\"} %" G_GUINT64_FORMAT "\n", name, label, h->count);
+}
--- a/src/bayhoistd/admin.c
+++ b/src/bayhoistd/admin.c
@@ -283,10 +283,10 @@
 	add_u64_(o, "orphans_cancelled", c->orphans_cancelled);
 	add_u64_(o, "pieces", c->pieces);
 	add_u64_(o, "crossed", c->crossed);
-	add_u64_(o, "peer_bytes_out", d->peer_bytes_out);
-	add_u64_(o, "peer_bytes_in", d->peer_bytes_in);
-	add_u64_(o, "peer_messages_out", d->peer_messages_out);
-	add_u64_(o, "peer_messages_in", d->peer_messages_in);
+	add_u64_(o, "peer_bytes_out", peers_get_counters(d->peers)->bytes_out);
+	add_u64_(o, "peer_bytes_in", peers_get_counters(d->peers)->bytes_in);
+	add_u64_(o, "peer_messages_out", peers_get_counters(d->peers)->messages_out);
+	add_u64_(o, "peer_messages_in", peers_get_counters(d->peers)->messages_in);
 	return o;
 }
 
--- a/src/bayhoistd/daemon.h
+++ b/src/bayhoistd/daemon.h
@@ -1,6 +1,6 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* The daemon binds a BH__Node to libevent: callers (caller.c), endpoints (upstream.c, poll.c), peers
- * (peer.c), the platform (store.c, vmlist.c) and operators (admin.c). One loop on one thread. */
+ * (peers.c, shared), the platform (store.c, vmlist.c) and operators (admin.c). One loop on one thread. */
 #ifndef BAYHOISTD_DAEMON_H
 #define BAYHOISTD_DAEMON_H
 
@@ -9,11 +9,11 @@
 #include <glib.h>
 #include <openssl/ssl.h>
 #include "bayhoist/node.h"
+#include "peers.h"
 #include "settings.h"
 
 typedef struct Daemon Daemon;
 typedef struct Caller Caller;
-typedef struct Peers Peers;
 typedef struct EtcdStore EtcdStore;
 
 #define EVENTS_KEPT 20000
@@ -39,10 +39,6 @@
 	uint64_t leave_at_us; /* 0: not leaving */
 	bool stop_now;
 	uint64_t open_files; /* as last counted, and connections accepted since */
-	uint64_t peer_bytes_out;
-	uint64_t peer_bytes_in;
-	uint64_t peer_messages_out;
-	uint64_t peer_messages_in;
 };
 
 /* caller.c */
@@ -90,11 +86,6 @@
 void order_start(BH__NodePorts *ports, const BH__Order *order);
 void polls_free(Daemon *d);
 
-/* peer.c */
-Peers *peers_new(Daemon *d);
-void peers_delete(Peers *p);
-void peers_send(BH__NodePorts *ports, const char *address, const BH__Message *m);
-
 /* store.c and vmlist.c */
 EtcdStore *etcd_store_new(Daemon *d);
 void etcd_store_delete(EtcdStore *s);
--- a/src/bayhoistd/main.c
+++ b/src/bayhoistd/main.c
@@ -35,6 +35,9 @@
 static void check_leave_(Daemon *d, uint64_t now_us);
 static void on_terminate_(evutil_socket_t sig, short what, void *arg);
 static void on_reload_(evutil_socket_t sig, short what, void *arg);
+static void send_peer_(BH__NodePorts *ports, const char *address, const BH__Message *m);
+static void on_peer_message_(void *daemon, const BH__Message *m);
+static void on_peer_unreachable_(void *daemon, const char *address);
 static void stop_(Daemon *d);
 
 static void usage_(FILE *out)
@@ -129,7 +132,7 @@
 	g_strlcpy(options.self.hall, s->hall, sizeof options.self.hall);
 	g_strlcpy(options.self.peer_address, s->peer_address, sizeof options.self.peer_address);
 	g_strlcpy(options.self.caller_address, s->caller_address, sizeof options.self.caller_address);
-	d->ports = (BH__NodePorts){.send = peers_send,
+	d->ports = (BH__NodePorts){.send = send_peer_,
 							   .attempt_start = upstream_start,
 							   .attempt_cancel = upstream_cancel,
 							   .endpoint_poll = poll_start,
@@ -141,6 +144,21 @@
 	d->node = bh__node_new(&d->ports, etcd_store_get_port(d->store), &options);
 }
 
+static void send_peer_(BH__NodePorts *ports, const char *address, const BH__Message *m)
+{
+	peers_send(((Daemon *)ports)->peers, address, m);
+}
+
+static void on_peer_message_(void *daemon, const BH__Message *m)
+{
+	bh__node_process_message(((Daemon *)daemon)->node, m, clock_now_us());
+}
+
+static void on_peer_unreachable_(void *daemon, const char *address)
+{
+	bh__node_process_unreachable(((Daemon *)daemon)->node, address, clock_now_us());
+}
+
 static bool listen_(Daemon *d)
 {
 	char ip[64];
@@ -162,6 +180,7 @@
 static bool start_(Daemon *d)
 {
 	struct timeval tick = {0, TICK_MS * 1000};
+	PeersOptions peers = {.on_message = on_peer_message_, .on_unreachable = on_peer_unreachable_, .ctx = d};
 	struct event_config *config = event_config_new();
 
 	d->boot_id = clock_new_boot_id();
@@ -176,7 +195,10 @@
 	d->events = g_queue_new();
 	d->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
 	make_node_(d);
-	d->peers = peers_new(d);
+	peers.base = d->base;
+	peers.address = d->settings.peer_address;
+	peers.key = d->settings.peer_key;
+	d->peers = peers_new(&peers);
 	if (!d->peers || !listen_(d)) {
 		log_error("listen-failed", "address=%s cause=\"%s\"",
 				  d->peers ? d->settings.caller_address : d->settings.peer_address, strerror(errno));
--- a/src/bayhoistd/upstream.c
+++ b/src/bayhoistd/upstream.c
@@ -119,7 +119,7 @@
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
 	const BH__AttemptCall *call = &u->call;
 	const Caller *caller = caller_find(u->daemon, call->request_id);
-	char text[BH__GANG_MAX * BH__PARTS_MAX * ATTACH_LEN] = "";
+	char text[BH__GRANT_MEMBERS_MAX * BH__PARTS_MAX * ATTACH_LEN] = "";
 
 	evhttp_add_header(headers, "Host", address);
 	evhttp_add_header(headers, "Connection", "close");
--- a/src/bayhoistd/vmlist.c
+++ b/src/bayhoistd/vmlist.c
@@ -48,7 +48,7 @@
 		BH__Vm *vms = g_new0(BH__Vm, count + 1);
 		for (unsigned i = 0; i < count; i++)
 			read_vm_(json_object_array_get_idx(list, i), &vms[i]);
-		bh__node_process_vm_list(d->node, vms, count, clock_now_us());
+		bh__node_update_vm_list(d->node, vms, count, clock_now_us());
 		g_free(vms);
 	}
 	json_object_put(root);
--- /dev/null
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -0,0 +1,25 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Where an engine stands in its passes, reckoned from what it was given. A prompt that arrives is read in the
+ * next pass, beside the prompts that wait with it, and every stream pauses until that pass is over. */
+#ifndef BAYHOIST_PRIVATE_PASS_CLOCK_H
+#define BAYHOIST_PRIVATE_PASS_CLOCK_H
+
+#include "bayhoist/engine_model.h"
+
+typedef struct {
+	uint64_t pass_end_us; /* of the pass under way; 0: the engine is idle */
+	double waiting_ms;    /* of reading that the next pass takes up */
+	unsigned streams;
+	uint64_t context_tokens; /* of the streams together */
+	double pace;             /* how much slower than its model the engine was seen to be; 1: as fast */
+} BH__PassClock;
+
+void bh__pass_clock_init(BH__PassClock *c);
+void bh__pass_clock_advance(BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us);
+double bh__pass_clock_next_pass_ms(const BH__PassClock *c, const BH__EngineModel *m, double more_ms);
+uint64_t bh__pass_clock_predict_read(const BH__PassClock *c, const BH__EngineModel *m, double read_ms,
+									 uint64_t now_us);
+void bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us);
+void bh__pass_clock_observe(BH__PassClock *c, double expected_ms, double observed_ms);
+
+#endif
--- /dev/null
+++ b/src/libbayhoist/include/private/placement.h
@@ -0,0 +1,46 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* The choice of engines for one prompt: the one that answers and those that help it read. */
+#ifndef BAYHOIST_PRIVATE_PLACEMENT_H
+#define BAYHOIST_PRIVATE_PLACEMENT_H
+
+#include "bayhoist/message.h"
+#include "pass_clock.h"
+
+/* A request in an engine's table. */
+typedef struct {
+	BH__Grant grant;
+	double value;          /* of an answer in time */
+	uint64_t event_gap_us; /* longest pause that is of full use; 0: any */
+	uint64_t tokens;       /* of prompt and answer together */
+	uint64_t granted_us;
+	double expected_ms;   /* to its first event, at pace 1 */
+	uint64_t read_end_us; /* when its prompt is foretold to be read */
+} BH__PlacedRequest;
+
+typedef struct {
+	uint64_t endpoint_id;
+	bool leaving;
+	uint64_t set_aside_until_us; /* after a failure */
+	unsigned failures;           /* one after another */
+	BH__PassClock clock;
+	GPtrArray *homes; /* BH__PlacedRequest whose answers come from here */
+	unsigned helps;   /* parts of prompts of others under way */
+	uint64_t kv_used_tokens;
+} BH__PassEngine;
+
+typedef struct {
+	unsigned count; /* engines; the first answers */
+	BH__PassEngine *engine[BH__GRANT_MEMBERS_MAX];
+	uint64_t kv_tokens[BH__GRANT_MEMBERS_MAX]; /* memory that it takes on each */
+	uint64_t read_end_us;
+	double part_ms;     /* of reading on each */
+	double expected_ms; /* to the first event, at pace 1 */
+	double cost;        /* of what it spoils, in value; lower is better */
+} BH__Placement;
+
+bool bh__placement_find(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
+						BH__Placement *out);
+double bh__placement_value(uint64_t prompt_tokens);
+bool bh__pass_engine_is_usable(const BH__PassEngine *e, uint64_t now_us);
+
+#endif
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -14,9 +14,9 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",   "ack",         "ping-req",   "join",        "members",   "ask",
-	"grant",  "refuse",      "release",    "progress",    "withdraw",  "hold",
-	"orphan", "config-news", "config-ask", "config-data", "quota-ask", "quota-grant"};
+	"ping",       "ack",         "ping-req",  "join",        "members", "ask",    "grant",
+	"refuse",     "release",     "progress",  "withdraw",    "hold",    "orphan", "config-news",
+	"config-ask", "config-data", "quota-ask", "quota-grant", "queued"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
@@ -216,6 +216,8 @@
 	u64_(c, &a->kv_bytes);
 	u64_(c, &a->deadline_us);
 	u64_(c, &a->adapter_id);
+	u64_(c, &a->first_event_us);
+	u64_(c, &a->event_gap_us);
 	u32_(c, &a->priority_level);
 	u8_(c, &a->avoid_count, BH__AVOID_MAX);
 	for (unsigned i = 0; i < a->avoid_count; i++)
@@ -235,7 +237,9 @@
 	u32_(c, &g->priority_level);
 	flag_(c, &g->is_long);
 	flag_(c, &g->tells_progress);
-	u8_(c, &g->member_count, BH__GANG_MAX);
+	flag_(c, &g->writes);
+	u64_(c, &g->event_gap_us);
+	u8_(c, &g->member_count, BH__GRANT_MEMBERS_MAX);
 	for (unsigned i = 0; i < g->member_count; i++) {
 		u64_(c, &g->member[i].endpoint_id);
 		u64_(c, &g->member[i].kv_bytes);
@@ -324,6 +328,7 @@
 	case BH__MESSAGE_RELEASE:
 	case BH__MESSAGE_PROGRESS:
 	case BH__MESSAGE_WITHDRAW:
+	case BH__MESSAGE_QUEUED:
 		u64_(c, &m->as.release.pool_id);
 		u64_(c, &m->as.release.grant_id);
 		kind = (uint8_t)m->as.release.kind;
--- a/src/libbayhoist/node.c
+++ b/src/libbayhoist/node.c
@@ -384,7 +384,7 @@
 }
 
 /* Takes the platform's VM list: seeds to join by, and endpoints that are leaving. */
-void bh__node_process_vm_list(BH__Node *n, const BH__Vm *vms, unsigned count, uint64_t now_us)
+void bh__node_update_vm_list(BH__Node *n, const BH__Vm *vms, unsigned count, uint64_t now_us)
 {
 	n->now_us = now_us;
 	g_hash_table_remove_all(n->leaving_vms);
--- /dev/null
+++ b/src/libbayhoist/pass_clock.c
@@ -0,0 +1,68 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* The reckoning of an engine's passes. */
+#include "pass_clock.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define IDLE_START_US_ (2 * BH__MS_US) /* until a call reaches an idle engine and it begins */
+#define PACE_WEIGHT_ 0.25              /* of one observation */
+#define PACE_MIN_ 1.0
+#define PACE_MAX_ 12.0
+#define OBSERVABLE_MS_ 20.0 /* shorter times say more of the network than of the engine */
+#define RATIO_MAX_ 20.0
+#define PASSES_AT_ONCE_ 10000 /* that one call moves on; an engine that idles longer is set idle */
+
+void bh__pass_clock_init(BH__PassClock *c)
+{
+	memset(c, 0, sizeof *c);
+	c->pace = 1;
+}
+
+/* Moves on to `now_us`: passes that are over by then are followed by the next, with what waits. */
+void bh__pass_clock_advance(BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us)
+{
+	for (unsigned i = 0; c->pass_end_us && c->pass_end_us <= now_us; i++) {
+		if ((!c->streams && c->waiting_ms <= 0) || i >= PASSES_AT_ONCE_) {
+			c->pass_end_us = 0;
+			c->waiting_ms = 0;
+			return;
+		}
+		c->pass_end_us += (uint64_t)(bh__pass_clock_next_pass_ms(c, m, 0) * 1000);
+		c->waiting_ms = 0;
+	}
+}
+
+/* Returns the length of the next pass if `more_ms` of reading is added to it. */
+double bh__pass_clock_next_pass_ms(const BH__PassClock *c, const BH__EngineModel *m, double more_ms)
+{
+	return c->pace * (bh__engine_model_pass_ms(m, c->streams, c->context_tokens) + c->waiting_ms + more_ms);
+}
+
+/* Returns when a prompt that arrives now and takes `read_ms` to read would have been read. */
+uint64_t bh__pass_clock_predict_read(const BH__PassClock *c, const BH__EngineModel *m, double read_ms,
+									 uint64_t now_us)
+{
+	uint64_t start_us = MAX(c->pass_end_us, now_us + IDLE_START_US_);
+
+	return start_us + (uint64_t)(bh__pass_clock_next_pass_ms(c, m, read_ms) * 1000);
+}
+
+/* Adds a prompt to what the next pass reads. */
+void bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us)
+{
+	if (!c->pass_end_us)
+		c->pass_end_us = now_us + IDLE_START_US_;
+	c->waiting_ms += read_ms;
+}
+
+/* Learns the engine's pace from a time that was foretold at pace 1 and the one that it took. */
+void bh__pass_clock_observe(BH__PassClock *c, double expected_ms, double observed_ms)
+{
+	double ratio;
+
+	if (expected_ms < OBSERVABLE_MS_)
+		return;
+	ratio = CLAMP(observed_ms / expected_ms, 0, RATIO_MAX_);
+	c->pace = CLAMP(c->pace + PACE_WEIGHT_ * (ratio - c->pace), PACE_MIN_, PACE_MAX_);
+}
--- /dev/null
+++ b/src/libbayhoist/planner.c
@@ -0,0 +1,541 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* The planner: its ledger of grants and the asks that wait. The choice of engines is in placement.c. */
+#include "bayhoist/planner.h"
+
+#include <string.h>
+#include "placement.h"
+
+#define WAIT_SHARE_ 0.5   /* of the time to a first event in time: so long a better place is waited for */
+#define OFFER_SHARE_ 0.25 /* of it: by then a request is given an engine or refused; the users' bound */
+#define OFFER_MARGIN_US_ (15 * BH__MS_US)
+#define BEARABLE_COST_ 0.6 /* in value: a placement that costs no more is taken at once */
+#define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
+#define LOOKS_PER_PUMP_ 8 /* waiting asks that are tried each time */
+#define ASIDE_FIRST_US_                                                                                      \
+	(300 * BH__MS_US) /* an engine that failed takes nothing for so long, then twice that */
+#define ASIDE_MAX_US_ (4 * BH__SECOND_US)
+#define RETRY_AFTER_MIN_MS_ 150
+#define RETRY_AFTER_MAX_MS_ 2000
+#define HOLD_GRACE_US_ (2 * BH__SECOND_US) /* a grant younger than this may not be in a list of holds yet */
+
+typedef struct {
+	BH__Ask ask;
+	uint64_t arrived_us;
+} Waiting_;
+
+struct BH__Planner {
+	BH__PlannerPort *port;
+	uint64_t pool_id;
+	uint64_t boot_id;
+	uint64_t next_grant;
+	BH__EngineModel model;
+	GPtrArray *engines; /* BH__PassEngine */
+	GHashTable *by_id;  /* the same by endpoint id */
+	GHashTable *placed; /* BH__PlacedRequest by grant id */
+	GHashTable *by_ask; /* the same by ask id */
+	GPtrArray *waiting; /* Waiting_, the smallest prompt first */
+	BH__PlannerCounters counters;
+	bool pumping;
+};
+
+static void free_engine_(gpointer engine);
+static BH__PassEngine *find_engine_(const BH__Planner *p, uint64_t endpoint_id);
+static uint64_t first_event_us_(const BH__Ask *ask);
+static Waiting_ *find_waiting_(const BH__Planner *p, uint64_t ask_id);
+static void push_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+static bool try_place_(BH__Planner *p, const BH__Ask *ask, uint64_t arrived_us, uint64_t now_us);
+static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t now_us);
+static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t now_us);
+static void start_stream_(BH__Planner *p, BH__PlacedRequest *r);
+static void take_out_(BH__Planner *p, BH__PlacedRequest *r);
+static void end_helps_(BH__Planner *p, BH__PlacedRequest *r);
+static void set_aside_(BH__PassEngine *e, uint64_t now_us);
+static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
+static void pump_(BH__Planner *p, uint64_t now_us);
+static GPtrArray *placed_of_(const BH__Planner *p, uint64_t node_id, bool others);
+
+/* Returns a planner without engines. `boot_id` makes the ids of its grants unique. */
+BH__Planner *bh__planner_new(BH__PlannerPort *port, uint64_t pool_id, uint64_t boot_id)
+{
+	BH__Planner *p = g_new0(BH__Planner, 1);
+
+	p->port = port;
+	p->pool_id = pool_id;
+	p->boot_id = bh__hash_pair(boot_id, pool_id);
+	bh__engine_model_init(&p->model);
+	p->engines = g_ptr_array_new_with_free_func(free_engine_);
+	p->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	p->placed = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	p->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
+	p->waiting = g_ptr_array_new_with_free_func(g_free);
+	return p;
+}
+
+void bh__planner_delete(BH__Planner *p)
+{
+	if (!p)
+		return;
+	g_hash_table_unref(p->by_ask);
+	g_hash_table_unref(p->by_id);
+	g_ptr_array_unref(p->engines);
+	g_hash_table_unref(p->placed);
+	g_ptr_array_unref(p->waiting);
+	g_free(p);
+}
+
+uint64_t bh__planner_get_id(const BH__Planner *p)
+{
+	return p->pool_id;
+}
+
+void bh__planner_set_model(BH__Planner *p, const BH__EngineModel *model)
+{
+	p->model = *model;
+}
+
+static void free_engine_(gpointer engine)
+{
+	BH__PassEngine *e = engine;
+
+	g_ptr_array_unref(e->homes);
+	g_free(e);
+}
+
+static BH__PassEngine *find_engine_(const BH__Planner *p, uint64_t endpoint_id)
+{
+	return g_hash_table_lookup(p->by_id, &endpoint_id);
+}
+
+/* Adds an engine, or changes whether it is leaving. */
+void bh__planner_set_endpoint(BH__Planner *p, uint64_t endpoint_id, bool leaving, uint64_t now_us)
+{
+	BH__PassEngine *e = find_engine_(p, endpoint_id);
+
+	if (!e) {
+		e = g_new0(BH__PassEngine, 1);
+		e->endpoint_id = endpoint_id;
+		e->homes = g_ptr_array_new();
+		bh__pass_clock_init(&e->clock);
+		g_ptr_array_add(p->engines, e);
+		g_hash_table_insert(p->by_id, &e->endpoint_id, e);
+	}
+	e->leaving = leaving;
+	pump_(p, now_us);
+}
+
+/* Forgets an engine; grants on it stay until they are released. */
+void bh__planner_remove_endpoint(BH__Planner *p, uint64_t endpoint_id, uint64_t now_us)
+{
+	BH__PassEngine *e = find_engine_(p, endpoint_id);
+
+	if (!e)
+		return;
+	g_hash_table_remove(p->by_id, &endpoint_id);
+	g_ptr_array_remove(p->engines, e);
+	pump_(p, now_us);
+}
+
+static uint64_t first_event_us_(const BH__Ask *ask)
+{
+	return ask->first_event_us ? ask->first_event_us : DEFAULT_FIRST_EVENT_US_;
+}
+
+static Waiting_ *find_waiting_(const BH__Planner *p, uint64_t ask_id)
+{
+	for (guint i = 0; i < p->waiting->len; i++) {
+		Waiting_ *w = g_ptr_array_index(p->waiting, i);
+		if (w->ask.ask_id == ask_id)
+			return w;
+	}
+	return NULL;
+}
+
+/* Takes an ask. One that comes a second time is told again what became of it. */
+void bh__planner_process_ask(BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
+{
+	BH__PlacedRequest *known = g_hash_table_lookup(p->by_ask, &ask->ask_id);
+
+	if (known) {
+		p->port->grant(p->port, &known->grant);
+		return;
+	}
+	if (find_waiting_(p, ask->ask_id)) {
+		p->port->queued(p->port, ask);
+		return;
+	}
+	if (try_place_(p, ask, now_us, now_us))
+		return;
+	push_(p, ask, now_us);
+	p->counters.queued++;
+	p->port->queued(p->port, ask);
+}
+
+static void push_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
+{
+	Waiting_ *w = g_new0(Waiting_, 1);
+	guint at = 0;
+
+	w->ask = *ask;
+	w->arrived_us = now_us;
+	while (at < p->waiting->len &&
+		   ((Waiting_ *)g_ptr_array_index(p->waiting, at))->ask.prompt_tokens <= ask->prompt_tokens)
+		at++;
+	g_ptr_array_insert(p->waiting, (gint)at, w);
+}
+
+/* Drops an ask that waits. */
+void bh__planner_process_withdraw(BH__Planner *p, uint64_t ask_id)
+{
+	Waiting_ *w = find_waiting_(p, ask_id);
+
+	if (w)
+		g_ptr_array_remove(p->waiting, w);
+}
+
+/* Grants or refuses an ask, or returns false if it is to wait. */
+static bool try_place_(BH__Planner *p, const BH__Ask *ask, uint64_t arrived_us, uint64_t now_us)
+{
+	BH__Placement place;
+	BH__Ask left = *ask; /* with the times that are left now */
+	uint64_t waited_us = now_us - arrived_us;
+	uint64_t aim_us = first_event_us_(ask);
+	bool found;
+
+	if (waited_us >= ask->deadline_us) {
+		refuse_(p, ask, BH__REASON_DEADLINE, now_us);
+		return true;
+	}
+	left.deadline_us = ask->deadline_us - waited_us;
+	left.first_event_us = waited_us < aim_us ? aim_us - waited_us : 1;
+	found = bh__placement_find(&p->model, p->engines, &left, now_us, &place);
+	if (found && now_us + left.deadline_us <= place.read_end_us)
+		found = false;
+	if (found && (place.cost <= BEARABLE_COST_ || waited_us >= (uint64_t)((double)aim_us * WAIT_SHARE_))) {
+		p->counters.late += place.read_end_us > now_us + left.first_event_us;
+		grant_(p, ask, &place, now_us);
+		return true;
+	}
+	if (!found && waited_us + OFFER_MARGIN_US_ >= (uint64_t)((double)aim_us * OFFER_SHARE_)) {
+		refuse_(p, ask, p->engines->len ? BH__REASON_OVERLOAD : BH__REASON_NO_ENDPOINT, now_us);
+		return true;
+	}
+	return false;
+}
+
+static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t now_us)
+{
+	BH__Grant g = {.grant_id = bh__hash_pair(p->boot_id, ++p->next_grant),
+				   .ask_id = ask->ask_id,
+				   .pool_id = p->pool_id,
+				   .node_id = ask->node_id,
+				   .boot_id = ask->boot_id,
+				   .priority_level = ask->priority_level,
+				   .tells_progress = true,
+				   .event_gap_us = ask->event_gap_us,
+				   .member_count = (uint8_t)place->count};
+	BH__PlacedRequest *r;
+	uint64_t done = 0;
+
+	for (unsigned i = 0; i < place->count; i++) {
+		uint64_t end = ask->prompt_tokens * (i + 1) / place->count;
+		g.member[i].endpoint_id = place->engine[i]->endpoint_id;
+		g.member[i].kv_bytes = place->kv_tokens[i];
+		g.member[i].first_token = done;
+		g.member[i].token_count = end - done;
+		done = end;
+	}
+	r = enter_(p, &g, now_us);
+	r->expected_ms = place->expected_ms;
+	r->read_end_us = place->read_end_us;
+	p->counters.grants++;
+	p->counters.helped += place->count > 1;
+	p->port->grant(p->port, &r->grant);
+}
+
+/* Enters a grant in the ledger. */
+static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t now_us)
+{
+	BH__PlacedRequest *r = g_new0(BH__PlacedRequest, 1);
+	uint64_t prompt_tokens = 0;
+	double part_ms;
+
+	for (unsigned i = 0; i < g->member_count; i++)
+		prompt_tokens += g->member[i].token_count;
+	part_ms = bh__engine_model_read_ms(&p->model, prompt_tokens, g->member_count);
+	r->grant = *g;
+	r->granted_us = now_us;
+	r->event_gap_us = g->event_gap_us;
+	for (unsigned i = 0; i < g->member_count; i++) {
+		BH__PassEngine *e = find_engine_(p, g->member[i].endpoint_id);
+		r->tokens += g->member[i].kv_bytes;
+		if (!e)
+			continue;
+		if (!g->writes)
+			bh__pass_clock_add_read(&e->clock, part_ms, now_us);
+		e->kv_used_tokens += g->member[i].kv_bytes;
+		if (i == 0)
+			g_ptr_array_add(e->homes, r);
+		else
+			e->helps += !g->writes;
+	}
+	r->value = bh__placement_value(prompt_tokens);
+	g_hash_table_insert(p->placed, &r->grant.grant_id, r);
+	g_hash_table_insert(p->by_ask, &r->grant.ask_id, r);
+	if (g->writes)
+		start_stream_(p, r);
+	return r;
+}
+
+/* The answer's first event is there: from now on it is a stream on its engine. */
+static void start_stream_(BH__Planner *p, BH__PlacedRequest *r)
+{
+	BH__PassEngine *e = find_engine_(p, r->grant.member[0].endpoint_id);
+
+	r->grant.writes = true;
+	if (!e)
+		return;
+	e->clock.streams++;
+	e->clock.context_tokens += r->tokens;
+}
+
+/* Takes a grant out of the ledger. */
+static void take_out_(BH__Planner *p, BH__PlacedRequest *r)
+{
+	if (!r->grant.writes)
+		end_helps_(p, r);
+	for (unsigned i = 0; i < r->grant.member_count; i++) {
+		BH__PassEngine *e = find_engine_(p, r->grant.member[i].endpoint_id);
+		if (!e)
+			continue;
+		e->kv_used_tokens -= MIN(e->kv_used_tokens, r->grant.member[i].kv_bytes);
+		if (i > 0)
+			continue;
+		if (g_ptr_array_remove_fast(e->homes, r) && r->grant.writes) {
+			e->clock.streams -= e->clock.streams > 0;
+			e->clock.context_tokens -= MIN(e->clock.context_tokens, r->tokens);
+		}
+	}
+	g_hash_table_remove(p->by_ask, &r->grant.ask_id);
+	g_hash_table_remove(p->placed, &r->grant.grant_id);
+}
+
+static void end_helps_(BH__Planner *p, BH__PlacedRequest *r)
+{
+	for (unsigned i = 1; i < r->grant.member_count; i++) {
+		BH__PassEngine *e = find_engine_(p, r->grant.member[i].endpoint_id);
+		if (e)
+			e->helps -= e->helps > 0;
+	}
+}
+
+/* Enters a grant that another node's planner gave. */
+void bh__planner_process_note(BH__Planner *p, const BH__Grant *grant, uint64_t now_us)
+{
+	if (!g_hash_table_contains(p->placed, &grant->grant_id))
+		enter_(p, grant, now_us);
+}
+
+/* The first event of an answer has come. */
+void bh__planner_process_progress(BH__Planner *p, uint64_t grant_id, uint64_t now_us)
+{
+	BH__PlacedRequest *r = g_hash_table_lookup(p->placed, &grant_id);
+	BH__PassEngine *e;
+
+	if (!r || r->grant.writes)
+		return;
+	end_helps_(p, r);
+	start_stream_(p, r);
+	e = find_engine_(p, r->grant.member[0].endpoint_id);
+	if (e) {
+		e->failures = 0;
+		if (r->grant.member_count == 1)
+			bh__pass_clock_observe(&e->clock, r->expected_ms, (double)(now_us - r->granted_us) / 1000);
+	}
+	pump_(p, now_us);
+}
+
+static void set_aside_(BH__PassEngine *e, uint64_t now_us)
+{
+	uint64_t aside_us = ASIDE_FIRST_US_ << MIN(e->failures, 8u);
+
+	e->failures++;
+	e->set_aside_until_us = now_us + MIN(aside_us, ASIDE_MAX_US_);
+}
+
+/* A grant ends. An engine that failed takes nothing for a while. */
+void bh__planner_process_release(BH__Planner *p, uint64_t grant_id, BH__ReleaseKind kind,
+								 uint64_t failed_endpoint, uint64_t now_us)
+{
+	BH__PlacedRequest *r = g_hash_table_lookup(p->placed, &grant_id);
+	BH__PassEngine *failed = find_engine_(p, failed_endpoint);
+
+	if (failed && kind == BH__RELEASE_FAILED)
+		set_aside_(failed, now_us);
+	if (r)
+		take_out_(p, r);
+	pump_(p, now_us);
+}
+
+/* Returns the grants of a node, or with `others` those of all other nodes. */
+static GPtrArray *placed_of_(const BH__Planner *p, uint64_t node_id, bool others)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->placed);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if ((((BH__PlacedRequest *)value)->grant.node_id == node_id) != others)
+			g_ptr_array_add(list, value);
+	return list;
+}
+
+/* A node says which grants it holds, whole or by their ids alone: those that are not named are over. */
+void bh__planner_process_hold(BH__Planner *p, uint64_t node_id, uint64_t boot_id, bool full,
+							  const BH__Grant *grant, uint32_t count, uint64_t now_us)
+{
+	GHashTable *named = g_hash_table_new(g_int64_hash, g_int64_equal);
+	GPtrArray *list = placed_of_(p, node_id, false);
+
+	for (uint32_t i = 0; i < count; i++) {
+		g_hash_table_add(named, (gpointer)&grant[i].grant_id);
+		if (full && grant[i].member_count && !g_hash_table_contains(p->placed, &grant[i].grant_id))
+			enter_(p, &grant[i], now_us);
+	}
+	for (guint i = 0; i < list->len; i++) {
+		BH__PlacedRequest *r = g_ptr_array_index(list, i);
+		bool young = r->grant.boot_id == boot_id && now_us < r->granted_us + HOLD_GRACE_US_;
+		if (!young && !g_hash_table_contains(named, &r->grant.grant_id))
+			take_out_(p, r);
+	}
+	g_ptr_array_unref(list);
+	g_hash_table_unref(named);
+	pump_(p, now_us);
+}
+
+/* A node is gone: its grants end and its asks are dropped. Memory that it held on helpers is told of. */
+void bh__planner_process_node_gone(BH__Planner *p, uint64_t node_id, uint64_t now_us)
+{
+	GPtrArray *list = placed_of_(p, node_id, false);
+
+	for (guint i = 0; i < list->len; i++) {
+		BH__PlacedRequest *r = g_ptr_array_index(list, i);
+		BH__Grant g = r->grant;
+		bool holds = false;
+		for (unsigned k = 1; k < g.member_count; k++)
+			holds |= g.member[k].kv_bytes > 0;
+		take_out_(p, r);
+		if (holds)
+			p->port->abandoned(p->port, &g);
+	}
+	g_ptr_array_unref(list);
+	for (guint i = p->waiting->len; i-- > 0;)
+		if (((Waiting_ *)g_ptr_array_index(p->waiting, i))->ask.node_id == node_id)
+			g_ptr_array_remove_index(p->waiting, i);
+	pump_(p, now_us);
+}
+
+/* Forgets what other nodes hold: this node does not schedule the service any more. */
+void bh__planner_keep_only(BH__Planner *p, uint64_t node_id, uint64_t now_us)
+{
+	GPtrArray *list = placed_of_(p, node_id, true);
+
+	for (guint i = 0; i < list->len; i++)
+		take_out_(p, g_ptr_array_index(list, i));
+	g_ptr_array_unref(list);
+	pump_(p, now_us);
+}
+
+static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us)
+{
+	uint64_t soonest_us = UINT64_MAX;
+	uint64_t retry_after_ms;
+
+	for (guint i = 0; i < p->engines->len; i++) {
+		const BH__PassEngine *e = g_ptr_array_index(p->engines, i);
+		uint64_t free_us = MAX(e->clock.pass_end_us, e->set_aside_until_us);
+		if (!e->leaving)
+			soonest_us = MIN(soonest_us, free_us);
+	}
+	if (soonest_us == UINT64_MAX)
+		retry_after_ms = RETRY_AFTER_MAX_MS_ / 4;
+	else
+		retry_after_ms = soonest_us > now_us ? (soonest_us - now_us) / BH__MS_US : 0;
+	p->counters.refusals++;
+	p->port->refuse(p->port, ask, reason, CLAMP(retry_after_ms, RETRY_AFTER_MIN_MS_, RETRY_AFTER_MAX_MS_));
+}
+
+/* Tries the asks that wait, after something has changed. */
+static void pump_(BH__Planner *p, uint64_t now_us)
+{
+	unsigned looks = 0;
+	guint i = 0;
+
+	if (p->pumping) /* a grant's receiver may call back */
+		return;
+	p->pumping = true;
+	while (i < p->waiting->len && looks++ < LOOKS_PER_PUMP_) {
+		Waiting_ w = *(Waiting_ *)g_ptr_array_index(p->waiting, i);
+		if (try_place_(p, &w.ask, w.arrived_us, now_us))
+			bh__planner_process_withdraw(p, w.ask.ask_id);
+		else
+			i++;
+	}
+	p->pumping = false;
+}
+
+/* Grants what time has made possible and refuses what it has made impossible. To be called often while
+ * bh__planner_is_waiting(). */
+void bh__planner_process_tick(BH__Planner *p, uint64_t now_us)
+{
+	guint i = 0;
+
+	pump_(p, now_us);
+	while (i < p->waiting->len) {
+		Waiting_ w = *(Waiting_ *)g_ptr_array_index(p->waiting, i);
+		uint64_t force_us = (uint64_t)((double)first_event_us_(&w.ask) * WAIT_SHARE_);
+		if (now_us >= w.arrived_us + force_us && try_place_(p, &w.ask, w.arrived_us, now_us))
+			bh__planner_process_withdraw(p, w.ask.ask_id);
+		else
+			i++;
+	}
+}
+
+/* Refuses all that waits. */
+void bh__planner_refuse_all(BH__Planner *p, BH__Reason reason)
+{
+	while (p->waiting->len) {
+		BH__Ask ask = ((Waiting_ *)g_ptr_array_index(p->waiting, 0))->ask;
+		g_ptr_array_remove_index(p->waiting, 0);
+		p->port->refuse(p->port, &ask, reason, RETRY_AFTER_MIN_MS_);
+	}
+}
+
+bool bh__planner_is_waiting(const BH__Planner *p)
+{
+	return p->waiting->len > 0;
+}
+
+unsigned bh__planner_get_engine_count(const BH__Planner *p)
+{
+	return p->engines->len;
+}
+
+/* Fills in what is believed of an engine. */
+void bh__planner_get_engine(const BH__Planner *p, unsigned index, BH__PlannerEngine *out)
+{
+	const BH__PassEngine *e = g_ptr_array_index(p->engines, index);
+
+	*out = (BH__PlannerEngine){.endpoint_id = e->endpoint_id,
+							   .homes = e->homes->len,
+							   .streams = e->clock.streams,
+							   .helps = e->helps,
+							   .kv_used_tokens = e->kv_used_tokens,
+							   .pace = e->clock.pace,
+							   .usable = !e->leaving};
+}
+
+const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p)
+{
+	return &p->counters;
+}
--- /dev/null
+++ b/src/libbayhoist/registry.c
@@ -0,0 +1,231 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* The table of registered endpoints. */
+#include "bayhoist/registry.h"
+
+#include <string.h>
+#include "bayhoist/hash.h"
+
+#define ASIDE_FIRST_US_                                                                                      \
+	(200 * BH__MS_US) /* an endpoint that failed is left alone for so long, then twice that */
+#define ASIDE_MAX_US_ (3 * BH__SECOND_US)
+#define ASIDE_FAILURES_ 2   /* one failure may be the request's own */
+#define FAILURE_WEIGHT_ 0.2 /* of the latest use in the share of failures */
+#define FAILURE_COST_ 10.0  /* a share of failures of 1 counts as so many requests under way */
+#define HALL_COST_ 0.4      /* another data hall counts as so many */
+#define REPORT_FRESH_US_ (1 * BH__SECOND_US)
+
+const char *const BH__UseString[] = {"served", "refused", "failed", "abandoned"};
+
+struct BH__Registry {
+	GPtrArray *table; /* BH__RegisteredEndpoint */
+	GHashTable *by_id;
+	GRand *rand;
+	uint64_t version; /* grows with each change of what may be used */
+};
+
+static bool is_tried_(const uint64_t *tried, unsigned count, uint64_t endpoint_id);
+static double cost_(const BH__RegisteredEndpoint *e, const char *hall, uint64_t now_us);
+static void drop_(BH__Registry *r, BH__RegisteredEndpoint *e);
+
+BH__Registry *bh__registry_new(uint32_t seed)
+{
+	BH__Registry *r = g_new0(BH__Registry, 1);
+
+	r->table = g_ptr_array_new_with_free_func(g_free);
+	r->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	r->rand = g_rand_new_with_seed(seed);
+	return r;
+}
+
+void bh__registry_delete(BH__Registry *r)
+{
+	g_hash_table_unref(r->by_id);
+	g_ptr_array_unref(r->table);
+	g_rand_free(r->rand);
+	g_free(r);
+}
+
+/* Returns a number that grows with each endpoint that comes, drains or goes. */
+uint64_t bh__registry_get_version(const BH__Registry *r)
+{
+	return r->version;
+}
+
+/* Takes an endpoint's entry. Returns true if it changes anything. Draining is never taken back: an entry that
+ * says otherwise is an old one that was written late. */
+bool bh__registry_put(BH__Registry *r, const BH__EndpointEntry *entry)
+{
+	uint64_t id = bh__hash_name(entry->id);
+	BH__RegisteredEndpoint *e = bh__registry_find(r, id);
+	bool draining;
+
+	if (!e) {
+		e = g_new0(BH__RegisteredEndpoint, 1);
+		e->endpoint_id = id;
+		e->entry = *entry;
+		e->listed = true;
+		g_ptr_array_add(r->table, e);
+		g_hash_table_insert(r->by_id, &e->endpoint_id, e);
+		r->version++;
+		return true;
+	}
+	draining = e->entry.draining || entry->draining;
+	e->listed = true;
+	if (!e->gone_at_us && draining == e->entry.draining && !strcmp(e->entry.address, entry->address))
+		return false;
+	e->entry = *entry;
+	e->entry.draining = draining;
+	e->gone_at_us = 0;
+	r->version++;
+	return true;
+}
+
+/* An endpoint's entry is gone: it is taken as gone from `gone_at_us` on, unless it comes back before. */
+void bh__registry_remove(BH__Registry *r, const char *id, uint64_t gone_at_us)
+{
+	BH__RegisteredEndpoint *e = bh__registry_find(r, bh__hash_name(id));
+
+	if (e && (!e->gone_at_us || gone_at_us < e->gone_at_us))
+		e->gone_at_us = gone_at_us;
+}
+
+/* Begins to read a whole list of entries. */
+void bh__registry_begin_list(BH__Registry *r)
+{
+	for (guint i = 0; i < r->table->len; i++)
+		bh__registry_get(r, i)->listed = false;
+}
+
+/* The list is read: what it did not name is gone from `gone_at_us` on. */
+void bh__registry_end_list(BH__Registry *r, uint64_t gone_at_us)
+{
+	for (guint i = 0; i < r->table->len; i++) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (!e->listed)
+			bh__registry_remove(r, e->entry.id, gone_at_us);
+	}
+}
+
+/* Drops endpoints that are gone. */
+void bh__registry_process_tick(BH__Registry *r, uint64_t now_us)
+{
+	for (guint i = r->table->len; i-- > 0;) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (e->gone_at_us && now_us >= e->gone_at_us)
+			drop_(r, e);
+	}
+}
+
+static void drop_(BH__Registry *r, BH__RegisteredEndpoint *e)
+{
+	g_hash_table_remove(r->by_id, &e->endpoint_id);
+	g_ptr_array_remove(r->table, e);
+	r->version++;
+}
+
+BH__RegisteredEndpoint *bh__registry_find(const BH__Registry *r, uint64_t endpoint_id)
+{
+	return g_hash_table_lookup(r->by_id, &endpoint_id);
+}
+
+unsigned bh__registry_get_count(const BH__Registry *r)
+{
+	return r->table->len;
+}
+
+BH__RegisteredEndpoint *bh__registry_get(const BH__Registry *r, unsigned index)
+{
+	return g_ptr_array_index(r->table, index);
+}
+
+/* Returns true if new requests may go there. */
+bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us)
+{
+	return !e->entry.draining && (!e->gone_at_us || now_us < e->gone_at_us);
+}
+
+static bool is_tried_(const uint64_t *tried, unsigned count, uint64_t endpoint_id)
+{
+	for (unsigned i = 0; i < count; i++)
+		if (tried[i] == endpoint_id)
+			return true;
+	return false;
+}
+
+/* Returns an endpoint's load for the choice, in requests for each slot. */
+static double cost_(const BH__RegisteredEndpoint *e, const char *hall, uint64_t now_us)
+{
+	double load = e->in_flight;
+
+	if (e->reported_us && now_us < e->reported_us + REPORT_FRESH_US_)
+		load = MAX(load, (double)e->reported);
+	load += FAILURE_COST_ * e->failure_share;
+	if (strcmp(e->entry.hall, hall) != 0)
+		load += HALL_COST_;
+	return load / MAX(e->entry.slots, 1u);
+}
+
+/* Returns the endpoint of a plain service with the least load, by chance among equals, or NULL. Those that
+ * failed a moment ago are used only if there is no other; those in `tried` never. */
+BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
+										  const uint64_t *tried, unsigned tried_count, uint64_t now_us)
+{
+	BH__RegisteredEndpoint *best = NULL;
+	double best_cost = 0;
+	guint start = r->table->len ? (guint)g_rand_int_range(r->rand, 0, (gint32)r->table->len) : 0;
+
+	for (guint i = 0; i < r->table->len; i++) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, (start + i) % r->table->len);
+		double cost;
+		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us) ||
+			is_tried_(tried, tried_count, e->endpoint_id))
+			continue;
+		cost = cost_(e, hall, now_us) + (now_us < e->set_aside_until_us ? 1e3 : 0);
+		if (!best || cost < best_cost) {
+			best = e;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+void bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id)
+{
+	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
+
+	if (e)
+		e->in_flight++;
+}
+
+/* Learns from how a request ended. */
+void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, BH__Use use, uint64_t now_us)
+{
+	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
+
+	if (!e)
+		return;
+	e->in_flight -= e->in_flight > 0;
+	if (use == BH__USE_SERVED) {
+		e->failures = 0;
+		e->failure_share *= 1 - FAILURE_WEIGHT_;
+	}
+	else if (use == BH__USE_FAILED) {
+		e->failures++;
+		e->failure_share += FAILURE_WEIGHT_ * (1 - e->failure_share);
+		if (e->failures >= ASIDE_FAILURES_)
+			e->set_aside_until_us =
+				now_us + MIN(ASIDE_FIRST_US_ << MIN(e->failures - ASIDE_FAILURES_, 8u), ASIDE_MAX_US_);
+	}
+}
+
+/* Takes what an endpoint said of its load. */
+void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
+							uint64_t now_us)
+{
+	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
+
+	if (!e)
+		return;
+	e->reported = running + waiting;
+	e->reported_us = now_us;
+}
--- /dev/null
+++ b/src/libbayhoist/routing.c
@@ -0,0 +1,266 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Routing tables. The rules of a host stand in one list, those with the longest prefix first, so that the
+ * first which fits is the one that counts. */
+#include "bayhoist/routing.h"
+
+#include <string.h>
+#include "bayhoist/field.h"
+
+#define DEFAULT_MAX_HEADER_BYTES_ 16384
+#define DEFAULT_MAX_BODY_BYTES_ (4 * 1024 * 1024)
+#define DEFAULT_HEADER_TIMEOUT_MS_ 5000
+#define DEFAULT_IDLE_TIMEOUT_MS_ 15000
+
+const char *const BH__RepeatString[] = {"freely", "never", "resume"};
+
+struct BH__Routing {
+	unsigned refs;
+	uint64_t version;
+	BH__RequestLimits limits;
+	GPtrArray *rules;
+	GHashTable *by_host; /* GPtrArray of BH__RouteRule by host in lower case */
+	GPtrArray *services;
+	GHashTable *by_name; /* BH__ServiceSpec by name */
+	GPtrArray *owners;
+	GHashTable *by_key; /* BH__KeyOwner by API key */
+};
+
+static gint compare_prefixes_(gconstpointer a, gconstpointer b);
+static void index_rule_(BH__Routing *r, BH__RouteRule *rule);
+static bool check_rule_(const BH__Routing *r, const BH__RouteRule *rule, GError **error);
+
+/* Returns an empty routing to be filled and sealed. */
+BH__Routing *bh__routing_new(uint64_t version)
+{
+	BH__Routing *r = g_new0(BH__Routing, 1);
+
+	r->refs = 1;
+	r->version = version;
+	r->limits = (BH__RequestLimits){.max_header_bytes = DEFAULT_MAX_HEADER_BYTES_,
+									.max_body_bytes = DEFAULT_MAX_BODY_BYTES_,
+									.header_timeout_ms = DEFAULT_HEADER_TIMEOUT_MS_,
+									.idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS_};
+	r->rules = g_ptr_array_new_with_free_func((GDestroyNotify)bh__route_rule_free);
+	r->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+	r->services = g_ptr_array_new_with_free_func((GDestroyNotify)bh__service_spec_free);
+	r->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	r->owners = g_ptr_array_new_with_free_func(g_free);
+	r->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return r;
+}
+
+/* Returns a rule with the usual defaults. */
+BH__RouteRule *bh__route_rule_new(void)
+{
+	BH__RouteRule *rule = g_new0(BH__RouteRule, 1);
+
+	rule->repeat = BH__REPEAT_NEVER;
+	rule->max_attempts = 1;
+	return rule;
+}
+
+void bh__route_rule_free(BH__RouteRule *rule)
+{
+	if (!rule)
+		return;
+	g_free(rule->host);
+	g_free(rule->path_prefix);
+	g_free(rule);
+}
+
+BH__ServiceSpec *bh__service_spec_new(void)
+{
+	BH__ServiceSpec *s = g_new0(BH__ServiceSpec, 1);
+
+	bh__engine_model_init(&s->engine);
+	return s;
+}
+
+void bh__service_spec_free(BH__ServiceSpec *service)
+{
+	if (!service)
+		return;
+	g_free(service->health_path);
+	g_free(service);
+}
+
+void bh__routing_add_rule(BH__Routing *r, BH__RouteRule *rule)
+{
+	g_ptr_array_add(r->rules, rule);
+}
+
+void bh__routing_add_service(BH__Routing *r, BH__ServiceSpec *service)
+{
+	g_ptr_array_add(r->services, service);
+	g_hash_table_insert(r->by_name, service->name, service);
+}
+
+/* Adds a client account that owns `keys`, a list of strings that ends with NULL. */
+void bh__routing_add_owner(BH__Routing *r, const BH__KeyOwner *owner, char **keys)
+{
+	BH__KeyOwner *copy = g_memdup2(owner, sizeof *owner);
+
+	g_ptr_array_add(r->owners, copy);
+	for (char **key = keys; key && *key; key++)
+		g_hash_table_insert(r->by_key, g_strdup(*key), copy);
+}
+
+void bh__routing_set_limits(BH__Routing *r, const BH__RequestLimits *limits)
+{
+	r->limits = *limits;
+}
+
+/* Checks the whole and makes it ready for use. On failure the error names the rule and the cause. */
+bool bh__routing_seal(BH__Routing *r, GError **error)
+{
+	GHashTableIter it;
+	gpointer list;
+
+	for (guint i = 0; i < r->rules->len; i++) {
+		BH__RouteRule *rule = g_ptr_array_index(r->rules, i);
+		if (!check_rule_(r, rule, error))
+			return false;
+		index_rule_(r, rule);
+	}
+	g_hash_table_iter_init(&it, r->by_host);
+	while (g_hash_table_iter_next(&it, NULL, &list))
+		g_ptr_array_sort(list, compare_prefixes_);
+	return true;
+}
+
+static bool check_rule_(const BH__Routing *r, const BH__RouteRule *rule, GError **error)
+{
+	if (!rule->host || !rule->path_prefix || rule->path_prefix[0] != '/') {
+		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD,
+					"route \"%s\": needs a host and a path prefix that begins with a slash", rule->name);
+		return false;
+	}
+	if (!rule->target_count) {
+		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD, "route \"%s\": names no service",
+					rule->name);
+		return false;
+	}
+	for (unsigned i = 0; i < rule->target_count; i++) {
+		if (bh__routing_find_service(r, rule->target[i].service))
+			continue;
+		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_REFERENCE,
+					"route \"%s\": there is no service \"%s\"", rule->name, rule->target[i].service);
+		return false;
+	}
+	return true;
+}
+
+static void index_rule_(BH__Routing *r, BH__RouteRule *rule)
+{
+	char *host = g_ascii_strdown(rule->host, -1);
+	GPtrArray *list = g_hash_table_lookup(r->by_host, host);
+
+	if (list) {
+		g_free(host);
+	}
+	else {
+		list = g_ptr_array_new();
+		g_hash_table_insert(r->by_host, host, list);
+	}
+	g_ptr_array_add(list, rule);
+}
+
+/* Longer prefixes first. */
+static gint compare_prefixes_(gconstpointer a, gconstpointer b)
+{
+	const BH__RouteRule *const *x = a;
+	const BH__RouteRule *const *y = b;
+	size_t m = strlen((*x)->path_prefix);
+	size_t n = strlen((*y)->path_prefix);
+
+	return m == n ? strcmp((*x)->path_prefix, (*y)->path_prefix) : m > n ? -1 : 1;
+}
+
+BH__Routing *bh__routing_ref(BH__Routing *r)
+{
+	r->refs++;
+	return r;
+}
+
+void bh__routing_unref(BH__Routing *r)
+{
+	if (!r || --r->refs)
+		return;
+	g_hash_table_unref(r->by_key);
+	g_ptr_array_unref(r->owners);
+	g_hash_table_unref(r->by_name);
+	g_ptr_array_unref(r->services);
+	g_hash_table_unref(r->by_host);
+	g_ptr_array_unref(r->rules);
+	g_free(r);
+}
+
+uint64_t bh__routing_get_version(const BH__Routing *r)
+{
+	return r->version;
+}
+
+const BH__RequestLimits *bh__routing_get_limits(const BH__Routing *r)
+{
+	return &r->limits;
+}
+
+/* Returns true if requests need an API key. */
+bool bh__routing_has_owners(const BH__Routing *r)
+{
+	return r->owners->len > 0;
+}
+
+/* Returns the rule with the longest prefix of `path` among those of `host`, or NULL. The host may carry a
+ * port and any case; a query in the path is not looked at. */
+const BH__RouteRule *bh__routing_match(const BH__Routing *r, const char *host, const char *path)
+{
+	char *name = g_ascii_strdown(host, (gssize)strcspn(host, ":"));
+	GPtrArray *list = g_hash_table_lookup(r->by_host, name);
+
+	g_free(name);
+	for (guint i = 0; list && i < list->len; i++) {
+		const BH__RouteRule *rule = g_ptr_array_index(list, i);
+		if (g_str_has_prefix(path, rule->path_prefix))
+			return rule;
+	}
+	return NULL;
+}
+
+/* Returns the client account that owns a key, or NULL. */
+const BH__KeyOwner *bh__routing_find_owner(const BH__Routing *r, const char *key)
+{
+	return g_hash_table_lookup(r->by_key, key);
+}
+
+const BH__ServiceSpec *bh__routing_find_service(const BH__Routing *r, const char *name)
+{
+	return g_hash_table_lookup(r->by_name, name);
+}
+
+unsigned bh__routing_get_service_count(const BH__Routing *r)
+{
+	return r->services->len;
+}
+
+const BH__ServiceSpec *bh__routing_get_service(const BH__Routing *r, unsigned index)
+{
+	return g_ptr_array_index(r->services, index);
+}
+
+/* Returns the service for one request; the same request always gets the same. */
+const char *bh__route_rule_pick_service(const BH__RouteRule *rule, uint64_t request_hash)
+{
+	uint64_t sum = 0;
+	uint64_t at;
+
+	for (unsigned i = 0; i < rule->target_count; i++)
+		sum += rule->target[i].weight;
+	at = sum ? request_hash % sum : 0;
+	for (unsigned i = 0; i < rule->target_count; i++) {
+		if (at < rule->target[i].weight)
+			return rule->target[i].service;
+		at -= rule->target[i].weight;
+	}
+	return rule->target[0].service;
+}
--- a/src/bayhoistd/peer.c
+++ b/src/share/peers.c
@@ -1,7 +1,7 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* Connections between nodes. Each node opens one connection to each peer that it has something to say to, and
  * says it there; answers come on the peer's own connection. */
-#include "daemon.h"
+#include "peers.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -11,15 +11,14 @@
 #include <openssl/rand.h>
 #include <stdlib.h>
 #include <string.h>
-#include "clock.h"
 #include "frame.h"
 #include "log.h"
-#include "web.h"
 
 #define OUTPUT_MAX (128u * 1024 * 1024) /* bytes that may wait for a peer that does not read */
 #define PENDING_MAX 1000                /* messages that may wait for a connection */
 #define CONNECT_TIMEOUT_S 2
 #define GREETING_TIMEOUT_S 10
+#define SILENT_MS 3000 /* that sent bytes may go without an acknowledgement */
 
 /* A connection that this node opened. */
 typedef struct {
@@ -39,7 +38,8 @@
 } PeerIn;
 
 struct Peers {
-	Daemon *daemon;
+	PeersOptions options;
+	PeersCounters counters;
 	struct evconnlistener *listener;
 	GHashTable *out; /* PeerOut by address */
 	GHashTable *in;  /* set of PeerIn */
@@ -56,19 +56,19 @@
 static void set_nodelay_(evutil_socket_t fd);
 
 /* Listens for peers. Returns NULL if the address cannot be used. */
-Peers *peers_new(Daemon *d)
+Peers *peers_new(const PeersOptions *options)
 {
 	Peers *p = g_new0(Peers, 1);
 	struct sockaddr_storage sa;
 	int len = sizeof sa;
 
-	p->daemon = d;
+	p->options = *options;
 	p->out = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_out_);
 	p->in = g_hash_table_new_full(g_direct_hash, g_direct_equal, free_in_, NULL);
-	if (evutil_parse_sockaddr_port(d->settings.peer_address, (struct sockaddr *)&sa, &len) == 0)
+	if (evutil_parse_sockaddr_port(options->address, (struct sockaddr *)&sa, &len) == 0)
 		p->listener =
-			evconnlistener_new_bind(d->base, on_accept_, p, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-									(struct sockaddr *)&sa, len);
+			evconnlistener_new_bind(options->base, on_accept_, p, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+									-1, (struct sockaddr *)&sa, len);
 	if (p->listener)
 		return p;
 	peers_delete(p);
@@ -84,10 +84,14 @@
 	g_free(p);
 }
 
+/* Sends small messages at once, and gives up on a peer that has gone silent. */
 static void set_nodelay_(evutil_socket_t fd)
 {
 	int one = 1;
+	unsigned silent_ms = SILENT_MS;
+
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms, sizeof silent_ms);
 }
 
 static void on_accept_(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg)
@@ -100,11 +104,11 @@
 	(void)sa;
 	(void)len;
 	in->peers = p;
-	frame_set_key(&in->session, p->daemon->settings.peer_key);
+	frame_set_key(&in->session, p->options.key);
 	if (RAND_bytes(in->session.nonce, FRAME_NONCE_LEN) != 1)
 		abort();
 	set_nodelay_(fd);
-	in->bev = bufferevent_socket_new(p->daemon->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	in->bev = bufferevent_socket_new(p->options.base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(in->bev, on_in_read_, NULL, on_in_event_, in);
 	bufferevent_write(in->bev, in->session.nonce, FRAME_NONCE_LEN);
 	bufferevent_set_timeouts(in->bev, &timeout, NULL); /* until the first good frame */
@@ -115,7 +119,7 @@
 static void on_in_read_(struct bufferevent *bev, void *arg)
 {
 	PeerIn *in = arg;
-	Daemon *d = in->peers->daemon;
+	Peers *p = in->peers;
 	char *body;
 	size_t len;
 	FrameStatus status;
@@ -124,14 +128,14 @@
 		BH__Message m;
 		GError *error = NULL;
 		bufferevent_set_timeouts(bev, NULL, NULL);
-		d->peer_bytes_in += len + FRAME_HEADER_LEN;
-		d->peer_messages_in++;
+		p->counters.bytes_in += len + FRAME_HEADER_LEN;
+		p->counters.messages_in++;
 		if (!len) { /* the greeting */
 			free(body);
 			continue;
 		}
 		if (bh__message_decode(&m, body, len, &error)) {
-			bh__node_process_message(d->node, &m, clock_now_us());
+			p->options.on_message(p->options.ctx, &m);
 		}
 		else {
 			log_error("peer-message-refused", "cause=\"%s\"", error->message);
@@ -173,10 +177,10 @@
 	out = g_new0(PeerOut, 1);
 	out->peers = p;
 	g_strlcpy(out->address, address, sizeof out->address);
-	frame_set_key(&out->session, p->daemon->settings.peer_key);
+	frame_set_key(&out->session, p->options.key);
 	g_queue_init(&out->pending);
 	g_hash_table_insert(p->out, out->address, out);
-	out->bev = bufferevent_socket_new(p->daemon->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	out->bev = bufferevent_socket_new(p->options.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(out->bev, on_out_read_, NULL, on_out_event_, out);
 	bufferevent_set_timeouts(out->bev, &timeout, NULL); /* until the nonce comes */
 	bufferevent_enable(out->bev, EV_READ | EV_WRITE);
@@ -208,7 +212,7 @@
 static void on_out_event_(struct bufferevent *bev, short what, void *arg)
 {
 	PeerOut *out = arg;
-	Daemon *d = out->peers->daemon;
+	Peers *p = out->peers;
 	char address[BH__ADDRESS_LEN];
 
 	(void)bev;
@@ -216,7 +220,7 @@
 		return;
 	memcpy(address, out->address, sizeof address);
 	g_hash_table_remove(out->peers->out, out->address);
-	bh__node_process_unreachable(d->node, address, clock_now_us());
+	p->options.on_unreachable(p->options.ctx, address);
 }
 
 static void free_out_(gpointer arg)
@@ -229,20 +233,19 @@
 
 /* Sends a message to the node at `address`. It is dropped if that node does not read: what matters is sent
  * again by whoever waits for an answer. */
-void peers_send(BH__NodePorts *ports, const char *address, const BH__Message *m)
+void peers_send(Peers *p, const char *address, const BH__Message *m)
 {
-	Daemon *d = (Daemon *)ports;
-	PeerOut *out = g_hash_table_lookup(d->peers->out, address);
+	PeerOut *out = g_hash_table_lookup(p->out, address);
 	size_t len;
 	char *data;
 
 	if (!out)
-		out = open_(d->peers, address);
+		out = open_(p, address);
 	if (!out)
 		return;
 	data = bh__message_encode(m, &len);
-	d->peer_bytes_out += len + FRAME_HEADER_LEN;
-	d->peer_messages_out++;
+	p->counters.bytes_out += len + FRAME_HEADER_LEN;
+	p->counters.messages_out++;
 	if (!out->ready) {
 		if (out->pending.length < PENDING_MAX)
 			g_queue_push_tail(&out->pending, g_bytes_new(data, len));
@@ -252,3 +255,8 @@
 	}
 	free(data);
 }
+
+const PeersCounters *peers_get_counters(const Peers *p)
+{
+	return &p->counters;
+}
--- /dev/null
+++ b/src/share/peers.h
@@ -0,0 +1,32 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Connections between nodes: typed messages in authenticated frames. */
+#ifndef BAYHOIST_SHARE_PEERS_H
+#define BAYHOIST_SHARE_PEERS_H
+
+#include <event2/event.h>
+#include "bayhoist/message.h"
+
+typedef struct Peers Peers;
+
+typedef struct {
+	struct event_base *base;
+	const char *address; /* IP:port to listen on */
+	const char *key;     /* that all nodes share */
+	void (*on_message)(void *ctx, const BH__Message *m);
+	void (*on_unreachable)(void *ctx, const char *address);
+	void *ctx;
+} PeersOptions;
+
+typedef struct {
+	uint64_t bytes_out;
+	uint64_t bytes_in;
+	uint64_t messages_out;
+	uint64_t messages_in;
+} PeersCounters;
+
+Peers *peers_new(const PeersOptions *options);
+void peers_delete(Peers *p);
+void peers_send(Peers *p, const char *address, const BH__Message *m);
+const PeersCounters *peers_get_counters(const Peers *p);
+
+#endif
--- a/src/test_libbayhoist/scenario.c
+++ b/src/test_libbayhoist/scenario.c
@@ -230,7 +230,7 @@
 	g_array_append_val(s->leaving, vm);
 	for (unsigned i = 0; i < s->world->node_count; i++)
 		if (s->world->node[i].node)
-			bh__node_process_vm_list(s->world->node[i].node, (const BH__Vm *)(void *)s->leaving->data,
+			bh__node_update_vm_list(s->world->node[i].node, (const BH__Vm *)(void *)s->leaving->data,
 									 s->leaving->len, s->world->now_us);
 }
 
