Placement by limits of passes

Cause: engines were named twice in a placement (candidates were not rotated but copied), which engines refuse with 400; and the cost of a placement did not see that a long pass spoils streams that come later, so long prompts were read in few large parts anywhere: passes of seconds, streams cut and read again elsewhere, more load.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -110,6 +110,7 @@
 	bool tells_progress; /* the scheduler wants to hear when a prefill is done */
 	bool writes;         /* the answer's first event has come */
 	uint64_t event_gap_us;
+	uint64_t expected_us; /* from the grant to the answer's first event, as foretold; 0: not foretold */
 	uint8_t member_count;
 	BH__GrantMember member[BH__GRANT_MEMBERS_MAX];
 } BH__Grant;
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -26,6 +26,7 @@
 #define OVERDUE_EXTRA_MS 500
 #define STALL_LEAST_MS 900
 #define STALL_FACTOR 4
+#define CAUSE_MAX 100 /* bytes of an endpoint's words on why it did not run a request that go to the log */
 
 typedef enum {
 	CALL_ASKING,    /* waits for engines */
@@ -53,6 +54,7 @@
 	Outbound *out;
 	uint64_t endpoint_id;
 	uint64_t sent_us;
+	uint64_t longest_pause_us; /* between what the endpoints sent of the answer */
 	uint64_t heard_us; /* when the endpoint last sent something of the answer */
 	bool judged;       /* the sending's end is known before its connection's */
 	BH__SendingEnd judgement;
@@ -85,8 +87,10 @@
 static BH__SendingEnd judge_end_(const Call *c, OutboundEnd end);
 static void pass_events_(Call *c);
 static void pass_on_(Call *c, const char *data, size_t len);
+static void tell_progress_(Call *c);
 static void begin_answer_(Call *c);
 static void end_sending_(Call *c, BH__SendingEnd end);
+static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us);
 static void act_(Call *c, BH__Next next);
 static void pass_failure_(Call *c);
 static void finish_(Call *c, CallOutcome outcome, const char *reason);
@@ -430,10 +434,17 @@
 static void on_body_(void *ctx, const char *data, size_t len)
 {
 	Call *c = ctx;
+	uint64_t now_us;
 
-	if (c->judged)
+	if (c->judged) {
+		if (!evbuffer_get_length(c->body)) /* for the log */
+			evbuffer_add(c->body, data, MIN(len, (size_t)CAUSE_MAX));
 		return;
-	c->heard_us = clock_now_us();
+	}
+	now_us = clock_now_us();
+	if (c->answered)
+		c->longest_pause_us = MAX(c->longest_pause_us, now_us - c->heard_us);
+	c->heard_us = now_us;
 	evbuffer_add(c->body, data, len);
 	if (c->passing) {
 		pass_events_(c);
@@ -467,7 +478,7 @@
 static void pass_on_(Call *c, const char *data, size_t len)
 {
 	if (!c->told_progress && c->service->is_engine)
-		cluster_tell_progress(c->gate->cluster, c);
+		tell_progress_(c);
 	c->told_progress = true;
 	if (!c->answered)
 		begin_answer_(c);
@@ -477,6 +488,16 @@
 	}
 }
 
+/* The answer has begun: the scheduler is told. */
+static void tell_progress_(Call *c)
+{
+	log_event("first-event",
+			  "request=%s took_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT " target_ms=%u parts=%u",
+			  c->request->meta.request_id, (c->heard_us - c->sent_us) / BH__MS_US,
+			  c->place.grant.expected_us / BH__MS_US, c->rule->target_ms, c->place.grant.member_count);
+	cluster_tell_progress(c->gate->cluster, c);
+}
+
 static void begin_answer_(Call *c)
 {
 	uint64_t wait_us = c->heard_us - c->request->arrived_us;
@@ -547,11 +568,26 @@
 					failed ? at_fault : BH__NO_ENDPOINT);
 	bh__exchange_note_tried(&c->x, at_fault);
 	next = bh__exchange_process_end(&c->x, end, gate_get_budget(g, c->service->name), now_us);
-	log_event("sent", "request=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT " next=%s",
+	log_sending_(c, end, next, now_us);
+	act_(c, next);
+}
+
+static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us)
+{
+	char cause[CAUSE_MAX + 1] = "";
+
+	if (end == BH__SENDING_REFUSED) {
+		ev_ssize_t n = evbuffer_copyout(c->body, cause, CAUSE_MAX);
+		cause[MAX(n, 0)] = '\0';
+		g_strdelimit(cause, "\"\\\r\n", ' ');
+	}
+	log_event("sent",
+			  "request=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
+			  " next=%s at_fault=%s events=%" G_GUINT64_FORMAT " cause=\"%s\"",
 			  c->request->meta.request_id, BH__SendingEndString[end],
 			  end == BH__SENDING_UNREACHABLE ? 0 : c->head.status, c->x.sendings,
-			  (now_us - c->sent_us) / BH__MS_US, BH__NextString[next]);
-	act_(c, next);
+			  (now_us - c->sent_us) / BH__MS_US, BH__NextString[next], c->head.meta.at_fault, c->events.events,
+			  cause);
 }
 
 static void act_(Call *c, BH__Next next)
@@ -634,10 +670,10 @@
 		bh__histogram_add(&g->counters.whole, now_us - c->request->arrived_us);
 	log_event("end",
 			  "request=%s route=%s outcome=%s status=%d state=%s sendings=%u may_have_run=%s "
-			  "took_ms=%" G_GUINT64_FORMAT " configuration=%" G_GUINT64_FORMAT,
+			  "pause_ms=%" G_GUINT64_FORMAT " took_ms=%" G_GUINT64_FORMAT " configuration=%" G_GUINT64_FORMAT,
 			  c->request->meta.request_id, c->rule ? c->rule->name : "", reason, c->head.status,
 			  StateString_[c->state], c->x.sendings, c->x.may_have_run ? "yes" : "no",
-			  (now_us - c->request->arrived_us) / BH__MS_US,
+			  c->longest_pause_us / BH__MS_US, (now_us - c->request->arrived_us) / BH__MS_US,
 			  c->routing ? bh__routing_get_version(c->routing) : 0);
 	g_hash_table_remove(g->calls, c);
 	event_free(c->timer);
--- a/src/libbayhoist/include/private/pass_clock.h
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -11,6 +11,7 @@
 	double waiting_ms;    /* of reading that the next pass takes up */
 	unsigned streams;
 	uint64_t context_tokens; /* of the streams together */
+	uint64_t seen_us;        /* when it was last moved on */
 	double pace;             /* how much slower than its model the engine was seen to be; 1: as fast */
 } BH__PassClock;
 
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -13,8 +13,7 @@
 	uint64_t event_gap_us; /* longest pause that is of full use; 0: any */
 	uint64_t tokens;       /* of prompt and answer together */
 	uint64_t granted_us;
-	double expected_ms;   /* to its first event, at pace 1 */
-	uint64_t read_end_us; /* when its prompt is foretold to be read */
+	double expected_ms;    /* to its first event, at pace 1 */
 } BH__PlacedRequest;
 
 typedef struct {
@@ -32,15 +31,16 @@
 	unsigned count; /* engines; the first answers */
 	BH__PassEngine *engine[BH__GRANT_MEMBERS_MAX];
 	uint64_t kv_tokens[BH__GRANT_MEMBERS_MAX]; /* memory that it takes on each */
-	uint64_t read_end_us;
-	double part_ms;     /* of reading on each */
-	double expected_ms; /* to the first event, at pace 1 */
-	double cost;        /* of what it spoils, in value; lower is better */
+	uint64_t read_end_us;                      /* when the last part is foretold to be read */
+	double damage;                             /* value of the running streams that it makes late */
 } BH__Placement;
 
 bool bh__placement_find(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 						BH__Placement *out);
+bool bh__placement_force(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
+						 BH__Placement *out);
 double bh__placement_value(uint64_t prompt_tokens);
+bool bh__placement_is_tight(uint64_t event_gap_us);
 bool bh__pass_engine_is_usable(const BH__PassEngine *e, uint64_t now_us);
 
 #endif
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -239,6 +239,7 @@
 	flag_(c, &g->tells_progress);
 	flag_(c, &g->writes);
 	u64_(c, &g->event_gap_us);
+	u64_(c, &g->expected_us);
 	u8_(c, &g->member_count, BH__GRANT_MEMBERS_MAX);
 	for (unsigned i = 0; i < g->member_count; i++) {
 		u64_(c, &g->member[i].endpoint_id);
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -9,6 +9,8 @@
 #define PACE_WEIGHT_ 0.25              /* of one observation */
 #define PACE_MIN_ 1.0
 #define PACE_MAX_ 12.0
+#define PACE_FORGET_US_ (4 * BH__SECOND_US) /* a pace that is not seen again is forgotten in about this time */
+#define NETWORK_MS_ 8.0     /* of an observed time that is not the engine's */
 #define OBSERVABLE_MS_ 20.0 /* shorter times say more of the network than of the engine */
 #define RATIO_MAX_ 20.0
 #define PASSES_AT_ONCE_ 10000 /* that one call moves on; an engine that idles longer is set idle */
@@ -22,6 +24,11 @@
 /* Moves on to `now_us`: passes that are over by then are followed by the next, with what waits. */
 void bh__pass_clock_advance(BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us)
 {
+	if (c->pace > 1 && now_us > c->seen_us) {
+		double share = (double)(now_us - c->seen_us) / (double)PACE_FORGET_US_;
+		c->pace -= (c->pace - 1) * MIN(share, 1);
+	}
+	c->seen_us = now_us;
 	for (unsigned i = 0; c->pass_end_us && c->pass_end_us <= now_us; i++) {
 		if ((!c->streams && c->waiting_ms <= 0) || i >= PASSES_AT_ONCE_) {
 			c->pass_end_us = 0;
@@ -63,6 +70,6 @@
 
 	if (expected_ms < OBSERVABLE_MS_)
 		return;
-	ratio = CLAMP(observed_ms / expected_ms, 0, RATIO_MAX_);
+	ratio = CLAMP((observed_ms - NETWORK_MS_) / expected_ms, 0, RATIO_MAX_);
 	c->pace = CLAMP(c->pace + PACE_WEIGHT_ * (ratio - c->pace), PACE_MIN_, PACE_MAX_);
 }
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -1,50 +1,58 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
-/* The choice of engines. A prompt may be read in even parts by up to 17 engines at once. Each number of parts
- * is tried: more parts come to an end sooner, but lengthen a pass on more engines, and a pass that is longer
- * than a stream may pause spoils that stream. So the cost of a placement is the value of the streams that it
- * makes late, that of the request itself if its first event comes late, and small charges that keep prompts
- * of unlike lengths apart: streams that must not pause gather on few engines, and long prompts are read on
- * the others. */
+/* The choice of engines. What an engine reads lengthens its next pass, and a pass longer than a stream may pause makes
+ * that stream late. So each engine has a limit on its next pass, set by the streams that it writes, and a prompt is cut
+ * into even parts over so many engines that every part keeps its engine within the limit.
+ *
+ * Streams that may pause only briefly ("tight" ones) are packed on as few engines as can write them, always the same
+ * first; other prompts are read on the rest, where passes may be long. So the two are kept apart without a fixed share
+ * for either: the border moves with the load. */
 #include "placement.h"
 
-#include <math.h>
 #include <stdlib.h>
 
-#define TOKENS_PER_VALUE_                                                                                    \
-	12000.0             /* a prompt of so many tokens more is worth one more; a fit to the users' sheets */
-#define LATE_LOSS_ 0.75 /* share of a value that is lost when an answer is late; the sheets' */
-#define GAP_MARGIN_MS_ 25.0             /* of a pause, for the network and for what the reckoning misses */
-#define FIRST_MARGIN_MS_ 40.0           /* the same of a first event */
-#define PART_MIN_TOKENS_ 1500           /* smaller parts are not worth a helper */
-#define KV_FILL_ 0.94                   /* of an engine's memory that is given out */
-#define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams that may pause no longer are kept from long reads */
-#define OVERLAP_CHARGE_ 0.006           /* for each tight stream on an engine that reads a long part */
-#define LONG_PART_MS_ 45.0
-#define SLOW_CHARGE_PER_S_ 0.6 /* of a value, for each second to the first event */
-#define WORK_CHARGE_ 0.004     /* for each helper: its pass, its connection */
-#define GATHER_CHARGE_ 0.05    /* for a tight stream on an engine that has none */
-
-static const unsigned PartCounts_[] = {1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17};
+#define TOKENS_PER_VALUE_ 12000.0 /* a prompt of so many tokens more is worth one more; a fit to the users' sheets */
+#define LATE_LOSS_ 0.75           /* share of a value that is lost when an answer is late; the sheets' */
+#define GAP_MARGIN_MS_ 20.0       /* of a pause, for the network and for what the reckoning misses */
+#define FIRST_MARGIN_MS_ 35.0     /* the same of a first event */
+#define LOOSE_LIMIT_MS_ 775.0     /* of a pass on an engine without streams: one may begin there at any time */
+#define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams that may pause no longer are tight */
+#define TIGHT_ROOM_MS_ 40.0       /* of a tight engine's pass that is kept for tight prompts */
+#define TIGHT_PARTS_MAX_ 4        /* of a tight prompt */
+#define PART_MIN_TOKENS_ 1500     /* smaller parts are not worth a helper */
+#define SLOTS_KEPT_ 2             /* of an engine, while others have room: for resumed streams and wrong reckoning */
+#define KV_FILL_ 0.94             /* of an engine's memory that is given out */
 
 typedef struct {
 	BH__PassEngine *engine;
-	double cost;
-	uint64_t read_end_us;
+	unsigned order;      /* place in the table of engines */
+	unsigned tight;      /* tight streams that it writes or will write */
+	double limit_ms;     /* of its next pass */
+	double next_ms;      /* its next pass as it stands */
+	double loss;         /* value of streams that a longer pass would make late */
+	unsigned slots_free;
 	uint64_t kv_free_tokens;
-	bool may_answer; /* has a free slot */
 } Candidate_;
 
 static bool is_avoided_(const BH__Ask *ask, uint64_t endpoint_id);
-static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, bool avoid,
-					  uint64_t now_us, Candidate_ *out);
-static double damage_(const BH__EngineModel *m, const BH__PassEngine *e, const BH__Ask *ask, double part_ms);
+static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
+					  Candidate_ *out);
+static void describe_(const BH__EngineModel *m, BH__PassEngine *e, Candidate_ *c);
 static double gap_limit_ms_(uint64_t event_gap_us);
-static int compare_(const void *a, const void *b);
-static bool try_parts_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
-					   unsigned parts, uint64_t now_us, BH__Placement *out);
-static bool choose_home_(Candidate_ *c, unsigned count, unsigned parts, uint64_t need_tokens);
+static double room_ms_(const Candidate_ *c);
+static int compare_for_tight_(const void *a, const void *b);
+static int compare_for_long_(const void *a, const void *b);
+static int compare_for_force_(const void *a, const void *b);
+static bool find_tight_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
+						uint64_t now_us, BH__Placement *out);
+static bool find_long_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
+					   uint64_t now_us, BH__Placement *out);
+static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count, const BH__Ask *ask);
+static unsigned most_parts_(const BH__Ask *ask, unsigned count);
+static bool fill_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts, const BH__Ask *ask,
+				  uint64_t now_us, BH__Placement *out);
+static bool choose_home_(Candidate_ *c, unsigned count, uint64_t need_tokens);
 static bool share_memory_(const Candidate_ *c, unsigned parts, uint64_t need_tokens, BH__Placement *out);
-static double own_cost_(const BH__Ask *ask, uint64_t read_end_us, uint64_t now_us);
+static bool is_in_time_(const BH__Ask *ask, const BH__Placement *p, uint64_t now_us);
 
 /* Returns what an answer to a prompt is worth, in a unit of our own. */
 double bh__placement_value(uint64_t prompt_tokens)
@@ -52,6 +60,11 @@
 	return 1.0 + (double)prompt_tokens / TOKENS_PER_VALUE_;
 }
 
+bool bh__placement_is_tight(uint64_t event_gap_us)
+{
+	return event_gap_us && event_gap_us <= TIGHT_GAP_US_;
+}
+
 bool bh__pass_engine_is_usable(const BH__PassEngine *e, uint64_t now_us)
 {
 	return !e->leaving && now_us >= e->set_aside_until_us;
@@ -65,49 +78,46 @@
 	return false;
 }
 
-/* Finds the placement of least cost. Returns false if no engine can take the request now. */
-bool bh__placement_find(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
-						BH__Placement *out)
+/* Lists the engines that may be used; those that the ask avoids only if there is no other. */
+static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
+					  Candidate_ *out)
 {
-	Candidate_ *c = g_new(Candidate_, engines->len + 1);
-	unsigned count = list_(m, engines, ask, true, now_us, c);
-	bool found = false;
+	unsigned count = 0;
 
-	if (!count)
-		count = list_(m, engines, ask, false, now_us, c);
-	for (unsigned i = 0; i < G_N_ELEMENTS(PartCounts_); i++) {
-		BH__Placement p;
-		unsigned parts = PartCounts_[i];
-		if (parts > count || (parts > 1 && ask->prompt_tokens / parts < PART_MIN_TOKENS_))
-			break;
-		if (try_parts_(m, c, count, ask, parts, now_us, &p) && (!found || p.cost < out->cost)) {
-			*out = p;
-			found = true;
+	for (int avoid = 1; avoid >= 0 && !count; avoid--) {
+		for (guint i = 0; i < engines->len; i++) {
+			BH__PassEngine *e = g_ptr_array_index(engines, i);
+			if (!bh__pass_engine_is_usable(e, now_us) || (avoid && is_avoided_(ask, e->endpoint_id)))
+				continue;
+			bh__pass_clock_advance(&e->clock, m, now_us);
+			out[count].order = i;
+			describe_(m, e, &out[count++]);
 		}
 	}
-	g_free(c);
-	return found;
+	return count;
 }
 
-/* Lists the engines that may be used; without those that the ask avoids if `avoid`. */
-static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, bool avoid,
-					  uint64_t now_us, Candidate_ *out)
+static void describe_(const BH__EngineModel *m, BH__PassEngine *e, Candidate_ *c)
 {
 	uint64_t capacity = (uint64_t)((double)m->kv_tokens * KV_FILL_);
-	unsigned count = 0;
 
-	for (guint i = 0; i < engines->len; i++) {
-		BH__PassEngine *e = g_ptr_array_index(engines, i);
-		if (!bh__pass_engine_is_usable(e, now_us) || (avoid && is_avoided_(ask, e->endpoint_id)))
+	c->engine = e;
+	c->tight = 0;
+	c->loss = 0;
+	c->limit_ms = LOOSE_LIMIT_MS_;
+	c->next_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
+	c->slots_free = e->homes->len < m->slots ? m->slots - e->homes->len : 0;
+	c->kv_free_tokens = capacity > e->kv_used_tokens ? capacity - e->kv_used_tokens : 0;
+	for (guint i = 0; i < e->homes->len; i++) {
+		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
+		double limit_ms = gap_limit_ms_(r->event_gap_us);
+		if (limit_ms <= 0)
 			continue;
-		bh__pass_clock_advance(&e->clock, m, now_us);
-		out[count++] =
-			(Candidate_){.engine = e,
-						 .may_answer = e->homes->len<m->slots, .kv_free_tokens = capacity> e->kv_used_tokens
-										   ? capacity - e->kv_used_tokens
-										   : 0};
+		c->tight += bh__placement_is_tight(r->event_gap_us);
+		c->limit_ms = MIN(c->limit_ms, limit_ms);
+		if (c->next_ms <= limit_ms)
+			c->loss += r->value * LATE_LOSS_;
 	}
-	return count;
 }
 
 /* Returns the longest pass that a stream with such a gap bears, in ms; 0: any. */
@@ -116,96 +126,186 @@
 	return event_gap_us ? (double)event_gap_us / 1000 - GAP_MARGIN_MS_ : 0;
 }
 
-/* Returns the value that `part_ms` of reading in an engine's next pass spoils there, and the charges for it.
- */
-static double damage_(const BH__EngineModel *m, const BH__PassEngine *e, const BH__Ask *ask, double part_ms)
+/* Returns how much reading an engine's next pass bears, in ms at pace 1. */
+static double room_ms_(const Candidate_ *c)
 {
-	double before_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
-	double after_ms = bh__pass_clock_next_pass_ms(&e->clock, m, part_ms);
-	bool tight = ask->event_gap_us && ask->event_gap_us <= TIGHT_GAP_US_;
-	unsigned tight_streams = 0;
-	double cost = 0;
+	return (c->limit_ms - c->next_ms) / c->engine->clock.pace;
+}
 
-	for (guint i = 0; i < e->homes->len; i++) {
-		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
-		double limit_ms = gap_limit_ms_(r->event_gap_us);
-		if (limit_ms > 0 && after_ms > limit_ms && before_ms <= limit_ms)
-			cost += r->value * LATE_LOSS_;
-		tight_streams += limit_ms > 0 && r->event_gap_us <= TIGHT_GAP_US_;
+/* Finds engines that can take the request without making any stream late. Returns false if there are none now. */
+bool bh__placement_find(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
+						BH__Placement *out)
+{
+	Candidate_ *c = g_new(Candidate_, engines->len + 1);
+	unsigned count = list_(m, engines, ask, now_us, c);
+	bool found = bh__placement_is_tight(ask->event_gap_us) ? find_tight_(m, c, count, ask, now_us, out)
+														   : find_long_(m, c, count, ask, now_us, out);
+
+	g_free(c);
+	return found;
+}
+
+/* Engines that write tight streams already come first, and among them the first of the table, so that the same ones
+ * fill up; then those that are least busy with long prompts. */
+static int compare_for_tight_(const void *a, const void *b)
+{
+	const Candidate_ *x = a;
+	const Candidate_ *y = b;
+
+	if ((x->tight > 0) != (y->tight > 0))
+		return x->tight > 0 ? -1 : 1;
+	if (!x->tight && x->next_ms != y->next_ms)
+		return x->next_ms < y->next_ms ? -1 : 1;
+	return x->order < y->order ? -1 : 1;
+}
+
+/* A tight prompt goes to one engine if that stays within its limit, else to a few. */
+static bool find_tight_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
+						uint64_t now_us, BH__Placement *out)
+{
+	double own_limit_ms = gap_limit_ms_(ask->event_gap_us);
+
+	qsort(c, count, sizeof *c, compare_for_tight_);
+	for (unsigned parts = 1; parts <= MIN(most_parts_(ask, count), TIGHT_PARTS_MAX_); parts++) {
+		double part_ms = bh__engine_model_read_ms(m, ask->prompt_tokens, parts);
+		Candidate_ chosen[TIGHT_PARTS_MAX_];
+		unsigned n = 0;
+		for (unsigned i = 0; i < count && n < parts; i++) {
+			double limit_ms = MIN(c[i].limit_ms, own_limit_ms);
+			bool fits = c[i].next_ms + part_ms * c[i].engine->clock.pace <= limit_ms;
+			bool has_slot = n > 0 || c[i].slots_free > SLOTS_KEPT_;
+			if (fits && has_slot)
+				chosen[n++] = c[i];
+		}
+		if (n == parts && fill_(m, chosen, n, parts, ask, now_us, out) && is_in_time_(ask, out, now_us))
+			return true;
 	}
-	if (part_ms > LONG_PART_MS_)
-		cost += OVERLAP_CHARGE_ * tight_streams;
-	if (tight && !tight_streams)
-		cost += GATHER_CHARGE_;
-	return cost;
+	return false;
 }
 
-/* Cheapest first, and of equal ones the soonest. */
-static int compare_(const void *a, const void *b)
+/* Engines without tight streams come first, those with the most room first. */
+static int compare_for_long_(const void *a, const void *b)
 {
 	const Candidate_ *x = a;
 	const Candidate_ *y = b;
+	double p = room_ms_(x);
+	double q = room_ms_(y);
 
-	if (x->cost != y->cost)
-		return x->cost < y->cost ? -1 : 1;
-	return x->read_end_us < y->read_end_us ? -1 : x->read_end_us > y->read_end_us;
+	if ((x->tight > 0) != (y->tight > 0))
+		return x->tight > 0 ? 1 : -1;
+	return p > q ? -1 : p < q ? 1 : 0;
 }
 
-/* Returns what the request itself loses by a first event at that time. */
-static double own_cost_(const BH__Ask *ask, uint64_t read_end_us, uint64_t now_us)
+static bool find_long_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
+					   uint64_t now_us, BH__Placement *out)
 {
-	double value = bh__placement_value(ask->prompt_tokens);
-	double wait_ms = (double)(read_end_us - now_us) / 1000;
-	double aim_ms = (double)ask->first_event_us / 1000 - FIRST_MARGIN_MS_;
-	double cost = value * SLOW_CHARGE_PER_S_ * wait_ms / 1000;
+	unsigned loose = 0;
+	unsigned parts;
 
-	if (ask->first_event_us && wait_ms > aim_ms)
-		cost += value * LATE_LOSS_ + value * (wait_ms - aim_ms) / 10000;
-	return cost;
+	qsort(c, count, sizeof *c, compare_for_long_);
+	while (loose < count && !c[loose].tight)
+		loose++;
+	for (unsigned i = loose; i < count; i++)
+		c[i].limit_ms -= TIGHT_ROOM_MS_;
+	parts = choose_parts_(m, c, loose, ask);
+	if (parts && fill_(m, c, loose, parts, ask, now_us, out))
+		return true;
+	qsort(c, count, sizeof *c, compare_for_long_);
+	parts = choose_parts_(m, c, count, ask);
+	return parts && fill_(m, c, count, parts, ask, now_us, out);
 }
 
-static bool try_parts_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
-					   unsigned parts, uint64_t now_us, BH__Placement *out)
+/* Returns the largest number of parts of which each fits the room of its engine; 0: there is none. The candidates are
+ * in the order of their room. */
+static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count, const BH__Ask *ask)
 {
-	double part_ms = bh__engine_model_read_ms(m, ask->prompt_tokens, parts);
-	double pass_ms;
+	for (unsigned parts = most_parts_(ask, count); parts > 0; parts--)
+		if (bh__engine_model_read_ms(m, ask->prompt_tokens, parts) <= room_ms_(&c[parts - 1]))
+			return parts;
+	return 0;
+}
 
-	for (unsigned i = 0; i < count; i++) {
-		c[i].read_end_us = bh__pass_clock_predict_read(&c[i].engine->clock, m, part_ms, now_us);
-		c[i].cost = damage_(m, c[i].engine, ask, part_ms) + own_cost_(ask, c[i].read_end_us, now_us) / parts;
+static unsigned most_parts_(const BH__Ask *ask, unsigned count)
+{
+	uint64_t most = MAX(ask->prompt_tokens / PART_MIN_TOKENS_, 1);
+
+	return (unsigned)MIN(MIN(most, count), BH__GRANT_MEMBERS_MAX);
+}
+
+/* Those whose streams are worth least come first, and of those the soonest. */
+static int compare_for_force_(const void *a, const void *b)
+{
+	const Candidate_ *x = a;
+	const Candidate_ *y = b;
+
+	if (x->loss != y->loss)
+		return x->loss < y->loss ? -1 : 1;
+	return x->next_ms < y->next_ms ? -1 : x->next_ms > y->next_ms;
+}
+
+/* Finds the engines where the request does the least damage. Returns false if none can take it at all. */
+bool bh__placement_force(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
+						 BH__Placement *out)
+{
+	Candidate_ *c = g_new(Candidate_, engines->len + 1);
+	unsigned count = list_(m, engines, ask, now_us, c);
+	unsigned most = bh__placement_is_tight(ask->event_gap_us) ? 1 : most_parts_(ask, count);
+	bool found = false;
+
+	qsort(c, count, sizeof *c, compare_for_force_);
+	for (unsigned parts = 1; parts <= most && count; parts++) {
+		BH__Placement p;
+		if (!fill_(m, c, count, parts, ask, now_us, &p))
+			continue;
+		if (!found || p.damage < out->damage ||
+			(p.damage <= out->damage && p.read_end_us < out->read_end_us) ||
+			(!is_in_time_(ask, out, now_us) && is_in_time_(ask, &p, now_us) &&
+			 p.damage < bh__placement_value(ask->prompt_tokens) * LATE_LOSS_))
+			*out = p;
+		found = true;
 	}
-	qsort(c, count, sizeof *c, compare_);
-	if (!choose_home_(c, count, parts, ask->prompt_tokens + ask->max_tokens))
-		return false;
-	if (!share_memory_(c, parts, ask->prompt_tokens + ask->max_tokens, out))
+	g_free(c);
+	return found;
+}
+
+static bool is_in_time_(const BH__Ask *ask, const BH__Placement *p, uint64_t now_us)
+{
+	return !ask->first_event_us ||
+		   (double)(p->read_end_us - now_us) / 1000 + FIRST_MARGIN_MS_ <= (double)ask->first_event_us / 1000;
+}
+
+/* Fills in a placement on the first `parts` candidates; the one that answers may be any of them, or, if none can, one
+ * further on. Returns false if no engine has a free slot, or the memory is not there. */
+static bool fill_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts, const BH__Ask *ask,
+				  uint64_t now_us, BH__Placement *out)
+{
+	uint64_t need_tokens = ask->prompt_tokens + ask->max_tokens;
+	double part_ms = bh__engine_model_read_ms(m, ask->prompt_tokens, parts);
+
+	if (!choose_home_(c, count, need_tokens) || !share_memory_(c, parts, need_tokens, out))
 		return false;
 	out->count = parts;
-	out->part_ms = part_ms;
 	out->read_end_us = 0;
-	out->cost = WORK_CHARGE_ * (parts - 1);
+	out->damage = 0;
 	for (unsigned i = 0; i < parts; i++) {
+		uint64_t end_us = bh__pass_clock_predict_read(&c[i].engine->clock, m, part_ms, now_us);
 		out->engine[i] = c[i].engine;
-		out->read_end_us = MAX(out->read_end_us, c[i].read_end_us);
-		out->cost += damage_(m, c[i].engine, ask, part_ms);
+		out->read_end_us = MAX(out->read_end_us, end_us);
+		if (c[i].next_ms + part_ms * c[i].engine->clock.pace > c[i].limit_ms)
+			out->damage += c[i].loss;
 	}
-	out->cost += own_cost_(ask, out->read_end_us, now_us);
-	pass_ms =
-		bh__engine_model_pass_ms(m, out->engine[0]->clock.streams + 1, out->engine[0]->clock.context_tokens);
-	out->expected_ms = (double)(out->read_end_us - now_us) / 1000 / out->engine[0]->clock.pace;
-	if (gap_limit_ms_(ask->event_gap_us) > 0 && pass_ms > gap_limit_ms_(ask->event_gap_us))
-		out->cost += bh__placement_value(ask->prompt_tokens) * LATE_LOSS_;
 	return true;
 }
 
-/* Puts an engine that can answer first: the cheapest with a free slot and the memory for the whole, else the
- * one with a free slot and the most memory. Returns false if no engine has a free slot. */
-static bool choose_home_(Candidate_ *c, unsigned count, unsigned parts, uint64_t need_tokens)
+/* Puts an engine that can answer first: the first with a free slot and the memory for the whole, else the one with a
+ * free slot and the most memory. Returns false if no engine has a free slot. */
+static bool choose_home_(Candidate_ *c, unsigned count, uint64_t need_tokens)
 {
 	unsigned best = count;
 	Candidate_ home;
 
 	for (unsigned i = 0; i < count; i++) {
-		if (!c[i].may_answer)
+		if (!c[i].slots_free)
 			continue;
 		if (c[i].kv_free_tokens >= need_tokens) {
 			best = i;
@@ -217,15 +317,14 @@
 	if (best == count)
 		return false;
 	home = c[best];
-	/* those before it move up; if it was none of the first `parts`, the last of these falls out */
-	for (unsigned i = MIN(best, parts - 1); i > 0; i--)
+	for (unsigned i = best; i > 0; i--) /* those before it move up, and may fall out of the first ones */
 		c[i] = c[i - 1];
 	c[0] = home;
 	return true;
 }
 
-/* Spreads the memory: the first engine takes what it can, the helpers with the most room the rest. Returns
- * false if it does not fit. */
+/* Spreads the memory: the first engine takes what it can, the helpers with the most room the rest. Returns false if
+ * it does not fit. */
 static bool share_memory_(const Candidate_ *c, unsigned parts, uint64_t need_tokens, BH__Placement *out)
 {
 	uint64_t left = need_tokens;
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -5,10 +5,15 @@
 #include <string.h>
 #include "placement.h"
 
-#define WAIT_SHARE_ 0.5   /* of the time to a first event in time: so long a better place is waited for */
-#define OFFER_SHARE_ 0.25 /* of it: by then a request is given an engine or refused; the users' bound */
+/* A request waits for engines that can take it without making a stream late; from this share of the time to its first
+ * event on it may make some late, if they are worth less. One that can't be in time any more waits on for such engines,
+ * behind all others. */
+#define WAIT_SHARE_TIGHT_ 0.25
+#define WAIT_SHARE_ 0.55
+#define LATE_LOSS_ 0.75        /* share of a value that is lost when an answer is late */
+#define OFFER_SHARE_ 0.25      /* a request that no engine has a slot for is refused by then; the users' bound */
 #define OFFER_MARGIN_US_ (15 * BH__MS_US)
-#define BEARABLE_COST_ 0.6 /* in value: a placement that costs no more is taken at once */
+#define ANSWER_US_ (3 * BH__SECOND_US) /* for reading and writing an answer that waited as long as it could */
 #define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
 #define LOOKS_PER_PUMP_ 8 /* waiting asks that are tried each time */
 #define ASIDE_FIRST_US_                                                                                      \
@@ -44,6 +49,8 @@
 static Waiting_ *find_waiting_(const BH__Planner *p, uint64_t ask_id);
 static void push_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, uint64_t arrived_us, uint64_t now_us);
+static bool may_force_(const BH__Ask *ask, uint64_t waited_us);
+static bool force_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place);
 static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t now_us);
 static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t now_us);
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r);
@@ -199,7 +206,6 @@
 	BH__Ask left = *ask; /* with the times that are left now */
 	uint64_t waited_us = now_us - arrived_us;
 	uint64_t aim_us = first_event_us_(ask);
-	bool found;
 
 	if (waited_us >= ask->deadline_us) {
 		refuse_(p, ask, BH__REASON_DEADLINE, now_us);
@@ -207,19 +213,38 @@
 	}
 	left.deadline_us = ask->deadline_us - waited_us;
 	left.first_event_us = waited_us < aim_us ? aim_us - waited_us : 1;
-	found = bh__placement_find(&p->model, p->engines, &left, now_us, &place);
-	if (found && now_us + left.deadline_us <= place.read_end_us)
-		found = false;
-	if (found && (place.cost <= BEARABLE_COST_ || waited_us >= (uint64_t)((double)aim_us * WAIT_SHARE_))) {
+	if (bh__placement_find(&p->model, p->engines, &left, now_us, &place) ||
+		(may_force_(ask, waited_us) && force_(p, &left, now_us, &place))) {
 		p->counters.late += place.read_end_us > now_us + left.first_event_us;
 		grant_(p, ask, &place, now_us);
 		return true;
 	}
-	if (!found && waited_us + OFFER_MARGIN_US_ >= (uint64_t)((double)aim_us * OFFER_SHARE_)) {
-		refuse_(p, ask, p->engines->len ? BH__REASON_OVERLOAD : BH__REASON_NO_ENDPOINT, now_us);
+	if (waited_us + OFFER_MARGIN_US_ < (uint64_t)((double)aim_us * OFFER_SHARE_) ||
+		bh__placement_force(&p->model, p->engines, &left, now_us, &place))
+		return false;
+	refuse_(p, ask, p->engines->len ? BH__REASON_OVERLOAD : BH__REASON_NO_ENDPOINT, now_us);
+	return true;
+}
+
+/* Returns true if a request has waited so long that it may make others late. */
+static bool may_force_(const BH__Ask *ask, uint64_t waited_us)
+{
+	double share = bh__placement_is_tight(ask->event_gap_us) ? WAIT_SHARE_TIGHT_ : WAIT_SHARE_;
+
+	return (double)waited_us >= (double)first_event_us_(ask) * share;
+}
+
+/* Finds a place for a request that has waited long enough: where it is in time and makes less late than it is worth, or
+ * anywhere at the last moment. */
+static bool force_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place)
+{
+	double gain = bh__placement_value(left->prompt_tokens) * LATE_LOSS_;
+
+	if (!bh__placement_force(&p->model, p->engines, left, now_us, place))
+		return false;
+	if (bh__placement_is_tight(left->event_gap_us) || left->deadline_us <= ANSWER_US_)
 		return true;
-	}
-	return false;
+	return place->read_end_us <= now_us + left->first_event_us && place->damage < gain;
 }
 
 static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t now_us)
@@ -232,6 +257,7 @@
 				   .priority_level = ask->priority_level,
 				   .tells_progress = true,
 				   .event_gap_us = ask->event_gap_us,
+				   .expected_us = place->read_end_us - now_us,
 				   .member_count = (uint8_t)place->count};
 	BH__PlacedRequest *r;
 	uint64_t done = 0;
@@ -245,8 +271,7 @@
 		done = end;
 	}
 	r = enter_(p, &g, now_us);
-	r->expected_ms = place->expected_ms;
-	r->read_end_us = place->read_end_us;
+	r->expected_ms = (double)(place->read_end_us - now_us) / 1000 / place->engine[0]->clock.pace;
 	p->counters.grants++;
 	p->counters.helped += place->count > 1;
 	p->port->grant(p->port, &r->grant);
@@ -488,17 +513,7 @@
  * bh__planner_is_waiting(). */
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us)
 {
-	guint i = 0;
-
 	pump_(p, now_us);
-	while (i < p->waiting->len) {
-		Waiting_ w = *(Waiting_ *)g_ptr_array_index(p->waiting, i);
-		uint64_t force_us = (uint64_t)((double)first_event_us_(&w.ask) * WAIT_SHARE_);
-		if (now_us >= w.arrived_us + force_us && try_place_(p, &w.ask, w.arrived_us, now_us))
-			bh__planner_process_withdraw(p, w.ask.ask_id);
-		else
-			i++;
-	}
 }
 
 /* Refuses all that waits. */
