Engines kept free for tight streams; clocks follow prompts that are dropped, or seen to be read

Cause: at low load long prompts were spread over all engines, so that the next short one found every engine in the middle of a long pass (first events foretold and seen at 300 to 480 ms); and an engine's reckoning ran seconds ahead after a long prompt on it was given up.

--- a/src/libbayhoist/include/private/pass_clock.h
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -8,6 +8,8 @@
 
 typedef struct {
 	uint64_t pass_end_us; /* of the pass under way; 0: the engine is idle */
+	uint64_t pass;        /* number of the pass under way */
+	double reading_ms;    /* of the pass under way that is reading, at pace 1 */
 	double waiting_ms;    /* of reading that the next pass takes up */
 	unsigned streams;
 	uint64_t context_tokens; /* of the streams together */
@@ -20,7 +22,9 @@
 double bh__pass_clock_next_pass_ms(const BH__PassClock *c, const BH__EngineModel *m, double more_ms);
 uint64_t bh__pass_clock_predict_read(const BH__PassClock *c, const BH__EngineModel *m, double read_ms,
 									 uint64_t now_us);
-void bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us);
+uint64_t bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us);
+void bh__pass_clock_drop_read(BH__PassClock *c, uint64_t pass, double read_ms, uint64_t now_us);
+void bh__pass_clock_note_read(BH__PassClock *c, const BH__EngineModel *m, uint64_t pass, uint64_t now_us);
 void bh__pass_clock_observe(BH__PassClock *c, double expected_ms, double observed_ms);
 
 #endif
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -30,6 +30,8 @@
 	}
 	c->seen_us = now_us;
 	for (unsigned i = 0; c->pass_end_us && c->pass_end_us <= now_us; i++) {
+		c->pass++;
+		c->reading_ms = c->waiting_ms;
 		if ((!c->streams && c->waiting_ms <= 0) || i >= PASSES_AT_ONCE_) {
 			c->pass_end_us = 0;
 			c->waiting_ms = 0;
@@ -55,12 +57,39 @@
 	return start_us + (uint64_t)(bh__pass_clock_next_pass_ms(c, m, read_ms) * 1000);
 }
 
-/* Adds a prompt to what the next pass reads. */
-void bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us)
+/* Adds a prompt to what the next pass reads. Returns the number of that pass. */
+uint64_t bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us)
 {
 	if (!c->pass_end_us)
 		c->pass_end_us = now_us + IDLE_START_US_;
 	c->waiting_ms += read_ms;
+	return c->pass + 1;
+}
+
+/* A prompt that was to be read in a pass is not read, or not to its end. */
+void bh__pass_clock_drop_read(BH__PassClock *c, uint64_t pass, double read_ms, uint64_t now_us)
+{
+	uint64_t read_us = (uint64_t)(read_ms * c->pace * 1000);
+
+	if (pass == c->pass + 1) {
+		c->waiting_ms = MAX(c->waiting_ms - read_ms, 0);
+	}
+	else if (pass == c->pass && c->pass_end_us > now_us) {
+		c->pass_end_us = c->pass_end_us > now_us + read_us ? c->pass_end_us - read_us : now_us + 1;
+		c->reading_ms = MAX(c->reading_ms - read_ms, 0);
+	}
+}
+
+/* A prompt that was to be read in a pass is seen to be read: that pass is over, whatever was foretold. */
+void bh__pass_clock_note_read(BH__PassClock *c, const BH__EngineModel *m, uint64_t pass, uint64_t now_us)
+{
+	if (pass == c->pass + 1 && c->pass_end_us > now_us) /* even its beginning was foretold too late */
+		c->pass_end_us = now_us;
+	bh__pass_clock_advance(c, m, now_us);
+	if (pass == c->pass && c->pass_end_us > now_us) {
+		c->pass_end_us = now_us;
+		bh__pass_clock_advance(c, m, now_us);
+	}
 }
 
 /* Learns the engine's pace from a time that was foretold at pace 1 and the one that it took. */
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -16,7 +16,10 @@
 #define FIRST_MARGIN_MS_ 35.0     /* the same of a first event */
 #define LOOSE_LIMIT_MS_ 775.0     /* of a pass on an engine without streams: one may begin there at any time */
 #define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams that may pause no longer are tight */
+#define TIGHT_LIMIT_MS_ 180.0     /* of a pass on an engine that is kept for tight streams */
 #define TIGHT_ROOM_MS_ 40.0       /* of a tight engine's pass that is kept for tight prompts */
+#define TIGHT_STREAMS_ 12         /* that one engine is filled with, more or less */
+#define TIGHT_SPARE_ 1            /* engines that are kept free of long prompts beyond those that tight streams fill */
 #define TIGHT_PARTS_MAX_ 4        /* of a tight prompt */
 #define PART_MIN_TOKENS_ 1500     /* smaller parts are not worth a helper */
 #define SLOTS_KEPT_ 2             /* of an engine, while others have room: for resumed streams and wrong reckoning */
@@ -26,6 +29,7 @@
 	BH__PassEngine *engine;
 	unsigned order;      /* place in the table of engines */
 	unsigned tight;      /* tight streams that it writes or will write */
+	bool kept;           /* for tight streams, of which it may have none yet */
 	double limit_ms;     /* of its next pass */
 	double next_ms;      /* its next pass as it stands */
 	double loss;         /* value of streams that a longer pass would make late */
@@ -37,6 +41,7 @@
 static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 					  Candidate_ *out);
 static void describe_(const BH__EngineModel *m, BH__PassEngine *e, Candidate_ *c);
+static void keep_for_tight_(Candidate_ *c, unsigned count);
 static double gap_limit_ms_(uint64_t event_gap_us);
 static double room_ms_(const Candidate_ *c);
 static int compare_for_tight_(const void *a, const void *b);
@@ -94,15 +99,42 @@
 			describe_(m, e, &out[count++]);
 		}
 	}
+	keep_for_tight_(out, count);
 	return count;
 }
 
+/* Keeps as many engines for tight streams as those of now need, and some to spare, so that the next one finds an engine
+ * that is not in the middle of a long pass: those that write some already, and then the first of the table. */
+static void keep_for_tight_(Candidate_ *c, unsigned count)
+{
+	unsigned streams = 0;
+	unsigned wanted;
+
+	for (unsigned i = 0; i < count; i++) {
+		streams += c[i].tight;
+		c[i].kept = c[i].tight > 0;
+	}
+	wanted = MIN((streams + TIGHT_STREAMS_ - 1) / TIGHT_STREAMS_ + TIGHT_SPARE_, count / 2);
+	for (unsigned i = 0; i < count; i++)
+		wanted -= c[i].kept && wanted > 0;
+	for (unsigned i = 0; i < count && wanted > 0; i++) {
+		if (c[i].kept)
+			continue;
+		c[i].kept = true;
+		wanted--;
+	}
+	for (unsigned i = 0; i < count; i++)
+		if (c[i].kept)
+			c[i].limit_ms = MIN(c[i].limit_ms, (double)TIGHT_LIMIT_MS_);
+}
+
 static void describe_(const BH__EngineModel *m, BH__PassEngine *e, Candidate_ *c)
 {
 	uint64_t capacity = (uint64_t)((double)m->kv_tokens * KV_FILL_);
 
 	c->engine = e;
 	c->tight = 0;
+	c->kept = false;
 	c->loss = 0;
 	c->limit_ms = LOOSE_LIMIT_MS_;
 	c->next_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
@@ -154,6 +186,8 @@
 
 	if ((x->tight > 0) != (y->tight > 0))
 		return x->tight > 0 ? -1 : 1;
+	if (x->kept != y->kept)
+		return x->kept ? -1 : 1;
 	if (!x->tight && x->next_ms != y->next_ms)
 		return x->next_ms < y->next_ms ? -1 : 1;
 	return x->order < y->order ? -1 : 1;
@@ -183,7 +217,7 @@
 	return false;
 }
 
-/* Engines without tight streams come first, those with the most room first. */
+/* Engines that are not kept for tight streams come first, those with the most room first. */
 static int compare_for_long_(const void *a, const void *b)
 {
 	const Candidate_ *x = a;
@@ -191,8 +225,8 @@
 	double p = room_ms_(x);
 	double q = room_ms_(y);
 
-	if ((x->tight > 0) != (y->tight > 0))
-		return x->tight > 0 ? 1 : -1;
+	if (x->kept != y->kept)
+		return x->kept ? 1 : -1;
 	return p > q ? -1 : p < q ? 1 : 0;
 }
 
@@ -203,7 +237,7 @@
 	unsigned parts;
 
 	qsort(c, count, sizeof *c, compare_for_long_);
-	while (loose < count && !c[loose].tight)
+	while (loose < count && !c[loose].kept)
 		loose++;
 	for (unsigned i = loose; i < count; i++)
 		c[i].limit_ms -= TIGHT_ROOM_MS_;
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -54,8 +54,8 @@
 static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t now_us);
 static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t now_us);
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r);
-static void take_out_(BH__Planner *p, BH__PlacedRequest *r);
-static void end_helps_(BH__Planner *p, BH__PlacedRequest *r);
+static void take_out_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
+static void end_reads_(BH__Planner *p, BH__PlacedRequest *r, bool was_read, uint64_t now_us);
 static void set_aside_(BH__PassEngine *e, uint64_t now_us);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
 static void pump_(BH__Planner *p, uint64_t now_us);
@@ -282,11 +282,10 @@
 {
 	BH__PlacedRequest *r = g_new0(BH__PlacedRequest, 1);
 	uint64_t prompt_tokens = 0;
-	double part_ms;
 
 	for (unsigned i = 0; i < g->member_count; i++)
 		prompt_tokens += g->member[i].token_count;
-	part_ms = bh__engine_model_read_ms(&p->model, prompt_tokens, g->member_count);
+	r->part_ms = bh__engine_model_read_ms(&p->model, prompt_tokens, g->member_count);
 	r->grant = *g;
 	r->granted_us = now_us;
 	r->event_gap_us = g->event_gap_us;
@@ -296,7 +295,7 @@
 		if (!e)
 			continue;
 		if (!g->writes)
-			bh__pass_clock_add_read(&e->clock, part_ms, now_us);
+			r->pass[i] = bh__pass_clock_add_read(&e->clock, r->part_ms, now_us);
 		e->kv_used_tokens += g->member[i].kv_bytes;
 		if (i == 0)
 			g_ptr_array_add(e->homes, r);
@@ -324,10 +323,10 @@
 }
 
 /* Takes a grant out of the ledger. */
-static void take_out_(BH__Planner *p, BH__PlacedRequest *r)
+static void take_out_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us)
 {
 	if (!r->grant.writes)
-		end_helps_(p, r);
+		end_reads_(p, r, false, now_us);
 	for (unsigned i = 0; i < r->grant.member_count; i++) {
 		BH__PassEngine *e = find_engine_(p, r->grant.member[i].endpoint_id);
 		if (!e)
@@ -344,12 +343,20 @@
 	g_hash_table_remove(p->placed, &r->grant.grant_id);
 }
 
-static void end_helps_(BH__Planner *p, BH__PlacedRequest *r)
+/* A prompt is not being read any more: it has been, or will not be. */
+static void end_reads_(BH__Planner *p, BH__PlacedRequest *r, bool was_read, uint64_t now_us)
 {
-	for (unsigned i = 1; i < r->grant.member_count; i++) {
+	for (unsigned i = 0; i < r->grant.member_count; i++) {
 		BH__PassEngine *e = find_engine_(p, r->grant.member[i].endpoint_id);
-		if (e)
+		if (!e)
+			continue;
+		if (i > 0)
 			e->helps -= e->helps > 0;
+		bh__pass_clock_advance(&e->clock, &p->model, now_us);
+		if (was_read)
+			bh__pass_clock_note_read(&e->clock, &p->model, r->pass[i], now_us);
+		else
+			bh__pass_clock_drop_read(&e->clock, r->pass[i], r->part_ms, now_us);
 	}
 }
 
@@ -368,7 +375,7 @@
 
 	if (!r || r->grant.writes)
 		return;
-	end_helps_(p, r);
+	end_reads_(p, r, true, now_us);
 	start_stream_(p, r);
 	e = find_engine_(p, r->grant.member[0].endpoint_id);
 	if (e) {
@@ -397,7 +404,7 @@
 	if (failed && kind == BH__RELEASE_FAILED)
 		set_aside_(failed, now_us);
 	if (r)
-		take_out_(p, r);
+		take_out_(p, r, now_us);
 	pump_(p, now_us);
 }
 
@@ -431,7 +438,7 @@
 		BH__PlacedRequest *r = g_ptr_array_index(list, i);
 		bool young = r->grant.boot_id == boot_id && now_us < r->granted_us + HOLD_GRACE_US_;
 		if (!young && !g_hash_table_contains(named, &r->grant.grant_id))
-			take_out_(p, r);
+			take_out_(p, r, now_us);
 	}
 	g_ptr_array_unref(list);
 	g_hash_table_unref(named);
@@ -449,7 +456,7 @@
 		bool holds = false;
 		for (unsigned k = 1; k < g.member_count; k++)
 			holds |= g.member[k].kv_bytes > 0;
-		take_out_(p, r);
+		take_out_(p, r, now_us);
 		if (holds)
 			p->port->abandoned(p->port, &g);
 	}
@@ -466,7 +473,7 @@
 	GPtrArray *list = placed_of_(p, node_id, true);
 
 	for (guint i = 0; i < list->len; i++)
-		take_out_(p, g_ptr_array_index(list, i));
+		take_out_(p, g_ptr_array_index(list, i), now_us);
 	g_ptr_array_unref(list);
 	pump_(p, now_us);
 }
