What an engine without streams has to read counts whole

Ruled out: memory, orders unanswered, a wrong speed (work by engine adds up to the time it took). Change: without streams all pending reading counts against the limit, and the engine that answers must have little of it.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -78,6 +78,7 @@
 static void return_grant_(Call *c, uint64_t unusable_endpoint);
 static void on_memory_(void *ctx, bool held);
 static void send_(Call *c, uint64_t endpoint_id);
+static void log_send_(const Call *c, const BH__RegisteredEndpoint *e);
 static void write_request_(Call *c, const BH__RegisteredEndpoint *e, struct evbuffer *out);
 static void fill_helpers_(const Call *c, SendingMeta *s);
 static void on_head_(void *ctx, const OutboundHead *head);
@@ -342,17 +343,31 @@
 	write_request_(c, e, out);
 	g->counters.sendings++;
 	bh__registry_note_start(g->registry, endpoint_id);
-	log_event("send",
-			  "request=%s endpoint=%s service=%s helpers=%u prompt_tokens=%" G_GUINT64_FORMAT
-			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT,
-			  c->request->meta.request_id, e->entry.id, c->service->name,
-			  c->place.grant.grant_id ? c->place.grant.member_count - 1u : 0, c->request->meta.prompt_tokens,
-			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US);
+	log_send_(c, e);
 	c->out = outbound_start(g, e->entry.address, out, &Callbacks_, c);
 	evbuffer_free(out);
 	set_timer_(c, c->sent_us);
 }
 
+static void log_send_(const Call *c, const BH__RegisteredEndpoint *e)
+{
+	const BH__Grant *g = &c->place.grant;
+	GString *helpers = g_string_new(NULL);
+
+	for (unsigned i = 1; g->grant_id && i < g->member_count; i++) {
+		const BH__RegisteredEndpoint *h = bh__registry_find(c->gate->registry, g->member[i].endpoint_id);
+		g_string_append_printf(helpers, "%s%s%s", i > 1 ? "," : "", h ? h->entry.id : "gone",
+							   g->member[i].kv_bytes ? "/memory" : "");
+	}
+	log_event("send",
+			  "request=%s endpoint=%s service=%s prompt_tokens=%" G_GUINT64_FORMAT
+			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT " helpers=%s",
+			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
+			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US,
+			  g->grant_id ? g->expected_us / BH__MS_US : 0, helpers->str);
+	g_string_free(helpers, TRUE);
+}
+
 /* Writes the request as the endpoint is to get it. */
 static void write_request_(Call *c, const BH__RegisteredEndpoint *e, struct evbuffer *out)
 {
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -31,7 +31,8 @@
 	unsigned tight;      /* tight streams that it writes or will write */
 	bool kept;           /* for tight streams, of which it may have none yet */
 	double limit_ms;     /* of its next pass */
-	double next_ms;      /* its next pass as it stands */
+	double next_ms;      /* its next pass as it stands; without streams, all that it has to read */
+	double pending_ms;   /* what is left of its pass, and the next one */
 	double loss;         /* value of streams that a longer pass would make late */
 	unsigned slots_free;
 	uint64_t kv_free_tokens;
@@ -40,7 +41,7 @@
 static bool is_avoided_(const BH__Ask *ask, uint64_t endpoint_id);
 static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 					  Candidate_ *out);
-static void describe_(const BH__EngineModel *m, BH__PassEngine *e, Candidate_ *c);
+static void describe_(const BH__EngineModel *m, BH__PassEngine *e, uint64_t now_us, Candidate_ *c);
 static void keep_for_tight_(Candidate_ *c, unsigned count);
 static double gap_limit_ms_(uint64_t event_gap_us);
 static double room_ms_(const Candidate_ *c);
@@ -55,7 +56,7 @@
 static unsigned most_parts_(const BH__Ask *ask, unsigned count);
 static bool fill_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts, const BH__Ask *ask,
 				  uint64_t now_us, BH__Placement *out);
-static bool choose_home_(Candidate_ *c, unsigned count, uint64_t need_tokens);
+static bool choose_home_(Candidate_ *c, unsigned count, const BH__Ask *ask, double part_ms);
 static bool share_memory_(const Candidate_ *c, unsigned parts, uint64_t need_tokens, BH__Placement *out);
 static bool is_in_time_(const BH__Ask *ask, const BH__Placement *p, uint64_t now_us);
 
@@ -96,7 +97,7 @@
 				continue;
 			bh__pass_clock_advance(&e->clock, m, now_us);
 			out[count].order = i;
-			describe_(m, e, &out[count++]);
+			describe_(m, e, now_us, &out[count++]);
 		}
 	}
 	keep_for_tight_(out, count);
@@ -128,9 +129,12 @@
 			c[i].limit_ms = MIN(c[i].limit_ms, (double)TIGHT_LIMIT_MS_);
 }
 
-static void describe_(const BH__EngineModel *m, BH__PassEngine *e, Candidate_ *c)
+/* Describes an engine. One that writes no stream reads in small steps, in which short prompts overtake long ones: what
+ * it has to read may all be left when its next stream begins, and come in one pass. */
+static void describe_(const BH__EngineModel *m, BH__PassEngine *e, uint64_t now_us, Candidate_ *c)
 {
 	uint64_t capacity = (uint64_t)((double)m->kv_tokens * KV_FILL_);
+	uint64_t left_us = e->clock.pass_end_us > now_us ? e->clock.pass_end_us - now_us : 0;
 
 	c->engine = e;
 	c->tight = 0;
@@ -138,6 +142,9 @@
 	c->loss = 0;
 	c->limit_ms = LOOSE_LIMIT_MS_;
 	c->next_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
+	c->pending_ms = c->next_ms + (double)left_us / 1000;
+	if (!e->clock.streams)
+		c->next_ms = c->pending_ms;
 	c->slots_free = e->homes->len < m->slots ? m->slots - e->homes->len : 0;
 	c->kv_free_tokens = capacity > e->kv_used_tokens ? capacity - e->kv_used_tokens : 0;
 	for (guint i = 0; i < e->homes->len; i++) {
@@ -316,7 +323,7 @@
 	uint64_t need_tokens = ask->prompt_tokens + ask->max_tokens;
 	double part_ms = bh__engine_model_read_ms(m, ask->prompt_tokens, parts);
 
-	if (!choose_home_(c, count, need_tokens) || !share_memory_(c, parts, need_tokens, out))
+	if (!choose_home_(c, count, ask, part_ms) || !share_memory_(c, parts, need_tokens, out))
 		return false;
 	out->count = parts;
 	out->read_end_us = 0;
@@ -331,22 +338,28 @@
 	return true;
 }
 
-/* Puts an engine that can answer first: the first with a free slot and the memory for the whole, else the one with a
- * free slot and the most memory. Returns false if no engine has a free slot. */
-static bool choose_home_(Candidate_ *c, unsigned count, uint64_t need_tokens)
+/* Puts the engine that is to answer first. It must have a free slot. Best is one with the memory for the whole, and
+ * with so little to read that the stream does not pause for it once it has begun; the earlier candidate counts more.
+ * Returns false if no engine has a free slot. */
+static bool choose_home_(Candidate_ *c, unsigned count, const BH__Ask *ask, double part_ms)
 {
+	uint64_t need_tokens = ask->prompt_tokens + ask->max_tokens;
+	double limit_ms = gap_limit_ms_(ask->event_gap_us);
 	unsigned best = count;
+	unsigned best_score = 0;
 	Candidate_ home;
 
 	for (unsigned i = 0; i < count; i++) {
+		bool holds = c[i].kv_free_tokens >= need_tokens;
+		bool flows = limit_ms <= 0 || c[i].pending_ms + part_ms * c[i].engine->clock.pace <= limit_ms;
+		unsigned score = (holds ? 2 : 0) + (flows ? 1 : 0);
 		if (!c[i].slots_free)
 			continue;
-		if (c[i].kv_free_tokens >= need_tokens) {
+		if (best == count || score > best_score ||
+			(!holds && score == best_score && c[i].kv_free_tokens > c[best].kv_free_tokens)) {
 			best = i;
-			break;
+			best_score = score;
 		}
-		if (best == count || c[i].kv_free_tokens > c[best].kv_free_tokens)
-			best = i;
 	}
 	if (best == count)
 		return false;
