--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -55,8 +55,8 @@
 	uint64_t endpoint_id;
 	uint64_t sent_us;
 	uint64_t longest_pause_us; /* between what the endpoints sent of the answer */
-	uint64_t heard_us; /* when the endpoint last sent something of the answer */
-	bool judged;       /* the sending's end is known before its connection's */
+	uint64_t heard_us;         /* when the endpoint last sent something of the answer */
+	bool judged;               /* the sending's end is known before its connection's */
 	BH__SendingEnd judgement;
 	OutboundHead head;     /* of the answer; `headers` is our own copy */
 	struct evbuffer *body; /* of an answer that is kept until it is whole; or the rest of an event */
@@ -361,7 +361,8 @@
 	}
 	log_event("send",
 			  "request=%s endpoint=%s service=%s prompt_tokens=%" G_GUINT64_FORMAT
-			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT " helpers=%s",
+			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
+			  " helpers=%s",
 			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
 			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US,
 			  g->grant_id ? g->expected_us / BH__MS_US : 0, helpers->str);
@@ -507,7 +508,8 @@
 static void tell_progress_(Call *c)
 {
 	log_event("first-event",
-			  "request=%s took_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT " target_ms=%u parts=%u",
+			  "request=%s took_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
+			  " target_ms=%u parts=%u",
 			  c->request->meta.request_id, (c->heard_us - c->sent_us) / BH__MS_US,
 			  c->place.grant.expected_us / BH__MS_US, c->rule->target_ms, c->place.grant.member_count);
 	cluster_tell_progress(c->gate->cluster, c);
@@ -601,8 +603,8 @@
 			  " next=%s at_fault=%s events=%" G_GUINT64_FORMAT " cause=\"%s\"",
 			  c->request->meta.request_id, BH__SendingEndString[end],
 			  end == BH__SENDING_UNREACHABLE ? 0 : c->head.status, c->x.sendings,
-			  (now_us - c->sent_us) / BH__MS_US, BH__NextString[next], c->head.meta.at_fault, c->events.events,
-			  cause);
+			  (now_us - c->sent_us) / BH__MS_US, BH__NextString[next], c->head.meta.at_fault,
+			  c->events.events, cause);
 }
 
 static void act_(Call *c, BH__Next next)
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -1,39 +1,41 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
-/* The choice of engines. What an engine reads lengthens its next pass, and a pass longer than a stream may pause makes
- * that stream late. So each engine has a limit on its next pass, set by the streams that it writes, and a prompt is cut
- * into even parts over so many engines that every part keeps its engine within the limit.
+/* The choice of engines. What an engine reads lengthens its next pass, and a pass longer than a stream may
+ * pause makes that stream late. So each engine has a limit on its next pass, set by the streams that it
+ * writes, and a prompt is cut into even parts over so many engines that every part keeps its engine within
+ * the limit.
  *
- * Streams that may pause only briefly ("tight" ones) are packed on as few engines as can write them, always the same
- * first; other prompts are read on the rest, where passes may be long. So the two are kept apart without a fixed share
- * for either: the border moves with the load. */
+ * Streams that may pause only briefly ("tight" ones) are packed on as few engines as can write them, always
+ * the same first; other prompts are read on the rest, where passes may be long. So the two are kept apart
+ * without a fixed share for either: the border moves with the load. */
 #include "placement.h"
 
 #include <stdlib.h>
 
-#define TOKENS_PER_VALUE_ 12000.0 /* a prompt of so many tokens more is worth one more; a fit to the users' sheets */
-#define LATE_LOSS_ 0.75           /* share of a value that is lost when an answer is late; the sheets' */
-#define GAP_MARGIN_MS_ 20.0       /* of a pause, for the network and for what the reckoning misses */
-#define FIRST_MARGIN_MS_ 35.0     /* the same of a first event */
-#define LOOSE_LIMIT_MS_ 775.0     /* of a pass on an engine without streams: one may begin there at any time */
+#define TOKENS_PER_VALUE_                                                                                    \
+	12000.0             /* a prompt of so many tokens more is worth one more; a fit to the users' sheets */
+#define LATE_LOSS_ 0.75 /* share of a value that is lost when an answer is late; the sheets' */
+#define GAP_MARGIN_MS_ 20.0   /* of a pause, for the network and for what the reckoning misses */
+#define FIRST_MARGIN_MS_ 35.0 /* the same of a first event */
+#define LOOSE_LIMIT_MS_ 775.0 /* of a pass on an engine without streams: one may begin there at any time */
 #define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams that may pause no longer are tight */
-#define TIGHT_LIMIT_MS_ 180.0     /* of a pass on an engine that is kept for tight streams */
-#define TIGHT_ROOM_MS_ 40.0       /* of a tight engine's pass that is kept for tight prompts */
-#define TIGHT_STREAMS_ 12         /* that one engine is filled with, more or less */
-#define TIGHT_SPARE_ 1            /* engines that are kept free of long prompts beyond those that tight streams fill */
-#define TIGHT_PARTS_MAX_ 4        /* of a tight prompt */
-#define PART_MIN_TOKENS_ 1500     /* smaller parts are not worth a helper */
-#define SLOTS_KEPT_ 2             /* of an engine, while others have room: for resumed streams and wrong reckoning */
-#define KV_FILL_ 0.94             /* of an engine's memory that is given out */
+#define TIGHT_LIMIT_MS_ 180.0           /* of a pass on an engine that is kept for tight streams */
+#define TIGHT_ROOM_MS_ 40.0             /* of a tight engine's pass that is kept for tight prompts */
+#define TIGHT_STREAMS_ 12               /* that one engine is filled with, more or less */
+#define TIGHT_SPARE_ 1 /* engines that are kept free of long prompts beyond those that tight streams fill */
+#define TIGHT_PARTS_MAX_ 4    /* of a tight prompt */
+#define PART_MIN_TOKENS_ 1500 /* smaller parts are not worth a helper */
+#define SLOTS_KEPT_ 2 /* of an engine, while others have room: for resumed streams and wrong reckoning */
+#define KV_FILL_ 0.94 /* of an engine's memory that is given out */
 
 typedef struct {
 	BH__PassEngine *engine;
-	unsigned order;      /* place in the table of engines */
-	unsigned tight;      /* tight streams that it writes or will write */
-	bool kept;           /* for tight streams, of which it may have none yet */
-	double limit_ms;     /* of its next pass */
-	double next_ms;      /* its next pass as it stands; without streams, all that it has to read */
-	double pending_ms;   /* what is left of its pass, and the next one */
-	double loss;         /* value of streams that a longer pass would make late */
+	unsigned order;    /* place in the table of engines */
+	unsigned tight;    /* tight streams that it writes or will write */
+	bool kept;         /* for tight streams, of which it may have none yet */
+	double limit_ms;   /* of its next pass */
+	double next_ms;    /* its next pass as it stands; without streams, all that it has to read */
+	double pending_ms; /* what is left of its pass, and the next one */
+	double loss;       /* value of streams that a longer pass would make late */
 	unsigned slots_free;
 	uint64_t kv_free_tokens;
 } Candidate_;
@@ -52,7 +54,8 @@
 						uint64_t now_us, BH__Placement *out);
 static bool find_long_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
 					   uint64_t now_us, BH__Placement *out);
-static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count, const BH__Ask *ask);
+static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count,
+							  const BH__Ask *ask);
 static unsigned most_parts_(const BH__Ask *ask, unsigned count);
 static bool fill_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts, const BH__Ask *ask,
 				  uint64_t now_us, BH__Placement *out);
@@ -104,8 +107,9 @@
 	return count;
 }
 
-/* Keeps as many engines for tight streams as those of now need, and some to spare, so that the next one finds an engine
- * that is not in the middle of a long pass: those that write some already, and then the first of the table. */
+/* Keeps as many engines for tight streams as those of now need, and some to spare, so that the next one finds
+ * an engine that is not in the middle of a long pass: those that write some already, and then the first of
+ * the table. */
 static void keep_for_tight_(Candidate_ *c, unsigned count)
 {
 	unsigned streams = 0;
@@ -129,8 +133,8 @@
 			c[i].limit_ms = MIN(c[i].limit_ms, (double)TIGHT_LIMIT_MS_);
 }
 
-/* Describes an engine. One that writes no stream reads in small steps, in which short prompts overtake long ones: what
- * it has to read may all be left when its next stream begins, and come in one pass. */
+/* Describes an engine. One that writes no stream reads in small steps, in which short prompts overtake long
+ * ones: what it has to read may all be left when its next stream begins, and come in one pass. */
 static void describe_(const BH__EngineModel *m, BH__PassEngine *e, uint64_t now_us, Candidate_ *c)
 {
 	uint64_t capacity = (uint64_t)((double)m->kv_tokens * KV_FILL_);
@@ -171,7 +175,8 @@
 	return (c->limit_ms - c->next_ms) / c->engine->clock.pace;
 }
 
-/* Finds engines that can take the request without making any stream late. Returns false if there are none now. */
+/* Finds engines that can take the request without making any stream late. Returns false if there are none
+ * now. */
 bool bh__placement_find(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 						BH__Placement *out)
 {
@@ -184,8 +189,8 @@
 	return found;
 }
 
-/* Engines that write tight streams already come first, and among them the first of the table, so that the same ones
- * fill up; then those that are least busy with long prompts. */
+/* Engines that write tight streams already come first, and among them the first of the table, so that the
+ * same ones fill up; then those that are least busy with long prompts. */
 static int compare_for_tight_(const void *a, const void *b)
 {
 	const Candidate_ *x = a;
@@ -256,9 +261,10 @@
 	return parts && fill_(m, c, count, parts, ask, now_us, out);
 }
 
-/* Returns the largest number of parts of which each fits the room of its engine; 0: there is none. The candidates are
- * in the order of their room. */
-static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count, const BH__Ask *ask)
+/* Returns the largest number of parts of which each fits the room of its engine; 0: there is none. The
+ * candidates are in the order of their room. */
+static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count,
+							  const BH__Ask *ask)
 {
 	for (unsigned parts = most_parts_(ask, count); parts > 0; parts--)
 		if (bh__engine_model_read_ms(m, ask->prompt_tokens, parts) <= room_ms_(&c[parts - 1]))
@@ -315,8 +321,8 @@
 		   (double)(p->read_end_us - now_us) / 1000 + FIRST_MARGIN_MS_ <= (double)ask->first_event_us / 1000;
 }
 
-/* Fills in a placement on the first `parts` candidates; the one that answers may be any of them, or, if none can, one
- * further on. Returns false if no engine has a free slot, or the memory is not there. */
+/* Fills in a placement on the first `parts` candidates; the one that answers may be any of them, or, if none
+ * can, one further on. Returns false if no engine has a free slot, or the memory is not there. */
 static bool fill_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts, const BH__Ask *ask,
 				  uint64_t now_us, BH__Placement *out)
 {
@@ -338,9 +344,9 @@
 	return true;
 }
 
-/* Puts the engine that is to answer first. It must have a free slot. Best is one with the memory for the whole, and
- * with so little to read that the stream does not pause for it once it has begun; the earlier candidate counts more.
- * Returns false if no engine has a free slot. */
+/* Puts the engine that is to answer first. It must have a free slot. Best is one with the memory for the
+ * whole, and with so little to read that the stream does not pause for it once it has begun; the earlier
+ * candidate counts more. Returns false if no engine has a free slot. */
 static bool choose_home_(Candidate_ *c, unsigned count, const BH__Ask *ask, double part_ms)
 {
 	uint64_t need_tokens = ask->prompt_tokens + ask->max_tokens;
@@ -370,8 +376,8 @@
 	return true;
 }
 
-/* Spreads the memory: the first engine takes what it can, the helpers with the most room the rest. Returns false if
- * it does not fit. */
+/* Spreads the memory: the first engine takes what it can, the helpers with the most room the rest. Returns
+ * false if it does not fit. */
 static bool share_memory_(const Candidate_ *c, unsigned parts, uint64_t need_tokens, BH__Placement *out)
 {
 	uint64_t left = need_tokens;
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -5,23 +5,25 @@
 #include <string.h>
 #include "placement.h"
 
-/* A request waits for engines that can take it without making a stream late; from this share of the time to its first
- * event on it may make some late, if they are worth less. One that can't be in time any more waits on for such engines,
- * behind all others. */
+/* A request waits for engines that can take it without making a stream late; from this share of the time to
+ * its first event on it may make some late, if they are worth less. One that can't be in time any more waits
+ * on for such engines, behind all others. */
 #define WAIT_SHARE_TIGHT_ 0.25
 #define WAIT_SHARE_ 0.55
-#define LATE_LOSS_ 0.75        /* share of a value that is lost when an answer is late */
-#define OFFER_SHARE_ 0.25      /* a request that no engine has a slot for is refused by then; the users' bound */
+#define LATE_LOSS_ 0.75   /* share of a value that is lost when an answer is late */
+#define OFFER_SHARE_ 0.25 /* a request that no engine has a slot for is refused by then; the users' bound */
 #define OFFER_MARGIN_US_ (15 * BH__MS_US)
-#define ANSWER_US_ (3 * BH__SECOND_US) /* for reading and writing an answer that waited as long as it could */
+/* For reading and writing an answer that waited as long as it could. */
+#define ANSWER_US_ (3 * BH__SECOND_US)
 #define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
-#define LOOKS_PER_PUMP_ 8 /* waiting asks that are tried each time */
-#define ASIDE_FIRST_US_                                                                                      \
-	(300 * BH__MS_US) /* an engine that failed takes nothing for so long, then twice that */
+#define LOOKS_PER_PUMP_ 12 /* waiting asks that are tried each time */
+/* An engine that failed takes nothing for so long, then twice that. */
+#define ASIDE_FIRST_US_ (300 * BH__MS_US)
 #define ASIDE_MAX_US_ (4 * BH__SECOND_US)
 #define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
-#define HOLD_GRACE_US_ (2 * BH__SECOND_US) /* a grant younger than this may not be in a list of holds yet */
+/* A grant younger than this may not be in a list of holds yet. */
+#define HOLD_GRACE_US_ (2 * BH__SECOND_US)
 
 typedef struct {
 	BH__Ask ask;
@@ -234,8 +236,8 @@
 	return (double)waited_us >= (double)first_event_us_(ask) * share;
 }
 
-/* Finds a place for a request that has waited long enough: where it is in time and makes less late than it is worth, or
- * anywhere at the last moment. */
+/* Finds a place for a request that has waited long enough: where it is in time and makes less late than it is
+ * worth, or anywhere at the last moment. */
 static bool force_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place)
 {
 	double gain = bh__placement_value(left->prompt_tokens) * LATE_LOSS_;
--- a/src/test_libbayhoist/scenario.c
+++ b/src/test_libbayhoist/scenario.c
@@ -231,7 +231,7 @@
 	for (unsigned i = 0; i < s->world->node_count; i++)
 		if (s->world->node[i].node)
 			bh__node_update_vm_list(s->world->node[i].node, (const BH__Vm *)(void *)s->leaving->data,
-									 s->leaving->len, s->world->now_us);
+									s->leaving->len, s->world->now_us);
 }
 
 static bool holds_(uint64_t have, const char *op, uint64_t want)
