--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -20,6 +20,8 @@
 	void (*queued)(struct BH__PlannerPort *port, const BH__Ask *ask);
 	/* A node is gone that held memory on helpers: it has to be freed there. */
 	void (*abandoned)(struct BH__PlannerPort *port, const BH__Grant *grant);
+	/* An engine may be slower than it should be: its own report is wanted, see bh__planner_process_pace(). */
+	void (*inspect)(struct BH__PlannerPort *port, uint64_t endpoint_id);
 } BH__PlannerPort;
 
 typedef struct {
@@ -55,6 +57,7 @@
 								 uint64_t failed_endpoint, uint64_t now_us);
 void bh__planner_process_hold(BH__Planner *p, uint64_t node_id, uint64_t boot_id, bool full,
 							  const BH__Grant *grant, uint32_t count, uint64_t now_us);
+void bh__planner_process_pace(BH__Planner *p, uint64_t endpoint_id, double pace, uint64_t now_us);
 void bh__planner_process_node_gone(BH__Planner *p, uint64_t node_id, uint64_t now_us);
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us);
 void bh__planner_keep_only(BH__Planner *p, uint64_t node_id, uint64_t now_us);
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -61,6 +61,8 @@
 static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms);
 static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask);
 static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g);
+static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id);
+static void on_pace_(void *inspection, double pace);
 static void take_grant_(Cluster *c, const BH__Grant *g, uint64_t from_node);
 static void take_refusal_(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 static void tell_(Cluster *c, Call *call, BH__MessageType type, BH__ReleaseKind kind,
@@ -359,7 +361,7 @@
 		return s;
 	s = g_new0(Service, 1);
 	s->port = (BH__PlannerPort){
-		.grant = on_grant_, .refuse = on_refuse_, .queued = on_queued_, .abandoned = on_abandoned_};
+		.grant = on_grant_, .refuse = on_refuse_, .queued = on_queued_, .abandoned = on_abandoned_, .inspect = on_inspect_};
 	s->cluster = c;
 	g_strlcpy(s->service, name, sizeof s->service);
 	s->planner = bh__planner_new(&s->port, bh__hash_name(name), c->gate->boot_id);
@@ -623,6 +625,42 @@
 	memory_free_abandoned(((Service *)port)->cluster->gate, g);
 }
 
+/* An engine whose report was asked for. */
+typedef struct {
+	Cluster *cluster;
+	uint64_t pool_id;
+	uint64_t endpoint_id;
+} Inspection;
+
+static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
+{
+	Service *s = (Service *)port;
+	Gate *g = s->cluster->gate;
+	const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, endpoint_id);
+	Inspection *i;
+
+	if (!e || s->scheduler != bh__members_get_self(s->cluster->members)->node_id)
+		return;
+	i = g_new0(Inspection, 1);
+	i->cluster = s->cluster;
+	i->pool_id = bh__planner_get_id(s->planner);
+	i->endpoint_id = endpoint_id;
+	g->port->report(g, e->entry.address, on_pace_, i);
+}
+
+static void on_pace_(void *inspection, double pace)
+{
+	Inspection *i = inspection;
+	Service *s = find_by_pool_(i->cluster, i->pool_id);
+
+	if (s && pace > 0) {
+		if (pace > 1)
+			log_event("engine", "endpoint=%016" G_GINT64_MODIFIER "x pace=%.2f", i->endpoint_id, pace);
+		bh__planner_process_pace(s->planner, i->endpoint_id, pace, clock_now_us());
+	}
+	g_free(i);
+}
+
 /* Takes a grant for a call. One that nobody waits for is given back. */
 static void take_grant_(Cluster *c, const BH__Grant *g, uint64_t from_node)
 {
--- a/src/libbayhoist/include/private/pass_clock.h
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -25,6 +25,7 @@
 uint64_t bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us);
 void bh__pass_clock_drop_read(BH__PassClock *c, uint64_t pass, double read_ms, uint64_t now_us);
 void bh__pass_clock_note_read(BH__PassClock *c, const BH__EngineModel *m, uint64_t pass, uint64_t now_us);
+void bh__pass_clock_set_pace(BH__PassClock *c, double pace, uint64_t now_us);
 void bh__pass_clock_observe(BH__PassClock *c, double expected_ms, double observed_ms);
 
 #endif
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -103,3 +103,10 @@
 	ratio = CLAMP((observed_ms - NETWORK_MS_) / expected_ms, 0, RATIO_MAX_);
 	c->pace = CLAMP(c->pace + PACE_WEIGHT_ * (ratio - c->pace), PACE_MIN_, PACE_MAX_);
 }
+
+/* Takes the pace that an engine tells of itself. */
+void bh__pass_clock_set_pace(BH__PassClock *c, double pace, uint64_t now_us)
+{
+	c->pace = CLAMP(pace, PACE_MIN_, PACE_MAX_);
+	c->seen_us = now_us;
+}
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -20,6 +20,11 @@
 /* An engine that failed takes nothing for so long, then twice that. */
 #define ASIDE_FIRST_US_ (300 * BH__MS_US)
 #define ASIDE_MAX_US_ (4 * BH__SECOND_US)
+/* A first event that comes this much later than foretold makes the engines that read for it suspects. */
+#define SUSPECT_FACTOR_ 1.5
+#define SUSPECT_MS_ 60.0
+#define INSPECT_PERIOD_US_ BH__SECOND_US /* between reports of one engine, which cost it a call */
+#define SLOW_PACE_ 1.3                   /* an engine this slow is asked again until it is not */
 #define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
 /* A grant younger than this may not be in a list of holds yet. */
@@ -58,6 +63,8 @@
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r);
 static void take_out_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
 static void end_reads_(BH__Planner *p, BH__PlacedRequest *r, bool was_read, uint64_t now_us);
+static void inspect_(BH__Planner *p, BH__PassEngine *e, uint64_t now_us);
+static void suspect_(BH__Planner *p, const BH__PlacedRequest *r, double took_ms, uint64_t now_us);
 static void set_aside_(BH__PassEngine *e, uint64_t now_us);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
 static void pump_(BH__Planner *p, uint64_t now_us);
@@ -274,6 +281,9 @@
 	}
 	r = enter_(p, &g, now_us);
 	r->expected_ms = (double)(place->read_end_us - now_us) / 1000 / place->engine[0]->clock.pace;
+	for (unsigned i = 0; i < place->count; i++)
+		if (place->engine[i]->clock.pace > SLOW_PACE_)
+			inspect_(p, place->engine[i], now_us);
 	p->counters.grants++;
 	p->counters.helped += place->count > 1;
 	p->port->grant(p->port, &r->grant);
@@ -369,6 +379,40 @@
 		enter_(p, grant, now_us);
 }
 
+/* Asks for an engine's report, unless that was done a moment ago. */
+static void inspect_(BH__Planner *p, BH__PassEngine *e, uint64_t now_us)
+{
+	if (e->inspected_us && now_us < e->inspected_us + INSPECT_PERIOD_US_)
+		return;
+	e->inspected_us = now_us;
+	p->port->inspect(p->port, e->endpoint_id);
+}
+
+/* An engine told its pace in a report. */
+void bh__planner_process_pace(BH__Planner *p, uint64_t endpoint_id, double pace, uint64_t now_us)
+{
+	BH__PassEngine *e = find_engine_(p, endpoint_id);
+
+	if (!e)
+		return;
+	bh__pass_clock_advance(&e->clock, &p->model, now_us);
+	bh__pass_clock_set_pace(&e->clock, pace, now_us);
+}
+
+/* Suspects the engines that read for a request whose first event took `took_ms`, if that is too long. */
+static void suspect_(BH__Planner *p, const BH__PlacedRequest *r, double took_ms, uint64_t now_us)
+{
+	double expected_ms = (double)r->grant.expected_us / 1000;
+
+	if (took_ms < expected_ms * SUSPECT_FACTOR_ + SUSPECT_MS_)
+		return;
+	for (unsigned i = 0; i < r->grant.member_count; i++) {
+		BH__PassEngine *e = find_engine_(p, r->grant.member[i].endpoint_id);
+		if (e)
+			inspect_(p, e, now_us);
+	}
+}
+
 /* The first event of an answer has come. */
 void bh__planner_process_progress(BH__Planner *p, uint64_t grant_id, uint64_t now_us)
 {
@@ -377,6 +421,8 @@
 
 	if (!r || r->grant.writes)
 		return;
+	if (r->grant.member_count > 1)
+		suspect_(p, r, (double)(now_us - r->granted_us) / 1000, now_us);
 	end_reads_(p, r, true, now_us);
 	start_stream_(p, r);
 	e = find_engine_(p, r->grant.member[0].endpoint_id);
