--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -360,8 +360,11 @@
 	if (s)
 		return s;
 	s = g_new0(Service, 1);
-	s->port = (BH__PlannerPort){
-		.grant = on_grant_, .refuse = on_refuse_, .queued = on_queued_, .abandoned = on_abandoned_, .inspect = on_inspect_};
+	s->port = (BH__PlannerPort){.grant = on_grant_,
+								.refuse = on_refuse_,
+								.queued = on_queued_,
+								.abandoned = on_abandoned_,
+								.inspect = on_inspect_};
 	s->cluster = c;
 	g_strlcpy(s->service, name, sizeof s->service);
 	s->planner = bh__planner_new(&s->port, bh__hash_name(name), c->gate->boot_id);
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -32,6 +32,7 @@
 	unsigned order;    /* place in the table of engines */
 	unsigned tight;    /* tight streams that it writes or will write */
 	bool kept;         /* for tight streams, of which it may have none yet */
+	bool starves;      /* a request of its own would wait for parts of others that come later */
 	double limit_ms;   /* of its next pass */
 	double next_ms;    /* its next pass as it stands; without streams, all that it has to read */
 	double pending_ms; /* what is left of its pass, and the next one */
@@ -143,6 +144,7 @@
 	c->engine = e;
 	c->tight = 0;
 	c->kept = false;
+	c->starves = false;
 	c->loss = 0;
 	c->limit_ms = LOOSE_LIMIT_MS_;
 	c->next_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
@@ -154,6 +156,7 @@
 	for (guint i = 0; i < e->homes->len; i++) {
 		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
 		double limit_ms = gap_limit_ms_(r->event_gap_us);
+		c->starves |= !r->grant.writes && !e->clock.streams;
 		if (limit_ms <= 0)
 			continue;
 		c->tight += bh__placement_is_tight(r->event_gap_us);
@@ -172,7 +175,7 @@
 /* Returns how much reading an engine's next pass bears, in ms at pace 1. */
 static double room_ms_(const Candidate_ *c)
 {
-	return (c->limit_ms - c->next_ms) / c->engine->clock.pace;
+	return c->starves ? 0 : (c->limit_ms - c->next_ms) / c->engine->clock.pace;
 }
 
 /* Finds engines that can take the request without making any stream late. Returns false if there are none
