--- a/src/bench/bench_placement.c
+++ b/src/bench/bench_placement.c
@@ -410,6 +410,7 @@
 					   r->pass.pause_us <= k->gap_ms * BH__MS_US;
 		bool late = r->pass.done_us && r->pass.done_us <= r->arrived_us + k->limit_ms * BH__MS_US;
 		size = MIN(size, 4);
+		if (getenv("DBG")) fprintf(stderr, "%u %llu %llu %llu %llu %u %d\n", r->kind, (unsigned long long)r->arrived_us/1000, (unsigned long long)r->pass.prompt_tokens, (unsigned long long)took_us/1000, (unsigned long long)r->pass.pause_us/1000, r->pass.parts, r->refused);
 		out->count[r->kind]++;
 		out->in_time[r->kind] += in_time;
 		out->owed[r->kind] += size * k->worth;
--- a/src/libbayhoist/include/private/pass_clock.h
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -22,9 +22,18 @@
 double bh__pass_clock_next_pass_ms(const BH__PassClock *c, const BH__EngineModel *m, double more_ms);
 uint64_t bh__pass_clock_predict_read(const BH__PassClock *c, const BH__EngineModel *m, double read_ms,
 									 uint64_t now_us);
-uint64_t bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us);
-void bh__pass_clock_drop_read(BH__PassClock *c, uint64_t pass, double read_ms, uint64_t now_us);
-void bh__pass_clock_note_read(BH__PassClock *c, const BH__EngineModel *m, uint64_t pass, uint64_t now_us);
+/* A prompt, or a part of one, that an engine reads. */
+typedef struct {
+	uint64_t pass;   /* in which it is read */
+	uint64_t end_us; /* when it is foretold to be read */
+	double read_ms;  /* at pace 1 */
+} BH__PassRead;
+
+void bh__pass_clock_add_read(BH__PassClock *c, const BH__EngineModel *m, double read_ms, uint64_t now_us,
+							 BH__PassRead *out);
+void bh__pass_clock_drop_read(BH__PassClock *c, const BH__PassRead *read, uint64_t now_us);
+void bh__pass_clock_note_read(BH__PassClock *c, const BH__PassRead *read, uint64_t now_us);
+void bh__pass_clock_sync(BH__PassClock *c, const BH__EngineModel *m, const BH__PassRead *read, uint64_t now_us);
 void bh__pass_clock_set_pace(BH__PassClock *c, double pace, uint64_t now_us);
 void bh__pass_clock_observe(BH__PassClock *c, double expected_ms, double observed_ms);
 
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -14,8 +14,7 @@
 	uint64_t tokens;       /* of prompt and answer together */
 	uint64_t granted_us;
 	double expected_ms;                   /* to its first event, at pace 1 */
-	double part_ms;                       /* of reading on each of its engines, at pace 1 */
-	uint64_t pass[BH__GRANT_MEMBERS_MAX]; /* of each engine, in which it is read */
+	BH__PassRead read[BH__GRANT_MEMBERS_MAX]; /* by its engines */
 } BH__PlacedRequest;
 
 typedef struct {
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -58,38 +58,55 @@
 	return start_us + (uint64_t)(bh__pass_clock_next_pass_ms(c, m, read_ms) * 1000);
 }
 
-/* Adds a prompt to what the next pass reads. Returns the number of that pass. */
-uint64_t bh__pass_clock_add_read(BH__PassClock *c, double read_ms, uint64_t now_us)
+/* Adds a prompt to what the next pass reads. */
+void bh__pass_clock_add_read(BH__PassClock *c, const BH__EngineModel *m, double read_ms, uint64_t now_us,
+							 BH__PassRead *out)
 {
+	out->end_us = bh__pass_clock_predict_read(c, m, read_ms, now_us);
+	out->read_ms = read_ms;
+	out->pass = c->pass + 1;
 	if (!c->pass_end_us)
 		c->pass_end_us = now_us + IDLE_START_US_;
 	c->waiting_ms += read_ms;
-	return c->pass + 1;
 }
 
-/* A prompt that was to be read in a pass is not read, or not to its end. */
-void bh__pass_clock_drop_read(BH__PassClock *c, uint64_t pass, double read_ms, uint64_t now_us)
+/* A prompt that was to be read is not read, or not to its end. */
+void bh__pass_clock_drop_read(BH__PassClock *c, const BH__PassRead *read, uint64_t now_us)
 {
-	uint64_t read_us = (uint64_t)(read_ms * c->pace * 1000);
+	uint64_t read_us = (uint64_t)(read->read_ms * c->pace * 1000);
 
-	if (pass == c->pass + 1) {
-		c->waiting_ms = MAX(c->waiting_ms - read_ms, 0);
+	if (read->pass == c->pass + 1) {
+		c->waiting_ms = MAX(c->waiting_ms - read->read_ms, 0);
 	}
-	else if (pass == c->pass && c->pass_end_us > now_us) {
+	else if (read->pass == c->pass && c->pass_end_us > now_us) {
 		c->pass_end_us = c->pass_end_us > now_us + read_us ? c->pass_end_us - read_us : now_us + 1;
-		c->reading_ms = MAX(c->reading_ms - read_ms, 0);
+		c->reading_ms = MAX(c->reading_ms - read->read_ms, 0);
 	}
 }
 
-/* A prompt that was to be read in a pass is seen to be read: that pass is over, whatever was foretold. */
-void bh__pass_clock_note_read(BH__PassClock *c, const BH__EngineModel *m, uint64_t pass, uint64_t now_us)
+/* A prompt has been read by now. If that was foretold for later, the engine is at least so much further. */
+void bh__pass_clock_note_read(BH__PassClock *c, const BH__PassRead *read, uint64_t now_us)
 {
-	if (pass == c->pass + 1 && c->pass_end_us > now_us) /* even its beginning was foretold too late */
-		c->pass_end_us = now_us;
-	bh__pass_clock_advance(c, m, now_us);
-	if (pass == c->pass && c->pass_end_us > now_us) {
-		c->pass_end_us = now_us;
-		bh__pass_clock_advance(c, m, now_us);
+	uint64_t ahead_us = read->end_us > now_us ? read->end_us - now_us : 0;
+
+	if (read->pass < c->pass || c->pass_end_us <= now_us)
+		return;
+	c->pass_end_us = c->pass_end_us > now_us + ahead_us ? c->pass_end_us - ahead_us : now_us + 1;
+}
+
+/* The pass in which the engine read a prompt, alone, has ended just now: its next one begins. */
+void bh__pass_clock_sync(BH__PassClock *c, const BH__EngineModel *m, const BH__PassRead *read, uint64_t now_us)
+{
+	double ms = c->pace * (bh__engine_model_pass_ms(m, c->streams, c->context_tokens) + c->reading_ms);
+
+	if (read->pass >= c->pass) { /* foretold to end later */
+		while (c->pass_end_us && c->pass <= read->pass) {
+			c->pass_end_us = now_us;
+			bh__pass_clock_advance(c, m, now_us);
+		}
+	}
+	else if (c->pass_end_us) { /* foretold to have ended before */
+		c->pass_end_us = now_us + (uint64_t)(ms * 1000);
 	}
 }
 
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -294,10 +294,11 @@
 {
 	BH__PlacedRequest *r = g_new0(BH__PlacedRequest, 1);
 	uint64_t prompt_tokens = 0;
+	double part_ms;
 
 	for (unsigned i = 0; i < g->member_count; i++)
 		prompt_tokens += g->member[i].token_count;
-	r->part_ms = bh__engine_model_read_ms(&p->model, prompt_tokens, g->member_count);
+	part_ms = bh__engine_model_read_ms(&p->model, prompt_tokens, g->member_count);
 	r->grant = *g;
 	r->granted_us = now_us;
 	r->event_gap_us = g->event_gap_us;
@@ -306,8 +307,9 @@
 		r->tokens += g->member[i].kv_bytes;
 		if (!e)
 			continue;
+		bh__pass_clock_advance(&e->clock, &p->model, now_us);
 		if (!g->writes)
-			r->pass[i] = bh__pass_clock_add_read(&e->clock, r->part_ms, now_us);
+			bh__pass_clock_add_read(&e->clock, &p->model, part_ms, now_us, &r->read[i]);
 		e->kv_used_tokens += g->member[i].kv_bytes;
 		if (i == 0)
 			g_ptr_array_add(e->homes, r);
@@ -365,10 +367,12 @@
 		if (i > 0)
 			e->helps -= e->helps > 0;
 		bh__pass_clock_advance(&e->clock, &p->model, now_us);
-		if (was_read)
-			bh__pass_clock_note_read(&e->clock, &p->model, r->pass[i], now_us);
+		if (!was_read)
+			bh__pass_clock_drop_read(&e->clock, &r->read[i], now_us);
+		else if (r->grant.member_count == 1)
+			bh__pass_clock_sync(&e->clock, &p->model, &r->read[i], now_us);
 		else
-			bh__pass_clock_drop_read(&e->clock, r->pass[i], r->part_ms, now_us);
+			bh__pass_clock_note_read(&e->clock, &r->read[i], now_us);
 	}
 }
 
