Late requests wait for harmless places and are refused in good time; clocks moved once for what was ahead

And requests that could not be in time any more were put in at any price. Change: moves are counted once. A request that is late waits behind the others for engines on which it harms nothing, and is refused before its caller gives up. Streams of medium prompts are gathered on few engines.

--- a/src/bench/bench_placement.c
+++ b/src/bench/bench_placement.c
@@ -78,6 +78,9 @@
 	double earned[KINDS];
 	unsigned count[KINDS];
 	unsigned in_time[KINDS];
+	unsigned served[KINDS];
+	unsigned large[KINDS]; /* those of more than twice the mean */
+	unsigned large_served[KINDS];
 } Result;
 
 static void set_model_(BH__EngineModel *m);
@@ -410,9 +413,17 @@
 					   r->pass.pause_us <= k->gap_ms * BH__MS_US;
 		bool late = r->pass.done_us && r->pass.done_us <= r->arrived_us + k->limit_ms * BH__MS_US;
 		size = MIN(size, 4);
-		if (getenv("DBG")) fprintf(stderr, "%u %llu %llu %llu %llu %u %d\n", r->kind, (unsigned long long)r->arrived_us/1000, (unsigned long long)r->pass.prompt_tokens, (unsigned long long)took_us/1000, (unsigned long long)r->pass.pause_us/1000, r->pass.parts, r->refused);
+		late = late && took_us <= MAX(2000, MAX(4 * k->target_ms, 8 * k->gap_ms)) * BH__MS_US;
+		if (getenv("DBG"))
+			fprintf(stderr, "%u %llu %llu %llu %llu %u %d\n", r->kind,
+					(unsigned long long)r->arrived_us / 1000, (unsigned long long)r->pass.prompt_tokens,
+					(unsigned long long)took_us / 1000, (unsigned long long)r->pass.pause_us / 1000,
+					r->pass.parts, r->refused);
 		out->count[r->kind]++;
 		out->in_time[r->kind] += in_time;
+		out->served[r->kind] += in_time || late;
+		out->large[r->kind] += (double)r->pass.prompt_tokens > 2 * k->prompt_mean;
+		out->large_served[r->kind] += (in_time || late) && (double)r->pass.prompt_tokens > 2 * k->prompt_mean;
 		out->owed[r->kind] += size * k->worth;
 		out->earned[r->kind] += in_time ? size * k->worth : late ? size * k->late_worth : 0;
 	}
@@ -425,6 +436,8 @@
 	double error = 0;
 	double share[KINDS] = {0};
 	double in_time[KINDS] = {0};
+	double served[KINDS] = {0};
+	double large[KINDS] = {0};
 
 	for (unsigned s = 0; s < seeds; s++) {
 		const Result *r = &results[s];
@@ -434,6 +447,8 @@
 			owed += r->owed[k];
 			earned += r->earned[k];
 			share[k] += r->owed[k] > 0 ? r->earned[k] / r->owed[k] / seeds : 1.0 / seeds;
+			served[k] += r->count[k] ? (double)r->served[k] / r->count[k] / seeds : 1.0 / seeds;
+			large[k] += r->large[k] ? (double)r->large_served[k] / r->large[k] / seeds : 1.0 / seeds;
 			in_time[k] += r->count[k] ? (double)r->in_time[k] / r->count[k] / seeds : 1.0 / seeds;
 		}
 		sum += earned / owed;
@@ -444,6 +459,7 @@
 	printf("load=%.0f policy=%s seeds=%u worth=%.4f error=%.4f", per_s, PolicyString_[policy], seeds,
 		   sum / seeds, error);
 	for (unsigned k = 0; k < KINDS; k++)
-		printf(" %s=%.3f %s_in_time=%.3f", Kinds_[k].name, share[k], Kinds_[k].name, in_time[k]);
+		printf(" %s=%.3f %s_in_time=%.3f %s_served=%.3f %s_large_served=%.3f", Kinds_[k].name, share[k],
+			   Kinds_[k].name, in_time[k], Kinds_[k].name, served[k], Kinds_[k].name, large[k]);
 	putchar('\n');
 }
--- a/src/libbayhoist/include/private/pass_clock.h
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -9,8 +9,9 @@
 typedef struct {
 	uint64_t pass_end_us; /* of the pass under way; 0: the engine is idle */
 	uint64_t pass;        /* number of the pass under way */
-	double reading_ms;    /* of the pass under way that is reading, at pace 1 */
-	double waiting_ms;    /* of reading that the next pass takes up */
+	int64_t moved_us; /* by how much ends were moved back since the beginning, because the engine was ahead */
+	double reading_ms; /* of the pass under way that is reading, at pace 1 */
+	double waiting_ms; /* of reading that the next pass takes up */
 	unsigned streams;
 	uint64_t context_tokens; /* of the streams together */
 	uint64_t seen_us;        /* when it was last moved on */
@@ -24,16 +25,18 @@
 									 uint64_t now_us);
 /* A prompt, or a part of one, that an engine reads. */
 typedef struct {
-	uint64_t pass;   /* in which it is read */
-	uint64_t end_us; /* when it is foretold to be read */
-	double read_ms;  /* at pace 1 */
+	uint64_t pass;    /* in which it is read */
+	uint64_t end_us;  /* when it is foretold to be read */
+	int64_t moved_us; /* the clock's, when that was foretold */
+	double read_ms;   /* at pace 1 */
 } BH__PassRead;
 
 void bh__pass_clock_add_read(BH__PassClock *c, const BH__EngineModel *m, double read_ms, uint64_t now_us,
 							 BH__PassRead *out);
 void bh__pass_clock_drop_read(BH__PassClock *c, const BH__PassRead *read, uint64_t now_us);
 void bh__pass_clock_note_read(BH__PassClock *c, const BH__PassRead *read, uint64_t now_us);
-void bh__pass_clock_sync(BH__PassClock *c, const BH__EngineModel *m, const BH__PassRead *read, uint64_t now_us);
+void bh__pass_clock_sync(BH__PassClock *c, const BH__EngineModel *m, const BH__PassRead *read,
+						 uint64_t now_us);
 void bh__pass_clock_set_pace(BH__PassClock *c, double pace, uint64_t now_us);
 void bh__pass_clock_observe(BH__PassClock *c, double expected_ms, double observed_ms);
 
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -16,6 +16,8 @@
 #define RATIO_MAX_ 20.0
 #define PASSES_AT_ONCE_ 10000 /* that one call moves on; an engine that idles longer is set idle */
 
+static void move_end_(BH__PassClock *c, uint64_t end_us);
+
 void bh__pass_clock_init(BH__PassClock *c)
 {
 	memset(c, 0, sizeof *c);
@@ -64,6 +66,7 @@
 {
 	out->end_us = bh__pass_clock_predict_read(c, m, read_ms, now_us);
 	out->read_ms = read_ms;
+	out->moved_us = c->moved_us;
 	out->pass = c->pass + 1;
 	if (!c->pass_end_us)
 		c->pass_end_us = now_us + IDLE_START_US_;
@@ -79,7 +82,7 @@
 		c->waiting_ms = MAX(c->waiting_ms - read->read_ms, 0);
 	}
 	else if (read->pass == c->pass && c->pass_end_us > now_us) {
-		c->pass_end_us = c->pass_end_us > now_us + read_us ? c->pass_end_us - read_us : now_us + 1;
+		move_end_(c, c->pass_end_us > now_us + read_us ? c->pass_end_us - read_us : now_us + 1);
 		c->reading_ms = MAX(c->reading_ms - read->read_ms, 0);
 	}
 }
@@ -87,26 +90,35 @@
 /* A prompt has been read by now. If that was foretold for later, the engine is at least so much further. */
 void bh__pass_clock_note_read(BH__PassClock *c, const BH__PassRead *read, uint64_t now_us)
 {
-	uint64_t ahead_us = read->end_us > now_us ? read->end_us - now_us : 0;
+	int64_t ahead_us = (int64_t)read->end_us - (c->moved_us - read->moved_us) - (int64_t)now_us;
 
-	if (read->pass < c->pass || c->pass_end_us <= now_us)
+	if (read->pass < c->pass || c->pass_end_us <= now_us || ahead_us <= 0)
 		return;
-	c->pass_end_us = c->pass_end_us > now_us + ahead_us ? c->pass_end_us - ahead_us : now_us + 1;
+	move_end_(c, c->pass_end_us > now_us + (uint64_t)ahead_us ? c->pass_end_us - (uint64_t)ahead_us
+															  : now_us + 1);
+}
+
+/* Moves the end of the pass under way. */
+static void move_end_(BH__PassClock *c, uint64_t end_us)
+{
+	c->moved_us += (int64_t)c->pass_end_us - (int64_t)end_us;
+	c->pass_end_us = end_us;
 }
 
 /* The pass in which the engine read a prompt, alone, has ended just now: its next one begins. */
-void bh__pass_clock_sync(BH__PassClock *c, const BH__EngineModel *m, const BH__PassRead *read, uint64_t now_us)
+void bh__pass_clock_sync(BH__PassClock *c, const BH__EngineModel *m, const BH__PassRead *read,
+						 uint64_t now_us)
 {
 	double ms = c->pace * (bh__engine_model_pass_ms(m, c->streams, c->context_tokens) + c->reading_ms);
 
 	if (read->pass >= c->pass) { /* foretold to end later */
 		while (c->pass_end_us && c->pass <= read->pass) {
-			c->pass_end_us = now_us;
+			move_end_(c, now_us);
 			bh__pass_clock_advance(c, m, now_us);
 		}
 	}
 	else if (c->pass_end_us) { /* foretold to have ended before */
-		c->pass_end_us = now_us + (uint64_t)(ms * 1000);
+		move_end_(c, now_us + (uint64_t)(ms * 1000));
 	}
 }
 
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -14,17 +14,18 @@
 #define TOKENS_PER_VALUE_                                                                                    \
 	12000.0             /* a prompt of so many tokens more is worth one more; a fit to the users' sheets */
 #define LATE_LOSS_ 0.75 /* share of a value that is lost when an answer is late; the sheets' */
-#define GAP_MARGIN_MS_ 20.0   /* of a pause, for the network and for what the reckoning misses */
-#define FIRST_MARGIN_MS_ 35.0 /* the same of a first event */
-#define LOOSE_LIMIT_MS_ 775.0 /* of a pass on an engine without streams: one may begin there at any time */
+#define GAP_MARGIN_MS_ 25.0    /* of a pause, for the network and for what the reckoning misses */
+#define FIRST_MARGIN_MS_ 35.0  /* the same of a first event */
+#define LOOSE_LIMIT_MS_ 1300.0 /* of a pass on an engine without streams: one may begin there at any time */
 #define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams that may pause no longer are tight */
 #define TIGHT_LIMIT_MS_ 180.0           /* of a pass on an engine that is kept for tight streams */
 #define TIGHT_ROOM_MS_ 40.0             /* of a tight engine's pass that is kept for tight prompts */
-#define TIGHT_STREAMS_ 12               /* that one engine is filled with, more or less */
-#define TIGHT_SPARE_ 1 /* engines that are kept free of long prompts beyond those that tight streams fill */
-#define TIGHT_PARTS_MAX_ 4    /* of a tight prompt */
-#define PART_MIN_TOKENS_ 1500 /* smaller parts are not worth a helper */
-#define SLOTS_KEPT_ 2 /* of an engine, while others have room: for resumed streams and wrong reckoning */
+#define TIGHT_STREAMS_ 14               /* that one engine is filled with, more or less */
+#define TIGHT_SPARE_ 3                  /* tight streams for which room is kept beyond those that are there */
+#define TIGHT_PARTS_MAX_ 4              /* of a tight prompt */
+#define PART_MIN_TOKENS_ 1000           /* smaller parts are not worth a helper */
+#define SLOTS_KEPT_ 1 /* of an engine, while others have room: for resumed streams and wrong reckoning */
+#define LATE_SLOTS_ 3 /* of an engine, that requests which are late already leave to others besides */
 #define KV_FILL_ 0.94 /* of an engine's memory that is given out */
 
 typedef struct {
@@ -122,7 +123,7 @@
 		streams += c[i].tight;
 		c[i].kept = c[i].tight > 0;
 	}
-	wanted = MIN((streams + TIGHT_STREAMS_ - 1) / TIGHT_STREAMS_ + TIGHT_SPARE_, count / 2);
+	wanted = MIN((streams + TIGHT_SPARE_ + TIGHT_STREAMS_ - 1) / TIGHT_STREAMS_, count / 2);
 	for (unsigned i = 0; i < count; i++)
 		wanted -= c[i].kept && wanted > 0;
 	for (unsigned i = 0; i < count && wanted > 0; i++) {
@@ -158,7 +159,7 @@
 	for (guint i = 0; i < e->homes->len; i++) {
 		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
 		double limit_ms = gap_limit_ms_(r->event_gap_us);
-		c->starves |= !r->grant.writes && !e->clock.streams;
+		c->starves = false;
 		if (limit_ms <= 0)
 			continue;
 		c->tight += bh__placement_is_tight(r->event_gap_us);
@@ -224,7 +225,7 @@
 		for (unsigned i = 0; i < count && n < parts; i++) {
 			double limit_ms = MIN(c[i].limit_ms, own_limit_ms);
 			bool fits = c[i].next_ms + part_ms * c[i].engine->clock.pace <= limit_ms;
-			bool has_slot = n > 0 || c[i].slots_free > SLOTS_KEPT_;
+			bool has_slot = n > 0 || c[i].slots_free > SLOTS_KEPT_ + (ask->first_event_us ? 0 : LATE_SLOTS_);
 			if (fits && has_slot)
 				chosen[n++] = c[i];
 		}
@@ -268,8 +269,9 @@
 	return parts && fill_(m, c, count, parts, ask, now_us, out);
 }
 
-/* Streams that bear only shorter passes than the engines for long prompts make are gathered too: on the engine with the
- * shortest limit that has room for one more. Puts that engine first; returns false if there is none. */
+/* Streams that bear only shorter passes than the engines for long prompts make are gathered too: on the
+ * engine with the shortest limit that has room for one more. Puts that engine first; returns false if there
+ * is none. */
 static bool gather_home_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts,
 						 const BH__Ask *ask)
 {
@@ -282,8 +284,8 @@
 	if (limit_ms <= 0 || limit_ms >= LOOSE_LIMIT_MS_)
 		return false;
 	for (unsigned i = 0; i < count; i++) {
-		bool fits = part_ms <= room_ms_(&c[i]) && c[i].kv_free_tokens >= need_tokens &&
-					c[i].slots_free > SLOTS_KEPT_;
+		bool fits =
+			part_ms <= room_ms_(&c[i]) && c[i].kv_free_tokens >= need_tokens && c[i].slots_free > SLOTS_KEPT_;
 		bool flows = c[i].pending_ms + part_ms * c[i].engine->clock.pace <= limit_ms;
 		if (fits && flows && c[i].limit_ms < LOOSE_LIMIT_MS_ &&
 			(best == count || c[i].limit_ms < c[best].limit_ms))
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -6,15 +6,20 @@
 #include "placement.h"
 
 /* A request waits for engines that can take it without making a stream late; from this share of the time to
- * its first event on it may make some late, if they are worth less. One that can't be in time any more waits
- * on for such engines, behind all others. */
-#define WAIT_SHARE_TIGHT_ 0.25
-#define WAIT_SHARE_ 0.55
-#define LATE_LOSS_ 0.75   /* share of a value that is lost when an answer is late */
-#define OFFER_SHARE_ 0.25 /* a request that no engine has a slot for is refused by then; the users' bound */
+ * its first event on it may make some late, if they are worth less. */
+#define WAIT_SHARE_TIGHT_ 0.05
+#define WAIT_SHARE_ 0.6
+#define FORCE_LEAD_MS_ 400 /* for the passes under way to end, and for the longer one to come */
+#define LATE_LOSS_ 0.75    /* share of a value that is lost when an answer is late */
+#define OFFER_SHARE_ 0.25  /* a request that no engine has a slot for is refused by then; the users' bound */
 #define OFFER_MARGIN_US_ (15 * BH__MS_US)
-/* For reading and writing an answer that waited as long as it could. */
-#define ANSWER_US_ (3 * BH__SECOND_US)
+/* Callers give a stream up that has not begun after the longest of these. A request that can't be in time any
+ * more waits behind all others until shortly before. */
+#define PATIENCE_US_ (2 * BH__SECOND_US)
+#define PATIENCE_TARGETS_ 4
+#define PATIENCE_GAPS_ 8
+#define PATIENCE_SHARE_ 0.75
+#define DEADLINE_SHARE_ 0.45
 #define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
 #define LOOKS_PER_PUMP_ 12 /* waiting asks that are tried each time */
 /* An engine that failed takes nothing for so long, then twice that. */
@@ -55,9 +60,12 @@
 static uint64_t first_event_us_(const BH__Ask *ask);
 static Waiting_ *find_waiting_(const BH__Planner *p, uint64_t ask_id);
 static void push_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
-static bool try_place_(BH__Planner *p, const BH__Ask *ask, uint64_t arrived_us, uint64_t now_us);
-static bool may_force_(const BH__Ask *ask, uint64_t waited_us);
+static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
+static bool may_force_(const BH__Planner *p, const BH__Ask *ask, uint64_t waited_us);
 static bool force_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place);
+static uint64_t patience_us_(const BH__Ask *ask);
+static bool is_late_(const BH__Planner *p, const Waiting_ *w, uint64_t now_us);
+static void pump_some_(BH__Planner *p, bool late, uint64_t now_us);
 static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t now_us);
 static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t now_us);
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r);
@@ -179,7 +187,7 @@
 		p->port->queued(p->port, ask);
 		return;
 	}
-	if (try_place_(p, ask, now_us, now_us))
+	if (try_place_(p, ask, false, now_us, now_us))
 		return;
 	push_(p, ask, now_us);
 	p->counters.queued++;
@@ -208,52 +216,66 @@
 		g_ptr_array_remove(p->waiting, w);
 }
 
-/* Grants or refuses an ask, or returns false if it is to wait. */
-static bool try_place_(BH__Planner *p, const BH__Ask *ask, uint64_t arrived_us, uint64_t now_us)
+/* Grants or refuses an ask, or returns false if it is to wait. With `late` an ask that can't be in time any
+ * more is looked at, otherwise one that can. */
+static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us)
 {
 	BH__Placement place;
 	BH__Ask left = *ask; /* with the times that are left now */
 	uint64_t waited_us = now_us - arrived_us;
 	uint64_t aim_us = first_event_us_(ask);
+	bool found;
 
 	if (waited_us >= ask->deadline_us) {
 		refuse_(p, ask, BH__REASON_DEADLINE, now_us);
 		return true;
 	}
 	left.deadline_us = ask->deadline_us - waited_us;
-	left.first_event_us = waited_us < aim_us ? aim_us - waited_us : 1;
-	if (bh__placement_find(&p->model, p->engines, &left, now_us, &place) ||
-		(may_force_(ask, waited_us) && force_(p, &left, now_us, &place))) {
-		p->counters.late += place.read_end_us > now_us + left.first_event_us;
+	left.first_event_us = late || waited_us >= aim_us ? 0 : aim_us - waited_us;
+	found = bh__placement_find(&p->model, p->engines, &left, now_us, &place) ||
+			(!late && may_force_(p, ask, waited_us) && force_(p, &left, now_us, &place));
+	if (found) {
+		p->counters.late += place.read_end_us > arrived_us + aim_us;
 		grant_(p, ask, &place, now_us);
 		return true;
 	}
-	if (waited_us + OFFER_MARGIN_US_ < (uint64_t)((double)aim_us * OFFER_SHARE_) ||
-		bh__placement_force(&p->model, p->engines, &left, now_us, &place))
+	if (waited_us < patience_us_(ask) &&
+		(waited_us + OFFER_MARGIN_US_ < (uint64_t)((double)aim_us * OFFER_SHARE_) ||
+		 bh__placement_force(&p->model, p->engines, &left, now_us, &place)))
 		return false;
 	refuse_(p, ask, p->engines->len ? BH__REASON_OVERLOAD : BH__REASON_NO_ENDPOINT, now_us);
 	return true;
 }
 
-/* Returns true if a request has waited so long that it may make others late. */
-static bool may_force_(const BH__Ask *ask, uint64_t waited_us)
+/* Returns true if a request has waited so long that it may make others late: the longer it takes to read, the
+ * sooner. */
+static bool may_force_(const BH__Planner *p, const BH__Ask *ask, uint64_t waited_us)
 {
-	double share = bh__placement_is_tight(ask->event_gap_us) ? WAIT_SHARE_TIGHT_ : WAIT_SHARE_;
+	bool tight = bh__placement_is_tight(ask->event_gap_us);
+	double read_ms = bh__engine_model_read_ms(&p->model, ask->prompt_tokens, BH__GRANT_MEMBERS_MAX);
+	double aim_us = (double)first_event_us_(ask);
+	double latest_us = tight ? aim_us : aim_us - (read_ms + FORCE_LEAD_MS_) * 1000;
 
-	return (double)waited_us >= (double)first_event_us_(ask) * share;
+	return (double)waited_us >= MIN(latest_us, aim_us * (tight ? WAIT_SHARE_TIGHT_ : WAIT_SHARE_));
 }
 
-/* Finds a place for a request that has waited long enough: where it is in time and makes less late than it is
- * worth, or anywhere at the last moment. */
+/* Finds a place where a request is in time and makes less late than it is worth. */
 static bool force_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place)
 {
 	double gain = bh__placement_value(left->prompt_tokens) * LATE_LOSS_;
 
-	if (!bh__placement_force(&p->model, p->engines, left, now_us, place))
-		return false;
-	if (bh__placement_is_tight(left->event_gap_us) || left->deadline_us <= ANSWER_US_)
-		return true;
-	return place->read_end_us <= now_us + left->first_event_us && place->damage < gain;
+	return bh__placement_force(&p->model, p->engines, left, now_us, place) &&
+		   place->read_end_us <= now_us + left->first_event_us && place->damage < gain;
+}
+
+/* Returns how long a request that is late may wait for a place. */
+static uint64_t patience_us_(const BH__Ask *ask)
+{
+	uint64_t us =
+		MAX(PATIENCE_US_, MAX(first_event_us_(ask) * PATIENCE_TARGETS_, ask->event_gap_us * PATIENCE_GAPS_));
+
+	return MIN((uint64_t)((double)us * PATIENCE_SHARE_),
+			   (uint64_t)((double)ask->deadline_us * DEADLINE_SHARE_));
 }
 
 static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t now_us)
@@ -549,23 +571,42 @@
 	p->port->refuse(p->port, ask, reason, CLAMP(retry_after_ms, RETRY_AFTER_MIN_MS_, RETRY_AFTER_MAX_MS_));
 }
 
-/* Tries the asks that wait, after something has changed. */
+/* Tries the asks that wait, after something has changed: first those that can be in time. */
 static void pump_(BH__Planner *p, uint64_t now_us)
 {
-	unsigned looks = 0;
-	guint i = 0;
-
 	if (p->pumping) /* a grant's receiver may call back */
 		return;
 	p->pumping = true;
-	while (i < p->waiting->len && looks++ < LOOKS_PER_PUMP_) {
+	pump_some_(p, false, now_us);
+	pump_some_(p, true, now_us);
+	p->pumping = false;
+}
+
+static void pump_some_(BH__Planner *p, bool late, uint64_t now_us)
+{
+	unsigned looks = 0;
+	guint i = 0;
+
+	while (i < p->waiting->len && looks < LOOKS_PER_PUMP_) {
 		Waiting_ w = *(Waiting_ *)g_ptr_array_index(p->waiting, i);
-		if (try_place_(p, &w.ask, w.arrived_us, now_us))
+		if (is_late_(p, &w, now_us) != late) {
+			i++;
+			continue;
+		}
+		looks++;
+		if (try_place_(p, &w.ask, late, w.arrived_us, now_us))
 			bh__planner_process_withdraw(p, w.ask.ask_id);
 		else
 			i++;
 	}
-	p->pumping = false;
+}
+
+/* Returns true if the first event can't be in time any more, wherever the request goes. */
+static bool is_late_(const BH__Planner *p, const Waiting_ *w, uint64_t now_us)
+{
+	double least_ms = bh__engine_model_read_ms(&p->model, w->ask.prompt_tokens, BH__GRANT_MEMBERS_MAX);
+
+	return now_us + (uint64_t)(least_ms * 1000) >= w->arrived_us + first_event_us_(&w->ask);
 }
 
 /* Grants what time has made possible and refuses what it has made impossible. To be called often while
