--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -53,6 +53,7 @@
 void bh__registry_end_list(BH__Registry *r, uint64_t gone_at_us);
 void bh__registry_process_tick(BH__Registry *r, uint64_t now_us);
 BH__RegisteredEndpoint *bh__registry_find(const BH__Registry *r, uint64_t endpoint_id);
+BH__RegisteredEndpoint *bh__registry_find_address(const BH__Registry *r, const char *address);
 unsigned bh__registry_get_count(const BH__Registry *r);
 BH__RegisteredEndpoint *bh__registry_get(const BH__Registry *r, unsigned index);
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -91,6 +91,17 @@
 static void tell_progress_(Call *c);
 static void begin_answer_(Call *c);
 static void end_sending_(Call *c, BH__SendingEnd end);
+/* Returns the endpoint that a refusal names as its cause, which may be a helper; else the one that refused.
+ */
+static uint64_t find_at_fault_(const Call *c)
+{
+	const BH__RegisteredEndpoint *e = NULL;
+
+	if (c->head.meta.at_fault[0])
+		e = bh__registry_find_address(c->gate->registry, c->head.meta.at_fault);
+	return e ? e->endpoint_id : c->endpoint_id;
+}
+
 static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us);
 static void act_(Call *c, BH__Next next);
 static void pass_failure_(Call *c);
@@ -577,8 +588,8 @@
 						  : end == BH__SENDING_REFUSED ? BH__USE_REFUSED
 													   : BH__USE_FAILED,
 						  now_us);
-	if (end == BH__SENDING_REFUSED && c->head.meta.at_fault[0]) /* a helper may be */
-		at_fault = bh__hash_name(c->head.meta.at_fault);
+	if (end == BH__SENDING_REFUSED)
+		at_fault = find_at_fault_(c);
 	memory_hold_delete(c->memory);
 	c->memory = NULL;
 	cluster_release(g->cluster, c, failed ? BH__RELEASE_FAILED : BH__RELEASE_DONE,
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -23,7 +23,7 @@
 #define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
 #define LOOKS_PER_PUMP_ 12 /* waiting asks that are tried each time */
 /* An engine that failed takes nothing for so long, then twice that. */
-#define ASIDE_FIRST_US_ (300 * BH__MS_US)
+#define ASIDE_FIRST_US_ (600 * BH__MS_US)
 #define ASIDE_MAX_US_ (4 * BH__SECOND_US)
 /* A first event that comes this much later than foretold makes the engines that read for it suspects. */
 #define SUSPECT_FACTOR_ 1.5
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -128,6 +128,17 @@
 	return g_hash_table_lookup(r->by_id, &endpoint_id);
 }
 
+/* Returns the endpoint at an address, the latest to come there, or NULL. */
+BH__RegisteredEndpoint *bh__registry_find_address(const BH__Registry *r, const char *address)
+{
+	for (guint i = r->table->len; i-- > 0;) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (!strcmp(e->entry.address, address))
+			return e;
+	}
+	return NULL;
+}
+
 unsigned bh__registry_get_count(const BH__Registry *r)
 {
 	return r->table->len;
