Looks at the platform shared among nodes

Change: one node, chosen as a scheduler is, reads often; the others ask it twice a second, and take its ages as counted from their question. A node that hears nothing fresh looks for itself.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include "bayhoist/catalog.h"
 #include "bayhoist/hash.h"
+#include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
 #define BH__MESSAGE_VERSION 1
@@ -33,6 +34,8 @@
 	BH__MESSAGE_QUOTA_ASK,
 	BH__MESSAGE_QUOTA_GRANT,
 	BH__MESSAGE_QUEUED,
+	BH__MESSAGE_LOOK_ASK,
+	BH__MESSAGE_LOOK,
 	BH__MESSAGE_TYPE_COUNT
 } BH__MessageType;
 
@@ -195,6 +198,20 @@
 			uint32_t count;
 			BH__QuotaEntry *entry;
 		} quota;
+		/* What a node knows of the platform from its own looks, and how old that is. Ages are counted by the
+		 * asker from when it asked, so that a message held up on its way, or read late, does not make them
+		 * younger. */
+		struct {
+			uint64_t asked_us; /* by the asker's clock; comes back in the answer */
+			uint64_t configuration_version;
+			uint64_t configuration_age_us;
+			uint64_t registry_boot; /* life and version of the registry that is known, or told */
+			uint64_t registry_version;
+			uint64_t registry_age_us;
+			bool has_entries; /* the list below is whole */
+			uint32_t count;
+			BH__EndpointEntry *entry;
+		} look;
 	} as;
 } BH__Message;
 
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -47,7 +47,6 @@
 static void on_unreachable_(void *cluster, const char *address);
 static void on_tick_(evutil_socket_t fd, short what, void *arg);
 static void on_waiting_tick_(evutil_socket_t fd, short what, void *arg);
-static void send_(Cluster *c, uint64_t node_id, BH__Message *m);
 static void drain_inbox_(Cluster *c);
 static void dispatch_(Cluster *c, const BH__Message *m);
 static void process_release_(Cluster *c, const BH__Message *m, uint64_t now_us);
@@ -202,8 +201,7 @@
 	(void)what;
 	cluster_set_ready(c, gate_is_ready(c->gate, now_us), now_us);
 	bh__members_process_tick(c->members, now_us);
-	bh__registry_process_tick(c->gate->registry, now_us);
-	gate_follow_registry(c->gate);
+	looks_process_tick(c->gate->looks, now_us);
 	follow_schedulers_(c, now_us);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value))
@@ -256,7 +254,7 @@
 }
 
 /* Sends a message to a node; one to this node waits in the inbox until the current work is done. */
-static void send_(Cluster *c, uint64_t node_id, BH__Message *m)
+void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m)
 {
 	const BH__MemberInfo *self = bh__members_get_self(c->members);
 	const BH__MemberInfo *info = bh__members_find(c->members, node_id);
@@ -321,6 +319,12 @@
 			bh__planner_process_hold(s->planner, m->from_node, m->from_boot, m->as.hold.full,
 									 m->as.hold.grant, m->as.hold.count, now_us);
 		break;
+	case BH__MESSAGE_LOOK_ASK:
+		looks_process_ask(c->gate->looks, m, now_us);
+		break;
+	case BH__MESSAGE_LOOK:
+		looks_process_answer(c->gate->looks, m, now_us);
+		break;
 	default:
 		break;
 	}
@@ -480,7 +484,7 @@
 	m.as.hold.grant = (BH__Grant *)(void *)held->data;
 	s->scheduler_boot = info ? info->boot_id : bh__members_get_self(c->members)->boot_id;
 	if (info && s->scheduler != bh__members_get_self(c->members)->node_id && (held->len || s->held))
-		send_(c, s->scheduler, &m);
+		cluster_send(c, s->scheduler, &m);
 	s->held = held->len > 0;
 	g_array_unref(held);
 }
@@ -514,7 +518,7 @@
 		return;
 	}
 	m.as.ask = p->ask;
-	send_(c, p->asked_node, &m);
+	cluster_send(c, p->asked_node, &m);
 }
 
 /* Lets this node's own planner decide. */
@@ -528,7 +532,7 @@
 		BH__Message m = {.type = BH__MESSAGE_WITHDRAW};
 		m.as.release.pool_id = ask.pool_id;
 		m.as.release.grant_id = ask.ask_id;
-		send_(c, p->asked_node, &m);
+		cluster_send(c, p->asked_node, &m);
 		p->asked_node = bh__members_get_self(c->members)->node_id;
 	}
 	bh__planner_process_ask(s->planner, &ask, clock_now_us());
@@ -548,7 +552,7 @@
 	m.as.release.pool_id = p->ask.pool_id;
 	m.as.release.grant_id = ask_id;
 	p->ask.ask_id = 0;
-	send_(c, p->asked_node, &m);
+	cluster_send(c, p->asked_node, &m);
 	drain_inbox_(c);
 }
 
@@ -587,11 +591,11 @@
 	m.as.release.grant_id = p->grant.grant_id;
 	m.as.release.kind = kind;
 	m.as.release.failed_endpoint = failed_endpoint;
-	send_(c, self, &m);
+	cluster_send(c, self, &m);
 	if (s->scheduler != self)
-		send_(c, s->scheduler, &m);
+		cluster_send(c, s->scheduler, &m);
 	if (p->asked_node != self && p->asked_node != s->scheduler)
-		send_(c, p->asked_node, &m);
+		cluster_send(c, p->asked_node, &m);
 	drain_inbox_(c);
 }
 
@@ -600,7 +604,7 @@
 	BH__Message m = {.type = BH__MESSAGE_GRANT};
 
 	m.as.grant = *g;
-	send_(((Service *)port)->cluster, g->node_id, &m);
+	cluster_send(((Service *)port)->cluster, g->node_id, &m);
 }
 
 static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms)
@@ -611,7 +615,7 @@
 	m.as.refuse.pool_id = ask->pool_id;
 	m.as.refuse.reason = reason;
 	m.as.refuse.retry_after_ms = retry_after_ms;
-	send_(((Service *)port)->cluster, ask->node_id, &m);
+	cluster_send(((Service *)port)->cluster, ask->node_id, &m);
 }
 
 static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
@@ -620,7 +624,7 @@
 
 	m.as.release.pool_id = ask->pool_id;
 	m.as.release.grant_id = ask->ask_id;
-	send_(((Service *)port)->cluster, ask->node_id, &m);
+	cluster_send(((Service *)port)->cluster, ask->node_id, &m);
 }
 
 static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g)
@@ -676,7 +680,7 @@
 		m.as.release.pool_id = g->pool_id;
 		m.as.release.grant_id = g->grant_id;
 		m.as.release.kind = BH__RELEASE_UNUSED;
-		send_(c, from_node, &m);
+		cluster_send(c, from_node, &m);
 		return;
 	}
 	p = call_get_place(call);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -23,6 +23,7 @@
 typedef struct Inbound Inbound;
 typedef struct Outbound Outbound;
 typedef struct Cluster Cluster;
+typedef struct Looks Looks;
 
 /* Why a request ended, for the counters. */
 typedef enum { CALL_SERVED, CALL_REFUSED, CALL_FAILED, CALL_CALLER_GONE, CALL_OUTCOME_COUNT } CallOutcome;
@@ -50,13 +51,15 @@
 	struct event_base *base;
 	void *binding; /* the platform binding's own state */
 	Cluster *cluster;
+	Looks *looks;
 	BH__Routing *routing;       /* NULL: not known yet */
 	uint64_t routing_looked_us; /* when the look was begun that last showed it to be the newest */
 	BH__Registry *registry;
-	uint64_t registry_seen; /* version that the planners follow */
-	GHashTable *budgets;    /* BH__RepeatBudget by service name */
-	GHashTable *calls;      /* set of live Call */
-	GHashTable *inbounds;   /* set of open Inbound */
+	uint64_t registry_looked_us; /* when the look was begun that it shows */
+	uint64_t registry_seen;      /* version that the planners follow */
+	GHashTable *budgets;         /* BH__RepeatBudget by service name */
+	GHashTable *calls;           /* set of live Call */
+	GHashTable *inbounds;        /* set of open Inbound */
 	struct evconnlistener *listener;
 	struct evhttp *web[3]; /* directory, readiness, control */
 	GPtrArray *own_events;
@@ -71,7 +74,7 @@
 bool gate_trusts_keys(const Gate *g, uint64_t now_us);
 void gate_set_routing(Gate *g, BH__Routing *routing, uint64_t looked_us);
 void gate_note_look(Gate *g, uint64_t looked_us);
-void gate_follow_registry(Gate *g);
+void gate_note_registry(Gate *g, uint64_t looked_us);
 BH__RepeatBudget *gate_get_budget(Gate *g, const char *service);
 
 /* inbound.c */
@@ -172,6 +175,15 @@
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint);
 void cluster_write_status(const Cluster *c, struct evbuffer *out);
 
+void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
+
+/* looks.c */
+Looks *looks_new(Gate *g);
+void looks_delete(Looks *l);
+void looks_process_tick(Looks *l, uint64_t now_us);
+void looks_process_ask(Looks *l, const BH__Message *m, uint64_t now_us);
+void looks_process_answer(Looks *l, const BH__Message *m, uint64_t now_us);
+
 /* web.c */
 bool web_start(Gate *g);
 void web_stop(Gate *g);
--- /dev/null
+++ b/src/bayhoist-gate/looks.c
@@ -0,0 +1,173 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Looks at the platform, shared among the nodes, since each costs a call. One node, the reader, looks often;
+ * the others ask it what it saw and how long ago. A node that hears nothing fresh from the reader looks for
+ * itself, so that one which is cut off from its peers, or whose reader is cut off from the platform, falls
+ * behind no more than the reader would. */
+#include "gate.h"
+
+#include <string.h>
+#include "bayhoist/hash.h"
+#include "clock.h"
+#include "log.h"
+
+#define CONFIGURATION_US                                                                                     \
+	(700 * BH__MS_US)                   /* between the reader's looks; a key taken away must stop in time */
+#define ENDPOINTS_US (500 * BH__MS_US)  /* the same for endpoints; a leaving one must be left in time */
+#define ASK_US (500 * BH__MS_US)        /* between the other nodes' questions */
+#define ANSWER_US (300 * BH__MS_US)     /* for the reader's answer */
+#define DISTRUST_US (2 * BH__SECOND_US) /* for which a reader that did not answer is not asked */
+/* With what it knows older than this, a node looks for itself. */
+#define CONFIGURATION_OLD_US (2 * BH__SECOND_US)
+#define ENDPOINTS_OLD_US (1300 * BH__MS_US)
+
+struct Looks {
+	Gate *gate;
+	uint64_t reader;   /* node; 0: none is asked */
+	uint64_t asked_us; /* 0: no question is open */
+	uint64_t next_ask_us;
+	uint64_t distrust_until_us;
+	uint64_t next_configuration_us;
+	uint64_t next_endpoints_us;
+	uint64_t told_boot; /* of the registry that this node has from a reader */
+	uint64_t told_version;
+};
+
+static uint64_t pick_reader_(const Looks *l);
+static void look_(Looks *l, bool reads_for_others, uint64_t now_us);
+static void ask_(Looks *l, uint64_t now_us);
+static void take_entries_(Looks *l, const BH__Message *m, uint64_t now_us);
+
+Looks *looks_new(Gate *g)
+{
+	Looks *l = g_new0(Looks, 1);
+
+	l->gate = g;
+	return l;
+}
+
+void looks_delete(Looks *l)
+{
+	g_free(l);
+}
+
+/* The reader follows from membership, as a scheduler does. */
+static uint64_t pick_reader_(const Looks *l)
+{
+	return bh__members_pick(cluster_get_members(l->gate->cluster), bh__hash_name("platform-reader"), NULL);
+}
+
+/* Looks or asks if it is time. To be called several times a second. */
+void looks_process_tick(Looks *l, uint64_t now_us)
+{
+	uint64_t self = bh__members_get_self(cluster_get_members(l->gate->cluster))->node_id;
+	uint64_t reader = pick_reader_(l);
+	bool reads = !reader || reader == self;
+
+	if (reader != l->reader) {
+		log_event("looks", "what=%s", reads ? "read" : "ask");
+		l->reader = reader;
+		l->asked_us = 0;
+		l->distrust_until_us = 0;
+	}
+	if (l->asked_us && now_us >= l->asked_us + ANSWER_US) {
+		log_event("looks", "what=no-answer waited_ms=%" G_GUINT64_FORMAT, (now_us - l->asked_us) / BH__MS_US);
+		l->asked_us = 0;
+		l->distrust_until_us = now_us + DISTRUST_US;
+	}
+	if (!reads && now_us >= l->distrust_until_us && now_us >= l->next_ask_us)
+		ask_(l, now_us);
+	look_(l, reads || now_us < l->distrust_until_us, now_us);
+	gate_note_registry(l->gate, 0);
+}
+
+/* Looks at the platform if this node is to read it, or knows nothing fresh. */
+static void look_(Looks *l, bool reads, uint64_t now_us)
+{
+	Gate *g = l->gate;
+	bool old_configuration = now_us >= g->routing_looked_us + CONFIGURATION_OLD_US;
+	bool old_endpoints = now_us >= g->registry_looked_us + ENDPOINTS_OLD_US;
+
+	if ((reads || old_configuration) && now_us >= l->next_configuration_us) {
+		l->next_configuration_us = now_us + CONFIGURATION_US;
+		g->port->look_at_configuration(g);
+	}
+	if ((reads || old_endpoints) && now_us >= l->next_endpoints_us) {
+		l->next_endpoints_us = now_us + ENDPOINTS_US;
+		l->told_boot = 0; /* what is read is no more what the reader told */
+		g->port->look_at_endpoints(g);
+	}
+}
+
+static void ask_(Looks *l, uint64_t now_us)
+{
+	BH__Message m = {.type = BH__MESSAGE_LOOK_ASK};
+
+	l->next_ask_us = now_us + ASK_US;
+	l->asked_us = now_us;
+	m.as.look.asked_us = now_us;
+	m.as.look.registry_boot = l->told_boot;
+	m.as.look.registry_version = l->told_version;
+	cluster_send(l->gate->cluster, l->reader, &m);
+}
+
+/* Another node asks what this one knows. */
+void looks_process_ask(Looks *l, const BH__Message *ask, uint64_t now_us)
+{
+	Gate *g = l->gate;
+	unsigned count = bh__registry_get_count(g->registry);
+	BH__Message m = {.type = BH__MESSAGE_LOOK};
+
+	m.as.look.asked_us = ask->as.look.asked_us;
+	m.as.look.configuration_version = g->routing ? bh__routing_get_version(g->routing) : 0;
+	m.as.look.configuration_age_us = now_us - g->routing_looked_us;
+	m.as.look.registry_boot = g->boot_id;
+	m.as.look.registry_version = bh__registry_get_version(g->registry);
+	m.as.look.registry_age_us = now_us - g->registry_looked_us;
+	m.as.look.has_entries = ask->as.look.registry_boot != g->boot_id ||
+							ask->as.look.registry_version != m.as.look.registry_version;
+	if (m.as.look.has_entries) {
+		m.as.look.count = count;
+		m.as.look.entry = g_new0(BH__EndpointEntry, count + 1);
+		for (unsigned i = 0; i < count; i++)
+			m.as.look.entry[i] = bh__registry_get(g->registry, i)->entry;
+	}
+	cluster_send(g->cluster, ask->from_node, &m);
+	g_free(m.as.look.entry);
+}
+
+/* The reader answers. Its ages are taken as counted from the question. */
+void looks_process_answer(Looks *l, const BH__Message *m, uint64_t now_us)
+{
+	Gate *g = l->gate;
+	uint64_t asked_us = m->as.look.asked_us;
+	uint64_t version = g->routing ? bh__routing_get_version(g->routing) : 0;
+
+	if (!l->asked_us || asked_us != l->asked_us)
+		return;
+	l->asked_us = 0;
+	if (m->as.look.configuration_version > version)
+		g->port->look_at_configuration(g);
+	else if (m->as.look.configuration_version == version && asked_us > m->as.look.configuration_age_us)
+		gate_note_look(g, asked_us - m->as.look.configuration_age_us);
+	if (m->as.look.registry_age_us >= ENDPOINTS_OLD_US) /* the reader itself knows nothing fresh */
+		return;
+	if (m->as.look.has_entries)
+		take_entries_(l, m, now_us);
+	else if (m->as.look.registry_boot != l->told_boot)
+		return;
+	gate_note_registry(g, asked_us - m->as.look.registry_age_us);
+}
+
+static void take_entries_(Looks *l, const BH__Message *m, uint64_t now_us)
+{
+	BH__Registry *r = l->gate->registry;
+
+	bh__registry_begin_list(r);
+	for (uint32_t i = 0; i < m->as.look.count; i++)
+		bh__registry_put(r, &m->as.look.entry[i]);
+	bh__registry_end_list(r, now_us);
+	l->told_boot = m->as.look.registry_boot;
+	l->told_version = m->as.look.registry_version;
+	log_event("looks", "what=endpoints-told count=%u version=%" G_GUINT64_FORMAT, m->as.look.count,
+			  m->as.look.registry_version);
+}
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -15,7 +15,7 @@
 #include "version.h"
 #include "web.h"
 
-#define KEY_TRUST_SHARE 0.7 /* of the time that keys may be believed without a look at the configuration */
+#define KEY_TRUST_SHARE 0.92 /* of the time that keys may be believed without a look at the configuration */
 #define STOP_LEAST_MS                                                                                        \
 	3200               /* callers learn of a stop from the directory, and hold old answers for this long */
 #define STOP_SHARE 0.9 /* of the grace of a stop that is used */
@@ -114,6 +114,7 @@
 	g->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
+	g->looks = looks_new(g);
 	if (!cluster_start(g) || !web_start(g) || !inbounds_listen(g) || !g->port->start(g)) {
 		log_error("start-failed", "caller_address=%s peer_address=%s cause=\"%s\"",
 				  g->settings.caller_address, g->settings.peer_address, strerror(errno));
@@ -194,9 +195,13 @@
 		g->routing_looked_us = looked_us;
 }
 
-/* Lets the planners follow endpoints that came or went. */
-void gate_follow_registry(Gate *g)
+/* The registry shows the endpoints as they were when a look was begun: the planners follow those that came or
+ * went. */
+void gate_note_registry(Gate *g, uint64_t looked_us)
 {
+	if (looked_us > g->registry_looked_us)
+		g->registry_looked_us = looked_us;
+	bh__registry_process_tick(g->registry, clock_now_us());
 	if (g->registry_seen == bh__registry_get_version(g->registry))
 		return;
 	g->registry_seen = bh__registry_get_version(g->registry);
@@ -287,6 +292,7 @@
 	g->port->stop(g);
 	web_stop(g);
 	cluster_free(g->cluster);
+	looks_delete(g->looks);
 	event_base_loop(g->base, EVLOOP_NONBLOCK); /* frees what was left to the loop */
 	g_ptr_array_unref(g->own_events);
 	event_base_free(g->base);
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -70,9 +70,13 @@
 	/* Whether a status, in itself, says that the request did not run. */
 	bool (*status_says_not_run)(int status);
 
-	/* Follows routing and endpoints, and hands them to gate_set_routing() and the registry. */
+	/* Follows the configuration, and hands it to gate_set_routing(). */
 	bool (*start)(Gate *g);
 	void (*stop)(Gate *g);
+	/* Looks at the platform: whether the configuration is the newest, told by gate_note_look(), or which
+	 * endpoints there are, told by gate_note_registry(). A look that is under way is not begun again. */
+	void (*look_at_configuration)(Gate *g);
+	void (*look_at_endpoints)(Gate *g);
 	/* Puts the node where nodes that start can find it, and takes it away. */
 	void (*announce)(Gate *g);
 	void (*withdraw)(Gate *g);
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -14,9 +14,9 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",       "ack",         "ping-req",  "join",        "members", "ask",    "grant",
-	"refuse",     "release",     "progress",  "withdraw",    "hold",    "orphan", "config-news",
-	"config-ask", "config-data", "quota-ask", "quota-grant", "queued"};
+	"ping",       "ack",         "ping-req",  "join",        "members", "ask",      "grant",
+	"refuse",     "release",     "progress",  "withdraw",    "hold",    "orphan",   "config-news",
+	"config-ask", "config-data", "quota-ask", "quota-grant", "queued",  "look-ask", "look"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
@@ -46,6 +46,8 @@
 static void config_ask_(Codec_ *c, BH__Message *m);
 static void config_data_(Codec_ *c, BH__Message *m);
 static void quota_(Codec_ *c, BH__Message *m);
+static void endpoint_(Codec_ *c, BH__EndpointEntry *e);
+static void look_(Codec_ *c, BH__Message *m);
 static void body_(Codec_ *c, BH__Message *m);
 static bool is_container_(uint8_t lead);
 
@@ -291,6 +293,30 @@
 	}
 }
 
+static void endpoint_(Codec_ *c, BH__EndpointEntry *e)
+{
+	string_(c, e->id, sizeof e->id);
+	string_(c, e->service, sizeof e->service);
+	string_(c, e->address, sizeof e->address);
+	string_(c, e->hall, sizeof e->hall);
+	u32_(c, &e->slots);
+	flag_(c, &e->draining);
+}
+
+static void look_(Codec_ *c, BH__Message *m)
+{
+	u64_(c, &m->as.look.asked_us);
+	u64_(c, &m->as.look.configuration_version);
+	u64_(c, &m->as.look.configuration_age_us);
+	u64_(c, &m->as.look.registry_boot);
+	u64_(c, &m->as.look.registry_version);
+	u64_(c, &m->as.look.registry_age_us);
+	flag_(c, &m->as.look.has_entries);
+	m->as.look.entry = list_(c, &m->as.look.count, m->as.look.entry, sizeof *m->as.look.entry);
+	for (uint32_t i = 0; i < m->as.look.count && !c->failed; i++)
+		endpoint_(c, &m->as.look.entry[i]);
+}
+
 static void body_(Codec_ *c, BH__Message *m)
 {
 	uint8_t kind;
@@ -355,6 +381,10 @@
 	case BH__MESSAGE_QUOTA_GRANT:
 		quota_(c, m);
 		break;
+	case BH__MESSAGE_LOOK_ASK:
+	case BH__MESSAGE_LOOK:
+		look_(c, m);
+		break;
 	case BH__MESSAGE_TYPE_COUNT:
 		c->failed = true;
 		break;
@@ -449,6 +479,10 @@
 	case BH__MESSAGE_QUOTA_GRANT:
 		g_free(m->as.quota.entry);
 		break;
+	case BH__MESSAGE_LOOK_ASK:
+	case BH__MESSAGE_LOOK:
+		g_free(m->as.look.entry);
+		break;
 	default:
 		break;
 	}
--- a/src/test_libbayhoist/test_inputs.c
+++ b/src/test_libbayhoist/test_inputs.c
@@ -110,6 +110,8 @@
 		{.node_id = 5, .name = "vm5", .hall = "h", .peer_address = "1.1.1.1:1"}};
 	static BH__Grant grants[2] = {{.grant_id = 9, .member_count = 2}};
 	static BH__ConfigChunk chunks[1] = {{.chunk = 3, .text = (char *)"[]"}};
+	static BH__EndpointEntry endpoints[2] = {
+		{.id = "i-1", .service = "s", .address = "1.1.1.1:1", .slots = 3}};
 	static BH__QuotaEntry quota[2] = {{.account_id = 4, .rate = 2.5, .held = 1}};
 	BH__Message *m = g_new0(BH__Message, 1);
 
@@ -151,6 +153,11 @@
 		m->as.quota.count = 2;
 		m->as.quota.entry = quota;
 		break;
+	case BH__MESSAGE_LOOK:
+		m->as.look.has_entries = true;
+		m->as.look.count = 2;
+		m->as.look.entry = endpoints;
+		break;
 	default:
 		break;
 	}
