--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 PROGS := bayhoistd bayhoist-gate bayhoistctl bh-fake-platform bh-fake-engine bh-fake-service bh-load bh-check
 BENCHES := $(patsubst src/bench/%.c,%,$(wildcard src/bench/bench_*.c))
 TESTS := $(patsubst src/test_libbayhoist/%.c,%,$(wildcard src/test_libbayhoist/test_*.c))
-FORMATTED := $(wildcard include/bayhoist/*.h src/*/*.c src/*/*.h src/libbayhoist/include/private/*.h platform/*.c platform/*.h)
+FORMATTED := $(wildcard include/bayhoist/*.h src/*/*.c src/*/*.h src/libbayhoist/include/private/*.h platform/*.c platform/*.h test/platform/*.c)
 
 all: $(PROGS:%=$B/%) $(BENCHES:%=$B/%)
 
@@ -50,8 +50,18 @@
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
-check: all $(TESTS:%=$B/%)
-	@B=$B sh test/run-all.sh $(TESTS)
+# tests of the binding, and the stand-in that it is played against
+$B/test_decode: $B/test/platform/test_decode.o $B/platform/decode.o $B/platform/headers.o $B/platform/http_client.o \
+		$B/libshare.a $B/libbayhoist.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+$B/bh-fake-site: $B/test/platform/fake_site.o $B/libshare.a $B/libbayhoist.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$B/test/platform/test_decode.o: CPPFLAGS += -Isrc/bayhoist-gate -Iplatform
+
+check: all $(TESTS:%=$B/%) $B/test_decode $B/bh-fake-site
+	@B=$B sh test/run-all.sh $(TESTS) test_decode
 
 demo:
 	@sh test/install-packages.sh
--- /dev/null
+++ b/test/check-gate.sh
@@ -0,0 +1,121 @@
+#!/usr/bin/env bash
+# The whole path through platform/, with real processes: three gateways before a stand-in of the users' platform.
+set -u
+. test/cluster.sh
+begin_run
+address() { echo "127.0.0.1:$((BASE + $1))"; }
+CALLER_KEY=key1
+STORE=$(address 0)
+start site "$B/bh-fake-site" --store "$STORE" --engine i-e1="$(address 1)" --engine i-e2="$(address 2)" \
+	--engine i-e3="$(address 3)" --plain i-p1="$(address 4)" --plain i-p2="$(address 5)"
+tell() { curl -s -m 3 "http://$STORE/test/$1" "${@:2}"; }
+node() { # N FIELD: an address of gateway N
+	echo "127.0.0.$((10 + $1)):$((BASE + 20 + $2))"
+}
+settings() { # N
+	printf '{"name":"gate%s","hall":"h1","region":"r","caller_address":"%s","readiness_address":"%s",' "$1" "$(node "$1" 0)" "$(node "$1" 1)"
+	printf '"directory_address":"%s","control_address":"%s","peer_address":"%s","peer_key":"k",' "$(node "$1" 2)" "$(node "$1" 3)" "$(node "$1" 4)"
+	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":3000} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" "$STORE"
+}
+config() { # VERSION KEY
+	cat <<JSON
+{"version":$1,"routes":[
+{"name":"ask","host":"a.example","path-prefix":"/ask/","route-kind":"streaming","timeout-ms":8000,"target-latency-ms":300,"service":"llm","max-attempts":2,"resumable":true,"gap_aim_ms":200},
+{"name":"once","host":"a.example","path-prefix":"/once/","route-kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":1},
+{"name":"free","host":"a.example","path-prefix":"/free/","route-kind":"idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":2}],
+"services":[{"name":"llm","engine-kind":{"slots":16,"kv-tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}},{"name":"web"}],
+"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+"tenants":[{"name":"acct","api-keys":["$2"]}]}
+JSON
+}
+call() { # N PATH ID [CURL OPTIONS...]: prints the body and, last, the status
+	curl -s -m 12 -o "$RUN/body" -w '%{http_code}' "http://$(node "$1" 0)$2" -H 'Host: a.example' -H "X-Attempt-Id: $3" \
+		-H 'X-Time-Budget-Ms: 9000' -H "X-Api-Key: $CALLER_KEY" "${@:4}"
+}
+ask() { call "$1" "$2" "$3" -H 'X-Token-Usage: 3000,100' -d 'a prompt' "${@:4}"; }
+is() { # WHAT HAVE WANTED
+	if [ "$2" = "$3" ]; then echo "ok: $1"; else echo "FAILED: $1: have \"$2\", wanted \"$3\""; FAILED=1; fi
+}
+ready() { [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "http://$(node "$1" 1)/readiness")" = "$2" ]; }
+ids() { grep -c '^id:' "$RUN/body"; }
+FAILED=0
+for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; done
+"$B/bayhoist-gate" --config "$RUN/gate1.json" --check >/dev/null
+is "settings are checked" $? 0
+sed 's/"hall":"h1"/"hall":7/' "$RUN/gate1.json" >"$RUN/bad.json"
+"$B/bayhoist-gate" --config "$RUN/bad.json" --check 2>"$RUN/error"
+is "wrong settings are refused" $? 78
+is "the error names the field" "$(grep -c '"hall"' "$RUN/error")" 1
+for n in 1 2 3; do start gate$n "$B/bayhoist-gate" --config "$RUN/gate$n.json"; done
+sleep 0.5
+is "without a configuration nothing is run" "$(ask 1 /ask/x n0)" 503
+config 1 key1 >"$RUN/config"
+tell config -d "@$RUN/config"
+for n in 1 2 3; do wait_for 10 ready $n 200 || is "gateway $n gets ready" no yes; done
+
+is "a stream is served" "$(ask 1 /ask/x s1)" 200
+is "with all its events" "$(ids)" 10
+is "run once" "$(tell 'runs?id=s1')" 1
+ask 2 /ask/x s2 -H 'X-Tenant: forged' -H 'Helpers: 1.2.3.4:5' >/dev/null
+tell headers >"$RUN/headers"
+is "the account is told" "$(grep -c '^X-Tenant: acct' "$RUN/headers")" 1
+is "what callers have no right to set is dropped" "$(grep -c 'forged\|1.2.3.4\|key1' "$RUN/headers")" 0
+is "an unknown key" "$(CALLER_KEY=other ask 1 /ask/x s3)" 401
+is "an unknown path" "$(ask 1 /none/x s4)" 404
+is "a plain call" "$(call 3 /once/x p1 -d x)" 200
+is "chunked bodies" "$(call 3 /once/x p2 -H 'Transfer-Encoding: chunked' -d x)" 200
+is "a body over the limit" "$(head -c 200000 /dev/zero | call 1 /once/x p3 --data-binary @-)" 413
+
+is "a broken stream goes on elsewhere" "$(ask 1 /ask/break/x b1)" 200
+is "without a gap or a repeat" "$(grep '^id:' "$RUN/body" | tr -d 'id: ' | tr '\n' ' ')" "1 2 3 4 5 6 7 8 9 10 "
+is "a broken call that must not be repeated" "$(call 1 /once/break/x b2 -d x)" 502
+is "runs once" "$(tell 'runs?id=b2')" 1
+is "a failed call that may be repeated" "$(call 1 /free/fail/x b3)" 200
+is "runs twice" "$(tell 'runs?id=b3')" 2
+is "a call refused by its only endpoint" "$(call 1 /once/full/x b4 -d x -D "$RUN/head")" 503
+is "is told when to come back" "$(grep -ci '^retry-after: 0\.' "$RUN/head")" 1
+is "a refused stream goes elsewhere" "$(ask 1 /ask/full/x b5)" 200
+
+smuggled=$(printf 'POST /once/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n' |
+	timeout 3 bash -c "exec 3<>/dev/tcp/127.0.0.11/$((BASE + 20)); cat >&3; head -1 <&3" | tr -d '\r')
+is "two lengths" "$smuggled" "HTTP/1.1 400 Bad Request"
+is "the directory names the gateways" "$(curl -s "http://$(node 2 2)/resolve?name=a.example&zone=h1" | grep -o '127.0.0.1[123]:' | wc -l)" 3
+is "metrics are served" "$(curl -s "http://$(node 1 3)/metrics" | grep -c '^bayhoist_requests_total')" 1
+
+config 2 key2 >"$RUN/config"
+tell config -d "@$RUN/config"
+sleep 1
+is "a revoked key stops working" "$(ask 3 /ask/x r1)" 401
+CALLER_KEY=key2
+is "the new one works" "$(ask 3 /ask/x r2)" 200
+
+tell 'drain?id=i-e1'
+sleep 2
+before=$(tell 'arrivals?id=i-e1')
+for i in 1 2 3 4 5 6; do ask $((i % 3 + 1)) /ask/x d$i >/dev/null; done
+is "a leaving endpoint gets nothing new" "$(tell 'arrivals?id=i-e1')" "$before"
+
+signal gate2 KILL
+is "after a gateway was killed the others serve" "$(ask 1 /ask/x k1)$(ask 3 /ask/x k2)" 200200
+tell down
+sleep 0.3
+is "with the store down keys are believed for a while" "$(ask 1 /ask/x o1)" 200
+sleep 4
+is "but not for long" "$(ask 1 /ask/x o2 -D "$RUN/head")" 503
+is "and callers are sent elsewhere" "$(ready 1 503 && echo yes)" yes
+tell up
+wait_for 5 ready 1 200
+is "when it is back they are served" "$(ask 1 /ask/x o3)" 200
+
+ask 1 /ask/hold/x t1 >"$RUN/stopped" &
+caller=$!
+sleep 0.5
+signal gate1 TERM
+wait_for 3 ready 1 503
+wait $caller
+is "a stop cuts off no request" "$(cat "$RUN/stopped")" 200
+gone() { ! kill -0 "$(pid_of gate1)" 2>/dev/null; }
+wait_for 9 gone
+is "and ends in time" "$?" 0
+is "no request was lost from the logs" "$(grep -c 'event=end request=s1 ' "$RUN/gate1.log")" 1
+exit $FAILED
--- /dev/null
+++ b/test/platform/fake_site.c
@@ -0,0 +1,495 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* bh-fake-site: a stand-in for the users' platform, for tests of the gateway: its store and a few endpoints,
+ * in one process. Paths of requests name faults: "/break/" closes the first answer midway, "/fail/" answers
+ * 500 the first time,
+ * "/full/" refuses the first time, "/hold/" answers after a second. Under /test/ of the store's address a
+ * test sets the configuration, drains endpoints, stops the store, and asks what ran. */
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <getopt.h>
+#include <glib.h>
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include "clock.h"
+#include "web.h"
+
+#define EVENTS 10     /* of an engine's answer */
+#define EVENT_MS 30   /* between them */
+#define BREAK_AFTER 4 /* events */
+#define HOLD_MS 1000
+#define BEAT_MS 400
+#define REPLICAS_MAX 32
+
+typedef struct {
+	char *key;
+	char *value; /* base64; NULL: it is gone */
+	uint64_t revision;
+} Change;
+
+typedef struct {
+	char *id;
+	char *address;
+	char *service;
+	bool is_engine;
+	bool draining;
+	bool gone;
+	struct evhttp *http;
+	unsigned arrivals;
+} Replica;
+
+typedef struct {
+	struct evhttp_request *req;
+	char *prefix;
+	uint64_t after;
+	struct event *timer;
+} Watch;
+
+/* An answer under way. */
+typedef struct {
+	struct evhttp_request *req;
+	unsigned next;
+	unsigned last;
+	bool breaks;
+	struct event *timer;
+} Stream;
+
+static struct event_base *Base_;
+static GPtrArray *Changes_; /* Change, oldest first */
+static GHashTable *Items_;  /* the latest Change by key */
+static GList *Watches_;     /* Watch */
+static uint64_t Revision_;
+static bool Down_;
+static Replica Replicas_[REPLICAS_MAX];
+static unsigned ReplicaCount_;
+static GHashTable *Runs_; /* counts by request id */
+static char *LastHeaders_;
+
+static void put_(const char *key, const char *text);
+static void set_(const char *key, const char *base64);
+static void answer_watches_(void);
+static struct json_object *item_(const Change *c);
+static void on_store_(struct evhttp_request *req, void *arg);
+static void on_test_(struct evhttp_request *req, const char *path);
+static void on_txn_(struct evhttp_request *req);
+static void on_watch_(struct evhttp_request *req);
+static void on_watch_time_(evutil_socket_t fd, short what, void *arg);
+static bool answer_watch_(Watch *w, bool even_if_empty);
+static void on_replica_(struct evhttp_request *req, void *arg);
+static void on_order_(struct evhttp_request *req);
+static void on_stream_time_(evutil_socket_t fd, short what, void *arg);
+static void begin_stream_(struct evhttp_request *req, bool breaks);
+static void set_common_(struct evhttp_request *req, const Replica *r);
+static void on_beat_(evutil_socket_t fd, short what, void *arg);
+static void write_entry_(const Replica *r);
+
+int main(int argc, char **argv)
+{
+	static const struct option Options[] = {{"store", required_argument, NULL, 's'},
+											{"engine", required_argument, NULL, 'e'},
+											{"plain", required_argument, NULL, 'p'},
+											{NULL, 0, NULL, 0}};
+	const char *store = NULL;
+	struct timeval beat = {0, BEAT_MS * 1000};
+	struct event *timer;
+	int option;
+
+	Base_ = event_base_new();
+	Changes_ = g_ptr_array_new();
+	Items_ = g_hash_table_new(g_str_hash, g_str_equal);
+	Runs_ = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	while ((option = getopt_long(argc, argv, "", Options, NULL)) != -1) {
+		if (option == 's') {
+			store = optarg;
+		}
+		else if ((option == 'e' || option == 'p') && ReplicaCount_ < REPLICAS_MAX) {
+			Replica *r = &Replicas_[ReplicaCount_++];
+			char **parts = g_strsplit(optarg, "=", 2);
+			r->id = parts[0];
+			r->address = parts[1];
+			r->is_engine = option == 'e';
+			r->service = g_strdup(r->is_engine ? "llm" : "web");
+		}
+		else {
+			fputs("Usage: bh-fake-site --store IP:PORT [--engine ID=IP:PORT]... [--plain ID=IP:PORT]...\n",
+				  stderr);
+			return 64;
+		}
+	}
+	signal(SIGPIPE, SIG_IGN);
+	if (!store || !web_listen(Base_, store, on_store_, NULL))
+		return 69;
+	for (unsigned i = 0; i < ReplicaCount_; i++) {
+		Replica *r = &Replicas_[i];
+		r->http = web_listen(Base_, r->address, on_replica_, r);
+		if (!r->http)
+			return 69;
+		evhttp_set_allowed_methods(r->http,
+								   EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
+		write_entry_(r);
+	}
+	timer = event_new(Base_, -1, EV_PERSIST, on_beat_, NULL);
+	event_add(timer, &beat);
+	web_run_until_signal(Base_);
+	return 0;
+}
+
+/* Endpoints write their entries again all the time. */
+static void on_beat_(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	(void)arg;
+	for (unsigned i = 0; i < ReplicaCount_; i++)
+		if (!Replicas_[i].gone)
+			write_entry_(&Replicas_[i]);
+}
+
+static void write_entry_(const Replica *r)
+{
+	char *key = g_strdup_printf("servers/%s", r->id);
+	char *text = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"h1\",\"version\":\"v1\",\"slots\":16,"
+		"\"state\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT "}",
+		r->service, r->address, r->draining ? "draining" : "ready", Revision_);
+
+	put_(key, text);
+	g_free(text);
+	g_free(key);
+}
+
+static void put_(const char *key, const char *text)
+{
+	char *value = text ? g_base64_encode((const guchar *)text, strlen(text)) : NULL;
+
+	set_(key, value);
+	g_free(value);
+}
+
+/* Sets a key to a value in base64; NULL removes it. */
+static void set_(const char *key, const char *base64)
+{
+	Change *c = g_new0(Change, 1);
+
+	c->key = g_strdup(key);
+	c->value = g_strdup(base64);
+	c->revision = ++Revision_;
+	g_ptr_array_add(Changes_, c);
+	if (base64)
+		g_hash_table_replace(Items_, c->key, c);
+	else
+		g_hash_table_remove(Items_, c->key);
+	answer_watches_();
+}
+
+static struct json_object *item_(const Change *c)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "private-key", json_object_new_string(c->key));
+	json_object_object_add(o, "revision", json_object_new_int64((int64_t)c->revision));
+	if (c->value)
+		json_object_object_add(o, "value", json_object_new_string(c->value));
+	else
+		json_object_object_add(o, "gone", json_object_new_boolean(true));
+	return o;
+}
+
+static void on_store_(struct evhttp_request *req, void *arg)
+{
+	const char *path = web_get_path(req);
+
+	(void)arg;
+	if (g_str_has_prefix(path, "/test/")) {
+		on_test_(req, path + 6);
+	}
+	else if (Down_) {
+		web_reply_error(req, 503, NULL, "down", "the store is down");
+	}
+	else if (!strcmp(path, "/kv-key")) {
+		char *key = web_get_query(req, "private-key");
+		const Change *c = key ? g_hash_table_lookup(Items_, key) : NULL;
+		struct json_object *o = c ? item_(c) : NULL;
+		if (o) {
+			json_object_object_add(o, "at", json_object_new_int64((int64_t)Revision_));
+			web_reply_json(req, 200, o);
+		}
+		else {
+			web_reply_error(req, 404, NULL, "none", "there is no such key");
+		}
+		g_free(key);
+	}
+	else if (!strcmp(path, "/kv-range")) {
+		char *prefix = web_get_query(req, "path-prefix");
+		struct json_object *o = json_object_new_object();
+		struct json_object *list = json_object_new_array();
+		GHashTableIter it;
+		gpointer value;
+		g_hash_table_iter_init(&it, Items_);
+		while (g_hash_table_iter_next(&it, NULL, &value))
+			if (g_str_has_prefix(((Change *)value)->key, prefix ? prefix : ""))
+				json_object_array_add(list, item_(value));
+		json_object_object_add(o, "items", list);
+		json_object_object_add(o, "more", json_object_new_boolean(false));
+		json_object_object_add(o, "at", json_object_new_int64((int64_t)Revision_));
+		web_reply_json(req, 200, o);
+		g_free(prefix);
+	}
+	else if (!strcmp(path, "/kv-watch")) {
+		on_watch_(req);
+	}
+	else if (!strcmp(path, "/kv-txn")) {
+		on_txn_(req);
+	}
+	else {
+		web_reply_error(req, 404, NULL, "none", "there is no such call");
+	}
+}
+
+static void on_txn_(struct evhttp_request *req)
+{
+	const char *data;
+	size_t len;
+	struct json_object *o;
+	struct json_object *list;
+	struct json_object *reply = json_object_new_object();
+	char *text;
+
+	web_get_body(req, &data, &len);
+	text = g_strndup(data, len);
+	o = json_tokener_parse(text);
+	g_free(text);
+	list = json_object_object_get(o, "put");
+	for (size_t i = 0; list && i < json_object_array_length(list); i++) {
+		struct json_object *p = json_object_array_get_idx(list, i);
+		set_(json_object_get_string(json_object_object_get(p, "private-key")),
+			 json_object_get_string(json_object_object_get(p, "value")));
+	}
+	list = json_object_object_get(o, "remove");
+	for (size_t i = 0; list && i < json_object_array_length(list); i++)
+		set_(json_object_get_string(json_object_array_get_idx(list, i)), NULL);
+	json_object_put(o);
+	json_object_object_add(reply, "revision", json_object_new_int64((int64_t)Revision_));
+	web_reply_json(req, 200, reply);
+}
+
+static void on_watch_(struct evhttp_request *req)
+{
+	Watch *w = g_new0(Watch, 1);
+	char *after = web_get_query(req, "after");
+	char *wait = web_get_query(req, "wait-ms");
+	uint64_t wait_ms = wait ? g_ascii_strtoull(wait, NULL, 10) : 0;
+	struct timeval tv = {(time_t)(wait_ms / 1000), (suseconds_t)(wait_ms % 1000 * 1000)};
+
+	w->req = req;
+	w->prefix = web_get_query(req, "path-prefix");
+	w->after = after ? g_ascii_strtoull(after, NULL, 10) : 0;
+	g_free(after);
+	g_free(wait);
+	if (answer_watch_(w, wait_ms == 0))
+		return;
+	w->timer = evtimer_new(Base_, on_watch_time_, w);
+	evtimer_add(w->timer, &tv);
+	Watches_ = g_list_prepend(Watches_, w);
+}
+
+/* Answers a watch if there is news, or in any case. Returns true if the watch is over. */
+static bool answer_watch_(Watch *w, bool even_if_empty)
+{
+	struct json_object *list = json_object_new_array();
+	struct json_object *o;
+
+	for (guint i = 0; i < Changes_->len; i++) {
+		const Change *c = g_ptr_array_index(Changes_, i);
+		if (c->revision > w->after && g_str_has_prefix(c->key, w->prefix))
+			json_object_array_add(list, item_(c));
+	}
+	if (!json_object_array_length(list) && !even_if_empty) {
+		json_object_put(list);
+		return false;
+	}
+	o = json_object_new_object();
+	json_object_object_add(o, "events", list);
+	json_object_object_add(o, "at", json_object_new_int64((int64_t)Revision_));
+	web_reply_json(w->req, 200, o);
+	if (w->timer)
+		event_free(w->timer);
+	g_free(w->prefix);
+	g_free(w);
+	return true;
+}
+
+static void on_watch_time_(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	Watches_ = g_list_remove(Watches_, arg);
+	answer_watch_(arg, true);
+}
+
+static void answer_watches_(void)
+{
+	GList *all = Watches_;
+
+	Watches_ = NULL;
+	for (GList *it = all; it; it = it->next)
+		if (!answer_watch_(it->data, false))
+			Watches_ = g_list_prepend(Watches_, it->data);
+	g_list_free(all);
+}
+
+/* What a test wants: config, drain and gone of an endpoint, up, down, runs of a request, arrivals, headers.
+ */
+static void on_test_(struct evhttp_request *req, const char *what)
+{
+	char *id = web_get_query(req, "id");
+	struct evbuffer *out = evbuffer_new();
+	const char *data;
+	size_t len;
+
+	if (!strcmp(what, "config")) {
+		char *text;
+		web_get_body(req, &data, &len);
+		text = g_strndup(data, len);
+		put_("op/config", text);
+		g_free(text);
+	}
+	else if (!strcmp(what, "down") || !strcmp(what, "up")) {
+		Down_ = !strcmp(what, "down");
+	}
+	else if (!strcmp(what, "runs")) {
+		evbuffer_add_printf(out, "%u\n", GPOINTER_TO_UINT(g_hash_table_lookup(Runs_, id ? id : "")));
+	}
+	else if (!strcmp(what, "headers")) {
+		evbuffer_add_printf(out, "%s", LastHeaders_ ? LastHeaders_ : "");
+	}
+	for (unsigned i = 0; id && i < ReplicaCount_; i++) {
+		Replica *r = &Replicas_[i];
+		if (strcmp(r->id, id) != 0)
+			continue;
+		if (!strcmp(what, "arrivals"))
+			evbuffer_add_printf(out, "%u\n", r->arrivals);
+		r->draining |= !strcmp(what, "drain");
+		if (!strcmp(what, "gone")) {
+			char *key = g_strdup_printf("servers/%s", id);
+			r->gone = true;
+			put_(key, NULL);
+			g_free(key);
+		}
+	}
+	evhttp_send_reply(req, 200, NULL, out);
+	evbuffer_free(out);
+	g_free(id);
+}
+
+static void set_common_(struct evhttp_request *req, const Replica *r)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
+	const char *id = web_get_header(req, "X-Attempt-Id");
+
+	evhttp_add_header(headers, "X-Attempt-Id", id ? id : "");
+	evhttp_add_header(headers, "X-Replica-Id", r->id);
+	evhttp_add_header(headers, "X-Replica-Load", "1,0,16");
+	evhttp_add_header(headers, "X-Replica-Signature", "stand-in");
+}
+
+static void on_replica_(struct evhttp_request *req, void *arg)
+{
+	Replica *r = arg;
+	const char *id = web_get_header(req, "X-Attempt-Id");
+	const char *expected = web_get_header(req, "X-Expect-Replica");
+	const char *uri = evhttp_request_get_uri(req);
+	unsigned runs = id ? GPOINTER_TO_UINT(g_hash_table_lookup(Runs_, id)) : 0;
+	GString *seen = g_string_new(NULL);
+	struct evkeyval *h;
+
+	if (!strcmp(web_get_path(req), "/order") || !strcmp(web_get_path(req), "/report")) {
+		g_string_free(seen, TRUE);
+		on_order_(req);
+		return;
+	}
+	for (h = evhttp_request_get_input_headers(req)->tqh_first; h; h = h->next.tqe_next)
+		g_string_append_printf(seen, "%s: %s\n", h->key, h->value);
+	g_free(LastHeaders_);
+	LastHeaders_ = g_string_free(seen, FALSE);
+	r->arrivals++;
+	if (!id || !expected || strcmp(expected, r->id) != 0) {
+		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Not-Executed", "1");
+		evhttp_send_reply(req, id ? 421 : 400, NULL, NULL);
+		return;
+	}
+	if (strstr(uri, "/full/") && !runs) {
+		g_hash_table_replace(Runs_, g_strdup(id), GUINT_TO_POINTER(1u << 16)); /* refused, not run */
+		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Not-Executed", "1");
+		evhttp_send_reply(req, 503, NULL, NULL);
+		return;
+	}
+	g_hash_table_replace(Runs_, g_strdup(id), GUINT_TO_POINTER(runs + 1));
+	set_common_(req, r);
+	if (strstr(uri, "/fail/") && !runs)
+		evhttp_send_reply(req, 500, NULL, NULL);
+	else
+		begin_stream_(req, strstr(uri, "/break/") && !runs);
+}
+
+/* Engines answer a stream of events, plain services one text. */
+static void begin_stream_(struct evhttp_request *req, bool breaks)
+{
+	Stream *s = g_new0(Stream, 1);
+	const char *after = web_get_header(req, "Last-Event-Id");
+	bool streams = web_get_header(req, "X-Token-Usage") != NULL;
+	struct timeval tv = {0, EVENT_MS * 1000};
+
+	if (strstr(evhttp_request_get_uri(req), "/hold/"))
+		tv = (struct timeval){HOLD_MS / 1000, HOLD_MS % 1000 * 1000};
+	s->req = req;
+	s->next = after ? (unsigned)strtoul(after, NULL, 10) + 1 : 1;
+	s->last = streams ? EVENTS : 1;
+	s->breaks = breaks;
+	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+					  streams ? "text/event-stream" : "text/plain");
+	s->timer = evtimer_new(Base_, on_stream_time_, s);
+	evtimer_add(s->timer, &tv);
+	evhttp_send_reply_start(req, 200, NULL);
+}
+
+static void on_stream_time_(evutil_socket_t fd, short what, void *arg)
+{
+	Stream *s = arg;
+	struct evbuffer *out = evbuffer_new();
+	struct timeval tv = {0, EVENT_MS * 1000};
+	struct evhttp_connection *conn = evhttp_request_get_connection(s->req);
+
+	(void)fd;
+	(void)what;
+	if (s->breaks && (s->next > BREAK_AFTER || s->last == 1)) {
+		event_free(s->timer);
+		g_free(s);
+		evbuffer_free(out);
+		evhttp_connection_free(conn);
+		return;
+	}
+	evbuffer_add_printf(out, "id: %u\ndata: piece %u\n\n", s->next, s->next);
+	evhttp_send_reply_chunk(s->req, out);
+	evbuffer_free(out);
+	if (s->next++ >= s->last) {
+		evhttp_send_reply_end(s->req);
+		event_free(s->timer);
+		g_free(s);
+		return;
+	}
+	evtimer_add(s->timer, &tv);
+}
+
+static void on_order_(struct evhttp_request *req)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "free", json_object_new_int(1));
+	json_object_object_add(o, "pace", json_object_new_double(1));
+	web_reply_json(req, 200, o);
+}
--- /dev/null
+++ b/test/platform/test_decode.c
@@ -0,0 +1,202 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* The binding to the users' platform: configuration, endpoints' entries and headers, good and bad. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+#include "platform.h"
+
+#define DAMAGES 20000
+
+static const char Configuration_[] =
+	"{\"version\":7,\"unknown\":{\"x\":1},\"routes\":["
+	"{\"name\":\"r-1\",\"host\":\"a.example\",\"path-prefix\":\"/x/"
+	"\",\"route-kind\":\"streaming\",\"timeout-ms\":10000,"
+	"\"target-latency-ms\":300,\"priority\":1,\"traffic-split\":[{\"service\":\"llm\",\"weight\":90},"
+	"{\"service\":\"web\",\"weight\":10}],\"max-attempts\":2,\"allow-anonymous\":false,\"resumable\":true,"
+	"\"gap_aim_ms\":200},"
+	"{\"name\":\"r-2\",\"host\":\"a.example\",\"path-prefix\":\"/y/"
+	"\",\"route-kind\":\"non_idempotent\",\"timeout-ms\":2000,"
+	"\"service\":\"web\",\"max-attempts\":1,\"allow-anonymous\":true}],"
+	"\"services\":[{\"name\":\"llm\",\"health-path\":\"/"
+	"health\",\"max-connections\":434,\"engine-kind\":{\"slots\":16,"
+	"\"kv-tokens\":450000,\"stride\":46,\"step_ms\":0.925,\"per_seq_ms\":0.00483,\"context_per_k\":0.00254,"
+	"\"read_per_s\":256000.0,\"pairs_per_m\":0.0917,\"chunk\":2048,\"report_lag_ms\":200.0,\"hop_ms\":0.1}},"
+	"{\"name\":\"web\",\"max-connections\":110}],"
+	"\"limits\":{\"max-header-bytes\":1000,\"max-body-bytes\":2000,\"header-timeout-ms\":3000,\"idle-timeout-"
+	"ms\":15000},"
+	"\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\",\"k2\"],\"priority\":3}]}";
+
+static void a_configuration_is_decoded_(void **state)
+{
+	BH__Routing *r = platform_decode_routing(Configuration_, strlen(Configuration_), NULL);
+	const BH__RouteRule *stream;
+	const BH__RouteRule *once;
+	const BH__ServiceSpec *s;
+
+	(void)state;
+	assert_non_null(r);
+	assert_int_equal(bh__routing_get_version(r), 7);
+	stream = bh__routing_match(r, "a.example", "/x/1");
+	assert_int_equal(stream->repeat, BH__REPEAT_RESUME);
+	assert_true(stream->streams);
+	assert_int_equal(stream->target_count, 2);
+	assert_int_equal(stream->event_gap_ms, 200);
+	assert_int_equal(stream->target_ms, 300);
+	once = bh__routing_match(r, "a.example", "/y/1");
+	assert_int_equal(once->repeat, BH__REPEAT_NEVER);
+	assert_true(once->needs_no_key);
+	s = bh__routing_find_service(r, "llm");
+	assert_true(s->is_engine);
+	assert_int_equal(s->engine.steps_per_pass, 46);
+	assert_true(s->engine.read_tokens_per_ms > 255.9 && s->engine.read_tokens_per_ms < 256.1);
+	assert_false(bh__routing_find_service(r, "web")->is_engine);
+	assert_int_equal(bh__routing_get_limits(r)->max_body_bytes, 2000);
+	assert_int_equal(bh__routing_find_owner(r, "k2")->priority, 3);
+	bh__routing_unref(r);
+}
+
+/* What is wrong is refused with an error that names it. */
+static void wrong_configurations_name_the_field_(void **state)
+{
+	static const struct {
+		const char *text;
+		const char *named;
+	} Table[] = {
+		{"", "JSON"},
+		{"{\"routes\":[{\"host\":\"h\"}]}", "name"},
+		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"odd\",\"service\":\"s\"}]}", "route-kind"},
+		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\"}]}", "service"},
+		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\",\"service\":\"s\"}]}", "host"},
+		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\",\"service\":\"s\",\"host\":\"h\","
+		 "\"path-prefix\":\"/\"}]}",
+		 "no service \"s\""},
+		{"{\"services\":[{\"name\":7}]}", "name"},
+		{"{\"tenants\":[{\"api-keys\":[\"k\"]}]}", "name"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Table); i++) {
+		GError *error = NULL;
+		assert_null(platform_decode_routing(Table[i].text, strlen(Table[i].text), &error));
+		assert_non_null(strstr(error->message, Table[i].named));
+		g_error_free(error);
+	}
+}
+
+/* Damage anywhere is refused or read, and crashes nothing. */
+static void damaged_configurations_crash_nothing_(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(3);
+
+	(void)state;
+	for (int i = 0; i < DAMAGES; i++) {
+		char *text = g_strdup(Configuration_);
+		GError *error = NULL;
+		BH__Routing *r;
+		for (int k = g_rand_int_range(rand, 1, 6); k > 0; k--)
+			text[g_rand_int_range(rand, 0, (gint32)strlen(Configuration_))] =
+				(char)g_rand_int_range(rand, 32, 127);
+		r = platform_decode_routing(text, strlen(Configuration_), &error);
+		assert_true((r == NULL) == (error != NULL));
+		bh__routing_unref(r);
+		g_clear_error(&error);
+		g_free(text);
+	}
+	g_rand_free(rand);
+}
+
+static void an_endpoint_is_decoded_(void **state)
+{
+	static const char Text[] =
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":16,"
+		"\"state\":\"draining\",\"sequence\":4}";
+	BH__EndpointEntry e;
+	GError *error = NULL;
+
+	(void)state;
+	assert_true(platform_decode_endpoint("i-1", Text, strlen(Text), &e, NULL));
+	assert_string_equal(e.id, "i-1");
+	assert_string_equal(e.hall, "z");
+	assert_int_equal(e.slots, 16);
+	assert_true(e.draining);
+	assert_false(platform_decode_endpoint("i-1", "{\"service\":\"llm\"}", 17, &e, &error));
+	assert_non_null(strstr(error->message, "address"));
+	g_error_free(error);
+}
+
+/* A caller can't set what is ours to set, and its key goes no further. */
+static void callers_headers_are_sorted_(void **state)
+{
+	static const char *const Dropped[] = {"X-Tenant",         "x-expect-replica", "Helpers",
+										  "Priority",         "Expect-Version",   "X-Api-Key",
+										  "X-Time-Budget-Ms", "X-Attempt-Id",     "Last-Event-Id"};
+	RequestMeta m = {0};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Dropped); i++)
+		assert_int_equal(platform_read_request_header(&m, Dropped[i], "12"), HEADER_DROP);
+	assert_int_equal(platform_read_request_header(&m, "X-Token-Usage", "1460,80"), HEADER_PASS);
+	assert_int_equal(platform_read_request_header(&m, "X-Model", "m"), HEADER_PASS);
+	assert_int_equal(m.prompt_tokens, 1460);
+	assert_int_equal(m.max_tokens, 80);
+	assert_int_equal(m.time_left_us, 12 * BH__MS_US);
+	assert_string_equal(m.key, "12");
+}
+
+/* The engine at fault is named by its address. */
+static void answers_heads_are_read_(void **state)
+{
+	AnswerMeta m = {0};
+
+	(void)state;
+	platform_read_answer_header(&m, "At-Server", "10.2.64.33:8567");
+	platform_read_answer_header(&m, "X-Replica-Load", "3,1,16");
+	assert_int_equal(platform_read_answer_header(&m, "X-Not-Executed", "1"), HEADER_DROP);
+	assert_int_equal(platform_read_answer_header(&m, "X-Replica-Signature", "s"), HEADER_PASS);
+	assert_string_equal(m.at_fault, "10.2.64.33:8567");
+	assert_true(m.not_run && m.has_load);
+	assert_int_equal(m.waiting, 1);
+	assert_true(platform_status_says_not_run(421));
+	assert_false(platform_status_says_not_run(503));
+}
+
+static void sendings_name_their_helpers_(void **state)
+{
+	struct evbuffer *out = evbuffer_new();
+	RequestMeta m = {.request_id = "abc"};
+	SendingMeta s = {.endpoint = "i-1", .account = "t", .time_left_us = 1500 * BH__MS_US, .urgency = -1};
+	char *text;
+
+	(void)state;
+	s.helper_count = 2;
+	s.helper[0].address = "10.0.0.1:80";
+	s.helper[0].memory_id = "m1";
+	s.helper[1].address = "10.0.0.2:80";
+	platform_write_sending_headers(out, &m, &s);
+	evbuffer_add(out, "", 1);
+	text = (char *)evbuffer_pullup(out, -1);
+	assert_non_null(strstr(text, "Helpers: 10.0.0.1:80/m1,10.0.0.2:80\r\n"));
+	assert_non_null(strstr(text, "X-Time-Budget-Ms: 1500\r\n"));
+	assert_non_null(strstr(text, "X-Expect-Replica: i-1\r\n"));
+	assert_non_null(strstr(text, "X-Tenant: t\r\n"));
+	assert_null(strstr(text, "Priority"));
+	evbuffer_free(out);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_configuration_is_decoded_),
+		cmocka_unit_test(wrong_configurations_name_the_field_),
+		cmocka_unit_test(damaged_configurations_crash_nothing_),
+		cmocka_unit_test(an_endpoint_is_decoded_),
+		cmocka_unit_test(callers_headers_are_sorted_),
+		cmocka_unit_test(answers_heads_are_read_),
+		cmocka_unit_test(sendings_name_their_helpers_),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/run-all.sh
+++ b/test/run-all.sh
@@ -19,12 +19,12 @@
 for t in "$@"; do
 	run "$t" "$B/$t" &
 done
-for t in settings checker; do
+for t in settings checker words; do
 	run "check-$t" bash "test/check-$t.sh" &
 done
 wait
 # these start many processes and are kept apart, so that none waits long for a processor
-for t in tls api slow limits soak; do
+for t in tls api slow limits gate soak; do
 	run "check-$t" bash "test/check-$t.sh"
 done
 passed=$(wc -l <"$out/.passed")
