A scheduler that leaves asks unanswered is suspected at once; nodes alone fill different engines

Ruled out: slow engines, the store. Change: three unanswered asks make a node suspect its scheduler; a planner that knows its own node's work only fills engines in an order of its own (test nodes_alone_take_different_engines_).

--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -47,6 +47,7 @@
 void bh__planner_delete(BH__Planner *p);
 uint64_t bh__planner_get_id(const BH__Planner *p);
 void bh__planner_set_model(BH__Planner *p, const BH__EngineModel *model);
+void bh__planner_set_alone(BH__Planner *p, bool alone);
 void bh__planner_set_endpoint(BH__Planner *p, uint64_t endpoint_id, bool leaving, uint64_t now_us);
 void bh__planner_remove_endpoint(BH__Planner *p, uint64_t endpoint_id, uint64_t now_us);
 void bh__planner_process_ask(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -12,6 +12,7 @@
 
 #define MEMBERS_TICK_MS 100
 #define WAITING_TICK_MS 10 /* while asks wait in a planner */
+#define UNANSWERED_MAX 3   /* asks that a scheduler leaves unanswered before it is suspected */
 #define HOLDS_PERIOD_US (2 * BH__SECOND_US)
 
 /* One service with engines. */
@@ -23,7 +24,8 @@
 	uint64_t scheduler;      /* node */
 	uint64_t scheduler_boot; /* its life, as far as it was told what this node holds */
 	uint64_t next_holds_us;
-	bool held; /* something was told of at the last time */
+	bool held;           /* something was told of at the last time */
+	unsigned unanswered; /* asks since the scheduler was last heard */
 } Service;
 
 struct Cluster {
@@ -53,6 +55,8 @@
 static Service *find_by_pool_(const Cluster *c, uint64_t pool_id);
 static Service *add_service_(Cluster *c, const char *name);
 static void free_service_(gpointer service);
+static void note_unanswered_(Cluster *c, Service *s, uint64_t node_id);
+static void hear_(Cluster *c, uint64_t node_id);
 static void follow_schedulers_(Cluster *c, uint64_t now_us);
 static void move_asks_(Cluster *c, const Service *s);
 static void tell_holds_(Cluster *c, Service *s, uint64_t now_us);
@@ -281,11 +285,25 @@
 	c->draining = false;
 }
 
+/* A node was heard from. */
+static void hear_(Cluster *c, uint64_t node_id)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->services);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (((Service *)value)->scheduler == node_id)
+			((Service *)value)->unanswered = 0;
+}
+
 static void dispatch_(Cluster *c, const BH__Message *m)
 {
 	uint64_t now_us = clock_now_us();
 	Service *s;
 
+	hear_(c, m->from_node);
+
 	if (bh__members_process_message(c->members, m, now_us)) {
 		follow_schedulers_(c, now_us);
 		return;
@@ -441,6 +459,7 @@
 			bh__planner_refuse_all(s->planner, BH__REASON_NODE_LEAVING);
 			bh__planner_keep_only(s->planner, self->node_id, now_us);
 		}
+		bh__planner_set_alone(s->planner, s->scheduler != self->node_id);
 		tell_holds_(c, s, now_us);
 		if (was && s->scheduler != was)
 			move_asks_(c, s);
@@ -521,6 +540,19 @@
 	cluster_send(c, p->asked_node, &m);
 }
 
+/* A scheduler left an ask unanswered. One that leaves several is suspected at once: the probes of membership
+ * take seconds, in which all nodes would decide alone, each as if the engines were its own. */
+static void note_unanswered_(Cluster *c, Service *s, uint64_t node_id)
+{
+	const BH__MemberInfo *info = bh__members_find(c->members, node_id);
+
+	if (node_id != s->scheduler || ++s->unanswered < UNANSWERED_MAX)
+		return;
+	s->unanswered = 0;
+	log_event("scheduler", "what=unanswered service=%s node=%s", s->service, info ? info->name : "");
+	bh__members_process_unreachable(c->members, node_id, clock_now_us());
+}
+
 /* Lets this node's own planner decide. */
 void cluster_ask_locally(Cluster *c, Call *call)
 {
@@ -530,6 +562,7 @@
 
 	if (p->asked_node != bh__members_get_self(c->members)->node_id) {
 		BH__Message m = {.type = BH__MESSAGE_WITHDRAW};
+		note_unanswered_(c, s, p->asked_node);
 		m.as.release.pool_id = ask.pool_id;
 		m.as.release.grant_id = ask.ask_id;
 		cluster_send(c, p->asked_node, &m);
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -45,6 +45,7 @@
 	uint64_t pool_id;
 	uint64_t boot_id;
 	uint64_t next_grant;
+	uint64_t order_seed; /* of the order in which engines are filled */
 	BH__EngineModel model;
 	GPtrArray *engines; /* BH__PassEngine */
 	GHashTable *by_id;  /* the same by endpoint id */
@@ -55,6 +56,7 @@
 	bool pumping;
 };
 
+static gint compare_order_(gconstpointer a, gconstpointer b, gpointer seed);
 static void free_engine_(gpointer engine);
 static BH__PassEngine *find_engine_(const BH__Planner *p, uint64_t endpoint_id);
 static uint64_t first_event_us_(const BH__Ask *ask);
@@ -117,6 +119,24 @@
 	p->model = *model;
 }
 
+/* Sets whether the planner knows of its own node's work only. Then it takes engines in an order of its own,
+ * so that nodes which decide alone at the same time do not all fill the same engines. */
+void bh__planner_set_alone(BH__Planner *p, bool alone)
+{
+	p->order_seed = alone ? p->boot_id : 0;
+	g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
+}
+
+static gint compare_order_(gconstpointer a, gconstpointer b, gpointer seed)
+{
+	const BH__PassEngine *const *x = a;
+	const BH__PassEngine *const *y = b;
+	uint64_t p = bh__hash_pair((*x)->endpoint_id, *(const uint64_t *)seed);
+	uint64_t q = bh__hash_pair((*y)->endpoint_id, *(const uint64_t *)seed);
+
+	return p < q ? -1 : p > q;
+}
+
 static void free_engine_(gpointer engine)
 {
 	BH__PassEngine *e = engine;
@@ -142,6 +162,7 @@
 		bh__pass_clock_init(&e->clock);
 		g_ptr_array_add(p->engines, e);
 		g_hash_table_insert(p->by_id, &e->endpoint_id, e);
+		g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
 	}
 	e->leaving = leaving;
 	pump_(p, now_us);
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -340,6 +340,30 @@
 	bench_free_(b);
 }
 
+/* Nodes that decide alone, each knowing its own work only, do not all fill the same engine. */
+static void nodes_alone_take_different_engines_(void **state)
+{
+	enum { NODES = 9 };
+	bool used[ENGINES + 1] = {false};
+	unsigned different = 0;
+
+	(void)state;
+	for (uint64_t node = 1; node <= NODES; node++) {
+		Bench *b = bench_new_(0);
+		BH__Ask a = ask_(b, PAGE);
+		bh__planner_delete(b->planner);
+		b->planner = bh__planner_new(&b->port, 3, node * 77);
+		bh__planner_set_alone(b->planner, true);
+		for (unsigned i = 1; i <= ENGINES; i++)
+			bh__planner_set_endpoint(b->planner, i, false, 0);
+		bh__planner_process_ask(b->planner, &a, 1000);
+		different += !used[grant_(b, 0)->member[0].endpoint_id];
+		used[grant_(b, 0)->member[0].endpoint_id] = true;
+		bench_free_(b);
+	}
+	assert_true(different >= NODES / 2);
+}
+
 /* Two prompts that were read earlier than foretold, in the same pass, move the clock once. */
 static void a_clock_is_moved_once_for_one_lead_(void **state)
 {
@@ -381,6 +405,7 @@
 		cmocka_unit_test(the_ledger_is_empty_in_the_end_),
 		cmocka_unit_test(holds_set_the_ledger_right_),
 		cmocka_unit_test(slow_engines_are_inspected_),
+		cmocka_unit_test(nodes_alone_take_different_engines_),
 		cmocka_unit_test(a_clock_is_moved_once_for_one_lead_),
 	};
 
