--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -351,8 +351,10 @@
 	for (uint64_t node = 1; node <= NODES; node++) {
 		Bench *b = bench_new_(0);
 		BH__Ask a = ask_(b, PAGE);
+		BH__EngineModel m = model_();
 		bh__planner_delete(b->planner);
 		b->planner = bh__planner_new(&b->port, 3, node * 77);
+		bh__planner_set_model(b->planner, &m);
 		bh__planner_set_alone(b->planner, true);
 		for (unsigned i = 1; i <= ENGINES; i++)
 			bh__planner_set_endpoint(b->planner, i, false, 0);
