--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -11,11 +11,11 @@
 #include "log.h"
 
 #define CONFIGURATION_US                                                                                     \
-	(700 * BH__MS_US)                   /* between the reader's looks; a key taken away must stop in time */
-#define ENDPOINTS_US (500 * BH__MS_US)  /* the same for endpoints; a leaving one must be left in time */
-#define ASK_US (500 * BH__MS_US)        /* between the other nodes' questions */
-#define ANSWER_US (300 * BH__MS_US)     /* for the reader's answer */
-#define DISTRUST_US (2 * BH__SECOND_US) /* for which a reader that did not answer is not asked */
+	(700 * BH__MS_US)                    /* between the reader's looks; a key taken away must stop in time */
+#define ENDPOINTS_US (500 * BH__MS_US)   /* the same for endpoints; a leaving one must be left in time */
+#define ASK_US (500 * BH__MS_US)         /* between the other nodes' questions */
+#define ANSWER_US (300 * BH__MS_US)      /* for the reader's answer */
+#define PASS_OVER_US (5 * BH__SECOND_US) /* for which a reader that was of no use is not asked */
 /* With what it knows older than this, a node looks for itself. */
 #define CONFIGURATION_OLD_US (2 * BH__SECOND_US)
 #define ENDPOINTS_OLD_US (1300 * BH__MS_US)
@@ -25,14 +25,16 @@
 	uint64_t reader;   /* node; 0: none is asked */
 	uint64_t asked_us; /* 0: no question is open */
 	uint64_t next_ask_us;
-	uint64_t distrust_until_us;
+	uint64_t passed_over; /* node that is not asked now */
+	uint64_t pass_over_until_us;
 	uint64_t next_configuration_us;
 	uint64_t next_endpoints_us;
 	uint64_t told_boot; /* of the registry that this node has from a reader */
 	uint64_t told_version;
 };
 
-static uint64_t pick_reader_(const Looks *l);
+static uint64_t pick_reader_(const Looks *l, uint64_t now_us);
+static void pass_over_(Looks *l, const char *cause, uint64_t now_us);
 static void look_(Looks *l, bool reads_for_others, uint64_t now_us);
 static void ask_(Looks *l, uint64_t now_us);
 static void take_entries_(Looks *l, const BH__Message *m, uint64_t now_us);
@@ -50,33 +52,57 @@
 	g_free(l);
 }
 
-/* The reader follows from membership, as a scheduler does. */
-static uint64_t pick_reader_(const Looks *l)
+/* Returns the reader: it follows from membership, as a scheduler does. */
+static uint64_t pick_reader_(const Looks *l, uint64_t now_us)
 {
-	return bh__members_pick(cluster_get_members(l->gate->cluster), bh__hash_name("platform-reader"), NULL);
+	const BH__Members *m = cluster_get_members(l->gate->cluster);
+	uint64_t key = bh__hash_name("platform-reader");
+	uint64_t best = 0;
+	uint64_t best_weight = 0;
+
+	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
+		const BH__MemberInfo *info = bh__members_get(m, i);
+		uint64_t weight = bh__hash_pair(info->node_id, key);
+		bool skip = info->node_id == l->passed_over && now_us < l->pass_over_until_us;
+		if (skip || !bh__member_is_usable(info) || weight <= best_weight)
+			continue;
+		best = info->node_id;
+		best_weight = weight;
+	}
+	return best;
+}
+
+/* The reader was of no use: the next in rank is asked, at once. */
+static void pass_over_(Looks *l, const char *cause, uint64_t now_us)
+{
+	const BH__MemberInfo *info = bh__members_find(cluster_get_members(l->gate->cluster), l->reader);
+
+	log_event("looks", "what=passed-over node=%s cause=\"%s\"", info ? info->name : "", cause);
+	l->passed_over = l->reader;
+	l->pass_over_until_us = now_us + PASS_OVER_US;
+	l->asked_us = 0;
+	l->next_ask_us = now_us;
 }
 
 /* Looks or asks if it is time. To be called several times a second. */
 void looks_process_tick(Looks *l, uint64_t now_us)
 {
 	uint64_t self = bh__members_get_self(cluster_get_members(l->gate->cluster))->node_id;
-	uint64_t reader = pick_reader_(l);
-	bool reads = !reader || reader == self;
+	uint64_t reader;
+	bool reads;
 
+	if (l->asked_us && now_us >= l->asked_us + ANSWER_US)
+		pass_over_(l, "no answer", now_us);
+	reader = pick_reader_(l, now_us);
+	reads = !reader || reader == self;
 	if (reader != l->reader) {
 		log_event("looks", "what=%s", reads ? "read" : "ask");
 		l->reader = reader;
 		l->asked_us = 0;
-		l->distrust_until_us = 0;
-	}
-	if (l->asked_us && now_us >= l->asked_us + ANSWER_US) {
-		log_event("looks", "what=no-answer waited_ms=%" G_GUINT64_FORMAT, (now_us - l->asked_us) / BH__MS_US);
-		l->asked_us = 0;
-		l->distrust_until_us = now_us + DISTRUST_US;
 	}
-	if (!reads && now_us >= l->distrust_until_us && now_us >= l->next_ask_us)
+	if (!reads && now_us >= l->next_ask_us)
 		ask_(l, now_us);
-	look_(l, reads || now_us < l->distrust_until_us, now_us);
+	look_(l, reads, now_us);
 	gate_note_registry(l->gate, 0);
 }
 
@@ -149,8 +175,10 @@
 		g->port->look_at_configuration(g);
 	else if (m->as.look.configuration_version == version && asked_us > m->as.look.configuration_age_us)
 		gate_note_look(g, asked_us - m->as.look.configuration_age_us);
-	if (m->as.look.registry_age_us >= ENDPOINTS_OLD_US) /* the reader itself knows nothing fresh */
+	if (m->as.look.registry_age_us >= ENDPOINTS_OLD_US) {
+		pass_over_(l, "knows nothing fresh", now_us);
 		return;
+	}
 	if (m->as.look.has_entries)
 		take_entries_(l, m, now_us);
 	else if (m->as.look.registry_boot != l->told_boot)
