One command explains a request from its log lines; each step of a call leaves a line

Cause: a refused or failed request could only be followed by hand, through the lines of several nodes; the taking, the wait at the scheduler and the decision of a node alone left no line. Change: events take, queued, refuse and alone in the gateway; 'bayhoistctl explain REQUEST' reads lines of any node, puts them in order and says the outcome in words. Checked by test/check-explain.sh (9 points, also with a standard output that nobody reads).

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -48,6 +48,7 @@
 	CallState state;
 	CallPlace place;
 	bool queued;
+	bool told_queued; /* in the log */
 	unsigned asks;
 	uint64_t asked_us;
 	MemoryHold *memory;
@@ -73,6 +74,7 @@
 static void place_(Call *c);
 static void ask_(Call *c);
 static void fill_ask_(Call *c);
+static const char *scheduler_name_(const Call *c);
 static void use_grant_(Call *c);
 static bool is_usable_(const Call *c, uint64_t endpoint_id);
 static void return_grant_(Call *c, uint64_t unusable_endpoint);
@@ -144,6 +146,11 @@
 
 	if (!g->routing || !gate_trusts_keys(g, now_us)) {
 		g->counters.stale_refusals++;
+		log_event("refuse",
+				  "request=%s cause=old-configuration age_ms=%" G_GUINT64_FORMAT
+				  " trust_ms=%" G_GUINT64_FORMAT,
+				  r->meta.request_id, g->routing ? (now_us - g->routing_looked_us) / BH__MS_US : 0,
+				  g->settings.key_trust_ms);
 		refuse_(c, 503, RETRY_SOON_MS, "no-configuration",
 				"this node does not know the newest configuration");
 		return false;
@@ -167,6 +174,12 @@
 	if (r->meta.time_left_us && (!time_us || r->meta.time_left_us < time_us))
 		time_us = r->meta.time_left_us;
 	bh__exchange_init(&c->x, c->rule, r->arrived_us + time_us);
+	log_event("take",
+			  "request=%s route=%s service=%s account=%s repeat=%s prompt_tokens=%" G_GUINT64_FORMAT
+			  " left_ms=%" G_GUINT64_FORMAT " configuration=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
+			  r->meta.request_id, c->rule->name, c->service->name, c->owner ? c->owner->name : "",
+			  BH__RepeatString[c->rule->repeat], r->meta.prompt_tokens, time_us / BH__MS_US,
+			  bh__routing_get_version(c->routing), (now_us - g->routing_looked_us) / BH__MS_US);
 	g_strlcpy(c->place.service, c->service->name, sizeof c->place.service);
 	return true;
 }
@@ -245,9 +258,20 @@
 	return &c->place;
 }
 
+/* Returns the name of the node that was asked where the request is to go. */
+static const char *scheduler_name_(const Call *c)
+{
+	const BH__MemberInfo *info = bh__members_find(cluster_get_members(c->gate->cluster), c->place.asked_node);
+
+	return info ? info->name : "unknown";
+}
+
 /* The scheduler keeps the request waiting. */
 void call_on_queued(Call *c)
 {
+	if (!c->told_queued)
+		log_event("queued", "request=%s scheduler=%s", c->request->meta.request_id, scheduler_name_(c));
+	c->told_queued = true;
 	c->queued = true;
 	c->asked_us = clock_now_us();
 	set_timer_(c, c->asked_us);
@@ -265,6 +289,9 @@
 {
 	if (c->state != CALL_ASKING)
 		return;
+	log_event("refuse", "request=%s cause=%s scheduler=%s asks=%u retry_after_ms=%" G_GUINT64_FORMAT,
+			  c->request->meta.request_id, BH__ReasonString[reason], scheduler_name_(c), c->asks,
+			  retry_after_ms);
 	if (reason == BH__REASON_NODE_LEAVING)
 		ask_(c);
 	else if (c->answered)
@@ -770,6 +797,8 @@
 	else if (c->state == CALL_ASKING && !c->queued &&
 			 now_us >= c->asked_us + SCHEDULER_PATIENCE_MS * BH__MS_US) {
 		c->gate->counters.local_grants++;
+		log_event("alone", "request=%s scheduler=%s waited_ms=%" G_GUINT64_FORMAT,
+				  c->request->meta.request_id, scheduler_name_(c), (now_us - c->asked_us) / BH__MS_US);
 		c->asked_us = now_us;
 		set_timer_(c, now_us);
 		cluster_ask_locally(c->gate->cluster, c);
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -26,6 +26,7 @@
 		"  drain [ENDPOINT]     stop the node without cutting off a request, or mark an endpoint as leaving\n"
 		"  where                show which addresses a caller is told to use\n"
 		"  timeline             show the events of all nodes in order of time\n"
+		"  explain ID LOG...    show a request's way through the gateways' logs, and why it ended so\n"
 		"Options:\n"
 		"  -n, --node IP:PORT   any node (or BAYHOIST_NODE)\n"
 		"  -k, --key KEY        an operator's key (or BAYHOIST_KEY)\n"
@@ -101,6 +102,10 @@
 		usage_(stderr);
 		return EX_USAGE;
 	}
+	if (!strcmp(argv[optind], "explain")) { /* needs no node */
+		g_ptr_array_unref(o.logs);
+		return ctl_explain(argv + optind + 1);
+	}
 	if (!o.node && !(o.logs->len && !strcmp(argv[optind], "timeline"))) {
 		fputs("bayhoistctl: which node? Give --node IP:PORT or set BAYHOIST_NODE.\n", stderr);
 		return EX_USAGE;
--- /dev/null
+++ b/test/check-explain.sh
@@ -0,0 +1,47 @@
+#!/usr/bin/env bash
+# `bayhoistctl explain` on planted logs: the way of a request, what was believed around it, and its outcome.
+set -u
+RUN=$(mktemp -d)
+trap 'rm -rf "$RUN"' EXIT
+FAILED=0
+is() { # WHAT HAVE WANTED
+	if [ "$2" = "$3" ]; then echo "ok: $1"; else echo "FAILED: $1: have \"$2\", wanted \"$3\""; FAILED=1; fi
+}
+cat >"$RUN/a.log" <<'LOG'
+time_us=1000000 process=vm1 hall=h boot=1 seq=1 level=info event=store what=lost key=x status=0
+time_us=3000000 process=vm1 hall=h boot=1 seq=2 level=info event=take request=r1 route=ask age_ms=100
+time_us=3000000 process=vm1 hall=h boot=1 seq=3 level=info event=queued request=r1 scheduler=vm2
+time_us=3200000 process=vm1 hall=h boot=1 seq=4 level=info event=refuse request=r1 cause=overload scheduler=vm2
+time_us=3200000 process=vm1 hall=h boot=1 seq=5 level=info event=end request=r1 outcome=overload state=asking
+time_us=3300000 process=vm1 hall=h boot=1 seq=6 level=info event=end request=r11 outcome=served state=sending
+LOG
+cat >"$RUN/b.log" <<'LOG'
+time_us=2900000 process=vm2 hall=h boot=2 seq=1 level=info event=member node=vm3 state=dead
+time_us=5000000 process=vm2 hall=h boot=2 seq=2 level=info event=take request=r2 route=ask age_ms=100
+LOG
+out=$("$B/bayhoistctl" explain r1 "$RUN/b.log" "$RUN/a.log")
+is "its own lines are shown" "$(grep -c '^\*' <<<"$out")" 4
+is "and what its node believed" "$(grep -c 'event=store' <<<"$out")" 1
+is "not what others did" "$(grep -c 'process=vm2' <<<"$out")" 0
+is "its outcome is named" "$(grep -c '^outcome: overload' <<<"$out")" 1
+is "and explained" "$(tail -1 <<<"$out")" "No engine could take it in time: it was refused and did not run."
+is "a request without an end" "$("$B/bayhoistctl" explain r2 "$RUN/b.log" | grep -c 'none in these logs')" 1
+"$B/bayhoistctl" explain r9 "$RUN/a.log" >/dev/null
+is "an unknown request" $? 1
+"$B/bayhoistctl" explain r1 "$RUN/none" 2>/dev/null
+is "a missing log" $? 66
+# a reader of standard output that stops reading stops nobody
+mkfifo "$RUN/pipe"
+sleep 30 <"$RUN/pipe" &
+reader=$!
+printf '{"name":"g","hall":"h","caller_address":"127.0.0.21:%s","readiness_address":"127.0.0.21:%s","directory_address":"127.0.0.21:%s","control_address":"127.0.0.21:%s","peer_address":"127.0.0.21:%s","peer_key":"k","store_address":"127.0.0.21:9"}' 23001 23002 23003 23004 23005 >"$RUN/g.json"
+"$B/bayhoist-gate" --config "$RUN/g.json" >"$RUN/pipe" 2>&1 &
+gate=$!
+sleep 1
+for i in $(seq 300); do
+	curl -s -m 1 -o /dev/null -H 'Host: x' -H "X-Long: $(head -c 900 /dev/zero | tr '\0' x)" "http://127.0.0.21:23001/$i"
+done
+is "a stopped reader does not stop the process" "$(curl -s -m 2 "http://127.0.0.21:23004/metrics" | grep -c '^bayhoist_requests_total 300')" 1
+kill $gate $reader
+wait $gate $reader 2>/dev/null
+exit $FAILED
--- a/test/run-all.sh
+++ b/test/run-all.sh
@@ -19,7 +19,7 @@
 for t in "$@"; do
 	run "$t" "$B/$t" &
 done
-for t in settings checker words; do
+for t in settings checker words explain; do
 	run "check-$t" bash "test/check-$t.sh" &
 done
 wait
