--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 soak: all
 	@B=$B bash test/soak.sh $(or $(SEEDS),3)
 
-bench-policy bench-core bench-path bench-control: all
+bench-policy bench-placement bench-core bench-path bench-control: all
 	@B=$B PLOT=$(PLOT) bash test/$@.sh
 
 format:
@@ -84,6 +84,6 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all check demo soak bench-policy bench-core bench-path bench-control format lint clean
+.PHONY: all check demo soak bench-policy bench-placement bench-core bench-path bench-control format lint clean
 .SECONDARY:
 -include $(shell find $B -name '*.d' 2>/dev/null)
