--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -7,15 +7,12 @@
 
 #include <string.h>
 #include "bayhoist/hash.h"
+#include "bayhoist/silence.h"
 #include "clock.h"
 #include "log.h"
 
 #define MEMBERS_TICK_MS 100
 #define WAITING_TICK_MS 10 /* while asks wait in a planner */
-/* A scheduler that has left so many asks unanswered, and was not heard for so long after the first, is
- * suspected. A connection to a node that has just started takes a few round trips. */
-#define UNANSWERED_MAX 3
-#define QUIET_MAX_US (200 * BH__MS_US)
 #define HOLDS_PERIOD_US (2 * BH__SECOND_US)
 
 /* One service with engines. */
@@ -27,9 +24,8 @@
 	uint64_t scheduler;      /* node */
 	uint64_t scheduler_boot; /* its life, as far as it was told what this node holds */
 	uint64_t next_holds_us;
-	bool held;               /* something was told of at the last time */
-	unsigned unanswered;     /* asks since the scheduler was last heard */
-	uint64_t quiet_since_us; /* when the first of them was given up */
+	bool held;           /* something was told of at the last time */
+	BH__Silence silence; /* of the scheduler */
 } Service;
 
 struct Cluster {
@@ -298,7 +294,7 @@
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		if (((Service *)value)->scheduler == node_id)
-			((Service *)value)->unanswered = 0;
+			bh__silence_hear(&((Service *)value)->silence);
 }
 
 static void dispatch_(Cluster *c, const BH__Message *m)
@@ -463,7 +459,7 @@
 			bh__planner_refuse_all(s->planner, BH__REASON_NODE_LEAVING);
 			bh__planner_keep_only(s->planner, self->node_id, now_us);
 		}
-		s->unanswered = 0;
+		bh__silence_hear(&s->silence);
 		bh__planner_set_alone(s->planner, s->scheduler != self->node_id);
 		tell_holds_(c, s, now_us);
 		if (was && s->scheduler != was)
@@ -550,16 +546,10 @@
 static void note_unanswered_(Cluster *c, Service *s, uint64_t node_id)
 {
 	const BH__MemberInfo *info = bh__members_find(c->members, node_id);
-
 	uint64_t now_us = clock_now_us();
 
-	if (node_id != s->scheduler)
-		return;
-	if (s->unanswered++ == 0)
-		s->quiet_since_us = now_us;
-	if (s->unanswered < UNANSWERED_MAX || now_us < s->quiet_since_us + QUIET_MAX_US)
+	if (node_id != s->scheduler || !bh__silence_note_unanswered(&s->silence, now_us))
 		return;
-	s->unanswered = 0;
 	log_event("scheduler", "what=unanswered service=%s node=%s", s->service, info ? info->name : "");
 	bh__members_process_unreachable(c->members, node_id, now_us);
 }
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -12,6 +12,7 @@
 #include "bayhoist/hash.h"
 #include "bayhoist/registry.h"
 #include "bayhoist/routing.h"
+#include "bayhoist/silence.h"
 
 #define SPLITS 10000
 
@@ -296,6 +297,25 @@
 	assert_string_equal(s.last_id, "11");
 }
 
+/* Asks that go out in one millisecond, while connections are made, are no silence; asks over 200 ms are
+ * (incidents inc-181a and inc-f200 of the users). */
+static void silence_takes_asks_and_time_(void **state)
+{
+	BH__Silence s = {0};
+
+	(void)state;
+	for (unsigned i = 0; i < 10; i++)
+		assert_false(bh__silence_note_unanswered(&s, 1000 * BH__MS_US));
+	assert_true(bh__silence_note_unanswered(&s, 1200 * BH__MS_US));
+	assert_false(bh__silence_note_unanswered(&s, 1201 * BH__MS_US)); /* the count begins again */
+
+	bh__silence_hear(&s);
+	assert_false(bh__silence_note_unanswered(&s, 2000 * BH__MS_US));
+	assert_false(bh__silence_note_unanswered(&s, 3000 * BH__MS_US)); /* two are too few */
+	bh__silence_hear(&s);
+	assert_false(bh__silence_note_unanswered(&s, 3001 * BH__MS_US));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -311,6 +331,7 @@
 		cmocka_unit_test(the_repeat_budget_holds_),
 		cmocka_unit_test(only_whole_events_are_taken_),
 		cmocka_unit_test(events_that_were_seen_are_dropped_),
+		cmocka_unit_test(silence_takes_asks_and_time_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
