Nodes that start at once know each other within two seconds; false suspicions are refuted at once

Ruled out: readiness (all were ready within a second), the store. Change: the newest record rides first; a node asks its own suspect at once, with what it thinks of it; a node younger than 4 s exchanges whole tables four times a second.

--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -15,13 +15,18 @@
 #define JOIN_RETRY_US_ (1 * BH__SECOND_US)
 #define FIRST_JOIN_RETRY_US_ (100 * BH__MS_US) /* while no other node is known */
 #define SYNC_PERIOD_US_ (30 * BH__SECOND_US)
+/* A node that has just started exchanges whole tables often: where all start at once, news that rides on
+ * probes takes a minute to reach everyone (80 nodes, 8 records a message). */
+#define YOUNG_US_ (4 * BH__SECOND_US)
+#define YOUNG_SYNC_PERIOD_US_ (250 * BH__MS_US)
 #define HELPERS_ 3
 #define SPREAD_FACTOR_ 3 /* times log2(n) that an update is sent on */
 
 typedef struct {
 	BH__MemberInfo info;
-	uint64_t since_us; /* of its state */
-	unsigned to_send;  /* times that its record is still to ride */
+	uint64_t since_us;    /* of its state */
+	uint64_t next_ask_us; /* when this node asks a suspect of its own again whether it lives */
+	unsigned to_send;     /* times that its record is still to ride */
 } Entry_;
 
 typedef struct {
@@ -48,12 +53,15 @@
 	bool probe_helped;
 	uint64_t next_join_us;
 	uint64_t next_sync_us;
+	uint64_t started_us;
 	uint64_t last_tick_us;
 };
 
 static void send_(BH__Members *m, const char *address, BH__Message *msg);
 static void fill_ping_(BH__Members *m, BH__Message *msg, BH__MessageType type, uint64_t sequence);
+static Entry_ *newest_news_(const BH__Members *m, const BH__Message *msg);
 static unsigned spread_(const BH__Members *m);
+static void sync_(BH__Members *m, uint64_t now_us);
 static void join_seeds_(BH__Members *m, uint64_t now_us);
 static void probe_next_(BH__Members *m, uint64_t now_us);
 static void check_probe_(BH__Members *m, uint64_t now_us);
@@ -62,6 +70,8 @@
 static void learn_(BH__Members *m, const BH__MemberInfo *info, uint64_t now_us);
 static void learn_self_(BH__Members *m, const BH__MemberInfo *info);
 static bool supersedes_(const BH__MemberInfo *a, const BH__MemberInfo *b);
+static void suspect_(BH__Members *m, Entry_ *e, uint64_t now_us);
+static void ask_suspect_(BH__Members *m, Entry_ *e, uint64_t now_us);
 static void set_state_(BH__Members *m, Entry_ *e, BH__MemberState state, uint64_t now_us);
 static void tell_of_suspicion_(BH__Members *m, uint64_t node_id);
 static void on_ack_(BH__Members *m, const BH__Message *msg);
@@ -111,15 +121,29 @@
 		m->last_tick_us + PERIOD_US_) /* this process was paused: the answers may be waiting unread */
 		m->probe_sent_us = now_us;
 	m->last_tick_us = now_us;
+	if (!m->started_us)
+		m->started_us = now_us;
 	join_seeds_(m, now_us);
 	check_probe_(m, now_us);
 	age_(m, now_us);
-	if (now_us >= m->next_sync_us && m->entries->len) {
-		const Entry_ *e =
-			g_ptr_array_index(m->entries, g_rand_int_range(m->rand, 0, (gint32)m->entries->len));
-		m->next_sync_us = now_us + SYNC_PERIOD_US_;
-		if (e->info.state != BH__MEMBER_DEAD)
-			send_members_(m, e->info.peer_address);
+	sync_(m, now_us);
+}
+
+/* Sends the whole table to any live node now and then. A young node does so often, and asks for the other's
+ * table as well. */
+static void sync_(BH__Members *m, uint64_t now_us)
+{
+	bool is_young = now_us < m->started_us + YOUNG_US_;
+	const BH__MemberInfo *other;
+
+	if (now_us < m->next_sync_us || !bh__members_sample(m, &other, 1))
+		return;
+	m->next_sync_us = now_us + (is_young ? YOUNG_SYNC_PERIOD_US_ : SYNC_PERIOD_US_);
+	send_members_(m, other->peer_address);
+	if (is_young) {
+		BH__Message msg = {.type = BH__MESSAGE_JOIN};
+		msg.as.join.self = m->self.info;
+		send_(m, other->peer_address, &msg);
 	}
 }
 
@@ -160,7 +184,7 @@
 	if (now_us < m->probe_sent_us + PERIOD_US_)
 		return;
 	if (e && e->info.state == BH__MEMBER_ALIVE)
-		set_state_(m, e, BH__MEMBER_SUSPECT, now_us);
+		suspect_(m, e, now_us);
 	probe_next_(m, now_us);
 }
 
@@ -221,16 +245,35 @@
 	msg->type = type;
 	msg->as.ping.sequence = sequence;
 	msg->as.ping.self = m->self.info;
-	for (guint i = 0; i < m->entries->len && msg->as.ping.update_count < BH__MESSAGE_UPDATES_MAX; i++) {
-		Entry_ *e = g_ptr_array_index(m->entries, i);
-		if (!e->to_send)
-			continue;
+	while (msg->as.ping.update_count < BH__MESSAGE_UPDATES_MAX) {
+		Entry_ *e = newest_news_(m, msg);
+		if (!e)
+			return;
 		e->to_send--;
 		msg->as.ping.update[msg->as.ping.update_count++] = e->info;
 	}
 }
 
-/* Moves suspects to dead and forgets the dead after a while. */
+/* Returns the record that has ridden the fewest times and isn't in the message yet; NULL: there is none. */
+static Entry_ *newest_news_(const BH__Members *m, const BH__Message *msg)
+{
+	Entry_ *best = NULL;
+
+	for (guint i = 0; i < m->entries->len; i++) {
+		Entry_ *e = g_ptr_array_index(m->entries, i);
+		bool is_in = false;
+		if (!e->to_send || (best && e->to_send <= best->to_send))
+			continue;
+		for (unsigned k = 0; k < msg->as.ping.update_count; k++)
+			is_in |= msg->as.ping.update[k].node_id == e->info.node_id;
+		if (!is_in)
+			best = e;
+	}
+	return best;
+}
+
+/* Moves suspects to dead and forgets the dead after a while. Suspects of this node's own are asked whether
+ * they live until then. */
 static void age_(BH__Members *m, uint64_t now_us)
 {
 	for (guint i = m->entries->len; i-- > 0;) {
@@ -238,6 +281,9 @@
 		if (e->info.state == BH__MEMBER_SUSPECT && now_us >= e->since_us + SUSPICION_US_) {
 			set_state_(m, e, BH__MEMBER_DEAD, now_us);
 		}
+		else if (e->info.state == BH__MEMBER_SUSPECT && now_us >= e->next_ask_us) {
+			ask_suspect_(m, e, now_us);
+		}
 		else if (e->info.state == BH__MEMBER_DEAD && now_us >= e->since_us + FORGET_DEAD_US_) {
 			g_hash_table_remove(m->by_id, &e->info.node_id);
 			g_ptr_array_remove_index(m->entries, i);
@@ -245,12 +291,32 @@
 	}
 }
 
+/* This node suspects another by what it sees itself. */
+static void suspect_(BH__Members *m, Entry_ *e, uint64_t now_us)
+{
+	set_state_(m, e, BH__MEMBER_SUSPECT, now_us);
+	ask_suspect_(m, e, now_us);
+}
+
+/* Tells a suspect what is thought of it, so that it refutes that if it lives: news on its way over others may
+ * come too late where there is much of it. */
+static void ask_suspect_(BH__Members *m, Entry_ *e, uint64_t now_us)
+{
+	BH__Message msg;
+
+	e->next_ask_us = now_us + PERIOD_US_;
+	e->to_send = spread_(m) + 1; /* to be on this very one */
+	fill_ping_(m, &msg, BH__MESSAGE_PING, ++m->next_sequence);
+	send_(m, e->info.peer_address, &msg);
+}
+
 static void set_state_(BH__Members *m, Entry_ *e, BH__MemberState state, uint64_t now_us)
 {
 	BH__MemberState old = e->info.state;
 
 	e->info.state = state;
 	e->since_us = now_us;
+	e->next_ask_us = UINT64_MAX;
 	e->to_send = spread_(m);
 	m->version++;
 	m->port->changed(m->port, &e->info, old);
@@ -357,13 +423,9 @@
 static void tell_of_suspicion_(BH__Members *m, uint64_t node_id)
 {
 	Entry_ *e = g_hash_table_lookup(m->by_id, &node_id);
-	guint at;
 
-	if (!e || e->info.state == BH__MEMBER_ALIVE || !g_ptr_array_find(m->entries, e, &at))
-		return;
-	e->to_send = MAX(e->to_send, 1);
-	m->entries->pdata[at] = m->entries->pdata[0]; /* to the front, to ride on the very next one */
-	m->entries->pdata[0] = e;
+	if (e && e->info.state != BH__MEMBER_ALIVE)
+		e->to_send = spread_(m) + 1; /* to ride on the very next one */
 }
 
 /* An answer ends our own probe, or is passed on to the node that we probed for. */
@@ -427,7 +489,7 @@
 	Entry_ *e = g_hash_table_lookup(m->by_id, &node_id);
 
 	if (e && e->info.state == BH__MEMBER_ALIVE)
-		set_state_(m, e, BH__MEMBER_SUSPECT, now_us);
+		suspect_(m, e, now_us);
 }
 
 /* Sets what this node says of itself. Leaving is for good. */
