--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -23,6 +23,7 @@
 	uint64_t set_aside_until_us; /* after a failure */
 	unsigned failures;           /* one after another */
 	uint64_t inspected_us;       /* when its report was last asked for */
+	uint64_t last_begun_us;      /* when the latest answer from here began */
 	BH__PassClock clock;
 	GPtrArray *homes; /* BH__PlacedRequest whose answers come from here */
 	unsigned helps;   /* parts of prompts of others under way */
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -27,7 +27,10 @@
 #define SLOTS_KEPT_ 1      /* of an engine, while others have room: for resumed streams and wrong reckoning */
 #define LATE_SLOTS_ 3      /* of an engine, that requests which are late already leave to others besides */
 #define SOONER_SHARE_ 0.85 /* of the time to read with more parts, at which fewer parts are better */
-#define KV_FILL_ 0.94      /* of an engine's memory that is given out */
+/* An answer that has not begun so long after it was foretold to shows that its engine stands still, or is in
+ * a longer pass than was reckoned; half of what the users' tightest streams bear between events. */
+#define OVERDUE_US_ (100 * BH__MS_US)
+#define KV_FILL_ 0.94 /* of an engine's memory that is given out */
 
 typedef struct {
 	BH__PassEngine *engine;
@@ -44,6 +47,7 @@
 } Candidate_;
 
 static bool is_avoided_(const BH__Ask *ask, uint64_t endpoint_id);
+static bool is_overdue_(const BH__PassEngine *e, uint64_t now_us);
 static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 					  Candidate_ *out);
 static void describe_(const BH__EngineModel *m, BH__PassEngine *e, uint64_t now_us, Candidate_ *c);
@@ -92,7 +96,22 @@
 	return false;
 }
 
-/* Lists the engines that may be used; those that the ask avoids only if there is no other. */
+/* Returns true if an answer from this engine should have begun, and none has begun there since. A prompt that
+ * helpers read too doesn't count: any of them may be the cause. */
+static bool is_overdue_(const BH__PassEngine *e, uint64_t now_us)
+{
+	for (guint i = 0; i < e->homes->len; i++) {
+		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
+		uint64_t due_us = r->granted_us + r->grant.expected_us;
+		if (!r->grant.writes && r->grant.member_count == 1 && now_us > due_us + OVERDUE_US_ &&
+			e->last_begun_us < due_us)
+			return true;
+	}
+	return false;
+}
+
+/* Lists the engines that may be used; those that the ask avoids, or where answers are overdue, only if there
+ * is no other. */
 static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 					  Candidate_ *out)
 {
@@ -101,7 +120,8 @@
 	for (int avoid = 1; avoid >= 0 && !count; avoid--) {
 		for (guint i = 0; i < engines->len; i++) {
 			BH__PassEngine *e = g_ptr_array_index(engines, i);
-			if (!bh__pass_engine_is_usable(e, now_us) || (avoid && is_avoided_(ask, e->endpoint_id)))
+			if (!bh__pass_engine_is_usable(e, now_us) ||
+				(avoid && (is_avoided_(ask, e->endpoint_id) || is_overdue_(e, now_us))))
 				continue;
 			bh__pass_clock_advance(&e->clock, m, now_us);
 			out[count].order = i;
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -475,6 +475,7 @@
 	e = find_engine_(p, r->grant.member[0].endpoint_id);
 	if (e) {
 		e->failures = 0;
+		e->last_begun_us = now_us;
 		if (r->grant.member_count == 1)
 			bh__pass_clock_observe(&e->clock, r->expected_ms, (double)(now_us - r->granted_us) / 1000);
 	}
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -341,6 +341,28 @@
 }
 
 /* Nodes that decide alone, each knowing its own work only, do not all fill the same engine. */
+static void engines_with_overdue_answers_take_nothing_new_(void **state)
+{
+	Bench *b = bench_new_(2);
+	BH__Ask a = ask_(b, PAGE);
+	uint64_t stuck, now_us;
+
+	(void)state;
+	bh__planner_process_ask(b->planner, &a, 0);
+	stuck = grant_(b, 0)->member[0].endpoint_id;
+	now_us = grant_(b, 0)->expected_us + 150 * MS; /* and nothing has come */
+	for (unsigned i = 1; i <= 3; i++) {
+		a = ask_(b, PAGE);
+		bh__planner_process_ask(b->planner, &a, now_us);
+		assert_int_not_equal(grant_(b, i)->member[0].endpoint_id, stuck);
+	}
+	bh__planner_process_progress(b->planner, grant_(b, 0)->grant_id, now_us);
+	a = ask_(b, PAGE);
+	bh__planner_process_ask(b->planner, &a, now_us + 1);
+	assert_int_equal(grant_(b, 4)->member[0].endpoint_id, stuck);
+	bench_free_(b);
+}
+
 static void nodes_alone_take_different_engines_(void **state)
 {
 	enum { NODES = 9 };
@@ -407,6 +429,7 @@
 		cmocka_unit_test(the_ledger_is_empty_in_the_end_),
 		cmocka_unit_test(holds_set_the_ledger_right_),
 		cmocka_unit_test(slow_engines_are_inspected_),
+		cmocka_unit_test(engines_with_overdue_answers_take_nothing_new_),
 		cmocka_unit_test(nodes_alone_take_different_engines_),
 		cmocka_unit_test(a_clock_is_moved_once_for_one_lead_),
 	};
