A fault soak of the gateways, by hand

Three real processes are killed, stopped, paused, reloaded and restarted, and the store goes away, in series that overlap; judged from what callers and endpoints see.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,9 @@
 soak: all
 	@B=$B bash test/soak.sh $(or $(SEEDS),3)
 
+soak-gate: all $B/bh-fake-site
+	@B=$B bash test/soak-gate.sh $(or $(FIRST),1) $(or $(SEEDS),3)
+
 bench-policy bench-placement bench-core bench-path bench-control: all
 	@B=$B PLOT=$(PLOT) bash test/$@.sh
 
@@ -84,6 +87,6 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all check demo soak bench-policy bench-placement bench-core bench-path bench-control format lint clean
+.PHONY: all check demo soak soak-gate bench-policy bench-placement bench-core bench-path bench-control format lint clean
 .SECONDARY:
 -include $(shell find $B -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/test/gate.sh
@@ -0,0 +1,39 @@
+# Shell functions for three gateways before a stand-in of the users' platform; sourced after cluster.sh.
+# Needs B, the build folder, and a run begun by begin_run.
+address() { echo "127.0.0.1:$((BASE + $1))"; }
+CALLER_KEY=key1
+STORE=$(address 0)
+start_site() {
+	start site "$B/bh-fake-site" --store "$STORE" --engine i-e1="$(address 1)" --engine i-e2="$(address 2)" \
+	--engine i-e3="$(address 3)" --plain i-p1="$(address 4)" --plain i-p2="$(address 5)"
+}
+tell() { curl -s -m 3 "http://$STORE/test/$1" "${@:2}"; }
+node() { # N FIELD: an address of gateway N
+	echo "127.0.0.$((10 + $1)):$((BASE + 20 + $2))"
+}
+settings() { # N
+	printf '{"name":"gate%s","hall":"h1","region":"r","caller_address":"%s","readiness_address":"%s",' "$1" "$(node "$1" 0)" "$(node "$1" 1)"
+	printf '"directory_address":"%s","control_address":"%s","peer_address":"%s","peer_key":"k",' "$(node "$1" 2)" "$(node "$1" 3)" "$(node "$1" 4)"
+	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":3000} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" "$STORE"
+}
+config() { # VERSION KEY
+	cat <<JSON
+{"version":$1,"routes":[
+{"name":"ask","host":"a.example","path-prefix":"/ask/","route-kind":"streaming","timeout-ms":8000,"target-latency-ms":300,"service":"llm","max-attempts":2,"resumable":true,"gap_aim_ms":200},
+{"name":"once","host":"a.example","path-prefix":"/once/","route-kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":1},
+{"name":"free","host":"a.example","path-prefix":"/free/","route-kind":"idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":2}],
+"services":[{"name":"llm","engine-kind":{"slots":16,"kv-tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}},{"name":"web"}],
+"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+"tenants":[{"name":"acct","api-keys":["$2"]}]}
+JSON
+}
+call() { # N PATH ID [CURL OPTIONS...]: prints the body and, last, the status
+	curl -s -m 12 -o "$RUN/body" -w '%{http_code}' "http://$(node "$1" 0)$2" -H 'Host: a.example' -H "X-Attempt-Id: $3" \
+		-H 'X-Time-Budget-Ms: 9000' -H "X-Api-Key: $CALLER_KEY" "${@:4}"
+}
+ask() { call "$1" "$2" "$3" -H 'X-Token-Usage: 3000,100' -d 'a prompt' "${@:4}"; }
+ready() { [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "http://$(node "$1" 1)/readiness")" = "$2" ]; }
+start_gate() {
+	start "gate$1" "$B/bayhoist-gate" --config "$RUN/gate$1.json"
+	disown # a shell says of each job that it was killed
+}
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -466,6 +466,13 @@
 
 	(void)fd;
 	(void)what;
+	if (!conn) { /* the caller has gone; this frees the request */
+		evhttp_send_reply_end(s->req);
+		event_free(s->timer);
+		g_free(s);
+		evbuffer_free(out);
+		return;
+	}
 	if (s->breaks && (s->next > BREAK_AFTER || s->last == 1)) {
 		event_free(s->timer);
 		g_free(s);
--- /dev/null
+++ b/test/soak-gate.sh
@@ -0,0 +1,125 @@
+#!/usr/bin/env bash
+# A randomized soak of the gateways: three real processes before the stand-in of the users' platform are killed,
+# stopped, paused, resumed, restarted and reloaded, and the platform's store goes away, in series that overlap,
+# while callers keep calling. Judged from what callers and endpoints see:
+#   - a call that must not be repeated runs at most once, and not at all where it is refused with a time to come back;
+#   - a stream answered 200 has each of its events once and in order;
+#   - afterwards every gateway serves within ten seconds, and none has ended by itself.
+# usage: soak-gate.sh FIRST_SEED [SEEDS [SECONDS]]; SAVE=PREFIX keeps the logs of a seed that fails.
+set -u
+. test/cluster.sh
+first=${1:-1} seeds=${2:-1} seconds=${3:-8}
+CALLERS=6
+violation() { echo "violation seed=$seed $*"; violations=$((violations + 1)); }
+
+caller() { # N: calls until $RUN/over is there; one line a call: kind id status events refused
+	local kind path fault id status events n=0
+	RANDOM=$((seed * 100 + $1))
+	while [ ! -e "$RUN/over" ]; do
+		n=$((n + 1))
+		id=c$1-$n
+		kind=$(pick once free ask ask)
+		fault=$(pick "" "" "" break/ fail/ full/)
+		path="/$kind/$fault$id"
+		status=$(curl -s -m 12 -o "$RUN/body.$1" -D "$RUN/head.$1" -w '%{http_code}' "http://$(node $((RANDOM % 3 + 1)) 0)$path" \
+			-H 'Host: a.example' -H "X-Attempt-Id: $id" -H 'X-Time-Budget-Ms: 5000' -H 'X-Api-Key: key1' \
+			-H 'X-Token-Usage: 3000,100' -d 'a prompt')
+		events=$(grep '^id:' "$RUN/body.$1" 2>/dev/null | tr -d 'id: \r' | tr '\n' ,)
+		echo "$kind $id $status ${events:-none} $(grep -ci '^x-not-executed' "$RUN/head.$1" 2>/dev/null)" >>"$RUN/calls.$1"
+		rm -f "$RUN/body.$1" "$RUN/head.$1"
+		sleep 0.0$((RANDOM % 9 + 1))
+	done
+}
+pick() { shift $((RANDOM % $#)); echo "$1"; }
+is_alive() { kill -0 "$(pid_of "gate$1")" 2>/dev/null; }
+renew() { # N: kills what is left of a gateway and starts it again
+	signal "gate$1" KILL
+	start_gate "$1"
+}
+one_fault() { # with what ends it later on, in the background, so that faults overlap
+	local n=$((RANDOM % 3 + 1)) later=0.$((RANDOM % 9 + 1))
+	local kind=$(pick kill stop pause reload store config)
+	echo "$kind gate$n $later" >>"$RUN/faults"
+	case $kind in
+	kill) renew $n ;;
+	stop)
+		signal gate$n TERM
+		sleep $later
+		renew $n
+		;;
+	pause)
+		signal gate$n STOP
+		(sleep 1$later; signal gate$n CONT) &
+		;;
+	reload) signal gate$n HUP ;;
+	store)
+		tell down
+		(sleep 1$later; tell up) &
+		;;
+	config)
+		version=$((version + 1))
+		config $version key1 >"$RUN/config"
+		tell config -d "@$RUN/config" >/dev/null
+		;;
+	esac
+}
+judge() {
+	local kind id status events refused runs n
+	while read -r kind id status events refused; do
+		if [ "$kind" = once ]; then
+			runs=$(tell "runs?id=$id")
+			runs=$((${runs:-0} & 65535)) # above that the stand-in counts what it refused
+			[ $runs -le 1 ] || violation "id=$id ran $runs times"
+			[ "$refused" = 0 ] || [ $runs = 0 ] || violation "id=$id refused as not run, and ran"
+		elif [ "$kind" = ask ] && [ "$status" = 200 ]; then
+			# a caller whose gateway was killed has a part of the answer, from the beginning
+			[[ 1,2,3,4,5,6,7,8,9,10, = "$events"* || $events = none ]] || violation "id=$id events=$events"
+		fi
+	done < <(cat "$RUN"/calls.*)
+	for n in 1 2 3; do
+		is_alive $n || violation "gate$n has ended"
+		for i in 1 2 3; do
+			[ "$(ask $n /ask/x end$n$i)" = 200 ] || violation "gate$n does not serve in the end"
+		done
+	done
+}
+one_seed() {
+	local until n
+	RANDOM=$seed
+	version=1
+	start_site
+	for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; start_gate $n; done
+	config 1 key1 >"$RUN/config"
+	wait_for 5 tell config -d "@$RUN/config"
+	for n in 1 2 3; do wait_for 10 ready $n 200; done
+	callers=
+	for n in $(seq $CALLERS); do
+		caller "$n" &
+		callers="$callers $!"
+	done
+	until=$((SECONDS + seconds))
+	while [ $SECONDS -lt $until ]; do
+		one_fault
+		sleep 0.$((RANDOM % 8 + 2))
+	done
+	sleep 2 # for what is under way to end
+	tell up
+	for n in 1 2 3; do signal gate$n CONT; done
+	touch "$RUN/over"
+	wait $callers
+	for n in 1 2 3; do wait_for 10 ready $n 200 || violation "gate$n is not ready"; done
+	judge
+}
+violations=0
+for seed in $(seq "$first" $((first + seeds - 1))); do
+	before=$violations
+	begin_run
+	. test/gate.sh
+	one_seed
+	stop_all
+	echo "seed=$seed calls=$(cat "$RUN"/calls.* | wc -l) served=$(cat "$RUN"/calls.* | grep -c ' 200 ') faults=$(wc -l <"$RUN/faults") violations=$((violations - before))"
+	[ $violations = $before ] || [ -z "${SAVE:-}" ] || cp -r "$RUN" "$SAVE.$seed"
+	rm -rf "$RUN"
+done
+echo "soak-gate seeds=$seeds violations=$violations"
+[ $violations = 0 ]
