--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -9,8 +9,8 @@
 #include "clock.h"
 #include "log.h"
 
-#define SCHEDULER_PATIENCE_MS                                                                                \
-	40                         /* without a word from the scheduler a request is placed by this node alone */
+/* Without a word from the scheduler a request is placed by this node alone. */
+#define SCHEDULER_PATIENCE_MS 40
 #define QUEUED_REPEAT_MS 200   /* a request that the scheduler keeps waiting asks again after this */
 #define ASKS_MAX 6             /* after so many grants that could not be used a request is refused */
 #define WHOLE_MAX (256 * 1024) /* bytes of an answer that are kept until it is whole */
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -17,9 +17,8 @@
 #include "clock.h"
 #include "log.h"
 
-#define OUTPUT_HIGH                                                                                          \
-	(128 * 1024)               /* bytes that wait for a slow caller before its endpoint is no longer read    \
-								*/
+/* Bytes that wait for a slow caller before its endpoint is no longer read. */
+#define OUTPUT_HIGH (128 * 1024)
 #define INPUT_HIGH (64 * 1024) /* of the next requests, read ahead while one is under way */
 #define LINGER_MS 1000         /* for a caller to close after the last answer */
 #define SILENT_MS 5000         /* that sent bytes may go without an acknowledgement */
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -10,8 +10,8 @@
 #include "clock.h"
 #include "log.h"
 
-#define CONFIGURATION_US                                                                                     \
-	(700 * BH__MS_US)                    /* between the reader's looks; a key taken away must stop in time */
+/* Between the reader's looks; a key taken away must stop in time. */
+#define CONFIGURATION_US (700 * BH__MS_US)
 #define ENDPOINTS_US (500 * BH__MS_US)   /* the same for endpoints; a leaving one must be left in time */
 #define ASK_US (500 * BH__MS_US)         /* between the other nodes' questions */
 #define ANSWER_US (300 * BH__MS_US)      /* for the reader's answer */
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -16,8 +16,8 @@
 #include "web.h"
 
 #define KEY_TRUST_SHARE 0.92 /* of the time that keys may be believed without a look at the configuration */
-#define STOP_LEAST_MS                                                                                        \
-	3200               /* callers learn of a stop from the directory, and hold old answers for this long */
+/* Callers learn of a stop from the directory, and hold old answers for this long. */
+#define STOP_LEAST_MS 3200
 #define STOP_SHARE 0.9 /* of the grace of a stop that is used */
 #define STOP_CHECK_MS 50
 #define LOG_LINES_PER_S 400 /* a node takes some 20 requests a second, each with 3 to 6 lines */
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -12,8 +12,8 @@
 #include <string.h>
 #include "clock.h"
 
-#define CONNECT_TIMEOUT_MS                                                                                   \
-	400                /* within a region a connection takes a few ms, after a lost packet some 200 more */
+/* Within a region a connection takes a few ms, after a lost packet some 200 more. */
+#define CONNECT_TIMEOUT_MS 400
 #define SILENT_MS 3000 /* that sent bytes may go without an acknowledgement */
 #define HEAD_MAX (32 * 1024)
 
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -46,8 +46,7 @@
 typedef struct {
 	char request_id[REQUEST_ID_LEN];
 	char mac[MAC_LEN];              /* shows that the answer is an endpoint's; empty: none */
-	char at_fault[BH__ADDRESS_LEN]; /* address of the endpoint that is the cause of a refusal; empty: not said
-									 */
+	char at_fault[BH__ADDRESS_LEN]; /* the endpoint that caused a refusal; empty: not said */
 	bool not_run;
 	bool has_load;
 	uint32_t running;
--- a/src/bayhoist-gate/settings.h
+++ b/src/bayhoist-gate/settings.h
@@ -21,12 +21,11 @@
 	char peer_key[GATE_SECRET_LEN];
 	char **seeds; /* addresses of other nodes, on any of their ports */
 	char store_address[BH__ADDRESS_LEN];
-	uint64_t max_connections;   /* of callers */
-	uint64_t stop_grace_ms;     /* a stop is to be over by then */
-	uint64_t endpoint_drain_ms; /* an endpoint that leaves gets nothing new after this */
-	uint64_t configuration_ms;  /* a configuration is in force after this */
-	uint64_t
-		key_trust_ms; /* keys are believed for so long without a look at the configuration; 0: for ever */
+	uint64_t max_connections;     /* of callers */
+	uint64_t stop_grace_ms;       /* a stop is to be over by then */
+	uint64_t endpoint_drain_ms;   /* an endpoint that leaves gets nothing new after this */
+	uint64_t configuration_ms;    /* a configuration is in force after this */
+	uint64_t key_trust_ms;        /* keys are believed for so long after a look; 0: for ever */
 	uint64_t memory_hold_max_ms;  /* engines hold memory for no longer */
 	uint64_t directory_ttl_max_s; /* callers hold an answer for no longer */
 	double repeat_share;          /* sendings beyond the first of each request, as a share of requests */
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -9,8 +9,8 @@
 #define PACE_WEIGHT_ 0.25              /* of one observation */
 #define PACE_MIN_ 1.0
 #define PACE_MAX_ 12.0
-#define PACE_FORGET_US_                                                                                      \
-	(4 * BH__SECOND_US)     /* a pace that is not seen again is forgotten in about this time */
+/* A pace that is not seen again is forgotten in about this time. */
+#define PACE_FORGET_US_ (4 * BH__SECOND_US)
 #define NETWORK_MS_ 8.0     /* of an observed time that is not the engine's */
 #define OBSERVABLE_MS_ 20.0 /* shorter times say more of the network than of the engine */
 #define RATIO_MAX_ 20.0
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -11,9 +11,9 @@
 
 #include <stdlib.h>
 
-#define TOKENS_PER_VALUE_                                                                                    \
-	12000.0             /* a prompt of so many tokens more is worth one more; a fit to the users' sheets */
-#define LATE_LOSS_ 0.75 /* share of a value that is lost when an answer is late; the sheets' */
+/* A prompt of so many tokens more is worth one more; a fit to the users' sheets. */
+#define TOKENS_PER_VALUE_ 12000.0
+#define LATE_LOSS_ 0.75        /* share of a value that is lost when an answer is late; the sheets' */
 #define GAP_MARGIN_MS_ 25.0    /* of a pause, for the network and for what the reckoning misses */
 #define FIRST_MARGIN_MS_ 35.0  /* the same of a first event */
 #define LOOSE_LIMIT_MS_ 1300.0 /* of a pass on an engine without streams: one may begin there at any time */
@@ -37,7 +37,6 @@
 	unsigned order;    /* place in the table of engines */
 	unsigned tight;    /* tight streams that it writes or will write */
 	bool kept;         /* for tight streams, of which it may have none yet */
-	bool starves;      /* a request of its own would wait for parts of others that come later */
 	double limit_ms;   /* of its next pass */
 	double next_ms;    /* its next pass as it stands; without streams, all that it has to read */
 	double pending_ms; /* what is left of its pass, and the next one */
@@ -168,7 +167,6 @@
 	c->engine = e;
 	c->tight = 0;
 	c->kept = false;
-	c->starves = false;
 	c->loss = 0;
 	c->limit_ms = LOOSE_LIMIT_MS_;
 	c->next_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
@@ -180,7 +178,6 @@
 	for (guint i = 0; i < e->homes->len; i++) {
 		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
 		double limit_ms = gap_limit_ms_(r->event_gap_us);
-		c->starves = false;
 		if (limit_ms <= 0)
 			continue;
 		c->tight += bh__placement_is_tight(r->event_gap_us);
@@ -199,7 +196,7 @@
 /* Returns how much reading an engine's next pass bears, in ms at pace 1. */
 static double room_ms_(const Candidate_ *c)
 {
-	return c->starves ? 0 : (c->limit_ms - c->next_ms) / c->engine->clock.pace;
+	return (c->limit_ms - c->next_ms) / c->engine->clock.pace;
 }
 
 /* Finds engines that can take the request without making any stream late. Returns false if there are none
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -5,8 +5,8 @@
 #include <string.h>
 #include "bayhoist/hash.h"
 
-#define ASIDE_FIRST_US_                                                                                      \
-	(200 * BH__MS_US) /* an endpoint that failed is left alone for so long, then twice that */
+/* An endpoint that failed is left alone for so long, then twice that. */
+#define ASIDE_FIRST_US_ (200 * BH__MS_US)
 #define ASIDE_MAX_US_ (3 * BH__SECOND_US)
 #define ASIDE_FAILURES_ 2   /* one failure may be the request's own */
 #define FAILURE_WEIGHT_ 0.2 /* of the latest use in the share of failures */
