One reader of command lines, settings files and log values for both daemons

Cause: reading the whole change once more. The gateway had copies of bayhoistd's getopt loop, of its settings loader and of its field macros (also in resource.c); 'explain' had its own reader of key=value pairs beside timeline's; and inbounds_close_idle() was never called. Change: daemon_options and settings_file in src/share, the rows of field tables in field.h, ctl_log_value() in ctl.c; the dead function is out, and set_ready_() is local to cluster.c without its unused time.

--- a/include/bayhoist/field.h
+++ b/include/bayhoist/field.h
@@ -26,6 +26,15 @@
 	uint64_t max;
 } BH__Field;
 
+/* Rows of a table of fields: field F of struct S, whose JSON name is the same. */
+/* clang-format off */
+#define BH__STRING_FIELD(S, F, REQ) {#F, BH__FIELD_STRING, offsetof(S, F), REQ, 0, sizeof(((S *)0)->F)}
+#define BH__U64_FIELD(S, F, REQ, MIN, MAX) {#F, BH__FIELD_U64, offsetof(S, F), REQ, MIN, MAX}
+#define BH__REAL_FIELD(S, F, MIN, MAX) {#F, BH__FIELD_REAL, offsetof(S, F), false, MIN, MAX}
+#define BH__BOOL_FIELD(S, F) {#F, BH__FIELD_BOOL, offsetof(S, F), false, 0, 0}
+#define BH__LIST_FIELD(S, F, MAX) {#F, BH__FIELD_LIST, offsetof(S, F), false, 0, MAX}
+/* clang-format on */
+
 typedef enum { BH__INPUT_ERROR_SYNTAX, BH__INPUT_ERROR_FIELD, BH__INPUT_ERROR_REFERENCE } BH__InputError;
 
 #define BH__INPUT_ERROR (bh__input_error_quark())
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -49,6 +49,7 @@
 static void on_unreachable_(void *cluster, const char *address);
 static void on_tick_(evutil_socket_t fd, short what, void *arg);
 static void on_waiting_tick_(evutil_socket_t fd, short what, void *arg);
+static void set_ready_(Cluster *c, bool ready);
 static void drain_inbox_(Cluster *c);
 static void dispatch_(Cluster *c, const BH__Message *m);
 static void process_release_(Cluster *c, const BH__Message *m, uint64_t now_us);
@@ -203,7 +204,7 @@
 
 	(void)fd;
 	(void)what;
-	cluster_set_ready(c, gate_is_ready(c->gate, now_us), now_us);
+	set_ready_(c, gate_is_ready(c->gate, now_us));
 	bh__members_process_tick(c->members, now_us);
 	looks_process_tick(c->gate->looks, now_us);
 	follow_schedulers_(c, now_us);
@@ -217,11 +218,10 @@
 }
 
 /* Sets whether callers are to be sent here. */
-void cluster_set_ready(Cluster *c, bool ready, uint64_t now_us)
+static void set_ready_(Cluster *c, bool ready)
 {
 	const Gate *g = c->gate;
 
-	(void)now_us;
 	bh__members_set_self(c->members, g->leaving_since_us != 0,
 						 ready && g->routing ? bh__routing_get_version(g->routing) : 0,
 						 g_hash_table_size(g->calls));
@@ -741,7 +741,7 @@
 /* Tells the others that this node leaves, and gives up its duties. */
 void cluster_leave(Cluster *c, uint64_t now_us)
 {
-	cluster_set_ready(c, false, now_us);
+	set_ready_(c, false);
 	bh__members_announce(c->members);
 	follow_schedulers_(c, now_us);
 	drain_inbox_(c);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -89,7 +89,6 @@
 } InboundRequest;
 
 bool inbounds_listen(Gate *g);
-void inbounds_close_idle(Gate *g);
 void inbounds_free(Gate *g);
 const InboundRequest *inbound_get_request(const Inbound *in);
 void inbound_answer_own(Inbound *in, int status, uint64_t retry_after_ms, const char *code,
@@ -162,7 +161,6 @@
 void cluster_free(Cluster *c);
 void cluster_add_seed(Cluster *c, const char *peer_address);
 void cluster_leave(Cluster *c, uint64_t now_us);
-void cluster_set_ready(Cluster *c, bool ready, uint64_t now_us);
 void cluster_follow_routing(Cluster *c, uint64_t now_us);
 void cluster_follow_registry(Cluster *c, uint64_t now_us);
 const BH__Members *cluster_get_members(const Cluster *c);
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -594,19 +594,6 @@
 	g_free(in);
 }
 
-/* Closes connections on which no request is under way. */
-void inbounds_close_idle(Gate *g)
-{
-	GList *all = g_hash_table_get_keys(g->inbounds);
-
-	for (GList *it = all; it; it = it->next) {
-		Inbound *in = it->data;
-		if (in->state == READING && !in->has_bytes)
-			retire_(in);
-	}
-	g_list_free(all);
-}
-
 /* Closes all connections; for the end of the process. */
 void inbounds_free(Gate *g)
 {
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -2,13 +2,13 @@
 /* bayhoist-gate: start, signals, configuration and stop. */
 #include <errno.h>
 #include <event2/thread.h>
-#include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sysexits.h>
 #include "bayhoist/hash.h"
 #include "clock.h"
+#include "daemon_options.h"
 #include "gate.h"
 #include "log.h"
 #include "platform.h"
@@ -22,7 +22,6 @@
 #define STOP_CHECK_MS 50
 #define LOG_LINES_PER_S 400 /* a node takes some 20 requests a second, each with 3 to 6 lines */
 
-static void usage_(FILE *out);
 static bool start_(Gate *g);
 static void add_seeds_(Gate *g);
 static void add_event_(Gate *g, struct event *event, const struct timeval *period);
@@ -33,61 +32,33 @@
 
 static const char *SettingsPath_;
 
-static void usage_(FILE *out)
-{
-	fputs(
-		"Usage: bayhoist-gate --config FILE [--check]\n"
-		"  -c, --config FILE  settings, in JSON with comments\n"
-		"      --check        check the settings and exit\n"
-		"  -h, --help         show this text\n"
-		"  -V, --version      show the version\n"
-		"SIGTERM stops without cutting off a request; a second one stops at once. SIGHUP reads the settings "
-		"anew.\n"
-		"Exit status: 0 stopped as asked, 64 wrong usage, 69 an address cannot be used, 78 wrong settings.\n",
-		out);
-}
+static const DaemonProgram Program_ = {
+	"bayhoist-gate",
+	"Usage: bayhoist-gate --config FILE [--check]\n"
+	"  -c, --config FILE  settings, in JSON with comments\n"
+	"      --check        check the settings and exit\n"
+	"  -h, --help         show this text\n"
+	"  -V, --version      show the version\n"
+	"SIGTERM stops without cutting off a request; a second one stops at once. SIGHUP reads the settings "
+	"anew.\n"
+	"Exit status: 0 stopped as asked, 64 wrong usage, 69 an address cannot be used, 78 wrong settings.\n"};
 
 int main(int argc, char **argv)
 {
-	static const struct option Options[] = {{"config", required_argument, NULL, 'c'},
-											{"check", no_argument, NULL, 'k'},
-											{"help", no_argument, NULL, 'h'},
-											{"version", no_argument, NULL, 'V'},
-											{NULL, 0, NULL, 0}};
-	bool check = false;
+	DaemonOptions options;
 	GError *error = NULL;
 	Gate g = {0};
-	int option;
+	int status;
 
-	while ((option = getopt_long(argc, argv, "c:hV", Options, NULL)) != -1) {
-		switch (option) {
-		case 'c':
-			SettingsPath_ = optarg;
-			break;
-		case 'k':
-			check = true;
-			break;
-		case 'h':
-			usage_(stdout);
-			return EX_OK;
-		case 'V':
-			puts("bayhoist-gate " BAYHOIST_VERSION);
-			return EX_OK;
-		default:
-			usage_(stderr);
-			return EX_USAGE;
-		}
-	}
-	if (!SettingsPath_ || optind != argc) {
-		usage_(stderr);
-		return EX_USAGE;
-	}
+	if (!daemon_options_read(&options, &Program_, argc, argv, &status))
+		return status;
+	SettingsPath_ = options.settings_path;
 	if (!gate_settings_load(&g.settings, SettingsPath_, &error)) {
 		fprintf(stderr, "bayhoist-gate: %s\n", error->message);
 		g_error_free(error);
 		return EX_CONFIG;
 	}
-	if (check) {
+	if (options.check) {
 		printf("%s: settings are good\n", SettingsPath_);
 		gate_settings_finish(&g.settings);
 		return EX_OK;
--- a/src/bayhoistctl/ctl.c
+++ b/src/bayhoistctl/ctl.c
@@ -36,3 +36,20 @@
 {
 	return (uint64_t)json_object_get_int64(json_object_object_get(o, name));
 }
+
+/* Returns the value of " key=" in a line, to be freed with g_free(), or NULL. */
+char *ctl_log_value(const char *line, const char *key)
+{
+	char *needle = g_strdup_printf("%s=", key);
+	const char *at = line;
+	char *value = NULL;
+
+	while ((at = strstr(at, needle)) && at != line && at[-1] != ' ')
+		at++;
+	if (at) {
+		at += strlen(needle);
+		value = *at == '"' ? g_strndup(at + 1, strcspn(at + 1, "\"")) : g_strndup(at, strcspn(at, " \n"));
+	}
+	g_free(needle);
+	return value;
+}
--- a/src/bayhoistctl/ctl.h
+++ b/src/bayhoistctl/ctl.h
@@ -25,6 +25,8 @@
 const char *ctl_text(struct json_object *o, const char *name);
 uint64_t ctl_number(struct json_object *o, const char *name);
 
+char *ctl_log_value(const char *line, const char *key);
+
 int ctl_apply(const Options *o, char **files);
 int ctl_get_resources(const Options *o, char **arguments);
 int ctl_watch(const Options *o);
--- a/src/bayhoistctl/explain.c
+++ b/src/bayhoistctl/explain.c
@@ -40,7 +40,6 @@
 
 static bool read_log_(const char *path, const char *id, GPtrArray *lines);
 static Line *new_line_(const char *text, bool own);
-static char *value_(const char *line, const char *name);
 static gint compare_(gconstpointer a, gconstpointer b);
 static void free_line_(gpointer line);
 static int print_(const char *id, GPtrArray *lines);
@@ -109,8 +108,8 @@
 {
 	const char *start = strstr(text, "time_us=");
 	Line *l = g_new0(Line, 1);
-	char *time = value_(text, "time_us");
-	char *sequence = value_(text, "seq");
+	char *time = ctl_log_value(text, "time_us");
+	char *sequence = ctl_log_value(text, "seq");
 
 	l->text = g_strdup(start ? start : text);
 	l->own = own;
@@ -121,19 +120,6 @@
 	return l;
 }
 
-/* Returns the value of a key=value pair, to free with g_free(), or NULL. */
-static char *value_(const char *line, const char *name)
-{
-	char *wanted = g_strdup_printf("%s=", name);
-	const char *at = line;
-
-	while ((at = strstr(at, wanted)) && at != line && at[-1] != ' ')
-		at += strlen(wanted);
-	at = at ? at + strlen(wanted) : NULL;
-	g_free(wanted);
-	return at ? g_strndup(at, strcspn(at, " ")) : NULL;
-}
-
 static gint compare_(gconstpointer a, gconstpointer b)
 {
 	const Line *const *x = a;
@@ -164,9 +150,9 @@
 		first_us = MIN(first_us, l->time_us);
 		last_us = MAX(last_us, l->time_us);
 		if (!node)
-			node = value_(l->text, "process");
+			node = ctl_log_value(l->text, "process");
 		if (strstr(l->text, "event=end "))
-			outcome = value_(l->text, "outcome");
+			outcome = ctl_log_value(l->text, "outcome");
 	}
 	if (!last_us) {
 		printf("request %s is in none of these logs\n", id);
@@ -175,7 +161,7 @@
 	printf("request %s at node %s\n", id, node ? node : "?");
 	for (guint i = 0; i < lines->len; i++) {
 		const Line *l = g_ptr_array_index(lines, i);
-		char *process = value_(l->text, "process");
+		char *process = ctl_log_value(l->text, "process");
 		bool near = l->time_us + AROUND_US >= first_us && l->time_us <= last_us;
 		if (l->own || (near && process && node && !strcmp(process, node)))
 			printf("%c %s\n", l->own ? '*' : ' ', l->text);
--- a/src/bayhoistctl/timeline.c
+++ b/src/bayhoistctl/timeline.c
@@ -20,7 +20,6 @@
 
 static void free_entry_(gpointer entry);
 static gint compare_(gconstpointer a, gconstpointer b);
-static char *value_of_(const char *line, const char *key);
 static void add_lines_(GPtrArray *entries, GHashTable *seen, const char *text);
 static void add_node_(const Options *o, GPtrArray *entries, GHashTable *seen, const char *address);
 static void print_(const GPtrArray *entries);
@@ -42,32 +41,15 @@
 	return (*x)->time_us < (*y)->time_us ? -1 : (*x)->time_us > (*y)->time_us;
 }
 
-/* Returns the value of " key=" in a line, to be freed with g_free(), or NULL. */
-static char *value_of_(const char *line, const char *key)
-{
-	char *needle = g_strdup_printf("%s=", key);
-	const char *at = line;
-	char *value = NULL;
-
-	while ((at = strstr(at, needle)) && at != line && at[-1] != ' ')
-		at++;
-	if (at) {
-		at += strlen(needle);
-		value = *at == '"' ? g_strndup(at + 1, strcspn(at + 1, "\"")) : g_strndup(at, strcspn(at, " \n"));
-	}
-	g_free(needle);
-	return value;
-}
-
 /* Adds the lines that tell a time. One that is both in a log and held by a node is added once. */
 static void add_lines_(GPtrArray *entries, GHashTable *seen, const char *text)
 {
 	char **line = g_strsplit(text, "\n", -1);
 
 	for (char **l = line; *l; l++) {
-		char *time = value_of_(*l, "time_us");
-		char *process = value_of_(*l, "process");
-		char *event = value_of_(*l, "event");
+		char *time = ctl_log_value(*l, "time_us");
+		char *process = ctl_log_value(*l, "process");
+		char *event = ctl_log_value(*l, "event");
 		char *what = strstr(*l, " event=");
 		char *key = time && process && what ? g_strdup_printf("%s %" G_GUINT64_FORMAT "%s", process,
 															  g_ascii_strtoull(time, NULL, 10) / 1000, what)
--- a/src/bayhoistd/main.c
+++ b/src/bayhoistd/main.c
@@ -3,7 +3,6 @@
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <getopt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +11,7 @@
 #include <dirent.h>
 #include "clock.h"
 #include "daemon.h"
+#include "daemon_options.h"
 #include "log.h"
 #include "version.h"
 #include "web.h"
@@ -22,7 +22,6 @@
 #define MAX_HEADER_BYTES 16384
 #define DRAIN_MAX_US (600 * BH__SECOND_US)
 
-static void usage_(FILE *out);
 static bool start_(Daemon *d);
 static bool listen_(Daemon *d);
 static void forget_settings_(Daemon *d);
@@ -40,64 +39,34 @@
 static void on_peer_unreachable_(void *daemon, const char *address);
 static void stop_(Daemon *d);
 
-static void usage_(FILE *out)
-{
-	fputs(
-		"Usage: bayhoistd --config FILE [--check]\n"
-		"  -c, --config FILE  settings, in JSON with comments\n"
-		"      --check        check the settings and exit\n"
-		"  -h, --help         show this text\n"
-		"  -V, --version      show the version\n"
-		"SIGTERM stops without cutting off a request; a second one stops at once. SIGHUP loads TLS files "
-		"anew.\n"
-		"Exit status: 0 stopped as asked, 64 wrong usage, 69 an address cannot be used, 78 wrong settings.\n",
-		out);
-}
+static const DaemonProgram Program_ = {
+	"bayhoistd",
+	"Usage: bayhoistd --config FILE [--check]\n"
+	"  -c, --config FILE  settings, in JSON with comments\n"
+	"      --check        check the settings and exit\n"
+	"  -h, --help         show this text\n"
+	"  -V, --version      show the version\n"
+	"SIGTERM stops without cutting off a request; a second one stops at once. SIGHUP loads TLS files "
+	"anew.\n"
+	"Exit status: 0 stopped as asked, 64 wrong usage, 69 an address cannot be used, 78 wrong settings.\n"};
 
 int main(int argc, char **argv)
 {
-	static const struct option Options[] = {{"config", required_argument, NULL, 'c'},
-											{"check", no_argument, NULL, 'k'},
-											{"help", no_argument, NULL, 'h'},
-											{"version", no_argument, NULL, 'V'},
-											{NULL, 0, NULL, 0}};
-	const char *path = NULL;
-	bool check = false;
+	DaemonOptions options;
 	GError *error = NULL;
 	Daemon d = {0};
-	int option;
+	int status;
 
-	while ((option = getopt_long(argc, argv, "c:hV", Options, NULL)) != -1) {
-		switch (option) {
-		case 'c':
-			path = optarg;
-			break;
-		case 'k':
-			check = true;
-			break;
-		case 'h':
-			usage_(stdout);
-			return EX_OK;
-		case 'V':
-			puts("bayhoistd " BAYHOIST_VERSION);
-			return EX_OK;
-		default:
-			usage_(stderr);
-			return EX_USAGE;
-		}
-	}
-	if (!path || optind != argc) {
-		usage_(stderr);
-		return EX_USAGE;
-	}
-	if (!settings_load(&d.settings, path, &error) || !tls_load(&d, &error)) {
+	if (!daemon_options_read(&options, &Program_, argc, argv, &status))
+		return status;
+	if (!settings_load(&d.settings, options.settings_path, &error) || !tls_load(&d, &error)) {
 		fprintf(stderr, "bayhoistd: %s\n", error->message);
 		g_error_free(error);
 		forget_settings_(&d);
 		return EX_CONFIG;
 	}
-	if (check) {
-		printf("%s: settings are good\n", path);
+	if (options.check) {
+		printf("%s: settings are good\n", options.settings_path);
 		forget_settings_(&d);
 		return EX_OK;
 	}
--- a/src/bayhoistd/settings.c
+++ b/src/bayhoistd/settings.c
@@ -3,45 +3,34 @@
 #include "settings.h"
 
 #include <string.h>
-#include "bayhoist/field.h"
-#include "web.h"
-
-#define STRING_(F, REQ)                                                                                      \
-	{                                                                                                        \
-#F, BH__FIELD_STRING, offsetof(Settings, F), REQ, 0, sizeof(((Settings *)0)->F)                      \
-	}
-#define U64_(F, MIN, MAX)                                                                                    \
-	{                                                                                                        \
-#F, BH__FIELD_U64, offsetof(Settings, F), false, MIN, MAX                                            \
-	}
+#include "settings_file.h"
 
 static const BH__Field Fields_[] = {
-	STRING_(name, true),
-	STRING_(hall, true),
-	STRING_(caller_address, true),
-	STRING_(peer_address, true),
-	{"seeds", BH__FIELD_LIST, offsetof(Settings, seeds), false, 0, 64},
-	STRING_(store_address, true),
-	STRING_(vm_list_address, false),
-	STRING_(peer_key, true),
-	STRING_(operator_key_sha256, true),
-	STRING_(tls_certificate, false),
-	STRING_(tls_key, false),
-	STRING_(tls_ca, false),
-	U64_(max_requests, 1, 1000000),
-	U64_(max_connections, 16, 1000000),
-	U64_(max_body_bytes, 1024, 1 << 30),
-	U64_(idle_s, 1, 86400),
-	U64_(once_entries, 1, 100000000),
-	U64_(once_answer_bytes, 0, UINT64_C(1) << 40),
-	{"store_reads_per_s", BH__FIELD_REAL, offsetof(Settings, store_reads_per_s), false, 0, 2000},
-	{"store_writes_per_s", BH__FIELD_REAL, offsetof(Settings, store_writes_per_s), false, 0, 100},
-	U64_(leave_grace_ms, 0, 3600000),
+	BH__STRING_FIELD(Settings, name, true),
+	BH__STRING_FIELD(Settings, hall, true),
+	BH__STRING_FIELD(Settings, caller_address, true),
+	BH__STRING_FIELD(Settings, peer_address, true),
+	BH__LIST_FIELD(Settings, seeds, 64),
+	BH__STRING_FIELD(Settings, store_address, true),
+	BH__STRING_FIELD(Settings, vm_list_address, false),
+	BH__STRING_FIELD(Settings, peer_key, true),
+	BH__STRING_FIELD(Settings, operator_key_sha256, true),
+	BH__STRING_FIELD(Settings, tls_certificate, false),
+	BH__STRING_FIELD(Settings, tls_key, false),
+	BH__STRING_FIELD(Settings, tls_ca, false),
+	BH__U64_FIELD(Settings, max_requests, false, 1, 1000000),
+	BH__U64_FIELD(Settings, max_connections, false, 16, 1000000),
+	BH__U64_FIELD(Settings, max_body_bytes, false, 1024, 1 << 30),
+	BH__U64_FIELD(Settings, idle_s, false, 1, 86400),
+	BH__U64_FIELD(Settings, once_entries, false, 1, 100000000),
+	BH__U64_FIELD(Settings, once_answer_bytes, false, 0, UINT64_C(1) << 40),
+	BH__REAL_FIELD(Settings, store_reads_per_s, 0, 2000),
+	BH__REAL_FIELD(Settings, store_writes_per_s, 0, 100),
+	BH__U64_FIELD(Settings, leave_grace_ms, false, 0, 3600000),
 };
 
 static void set_defaults_(Settings *s);
-static bool check_(const Settings *s, GError **error);
-static bool check_address_(const char *field, const char *address, GError **error);
+static bool check_(const void *settings, GError **error);
 
 static void set_defaults_(Settings *s)
 {
@@ -60,51 +49,24 @@
 /* Loads the file `path`. On failure the error names the field, the line and the cause. */
 bool settings_load(Settings *s, const char *path, GError **error)
 {
-	char *text = NULL;
-	gsize len = 0;
-	struct json_object *root;
-	bool ok;
+	static const SettingsKind Kind = {Fields_, G_N_ELEMENTS(Fields_), check_};
 
 	set_defaults_(s);
-	if (!g_file_get_contents(path, &text, &len, error))
-		return false;
-	root = bh__json_parse(text, len, error);
-	ok = root && bh__fields_read(Fields_, G_N_ELEMENTS(Fields_), root, "settings", s, error) &&
-		 check_(s, error);
-	json_object_put(root);
-	if (!ok && error && *error) {
-		unsigned line = bh__field_find_line(text, (*error)->message);
-		if (line)
-			g_prefix_error(error, "%s: line %u: ", path, line);
-		else
-			g_prefix_error(error, "%s: ", path);
-	}
-	g_free(text);
-	return ok;
+	return settings_file_read(&Kind, path, s, error);
 }
 
-static bool check_address_(const char *field, const char *address, GError **error)
+static bool check_(const void *settings, GError **error)
 {
-	char ip[64];
-	uint16_t port;
-
-	if (web_split_address(address, ip, sizeof ip, &port))
-		return true;
-	g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD, "field \"%s\": \"%s\" is not IP:port", field,
-				address);
-	return false;
-}
+	const Settings *s = settings;
 
-static bool check_(const Settings *s, GError **error)
-{
-	if (!check_address_("caller_address", s->caller_address, error) ||
-		!check_address_("peer_address", s->peer_address, error) ||
-		!check_address_("store_address", s->store_address, error))
+	if (!settings_check_address("caller_address", s->caller_address, error) ||
+		!settings_check_address("peer_address", s->peer_address, error) ||
+		!settings_check_address("store_address", s->store_address, error))
 		return false;
-	if (s->vm_list_address[0] && !check_address_("vm_list_address", s->vm_list_address, error))
+	if (s->vm_list_address[0] && !settings_check_address("vm_list_address", s->vm_list_address, error))
 		return false;
 	for (char **seed = s->seeds; seed && *seed; seed++)
-		if (!check_address_("seeds", *seed, error))
+		if (!settings_check_address("seeds", *seed, error))
 			return false;
 	if (strlen(s->peer_key) < 16) {
 		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD,
--- a/src/libbayhoist/resource.c
+++ b/src/libbayhoist/resource.c
@@ -6,80 +6,60 @@
 #include "bayhoist/hash.h"
 #include "bayhoist/pool.h"
 
-#define STRING_(S, F, REQ)                                                                                   \
-	{                                                                                                        \
-#F, BH__FIELD_STRING, offsetof(S, F), REQ, 0, sizeof(((S *)0)->F)                                    \
-	}
-#define U64_(S, F, REQ, MIN, MAX)                                                                            \
-	{                                                                                                        \
-#F, BH__FIELD_U64, offsetof(S, F), REQ, MIN, MAX                                                     \
-	}
-#define REAL_(S, F, MIN, MAX)                                                                                \
-	{                                                                                                        \
-#F, BH__FIELD_REAL, offsetof(S, F), false, MIN, MAX                                                  \
-	}
-#define BOOL_(S, F)                                                                                          \
-	{                                                                                                        \
-#F, BH__FIELD_BOOL, offsetof(S, F), false, 0, 0                                                      \
-	}
-#define LIST_(S, F, MAX)                                                                                     \
-	{                                                                                                        \
-#F, BH__FIELD_LIST, offsetof(S, F), false, 0, MAX                                                    \
-	}
-
 #define MAX_BYTES_ (UINT64_C(1) << 50)
 
 const char *const BH__KindString[] = {"model",   "version",  "adapter",  "role",
 									  "account", "priority", "endpoint", "policy"};
 
 static const BH__Field ModelFields_[] = {
-	U64_(BH__Model, kv_bytes_per_token, false, 0, 1 << 24),
-	U64_(BH__Model, bytes_per_token, false, 1, 64),
-	U64_(BH__Model, context_tokens, false, 1, 100000000),
-	BOOL_(BH__Model, service),
+	BH__U64_FIELD(BH__Model, kv_bytes_per_token, false, 0, 1 << 24),
+	BH__U64_FIELD(BH__Model, bytes_per_token, false, 1, 64),
+	BH__U64_FIELD(BH__Model, context_tokens, false, 1, 100000000),
+	BH__BOOL_FIELD(BH__Model, service),
 };
 static const BH__Field VersionFields_[] = {
-	STRING_(BH__Version, model, true),
-	U64_(BH__Version, weight_bytes, false, 0, MAX_BYTES_),
+	BH__STRING_FIELD(BH__Version, model, true),
+	BH__U64_FIELD(BH__Version, weight_bytes, false, 0, MAX_BYTES_),
 };
 static const BH__Field AdapterFields_[] = {
-	STRING_(BH__Adapter, model, true),
-	U64_(BH__Adapter, weight_bytes, false, 0, MAX_BYTES_),
+	BH__STRING_FIELD(BH__Adapter, model, true),
+	BH__U64_FIELD(BH__Adapter, weight_bytes, false, 0, MAX_BYTES_),
 };
-static const BH__Field RoleFields_[] = {BOOL_(BH__Role, serves_short), BOOL_(BH__Role, serves_long)};
+static const BH__Field RoleFields_[] = {BH__BOOL_FIELD(BH__Role, serves_short),
+										BH__BOOL_FIELD(BH__Role, serves_long)};
 static const BH__Field AccountFields_[] = {
-	U64_(BH__Account, weight, false, 1, 1000000),
-	U64_(BH__Account, tokens_per_s, false, 0, 1000000000),
-	U64_(BH__Account, burst_tokens, false, 0, 1000000000000),
-	STRING_(BH__Account, priority, false),
-	LIST_(BH__Account, key_sha256, 16),
+	BH__U64_FIELD(BH__Account, weight, false, 1, 1000000),
+	BH__U64_FIELD(BH__Account, tokens_per_s, false, 0, 1000000000),
+	BH__U64_FIELD(BH__Account, burst_tokens, false, 0, 1000000000000),
+	BH__STRING_FIELD(BH__Account, priority, false),
+	BH__LIST_FIELD(BH__Account, key_sha256, 16),
 	{"operator", BH__FIELD_BOOL, offsetof(BH__Account, is_operator), false, 0, 0},
 };
 static const BH__Field PriorityFields_[] = {
-	U64_(BH__Priority, weight, false, 1, 1000),
-	U64_(BH__Priority, level, false, 0, 100),
+	BH__U64_FIELD(BH__Priority, weight, false, 1, 1000),
+	BH__U64_FIELD(BH__Priority, level, false, 0, 100),
 };
 static const BH__Field EndpointFields_[] = {
-	STRING_(BH__Endpoint, address, true),
-	STRING_(BH__Endpoint, hall, true),
-	STRING_(BH__Endpoint, role, false),
-	STRING_(BH__Endpoint, model, true),
-	STRING_(BH__Endpoint, version, false),
-	LIST_(BH__Endpoint, adapters, 64),
-	U64_(BH__Endpoint, kv_bytes, false, 0, MAX_BYTES_),
-	U64_(BH__Endpoint, max_streams, false, 1, 100000),
-	BOOL_(BH__Endpoint, fenced),
-	BOOL_(BH__Endpoint, leaving),
-	BOOL_(BH__Endpoint, tls),
+	BH__STRING_FIELD(BH__Endpoint, address, true),
+	BH__STRING_FIELD(BH__Endpoint, hall, true),
+	BH__STRING_FIELD(BH__Endpoint, role, false),
+	BH__STRING_FIELD(BH__Endpoint, model, true),
+	BH__STRING_FIELD(BH__Endpoint, version, false),
+	BH__LIST_FIELD(BH__Endpoint, adapters, 64),
+	BH__U64_FIELD(BH__Endpoint, kv_bytes, false, 0, MAX_BYTES_),
+	BH__U64_FIELD(BH__Endpoint, max_streams, false, 1, 100000),
+	BH__BOOL_FIELD(BH__Endpoint, fenced),
+	BH__BOOL_FIELD(BH__Endpoint, leaving),
+	BH__BOOL_FIELD(BH__Endpoint, tls),
 };
 static const BH__Field PolicyFields_[] = {
-	U64_(BH__Policy, long_tokens, false, 1, 100000000),
-	REAL_(BH__Policy, long_share, 0, 1),
-	REAL_(BH__Policy, min_long_share, 0, 1),
-	REAL_(BH__Policy, hall_penalty_ms, 0, 60000),
-	U64_(BH__Policy, queue_max, false, 1, 10000000),
-	U64_(BH__Policy, default_deadline_ms, false, 1, 86400000),
-	REAL_(BH__Policy, retry_share, 0, 10),
+	BH__U64_FIELD(BH__Policy, long_tokens, false, 1, 100000000),
+	BH__REAL_FIELD(BH__Policy, long_share, 0, 1),
+	BH__REAL_FIELD(BH__Policy, min_long_share, 0, 1),
+	BH__REAL_FIELD(BH__Policy, hall_penalty_ms, 0, 60000),
+	BH__U64_FIELD(BH__Policy, queue_max, false, 1, 10000000),
+	BH__U64_FIELD(BH__Policy, default_deadline_ms, false, 1, 86400000),
+	BH__REAL_FIELD(BH__Policy, retry_share, 0, 10),
 };
 
 typedef struct {
