One rule for a request that finds no place; state said once

Whether a request that is sent no more is cut, failed or refused stood four times, in exchange.c and three places of call.c; the one for plain services left out the begun answer: a resumed stream without another endpoint would have had a second head written into it (seen by reading, not in a run). Call.answered said what the exchange's answer_begun says; the histogram had the limits of bh__size_class() of its own; a function stood among prototypes. Change: bh__exchange_process_no_place() and one end_without_more_(); answer_begun alone; bh__size_class() is public.

--- a/include/bayhoist/exchange.h
+++ b/include/bayhoist/exchange.h
@@ -65,7 +65,8 @@
 void bh__exchange_note_tried(BH__Exchange *x, uint64_t endpoint_id);
 BH__Next bh__exchange_process_end(BH__Exchange *x, BH__SendingEnd end, BH__RepeatBudget *budget,
 								  uint64_t now_us);
-BH__Next bh__exchange_process_deadline(BH__Exchange *x);
+BH__Next bh__exchange_process_deadline(const BH__Exchange *x);
+BH__Next bh__exchange_process_no_place(const BH__Exchange *x);
 bool bh__exchange_may_send_again(const BH__Exchange *x, uint64_t now_us);
 BH__Verdict bh__exchange_get_verdict(const BH__Exchange *x);
 
--- a/include/bayhoist/types.h
+++ b/include/bayhoist/types.h
@@ -22,4 +22,6 @@
 #define BH__MS_US UINT64_C(1000)
 #define BH__SECOND_US UINT64_C(1000000)
 
+unsigned bh__size_class(uint64_t prompt_tokens);
+
 #endif
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -62,7 +62,6 @@
 	OutboundHead head;     /* of the answer; `headers` is our own copy */
 	struct evbuffer *body; /* of an answer that is kept until it is whole; or the rest of an event */
 	bool passing;          /* the answer goes on as it comes */
-	bool answered;         /* its head went to the caller */
 	bool told_progress;    /* the scheduler knows that this sending's answer has begun */
 	BH__EventStream events;
 	bool paused;
@@ -72,6 +71,7 @@
 static bool admit_(Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
+static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 static void ask_(Call *c);
 static void fill_ask_(Call *c);
 static const char *scheduler_name_(const Call *c);
@@ -93,17 +93,7 @@
 static void tell_progress_(Call *c);
 static void begin_answer_(Call *c);
 static void end_sending_(Call *c, BH__SendingEnd end);
-/* Returns the endpoint that a refusal names as its cause, which may be a helper; else the one that refused.
- */
-static uint64_t find_at_fault_(const Call *c)
-{
-	const BH__RegisteredEndpoint *e = NULL;
-
-	if (c->head.meta.at_fault[0])
-		e = bh__registry_find_address(c->gate->registry, c->head.meta.at_fault);
-	return e ? e->endpoint_id : c->endpoint_id;
-}
-
+static uint64_t find_at_fault_(const Call *c);
 static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us);
 static void act_(Call *c, BH__Next next);
 static void pass_failure_(Call *c);
@@ -212,16 +202,25 @@
 						  now_us);
 	if (e)
 		send_(c, e->endpoint_id);
-	else if (c->x.may_have_run)
-		act_(c, BH__NEXT_FAIL);
 	else
-		refuse_(c, 503, RETRY_SOON_MS, "no-endpoint", "no endpoint of the service can take the request");
+		give_up_(c, RETRY_SOON_MS, "no-endpoint", "no endpoint of the service can take the request");
+}
+
+/* Ends a request for which there is no place: one that did not run is refused with these words. */
+static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message)
+{
+	BH__Next next = bh__exchange_process_no_place(&c->x);
+
+	if (next == BH__NEXT_REFUSE)
+		refuse_(c, 503, retry_after_ms, code, message);
+	else
+		act_(c, next);
 }
 
 static void ask_(Call *c)
 {
 	if (++c->asks > ASKS_MAX) {
-		act_(c, c->answered ? BH__NEXT_BREAK_OFF : c->x.may_have_run ? BH__NEXT_FAIL : BH__NEXT_REFUSE);
+		give_up_(c, RETRY_SOON_MS, "not-run", "no endpoint ran the request");
 		return;
 	}
 	cluster_drop_ask(c->gate->cluster, c);
@@ -294,12 +293,8 @@
 			  retry_after_ms);
 	if (reason == BH__REASON_NODE_LEAVING)
 		ask_(c);
-	else if (c->answered)
-		act_(c, BH__NEXT_BREAK_OFF);
-	else if (c->x.may_have_run)
-		act_(c, BH__NEXT_FAIL);
 	else
-		refuse_(c, 503, retry_after_ms, BH__ReasonString[reason], "no engine can take the request in time");
+		give_up_(c, retry_after_ms, BH__ReasonString[reason], "no engine can take the request in time");
 }
 
 /* Engines were granted: they are in the call's place. */
@@ -496,14 +491,14 @@
 		return;
 	}
 	now_us = clock_now_us();
-	if (c->answered)
+	if (c->x.answer_begun)
 		c->longest_pause_us = MAX(c->longest_pause_us, now_us - c->heard_us);
 	c->heard_us = now_us;
 	evbuffer_add(c->body, data, len);
 	if (c->passing) {
 		pass_events_(c);
 	}
-	else if (evbuffer_get_length(c->body) > WHOLE_MAX || c->answered) {
+	else if (evbuffer_get_length(c->body) > WHOLE_MAX || c->x.answer_begun) {
 		size_t n = evbuffer_get_length(c->body);
 		pass_on_(c, (const char *)evbuffer_pullup(c->body, -1), n);
 		evbuffer_drain(c->body, n);
@@ -534,7 +529,7 @@
 	if (!c->told_progress && c->service->is_engine)
 		tell_progress_(c);
 	c->told_progress = true;
-	if (!c->answered)
+	if (!c->x.answer_begun)
 		begin_answer_(c);
 	if (!inbound_answer_more(c->in, data, len) && !c->paused) {
 		c->paused = true;
@@ -557,14 +552,10 @@
 {
 	uint64_t wait_us = c->heard_us - c->request->arrived_us;
 
-	c->answered = true;
 	c->x.answer_begun = true;
 	c->x.may_have_run = true;
 	if (c->service->is_engine) {
-		bh__histogram_add(&c->gate->counters.first_event[c->request->meta.prompt_tokens > 102400  ? 3
-														 : c->request->meta.prompt_tokens > 32768 ? 2
-														 : c->request->meta.prompt_tokens > 4096  ? 1
-																								  : 0],
+		bh__histogram_add(&c->gate->counters.first_event[bh__size_class(c->request->meta.prompt_tokens)],
 						  wait_us);
 	}
 	inbound_answer_begin(c->in, c->head.status, c->head.reason, c->head.headers);
@@ -627,6 +618,17 @@
 	act_(c, next);
 }
 
+/* Returns the endpoint that a refusal names as its cause, which may be a helper; else the one that refused.
+ */
+static uint64_t find_at_fault_(const Call *c)
+{
+	const BH__RegisteredEndpoint *e = NULL;
+
+	if (c->head.meta.at_fault[0])
+		e = bh__registry_find_address(c->gate->registry, c->head.meta.at_fault);
+	return e ? e->endpoint_id : c->endpoint_id;
+}
+
 static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us)
 {
 	char cause[CAUSE_MAX + 1] = "";
@@ -651,10 +653,10 @@
 
 	switch (next) {
 	case BH__NEXT_DONE:
-		if (c->answered)
+		if (c->passing && !c->x.answer_begun)
+			begin_answer_(c);
+		if (c->x.answer_begun)
 			inbound_answer_end(c->in);
-		else if (c->passing)
-			begin_answer_(c), inbound_answer_end(c->in);
 		else
 			inbound_answer_whole(c->in, c->head.status, c->head.reason, c->head.headers, c->body);
 		finish_(c, CALL_SERVED, "served");
--- a/src/libbayhoist/engines.c
+++ b/src/libbayhoist/engines.c
@@ -20,8 +20,6 @@
 #define LONG_STEP_US_ (20 * BH__MS_US) /* more, the longer the context is that it attends to */
 #define GANG_FILL_ 0.92                /* of an engine's memory that a gang's part may take */
 
-static const uint64_t ClassLimitTokens_[BH__SIZE_CLASSES - 1] = {4096, 32768, 102400};
-
 struct BH__Engines {
 	GPtrArray *table; /* BH__Engine * */
 	GHashTable *by_id;
@@ -101,15 +99,6 @@
 	return g_ptr_array_index(t->table, index);
 }
 
-/* Returns the size class of a prompt, 0 for the smallest. */
-unsigned bh__size_class(uint64_t prompt_tokens)
-{
-	unsigned c = 0;
-	while (c < BH__SIZE_CLASSES - 1 && prompt_tokens > ClassLimitTokens_[c])
-		c++;
-	return c;
-}
-
 /* Returns true if the engine may be given work. Until its first report its memory is unknown. */
 bool bh__engine_is_usable(const BH__Engine *e)
 {
--- a/src/libbayhoist/exchange.c
+++ b/src/libbayhoist/exchange.c
@@ -17,6 +17,7 @@
 
 static BH__Next give_up_(const BH__Exchange *x, BH__SendingEnd end);
 static BH__Next send_again_(const BH__Exchange *x);
+static BH__Next end_without_more_(const BH__Exchange *x, BH__Next if_may_have_run);
 
 /* Sets a budget that allows `at_once` sendings besides a share of the requests. */
 void bh__repeat_budget_init(BH__RepeatBudget *b, double share, double at_once)
@@ -110,19 +111,28 @@
 
 static BH__Next give_up_(const BH__Exchange *x, BH__SendingEnd end)
 {
-	if (x->answer_begun)
-		return BH__NEXT_BREAK_OFF;
 	if (end == BH__SENDING_FAILED)
-		return BH__NEXT_PASS_ON;
-	if (!x->may_have_run)
-		return BH__NEXT_REFUSE;
-	return end == BH__SENDING_SILENT ? BH__NEXT_TIME_OUT : BH__NEXT_FAIL;
+		return end_without_more_(x, BH__NEXT_PASS_ON);
+	return end_without_more_(x, end == BH__SENDING_SILENT ? BH__NEXT_TIME_OUT : BH__NEXT_FAIL);
 }
 
-/* The request's time is up. `x->may_have_run` must say whether a sending is under way. */
-BH__Next bh__exchange_process_deadline(BH__Exchange *x)
+/* Returns how a request ends that is sent no more: `if_may_have_run` says how one does that may have run and
+ * whose caller has no part of an answer. */
+static BH__Next end_without_more_(const BH__Exchange *x, BH__Next if_may_have_run)
 {
 	if (x->answer_begun)
 		return BH__NEXT_BREAK_OFF;
-	return x->may_have_run ? BH__NEXT_TIME_OUT : BH__NEXT_REFUSE;
+	return x->may_have_run ? if_may_have_run : BH__NEXT_REFUSE;
+}
+
+/* The request's time is up. `x->may_have_run` must say whether a sending is under way. */
+BH__Next bh__exchange_process_deadline(const BH__Exchange *x)
+{
+	return end_without_more_(x, BH__NEXT_TIME_OUT);
+}
+
+/* No endpoint can take the request now, or none will. */
+BH__Next bh__exchange_process_no_place(const BH__Exchange *x)
+{
+	return end_without_more_(x, BH__NEXT_FAIL);
 }
--- a/src/libbayhoist/include/private/engines.h
+++ b/src/libbayhoist/include/private/engines.h
@@ -39,7 +39,6 @@
 unsigned bh__engines_get_count(const BH__Engines *t);
 BH__Engine *bh__engines_get(const BH__Engines *t, unsigned index);
 
-unsigned bh__size_class(uint64_t prompt_tokens);
 bool bh__engine_is_usable(const BH__Engine *e);
 bool bh__engine_can_serve(const BH__Engine *e, const BH__Ask *ask);
 uint64_t bh__engine_get_free(const BH__Engine *e);
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -241,6 +241,21 @@
 	assert_int_equal(bh__exchange_process_deadline(&x), BH__NEXT_TIME_OUT);
 }
 
+/* Where there is no place left, a begun answer is cut and nothing else is written into it. */
+static void no_place_ends_a_request_(void **state)
+{
+	BH__RouteRule rule = {.repeat = BH__REPEAT_RESUME, .max_attempts = 2};
+	BH__Exchange x;
+
+	(void)state;
+	bh__exchange_init(&x, &rule, BH__SECOND_US);
+	assert_int_equal(bh__exchange_process_no_place(&x), BH__NEXT_REFUSE);
+	x.may_have_run = true;
+	assert_int_equal(bh__exchange_process_no_place(&x), BH__NEXT_FAIL);
+	x.answer_begun = true;
+	assert_int_equal(bh__exchange_process_no_place(&x), BH__NEXT_BREAK_OFF);
+}
+
 /* Over all nodes no more is sent again than the service allows, also from nodes that have just started. */
 static void the_repeat_budget_holds_(void **state)
 {
@@ -328,6 +343,7 @@
 		cmocka_unit_test(picks_the_least_loaded_and_not_tried_),
 		cmocka_unit_test(sends_again_only_what_may_),
 		cmocka_unit_test(may_have_run_is_not_forgotten_),
+		cmocka_unit_test(no_place_ends_a_request_),
 		cmocka_unit_test(the_repeat_budget_holds_),
 		cmocka_unit_test(only_whole_events_are_taken_),
 		cmocka_unit_test(events_that_were_seen_are_dropped_),
