--- a/include/bayhoist/exchange.h
+++ b/include/bayhoist/exchange.h
@@ -68,6 +68,7 @@
 BH__Next bh__exchange_process_deadline(const BH__Exchange *x);
 BH__Next bh__exchange_process_no_place(const BH__Exchange *x);
 bool bh__exchange_may_send_again(const BH__Exchange *x, uint64_t now_us);
+uint64_t bh__patience_us(const BH__RouteRule *rule, bool is_engine, bool has_begun);
 BH__Verdict bh__exchange_get_verdict(const BH__Exchange *x);
 
 #endif
--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -10,6 +10,10 @@
 #include "bayhoist/engine_model.h"
 #include "bayhoist/message.h"
 
+/* The planner lets no engine read for longer than this in one pass, in which every stream there stands still.
+ */
+#define BH__LONGEST_PASS_MS 1300
+
 typedef struct BH__Planner BH__Planner;
 
 typedef struct BH__PlannerPort {
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -19,13 +19,6 @@
 #define DEFAULT_ANSWER_TOKENS 1000
 #define LIKELY_FACTOR 2 /* answers are up to so many times as long as the caller guesses */
 #define LIKELY_EXTRA_TOKENS 200
-/* An answer that doesn't begin, or stands still, for so long is looked for elsewhere. A stream is given up by
- * its caller after 2 s, four times its target or eight times its gap, whichever is longest. */
-#define OVERDUE_LEAST_MS 900
-#define OVERDUE_FACTOR 2
-#define OVERDUE_EXTRA_MS 500
-#define STALL_LEAST_MS 900
-#define STALL_FACTOR 4
 #define CAUSE_MAX 100 /* bytes of an endpoint's words on why it did not run a request that go to the log */
 
 typedef enum {
@@ -743,15 +736,9 @@
 /* Returns when an answer that has not moved on is looked for elsewhere; UINT64_MAX: never. */
 static uint64_t overdue_us_(const Call *c)
 {
-	uint64_t ms;
-
 	if (c->state != CALL_SENDING || c->paused || c->rule->repeat == BH__REPEAT_NEVER || c->judged)
 		return UINT64_MAX;
-	if (c->events.events && c->passing)
-		ms = MAX((uint64_t)c->rule->event_gap_ms * STALL_FACTOR, STALL_LEAST_MS);
-	else
-		ms = MAX((uint64_t)c->rule->target_ms * OVERDUE_FACTOR + OVERDUE_EXTRA_MS, OVERDUE_LEAST_MS);
-	return c->heard_us + ms * BH__MS_US;
+	return c->heard_us + bh__patience_us(c->rule, c->service->is_engine, c->events.events && c->passing);
 }
 
 /* Sets the timer to the next moment at which time alone changes something. */
--- a/src/bench/bench_placement.c
+++ b/src/bench/bench_placement.c
@@ -12,14 +12,13 @@
 #include "bayhoist/planner.h"
 #include "pass_engine.h"
 
-#define ENGINES 18
+#define ENGINES_MAX 60
 #define KINDS 3
 #define PHASES 3
 #define PHASE_US (11400 * BH__MS_US)
 #define NETWORK_US (3 * BH__MS_US) /* from a node to an engine, and back */
 #define TICK_US (10 * BH__MS_US)
-#define TOKENS_PER_EVENT 46
-#define LANE_ENGINES 9 /* of the policy with fixed lanes */
+#define LANE_SHARE 2 /* of the policy with fixed lanes: one engine in so many is for long prompts */
 #define LANE_TOKENS 20000
 #define PART_TOKENS 8000 /* of the policy that reads in parts without pacing */
 
@@ -34,10 +33,43 @@
 	double factor[PHASES]; /* of its rate */
 } Kind;
 
-static const Kind Kinds_[KINDS] = {
-	{"page", 39.5, 4960, 0.9, 23800, 34.9, 0.7, 87, 300, 200, 10000, 1.3, 0.33, {0.35, 2.4, 0.32}},
-	{"manual", 2.87, 45000, 0.5, 110000, 20.9, 0.6, 52, 1500, 500, 10000, 3.1, 0.79, {1.3, 0.5, 1.3}},
-	{"archive", 1.19, 210000, 0.55, 1000000, 17.4, 0.5, 43, 3000, 800, 15000, 22, 5.4, {2.8, 0.05, 2.8}}};
+/* A deployment of the users' sheets. */
+typedef struct {
+	const char *name;
+	unsigned engines;
+	uint32_t slots;
+	uint32_t tokens_per_event;
+	Kind kind[KINDS];
+} Site;
+
+static const Site Sites_[] = {
+	{"small",
+	 18,
+	 16,
+	 46,
+	 {{"page", 39.5, 4960, 0.9, 23800, 34.9, 0.7, 87, 300, 200, 10000, 1.3, 0.33, {0.35, 2.4, 0.32}},
+	  {"manual", 2.87, 45000, 0.5, 110000, 20.9, 0.6, 52, 1500, 500, 10000, 3.1, 0.79, {1.3, 0.5, 1.3}},
+	  {"archive", 1.19, 210000, 0.55, 1000000, 17.4, 0.5, 43, 3000, 800, 15000, 22, 5.4, {2.8, 0.05, 2.8}}}},
+	{"grown",
+	 60,
+	 12,
+	 52,
+	 {{"page", 102, 4960, 0.9, 23800, 33, 0.7, 82.5, 300, 200, 10000, 1.4, 0.34, {0.32, 2.5, 0.33}},
+	  {"manual", 9.38, 45000, 0.5, 110000, 19.8, 0.6, 49.5, 1500, 500, 10000, 2.6, 0.66, {1.3, 0.5, 1.3}},
+	  {"archive",
+	   2.13,
+	   300000,
+	   0.55,
+	   1000000,
+	   16.5,
+	   0.5,
+	   41.2,
+	   4000,
+	   800,
+	   15000,
+	   30,
+	   7.5,
+	   {2.8, 0.05, 2.9}}}}};
 
 typedef enum { POLICY_PLANNER, POLICY_LEAST_WORK, POLICY_LANES, POLICY_PARTS, POLICY_COUNT } Policy;
 
@@ -62,6 +94,7 @@
 
 typedef struct {
 	BH__PlannerPort port; /* first */
+	const Site *site;
 	Policy policy;
 	BH__EngineModel model;
 	BH__Planner *planner;
@@ -83,12 +116,13 @@
 	unsigned large_served[KINDS];
 } Result;
 
-static void set_model_(BH__EngineModel *m);
+static const Site *find_site_(const char *name);
+static void set_model_(const Site *site, BH__EngineModel *m);
 static double draw_(gsl_rng *rng, double mean, double spread, double max);
 static void draw_requests_(Run *run, gsl_rng *rng, double per_s);
 static void push_(Run *run, uint64_t at_us, Request *request, const BH__Grant *grant);
 static gint compare_events_(gconstpointer a, gconstpointer b, gpointer data);
-static void run_(Policy policy, double per_s, unsigned long seed, Result *out);
+static void run_(const Site *site, Policy policy, double per_s, unsigned long seed, Result *out);
 static void play_(Run *run);
 static void arrive_(Run *run, Request *r);
 static void place_simply_(Run *run, Request *r);
@@ -101,22 +135,22 @@
 static void on_first_(void *ctx, PassRequest *r, uint64_t now_us);
 static void on_done_(void *ctx, PassRequest *r, uint64_t now_us);
 static void judge_(const Run *run, Result *out);
-static void print_(Policy policy, double per_s, unsigned seeds, const Result *results);
+static void print_(const Site *site, Policy policy, double per_s, unsigned seeds, const Result *results);
 
 int main(int argc, char **argv)
 {
-	static const struct option Options[] = {{"seeds", required_argument, NULL, 's'},
-											{"load", required_argument, NULL, 'l'},
-											{"policy", required_argument, NULL, 'p'},
-											{"help", no_argument, NULL, 'h'},
-											{NULL, 0, NULL, 0}};
+	static const struct option Options[] = {
+		{"seeds", required_argument, NULL, 's'},  {"load", required_argument, NULL, 'l'},
+		{"policy", required_argument, NULL, 'p'}, {"site", required_argument, NULL, 'S'},
+		{"help", no_argument, NULL, 'h'},         {NULL, 0, NULL, 0}};
 	unsigned seeds = 3;
 	double loads[2] = {41, 55};
 	unsigned load_count = 2;
 	const char *only = NULL;
+	const Site *site = &Sites_[0];
 	int option;
 
-	while ((option = getopt_long(argc, argv, "s:l:p:h", Options, NULL)) != -1) {
+	while ((option = getopt_long(argc, argv, "s:l:p:S:h", Options, NULL)) != -1) {
 		if (option == 's') {
 			seeds = (unsigned)strtoul(optarg, NULL, 10);
 		}
@@ -127,8 +161,12 @@
 		else if (option == 'p') {
 			only = optarg;
 		}
+		else if (option == 'S') {
+			site = find_site_(optarg);
+		}
 		else {
-			puts("Usage: bench_placement [--seeds N] [--load REQUESTS_PER_S] [--policy NAME]");
+			puts("Usage: bench_placement [--seeds N] [--load REQUESTS_PER_S] [--policy NAME] [--site "
+				 "small|grown]");
 			return option == 'h' ? 0 : 64;
 		}
 	}
@@ -136,27 +174,40 @@
 		fputs("bench_placement: --seeds must be 1 to 10000\n", stderr);
 		return 64;
 	}
+	if (!site) {
+		fputs("bench_placement: --site must be small or grown\n", stderr);
+		return 64;
+	}
 	for (unsigned l = 0; l < load_count; l++) {
 		for (int p = 0; p < POLICY_COUNT; p++) {
 			Result *results = g_new0(Result, seeds);
 			if (only && strcmp(only, PolicyString_[p]) != 0)
 				continue;
 			for (unsigned s = 0; s < seeds; s++)
-				run_((Policy)p, loads[l], s + 1, &results[s]);
-			print_((Policy)p, loads[l], seeds, results);
+				run_(site, (Policy)p, loads[l], s + 1, &results[s]);
+			print_(site, (Policy)p, loads[l], seeds, results);
 			g_free(results);
 		}
 	}
 	return 0;
 }
 
+/* Returns the deployment of that name, or NULL. */
+static const Site *find_site_(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(Sites_); i++)
+		if (!strcmp(Sites_[i].name, name))
+			return &Sites_[i];
+	return NULL;
+}
+
 /* The engines of the users' sheets. */
-static void set_model_(BH__EngineModel *m)
+static void set_model_(const Site *site, BH__EngineModel *m)
 {
 	bh__engine_model_init(m);
-	m->slots = 16;
+	m->slots = site->slots;
 	m->kv_tokens = 450000;
-	m->steps_per_pass = TOKENS_PER_EVENT;
+	m->steps_per_pass = site->tokens_per_event;
 	m->tokens_per_step = 2048;
 	m->step_ms = 0.925;
 	m->per_stream_ms = 0.00483;
@@ -176,22 +227,23 @@
 
 static void draw_requests_(Run *run, gsl_rng *rng, double per_s)
 {
+	const Kind *kind = run->site->kind;
 	double sum = 0;
 
 	for (unsigned k = 0; k < KINDS; k++)
-		sum += Kinds_[k].share;
+		sum += kind[k].share;
 	for (unsigned k = 0; k < KINDS; k++) {
 		for (unsigned phase = 0; phase < PHASES; phase++) {
-			double rate_per_us = per_s * Kinds_[k].share / sum * Kinds_[k].factor[phase] / 1e6;
+			double rate_per_us = per_s * kind[k].share / sum * kind[k].factor[phase] / 1e6;
 			double at_us = (double)(phase * PHASE_US);
 			while ((at_us += gsl_ran_exponential(rng, 1 / rate_per_us)) < (double)((phase + 1) * PHASE_US)) {
 				Request *r = g_new0(Request, 1);
 				r->kind = k;
 				r->arrived_us = (uint64_t)at_us;
-				r->pass.prompt_tokens = (uint64_t)draw_(rng, Kinds_[k].prompt_mean, Kinds_[k].prompt_spread,
-														Kinds_[k].prompt_max);
-				r->pass.events = (unsigned)draw_(rng, Kinds_[k].events_mean, Kinds_[k].events_spread,
-												 Kinds_[k].events_max);
+				r->pass.prompt_tokens =
+					(uint64_t)draw_(rng, kind[k].prompt_mean, kind[k].prompt_spread, kind[k].prompt_max);
+				r->pass.events =
+					(unsigned)draw_(rng, kind[k].events_mean, kind[k].events_spread, kind[k].events_max);
 				r->pass.ctx = r;
 				g_ptr_array_add(run->requests, r);
 				push_(run, r->arrived_us, r, NULL);
@@ -222,10 +274,10 @@
 	return x->order < y->order ? -1 : 1;
 }
 
-static void run_(Policy policy, double per_s, unsigned long seed, Result *out)
+static void run_(const Site *site, Policy policy, double per_s, unsigned long seed, Result *out)
 {
 	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
-	Run run = {.policy = policy};
+	Run run = {.site = site, .policy = policy};
 
 	gsl_rng_set(rng, seed);
 	run.port = (BH__PlannerPort){.grant = on_grant_,
@@ -233,14 +285,14 @@
 								 .queued = on_queued_,
 								 .abandoned = on_abandoned_,
 								 .inspect = on_inspect_};
-	set_model_(&run.model);
+	set_model_(site, &run.model);
 	run.planner = bh__planner_new(&run.port, 1, 1);
 	bh__planner_set_model(run.planner, &run.model);
-	run.fleet = pass_fleet_new(&run.model, ENGINES, on_first_, on_done_, &run);
+	run.fleet = pass_fleet_new(&run.model, site->engines, on_first_, on_done_, &run);
 	run.requests = g_ptr_array_new_with_free_func(g_free);
 	run.events = g_sequence_new(g_free);
 	run.by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
-	for (unsigned i = 0; i < ENGINES; i++)
+	for (unsigned i = 0; i < site->engines; i++)
 		bh__planner_set_endpoint(run.planner, i + 1, false, 0);
 	draw_requests_(&run, rng, per_s);
 	play_(&run);
@@ -290,13 +342,13 @@
 
 static void arrive_(Run *run, Request *r)
 {
-	const Kind *k = &Kinds_[r->kind];
+	const Kind *k = &run->site->kind[r->kind];
 	BH__Ask ask = {.ask_id = ++run->next_order,
 				   .pool_id = 1,
 				   .node_id = 1,
 				   .boot_id = 1,
 				   .prompt_tokens = r->pass.prompt_tokens,
-				   .max_tokens = r->pass.events * TOKENS_PER_EVENT,
+				   .max_tokens = r->pass.events * run->site->tokens_per_event,
 				   .deadline_us = k->limit_ms * BH__MS_US,
 				   .first_event_us = k->target_ms * BH__MS_US,
 				   .event_gap_us = k->gap_ms * BH__MS_US};
@@ -314,12 +366,13 @@
 static void place_simply_(Run *run, Request *r)
 {
 	bool is_long = r->pass.prompt_tokens > LANE_TOKENS;
-	unsigned first = run->policy == POLICY_LANES && !is_long ? LANE_ENGINES : 0;
-	unsigned end = run->policy == POLICY_LANES && is_long ? LANE_ENGINES : ENGINES;
+	unsigned lane = run->site->engines / LANE_SHARE;
+	unsigned first = run->policy == POLICY_LANES && !is_long ? lane : 0;
+	unsigned end = run->policy == POLICY_LANES && is_long ? lane : run->site->engines;
 	unsigned parts =
 		run->policy == POLICY_PARTS ? (unsigned)((r->pass.prompt_tokens + PART_TOKENS - 1) / PART_TOKENS) : 1;
 	BH__Grant g = {.member_count = (uint8_t)CLAMP(parts, 1, 17)};
-	bool used[ENGINES] = {false};
+	bool used[ENGINES_MAX] = {false};
 
 	for (unsigned i = 0; i < g.member_count; i++) {
 		unsigned best = first;
@@ -406,7 +459,7 @@
 {
 	for (guint i = 0; i < run->requests->len; i++) {
 		const Request *r = g_ptr_array_index(run->requests, i);
-		const Kind *k = &Kinds_[r->kind];
+		const Kind *k = &run->site->kind[r->kind];
 		double size = 0.3 + 0.7 * (double)r->pass.prompt_tokens / k->prompt_mean;
 		uint64_t took_us = r->pass.first_us - r->arrived_us + NETWORK_US;
 		bool in_time = r->pass.done_us && took_us <= k->target_ms * BH__MS_US &&
@@ -414,11 +467,6 @@
 		bool late = r->pass.done_us && r->pass.done_us <= r->arrived_us + k->limit_ms * BH__MS_US;
 		size = MIN(size, 4);
 		late = late && took_us <= MAX(2000, MAX(4 * k->target_ms, 8 * k->gap_ms)) * BH__MS_US;
-		if (getenv("DBG"))
-			fprintf(stderr, "%u %llu %llu %llu %llu %u %d\n", r->kind,
-					(unsigned long long)r->arrived_us / 1000, (unsigned long long)r->pass.prompt_tokens,
-					(unsigned long long)took_us / 1000, (unsigned long long)r->pass.pause_us / 1000,
-					r->pass.parts, r->refused);
 		out->count[r->kind]++;
 		out->in_time[r->kind] += in_time;
 		out->served[r->kind] += in_time || late;
@@ -429,7 +477,7 @@
 	}
 }
 
-static void print_(Policy policy, double per_s, unsigned seeds, const Result *results)
+static void print_(const Site *site, Policy policy, double per_s, unsigned seeds, const Result *results)
 {
 	double sum = 0;
 	double squares = 0;
@@ -456,10 +504,10 @@
 	}
 	if (seeds > 1)
 		error = sqrt(MAX(squares / seeds - sum / seeds * sum / seeds, 0) / (seeds - 1));
-	printf("load=%.0f policy=%s seeds=%u worth=%.4f error=%.4f", per_s, PolicyString_[policy], seeds,
-		   sum / seeds, error);
+	printf("site=%s load=%.0f policy=%s seeds=%u worth=%.4f error=%.4f", site->name, per_s,
+		   PolicyString_[policy], seeds, sum / seeds, error);
 	for (unsigned k = 0; k < KINDS; k++)
-		printf(" %s=%.3f %s_in_time=%.3f %s_served=%.3f %s_large_served=%.3f", Kinds_[k].name, share[k],
-			   Kinds_[k].name, in_time[k], Kinds_[k].name, served[k], Kinds_[k].name, large[k]);
+		printf(" %s=%.3f %s_in_time=%.3f %s_served=%.3f %s_large_served=%.3f", site->kind[k].name, share[k],
+			   site->kind[k].name, in_time[k], site->kind[k].name, served[k], site->kind[k].name, large[k]);
 	putchar('\n');
 }
--- a/src/bench/pass_engine.c
+++ b/src/bench/pass_engine.c
@@ -1,7 +1,9 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* The model engines. A pass plays `steps_per_pass` token steps if a stream is written, else one; beside each
- * step at most `tokens_per_step` prompt tokens are read, parts for other engines' requests first. What a pass
- * has read, and the events that it has written, come out at its end. */
+ * step at most `tokens_per_step` prompt tokens are read: parts for other engines' requests first, and of
+ * those the one that came last; then the engine's own, in the order in which they came (measured on the
+ * users' engines, see docs/MEASUREMENTS.md). What a pass has read, and the events that it has written, come
+ * out at its end. */
 #include "pass_engine.h"
 
 #include <string.h>
@@ -114,7 +116,7 @@
 
 	for (int own = 0; own <= 1; own++) {
 		for (guint i = 0; i < e->parts->len && budget > 0; i++) {
-			Part *p = g_ptr_array_index(e->parts, i);
+			Part *p = g_ptr_array_index(e->parts, own ? i : e->parts->len - 1 - i);
 			double take = MIN(budget, p->tokens);
 			double pairs_ms;
 			if (p->own != (own == 1) || p->done)
--- a/src/libbayhoist/exchange.c
+++ b/src/libbayhoist/exchange.c
@@ -5,9 +5,19 @@
 #include "bayhoist/exchange.h"
 
 #include <string.h>
+#include "bayhoist/planner.h"
 
 #define UNREACHABLE_MAX_ 3              /* endpoints without a connection before the request is refused */
 #define LEAST_TIME_US_ (30 * BH__MS_US) /* with less left another sending can't bring an answer */
+/* An endpoint counts as silent after so many of its rule's aims. A stream is given up by its caller after 2
+ * s, four times its target or eight times its gap, whichever is longest. */
+#define OVERDUE_FACTOR_ 2
+#define OVERDUE_EXTRA_MS_ 500
+#define STALL_FACTOR_ 4
+#define LEAST_PATIENCE_MS_ 900
+/* With engines not before a pass that reads all that one may, and the network's share, are over: else one
+ * long pass has every stream of its engine sent again. */
+#define LEAST_ENGINE_PATIENCE_MS_ (BH__LONGEST_PASS_MS + 200)
 #define BUDGET_FILL_ 0.7 /* of what is allowed that is used: nodes restart, and then begin anew */
 
 const char *const BH__SendingEndString[] = {"answered",    "failed", "refused",
@@ -136,3 +146,14 @@
 {
 	return end_without_more_(x, BH__NEXT_FAIL);
 }
+
+/* Returns how long an endpoint may send nothing before it counts as silent: before its answer to a request of
+ * this rule has begun, or between two events. */
+uint64_t bh__patience_us(const BH__RouteRule *rule, bool is_engine, bool has_begun)
+{
+	uint64_t ms = has_begun ? (uint64_t)rule->event_gap_ms * STALL_FACTOR_
+							: (uint64_t)rule->target_ms * OVERDUE_FACTOR_ + OVERDUE_EXTRA_MS_;
+	uint64_t least_ms = is_engine ? LEAST_ENGINE_PATIENCE_MS_ : LEAST_PATIENCE_MS_;
+
+	return MAX(ms, least_ms) * BH__MS_US;
+}
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -10,13 +10,16 @@
 #include "placement.h"
 
 #include <stdlib.h>
+#include "bayhoist/planner.h"
 
 /* A prompt of so many tokens more is worth one more; a fit to the users' sheets. */
 #define TOKENS_PER_VALUE_ 12000.0
-#define LATE_LOSS_ 0.75        /* share of a value that is lost when an answer is late; the sheets' */
-#define GAP_MARGIN_MS_ 25.0    /* of a pause, for the network and for what the reckoning misses */
-#define FIRST_MARGIN_MS_ 35.0  /* the same of a first event */
-#define LOOSE_LIMIT_MS_ 1300.0 /* of a pass on an engine without streams: one may begin there at any time */
+#define LATE_LOSS_ 0.75       /* share of a value that is lost when an answer is late; the sheets' */
+#define GAP_MARGIN_MS_ 25.0   /* of a pause, for the network and for what the reckoning misses */
+#define FIRST_MARGIN_MS_ 35.0 /* the same of a first event */
+#define LOOSE_LIMIT_MS_                                                                                      \
+	((double)                                                                                                \
+		 BH__LONGEST_PASS_MS) /* of a pass on an engine without streams: one may begin there at any time */
 #define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams that may pause no longer are tight */
 #define TIGHT_LIMIT_MS_ 180.0           /* of a pass on an engine that is kept for tight streams */
 #define TIGHT_ROOM_MS_ 40.0             /* of a tight engine's pass that is kept for tight prompts */
@@ -42,6 +45,7 @@
 	double pending_ms; /* what is left of its pass, and the next one */
 	double loss;       /* value of streams that a longer pass would make late */
 	unsigned slots_free;
+	unsigned helps_free; /* prompts of others that it may read parts of beside those it does */
 	uint64_t kv_free_tokens;
 } Candidate_;
 
@@ -68,6 +72,7 @@
 static bool fill_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts, const BH__Ask *ask,
 				  uint64_t now_us, BH__Placement *out);
 static bool choose_home_(Candidate_ *c, unsigned count, const BH__Ask *ask, double part_ms);
+static bool may_help_(const Candidate_ *c, unsigned parts);
 static bool share_memory_(const Candidate_ *c, unsigned parts, uint64_t need_tokens, BH__Placement *out);
 static bool is_in_time_(const BH__Ask *ask, const BH__Placement *p, uint64_t now_us);
 
@@ -174,6 +179,7 @@
 	if (!e->clock.streams)
 		c->next_ms = c->pending_ms;
 	c->slots_free = e->homes->len < m->slots ? m->slots - e->homes->len : 0;
+	c->helps_free = e->helps < m->slots ? m->slots - e->helps : 0;
 	c->kv_free_tokens = capacity > e->kv_used_tokens ? capacity - e->kv_used_tokens : 0;
 	for (guint i = 0; i < e->homes->len; i++) {
 		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
@@ -243,7 +249,8 @@
 		for (unsigned i = 0; i < count && n < parts; i++) {
 			double limit_ms = MIN(c[i].limit_ms, own_limit_ms);
 			bool fits = c[i].next_ms + part_ms * c[i].engine->clock.pace <= limit_ms;
-			bool has_slot = n > 0 || c[i].slots_free > SLOTS_KEPT_ + (ask->first_event_us ? 0 : LATE_SLOTS_);
+			bool has_slot = n > 0 ? c[i].helps_free > 0
+								  : c[i].slots_free > SLOTS_KEPT_ + (ask->first_event_us ? 0 : LATE_SLOTS_);
 			if (fits && has_slot)
 				chosen[n++] = c[i];
 		}
@@ -253,7 +260,8 @@
 	return false;
 }
 
-/* Engines that are not kept for tight streams come first, those with the most room first. */
+/* Engines that may help come first, of those the ones that are not kept for tight streams, and of those the
+ * ones with the most room. */
 static int compare_for_long_(const void *a, const void *b)
 {
 	const Candidate_ *x = a;
@@ -261,6 +269,9 @@
 	double p = room_ms_(x);
 	double q = room_ms_(y);
 
+	if ((x->helps_free > 0) != (y->helps_free > 0))
+		return x->helps_free > 0 ? -1 : 1;
+
 	if (x->kept != y->kept)
 		return x->kept ? 1 : -1;
 	return p > q ? -1 : p < q ? 1 : 0;
@@ -330,7 +341,7 @@
 	for (unsigned parts = most_parts_(ask, count); parts > 0; parts--) {
 		double part_ms = bh__engine_model_read_ms(m, ask->prompt_tokens, parts);
 		uint64_t end_us = 0;
-		if (part_ms > room_ms_(&c[parts - 1]))
+		if (part_ms > room_ms_(&c[parts - 1]) || (parts > 1 && !c[parts - 1].helps_free))
 			continue;
 		for (unsigned i = 0; i < parts; i++)
 			end_us = MAX(end_us, bh__pass_clock_predict_read(&c[i].engine->clock, m, part_ms, now_us));
@@ -355,6 +366,8 @@
 	const Candidate_ *x = a;
 	const Candidate_ *y = b;
 
+	if ((x->helps_free > 0) != (y->helps_free > 0))
+		return x->helps_free > 0 ? -1 : 1;
 	if (x->loss != y->loss)
 		return x->loss < y->loss ? -1 : 1;
 	return x->next_ms < y->next_ms ? -1 : x->next_ms > y->next_ms;
@@ -399,7 +412,8 @@
 	uint64_t need_tokens = ask->prompt_tokens + ask->max_tokens;
 	double part_ms = bh__engine_model_read_ms(m, ask->prompt_tokens, parts);
 
-	if (!choose_home_(c, count, ask, part_ms) || !share_memory_(c, parts, need_tokens, out))
+	if (!choose_home_(c, count, ask, part_ms) || !may_help_(c, parts) ||
+		!share_memory_(c, parts, need_tokens, out))
 		return false;
 	out->count = parts;
 	out->read_end_us = 0;
@@ -414,6 +428,16 @@
 	return true;
 }
 
+/* Returns true if all but the first of `parts` engines may read for one more prompt of another: an engine
+ * refuses to help more than it has slots. */
+static bool may_help_(const Candidate_ *c, unsigned parts)
+{
+	for (unsigned i = 1; i < parts; i++)
+		if (!c[i].helps_free)
+			return false;
+	return true;
+}
+
 /* Puts the engine that is to answer first. It must have a free slot. Best is one with the memory for the
  * whole, and with so little to read that the stream does not pause for it once it has begun; the earlier
  * candidate counts more. Returns false if no engine has a free slot. */
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -11,6 +11,7 @@
 #include "bayhoist/field.h"
 #include "bayhoist/hash.h"
 #include "bayhoist/registry.h"
+#include "bayhoist/planner.h"
 #include "bayhoist/routing.h"
 #include "bayhoist/silence.h"
 
@@ -241,6 +242,22 @@
 	assert_int_equal(bh__exchange_process_deadline(&x), BH__NEXT_TIME_OUT);
 }
 
+/* An engine that reads as much in one pass as it may is not silent. Where it was, an archive read on twelve
+ * engines had every stream there sent again, and the engines set aside, until the rest were full. */
+static void a_long_pass_is_no_silence_(void **state)
+{
+	BH__RouteRule page = {.target_ms = 300, .event_gap_ms = 200};
+	BH__RouteRule archive = {.target_ms = 3000, .event_gap_ms = 800};
+
+	(void)state;
+	assert_true(bh__patience_us(&page, true, false) > BH__LONGEST_PASS_MS * BH__MS_US);
+	assert_true(bh__patience_us(&page, true, true) > BH__LONGEST_PASS_MS * BH__MS_US);
+	assert_int_equal(bh__patience_us(&archive, true, false), 6500 * BH__MS_US);
+	assert_int_equal(bh__patience_us(&archive, true, true), 3200 * BH__MS_US);
+	assert_int_equal(bh__patience_us(&page, false, true),
+					 900 * BH__MS_US); /* plain services have no passes */
+}
+
 /* Where there is no place left, a begun answer is cut and nothing else is written into it. */
 static void no_place_ends_a_request_(void **state)
 {
@@ -343,6 +360,7 @@
 		cmocka_unit_test(picks_the_least_loaded_and_not_tried_),
 		cmocka_unit_test(sends_again_only_what_may_),
 		cmocka_unit_test(may_have_run_is_not_forgotten_),
+		cmocka_unit_test(a_long_pass_is_no_silence_),
 		cmocka_unit_test(no_place_ends_a_request_),
 		cmocka_unit_test(the_repeat_budget_holds_),
 		cmocka_unit_test(only_whole_events_are_taken_),
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -164,6 +164,25 @@
 	bench_free_(b);
 }
 
+/* Engines refuse to help with more prompts than they have slots. */
+static void no_engine_helps_more_than_its_slots_(void **state)
+{
+	Bench *b = bench_new_(ENGINES);
+	unsigned helps[ENGINES + 1] = {0};
+
+	(void)state;
+	for (unsigned i = 0; i < 80; i++) {
+		BH__Ask a = ask_(b, MEDIUM);
+		bh__planner_process_ask(b->planner, &a, i * 40 * MS);
+		bh__planner_process_tick(b->planner, i * 40 * MS + MS);
+	}
+	assert_true(b->grants->len > 20); /* of which no answer begins */
+	for (guint i = 0; i < b->grants->len; i++)
+		for (unsigned k = 1; k < grant_(b, i)->member_count; k++)
+			assert_true(++helps[grant_(b, i)->member[k].endpoint_id] <= 16);
+	bench_free_(b);
+}
+
 /* While tight streams run, long prompts are read on the other engines. */
 static void long_prompts_keep_away_from_tight_streams_(void **state)
 {
@@ -420,6 +439,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_short_prompt_is_read_by_one_engine_),
 		cmocka_unit_test(no_engine_is_named_twice_),
+		cmocka_unit_test(no_engine_helps_more_than_its_slots_),
 		cmocka_unit_test(long_prompts_keep_away_from_tight_streams_),
 		cmocka_unit_test(an_engine_is_kept_for_short_prompts_),
 		cmocka_unit_test(a_prompt_over_one_engine_takes_memory_on_another_),
