A node that starts keeps requests until it knows where they go

The answer of the store was on its way. Ruled out: schedulers that are not agreed on (36 of 79 knew within 0.3 s). Now such requests wait until the configuration and the endpoints are known, 300 ms after the node's start at most, and are refused only then. A scripted test stops the store while a gateway starts; it failed first.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -11,7 +11,10 @@
 
 /* Without a word from the scheduler a request is placed by this node alone. */
 #define SCHEDULER_PATIENCE_MS 40
-#define QUEUED_REPEAT_MS 200   /* a request that the scheduler keeps waiting asks again after this */
+#define QUEUED_REPEAT_MS 200 /* a request that the scheduler keeps waiting asks again after this */
+/* For so long after its start a node keeps requests until it knows where they go; the store answers within
+ * some tens of milliseconds, and who was refused might come back before. */
+#define START_PATIENCE_MS 300
 #define ASKS_MAX 6             /* after so many grants that could not be used a request is refused */
 #define WHOLE_MAX (256 * 1024) /* bytes of an answer that are kept until it is whole */
 #define RETRY_SOON_MS 200      /* when a caller that was refused for a passing cause is to come back */
@@ -22,12 +25,13 @@
 #define CAUSE_MAX 100 /* bytes of an endpoint's words on why it did not run a request that go to the log */
 
 typedef enum {
+	CALL_STARTING,  /* waits until the node knows the configuration and the endpoints */
 	CALL_ASKING,    /* waits for engines */
 	CALL_RESERVING, /* waits for memory on them */
 	CALL_SENDING    /* an endpoint has it */
 } CallState;
 
-static const char *const StateString_[] = {"asking", "reserving", "sending"};
+static const char *const StateString_[] = {"starting", "asking", "reserving", "sending"};
 
 struct Call {
 	Gate *gate;
@@ -61,6 +65,7 @@
 	struct event *timer;
 };
 
+static void begin_(Call *c);
 static bool admit_(Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
@@ -111,14 +116,41 @@
 	c->head.headers = g_string_new(NULL);
 	g_hash_table_add(g->calls, c);
 	g->counters.requests++;
-	if (!admit_(c))
-		return NULL;
-	bh__repeat_budget_note_request(gate_get_budget(g, c->service->name));
-	place_(c);
+	if (!gate_is_informed(g) && clock_now_us() < g->started_us + START_PATIENCE_MS * BH__MS_US)
+		set_timer_(c, clock_now_us());
+	else
+		begin_(c);
 	/* the call may have ended meanwhile */
 	return g_hash_table_contains(g->calls, c) ? c : NULL;
 }
 
+/* Begins with a request: the node knows where it goes, or is not to wait until it does. */
+static void begin_(Call *c)
+{
+	c->state = CALL_ASKING;
+	if (!admit_(c))
+		return;
+	bh__repeat_budget_note_request(gate_get_budget(c->gate, c->service->name));
+	place_(c);
+}
+
+/* The node has learnt of the configuration or the endpoints: requests that wait for these begin. */
+void calls_process_news(Gate *g)
+{
+	GList *all;
+
+	if (!gate_is_informed(g) || g->told_informed)
+		return;
+	g->told_informed = true;
+	all = g_hash_table_get_keys(g->calls);
+	for (GList *it = all; it; it = it->next) {
+		Call *c = it->data;
+		if (g_hash_table_contains(g->calls, c) && c->state == CALL_STARTING)
+			begin_(c);
+	}
+	g_list_free(all);
+}
+
 /* Matches the request with a route and an account. Returns false if it was refused; the call is gone then. */
 static bool admit_(Call *c)
 {
@@ -747,6 +779,8 @@
 	uint64_t due_us = MIN(c->x.deadline_us, overdue_us_(c));
 	struct timeval tv;
 
+	if (c->state == CALL_STARTING)
+		due_us = c->gate->started_us + START_PATIENCE_MS * BH__MS_US;
 	if (c->state == CALL_ASKING)
 		due_us =
 			MIN(due_us, c->asked_us + (c->queued ? QUEUED_REPEAT_MS : SCHEDULER_PATIENCE_MS) * BH__MS_US);
@@ -765,7 +799,10 @@
 
 static void check_time_(Call *c, uint64_t now_us)
 {
-	if (now_us >= c->x.deadline_us) {
+	if (c->state == CALL_STARTING) {
+		begin_(c);
+	}
+	else if (now_us >= c->x.deadline_us) {
 		c->x.may_have_run |= c->state == CALL_SENDING && c->out && outbound_is_connected(c->out);
 		act_(c, bh__exchange_process_deadline(&c->x));
 	}
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -56,6 +56,7 @@
 	uint64_t routing_looked_us; /* when the look was begun that last showed it to be the newest */
 	BH__Registry *registry;
 	uint64_t registry_looked_us; /* when the look was begun that it shows */
+	bool told_informed;          /* calls that waited for the configuration and the endpoints have begun */
 	uint64_t registry_seen;      /* version that the planners follow */
 	GHashTable *budgets;         /* BH__RepeatBudget by service name */
 	GHashTable *calls;           /* set of live Call */
@@ -71,6 +72,7 @@
 
 /* main.c */
 bool gate_is_ready(const Gate *g, uint64_t now_us);
+bool gate_is_informed(const Gate *g);
 bool gate_trusts_keys(const Gate *g, uint64_t now_us);
 void gate_set_routing(Gate *g, BH__Routing *routing, uint64_t looked_us);
 void gate_note_look(Gate *g, uint64_t looked_us);
@@ -145,6 +147,7 @@
 void call_on_queued(Call *c);
 void call_on_scheduler_lost(Call *c);
 CallPlace *call_get_place(Call *c);
+void calls_process_news(Gate *g);
 void calls_free(Gate *g);
 
 /* memory.c */
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -164,6 +164,13 @@
 {
 	if (looked_us > g->routing_looked_us)
 		g->routing_looked_us = looked_us;
+	calls_process_news(g);
+}
+
+/* Returns true once the configuration and the endpoints have been read since the start. */
+bool gate_is_informed(const Gate *g)
+{
+	return g->routing && g->routing_looked_us && g->registry_looked_us;
 }
 
 /* The registry shows the endpoints as they were when a look was begun: the planners follow those that came or
@@ -173,10 +180,11 @@
 	if (looked_us > g->registry_looked_us)
 		g->registry_looked_us = looked_us;
 	bh__registry_process_tick(g->registry, clock_now_us());
-	if (g->registry_seen == bh__registry_get_version(g->registry))
-		return;
-	g->registry_seen = bh__registry_get_version(g->registry);
-	cluster_follow_registry(g->cluster, clock_now_us());
+	if (g->registry_seen != bh__registry_get_version(g->registry)) {
+		g->registry_seen = bh__registry_get_version(g->registry);
+		cluster_follow_registry(g->cluster, clock_now_us());
+	}
+	calls_process_news(g);
 }
 
 /* Returns the budget of repeated sendings to a service, of which this node has an even part. */
--- a/test/check-gate.sh
+++ b/test/check-gate.sh
@@ -68,6 +68,15 @@
 
 signal gate2 KILL
 is "after a gateway was killed the others serve" "$(ask 1 /ask/x k1)$(ask 3 /ask/x k2)" 200200
+early() { until (exec 3<>"/dev/tcp/127.0.0.12/$((BASE + 20))") 2>/dev/null; do :; done; ask 2 /ask/x e1 >"$RUN/early"; }
+signal site STOP
+start_gate 2
+early &
+caller=$!
+sleep 0.1
+signal site CONT
+wait $caller
+is "a request that comes as a gateway starts waits for the configuration" "$(cat "$RUN/early")" 200
 tell down
 sleep 0.3
 is "with the store down keys are believed for a while" "$(ask 1 /ask/x o1)" 200
