Only the node that looks for others watches the configuration

The reader alone watches now. Test: four changes within 1.2 s are in force on three gateways with at most six watches (before: twelve); failed first.

--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -76,6 +76,8 @@
 	 * endpoints there are, told by gate_note_registry(). A look that is under way is not begun again. */
 	void (*look_at_configuration)(Gate *g);
 	void (*look_at_endpoints)(Gate *g);
+	/* Sets whether a change of the configuration is to be heard of at once, without a look. */
+	void (*watch_configuration)(Gate *g, bool wanted);
 	/* Puts the node where nodes that start can find it, and takes it away. */
 	void (*announce)(Gate *g);
 	void (*withdraw)(Gate *g);
--- a/test/check-gate.sh
+++ b/test/check-gate.sh
@@ -60,6 +60,17 @@
 CALLER_KEY=key2
 is "the new one works" "$(ask 3 /ask/x r2)" 200
 
+before=$(tell watches)
+for version in 3 4 5 6; do
+	config $version key$version >"$RUN/config"
+	tell config -d "@$RUN/config"
+	sleep 0.3
+done
+sleep 1.7
+CALLER_KEY=key6
+is "changes in quick succession are in force on all" "$(ask 1 /ask/x c1)$(ask 2 /ask/x c2)$(ask 3 /ask/x c3)" 200200200
+is "and watched by one gateway" "$(($(tell watches) - before > 6))" 0
+
 tell 'drain?id=i-e1'
 sleep 2
 before=$(tell 'arrivals?id=i-e1')
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -64,6 +64,7 @@
 static GList *Watches_;     /* Watch */
 static uint64_t Revision_;
 static bool Down_;
+static unsigned WaitingWatches_; /* calls */
 static Replica Replicas_[REPLICAS_MAX];
 static unsigned ReplicaCount_;
 static GHashTable *Runs_; /* counts by request id */
@@ -240,6 +241,9 @@
 		g_free(prefix);
 	}
 	else if (!strcmp(path, "/kv-watch")) {
+		char *wait = web_get_query(req, "wait-ms");
+		WaitingWatches_ += wait && strcmp(wait, "0") != 0;
+		g_free(wait);
 		on_watch_(req);
 	}
 	else if (!strcmp(path, "/kv-txn")) {
@@ -342,8 +346,8 @@
 	g_list_free(all);
 }
 
-/* What a test wants: config, drain and gone of an endpoint, up, down, runs of a request, arrivals, headers.
- */
+/* What a test wants: config, drain and gone of an endpoint, up, down, runs of a request, arrivals, headers,
+ * watches that were to wait. */
 static void on_test_(struct evhttp_request *req, const char *what)
 {
 	char *id = web_get_query(req, "id");
@@ -364,6 +368,9 @@
 	else if (!strcmp(what, "runs")) {
 		evbuffer_add_printf(out, "%u\n", GPOINTER_TO_UINT(g_hash_table_lookup(Runs_, id ? id : "")));
 	}
+	else if (!strcmp(what, "watches")) {
+		evbuffer_add_printf(out, "%u\n", WaitingWatches_);
+	}
 	else if (!strcmp(what, "headers")) {
 		evbuffer_add_printf(out, "%s", LastHeaders_ ? LastHeaders_ : "");
 	}
