Parts overtake only what is five times as long; prompts that wait for a pass are kept in time

Cause: in the model 7 in 100 archives were foretold to begin within a second and began after 4 to 10: shorter parts overtook theirs again and again, each by itself within its slack. Ruled out: a reckoning that drifts (engines' backlogs in planner and model differ by under 50 ms in 98 of 100).

--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -43,6 +43,7 @@
 	unsigned streams; /* of those, the ones whose answer has begun */
 	unsigned helps;   /* prompts that it helps read */
 	uint64_t kv_used_tokens;
+	double unread_ms; /* what it has to read, at pace 1 */
 	double pace;
 	bool usable;
 } BH__PlannerEngine;
--- a/src/libbayhoist/include/private/pass_clock.h
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -39,7 +39,7 @@
 double bh__pass_clock_next_pass_ms(const BH__PassClock *c, const BH__EngineModel *m, double more_ms);
 uint64_t bh__pass_clock_predict_read(const BH__PassClock *c, const BH__EngineModel *m, double read_ms,
 									 bool helps, uint64_t now_us);
-double bh__pass_clock_get_room_ms(const BH__PassClock *c, uint64_t now_us);
+double bh__pass_clock_get_room_ms(const BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us);
 double bh__pass_clock_get_damage(const BH__PassClock *c, double read_ms, uint64_t now_us);
 void bh__pass_clock_add_part(BH__PassClock *c, const BH__PassPart *part, uint64_t now_us);
 void bh__pass_clock_drop_part(BH__PassClock *c, uint64_t grant_id, uint64_t now_us);
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -18,13 +18,15 @@
 #define READ_MS_ 0.01         /* a part with less left has been read */
 /* A new part overtakes the older ones. That is worth it where it is shorter than this share of what is left
  * of each of them. */
-#define OVERTAKE_SHARE_ 0.5
-#define DONE_SOON_MS_ 12.0            /* a part with no more left does not hold up a new one */
+#define OVERTAKE_SHARE_ 0.2
+#define DONE_SOON_MS_ 0.7             /* a part with no more left does not hold up a new one */
 #define UNDER_WAY_US_ (8 * BH__MS_US) /* a part given so late may not have reached the engine yet */
 
 static void read_on_(BH__PassClock *c, double ms);
 static void begin_pass_(BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us);
 static void end_pass_(BH__PassClock *c);
+static double pass_room_ms_(const BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us);
+static double first_pass_ms_(const BH__PassClock *c, const BH__EngineModel *m);
 static int find_part_(const BH__PassClock *c, uint64_t grant_id);
 static int next_part_(const BH__PassClock *c, int before);
 static void drop_helps_(BH__PassClock *c, uint64_t before_us);
@@ -144,19 +146,36 @@
 									 bool helps, uint64_t now_us)
 {
 	uint64_t start_us = MAX(c->pass_end_us, now_us + IDLE_START_US_);
+	double ms;
 
-	if (c->streams || !helps)
-		return start_us + (uint64_t)(bh__pass_clock_next_pass_ms(c, m, read_ms) * 1000);
-	return start_us + (uint64_t)(c->pace * (m->step_ms + read_ms) * 1000);
+	if (c->streams)
+		ms = bh__pass_clock_next_pass_ms(c, m, read_ms);
+	else if (helps)
+		ms = c->pace * (m->step_ms + read_ms);
+	else
+		ms = c->pace * (m->step_ms + bh__pass_clock_get_backlog_ms(c) + read_ms) + first_pass_ms_(c, m);
+	return start_us + (uint64_t)(ms * 1000);
+}
+
+/* Returns what the steps of the first pass take, where an answer begins before all that waits has been read:
+ * with its first event the engine goes over from steps to passes. 0: no own prompt waits. */
+static double first_pass_ms_(const BH__PassClock *c, const BH__EngineModel *m)
+{
+	for (guint i = 0; i < c->parts->len; i++)
+		if (!part_(c, (int)i)->helps)
+			return c->pace * bh__engine_model_pass_ms(m, 1, 0);
+	return 0;
 }
 
-/* Returns how long a part may be that overtakes those which wait, in ms at pace 1: none of them may come too
- * late for it that would be in time without, and it must be much shorter than they. */
-double bh__pass_clock_get_room_ms(const BH__PassClock *c, uint64_t now_us)
+/* Returns how long a part may be, in ms at pace 1, so that none of the prompts that wait becomes late by it,
+ * and none is overtaken that is not much longer. */
+double bh__pass_clock_get_room_ms(const BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us)
 {
 	double room_ms = G_MAXDOUBLE;
 	double end_ms = 0;
 
+	if (c->streams)
+		return pass_room_ms_(c, m, now_us);
 	for (int i = next_part_(c, -1); i >= 0; i = next_part_(c, i)) {
 		const BH__PassPart *p = part_(c, i);
 		double slack_ms;
@@ -171,6 +190,20 @@
 	return room_ms;
 }
 
+/* The same for an engine with streams: all that waits is read in its next pass. */
+static double pass_room_ms_(const BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us)
+{
+	double end_ms = bh__pass_clock_get_pass_left_ms(c, now_us) + bh__pass_clock_next_pass_ms(c, m, 0);
+	double room_ms = G_MAXDOUBLE;
+
+	for (guint i = c->in_pass; i < c->parts->len; i++) {
+		double slack_ms = ((double)part_(c, (int)i)->due_us - (double)now_us) / 1000 - end_ms;
+		if (slack_ms > 0)
+			room_ms = MIN(room_ms, slack_ms / c->pace);
+	}
+	return room_ms;
+}
+
 /* Returns the value of the prompts that a part of this length would make late by overtaking theirs. */
 double bh__pass_clock_get_damage(const BH__PassClock *c, double read_ms, uint64_t now_us)
 {
@@ -266,8 +299,8 @@
 	c->context_tokens -= MIN(c->context_tokens, context_tokens);
 	if (c->streams)
 		return;
+	end_pass_(c); /* its last event came with the end of a pass */
 	c->pass_end_us = 0;
-	c->in_pass = 0;
 }
 
 /* Learns the engine's pace from a time that was foretold at pace 1 and the one that it took. */
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -176,7 +176,7 @@
 	c->limit_ms = LOOSE_LIMIT_MS_;
 	c->next_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
 	c->pending_ms = c->next_ms + bh__pass_clock_get_pass_left_ms(&e->clock, now_us);
-	c->room_ms = bh__pass_clock_get_room_ms(&e->clock, now_us);
+	c->room_ms = bh__pass_clock_get_room_ms(&e->clock, m, now_us);
 	c->slots_free = e->homes->len < m->slots ? m->slots - e->homes->len : 0;
 	c->helps_free = e->helps < m->slots ? m->slots - e->helps : 0;
 	c->kv_free_tokens = capacity > e->kv_used_tokens ? capacity - e->kv_used_tokens : 0;
@@ -202,9 +202,9 @@
  * longer, one that writes none delays what waits there. */
 static double room_ms_(const Candidate_ *c)
 {
-	if (c->engine->clock.streams || c->kept)
-		return (c->limit_ms - c->next_ms) / c->engine->clock.pace;
-	return MIN(c->room_ms, c->limit_ms / c->engine->clock.pace);
+	double pass_ms = c->engine->clock.streams || c->kept ? c->next_ms : 0;
+
+	return MIN(c->room_ms, (c->limit_ms - pass_ms) / c->engine->clock.pace);
 }
 
 /* Finds engines that can take the request without making any stream late. Returns false if there are none
@@ -250,7 +250,8 @@
 		unsigned n = 0;
 		for (unsigned i = 0; i < count && n < parts; i++) {
 			double limit_ms = MIN(c[i].limit_ms, own_limit_ms);
-			bool fits = c[i].next_ms + part_ms * c[i].engine->clock.pace <= limit_ms;
+			bool fits =
+				c[i].next_ms + part_ms * c[i].engine->clock.pace <= limit_ms && part_ms <= c[i].room_ms;
 			bool has_slot = n > 0 ? c[i].helps_free > 0
 								  : c[i].slots_free > SLOTS_KEPT_ + (ask->first_event_us ? 0 : LATE_SLOTS_);
 			if (fits && has_slot)
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -675,6 +675,7 @@
 							   .streams = e->clock.streams,
 							   .helps = e->helps,
 							   .kv_used_tokens = e->kv_used_tokens,
+							   .unread_ms = bh__pass_clock_get_backlog_ms(&e->clock),
 							   .pace = e->clock.pace,
 							   .usable = !e->leaving};
 }
