Duties fall to nodes on large VMs

Ruled out: a scheduler not agreed on (known to all by then). Nodes now say what their VM has; a duty falls to one with at least half of what the largest usable has, and to others only when those are gone. The reader of the platform is picked by the same code. Test: duties_fall_to_large_vms_.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -53,7 +53,8 @@
 	BH__MemberState state;
 	bool leaving;
 	uint64_t config_revision;
-	uint32_t load; /* live requests */
+	uint32_t load;     /* live requests */
+	uint32_t capacity; /* what the VM has for duties, in a unit that is the same on all; 0: not known */
 	char name[BH__NAME_LEN];
 	char hall[BH__NAME_LEN];
 	char peer_address[BH__ADDRESS_LEN];
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -12,7 +12,8 @@
 #include "log.h"
 
 #define MEMBERS_TICK_MS 100
-#define WAITING_TICK_MS 10 /* while asks wait in a planner */
+#define WAITING_TICK_MS 10  /* while asks wait in a planner */
+#define CAPACITY_PER_MBPS 5 /* thousandths of a core that a Mbit/s goes with */
 #define HOLDS_PERIOD_US (2 * BH__SECOND_US)
 
 /* One service with engines. */
@@ -43,6 +44,7 @@
 	struct event *waiting_tick;
 };
 
+static uint32_t capacity_(const GateSettings *s);
 static void members_send_(BH__MembersPort *port, const char *address, BH__Message *m);
 static void members_changed_(BH__MembersPort *port, const BH__MemberInfo *info, BH__MemberState old);
 static void on_message_(void *cluster, const BH__Message *m);
@@ -73,6 +75,18 @@
 				  uint64_t failed_endpoint);
 static void watch_waiting_(Cluster *c);
 
+/* Returns what this node's VM has for duties: thousandths of a core, or what its network bears of them if
+ * that is less. A scheduler of 870 replicas was reckoned at half a core and 100 Mbit/s (docs/CAPACITY.md). */
+static uint32_t capacity_(const GateSettings *s)
+{
+	double by_link = s->link_mbps * CAPACITY_PER_MBPS;
+	double by_core = s->cores * 1000;
+
+	if (by_core <= 0 || by_link <= 0)
+		return (uint32_t)MAX(by_core, by_link);
+	return (uint32_t)MIN(by_core, by_link);
+}
+
 /* Starts membership and the connections to other nodes. */
 bool cluster_start(Gate *g)
 {
@@ -95,6 +109,7 @@
 	g_strlcpy(self.hall, g->settings.hall, sizeof self.hall);
 	g_strlcpy(self.peer_address, g->settings.peer_address, sizeof self.peer_address);
 	g_strlcpy(self.caller_address, g->settings.caller_address, sizeof self.caller_address);
+	self.capacity = capacity_(&g->settings);
 	c->members = bh__members_new(&c->port, &self, (uint32_t)g->boot_id);
 	c->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service_);
 	c->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -16,8 +16,9 @@
 #define ASK_US (500 * BH__MS_US)         /* between the other nodes' questions */
 #define ANSWER_US (300 * BH__MS_US)      /* for the reader's answer */
 #define PASS_OVER_US (5 * BH__SECOND_US) /* for which a reader that was of no use is not asked */
-#define UNANSWERED_MAX 2 /* questions to readers; after so many a node looks for itself: it may be cut off   \
-						  */
+#define UNANSWERED_MAX                                                                                       \
+	2 /* questions to readers; after so many a node looks for itself: it may be cut off                      \
+	   */
 /* A node that finds no store, and does not look for others, looks less and less often up to this. */
 #define BACKOFF_MAX_US (3 * BH__SECOND_US)
 #define WATCH_AFTER_US                                                                                       \
@@ -72,21 +73,10 @@
 /* Returns the reader: it follows from membership, as a scheduler does. */
 static uint64_t pick_reader_(const Looks *l, uint64_t now_us)
 {
-	const BH__Members *m = cluster_get_members(l->gate->cluster);
-	uint64_t key = bh__hash_name("platform-reader");
-	uint64_t best = 0;
-	uint64_t best_weight = 0;
-
-	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
-		const BH__MemberInfo *info = bh__members_get(m, i);
-		uint64_t weight = bh__hash_pair(info->node_id, key);
-		bool skip = info->node_id == l->passed_over && now_us < l->pass_over_until_us;
-		if (skip || !bh__member_is_usable(info) || weight <= best_weight)
-			continue;
-		best = info->node_id;
-		best_weight = weight;
-	}
-	return best;
+	uint64_t other_than = now_us < l->pass_over_until_us ? l->passed_over : 0;
+
+	return bh__members_pick_other(cluster_get_members(l->gate->cluster), bh__hash_name("platform-reader"),
+								  other_than);
 }
 
 /* The reader was of no use: the next in rank is asked, at once. */
--- a/src/bayhoist-gate/settings.c
+++ b/src/bayhoist-gate/settings.c
@@ -24,6 +24,8 @@
 	BH__U64_FIELD(GateSettings, key_trust_ms, false, 0, 3600000),
 	BH__U64_FIELD(GateSettings, memory_hold_max_ms, false, 100, 3600000),
 	BH__U64_FIELD(GateSettings, directory_ttl_max_s, false, 1, 86400),
+	BH__REAL_FIELD(GateSettings, cores, 0, 10000),
+	BH__REAL_FIELD(GateSettings, link_mbps, 0, 1e6),
 	BH__REAL_FIELD(GateSettings, repeat_share, 0, 10),
 	BH__REAL_FIELD(GateSettings, repeat_extra, 0, 1000000),
 };
--- a/src/bayhoist-gate/settings.h
+++ b/src/bayhoist-gate/settings.h
@@ -28,6 +28,8 @@
 	uint64_t key_trust_ms;        /* keys are believed for so long after a look; 0: for ever */
 	uint64_t memory_hold_max_ms;  /* engines hold memory for no longer */
 	uint64_t directory_ttl_max_s; /* callers hold an answer for no longer */
+	double cores;                 /* of the VM's processor that are the node's; 0: not known */
+	double link_mbps;             /* of the VM's network; 0: not known */
 	double repeat_share;          /* sendings beyond the first of each request, as a share of requests */
 	double repeat_extra;          /* and besides, at once over all nodes */
 } GateSettings;
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -20,7 +20,8 @@
 #define YOUNG_US_ (4 * BH__SECOND_US)
 #define YOUNG_SYNC_PERIOD_US_ (250 * BH__MS_US)
 #define HELPERS_ 3
-#define SPREAD_FACTOR_ 3 /* times log2(n) that an update is sent on */
+#define CAPACITY_RATIO_ 2 /* VMs with less than this part of what the largest has are left without duties */
+#define SPREAD_FACTOR_ 3  /* times log2(n) that an update is sent on */
 
 typedef struct {
 	BH__MemberInfo info;
@@ -79,6 +80,7 @@
 static void on_ping_req_(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 static void send_members_(BH__Members *m, const char *address);
 static bool is_candidate_(const BH__MemberInfo *info, const char *hall);
+static uint64_t pick_(const BH__Members *m, uint64_t key, const char *hall, uint64_t other_than);
 
 /* Returns a membership of one: `self`. `seed` sets the order of probes. */
 BH__Members *bh__members_new(BH__MembersPort *port, const BH__MemberInfo *self, uint32_t seed)
@@ -588,24 +590,42 @@
 }
 
 /* Returns the node that a duty falls to: the highest rendezvous weight for `key` among the usable nodes of
- * `hall`, or of any hall if it has none. Returns 0 if no node is usable. */
+ * `hall`, or of any hall if it has none. Nodes on much smaller VMs than others have come into question only
+ * when those are gone. Returns 0 if no node is usable. */
 uint64_t bh__members_pick(const BH__Members *m, uint64_t key, const char *hall)
 {
+	uint64_t best = pick_(m, key, hall, 0);
+
+	return best || !hall ? best : pick_(m, key, NULL, 0);
+}
+
+/* The same among all nodes but one, of any hall. */
+uint64_t bh__members_pick_other(const BH__Members *m, uint64_t key, uint64_t other_than)
+{
+	return pick_(m, key, NULL, other_than);
+}
+
+static uint64_t pick_(const BH__Members *m, uint64_t key, const char *hall, uint64_t other_than)
+{
+	uint32_t capacity = 0;
 	uint64_t best = 0;
 	uint64_t best_weight = 0;
 
 	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
 		const BH__MemberInfo *info = bh__members_get(m, i);
-		uint64_t weight;
-		if (!is_candidate_(info, hall))
+		if (is_candidate_(info, hall) && info->node_id != other_than)
+			capacity = MAX(capacity, info->capacity);
+	}
+	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
+		const BH__MemberInfo *info = bh__members_get(m, i);
+		uint64_t weight = bh__hash_pair(info->node_id, key);
+		if (!is_candidate_(info, hall) || info->node_id == other_than ||
+			info->capacity < capacity / CAPACITY_RATIO_ || weight <= best_weight)
 			continue;
-		weight = bh__hash_pair(info->node_id, key);
-		if (weight > best_weight) {
-			best = info->node_id;
-			best_weight = weight;
-		}
+		best = info->node_id;
+		best_weight = weight;
 	}
-	return best || !hall ? best : bh__members_pick(m, key, NULL);
+	return best;
 }
 
 /* Returns how many usable nodes of `hall` come before this one for `key`: 0 is first. */
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -174,6 +174,7 @@
 	flag_(c, &m->leaving);
 	u64_(c, &m->config_revision);
 	u32_(c, &m->load);
+	u32_(c, &m->capacity);
 	string_(c, m->name, sizeof m->name);
 	string_(c, m->hall, sizeof m->hall);
 	string_(c, m->peer_address, sizeof m->peer_address);
--- a/src/test_libbayhoist/test_members.c
+++ b/src/test_libbayhoist/test_members.c
@@ -221,12 +221,47 @@
 	}
 }
 
+/* A duty falls to one of the nodes on large VMs while there is one that is usable; on VMs that differ little,
+ * to any. */
+static void duties_fall_to_large_vms_(void **state)
+{
+	Group g;
+	bool large_only = true;
+	bool all_alike = true;
+
+	(void)state;
+	group_init_(&g);
+	for (unsigned i = 0; i < NODES; i++) {
+		BH__MemberInfo info = *bh__members_get_self(g.node[i].members);
+		BH__Message m = {.type = BH__MESSAGE_JOIN};
+		info.capacity = i < 2 ? 500 : i < 4 ? 300 : 120;
+		m.as.join.self = info;
+		if (i > 0)
+			bh__members_process_message(g.node[0].members, &m, g.now_us);
+	}
+	for (uint64_t key = 1; key < 200; key++) {
+		uint64_t picked = bh__members_pick(g.node[0].members, key, NULL);
+		large_only &= bh__members_find(g.node[0].members, picked)->capacity >= 300;
+		all_alike &= bh__members_find(g.node[0].members, picked)->capacity == 500;
+		assert_int_not_equal(bh__members_pick_other(g.node[0].members, key, picked), picked);
+	}
+	assert_true(large_only);
+	assert_false(all_alike);
+	for (unsigned i = 1; i < 4; i++)
+		bh__members_process_unreachable(g.node[0].members, bh__members_get_self(g.node[i].members)->node_id,
+										g.now_us);
+	assert_int_equal(
+		bh__members_find(g.node[0].members, bh__members_pick(g.node[0].members, 7, NULL))->capacity, 120);
+	group_finish_(&g);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(all_start_at_once_),
 		cmocka_unit_test(false_suspicions_are_refuted_),
 		cmocka_unit_test(a_silent_node_is_left_by_all_),
+		cmocka_unit_test(duties_fall_to_large_vms_),
 		cmocka_unit_test(rest_is_quiet_),
 	};
 
