A fifth of the aim to spare, and engines that go on reading for lost requests

Cause of the second: after a connection broke with no word of an answer, the planner took the prompt's parts off its engines, which went on reading them (the users' engines run what they lose the answer of). Now they stay until reckoned to be read. Test: lost_requests_are_read_to_their_end_ (failed first).

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -123,7 +123,8 @@
 	BH__RELEASE_DONE,
 	BH__RELEASE_FAILED,  /* the engine broke off or could not be reached */
 	BH__RELEASE_REFUSED, /* the engine refused for lack of memory */
-	BH__RELEASE_UNUSED
+	BH__RELEASE_UNUSED,
+	BH__RELEASE_LOST /* the connection broke before an answer: the engines may go on with the request */
 } BH__ReleaseKind;
 
 typedef struct {
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -635,7 +635,10 @@
 		at_fault = find_at_fault_(c);
 	memory_hold_delete(c->memory);
 	c->memory = NULL;
-	cluster_release(g->cluster, c, failed ? BH__RELEASE_FAILED : BH__RELEASE_DONE,
+	cluster_release(g->cluster, c,
+					end == BH__SENDING_BROKEN ? BH__RELEASE_LOST
+					: failed                  ? BH__RELEASE_FAILED
+											  : BH__RELEASE_DONE,
 					failed ? at_fault : BH__NO_ENDPOINT);
 	bh__exchange_note_tried(&c->x, at_fault);
 	next = bh__exchange_process_end(&c->x, end, gate_get_budget(g, c->service->name), now_us);
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -360,7 +360,7 @@
 		u64_(c, &m->as.release.pool_id);
 		u64_(c, &m->as.release.grant_id);
 		kind = (uint8_t)m->as.release.kind;
-		u8_(c, &kind, BH__RELEASE_UNUSED);
+		u8_(c, &kind, BH__RELEASE_LOST);
 		m->as.release.kind = (BH__ReleaseKind)kind;
 		u64_(c, &m->as.release.failed_endpoint);
 		break;
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -20,6 +20,9 @@
 #define PATIENCE_GAPS_ 8
 #define PATIENCE_SHARE_ 0.75
 #define DEADLINE_SHARE_ 0.45
+/* Share of the time to its first event in which a prompt is to have been read, as long as others would delay
+ * it: the rest is for what the reckoning misses. */
+#define DUE_SHARE_ 0.8
 #define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
 #define LOOKS_PER_PUMP_ 12 /* waiting asks that are tried each time */
 /* An engine that failed takes nothing for so long, then twice that. */
@@ -72,7 +75,7 @@
 				   uint64_t now_us);
 static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t now_us);
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
-static void take_out_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
+static void take_out_(BH__Planner *p, BH__PlacedRequest *r, bool goes_on, uint64_t now_us);
 static void end_reads_(BH__Planner *p, BH__PlacedRequest *r, bool was_read, uint64_t now_us);
 static void inspect_(BH__Planner *p, BH__PassEngine *e, uint64_t now_us);
 static void suspect_(BH__Planner *p, const BH__PlacedRequest *r, double took_ms, uint64_t now_us);
@@ -259,7 +262,7 @@
 			(!late && may_force_(p, ask, waited_us) && force_(p, &left, now_us, &place));
 	if (found) {
 		p->counters.late += place.read_end_us > arrived_us + aim_us;
-		grant_(p, ask, &place, arrived_us + aim_us, now_us);
+		grant_(p, ask, &place, arrived_us + (uint64_t)((double)aim_us * DUE_SHARE_), now_us);
 		return true;
 	}
 	if (waited_us < patience_us_(ask) &&
@@ -387,10 +390,10 @@
 		bh__pass_clock_begin_stream(&e->clock, &p->model, r->tokens, now_us);
 }
 
-/* Takes a grant out of the ledger. */
-static void take_out_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us)
+/* Takes a grant out of the ledger. With `goes_on` its engines still read the prompt, for nobody. */
+static void take_out_(BH__Planner *p, BH__PlacedRequest *r, bool goes_on, uint64_t now_us)
 {
-	if (!r->grant.writes)
+	if (!r->grant.writes && !goes_on)
 		end_reads_(p, r, false, now_us);
 	for (unsigned i = 0; i < r->grant.member_count; i++) {
 		BH__PassEngine *e = find_engine_(p, r->grant.member[i].endpoint_id);
@@ -504,10 +507,10 @@
 	BH__PlacedRequest *r = g_hash_table_lookup(p->placed, &grant_id);
 	BH__PassEngine *failed = find_engine_(p, failed_endpoint);
 
-	if (failed && kind == BH__RELEASE_FAILED)
+	if (failed && (kind == BH__RELEASE_FAILED || kind == BH__RELEASE_LOST))
 		set_aside_(failed, now_us);
 	if (r)
-		take_out_(p, r, now_us);
+		take_out_(p, r, kind == BH__RELEASE_LOST, now_us);
 	pump_(p, now_us);
 }
 
@@ -541,7 +544,7 @@
 		BH__PlacedRequest *r = g_ptr_array_index(list, i);
 		bool young = r->grant.boot_id == boot_id && now_us < r->granted_us + HOLD_GRACE_US_;
 		if (!young && !g_hash_table_contains(named, &r->grant.grant_id))
-			take_out_(p, r, now_us);
+			take_out_(p, r, false, now_us);
 	}
 	g_ptr_array_unref(list);
 	g_hash_table_unref(named);
@@ -559,7 +562,7 @@
 		bool holds = false;
 		for (unsigned k = 1; k < g.member_count; k++)
 			holds |= g.member[k].kv_bytes > 0;
-		take_out_(p, r, now_us);
+		take_out_(p, r, false, now_us);
 		if (holds)
 			p->port->abandoned(p->port, &g);
 	}
@@ -576,7 +579,7 @@
 	GPtrArray *list = placed_of_(p, node_id, true);
 
 	for (guint i = 0; i < list->len; i++)
-		take_out_(p, g_ptr_array_index(list, i), now_us);
+		take_out_(p, g_ptr_array_index(list, i), false, now_us);
 	g_ptr_array_unref(list);
 	pump_(p, now_us);
 }
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -256,6 +256,35 @@
 	bench_free_(b);
 }
 
+static double unread_ms_(const Bench *b)
+{
+	double ms = 0;
+
+	for (unsigned i = 0; i < bh__planner_get_engine_count(b->planner); i++) {
+		BH__PlannerEngine e;
+		bh__planner_get_engine(b->planner, i, &e);
+		ms += e.unread_ms;
+	}
+	return ms;
+}
+
+/* Engines whose connection breaks may go on reading for nobody; those that refuse or are left do not. */
+static void lost_requests_are_read_to_their_end_(void **state)
+{
+	static const BH__ReleaseKind Kind[] = {BH__RELEASE_FAILED, BH__RELEASE_DONE, BH__RELEASE_LOST};
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(Kind); i++) {
+		Bench *b = bench_new_(ENGINES);
+		BH__Ask a = ask_(b, LONG);
+		bh__planner_process_ask(b->planner, &a, 1000);
+		assert_true(unread_ms_(b) > 2000);
+		bh__planner_process_release(b->planner, grant_(b, 0)->grant_id, Kind[i], 1, 2000);
+		assert_int_equal(unread_ms_(b) > 2000, Kind[i] == BH__RELEASE_LOST);
+		bench_free_(b);
+	}
+}
+
 static void without_engines_requests_are_refused_in_time_(void **state)
 {
 	Bench *b = bench_new_(0);
@@ -514,6 +543,7 @@
 		cmocka_unit_test(an_engine_is_kept_for_short_prompts_),
 		cmocka_unit_test(a_prompt_over_one_engine_takes_memory_on_another_),
 		cmocka_unit_test(an_engine_that_failed_is_left_alone_),
+		cmocka_unit_test(lost_requests_are_read_to_their_end_),
 		cmocka_unit_test(without_engines_requests_are_refused_in_time_),
 		cmocka_unit_test(a_repeated_ask_is_granted_once_),
 		cmocka_unit_test(the_ledger_is_empty_in_the_end_),
