--- a/Makefile
+++ b/Makefile
@@ -58,9 +58,12 @@
 $B/bh-fake-site: $B/test/platform/fake_site.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$B/bh-fault-proxy: $B/test/platform/fault_proxy.o $B/libshare.a $B/libbayhoist.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $B/test/platform/test_decode.o: CPPFLAGS += -Isrc/bayhoist-gate -Iplatform
 
-check: all $(TESTS:%=$B/%) $B/test_decode $B/bh-fake-site
+check: all $(TESTS:%=$B/%) $B/test_decode $B/bh-fake-site $B/bh-fault-proxy
 	@B=$B sh test/run-all.sh $(TESTS) test_decode
 
 demo:
@@ -71,7 +74,7 @@
 soak: all
 	@B=$B bash test/soak.sh $(or $(SEEDS),3)
 
-soak-gate: all $B/bh-fake-site
+soak-gate: all $B/bh-fake-site $B/bh-fault-proxy
 	@B=$B bash test/soak-gate.sh $(or $(FIRST),1) $(or $(SEEDS),3)
 
 bench-policy bench-placement bench-core bench-path bench-control: all
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -7,6 +7,20 @@
 	start site "$B/bh-fake-site" --store "$STORE" --engine i-e1="$(address 1)" --engine i-e2="$(address 2)" \
 	--engine i-e3="$(address 3)" --plain i-p1="$(address 4)" --plain i-p2="$(address 5)"
 }
+# The same with every connection to the store (one link a gateway) and to the endpoints going through a proxy.
+LINKS="store1 store2 store3 e1 e2 e3 p1 p2"
+start_site_behind_proxy() {
+	local n args=
+	for n in 1 2 3; do args="$args --link store$n=$(address $((40 + n))),$STORE --link e$n=$(address $((50 + n))),$(address $n)"; done
+	for n in 1 2; do args="$args --link p$n=$(address $((60 + n))),$(address $((3 + n)))"; done
+	start proxy "$B/bh-fault-proxy" --control "$(address 70)" $args
+	start site "$B/bh-fake-site" --store "$STORE" --engine i-e1="$(address 1),$(address 51)" --engine i-e2="$(address 2),$(address 52)" \
+	--engine i-e3="$(address 3),$(address 53)" --plain i-p1="$(address 4),$(address 61)" --plain i-p2="$(address 5),$(address 62)"
+	BEHIND_PROXY=1
+}
+set_link() { # LINK MODE [MS]
+	curl -s -m 3 "http://$(address 70)/set?link=$1&mode=$2&ms=${3:-0}"
+}
 tell() { curl -s -m 3 "http://$STORE/test/$1" "${@:2}"; }
 node() { # N FIELD: an address of gateway N
 	echo "127.0.0.$((10 + $1)):$((BASE + 20 + $2))"
@@ -14,7 +28,8 @@
 settings() { # N
 	printf '{"name":"gate%s","hall":"h1","region":"r","caller_address":"%s","readiness_address":"%s",' "$1" "$(node "$1" 0)" "$(node "$1" 1)"
 	printf '"directory_address":"%s","control_address":"%s","peer_address":"%s","peer_key":"k",' "$(node "$1" 2)" "$(node "$1" 3)" "$(node "$1" 4)"
-	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":3000} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" "$STORE"
+	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":3000} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" \
+		"$([ -z "${BEHIND_PROXY:-}" ] && echo "$STORE" || address $((40 + $1)))"
 }
 config() { # VERSION KEY
 	cat <<JSON
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -34,6 +34,7 @@
 typedef struct {
 	char *id;
 	char *address;
+	char *told; /* address that its entry gives: a proxy's, or its own */
 	char *service;
 	bool is_engine;
 	bool draining;
@@ -109,14 +110,16 @@
 		}
 		else if ((option == 'e' || option == 'p') && ReplicaCount_ < REPLICAS_MAX) {
 			Replica *r = &Replicas_[ReplicaCount_++];
-			char **parts = g_strsplit(optarg, "=", 2);
+			char **parts = g_strsplit_set(optarg, "=,", 3);
 			r->id = parts[0];
 			r->address = parts[1];
+			r->told = parts[1] && parts[2] ? parts[2] : parts[1];
 			r->is_engine = option == 'e';
 			r->service = g_strdup(r->is_engine ? "llm" : "web");
 		}
 		else {
-			fputs("Usage: bh-fake-site --store IP:PORT [--engine ID=IP:PORT]... [--plain ID=IP:PORT]...\n",
+			fputs("Usage: bh-fake-site --store IP:PORT [--engine ID=IP:PORT[,TOLD]]... [--plain "
+				  "ID=IP:PORT[,TOLD]]...\n",
 				  stderr);
 			return 64;
 		}
@@ -156,7 +159,7 @@
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"h1\",\"version\":\"v1\",\"slots\":16,"
 		"\"state\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT "}",
-		r->service, r->address, r->draining ? "draining" : "ready", Revision_);
+		r->service, r->told, r->draining ? "draining" : "ready", Revision_);
 
 	put_(key, text);
 	g_free(text);
--- /dev/null
+++ b/test/platform/fault_proxy.c
@@ -0,0 +1,278 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* bh-fault-proxy: TCP links on loopback that a soak can delay, cut in one or both directions, or reset.
+ *
+ * usage: bh-fault-proxy --control IP:PORT --link NAME=LISTEN,TO...
+ * GET /set?link=NAME&mode=MODE[&ms=N] on the control address sets a link's mode:
+ *   pass    bytes go through as they come
+ *   delay   they go through N ms later
+ *   silent  nothing goes through, and nobody is told; what waits goes on when the mode changes
+ *   in      the same from callers only; the other way is open
+ *   out     the same towards callers only
+ *   reset   open connections are reset, and new ones as they come */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <getopt.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include "web.h"
+
+#define LINKS_MAX 32
+
+typedef enum { MODE_PASS, MODE_DELAY, MODE_SILENT, MODE_IN, MODE_OUT, MODE_RESET, MODE_COUNT } Mode;
+
+static const char *const ModeString_[MODE_COUNT] = {"pass", "delay", "silent", "in", "out", "reset"};
+
+typedef struct {
+	char *name;
+	char *to;
+	Mode mode;
+	unsigned delay_ms;
+	GHashTable *pairs; /* set of Pair */
+} Link;
+
+typedef struct Pair Pair;
+
+/* One direction of a connection. */
+typedef struct {
+	Pair *pair;
+	struct bufferevent *from;
+	struct bufferevent *to;
+	struct event *timer; /* of what waits for its delay */
+	bool from_caller;
+	bool ended; /* by its sender: the other side is told once all has gone through */
+} Way;
+
+struct Pair {
+	Link *link;
+	struct bufferevent *caller;
+	struct bufferevent *server;
+	Way in;
+	Way out;
+};
+
+static struct event_base *Base_;
+static Link Links_[LINKS_MAX];
+static unsigned LinkCount_;
+
+static bool add_link_(const char *text);
+static void on_accept_(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg);
+static void init_way_(Way *w, Pair *p, struct bufferevent *from, struct bufferevent *to, bool from_caller);
+static bool is_cut_(const Way *w);
+static void move_(Way *w);
+static void move_later_(Way *w);
+static void on_timer_(evutil_socket_t fd, short what, void *arg);
+static void on_read_(struct bufferevent *bev, void *arg);
+static void on_event_(struct bufferevent *bev, short what, void *arg);
+static void on_written_(struct bufferevent *bev, void *arg);
+static void end_pair_(Pair *p, bool reset);
+static void on_control_(struct evhttp_request *req, void *arg);
+static bool set_mode_(const char *name, const char *mode, const char *ms);
+
+int main(int argc, char **argv)
+{
+	static const struct option Options[] = {{"control", required_argument, NULL, 'c'},
+											{"link", required_argument, NULL, 'l'},
+											{NULL, 0, NULL, 0}};
+	const char *control = NULL;
+	int option;
+
+	signal(SIGPIPE, SIG_IGN);
+	Base_ = event_base_new();
+	while ((option = getopt_long(argc, argv, "", Options, NULL)) != -1) {
+		if (option == 'c') {
+			control = optarg;
+		}
+		else if (option != 'l' || !add_link_(optarg)) {
+			fputs("Usage: bh-fault-proxy --control IP:PORT --link NAME=LISTEN,TO...\n", stderr);
+			return 64;
+		}
+	}
+	if (!control || !web_listen(Base_, control, on_control_, NULL)) {
+		fputs("bh-fault-proxy: --control must be a free IP:PORT\n", stderr);
+		return 69;
+	}
+	web_run_until_signal(Base_);
+	return 0;
+}
+
+static bool add_link_(const char *text)
+{
+	Link *l = &Links_[LinkCount_];
+	char **parts = g_strsplit_set(text, "=,", 3);
+	struct sockaddr_storage sa;
+	int len = sizeof sa;
+	bool ok = LinkCount_ < LINKS_MAX && g_strv_length(parts) == 3 &&
+			  evutil_parse_sockaddr_port(parts[1], (struct sockaddr *)&sa, &len) == 0;
+
+	if (ok) {
+		l->name = g_strdup(parts[0]);
+		l->to = g_strdup(parts[2]);
+		l->pairs = g_hash_table_new(g_direct_hash, g_direct_equal);
+		ok = evconnlistener_new_bind(Base_, on_accept_, l, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+									 (struct sockaddr *)&sa, len) != NULL;
+		LinkCount_++;
+	}
+	g_strfreev(parts);
+	return ok;
+}
+
+static void on_accept_(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg)
+{
+	Link *link = arg;
+	Pair *p = g_new0(Pair, 1);
+	struct sockaddr_storage to;
+	int to_len = sizeof to;
+
+	(void)l;
+	(void)sa;
+	(void)len;
+	p->link = link;
+	p->caller = bufferevent_socket_new(Base_, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	p->server = bufferevent_socket_new(Base_, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	g_hash_table_add(link->pairs, p);
+	init_way_(&p->in, p, p->caller, p->server, true);
+	init_way_(&p->out, p, p->server, p->caller, false);
+	if (link->mode == MODE_RESET ||
+		evutil_parse_sockaddr_port(link->to, (struct sockaddr *)&to, &to_len) != 0 ||
+		bufferevent_socket_connect(p->server, (struct sockaddr *)&to, to_len) != 0)
+		end_pair_(p, true);
+}
+
+static void init_way_(Way *w, Pair *p, struct bufferevent *from, struct bufferevent *to, bool from_caller)
+{
+	*w = (Way){.pair = p, .from = from, .to = to, .from_caller = from_caller};
+	w->timer = evtimer_new(Base_, on_timer_, w);
+	bufferevent_setcb(from, on_read_, on_written_, on_event_, w);
+	bufferevent_enable(from, EV_READ | EV_WRITE);
+}
+
+static bool is_cut_(const Way *w)
+{
+	Mode mode = w->pair->link->mode;
+
+	return mode == MODE_SILENT || mode == (w->from_caller ? MODE_IN : MODE_OUT);
+}
+
+/* Lets what has come go on, and after it the end. */
+static void move_(Way *w)
+{
+	if (is_cut_(w))
+		return;
+	bufferevent_write_buffer(w->to, bufferevent_get_input(w->from));
+	if (w->ended && !evbuffer_get_length(bufferevent_get_output(w->to)))
+		end_pair_(w->pair, false);
+}
+
+static void move_later_(Way *w)
+{
+	unsigned ms = w->pair->link->mode == MODE_DELAY ? w->pair->link->delay_ms : 0;
+	struct timeval tv = {ms / 1000, (suseconds_t)(ms % 1000 * 1000)};
+
+	if (!ms)
+		move_(w);
+	else if (!evtimer_pending(w->timer, NULL))
+		evtimer_add(w->timer, &tv);
+}
+
+static void on_timer_(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	move_(arg);
+}
+
+static void on_read_(struct bufferevent *bev, void *arg)
+{
+	(void)bev;
+	move_later_(arg);
+}
+
+/* All that a side was sent has gone out: if its sender has ended, so does the connection. */
+static void on_written_(struct bufferevent *bev, void *arg)
+{
+	Way *back = arg; /* the way that begins where the other ends */
+	Way *w = back == &back->pair->in ? &back->pair->out : &back->pair->in;
+
+	(void)bev;
+	if (w->ended)
+		move_later_(w);
+}
+
+static void on_event_(struct bufferevent *bev, short what, void *arg)
+{
+	Way *w = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_ERROR) {
+		end_pair_(w->pair, true);
+	}
+	else if (what & BEV_EVENT_EOF) {
+		w->ended = true;
+		move_later_(w);
+	}
+}
+
+static void end_pair_(Pair *p, bool reset)
+{
+	struct linger at_once = {1, 0};
+
+	if (reset)
+		setsockopt(bufferevent_getfd(p->caller), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+	g_hash_table_remove(p->link->pairs, p);
+	event_free(p->in.timer);
+	event_free(p->out.timer);
+	bufferevent_free(p->caller);
+	bufferevent_free(p->server);
+	g_free(p);
+}
+
+static void on_control_(struct evhttp_request *req, void *arg)
+{
+	char *name = web_get_query(req, "link");
+	char *mode = web_get_query(req, "mode");
+	char *ms = web_get_query(req, "ms");
+
+	(void)arg;
+	if (set_mode_(name ? name : "", mode ? mode : "", ms))
+		evhttp_send_reply(req, 200, NULL, NULL);
+	else
+		web_reply_error(req, 400, NULL, "bad-mode", "there is no such link or mode");
+	g_free(name);
+	g_free(mode);
+	g_free(ms);
+}
+
+/* Sets a link's mode; what waits on its connections goes on, or they are reset. */
+static bool set_mode_(const char *name, const char *mode, const char *ms)
+{
+	for (unsigned i = 0; i < LinkCount_; i++) {
+		Link *l = &Links_[i];
+		unsigned m = 0;
+		GList *pairs;
+		while (m < MODE_COUNT && strcmp(mode, ModeString_[m]) != 0)
+			m++;
+		if (strcmp(l->name, name) != 0 || m == MODE_COUNT)
+			continue;
+		l->mode = (Mode)m;
+		l->delay_ms = ms ? (unsigned)strtoul(ms, NULL, 10) : 0;
+		pairs = g_hash_table_get_keys(l->pairs);
+		for (GList *it = pairs; it; it = it->next) {
+			Pair *p = it->data;
+			if (l->mode == MODE_RESET) {
+				end_pair_(p, true);
+				continue;
+			}
+			move_later_(&p->in);
+			if (g_hash_table_contains(l->pairs, p))
+				move_later_(&p->out);
+		}
+		g_list_free(pairs);
+		return true;
+	}
+	return false;
+}
--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A randomized soak of the gateways: three real processes before the stand-in of the users' platform are killed,
-# stopped, paused, resumed, restarted and reloaded, and the platform's store goes away, in series that overlap,
-# while callers keep calling. Judged from what callers and endpoints see:
+# stopped, paused, resumed, restarted and reloaded, the platform's store goes away, and connections to the store and the
+# endpoints are delayed, reset, silenced or cut one way by a proxy, in series that overlap, while callers keep calling. Judged from what callers and endpoints see:
 #   - a call that must not be repeated runs at most once, and not at all where it is refused with a time to come back;
 #   - a stream answered 200 has each of its events once and in order;
 #   - afterwards every gateway serves within ten seconds, and none has ended by itself.
@@ -38,7 +38,7 @@
 }
 one_fault() { # with what ends it later on, in the background, so that faults overlap
 	local n=$((RANDOM % 3 + 1)) later=0.$((RANDOM % 9 + 1))
-	local kind=$(pick kill stop pause reload store config)
+	local kind=$(pick kill stop pause reload store config link link link)
 	echo "$kind gate$n $later" >>"$RUN/faults"
 	case $kind in
 	kill) renew $n ;;
@@ -52,6 +52,12 @@
 		(sleep 1$later; signal gate$n CONT) &
 		;;
 	reload) signal gate$n HUP ;;
+	link)
+		link=$(pick $LINKS) mode=$(pick delay silent in out reset)
+		echo "link $link $mode 1$later" >>"$RUN/faults"
+		set_link $link $mode $((RANDOM % 400 + 20))
+		(sleep 1$later; set_link $link pass) &
+		;;
 	store)
 		tell down
 		(sleep 1$later; tell up) &
@@ -87,7 +93,7 @@
 	local until n
 	RANDOM=$seed
 	version=1
-	start_site
+	start_site_behind_proxy
 	for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; start_gate $n; done
 	config 1 key1 >"$RUN/config"
 	wait_for 5 tell config -d "@$RUN/config"
@@ -104,6 +110,7 @@
 	done
 	sleep 2 # for what is under way to end
 	tell up
+	for link in $LINKS; do set_link $link pass; done
 	for n in 1 2 3; do signal gate$n CONT; done
 	touch "$RUN/over"
 	wait $callers
