Tried and reverted: engines asked what else they work on

Tried: a node that begins to schedule asks all engines for their reports every 0.4 s for 3 s, and counts the answers that they write beyond the known ones as streams. Runs side by side used the same ports once all blocks were in TIME_WAIT: a run now holds a lock on its block, and looks only at ports that somebody listens on.

--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -24,17 +24,10 @@
 	void (*queued)(struct BH__PlannerPort *port, const BH__Ask *ask);
 	/* A node is gone that held memory on helpers: it has to be freed there. */
 	void (*abandoned)(struct BH__PlannerPort *port, const BH__Grant *grant);
-	/* An engine may be slower than it should be, or work on what nobody told of: its own report is wanted, see bh__planner_process_report(). */
+	/* An engine may be slower than it should be: its own report is wanted, see bh__planner_process_pace(). */
 	void (*inspect)(struct BH__PlannerPort *port, uint64_t endpoint_id);
 } BH__PlannerPort;
 
-/* What an engine says of itself. It is some hundred ms old. */
-typedef struct {
-	double pace;             /* how much slower than its model it works; 1: as fast */
-	unsigned running;        /* answers that it writes */
-	uint64_t kv_used_tokens; /* of their memory */
-} BH__EngineReport;
-
 typedef struct {
 	uint64_t grants;
 	uint64_t helped; /* grants with helpers */
@@ -49,7 +42,6 @@
 	unsigned homes;   /* requests that it answers */
 	unsigned streams; /* of those, the ones whose answer has begun */
 	unsigned helps;   /* prompts that it helps read */
-	unsigned strange; /* answers that it writes for none of the known nodes */
 	uint64_t kv_used_tokens;
 	double unread_ms; /* what it has to read, at pace 1 */
 	double pace;
@@ -71,9 +63,7 @@
 								 uint64_t failed_endpoint, uint64_t now_us);
 void bh__planner_process_hold(BH__Planner *p, uint64_t node_id, uint64_t boot_id, bool full,
 							  const BH__Grant *grant, uint32_t count, uint64_t now_us);
-void bh__planner_process_report(BH__Planner *p, uint64_t endpoint_id, const BH__EngineReport *report,
-								uint64_t now_us);
-void bh__planner_process_takeover(BH__Planner *p, uint64_t now_us);
+void bh__planner_process_pace(BH__Planner *p, uint64_t endpoint_id, double pace, uint64_t now_us);
 void bh__planner_process_node_gone(BH__Planner *p, uint64_t node_id, uint64_t now_us);
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us);
 void bh__planner_keep_only(BH__Planner *p, uint64_t node_id, uint64_t now_us);
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -68,7 +68,7 @@
 static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask);
 static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g);
 static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id);
-static void on_report_(void *inspection, const BH__EngineReport *report);
+static void on_pace_(void *inspection, double pace);
 static void take_grant_(Cluster *c, const BH__Grant *g, uint64_t from_node);
 static void take_refusal_(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 static void tell_(Cluster *c, Call *call, BH__MessageType type, BH__ReleaseKind kind,
@@ -476,8 +476,6 @@
 		}
 		bh__silence_hear(&s->silence);
 		bh__planner_set_alone(s->planner, s->scheduler != self->node_id);
-		if (s->scheduler == self->node_id)
-			bh__planner_process_takeover(s->planner, now_us);
 		tell_holds_(c, s, now_us);
 		if (was && s->scheduler != was)
 			move_asks_(c, s);
@@ -703,19 +701,18 @@
 	i->cluster = s->cluster;
 	i->pool_id = bh__planner_get_id(s->planner);
 	i->endpoint_id = endpoint_id;
-	g->port->report(g, e->entry.address, on_report_, i);
+	g->port->report(g, e->entry.address, on_pace_, i);
 }
 
-static void on_report_(void *inspection, const BH__EngineReport *report)
+static void on_pace_(void *inspection, double pace)
 {
 	Inspection *i = inspection;
 	Service *s = find_by_pool_(i->cluster, i->pool_id);
 
-	if (s && report) {
-		if (report->pace > 1)
-			log_event("engine", "endpoint=%016" G_GINT64_MODIFIER "x pace=%.2f running=%u", i->endpoint_id,
-					  report->pace, report->running);
-		bh__planner_process_report(s->planner, i->endpoint_id, report, clock_now_us());
+	if (s && pace > 0) {
+		if (pace > 1)
+			log_event("engine", "endpoint=%016" G_GINT64_MODIFIER "x pace=%.2f", i->endpoint_id, pace);
+		bh__planner_process_pace(s->planner, i->endpoint_id, pace, clock_now_us());
 	}
 	g_free(i);
 }
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -89,8 +89,8 @@
 	void (*reserve)(Gate *g, const char *address, const char *memory_id, uint64_t tokens, uint64_t hold_ms,
 					void (*done)(void *ctx, bool held), void *ctx);
 	void (*free_memory)(Gate *g, const char *address, const char *memory_id);
-	/* Asks an engine for its report. `done` is called once, with NULL if there was no answer. */
-	void (*report)(Gate *g, const char *address, void (*done)(void *ctx, const BH__EngineReport *report), void *ctx);
+	/* Asks an engine for its report. `done` is called once, with its pace, or 0 if there was no answer. */
+	void (*report)(Gate *g, const char *address, void (*done)(void *ctx, double pace), void *ctx);
 } GatePort;
 
 #endif
--- a/src/bench/bench_placement.c
+++ b/src/bench/bench_placement.c
@@ -434,9 +434,7 @@
 {
 	Run *run = (Run *)port;
 
-	BH__EngineReport report = {.pace = 1};
-
-	bh__planner_process_report(run->planner, endpoint_id, &report, run->now_us);
+	bh__planner_process_pace(run->planner, endpoint_id, 1, run->now_us);
 }
 
 static void on_first_(void *ctx, PassRequest *p, uint64_t now_us)
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -27,10 +27,6 @@
 	GPtrArray *homes; /* BH__PlacedRequest whose answers come from here */
 	unsigned helps;   /* parts of prompts of others under way */
 	uint64_t kv_used_tokens;
-	/* Answers that it writes and nobody told of, for callers of nodes that are gone, and their memory. */
-	unsigned strange;
-	uint64_t strange_tokens;
-	uint64_t strange_until_us; /* as far as its last report goes */
 } BH__PassEngine;
 
 typedef struct {
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -177,7 +177,7 @@
 	c->next_ms = bh__pass_clock_next_pass_ms(&e->clock, m, 0);
 	c->pending_ms = c->next_ms + bh__pass_clock_get_pass_left_ms(&e->clock, now_us);
 	c->room_ms = bh__pass_clock_get_room_ms(&e->clock, m, now_us);
-	c->slots_free = e->homes->len + e->strange < m->slots ? m->slots - e->homes->len - e->strange : 0;
+	c->slots_free = e->homes->len < m->slots ? m->slots - e->homes->len : 0;
 	c->helps_free = e->helps < m->slots ? m->slots - e->helps : 0;
 	c->kv_free_tokens = capacity > e->kv_used_tokens ? capacity - e->kv_used_tokens : 0;
 	for (guint i = 0; i < e->homes->len; i++) {
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -33,9 +33,6 @@
 #define SUSPECT_MS_ 60.0
 #define INSPECT_PERIOD_US_ BH__SECOND_US /* between reports of one engine, which cost it a call */
 #define SLOW_PACE_ 1.3                   /* an engine this slow is asked again until it is not */
-#define SURVEY_US_ (3 * BH__SECOND_US)           /* for which a node that begins to schedule asks all engines */
-#define SURVEY_PERIOD_US_ (400 * BH__MS_US)      /* between its questions: twice the age of a report */
-#define STRANGE_US_ (700 * BH__MS_US)            /* that a report's word on strange work is believed */
 #define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
 /* A grant younger than this may not be in a list of holds yet. */
@@ -60,8 +57,6 @@
 	GPtrArray *waiting; /* Waiting_, the smallest prompt first */
 	BH__PlannerCounters counters;
 	bool pumping;
-	uint64_t survey_until_us; /* engines are asked for reports until then */
-	uint64_t next_survey_us;
 };
 
 static gint compare_order_(gconstpointer a, gconstpointer b, gpointer seed);
@@ -82,8 +77,6 @@
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
 static void take_out_(BH__Planner *p, BH__PlacedRequest *r, bool goes_on, uint64_t now_us);
 static void end_reads_(BH__Planner *p, BH__PlacedRequest *r, bool was_read, uint64_t now_us);
-static void set_strange_(BH__Planner *p, BH__PassEngine *e, unsigned count, uint64_t tokens, uint64_t now_us);
-static void survey_(BH__Planner *p, uint64_t now_us);
 static void inspect_(BH__Planner *p, BH__PassEngine *e, uint64_t now_us);
 static void suspect_(BH__Planner *p, const BH__PlacedRequest *r, double took_ms, uint64_t now_us);
 static void set_aside_(BH__PassEngine *e, uint64_t now_us);
@@ -452,62 +445,15 @@
 	p->port->inspect(p->port, e->endpoint_id);
 }
 
-/* An engine tells of itself. What it writes beside the answers that are known here is work for callers of nodes that are
- * gone; it takes slots and makes passes longer until it ends. */
-void bh__planner_process_report(BH__Planner *p, uint64_t endpoint_id, const BH__EngineReport *report,
-								uint64_t now_us)
+/* An engine told its pace in a report. */
+void bh__planner_process_pace(BH__Planner *p, uint64_t endpoint_id, double pace, uint64_t now_us)
 {
 	BH__PassEngine *e = find_engine_(p, endpoint_id);
 
 	if (!e)
 		return;
 	bh__pass_clock_advance(&e->clock, &p->model, now_us);
-	bh__pass_clock_set_pace(&e->clock, report->pace, now_us);
-	set_strange_(p, e, report->running > e->homes->len ? report->running - e->homes->len : 0,
-				 report->kv_used_tokens > e->kv_used_tokens ? report->kv_used_tokens - e->kv_used_tokens : 0,
-				 now_us);
-	if (e->strange)
-		p->survey_until_us = MAX(p->survey_until_us, now_us + SURVEY_PERIOD_US_ * 2);
-}
-
-/* Sets how many answers an engine writes that nobody told of. */
-static void set_strange_(BH__Planner *p, BH__PassEngine *e, unsigned count, uint64_t tokens, uint64_t now_us)
-{
-	while (e->strange) {
-		bh__pass_clock_end_stream(&e->clock, e->strange_tokens / e->strange);
-		e->strange_tokens -= e->strange_tokens / e->strange;
-		e->strange--;
-	}
-	e->strange = count;
-	e->strange_tokens = count ? tokens : 0;
-	e->strange_until_us = now_us + STRANGE_US_;
-	for (unsigned i = 0; i < count; i++)
-		bh__pass_clock_begin_stream(&e->clock, &p->model, tokens / count, now_us);
-}
-
-/* This node begins to schedule. What engines work on is told by the nodes that hold grants; for nodes that are gone only
- * the engines can tell, so for a while all are asked. */
-void bh__planner_process_takeover(BH__Planner *p, uint64_t now_us)
-{
-	p->survey_until_us = now_us + SURVEY_US_;
-	p->next_survey_us = now_us;
-	survey_(p, now_us);
-}
-
-static void survey_(BH__Planner *p, uint64_t now_us)
-{
-	if (now_us < p->next_survey_us)
-		return;
-	p->next_survey_us = now_us + SURVEY_PERIOD_US_;
-	for (guint i = 0; i < p->engines->len; i++) {
-		BH__PassEngine *e = g_ptr_array_index(p->engines, i);
-		if (e->strange && now_us >= e->strange_until_us)
-			set_strange_(p, e, 0, 0, now_us);
-		if (now_us >= p->survey_until_us)
-			continue;
-		e->inspected_us = now_us;
-		p->port->inspect(p->port, e->endpoint_id);
-	}
+	bh__pass_clock_set_pace(&e->clock, pace, now_us);
 }
 
 /* Suspects the engines that read for a request whose first event took `took_ms`, if that is too long. */
@@ -663,7 +609,6 @@
 	if (p->pumping) /* a grant's receiver may call back */
 		return;
 	p->pumping = true;
-	survey_(p, now_us);
 	pump_some_(p, false, now_us);
 	pump_some_(p, true, now_us);
 	p->pumping = false;
@@ -732,7 +677,6 @@
 							   .homes = e->homes->len,
 							   .streams = e->clock.streams,
 							   .helps = e->helps,
-							   .strange = e->strange,
 							   .kv_used_tokens = e->kv_used_tokens,
 							   .unread_ms = bh__pass_clock_get_backlog_ms(&e->clock),
 							   .pace = e->clock.pace,
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -382,8 +382,7 @@
 	bh__planner_process_ask(b->planner, &a, 1000);
 	bh__planner_process_progress(b->planner, grant_(b, 0)->grant_id, 2 * BH__SECOND_US);
 	assert_int_equal(b->inspected, grant_(b, 0)->member_count);
-	bh__planner_process_report(b->planner, grant_(b, 0)->member[1].endpoint_id, &(BH__EngineReport){.pace = 4},
-							   2 * BH__SECOND_US);
+	bh__planner_process_pace(b->planner, grant_(b, 0)->member[1].endpoint_id, 4, 2 * BH__SECOND_US);
 	bh__planner_process_ask(b->planner, &again, 2 * BH__SECOND_US + 10 * MS);
 	for (unsigned i = 0; i < grant_(b, 1)->member_count; i++)
 		assert_true(grant_(b, 1)->member[i].endpoint_id != grant_(b, 0)->member[1].endpoint_id);
--- a/test/cluster.sh
+++ b/test/cluster.sh
@@ -7,16 +7,21 @@
 MODEL=${MODEL:-archive}
 HALLS="abertawe caerdydd casnewydd"
 
-choose_base() { # sets BASE to the start of 500 ports that nobody uses now, nor another run that is about to
+choose_base() { # sets BASE to the start of 500 ports that nobody listens on now, nor another run is about to
 	local used lock
-	used=$(awk '$2 ~ /:/ { split($2, a, ":"); print "0x" a[2] }' /proc/net/tcp /proc/net/tcp6 2>/dev/null | sort -u |
-		xargs printf '%d\n')
-	for BASE in $(seq 20000 1000 31000); do
-		exec {lock}>"${TMPDIR:-/tmp}/bayhoist-ports-$BASE" # held until this run's last process has ended
-		flock -n "$lock" || { exec {lock}>&-; continue; }
-		awk -v from="$BASE" '$1 >= from && $1 < from + 500 { found = 1 } END { exit found }' <<<"$used" && break
+	while :; do
+		used=$(awk '$4 == "0A" { split($2, a, ":"); print "0x" a[2] }' /proc/net/tcp /proc/net/tcp6 2>/dev/null | sort -u |
+			xargs -r printf '%d\n')
+		for BASE in $(seq 10000 500 31500); do
+			exec {lock}>"${TMPDIR:-/tmp}/bayhoist-ports-$BASE" # held until this run's last process has ended
+			if flock -n "$lock" && awk -v from="$BASE" '$1 >= from && $1 < from + 500 { exit 1 }' <<<"$used"; then
+				PLATFORM="127.0.0.1:$BASE"
+				return
+			fi
+			exec {lock}>&-
+		done
+		sleep 1
 	done
-	PLATFORM="127.0.0.1:$BASE"
 }
 begin_run() { # a folder and ports of this run's own, and everything stopped and removed at its end
 	RUN=$(mktemp -d)
