What a node agrees on about services is a file of its own, schedulers.c

cluster.c had grown to 782 lines with two jobs: membership with its messages, and the schedulers of services. Functions moved as they were; what both share is in cluster_internal.h.

--- /dev/null
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -0,0 +1,51 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What cluster.c and schedulers.c share: the nodes, and the services whose engines they use together. */
+#ifndef BAYHOIST_CLUSTER_INTERNAL_H
+#define BAYHOIST_CLUSTER_INTERNAL_H
+
+#include "bayhoist/silence.h"
+#include "gate.h"
+
+/* One service with engines. */
+typedef struct {
+	BH__PlannerPort port; /* first: the planner hands it back */
+	Cluster *cluster;
+	char service[BH__NAME_LEN];
+	BH__Planner *planner;
+	uint64_t scheduler;      /* node */
+	uint64_t scheduler_boot; /* its life, as far as it was told what this node holds */
+	uint64_t next_holds_us;
+	bool held;           /* something was told of at the last time */
+	BH__Silence silence; /* of the scheduler */
+} Service;
+
+struct Cluster {
+	BH__MembersPort port; /* first: membership hands it back */
+	Gate *gate;
+	BH__Members *members;
+	Peers *peers;
+	GHashTable *services; /* Service by name */
+	GHashTable *by_ask;   /* Call by ask id */
+	GQueue inbox;         /* BH__Message to this node itself */
+	bool draining;
+	uint64_t members_seen;
+	uint64_t next_id;
+	struct event *tick;
+	struct event *waiting_tick;
+};
+
+/* cluster.c */
+void cluster_drain_inbox(Cluster *c);
+void cluster_watch_waiting(Cluster *c);
+
+/* schedulers.c */
+Service *schedulers_find(const Cluster *c, uint64_t pool_id);
+void schedulers_free_service(gpointer service);
+void schedulers_hear(Cluster *c, uint64_t node_id);
+void schedulers_follow(Cluster *c, uint64_t now_us);
+void schedulers_tell_holds(Cluster *c, Service *s, uint64_t now_us);
+void schedulers_take_grant(Cluster *c, const BH__Grant *g, uint64_t from_node);
+void schedulers_take_refusal(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
+void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us);
+
+#endif
