--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -1,9 +1,8 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* The life of one caller's request: it is matched with a route, placed, sent, and answered. What may be sent
  * again is decided in the library's exchange.c; where engines' work goes, by the planner behind cluster.c. */
-#include "gate.h"
+#include "call_internal.h"
 
-#include <event2/buffer.h>
 #include <string.h>
 #include "bayhoist/hash.h"
 #include "clock.h"
@@ -15,56 +14,15 @@
 /* For so long after its start a node keeps requests until it knows where they go; the store answers within
  * some tens of milliseconds, and who was refused might come back before. */
 #define START_PATIENCE_MS 300
-#define ASKS_MAX 6             /* after so many grants that could not be used a request is refused */
-#define WHOLE_MAX (256 * 1024) /* bytes of an answer that are kept until it is whole */
-#define RETRY_SOON_MS 200      /* when a caller that was refused for a passing cause is to come back */
-#define BYTES_PER_TOKEN 4      /* of a prompt whose tokens the caller doesn't tell */
+#define ASKS_MAX 6        /* after so many grants that could not be used a request is refused */
+#define RETRY_SOON_MS 200 /* when a caller that was refused for a passing cause is to come back */
+#define BYTES_PER_TOKEN 4 /* of a prompt whose tokens the caller doesn't tell */
 #define DEFAULT_ANSWER_TOKENS 1000
 #define LIKELY_FACTOR 2 /* answers are up to so many times as long as the caller guesses */
 #define LIKELY_EXTRA_TOKENS 200
-#define CAUSE_MAX 100 /* bytes of an endpoint's words on why it did not run a request that go to the log */
-
-typedef enum {
-	CALL_STARTING,  /* waits until the node knows the configuration and the endpoints */
-	CALL_ASKING,    /* waits for engines */
-	CALL_RESERVING, /* waits for memory on them */
-	CALL_SENDING    /* an endpoint has it */
-} CallState;
 
 static const char *const StateString_[] = {"starting", "asking", "reserving", "sending"};
 
-struct Call {
-	Gate *gate;
-	Inbound *in;
-	const InboundRequest *request;
-	BH__Routing *routing;
-	const BH__RouteRule *rule;
-	const BH__ServiceSpec *service;
-	const BH__KeyOwner *owner; /* NULL: none */
-	BH__Exchange x;
-	CallState state;
-	CallPlace place;
-	bool queued;
-	bool told_queued; /* in the log */
-	unsigned asks;
-	uint64_t asked_us;
-	MemoryHold *memory;
-	Outbound *out;
-	uint64_t endpoint_id;
-	uint64_t sent_us;
-	uint64_t longest_pause_us; /* between what the endpoints sent of the answer */
-	uint64_t heard_us;         /* when the endpoint last sent something of the answer */
-	bool judged;               /* the sending's end is known before its connection's */
-	BH__SendingEnd judgement;
-	OutboundHead head;     /* of the answer; `headers` is our own copy */
-	struct evbuffer *body; /* of an answer that is kept until it is whole; or the rest of an event */
-	bool passing;          /* the answer goes on as it comes */
-	bool told_progress;    /* the scheduler knows that this sending's answer has begun */
-	BH__EventStream events;
-	bool paused;
-	struct event *timer;
-};
-
 static void begin_(Call *c);
 static bool admit_(Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
@@ -74,35 +32,14 @@
 static void fill_ask_(Call *c);
 static const char *scheduler_name_(const Call *c);
 static void use_grant_(Call *c);
-static bool is_usable_(const Call *c, uint64_t endpoint_id);
 static void return_grant_(Call *c, uint64_t unusable_endpoint);
 static void on_memory_(void *ctx, bool held);
-static void send_(Call *c, uint64_t endpoint_id);
-static void log_send_(const Call *c, const BH__RegisteredEndpoint *e);
-static void write_request_(Call *c, const BH__RegisteredEndpoint *e, struct evbuffer *out);
-static void fill_helpers_(const Call *c, SendingMeta *s);
-static void on_head_(void *ctx, const OutboundHead *head);
-static void on_body_(void *ctx, const char *data, size_t len);
-static void on_end_(void *ctx, OutboundEnd end);
-static BH__SendingEnd judge_head_(const Call *c, bool *judged);
-static BH__SendingEnd judge_end_(const Call *c, OutboundEnd end);
-static void pass_events_(Call *c);
-static void pass_on_(Call *c, const char *data, size_t len);
-static void tell_progress_(Call *c);
-static void begin_answer_(Call *c);
-static void end_sending_(Call *c, BH__SendingEnd end);
-static uint64_t find_at_fault_(const Call *c);
-static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us);
-static void act_(Call *c, BH__Next next);
 static void pass_failure_(Call *c);
 static void finish_(Call *c, CallOutcome outcome, const char *reason);
 static uint64_t overdue_us_(const Call *c);
-static void set_timer_(Call *c, uint64_t now_us);
 static void on_timer_(evutil_socket_t fd, short what, void *arg);
 static void check_time_(Call *c, uint64_t now_us);
 
-static const OutboundCallbacks Callbacks_ = {.on_head = on_head_, .on_body = on_body_, .on_end = on_end_};
-
 /* Takes a request. Returns its call, or NULL if it has been answered already. */
 Call *call_start(Gate *g, Inbound *in)
 {
@@ -117,7 +54,7 @@
 	g_hash_table_add(g->calls, c);
 	g->counters.requests++;
 	if (!gate_is_informed(g) && clock_now_us() < g->started_us + START_PATIENCE_MS * BH__MS_US)
-		set_timer_(c, clock_now_us());
+		call_set_timer(c, clock_now_us());
 	else
 		begin_(c);
 	/* the call may have ended meanwhile */
@@ -216,7 +153,7 @@
 	BH__RegisteredEndpoint *e;
 
 	if (now_us >= c->x.deadline_us) {
-		act_(c, bh__exchange_process_deadline(&c->x));
+		call_act(c, bh__exchange_process_deadline(&c->x));
 		return;
 	}
 	if (c->service->is_engine) {
@@ -226,7 +163,7 @@
 	e = bh__registry_pick(g->registry, c->service->name, g->settings.hall, c->x.tried, c->x.tried_count,
 						  now_us);
 	if (e)
-		send_(c, e->endpoint_id);
+		sending_start(c, e->endpoint_id);
 	else
 		give_up_(c, RETRY_SOON_MS, "no-endpoint", "no endpoint of the service can take the request");
 }
@@ -239,7 +176,7 @@
 	if (next == BH__NEXT_REFUSE)
 		refuse_(c, 503, retry_after_ms, code, message);
 	else
-		act_(c, next);
+		call_act(c, next);
 }
 
 static void ask_(Call *c)
@@ -253,7 +190,7 @@
 	c->state = CALL_ASKING;
 	c->queued = false;
 	c->asked_us = clock_now_us();
-	set_timer_(c, c->asked_us);
+	call_set_timer(c, c->asked_us);
 	cluster_ask(c->gate->cluster, c);
 }
 
@@ -298,7 +235,7 @@
 	c->told_queued = true;
 	c->queued = true;
 	c->asked_us = clock_now_us();
-	set_timer_(c, c->asked_us);
+	call_set_timer(c, c->asked_us);
 }
 
 /* The node that was asked is gone or does not schedule any more. */
@@ -332,7 +269,7 @@
 		cluster_release(c->gate->cluster, c, BH__RELEASE_UNUSED, BH__NO_ENDPOINT);
 }
 
-static bool is_usable_(const Call *c, uint64_t endpoint_id)
+bool call_endpoint_is_usable(const Call *c, uint64_t endpoint_id)
 {
 	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, endpoint_id);
 
@@ -348,18 +285,18 @@
 	for (unsigned i = 0; i < g->member_count; i++) {
 		bool needed = i == 0 || g->member[i].kv_bytes > 0;
 		needs_memory |= i > 0 && g->member[i].kv_bytes > 0;
-		if (needed && !is_usable_(c, g->member[i].endpoint_id)) {
+		if (needed && !call_endpoint_is_usable(c, g->member[i].endpoint_id)) {
 			return_grant_(c, g->member[i].endpoint_id);
 			return;
 		}
 	}
 	if (!needs_memory) {
-		send_(c, g->member[0].endpoint_id);
+		sending_start(c, g->member[0].endpoint_id);
 		return;
 	}
 	c->state = CALL_RESERVING;
 	c->memory = memory_hold_new(c->gate, g, on_memory_, c);
-	set_timer_(c, clock_now_us());
+	call_set_timer(c, clock_now_us());
 }
 
 /* Gives a grant back because of one of its engines, and asks for another. */
@@ -376,7 +313,7 @@
 	Call *c = ctx;
 
 	if (held) {
-		send_(c, c->place.grant.member[0].endpoint_id);
+		sending_start(c, c->place.grant.member[0].endpoint_id);
 		return;
 	}
 	memory_hold_delete(c->memory);
@@ -384,305 +321,14 @@
 	return_grant_(c, c->place.grant.member[c->place.grant.member_count - 1].endpoint_id);
 }
 
-static void send_(Call *c, uint64_t endpoint_id)
-{
-	Gate *g = c->gate;
-	BH__RegisteredEndpoint *e = bh__registry_find(g->registry, endpoint_id);
-	struct evbuffer *out = evbuffer_new();
-
-	c->state = CALL_SENDING;
-	c->endpoint_id = endpoint_id;
-	c->sent_us = clock_now_us();
-	c->heard_us = c->sent_us;
-	c->judged = false;
-	c->passing = false;
-	c->told_progress = false;
-	evbuffer_drain(c->body, evbuffer_get_length(c->body));
-	write_request_(c, e, out);
-	g->counters.sendings++;
-	bh__registry_note_start(g->registry, endpoint_id);
-	log_send_(c, e);
-	c->out = outbound_start(g, e->entry.address, out, &Callbacks_, c);
-	evbuffer_free(out);
-	set_timer_(c, c->sent_us);
-}
-
-static void log_send_(const Call *c, const BH__RegisteredEndpoint *e)
-{
-	const BH__Grant *g = &c->place.grant;
-	GString *helpers = g_string_new(NULL);
-
-	for (unsigned i = 1; g->grant_id && i < g->member_count; i++) {
-		const BH__RegisteredEndpoint *h = bh__registry_find(c->gate->registry, g->member[i].endpoint_id);
-		g_string_append_printf(helpers, "%s%s%s", i > 1 ? "," : "", h ? h->entry.id : "gone",
-							   g->member[i].kv_bytes ? "/memory" : "");
-	}
-	log_event("send",
-			  "request=%s endpoint=%s service=%s prompt_tokens=%" G_GUINT64_FORMAT
-			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
-			  " helpers=%s",
-			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
-			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US,
-			  g->grant_id ? g->expected_us / BH__MS_US : 0, helpers->str);
-	g_string_free(helpers, TRUE);
-}
-
-/* Writes the request as the endpoint is to get it. */
-static void write_request_(Call *c, const BH__RegisteredEndpoint *e, struct evbuffer *out)
-{
-	const InboundRequest *r = c->request;
-	bool has_body = r->body->len || !strcmp(r->method, "POST") || !strcmp(r->method, "PUT") ||
-					!strcmp(r->method, "PATCH");
-	SendingMeta s = {.endpoint = e->entry.id,
-					 .account = c->owner ? c->owner->name : NULL,
-					 .last_event_id = c->events.last_id[0] ? c->events.last_id : r->meta.last_event_id,
-					 .time_left_us = c->x.deadline_us - c->sent_us,
-					 .urgency = -1};
-
-	fill_helpers_(c, &s);
-	evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", r->method, r->target);
-	evbuffer_add(out, r->headers->str, r->headers->len);
-	c->gate->port->write_sending_headers(out, &r->meta, &s);
-	if (has_body)
-		evbuffer_add_printf(out, "Content-Length: %u\r\n", r->body->len);
-	evbuffer_add(out, "\r\n", 2);
-	evbuffer_add(out, r->body->data, r->body->len);
-}
-
-/* Names the engines that help read the prompt, but for those that have begun to leave. Those with memory come
- * first, since it is filled in their order. */
-static void fill_helpers_(const Call *c, SendingMeta *s)
-{
-	const BH__Grant *g = &c->place.grant;
-
-	if (!g->grant_id)
-		return;
-	for (int with_memory = 1; with_memory >= 0; with_memory--) {
-		for (unsigned i = 1; i < g->member_count; i++) {
-			const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, g->member[i].endpoint_id);
-			if ((g->member[i].kv_bytes > 0) != (with_memory == 1) || !e || !is_usable_(c, e->endpoint_id))
-				continue;
-			s->helper[s->helper_count].address = e->entry.address;
-			s->helper[s->helper_count].memory_id =
-				c->memory ? memory_hold_get_id(c->memory, e->endpoint_id) : NULL;
-			s->helper_count++;
-		}
-	}
-}
-
-/* The head of an answer came. */
-static void on_head_(void *ctx, const OutboundHead *head)
-{
-	Call *c = ctx;
-	GString *headers = c->head.headers;
-
-	c->heard_us = clock_now_us();
-	c->head = *head;
-	c->head.headers = headers;
-	g_string_assign(headers, head->headers->str);
-	if (head->meta.has_load)
-		bh__registry_note_load(c->gate->registry, c->endpoint_id, head->meta.running, head->meta.waiting,
-							   c->heard_us);
-	c->judgement = judge_head_(c, &c->judged);
-	c->passing = !c->judged && c->rule->streams && head->status / 100 == 2;
-	set_timer_(c, c->heard_us);
-}
-
-/* Judges what the head alone tells. `*judged` is false if that is nothing. */
-static BH__SendingEnd judge_head_(const Call *c, bool *judged)
-{
-	const AnswerMeta *m = &c->head.meta;
-	bool is_ours = !m->request_id[0] || !strcmp(m->request_id, c->request->meta.request_id);
-
-	*judged = true;
-	if (m->not_run || c->gate->port->status_says_not_run(c->head.status))
-		return BH__SENDING_REFUSED;
-	if (!is_ours || (c->head.status / 100 == 2 && (!m->mac[0] || !m->request_id[0]))) {
-		c->gate->counters.bad_frames++;
-		return BH__SENDING_BROKEN;
-	}
-	*judged = false;
-	return BH__SENDING_BROKEN;
-}
-
-static void on_body_(void *ctx, const char *data, size_t len)
-{
-	Call *c = ctx;
-	uint64_t now_us;
-
-	if (c->judged) {
-		if (!evbuffer_get_length(c->body)) /* for the log */
-			evbuffer_add(c->body, data, MIN(len, (size_t)CAUSE_MAX));
-		return;
-	}
-	now_us = clock_now_us();
-	if (c->x.answer_begun)
-		c->longest_pause_us = MAX(c->longest_pause_us, now_us - c->heard_us);
-	c->heard_us = now_us;
-	evbuffer_add(c->body, data, len);
-	if (c->passing) {
-		pass_events_(c);
-	}
-	else if (evbuffer_get_length(c->body) > WHOLE_MAX || c->x.answer_begun) {
-		size_t n = evbuffer_get_length(c->body);
-		pass_on_(c, (const char *)evbuffer_pullup(c->body, -1), n);
-		evbuffer_drain(c->body, n);
-	}
-}
-
-/* Passes on the events that are whole. */
-static void pass_events_(Call *c)
-{
-	size_t len = evbuffer_get_length(c->body);
-	const char *data = (const char *)evbuffer_pullup(c->body, -1);
-	size_t done = 0;
-	size_t event_len;
-	BH__EventState state;
-
-	while ((state = bh__event_stream_take(&c->events, data + done, len - done, &event_len)) !=
-		   BH__EVENT_INCOMPLETE) {
-		if (state == BH__EVENT_NEXT)
-			pass_on_(c, data + done, event_len);
-		done += event_len;
-	}
-	evbuffer_drain(c->body, done);
-	set_timer_(c, c->heard_us);
-}
-
-static void pass_on_(Call *c, const char *data, size_t len)
-{
-	if (!c->told_progress && c->service->is_engine)
-		tell_progress_(c);
-	c->told_progress = true;
-	if (!c->x.answer_begun)
-		begin_answer_(c);
-	if (!inbound_answer_more(c->in, data, len) && !c->paused) {
-		c->paused = true;
-		outbound_pause(c->out, true);
-	}
-}
-
-/* The answer has begun: the scheduler is told. */
-static void tell_progress_(Call *c)
-{
-	log_event("first-event",
-			  "request=%s took_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
-			  " target_ms=%u parts=%u",
-			  c->request->meta.request_id, (c->heard_us - c->sent_us) / BH__MS_US,
-			  c->place.grant.expected_us / BH__MS_US, c->rule->target_ms, c->place.grant.member_count);
-	cluster_tell_progress(c->gate->cluster, c);
-}
-
-static void begin_answer_(Call *c)
-{
-	uint64_t wait_us = c->heard_us - c->request->arrived_us;
-
-	c->x.answer_begun = true;
-	c->x.may_have_run = true;
-	if (c->service->is_engine) {
-		bh__histogram_add(&c->gate->counters.first_event[bh__size_class(c->request->meta.prompt_tokens)],
-						  wait_us);
-	}
-	inbound_answer_begin(c->in, c->head.status, c->head.reason, c->head.headers);
-}
-
-/* The caller has read what waited for it. */
-void call_on_drained(Call *c)
-{
-	if (!c->paused || !c->out)
-		return;
-	c->paused = false;
-	c->heard_us = clock_now_us();
-	outbound_pause(c->out, false);
-}
-
-static void on_end_(void *ctx, OutboundEnd end)
-{
-	Call *c = ctx;
-
-	c->out = NULL;
-	end_sending_(c, c->judged ? c->judgement : judge_end_(c, end));
-}
-
-static BH__SendingEnd judge_end_(const Call *c, OutboundEnd end)
-{
-	if (end == OUTBOUND_UNREACHABLE)
-		return BH__SENDING_UNREACHABLE;
-	if (end == OUTBOUND_BROKEN || (c->passing && evbuffer_get_length(c->body) > 0))
-		return BH__SENDING_BROKEN;
-	return c->head.status >= 500 ? BH__SENDING_FAILED : BH__SENDING_ANSWERED;
-}
-
-/* A sending is over: what it held is given back, and the next step taken. */
-static void end_sending_(Call *c, BH__SendingEnd end)
-{
-	Gate *g = c->gate;
-	uint64_t now_us = clock_now_us();
-	bool failed = end != BH__SENDING_ANSWERED && end != BH__SENDING_FAILED;
-	uint64_t at_fault = c->endpoint_id;
-	BH__Next next;
-
-	if (c->out)
-		outbound_cancel(c->out);
-	c->out = NULL;
-	c->paused = false;
-	bh__registry_note_end(g->registry, c->endpoint_id,
-						  end == BH__SENDING_ANSWERED  ? BH__USE_SERVED
-						  : end == BH__SENDING_REFUSED ? BH__USE_REFUSED
-													   : BH__USE_FAILED,
-						  now_us);
-	if (end == BH__SENDING_REFUSED)
-		at_fault = find_at_fault_(c);
-	memory_hold_delete(c->memory);
-	c->memory = NULL;
-	cluster_release(g->cluster, c,
-					end == BH__SENDING_BROKEN ? BH__RELEASE_LOST
-					: failed                  ? BH__RELEASE_FAILED
-											  : BH__RELEASE_DONE,
-					failed ? at_fault : BH__NO_ENDPOINT);
-	bh__exchange_note_tried(&c->x, at_fault);
-	next = bh__exchange_process_end(&c->x, end, gate_get_budget(g, c->service->name), now_us);
-	log_sending_(c, end, next, now_us);
-	act_(c, next);
-}
-
-/* Returns the endpoint that a refusal names as its cause, which may be a helper; else the one that refused.
- */
-static uint64_t find_at_fault_(const Call *c)
-{
-	const BH__RegisteredEndpoint *e = NULL;
-
-	if (c->head.meta.at_fault[0])
-		e = bh__registry_find_address(c->gate->registry, c->head.meta.at_fault);
-	return e ? e->endpoint_id : c->endpoint_id;
-}
-
-static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us)
-{
-	char cause[CAUSE_MAX + 1] = "";
-
-	if (end == BH__SENDING_REFUSED) {
-		ev_ssize_t n = evbuffer_copyout(c->body, cause, CAUSE_MAX);
-		cause[MAX(n, 0)] = '\0';
-		g_strdelimit(cause, "\"\\\r\n", ' ');
-	}
-	log_event("sent",
-			  "request=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
-			  " next=%s at_fault=%s events=%" G_GUINT64_FORMAT " cause=\"%s\"",
-			  c->request->meta.request_id, BH__SendingEndString[end],
-			  end == BH__SENDING_UNREACHABLE ? 0 : c->head.status, c->x.sendings,
-			  (now_us - c->sent_us) / BH__MS_US, BH__NextString[next], c->head.meta.at_fault,
-			  c->events.events, cause);
-}
-
-static void act_(Call *c, BH__Next next)
+void call_act(Call *c, BH__Next next)
 {
 	Gate *g = c->gate;
 
 	switch (next) {
 	case BH__NEXT_DONE:
 		if (c->passing && !c->x.answer_begun)
-			begin_answer_(c);
+			sending_begin_answer(c);
 		if (c->x.answer_begun)
 			inbound_answer_end(c->in);
 		else
@@ -723,7 +369,7 @@
 	bool promises = c->head.status == 503 || c->head.status == 429 || c->head.status == 408;
 
 	if (promises && !c->head.meta.mac[0]) {
-		act_(c, BH__NEXT_FAIL);
+		call_act(c, BH__NEXT_FAIL);
 		return;
 	}
 	inbound_answer_whole(c->in, c->head.status, c->head.reason, c->head.headers, c->body);
@@ -777,7 +423,7 @@
 }
 
 /* Sets the timer to the next moment at which time alone changes something. */
-static void set_timer_(Call *c, uint64_t now_us)
+void call_set_timer(Call *c, uint64_t now_us)
 {
 	uint64_t due_us = MIN(c->x.deadline_us, overdue_us_(c));
 	struct timeval tv;
@@ -807,20 +453,20 @@
 	}
 	else if (now_us >= c->x.deadline_us) {
 		c->x.may_have_run |= c->state == CALL_SENDING && c->out && outbound_is_connected(c->out);
-		act_(c, bh__exchange_process_deadline(&c->x));
+		call_act(c, bh__exchange_process_deadline(&c->x));
 	}
 	else if (now_us >= overdue_us_(c)) {
 		if (bh__exchange_may_send_again(&c->x, now_us) && c->x.sendings + 1 < c->x.max_attempts) {
-			end_sending_(c, BH__SENDING_SILENT);
+			sending_end(c, BH__SENDING_SILENT);
 			return;
 		}
 		c->heard_us = now_us; /* nowhere else to go: the endpoint is waited for */
-		set_timer_(c, now_us);
+		call_set_timer(c, now_us);
 	}
 	else if (c->state == CALL_ASKING && c->queued && now_us >= c->asked_us + QUEUED_REPEAT_MS * BH__MS_US) {
 		c->queued = false;
 		c->asked_us = now_us;
-		set_timer_(c, now_us);
+		call_set_timer(c, now_us);
 		cluster_ask_again(c->gate->cluster, c);
 	}
 	else if (c->state == CALL_ASKING && !c->queued &&
@@ -829,11 +475,11 @@
 		log_event("alone", "request=%s scheduler=%s waited_ms=%" G_GUINT64_FORMAT,
 				  c->request->meta.request_id, scheduler_name_(c), (now_us - c->asked_us) / BH__MS_US);
 		c->asked_us = now_us;
-		set_timer_(c, now_us);
+		call_set_timer(c, now_us);
 		cluster_ask_locally(c->gate->cluster, c);
 	}
 	else {
-		set_timer_(c, now_us);
+		call_set_timer(c, now_us);
 	}
 }
 
--- /dev/null
+++ b/src/bayhoist-gate/call_internal.h
@@ -0,0 +1,58 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What call.c and sending.c share: one caller's request. */
+#ifndef BAYHOIST_CALL_INTERNAL_H
+#define BAYHOIST_CALL_INTERNAL_H
+
+#include <event2/buffer.h>
+#include "gate.h"
+
+typedef enum {
+	CALL_STARTING,  /* waits until the node knows the configuration and the endpoints */
+	CALL_ASKING,    /* waits for engines */
+	CALL_RESERVING, /* waits for memory on them */
+	CALL_SENDING    /* an endpoint has it */
+} CallState;
+
+struct Call {
+	Gate *gate;
+	Inbound *in;
+	const InboundRequest *request;
+	BH__Routing *routing;
+	const BH__RouteRule *rule;
+	const BH__ServiceSpec *service;
+	const BH__KeyOwner *owner; /* NULL: none */
+	BH__Exchange x;
+	CallState state;
+	CallPlace place;
+	bool queued;
+	bool told_queued; /* in the log */
+	unsigned asks;
+	uint64_t asked_us;
+	MemoryHold *memory;
+	Outbound *out;
+	uint64_t endpoint_id;
+	uint64_t sent_us;
+	uint64_t longest_pause_us; /* between what the endpoints sent of the answer */
+	uint64_t heard_us;         /* when the endpoint last sent something of the answer */
+	bool judged;               /* the sending's end is known before its connection's */
+	BH__SendingEnd judgement;
+	OutboundHead head;     /* of the answer; `headers` is our own copy */
+	struct evbuffer *body; /* of an answer that is kept until it is whole; or the rest of an event */
+	bool passing;          /* the answer goes on as it comes */
+	bool told_progress;    /* the scheduler knows that this sending's answer has begun */
+	BH__EventStream events;
+	bool paused;
+	struct event *timer;
+};
+
+/* call.c */
+bool call_endpoint_is_usable(const Call *c, uint64_t endpoint_id);
+void call_act(Call *c, BH__Next next);
+void call_set_timer(Call *c, uint64_t now_us);
+
+/* sending.c */
+void sending_start(Call *c, uint64_t endpoint_id);
+void sending_end(Call *c, BH__SendingEnd end);
+void sending_begin_answer(Call *c);
+
+#endif
--- /dev/null
+++ b/src/bayhoist-gate/sending.c
@@ -0,0 +1,319 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* One sending of a request to an endpoint: what is written to it, what its answer is worth, and how that is
+ * passed on. */
+#include "call_internal.h"
+
+#include <string.h>
+#include "clock.h"
+#include "log.h"
+
+#define WHOLE_MAX (256 * 1024) /* bytes of an answer that are kept until it is whole */
+#define CAUSE_MAX 100 /* bytes of an endpoint's words on why it did not run a request that go to the log */
+
+static void log_send_(const Call *c, const BH__RegisteredEndpoint *e);
+static void write_request_(Call *c, const BH__RegisteredEndpoint *e, struct evbuffer *out);
+static void fill_helpers_(const Call *c, SendingMeta *s);
+static void on_head_(void *ctx, const OutboundHead *head);
+static void on_body_(void *ctx, const char *data, size_t len);
+static void on_end_(void *ctx, OutboundEnd end);
+static BH__SendingEnd judge_head_(const Call *c, bool *judged);
+static BH__SendingEnd judge_end_(const Call *c, OutboundEnd end);
+static void pass_events_(Call *c);
+static void pass_on_(Call *c, const char *data, size_t len);
+static void tell_progress_(Call *c);
+static uint64_t find_at_fault_(const Call *c);
+static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us);
+
+static const OutboundCallbacks Callbacks_ = {.on_head = on_head_, .on_body = on_body_, .on_end = on_end_};
+
+void sending_start(Call *c, uint64_t endpoint_id)
+{
+	Gate *g = c->gate;
+	BH__RegisteredEndpoint *e = bh__registry_find(g->registry, endpoint_id);
+	struct evbuffer *out = evbuffer_new();
+
+	c->state = CALL_SENDING;
+	c->endpoint_id = endpoint_id;
+	c->sent_us = clock_now_us();
+	c->heard_us = c->sent_us;
+	c->judged = false;
+	c->passing = false;
+	c->told_progress = false;
+	evbuffer_drain(c->body, evbuffer_get_length(c->body));
+	write_request_(c, e, out);
+	g->counters.sendings++;
+	bh__registry_note_start(g->registry, endpoint_id);
+	log_send_(c, e);
+	c->out = outbound_start(g, e->entry.address, out, &Callbacks_, c);
+	evbuffer_free(out);
+	call_set_timer(c, c->sent_us);
+}
+
+static void log_send_(const Call *c, const BH__RegisteredEndpoint *e)
+{
+	const BH__Grant *g = &c->place.grant;
+	GString *helpers = g_string_new(NULL);
+
+	for (unsigned i = 1; g->grant_id && i < g->member_count; i++) {
+		const BH__RegisteredEndpoint *h = bh__registry_find(c->gate->registry, g->member[i].endpoint_id);
+		g_string_append_printf(helpers, "%s%s%s", i > 1 ? "," : "", h ? h->entry.id : "gone",
+							   g->member[i].kv_bytes ? "/memory" : "");
+	}
+	log_event("send",
+			  "request=%s endpoint=%s service=%s prompt_tokens=%" G_GUINT64_FORMAT
+			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
+			  " helpers=%s",
+			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
+			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US,
+			  g->grant_id ? g->expected_us / BH__MS_US : 0, helpers->str);
+	g_string_free(helpers, TRUE);
+}
+
+/* Writes the request as the endpoint is to get it. */
+static void write_request_(Call *c, const BH__RegisteredEndpoint *e, struct evbuffer *out)
+{
+	const InboundRequest *r = c->request;
+	bool has_body = r->body->len || !strcmp(r->method, "POST") || !strcmp(r->method, "PUT") ||
+					!strcmp(r->method, "PATCH");
+	SendingMeta s = {.endpoint = e->entry.id,
+					 .account = c->owner ? c->owner->name : NULL,
+					 .last_event_id = c->events.last_id[0] ? c->events.last_id : r->meta.last_event_id,
+					 .time_left_us = c->x.deadline_us - c->sent_us,
+					 .urgency = -1};
+
+	fill_helpers_(c, &s);
+	evbuffer_add_printf(out, "%s %s HTTP/1.1\r\n", r->method, r->target);
+	evbuffer_add(out, r->headers->str, r->headers->len);
+	c->gate->port->write_sending_headers(out, &r->meta, &s);
+	if (has_body)
+		evbuffer_add_printf(out, "Content-Length: %u\r\n", r->body->len);
+	evbuffer_add(out, "\r\n", 2);
+	evbuffer_add(out, r->body->data, r->body->len);
+}
+
+/* Names the engines that help read the prompt, but for those that have begun to leave. Those with memory come
+ * first, since it is filled in their order. */
+static void fill_helpers_(const Call *c, SendingMeta *s)
+{
+	const BH__Grant *g = &c->place.grant;
+
+	if (!g->grant_id)
+		return;
+	for (int with_memory = 1; with_memory >= 0; with_memory--) {
+		for (unsigned i = 1; i < g->member_count; i++) {
+			const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, g->member[i].endpoint_id);
+			if ((g->member[i].kv_bytes > 0) != (with_memory == 1) || !e ||
+				!call_endpoint_is_usable(c, e->endpoint_id))
+				continue;
+			s->helper[s->helper_count].address = e->entry.address;
+			s->helper[s->helper_count].memory_id =
+				c->memory ? memory_hold_get_id(c->memory, e->endpoint_id) : NULL;
+			s->helper_count++;
+		}
+	}
+}
+
+/* The head of an answer came. */
+static void on_head_(void *ctx, const OutboundHead *head)
+{
+	Call *c = ctx;
+	GString *headers = c->head.headers;
+
+	c->heard_us = clock_now_us();
+	c->head = *head;
+	c->head.headers = headers;
+	g_string_assign(headers, head->headers->str);
+	if (head->meta.has_load)
+		bh__registry_note_load(c->gate->registry, c->endpoint_id, head->meta.running, head->meta.waiting,
+							   c->heard_us);
+	c->judgement = judge_head_(c, &c->judged);
+	c->passing = !c->judged && c->rule->streams && head->status / 100 == 2;
+	call_set_timer(c, c->heard_us);
+}
+
+static void on_body_(void *ctx, const char *data, size_t len)
+{
+	Call *c = ctx;
+	uint64_t now_us;
+
+	if (c->judged) {
+		if (!evbuffer_get_length(c->body)) /* for the log */
+			evbuffer_add(c->body, data, MIN(len, (size_t)CAUSE_MAX));
+		return;
+	}
+	now_us = clock_now_us();
+	if (c->x.answer_begun)
+		c->longest_pause_us = MAX(c->longest_pause_us, now_us - c->heard_us);
+	c->heard_us = now_us;
+	evbuffer_add(c->body, data, len);
+	if (c->passing) {
+		pass_events_(c);
+	}
+	else if (evbuffer_get_length(c->body) > WHOLE_MAX || c->x.answer_begun) {
+		size_t n = evbuffer_get_length(c->body);
+		pass_on_(c, (const char *)evbuffer_pullup(c->body, -1), n);
+		evbuffer_drain(c->body, n);
+	}
+}
+
+static void on_end_(void *ctx, OutboundEnd end)
+{
+	Call *c = ctx;
+
+	c->out = NULL;
+	sending_end(c, c->judged ? c->judgement : judge_end_(c, end));
+}
+
+/* Judges what the head alone tells. `*judged` is false if that is nothing. */
+static BH__SendingEnd judge_head_(const Call *c, bool *judged)
+{
+	const AnswerMeta *m = &c->head.meta;
+	bool is_ours = !m->request_id[0] || !strcmp(m->request_id, c->request->meta.request_id);
+
+	*judged = true;
+	if (m->not_run || c->gate->port->status_says_not_run(c->head.status))
+		return BH__SENDING_REFUSED;
+	if (!is_ours || (c->head.status / 100 == 2 && (!m->mac[0] || !m->request_id[0]))) {
+		c->gate->counters.bad_frames++;
+		return BH__SENDING_BROKEN;
+	}
+	*judged = false;
+	return BH__SENDING_BROKEN;
+}
+
+static BH__SendingEnd judge_end_(const Call *c, OutboundEnd end)
+{
+	if (end == OUTBOUND_UNREACHABLE)
+		return BH__SENDING_UNREACHABLE;
+	if (end == OUTBOUND_BROKEN || (c->passing && evbuffer_get_length(c->body) > 0))
+		return BH__SENDING_BROKEN;
+	return c->head.status >= 500 ? BH__SENDING_FAILED : BH__SENDING_ANSWERED;
+}
+
+/* Passes on the events that are whole. */
+static void pass_events_(Call *c)
+{
+	size_t len = evbuffer_get_length(c->body);
+	const char *data = (const char *)evbuffer_pullup(c->body, -1);
+	size_t done = 0;
+	size_t event_len;
+	BH__EventState state;
+
+	while ((state = bh__event_stream_take(&c->events, data + done, len - done, &event_len)) !=
+		   BH__EVENT_INCOMPLETE) {
+		if (state == BH__EVENT_NEXT)
+			pass_on_(c, data + done, event_len);
+		done += event_len;
+	}
+	evbuffer_drain(c->body, done);
+	call_set_timer(c, c->heard_us);
+}
+
+static void pass_on_(Call *c, const char *data, size_t len)
+{
+	if (!c->told_progress && c->service->is_engine)
+		tell_progress_(c);
+	c->told_progress = true;
+	if (!c->x.answer_begun)
+		sending_begin_answer(c);
+	if (!inbound_answer_more(c->in, data, len) && !c->paused) {
+		c->paused = true;
+		outbound_pause(c->out, true);
+	}
+}
+
+/* The answer has begun: the scheduler is told. */
+static void tell_progress_(Call *c)
+{
+	log_event("first-event",
+			  "request=%s took_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
+			  " target_ms=%u parts=%u",
+			  c->request->meta.request_id, (c->heard_us - c->sent_us) / BH__MS_US,
+			  c->place.grant.expected_us / BH__MS_US, c->rule->target_ms, c->place.grant.member_count);
+	cluster_tell_progress(c->gate->cluster, c);
+}
+
+void sending_begin_answer(Call *c)
+{
+	uint64_t wait_us = c->heard_us - c->request->arrived_us;
+
+	c->x.answer_begun = true;
+	c->x.may_have_run = true;
+	if (c->service->is_engine) {
+		bh__histogram_add(&c->gate->counters.first_event[bh__size_class(c->request->meta.prompt_tokens)],
+						  wait_us);
+	}
+	inbound_answer_begin(c->in, c->head.status, c->head.reason, c->head.headers);
+}
+
+/* A sending is over: what it held is given back, and the next step taken. */
+void sending_end(Call *c, BH__SendingEnd end)
+{
+	Gate *g = c->gate;
+	uint64_t now_us = clock_now_us();
+	bool failed = end != BH__SENDING_ANSWERED && end != BH__SENDING_FAILED;
+	uint64_t at_fault = c->endpoint_id;
+	BH__Next next;
+
+	if (c->out)
+		outbound_cancel(c->out);
+	c->out = NULL;
+	c->paused = false;
+	bh__registry_note_end(g->registry, c->endpoint_id,
+						  end == BH__SENDING_ANSWERED  ? BH__USE_SERVED
+						  : end == BH__SENDING_REFUSED ? BH__USE_REFUSED
+													   : BH__USE_FAILED,
+						  now_us);
+	if (end == BH__SENDING_REFUSED)
+		at_fault = find_at_fault_(c);
+	memory_hold_delete(c->memory);
+	c->memory = NULL;
+	cluster_release(g->cluster, c,
+					end == BH__SENDING_BROKEN ? BH__RELEASE_LOST
+					: failed                  ? BH__RELEASE_FAILED
+											  : BH__RELEASE_DONE,
+					failed ? at_fault : BH__NO_ENDPOINT);
+	bh__exchange_note_tried(&c->x, at_fault);
+	next = bh__exchange_process_end(&c->x, end, gate_get_budget(g, c->service->name), now_us);
+	log_sending_(c, end, next, now_us);
+	call_act(c, next);
+}
+
+/* Returns the endpoint that a refusal names as its cause, which may be a helper; else the one that refused.
+ */
+static uint64_t find_at_fault_(const Call *c)
+{
+	const BH__RegisteredEndpoint *e = NULL;
+
+	if (c->head.meta.at_fault[0])
+		e = bh__registry_find_address(c->gate->registry, c->head.meta.at_fault);
+	return e ? e->endpoint_id : c->endpoint_id;
+}
+
+static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us)
+{
+	char cause[CAUSE_MAX + 1] = "";
+
+	if (end == BH__SENDING_REFUSED) {
+		ev_ssize_t n = evbuffer_copyout(c->body, cause, CAUSE_MAX);
+		cause[MAX(n, 0)] = '\0';
+		g_strdelimit(cause, "\"\\\r\n", ' ');
+	}
+	log_event("sent",
+			  "request=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
+			  " next=%s at_fault=%s events=%" G_GUINT64_FORMAT " cause=\"%s\"",
+			  c->request->meta.request_id, BH__SendingEndString[end],
+			  end == BH__SENDING_UNREACHABLE ? 0 : c->head.status, c->x.sendings,
+			  (now_us - c->sent_us) / BH__MS_US, BH__NextString[next], c->head.meta.at_fault,
+			  c->events.events, cause);
+}
+
+/* The caller has read what waited for it. */
+void call_on_drained(Call *c)
+{
+	if (!c->paused || !c->out)
+		return;
+	c->paused = false;
+	c->heard_us = clock_now_us();
+	outbound_pause(c->out, false);
+}
