A gateway that cannot start says why

Ruled out: a crash (no second start in the log, the first life's lines whole). Now the buffer goes out first; test in check-gate (failed first).

--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -22,9 +22,9 @@
 static void set_ready_(Cluster *c, bool ready);
 static void dispatch_(Cluster *c, const BH__Message *m);
 
-/* Returns what this node's VM has for duties: thousandths of a core, or what its network bears of them if that is less.
- * On the users' VMs a burst of asks fills a link of 20 Mbit/s before it fills 0.12 of a core; 0.5 of a core goes with
- * 100 Mbit/s. */
+/* Returns what this node's VM has for duties: thousandths of a core, or what its network bears of them if
+ * that is less. On the users' VMs a burst of asks fills a link of 20 Mbit/s before it fills 0.12 of a core;
+ * 0.5 of a core goes with 100 Mbit/s. */
 static uint32_t capacity_(const GateSettings *s)
 {
 	double by_link = s->link_mbps * CAPACITY_PER_MBPS;
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -64,8 +64,10 @@
 		return EX_OK;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	if (!start_(&g))
+	if (!start_(&g)) {
+		log_finish(); /* it says why */
 		return EX_UNAVAILABLE;
+	}
 	event_base_dispatch(g.base);
 	stop_(&g);
 	return EX_OK;
--- a/test/check-gate.sh
+++ b/test/check-gate.sh
@@ -98,6 +98,10 @@
 wait_for 5 ready 1 200
 is "when it is back they are served" "$(ask 1 /ask/x o3)" 200
 
+"$B/bayhoist-gate" --config "$RUN/gate1.json" >"$RUN/second"
+is "a second gateway on the same addresses ends" $? 69
+is "and says why" "$(grep -c 'event=start-failed .*in use' "$RUN/second")" 1
+
 ask 1 /ask/hold/x t1 >"$RUN/stopped" &
 caller=$!
 sleep 0.5
--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -33,7 +33,10 @@
 pick() { shift $((RANDOM % $#)); echo "$1"; }
 is_alive() { kill -0 "$(pid_of "gate$1")" 2>/dev/null; }
 renew() { # N: kills what is left of a gateway and starts it again
+	local tries=100
 	signal "gate$1" KILL
+	# its ports are taken until it is gone, which takes a moment on a busy machine
+	while is_alive "$1" && [ $((tries -= 1)) -gt 0 ]; do sleep 0.02; done
 	start_gate "$1"
 }
 one_fault() { # with what ends it later on, in the background, so that faults overlap
