A look that is wanted does not wait for what an outage left

Now the pause is reckoned when a look is due, is the usual one after any answer, and does not hold up a look that is wanted. bh__look_process() decides it, with a test (not written against the old code, which had the times mixed into the gateway); a scripted case was written too, which the old code passes by its phases. Nodes that find no reader of use ask twice a second, not ten times.

--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -7,6 +7,7 @@
 
 #include <string.h>
 #include "bayhoist/hash.h"
+#include "bayhoist/look.h"
 #include "clock.h"
 #include "log.h"
 
@@ -16,24 +17,13 @@
 #define ASK_US (500 * BH__MS_US)         /* between the other nodes' questions */
 #define ANSWER_US (300 * BH__MS_US)      /* for the reader's answer */
 #define PASS_OVER_US (5 * BH__SECOND_US) /* for which a reader that was of no use is not asked */
-#define UNANSWERED_MAX                                                                                       \
-	2 /* questions to readers; after so many a node looks for itself: it may be cut off                      \
-	   */
-/* A node that finds no store, and does not look for others, looks less and less often up to this. */
-#define BACKOFF_MAX_US (3 * BH__SECOND_US)
-#define WATCH_AFTER_US                                                                                       \
-	BH__SECOND_US /* as reader: nodes that start all think so, until they know each other */
+#define USELESS_MAX 2 /* readers asked in turn; after so many of no use a node looks for itself */
+/* Before a reader watches: nodes that start all think they read, until they know each other. */
+#define WATCH_AFTER_US BH__SECOND_US
 /* With what it knows older than this, a node looks for itself. */
 #define CONFIGURATION_OLD_US (2 * BH__SECOND_US)
 #define ENDPOINTS_OLD_US (1300 * BH__MS_US)
 
-/* Looks of one kind. */
-typedef struct {
-	uint64_t sent_us;
-	uint64_t next_us;
-	uint64_t backoff_us;
-} Look;
-
 struct Looks {
 	Gate *gate;
 	uint64_t reader;   /* node; 0: none is asked */
@@ -41,11 +31,11 @@
 	uint64_t next_ask_us;
 	uint64_t passed_over; /* node that is not asked now */
 	uint64_t pass_over_until_us;
-	unsigned unanswered;
+	unsigned useless;          /* readers passed over since one was of use */
 	uint64_t reads_since_us;   /* 0: this node is not the reader */
 	bool configuration_wanted; /* there is a newer one */
-	Look configuration;
-	Look endpoints;
+	BH__Look configuration;
+	BH__Look endpoints;
 	uint64_t told_boot; /* of the registry that this node has from a reader */
 	uint64_t told_version;
 };
@@ -53,7 +43,6 @@
 static uint64_t pick_reader_(const Looks *l, uint64_t now_us);
 static void pass_over_(Looks *l, const char *cause, uint64_t now_us);
 static void look_(Looks *l, bool reads, uint64_t now_us);
-static void note_look_(Look *look, uint64_t period_us, uint64_t seen_us, bool reads, uint64_t now_us);
 static void ask_(Looks *l, uint64_t now_us);
 static void take_entries_(Looks *l, const BH__Message *m, uint64_t now_us);
 
@@ -86,10 +75,10 @@
 
 	log_event("looks", "what=passed-over node=%s cause=\"%s\"", info ? info->name : "", cause);
 	l->passed_over = l->reader;
-	l->unanswered++;
+	l->useless++;
 	l->pass_over_until_us = now_us + PASS_OVER_US;
 	l->asked_us = 0;
-	l->next_ask_us = now_us;
+	l->next_ask_us = l->useless < USELESS_MAX ? now_us : now_us + ASK_US;
 }
 
 /* Looks or asks if it is time. To be called several times a second. */
@@ -120,32 +109,23 @@
 static void look_(Looks *l, bool reads, uint64_t now_us)
 {
 	Gate *g = l->gate;
-	bool alone = l->unanswered >= UNANSWERED_MAX;
+	bool alone = l->useless >= USELESS_MAX;
 	bool old_configuration = alone || now_us >= g->routing_looked_us + CONFIGURATION_OLD_US;
 	bool old_endpoints = alone || now_us >= g->registry_looked_us + ENDPOINTS_OLD_US;
 
-	if ((reads || old_configuration || l->configuration_wanted) && now_us >= l->configuration.next_us) {
+	if ((reads || old_configuration || l->configuration_wanted) &&
+		bh__look_process(&l->configuration, CONFIGURATION_US, g->routing_looked_us,
+						 reads || l->configuration_wanted, now_us)) {
 		l->configuration_wanted = false;
-		note_look_(&l->configuration, CONFIGURATION_US, g->routing_looked_us, reads, now_us);
 		g->port->look_at_configuration(g);
 	}
-	if ((reads || old_endpoints) && now_us >= l->endpoints.next_us) {
+	if ((reads || old_endpoints) &&
+		bh__look_process(&l->endpoints, ENDPOINTS_US, g->registry_looked_us, reads, now_us)) {
 		l->told_boot = 0; /* what is read is no more what the reader told */
-		note_look_(&l->endpoints, ENDPOINTS_US, g->registry_looked_us, reads, now_us);
 		g->port->look_at_endpoints(g);
 	}
 }
 
-/* A look is made: sets when the next may be. `seen_us` is when the latest look was sent that was answered. */
-static void note_look_(Look *look, uint64_t period_us, uint64_t seen_us, bool reads, uint64_t now_us)
-{
-	bool failed = look->sent_us && seen_us < look->sent_us;
-
-	look->backoff_us = failed && !reads ? MIN(look->backoff_us * 2, BACKOFF_MAX_US) : period_us;
-	look->sent_us = now_us;
-	look->next_us = now_us + look->backoff_us;
-}
-
 static void ask_(Looks *l, uint64_t now_us)
 {
 	BH__Message m = {.type = BH__MESSAGE_LOOK_ASK};
@@ -193,7 +173,6 @@
 	if (!l->asked_us || asked_us != l->asked_us)
 		return;
 	l->asked_us = 0;
-	l->unanswered = 0;
 	if (m->as.look.configuration_version > version)
 		l->configuration_wanted = true;
 	else if (m->as.look.configuration_version == version && asked_us > m->as.look.configuration_age_us)
@@ -202,6 +181,7 @@
 		pass_over_(l, "knows nothing fresh", now_us);
 		return;
 	}
+	l->useless = 0;
 	if (m->as.look.has_entries)
 		take_entries_(l, m, now_us);
 	else if (m->as.look.registry_boot != l->told_boot)
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -10,6 +10,7 @@
 #include "bayhoist/exchange.h"
 #include "bayhoist/field.h"
 #include "bayhoist/hash.h"
+#include "bayhoist/look.h"
 #include "bayhoist/registry.h"
 #include "bayhoist/planner.h"
 #include "bayhoist/routing.h"
@@ -258,6 +259,29 @@
 					 900 * BH__MS_US); /* plain services have no passes */
 }
 
+/* A node looks less often at a store that does not answer, and at its usual pace again at once where the
+ * store is known to be back, by an answer to itself or to others. (It waited out what the outage had left,
+ * and missed a change by it.) */
+static void looks_are_rarer_only_while_the_store_is_away_(void **state)
+{
+	const uint64_t period_us = 700 * BH__MS_US;
+	uint64_t now_us = BH__SECOND_US;
+	BH__Look l = {0};
+	unsigned made = 0;
+
+	(void)state;
+	for (unsigned i = 0; i < 100; i++) /* ten seconds without an answer */
+		made += bh__look_process(&l, period_us, 0, false, now_us + i * 100 * BH__MS_US);
+	assert_in_range(made, 4, 6);
+	now_us += 10 * BH__SECOND_US;
+	assert_true(l.backoff_us == BH__LOOK_BACKOFF_MAX_US);
+	assert_true(bh__look_process(&l, period_us, 0, true,
+								 MAX(now_us, l.sent_us + period_us))); /* others were answered */
+	now_us = l.sent_us;
+	assert_false(bh__look_process(&l, period_us, now_us, false, now_us + 600 * BH__MS_US));
+	assert_true(bh__look_process(&l, period_us, now_us, false, now_us + period_us)); /* it was itself */
+}
+
 /* Where there is no place left, a begun answer is cut and nothing else is written into it. */
 static void no_place_ends_a_request_(void **state)
 {
@@ -361,6 +385,7 @@
 		cmocka_unit_test(sends_again_only_what_may_),
 		cmocka_unit_test(may_have_run_is_not_forgotten_),
 		cmocka_unit_test(a_long_pass_is_no_silence_),
+		cmocka_unit_test(looks_are_rarer_only_while_the_store_is_away_),
 		cmocka_unit_test(no_place_ends_a_request_),
 		cmocka_unit_test(the_repeat_budget_holds_),
 		cmocka_unit_test(only_whole_events_are_taken_),
--- a/test/check-gate.sh
+++ b/test/check-gate.sh
@@ -71,6 +71,16 @@
 is "changes in quick succession are in force on all" "$(ask 1 /ask/x c1)$(ask 2 /ask/x c2)$(ask 3 /ask/x c3)" 200200200
 is "and watched by one gateway" "$(($(tell watches) - before > 6))" 0
 
+tell down
+sleep 5.5
+tell up
+sleep 0.9
+config 7 key7 >"$RUN/config"
+tell config -d "@$RUN/config"
+sleep 1.9
+CALLER_KEY=key7
+is "a change soon after the store is back is in force on all" "$(ask 1 /ask/x w1)$(ask 2 /ask/x w2)$(ask 3 /ask/x w3)" 200200200
+
 tell 'drain?id=i-e1'
 sleep 2
 before=$(tell 'arrivals?id=i-e1')
