--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -23,6 +23,7 @@
 static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id);
 static void on_pace_(void *inspection, double pace);
 
+/* Returns the service whose planner has this id, or NULL. */
 Service *schedulers_find(const Cluster *c, uint64_t pool_id)
 {
 	GHashTableIter it;
@@ -461,8 +462,11 @@
 			evbuffer_add_printf(
 				out,
 				"bayhoist_engine{service=\"%s\",endpoint=\"%" G_GINT64_MODIFIER "x\",what=\"homes\"} %u\n"
+				"bayhoist_engine{service=\"%s\",endpoint=\"%" G_GINT64_MODIFIER
+				"x\",what=\"unread_ms\"} %.0f\n"
 				"bayhoist_engine{service=\"%s\",endpoint=\"%" G_GINT64_MODIFIER "x\",what=\"pace\"} %.2f\n",
-				s->service, e.endpoint_id, e.homes, s->service, e.endpoint_id, e.pace);
+				s->service, e.endpoint_id, e.homes, s->service, e.endpoint_id, e.unread_ms, s->service,
+				e.endpoint_id, e.pace);
 		}
 	}
 }
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -26,6 +26,7 @@
 
 static const OutboundCallbacks Callbacks_ = {.on_head = on_head_, .on_body = on_body_, .on_end = on_end_};
 
+/* Sends the request to an endpoint, which must be registered. */
 void sending_start(Call *c, uint64_t endpoint_id)
 {
 	Gate *g = c->gate;
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -17,7 +17,7 @@
 #define PASSES_AT_ONCE_ 10000 /* that one call moves on */
 #define READ_MS_ 0.01         /* a part with less left has been read */
 /* A new part overtakes the older ones. That is worth it where it is shorter than this share of what is left
- * of each of them. */
+ * of each of them. Shares from 0.1 to 0.8 were compared in the model of bench_placement. */
 #define OVERTAKE_SHARE_ 0.2
 #define DONE_SOON_MS_ 0.7             /* a part with no more left does not hold up a new one */
 #define UNDER_WAY_US_ (8 * BH__MS_US) /* a part given so late may not have reached the engine yet */
@@ -263,9 +263,9 @@
 			g_array_remove_index(c->parts, i);
 }
 
-/* The request of a part has begun to be answered: the part has been read by now, and all parts that this
- * engine reads before it. With `alone` no other engine read for it, so it is just now that its pass has
- * ended. */
+/* The request of a part has begun to be answered, so that the part has been read by now. With `alone` no
+ * other engine read for it: its pass has ended just now, or without passes, all parts for other engines were
+ * read before it. */
 void bh__pass_clock_note_read(BH__PassClock *c, const BH__EngineModel *m, uint64_t grant_id, bool alone,
 							  uint64_t now_us)
 {
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -17,9 +17,8 @@
 #define LATE_LOSS_ 0.75       /* share of a value that is lost when an answer is late; the sheets' */
 #define GAP_MARGIN_MS_ 25.0   /* of a pause, for the network and for what the reckoning misses */
 #define FIRST_MARGIN_MS_ 35.0 /* the same of a first event */
-#define LOOSE_LIMIT_MS_                                                                                      \
-	((double)                                                                                                \
-		 BH__LONGEST_PASS_MS) /* of a pass on an engine without streams: one may begin there at any time */
+/* Of a pass on an engine without streams: one may begin there at any time. */
+#define LOOSE_LIMIT_MS_ ((double)BH__LONGEST_PASS_MS)
 #define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams that may pause no longer are tight */
 #define TIGHT_LIMIT_MS_ 180.0           /* of a pass on an engine that is kept for tight streams */
 #define TIGHT_ROOM_MS_ 40.0             /* of a tight engine's pass that is kept for tight prompts */
@@ -163,8 +162,8 @@
 			c[i].limit_ms = MIN(c[i].limit_ms, (double)TIGHT_LIMIT_MS_);
 }
 
-/* Describes an engine. One that writes no stream reads in small steps, in which short prompts overtake long
- * ones: what it has to read may all be left when its next stream begins, and come in one pass. */
+/* Describes an engine. What one that writes no stream has to read may all be left when its next stream
+ * begins, and come in one pass. */
 static void describe_(const BH__EngineModel *m, BH__PassEngine *e, uint64_t now_us, Candidate_ *c)
 {
 	uint64_t capacity = (uint64_t)((double)m->kv_tokens * KV_FILL_);
@@ -274,7 +273,6 @@
 
 	if ((x->helps_free > 0) != (y->helps_free > 0))
 		return x->helps_free > 0 ? -1 : 1;
-
 	if (x->kept != y->kept)
 		return x->kept ? 1 : -1;
 	return p > q ? -1 : p < q ? 1 : 0;
