--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -28,7 +28,7 @@
 static void on_terminate_(evutil_socket_t sig, short what, void *arg);
 static void on_reload_(evutil_socket_t sig, short what, void *arg);
 static void on_stop_check_(evutil_socket_t fd, short what, void *arg);
-static void stop_(Gate *g);
+static void free_(Gate *g);
 
 static const char *SettingsPath_;
 
@@ -65,11 +65,12 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	if (!start_(&g)) {
-		log_finish(); /* it says why */
+		free_(&g);
 		return EX_UNAVAILABLE;
 	}
 	event_base_dispatch(g.base);
-	stop_(&g);
+	log_event("stop", "what=done calls=%u", g_hash_table_size(g.calls));
+	free_(&g);
 	return EX_OK;
 }
 
@@ -263,14 +264,16 @@
 	log_event("reload", "what=done");
 }
 
-static void stop_(Gate *g)
+/* Frees what was started, which after a start that failed may not be all, and writes out the log. */
+static void free_(Gate *g)
 {
-	log_event("stop", "what=done calls=%u", g_hash_table_size(g->calls));
 	calls_free(g);
-	evconnlistener_free(g->listener);
+	if (g->listener)
+		evconnlistener_free(g->listener);
 	g->listener = NULL;
 	inbounds_free(g);
-	g->port->stop(g);
+	if (g->binding)
+		g->port->stop(g);
 	web_stop(g);
 	cluster_free(g->cluster);
 	looks_delete(g->looks);
