check-explain has ports of its own

Cause: its gateway listened on fixed ports, so that both runs' 300 calls reached one gateway, and neither counted 300. It takes a block of ports as the other tests do. Run by itself three times on the same code: passed; twice at once with this change: passed.

--- a/test/check-explain.sh
+++ b/test/check-explain.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # `bayhoistctl explain` on planted logs: the way of a request, what was believed around it, and its outcome.
 set -u
-RUN=$(mktemp -d)
-trap 'rm -rf "$RUN"' EXIT
+. test/cluster.sh
+begin_run # for ports of its own: two runs on one machine counted each other's requests
 FAILED=0
 is() { # WHAT HAVE WANTED
 	if [ "$2" = "$3" ]; then echo "ok: $1"; else echo "FAILED: $1: have \"$2\", wanted \"$3\""; FAILED=1; fi
@@ -34,14 +34,14 @@
 mkfifo "$RUN/pipe"
 sleep 30 <"$RUN/pipe" &
 reader=$!
-printf '{"name":"g","hall":"h","caller_address":"127.0.0.21:%s","readiness_address":"127.0.0.21:%s","directory_address":"127.0.0.21:%s","control_address":"127.0.0.21:%s","peer_address":"127.0.0.21:%s","peer_key":"k","store_address":"127.0.0.21:9"}' 23001 23002 23003 23004 23005 >"$RUN/g.json"
+printf '{"name":"g","hall":"h","caller_address":"127.0.0.21:%s","readiness_address":"127.0.0.21:%s","directory_address":"127.0.0.21:%s","control_address":"127.0.0.21:%s","peer_address":"127.0.0.21:%s","peer_key":"k","store_address":"127.0.0.21:9"}' $((BASE + 1)) $((BASE + 2)) $((BASE + 3)) $((BASE + 4)) $((BASE + 5)) >"$RUN/g.json"
 "$B/bayhoist-gate" --config "$RUN/g.json" >"$RUN/pipe" 2>&1 &
 gate=$!
 sleep 1
 for i in $(seq 300); do
-	curl -s -m 1 -o /dev/null -H 'Host: x' -H "X-Long: $(head -c 900 /dev/zero | tr '\0' x)" "http://127.0.0.21:23001/$i"
+	curl -s -m 1 -o /dev/null -H 'Host: x' -H "X-Long: $(head -c 900 /dev/zero | tr '\0' x)" "http://127.0.0.21:$((BASE + 1))/$i"
 done
-is "a stopped reader does not stop the process" "$(curl -s -m 2 "http://127.0.0.21:23004/metrics" | grep -c '^bayhoist_requests_total 300')" 1
+is "a stopped reader does not stop the process" "$(curl -s -m 2 "http://127.0.0.21:$((BASE + 4))/metrics" | grep -c '^bayhoist_requests_total 300')" 1
 kill $gate $reader
 wait $gate $reader 2>/dev/null
 exit $FAILED
