One function for a part's slack; a header names the files that now hold the rest

Read again: the same reckoning of when a prompt's first event is due stood three times in pass_clock.c.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -1,6 +1,7 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* The life of one caller's request: it is matched with a route, placed, sent, and answered. What may be sent
- * again is decided in the library's exchange.c; where engines' work goes, by the planner behind cluster.c. */
+ * again is decided in the library's exchange.c; where engines' work goes, by the planner behind
+ * schedulers.c; each sending and its answer are in sending.c. */
 #include "call_internal.h"
 
 #include <string.h>
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -27,6 +27,7 @@
 static void end_pass_(BH__PassClock *c);
 static double pass_room_ms_(const BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us);
 static double first_pass_ms_(const BH__PassClock *c, const BH__EngineModel *m);
+static double slack_ms_(const BH__PassPart *p, double end_ms, uint64_t now_us);
 static int find_part_(const BH__PassClock *c, uint64_t grant_id);
 static int next_part_(const BH__PassClock *c, int before);
 static void drop_helps_(BH__PassClock *c, uint64_t before_us);
@@ -71,7 +72,7 @@
 /* Reads for `ms` milliseconds at pace 1, in the engine's order. */
 static void read_on_(BH__PassClock *c, double ms)
 {
-	int i = -1;
+	int i;
 
 	while (ms > 0 && (i = next_part_(c, -1)) >= 0) {
 		BH__PassPart *p = part_(c, i);
@@ -182,7 +183,7 @@
 		end_ms += p->left_ms * c->pace;
 		if (p->left_ms <= DONE_SOON_MS_)
 			continue;
-		slack_ms = ((double)p->due_us - (double)now_us) / 1000 - end_ms;
+		slack_ms = slack_ms_(p, end_ms, now_us);
 		room_ms = MIN(room_ms, p->left_ms * OVERTAKE_SHARE_);
 		if (slack_ms > 0)
 			room_ms = MIN(room_ms, slack_ms / c->pace);
@@ -190,14 +191,21 @@
 	return room_ms;
 }
 
-/* The same for an engine with streams: all that waits is read in its next pass. */
+/* Returns how long after its part has been read, `end_ms` from now, a request's first event is due; below 0:
+ * it is late. */
+static double slack_ms_(const BH__PassPart *p, double end_ms, uint64_t now_us)
+{
+	return ((double)p->due_us - (double)now_us) / 1000 - end_ms;
+}
+
+/* Returns the room of an engine with streams: all that waits is read in its next pass. */
 static double pass_room_ms_(const BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us)
 {
 	double end_ms = bh__pass_clock_get_pass_left_ms(c, now_us) + bh__pass_clock_next_pass_ms(c, m, 0);
 	double room_ms = G_MAXDOUBLE;
 
 	for (guint i = c->in_pass; i < c->parts->len; i++) {
-		double slack_ms = ((double)part_(c, (int)i)->due_us - (double)now_us) / 1000 - end_ms;
+		double slack_ms = slack_ms_(part_(c, (int)i), end_ms, now_us);
 		if (slack_ms > 0)
 			room_ms = MIN(room_ms, slack_ms / c->pace);
 	}
@@ -214,7 +222,7 @@
 		const BH__PassPart *p = part_(c, i);
 		double slack_ms;
 		end_ms += p->left_ms * c->pace;
-		slack_ms = ((double)p->due_us - (double)now_us) / 1000 - end_ms;
+		slack_ms = slack_ms_(p, end_ms, now_us);
 		if (slack_ms > 0 && slack_ms < read_ms * c->pace)
 			damage += p->value;
 	}
