Ledgers are handed over; a new scheduler learns before it grants; what callers waited before counts

Change: a scheduler that loses its duty sends its whole ledger with the grants' ages to the next one, before the others hear of the change; a node that takes over queues asks until that or the holds of all live nodes have come, 100 ms at most; asks at a node that does not schedule yet wait as long. How long a caller waited before this try is inferred from the time that it has left against what the route's callers begin with, where most agree, and taken off the aim.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -9,7 +9,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 1
+#define BH__MESSAGE_VERSION 2
 #define BH__MESSAGE_UPDATES_MAX 8  /* member records that ride on a ping or its answer */
 #define BH__MESSAGE_DIGESTS_MAX 16 /* pool digests that ride on a ping or its answer */
 #define BH__MESSAGE_LIST_MAX 65536 /* longest list that is accepted */
@@ -115,6 +115,7 @@
 	bool writes;         /* the answer's first event has come */
 	uint64_t event_gap_us;
 	uint64_t expected_us; /* from the grant to the answer's first event, as foretold; 0: not foretold */
+	uint64_t age_us;      /* since it was given, where it is told of later */
 	uint8_t member_count;
 	BH__GrantMember member[BH__GRANT_MEMBERS_MAX];
 } BH__Grant;
@@ -178,7 +179,8 @@
 		} release; /* also progress, withdraw and queued */
 		struct {
 			uint64_t pool_id;
-			bool full; /* `grant` is whole; otherwise only the ids are set */
+			bool full;  /* `grant` is whole; otherwise only the ids are set */
+			bool whole; /* all nodes' grants are there, as the scheduler of before knew them */
 			uint32_t count;
 			BH__Grant *grant;
 		} hold;
--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -63,6 +63,7 @@
 								 uint64_t failed_endpoint, uint64_t now_us);
 void bh__planner_process_hold(BH__Planner *p, uint64_t node_id, uint64_t boot_id, bool full,
 							  const BH__Grant *grant, uint32_t count, uint64_t now_us);
+void bh__planner_list_grants(const BH__Planner *p, GArray *out, uint64_t now_us);
 void bh__planner_process_pace(BH__Planner *p, uint64_t endpoint_id, double pace, uint64_t now_us);
 void bh__planner_process_node_gone(BH__Planner *p, uint64_t node_id, uint64_t now_us);
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us);
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -26,6 +26,7 @@
 
 static void begin_(Call *c);
 static bool admit_(Call *c);
+static BH__CallerTime *caller_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
@@ -130,16 +131,34 @@
 	if (r->meta.time_left_us && (!time_us || r->meta.time_left_us < time_us))
 		time_us = r->meta.time_left_us;
 	bh__exchange_init(&c->x, c->rule, r->arrived_us + time_us);
+	if (r->meta.time_left_us)
+		c->waited_before_us = bh__caller_time_note(caller_time_(c), r->meta.time_left_us);
 	log_event("take",
 			  "request=%s route=%s service=%s account=%s repeat=%s prompt_tokens=%" G_GUINT64_FORMAT
-			  " left_ms=%" G_GUINT64_FORMAT " configuration=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
+			  " left_ms=%" G_GUINT64_FORMAT " waited_before_ms=%" G_GUINT64_FORMAT
+			  " configuration=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
 			  r->meta.request_id, c->rule->name, c->service->name, c->owner ? c->owner->name : "",
 			  BH__RepeatString[c->rule->repeat], r->meta.prompt_tokens, time_us / BH__MS_US,
-			  bh__routing_get_version(c->routing), (now_us - g->routing_looked_us) / BH__MS_US);
+			  c->waited_before_us / BH__MS_US, bh__routing_get_version(c->routing),
+			  (now_us - g->routing_looked_us) / BH__MS_US);
 	g_strlcpy(c->place.service, c->service->name, sizeof c->place.service);
 	return true;
 }
 
+/* Returns what is known of how long the callers of the request's route wait. */
+static BH__CallerTime *caller_time_(const Call *c)
+{
+	GHashTable *times = c->gate->caller_times;
+	BH__CallerTime *t = g_hash_table_lookup(times, c->rule->name);
+
+	if (t)
+		return t;
+	t = g_new0(BH__CallerTime, 1);
+	bh__caller_time_init(t, c->rule->timeout_ms * BH__MS_US);
+	g_hash_table_insert(times, g_strdup(c->rule->name), t);
+	return t;
+}
+
 /* Answers that the request did not run, or can't. */
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message)
 {
@@ -199,6 +218,7 @@
 	const RequestMeta *m = &c->request->meta;
 	uint64_t now_us = clock_now_us();
 	uint64_t target_us = c->request->arrived_us + c->rule->target_ms * BH__MS_US;
+	uint64_t before_us = MIN(c->waited_before_us, target_us);
 	BH__Ask *a = &c->place.ask;
 
 	memset(a, 0, sizeof *a);
@@ -207,7 +227,7 @@
 	if (m->likely_tokens)
 		a->max_tokens = MIN(a->max_tokens, m->likely_tokens * LIKELY_FACTOR + LIKELY_EXTRA_TOKENS);
 	a->deadline_us = c->x.deadline_us - now_us;
-	a->first_event_us = target_us > now_us ? target_us - now_us : 1;
+	a->first_event_us = target_us - before_us > now_us ? target_us - before_us - now_us : 1;
 	a->event_gap_us = c->rule->event_gap_ms * BH__MS_US;
 	a->priority_level = c->owner && c->owner->has_priority ? c->owner->priority : c->rule->priority;
 	for (unsigned i = 0; i < c->x.tried_count && a->avoid_count < BH__AVOID_MAX; i++)
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -28,6 +28,7 @@
 	bool told_queued;       /* in the log */
 	unsigned unused_grants; /* that had to be given back */
 	uint64_t asked_us;
+	uint64_t waited_before_us; /* by its caller, before this try */
 	MemoryHold *memory;
 	Outbound *out;
 	uint64_t endpoint_id;
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -213,11 +213,13 @@
 	gpointer value;
 
 	g_hash_table_iter_init(&it, c->services);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		if (!bh__planner_is_waiting(((Service *)value)->planner) || evtimer_pending(c->waiting_tick, NULL))
-			continue;
+	if (evtimer_pending(c->waiting_tick, NULL))
+		return;
+	if (!g_queue_is_empty(&c->early))
 		evtimer_add(c->waiting_tick, &soon);
-	}
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		if (bh__planner_is_waiting(((Service *)value)->planner))
+			evtimer_add(c->waiting_tick, &soon);
 }
 
 static void on_waiting_tick_(evutil_socket_t fd, short what, void *arg)
@@ -228,6 +230,7 @@
 
 	(void)fd;
 	(void)what;
+	schedulers_process_early(c, clock_now_us());
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value))
 		bh__planner_process_tick(((Service *)value)->planner, clock_now_us());
@@ -266,7 +269,6 @@
 static void dispatch_(Cluster *c, const BH__Message *m)
 {
 	uint64_t now_us = clock_now_us();
-	Service *s;
 
 	schedulers_hear(c, m->from_node);
 
@@ -296,10 +298,7 @@
 		schedulers_process_release(c, m, now_us);
 		break;
 	case BH__MESSAGE_HOLD:
-		s = schedulers_find(c, m->as.hold.pool_id);
-		if (s)
-			bh__planner_process_hold(s->planner, m->from_node, m->from_boot, m->as.hold.full,
-									 m->as.hold.grant, m->as.hold.count, now_us);
+		schedulers_process_hold(c, m, now_us);
 		break;
 	case BH__MESSAGE_LOOK_ASK:
 		looks_process_ask(c->gate->looks, m, now_us);
@@ -316,7 +315,7 @@
 void cluster_leave(Cluster *c, uint64_t now_us)
 {
 	set_ready_(c, false);
+	schedulers_follow(c, now_us); /* what this node knows goes out before the others ask another */
 	bh__members_announce(c->members);
-	schedulers_follow(c, now_us);
 	cluster_drain_inbox(c);
 }
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -4,6 +4,7 @@
 #define BAYHOIST_CLUSTER_INTERNAL_H
 
 #include "bayhoist/silence.h"
+#include "bayhoist/takeover.h"
 #include "gate.h"
 
 /* One service with engines. */
@@ -16,6 +17,7 @@
 	uint64_t scheduler_boot; /* its life, as far as it was told what this node holds */
 	uint64_t schedules_us;   /* since when this node does; 0: it does not */
 	bool recorded;           /* that this node does, or that is under way */
+	BH__Takeover takeover;
 	uint64_t next_holds_us;
 	bool held;           /* something was told of at the last time */
 	BH__Silence silence; /* of the scheduler */
@@ -29,7 +31,7 @@
 	GHashTable *services; /* Service by name */
 	GHashTable *by_ask;   /* Call by ask id */
 	GQueue inbox;         /* BH__Message to this node itself */
-	GQueue early;         /* BH__Ask that came before this node knew the endpoints */
+	GQueue early;         /* EarlyAsk, that came before this node could decide */
 	bool draining;
 	uint64_t members_seen;
 	uint64_t next_id;
@@ -37,6 +39,12 @@
 	struct event *waiting_tick;
 };
 
+/* An ask that waits until this node may decide. */
+typedef struct {
+	BH__Ask ask;
+	uint64_t arrived_us;
+} EarlyAsk;
+
 /* cluster.c */
 void cluster_drain_inbox(Cluster *c);
 void cluster_watch_waiting(Cluster *c);
@@ -47,6 +55,8 @@
 void schedulers_hear(Cluster *c, uint64_t node_id);
 void schedulers_follow(Cluster *c, uint64_t now_us);
 void schedulers_tell_holds(Cluster *c, Service *s, uint64_t now_us);
+void schedulers_process_hold(Cluster *c, const BH__Message *m, uint64_t now_us);
+void schedulers_process_early(Cluster *c, uint64_t now_us);
 void schedulers_process_ask(Cluster *c, const BH__Ask *ask, uint64_t now_us);
 void schedulers_record(Service *s, uint64_t now_us);
 void schedulers_take_grant(Cluster *c, const BH__Grant *g, uint64_t from_node);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -9,6 +9,7 @@
 #include <event2/http.h>
 #include <event2/listener.h>
 #include <glib.h>
+#include "bayhoist/caller_time.h"
 #include "bayhoist/exchange.h"
 #include "bayhoist/histogram.h"
 #include "bayhoist/members.h"
@@ -60,6 +61,7 @@
 	bool told_informed;          /* calls that waited for all of these have begun */
 	uint64_t registry_seen;      /* version that the planners follow */
 	GHashTable *budgets;         /* BH__RepeatBudget by service name */
+	GHashTable *caller_times;    /* BH__CallerTime by route name */
 	GHashTable *calls;           /* set of live Call */
 	GHashTable *inbounds;        /* set of open Inbound */
 	struct evconnlistener *listener;
@@ -140,6 +142,7 @@
 	BH__Ask ask;         /* ask_id 0: none is out */
 	uint64_t asked_node; /* that was asked, or that granted */
 	BH__Grant grant;     /* grant_id 0: none is held */
+	uint64_t granted_us;
 	char service[BH__NAME_LEN];
 } CallPlace;
 
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -85,6 +85,7 @@
 	g->port = &PlatformGatePort;
 	g->registry = bh__registry_new((uint32_t)g->boot_id);
 	g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->caller_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
@@ -304,6 +305,7 @@
 	bh__routing_unref(g->routing);
 	bh__registry_delete(g->registry);
 	g_hash_table_unref(g->budgets);
+	g_hash_table_unref(g->caller_times);
 	g_hash_table_unref(g->calls);
 	g_hash_table_unref(g->inbounds);
 	gate_settings_finish(&g->settings);
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -16,6 +16,10 @@
 
 static Service *add_service_(Cluster *c, const char *name);
 static void move_asks_(Cluster *c, const Service *s);
+static void hand_over_(Cluster *c, Service *s, uint64_t now_us);
+static void send_hold_(Cluster *c, const Service *s, GArray *grants, bool full, bool whole);
+static bool may_decide_(const Cluster *c, const Service *s, uint64_t now_us);
+static GList *find_early_(Cluster *c, uint64_t ask_id);
 static void say_queued_(Cluster *c, const BH__Ask *ask);
 static void drop_early_(Cluster *c, uint64_t ask_id);
 static void on_recorded_(void *service, bool recorded);
@@ -56,6 +60,7 @@
 								.inspect = on_inspect_};
 	s->cluster = c;
 	g_strlcpy(s->service, name, sizeof s->service);
+	bh__takeover_init(&s->takeover);
 	s->planner = bh__planner_new(&s->port, bh__hash_name(name), c->gate->boot_id);
 	g_hash_table_insert(c->services, s->service, s);
 	return s;
@@ -66,6 +71,7 @@
 	Service *s = service;
 
 	bh__planner_delete(s->planner);
+	bh__takeover_clear(&s->takeover);
 	g_free(s);
 }
 
@@ -143,11 +149,16 @@
 			continue;
 		log_event("scheduler", "service=%s node=%s", s->service, info ? info->name : self->name);
 		if (was == self->node_id && s->scheduler != was) {
+			hand_over_(c, s, now_us);
 			bh__planner_refuse_all(s->planner, BH__REASON_NODE_LEAVING);
 			bh__planner_keep_only(s->planner, self->node_id, now_us);
 		}
 		s->schedules_us = s->scheduler == self->node_id ? now_us : 0;
 		s->recorded = false;
+		if (s->scheduler == self->node_id)
+			bh__takeover_begin(&s->takeover, now_us);
+		else
+			bh__takeover_end(&s->takeover);
 		bh__silence_hear(&s->silence);
 		bh__planner_set_alone(s->planner, s->scheduler != self->node_id);
 		schedulers_tell_holds(c, s, now_us);
@@ -191,12 +202,36 @@
 	g_list_free(all);
 }
 
-/* Tells a service's scheduler which grants this node holds: whole ones to a scheduler that is new to it. */
+/* Tells the scheduler that follows this node all that it knows. */
+static void hand_over_(Cluster *c, Service *s, uint64_t now_us)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(BH__Grant));
+
+	bh__planner_list_grants(s->planner, all, now_us);
+	log_event("scheduler", "what=handed-over service=%s grants=%u", s->service, all->len);
+	send_hold_(c, s, all, true, true);
+	g_array_unref(all);
+}
+
+static void send_hold_(Cluster *c, const Service *s, GArray *grants, bool full, bool whole)
+{
+	BH__Message m = {.type = BH__MESSAGE_HOLD};
+
+	m.as.hold.pool_id = bh__planner_get_id(s->planner);
+	m.as.hold.full = full;
+	m.as.hold.whole = whole;
+	m.as.hold.count = grants->len;
+	m.as.hold.grant = (BH__Grant *)(void *)grants->data;
+	cluster_send(c, s->scheduler, &m);
+}
+
+/* Tells a service's scheduler which grants this node holds: whole ones to a scheduler that is new to it, also
+ * that there are none. */
 void schedulers_tell_holds(Cluster *c, Service *s, uint64_t now_us)
 {
 	const BH__MemberInfo *info = bh__members_find(c->members, s->scheduler);
+	bool is_new = info && info->boot_id != s->scheduler_boot;
 	GArray *held = g_array_new(FALSE, FALSE, sizeof(BH__Grant));
-	BH__Message m = {.type = BH__MESSAGE_HOLD};
 	GHashTableIter it;
 	gpointer key;
 
@@ -204,20 +239,31 @@
 	g_hash_table_iter_init(&it, c->gate->calls);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		const CallPlace *p = call_get_place(key);
-		if (p->grant.grant_id && p->grant.pool_id == bh__planner_get_id(s->planner))
-			g_array_append_val(held, p->grant);
+		BH__Grant g = p->grant;
+		g.age_us = now_us - MIN(now_us, p->granted_us);
+		if (g.grant_id && g.pool_id == bh__planner_get_id(s->planner))
+			g_array_append_val(held, g);
 	}
-	m.as.hold.pool_id = bh__planner_get_id(s->planner);
-	m.as.hold.full = info && info->boot_id != s->scheduler_boot;
-	m.as.hold.count = held->len;
-	m.as.hold.grant = (BH__Grant *)(void *)held->data;
 	s->scheduler_boot = info ? info->boot_id : bh__members_get_self(c->members)->boot_id;
-	if (info && s->scheduler != bh__members_get_self(c->members)->node_id && (held->len || s->held))
-		cluster_send(c, s->scheduler, &m);
+	if (info && s->scheduler != bh__members_get_self(c->members)->node_id && (held->len || s->held || is_new))
+		send_hold_(c, s, held, is_new, false);
 	s->held = held->len > 0;
 	g_array_unref(held);
 }
 
+/* A node tells what it holds, or the scheduler of before what all hold. */
+void schedulers_process_hold(Cluster *c, const BH__Message *m, uint64_t now_us)
+{
+	Service *s = schedulers_find(c, m->as.hold.pool_id);
+
+	if (!s)
+		return;
+	bh__planner_process_hold(s->planner, m->from_node, m->from_boot, m->as.hold.full, m->as.hold.grant,
+							 m->as.hold.count, now_us);
+	bh__takeover_note_told(&s->takeover, m->from_node, m->as.hold.whole, now_us);
+	schedulers_process_early(c, now_us);
+}
+
 /* Asks the scheduler of the call's service where it is to go. The answer comes to call.c, maybe before this
  * returns. */
 void cluster_ask(Cluster *c, Call *call)
@@ -236,20 +282,30 @@
 	cluster_ask_again(c, call);
 }
 
-/* A node asks where a request is to go. Where all nodes start at once an ask may come before this one knows
- * the endpoints: it waits for that. */
+/* A node asks where a request is to go. An ask that comes before this node knows the endpoints, or while it
+ * takes over, waits for that. */
 void schedulers_process_ask(Cluster *c, const BH__Ask *ask, uint64_t now_us)
 {
 	Service *s = schedulers_find(c, ask->pool_id);
+	EarlyAsk *e;
 
-	if (s && gate_knows_endpoints(c->gate)) {
+	if (may_decide_(c, s, now_us)) {
 		bh__planner_process_ask(s->planner, ask, now_us);
+		return;
 	}
-	else if (g_queue_get_length(&c->early) < EARLY_MAX) {
-		drop_early_(c, ask->ask_id);
-		g_queue_push_tail(&c->early, g_memdup2(ask, sizeof *ask));
-		say_queued_(c, ask);
-	}
+	if (find_early_(c, ask->ask_id) || g_queue_get_length(&c->early) >= EARLY_MAX)
+		return;
+	e = g_new0(EarlyAsk, 1);
+	e->ask = *ask;
+	e->arrived_us = now_us;
+	g_queue_push_tail(&c->early, e);
+	say_queued_(c, ask);
+}
+
+/* Returns true if this node's planner may answer asks of the nodes: it knows the engines and their work. */
+static bool may_decide_(const Cluster *c, const Service *s, uint64_t now_us)
+{
+	return s && gate_knows_endpoints(c->gate) && bh__takeover_is_done(&s->takeover, c->members, now_us);
 }
 
 static void say_queued_(Cluster *c, const BH__Ask *ask)
@@ -261,28 +317,47 @@
 	cluster_send(c, ask->node_id, &m);
 }
 
+/* Returns the place in the queue of an ask that waits, or NULL. */
+static GList *find_early_(Cluster *c, uint64_t ask_id)
+{
+	for (GList *it = c->early.head; it; it = it->next)
+		if (((const EarlyAsk *)it->data)->ask.ask_id == ask_id)
+			return it;
+	return NULL;
+}
+
 static void drop_early_(Cluster *c, uint64_t ask_id)
 {
-	for (GList *it = c->early.head; it; it = it->next) {
-		if (((const BH__Ask *)it->data)->ask_id != ask_id)
-			continue;
-		g_free(it->data);
-		g_queue_delete_link(&c->early, it);
+	GList *it = find_early_(c, ask_id);
+
+	if (!it)
 		return;
+	g_free(it->data);
+	g_queue_delete_link(&c->early, it);
+}
+
+/* Looks at the asks that waited. One that came to a node which does not schedule is answered all the same, if
+ * that has not changed soon: its sender knows no better one. */
+void schedulers_process_early(Cluster *c, uint64_t now_us)
+{
+	for (guint n = g_queue_get_length(&c->early); n > 0; n--) {
+		EarlyAsk *e = g_queue_pop_head(&c->early);
+		Service *s = schedulers_find(c, e->ask.pool_id);
+		bool is_old = now_us >= e->arrived_us + BH__TAKEOVER_MAX_US;
+		if (may_decide_(c, s, now_us) || (is_old && s && gate_knows_endpoints(c->gate))) {
+			bh__planner_process_ask(s->planner, &e->ask, now_us);
+			g_free(e);
+		}
+		else {
+			g_queue_push_tail(&c->early, e);
+		}
 	}
 }
 
 /* This node knows the endpoints: asks that waited for that are looked at. */
 void cluster_process_early(Cluster *c)
 {
-	BH__Ask *ask;
-
-	while ((ask = g_queue_pop_head(&c->early))) {
-		Service *s = schedulers_find(c, ask->pool_id);
-		if (s)
-			bh__planner_process_ask(s->planner, ask, clock_now_us());
-		g_free(ask);
-	}
+	schedulers_process_early(c, clock_now_us());
 	cluster_drain_inbox(c);
 	cluster_watch_waiting(c);
 }
@@ -294,7 +369,10 @@
 	BH__Message m = {.type = BH__MESSAGE_ASK};
 
 	if (p->asked_node == bh__members_get_self(c->members)->node_id) {
-		cluster_ask_locally(c, call);
+		BH__Ask ask = p->ask;
+		schedulers_process_ask(c, &ask, clock_now_us());
+		cluster_drain_inbox(c);
+		cluster_watch_waiting(c);
 		return;
 	}
 	m.as.ask = p->ask;
@@ -494,6 +572,7 @@
 	g_hash_table_remove(c->by_ask, &p->ask.ask_id);
 	p->ask.ask_id = 0;
 	p->grant = *g;
+	p->granted_us = clock_now_us();
 	p->asked_node = from_node;
 	if (s)
 		bh__planner_process_note(s->planner, g, clock_now_us());
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -243,6 +243,7 @@
 	flag_(c, &g->writes);
 	u64_(c, &g->event_gap_us);
 	u64_(c, &g->expected_us);
+	u64_(c, &g->age_us);
 	u8_(c, &g->member_count, BH__GRANT_MEMBERS_MAX);
 	for (unsigned i = 0; i < g->member_count; i++) {
 		u64_(c, &g->member[i].endpoint_id);
@@ -256,6 +257,7 @@
 {
 	u64_(c, &m->as.hold.pool_id);
 	flag_(c, &m->as.hold.full);
+	flag_(c, &m->as.hold.whole);
 	m->as.hold.grant = list_(c, &m->as.hold.count, m->as.hold.grant, sizeof *m->as.hold.grant);
 	for (uint32_t i = 0; i < m->as.hold.count && !c->failed; i++) {
 		if (m->as.hold.full)
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -35,6 +35,8 @@
 #define SLOW_PACE_ 1.3                   /* an engine this slow is asked again until it is not */
 #define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
+/* What a grant that is overdue when it is told of has still to read, of its prompt. */
+#define OLD_UNREAD_SHARE_ 0.1
 /* A grant younger than this may not be in a list of holds yet. */
 #define HOLD_GRACE_US_ (2 * BH__SECOND_US)
 
@@ -73,6 +75,7 @@
 static void pump_some_(BH__Planner *p, bool late, uint64_t now_us);
 static void grant_(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t due_us,
 				   uint64_t now_us);
+static double unread_share_(const BH__Grant *g);
 static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t now_us);
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
 static void take_out_(BH__Planner *p, BH__PlacedRequest *r, bool goes_on, uint64_t now_us);
@@ -339,6 +342,14 @@
 	p->port->grant(p->port, &r->grant);
 }
 
+/* Returns how much of its prompt a grant still has to read, going by its age. */
+static double unread_share_(const BH__Grant *g)
+{
+	double passed = g->expected_us ? (double)g->age_us / (double)g->expected_us : 0;
+
+	return CLAMP(1 - passed, OLD_UNREAD_SHARE_, 1);
+}
+
 /* Enters a grant in the ledger. Its first event is due at `due_us`. */
 static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t now_us)
 {
@@ -348,9 +359,10 @@
 
 	for (unsigned i = 0; i < g->member_count; i++)
 		prompt_tokens += g->member[i].token_count;
-	part_ms = bh__engine_model_read_ms(&p->model, prompt_tokens, g->member_count);
+	part_ms = bh__engine_model_read_ms(&p->model, prompt_tokens, g->member_count) * unread_share_(g);
 	r->grant = *g;
-	r->granted_us = now_us;
+	r->grant.age_us = 0;
+	r->granted_us = now_us - MIN(now_us, g->age_us);
 	r->event_gap_us = g->event_gap_us;
 	r->value = bh__placement_value(prompt_tokens);
 	for (unsigned i = 0; i < g->member_count; i++) {
@@ -528,6 +540,21 @@
 	return list;
 }
 
+/* Adds all grants to `out`, with their ages, for the planner of another node. */
+void bh__planner_list_grants(const BH__Planner *p, GArray *out, uint64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->placed);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const BH__PlacedRequest *r = value;
+		BH__Grant g = r->grant;
+		g.age_us = now_us - MIN(now_us, r->granted_us);
+		g_array_append_val(out, g);
+	}
+}
+
 /* A node says which grants it holds, whole or by their ids alone: those that are not named are over. */
 void bh__planner_process_hold(BH__Planner *p, uint64_t node_id, uint64_t boot_id, bool full,
 							  const BH__Grant *grant, uint32_t count, uint64_t now_us)
--- a/src/test_libbayhoist/test_inputs.c
+++ b/src/test_libbayhoist/test_inputs.c
@@ -136,6 +136,7 @@
 		break;
 	case BH__MESSAGE_HOLD:
 		m->as.hold.full = true;
+		m->as.hold.whole = true;
 		m->as.hold.count = 2;
 		m->as.hold.grant = grants;
 		break;
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -416,6 +416,32 @@
 	bench_free_(b);
 }
 
+/* The planner of another node that is told a whole ledger knows as much as the first, also of how far the
+ * engines are. */
+static void a_ledger_is_handed_over_whole_(void **state)
+{
+	Bench *a = bench_new_(4);
+	Bench *b = bench_new_(4);
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(BH__Grant));
+	BH__Ask ask = ask_(a, 100000);
+	BH__EngineModel m = model_();
+	double whole_ms = bh__engine_model_read_ms(&m, 100000, 1);
+	uint64_t half_us;
+
+	(void)state;
+	bh__planner_process_ask(a->planner, &ask, 0);
+	half_us = grant_(a, 0)->expected_us / 2;
+	bh__planner_process_tick(a->planner, half_us);
+	bh__planner_list_grants(a->planner, all, half_us);
+	assert_int_equal(all->len, 1);
+	bh__planner_process_hold(b->planner, 9, 9, true, (const BH__Grant *)(void *)all->data, all->len, half_us);
+	assert_true(unread_ms_(b) > 0);
+	assert_true(unread_ms_(b) < whole_ms * 0.6);
+	g_array_unref(all);
+	bench_free_(a);
+	bench_free_(b);
+}
+
 /* Nodes that decide alone, each knowing its own work only, do not all fill the same engine. */
 static void nodes_alone_take_different_engines_(void **state)
 {
@@ -571,6 +597,7 @@
 		cmocka_unit_test(a_lead_is_of_one_prompt_only_),
 		cmocka_unit_test(the_newest_part_is_read_first_),
 		cmocka_unit_test(reading_takes_its_steps_too_),
+		cmocka_unit_test(a_ledger_is_handed_over_whole_),
 		cmocka_unit_test(parts_are_foretold_in_the_order_of_reading_),
 		cmocka_unit_test(a_part_overtakes_only_what_can_wait_),
 	};
