Short requests that are late are placed before they are refused

Change: a short one that has waited for half as long as it may takes a place where it makes less late than it is worth.

--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -70,6 +70,8 @@
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
 static bool may_force_(const BH__Planner *p, const BH__Ask *ask, uint64_t waited_us);
 static bool force_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place);
+static bool may_force_late_(const BH__Ask *ask, uint64_t waited_us);
+static bool force_late_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place);
 static uint64_t patience_us_(const BH__Ask *ask);
 static bool is_late_(const BH__Planner *p, const Waiting_ *w, uint64_t now_us);
 static void pump_some_(BH__Planner *p, bool late, uint64_t now_us);
@@ -262,7 +264,8 @@
 	left.deadline_us = ask->deadline_us - waited_us;
 	left.first_event_us = late || waited_us >= aim_us ? 0 : aim_us - waited_us;
 	found = bh__placement_find(&p->model, p->engines, &left, now_us, &place) ||
-			(!late && may_force_(p, ask, waited_us) && force_(p, &left, now_us, &place));
+			(late ? may_force_late_(ask, waited_us) && force_late_(p, &left, now_us, &place)
+				  : may_force_(p, ask, waited_us) && force_(p, &left, now_us, &place));
 	if (found) {
 		p->counters.late += place.read_end_us > arrived_us + aim_us;
 		grant_(p, ask, &place, arrived_us + (uint64_t)((double)aim_us * DUE_SHARE_), now_us);
@@ -297,6 +300,22 @@
 		   place->read_end_us <= now_us + left->first_event_us && place->damage < gain;
 }
 
+/* Returns true if a request that is late has waited for half as long as it may, and is a short one: engine
+ * time is worth more to those that are in time, and late prompts of all lengths cost 0.03 of the worth (96
+ * days of the users' mix). */
+static bool may_force_late_(const BH__Ask *ask, uint64_t waited_us)
+{
+	return bh__placement_is_tight(ask->event_gap_us) && waited_us * 2 >= patience_us_(ask);
+}
+
+/* Finds a place where a request that is late makes less late than what it is still worth. */
+static bool force_late_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place)
+{
+	double gain = bh__placement_value(left->prompt_tokens) * (1 - LATE_LOSS_);
+
+	return bh__placement_force(&p->model, p->engines, left, now_us, place) && place->damage < gain;
+}
+
 /* Returns how long a request that is late may wait for a place. */
 static uint64_t patience_us_(const BH__Ask *ask)
 {
