Callers are told to come back after an outage, not into it; nodes that know nothing look often

Change: while no node knows the configuration callers are told to come back after as long as it has not been known, 1 to 3 s; the reader of a group that has just started looks every 150 ms, the others ask it as often.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -17,7 +17,11 @@
 #define START_PATIENCE_MS 300
 #define UNUSED_GRANTS_MAX 5 /* after more grants than these that could not be used a request is refused */
 #define RETRY_SOON_MS 200   /* when a caller that was refused for a passing cause is to come back */
-#define BYTES_PER_TOKEN 4   /* of a prompt whose tokens the caller doesn't tell */
+/* The same while no node knows the configuration. Callers wait for a third of the time they have left at
+ * most; on the users' routes that is 0.8 to 5 s. */
+#define RETRY_OUTAGE_MIN_MS 1000
+#define RETRY_OUTAGE_MAX_MS 3000
+#define BYTES_PER_TOKEN 4 /* of a prompt whose tokens the caller doesn't tell */
 #define DEFAULT_ANSWER_TOKENS 1000
 #define LIKELY_FACTOR 2 /* answers are up to so many times as long as the caller guesses */
 #define LIKELY_EXTRA_TOKENS 200
@@ -26,6 +30,7 @@
 
 static void begin_(Call *c);
 static bool admit_(Call *c);
+static uint64_t retry_uninformed_ms_(const Gate *g, uint64_t now_us);
 static BH__CallerTime *caller_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
@@ -108,7 +113,7 @@
 				  " trust_ms=%" G_GUINT64_FORMAT,
 				  r->meta.request_id, g->routing ? (now_us - g->routing_looked_us) / BH__MS_US : 0,
 				  g->settings.key_trust_ms);
-		refuse_(c, 503, RETRY_SOON_MS, "no-configuration",
+		refuse_(c, 503, retry_uninformed_ms_(g, now_us), "no-configuration",
 				"this node does not know the newest configuration");
 		return false;
 	}
@@ -145,6 +150,22 @@
 	return true;
 }
 
+/* Returns when a caller is to come back to a node that does not know the newest configuration: soon if others
+ * do, else after as long as it has not been known, since outages that have lasted go on. Callers that are
+ * told 200 ms in an outage of 0.6 s come back into it, and most of them have no third try. */
+static uint64_t retry_uninformed_ms_(const Gate *g, uint64_t now_us)
+{
+	const BH__Members *m = cluster_get_members(g->cluster);
+	uint64_t unknown_ms = (now_us - MAX(g->routing_looked_us, g->started_us)) / BH__MS_US;
+
+	for (unsigned i = 1; i < bh__members_get_count(m); i++) {
+		const BH__MemberInfo *info = bh__members_get(m, i);
+		if (bh__member_is_usable(info) && info->config_revision)
+			return RETRY_SOON_MS;
+	}
+	return CLAMP(unknown_ms, RETRY_OUTAGE_MIN_MS, RETRY_OUTAGE_MAX_MS);
+}
+
 /* Returns what is known of how long the callers of the request's route wait. */
 static BH__CallerTime *caller_time_(const Call *c)
 {
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -13,8 +13,13 @@
 
 /* Between the reader's looks; a key taken away must stop in time. */
 #define CONFIGURATION_US (700 * BH__MS_US)
-#define ENDPOINTS_US (500 * BH__MS_US)   /* the same for endpoints; a leaving one must be left in time */
-#define ASK_US (500 * BH__MS_US)         /* between the other nodes' questions */
+#define ENDPOINTS_US (500 * BH__MS_US) /* the same for endpoints; a leaving one must be left in time */
+#define ASK_US (500 * BH__MS_US)       /* between the other nodes' questions */
+/* Between looks, and between questions, of a node that has started and knows nothing yet: it serves nobody.
+ */
+#define UNINFORMED_US (150 * BH__MS_US)
+#define UNINFORMED_MAX_US                                                                                    \
+	(5 * BH__SECOND_US)                  /* for which a node relies on a reader that knows nothing either */
 #define ANSWER_US (300 * BH__MS_US)      /* for the reader's answer */
 #define PASS_OVER_US (5 * BH__SECOND_US) /* for which a reader that was of no use is not asked */
 #define USELESS_MAX 2 /* readers asked in turn; after so many of no use a node looks for itself */
@@ -112,15 +117,17 @@
 	bool alone = l->useless >= USELESS_MAX;
 	bool old_configuration = alone || now_us >= g->routing_looked_us + CONFIGURATION_OLD_US;
 	bool old_endpoints = alone || now_us >= g->registry_looked_us + ENDPOINTS_OLD_US;
+	uint64_t configuration_us = g->routing && !l->configuration_wanted ? CONFIGURATION_US : UNINFORMED_US;
+	uint64_t endpoints_us = g->registry_looked_us ? ENDPOINTS_US : UNINFORMED_US;
 
 	if ((reads || old_configuration || l->configuration_wanted) &&
-		bh__look_process(&l->configuration, CONFIGURATION_US, g->routing_looked_us,
+		bh__look_process(&l->configuration, configuration_us, g->routing_looked_us,
 						 reads || l->configuration_wanted, now_us)) {
 		l->configuration_wanted = false;
 		g->port->look_at_configuration(g);
 	}
 	if ((reads || old_endpoints) &&
-		bh__look_process(&l->endpoints, ENDPOINTS_US, g->registry_looked_us, reads, now_us)) {
+		bh__look_process(&l->endpoints, endpoints_us, g->registry_looked_us, reads, now_us)) {
 		l->told_boot = 0; /* what is read is no more what the reader told */
 		g->port->look_at_endpoints(g);
 	}
@@ -130,7 +137,7 @@
 {
 	BH__Message m = {.type = BH__MESSAGE_LOOK_ASK};
 
-	l->next_ask_us = now_us + ASK_US;
+	l->next_ask_us = now_us + (gate_knows_endpoints(l->gate) ? ASK_US : UNINFORMED_US);
 	l->asked_us = now_us;
 	m.as.look.asked_us = now_us;
 	m.as.look.registry_boot = l->told_boot;
@@ -178,7 +185,8 @@
 	else if (m->as.look.configuration_version == version && asked_us > m->as.look.configuration_age_us)
 		gate_note_look(g, asked_us - m->as.look.configuration_age_us);
 	if (m->as.look.registry_age_us >= ENDPOINTS_OLD_US) {
-		pass_over_(l, "knows nothing fresh", now_us);
+		if (gate_knows_endpoints(g) || now_us >= g->started_us + UNINFORMED_MAX_US)
+			pass_over_(l, "knows nothing fresh", now_us);
 		return;
 	}
 	l->useless = 0;
--- a/test/check-gate.sh
+++ b/test/check-gate.sh
@@ -117,6 +117,17 @@
 is "and all begin with the scheduler of before" "$(grep -h 'event=duty what=presumed' "$RUN"/gate[123].log |
 	sed 's/.*duty=//' | sort | uniq -c | wc -l)" 1
 
+tell down
+for n in 1 2 3; do signal gate$n KILL; done
+sleep 0.2
+for n in 1 2 3; do start_gate $n; done
+sleep 1.2
+is "gateways that start in an outage refuse" "$(ask 1 /ask/x u1 -D "$RUN/head")" 503
+is "and do not call callers back at once" "$(grep -ci '^retry-after: [1-3]' "$RUN/head")" 1
+tell up
+sleep 0.5
+is "half a second after it all serve" "$(ask 1 /ask/x u2)$(ask 2 /ask/x u3)$(ask 3 /ask/x u4)" 200200200
+
 "$B/bayhoist-gate" --config "$RUN/gate1.json" >"$RUN/second"
 is "a second gateway on the same addresses ends" $? 69
 is "and says why" "$(grep -c 'event=start-failed .*in use' "$RUN/second")" 1
