--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -31,7 +31,7 @@
 	GHashTable *services; /* Service by name */
 	GHashTable *by_ask;   /* Call by ask id */
 	GQueue inbox;         /* BH__Message to this node itself */
-	GQueue early;         /* EarlyAsk, that came before this node could decide */
+	GQueue early;         /* EarlyAsk of early_asks.c */
 	bool draining;
 	uint64_t members_seen;
 	uint64_t next_id;
@@ -39,12 +39,6 @@
 	struct event *waiting_tick;
 };
 
-/* An ask that waits until this node may decide. */
-typedef struct {
-	BH__Ask ask;
-	uint64_t arrived_us;
-} EarlyAsk;
-
 /* cluster.c */
 void cluster_drain_inbox(Cluster *c);
 void cluster_watch_waiting(Cluster *c);
@@ -56,11 +50,18 @@
 void schedulers_follow(Cluster *c, uint64_t now_us);
 void schedulers_tell_holds(Cluster *c, Service *s, uint64_t now_us);
 void schedulers_process_hold(Cluster *c, const BH__Message *m, uint64_t now_us);
-void schedulers_process_early(Cluster *c, uint64_t now_us);
-void schedulers_process_ask(Cluster *c, const BH__Ask *ask, uint64_t now_us);
 void schedulers_record(Service *s, uint64_t now_us);
 void schedulers_take_grant(Cluster *c, const BH__Grant *g, uint64_t from_node);
 void schedulers_take_refusal(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us);
 
+/* early_asks.c */
+void schedulers_process_ask(Cluster *c, const BH__Ask *ask, uint64_t now_us);
+void schedulers_process_early(Cluster *c, uint64_t now_us);
+void schedulers_drop_early(Cluster *c, uint64_t ask_id);
+
+/* planner_port.c */
+void schedulers_set_port(BH__PlannerPort *port);
+void schedulers_say_queued(Cluster *c, const BH__Ask *ask);
+
 #endif
--- /dev/null
+++ b/src/bayhoist-gate/planner_port.c
@@ -0,0 +1,99 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What the planners say goes out as messages, to this node itself as to the others; reports that they want
+ * are asked of the engines. */
+#include "clock.h"
+#include "cluster_internal.h"
+#include "log.h"
+
+static void on_grant_(BH__PlannerPort *port, const BH__Grant *g);
+static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms);
+static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask);
+static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g);
+static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id);
+static void on_pace_(void *inspection, double pace);
+
+/* Fills in what a planner calls. */
+void schedulers_set_port(BH__PlannerPort *port)
+{
+	*port = (BH__PlannerPort){.grant = on_grant_,
+							  .refuse = on_refuse_,
+							  .queued = on_queued_,
+							  .abandoned = on_abandoned_,
+							  .inspect = on_inspect_};
+}
+
+/* Tells a node that its ask waits here. */
+void schedulers_say_queued(Cluster *c, const BH__Ask *ask)
+{
+	BH__Message m = {.type = BH__MESSAGE_QUEUED};
+
+	m.as.release.pool_id = ask->pool_id;
+	m.as.release.grant_id = ask->ask_id;
+	cluster_send(c, ask->node_id, &m);
+}
+
+/* A grant goes to the node that asked. */
+static void on_grant_(BH__PlannerPort *port, const BH__Grant *g)
+{
+	BH__Message m = {.type = BH__MESSAGE_GRANT};
+
+	m.as.grant = *g;
+	cluster_send(((Service *)port)->cluster, g->node_id, &m);
+}
+
+static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms)
+{
+	BH__Message m = {.type = BH__MESSAGE_REFUSE};
+
+	m.as.refuse.ask_id = ask->ask_id;
+	m.as.refuse.pool_id = ask->pool_id;
+	m.as.refuse.reason = reason;
+	m.as.refuse.retry_after_ms = retry_after_ms;
+	cluster_send(((Service *)port)->cluster, ask->node_id, &m);
+}
+
+static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
+{
+	schedulers_say_queued(((Service *)port)->cluster, ask);
+}
+
+static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g)
+{
+	memory_free_abandoned(((Service *)port)->cluster->gate, g);
+}
+
+/* An engine whose report was asked for. */
+typedef struct {
+	Cluster *cluster;
+	uint64_t pool_id;
+	uint64_t endpoint_id;
+} Inspection;
+
+static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
+{
+	Service *s = (Service *)port;
+	Gate *g = s->cluster->gate;
+	const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, endpoint_id);
+	Inspection *i;
+
+	if (!e || s->scheduler != bh__members_get_self(s->cluster->members)->node_id)
+		return;
+	i = g_new0(Inspection, 1);
+	i->cluster = s->cluster;
+	i->pool_id = bh__planner_get_id(s->planner);
+	i->endpoint_id = endpoint_id;
+	g->port->report(g, e->entry.address, on_pace_, i);
+}
+
+static void on_pace_(void *inspection, double pace)
+{
+	Inspection *i = inspection;
+	Service *s = schedulers_find(i->cluster, i->pool_id);
+
+	if (s && pace > 0) {
+		if (pace > 1)
+			log_event("engine", "endpoint=%016" G_GINT64_MODIFIER "x pace=%.2f", i->endpoint_id, pace);
+		bh__planner_process_pace(s->planner, i->endpoint_id, pace, clock_now_us());
+	}
+	g_free(i);
+}
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -12,26 +12,15 @@
 #define HOLDS_PERIOD_US (2 * BH__SECOND_US)
 /* A node that has scheduled a service for so long records that: while nodes start, the duty moves. */
 #define RECORD_AFTER_US BH__SECOND_US
-#define EARLY_MAX 4096 /* asks that are kept until this node knows the endpoints */
 
 static Service *add_service_(Cluster *c, const char *name);
 static void move_asks_(Cluster *c, const Service *s);
 static void hand_over_(Cluster *c, Service *s, uint64_t now_us);
 static void send_hold_(Cluster *c, const Service *s, GArray *grants, bool full, bool whole);
-static bool may_decide_(const Cluster *c, const Service *s, uint64_t now_us);
-static GList *find_early_(Cluster *c, uint64_t ask_id);
-static void say_queued_(Cluster *c, const BH__Ask *ask);
-static void drop_early_(Cluster *c, uint64_t ask_id);
 static void on_recorded_(void *service, bool recorded);
 static void note_unanswered_(Cluster *c, Service *s, uint64_t node_id);
 static void tell_(Cluster *c, Call *call, BH__MessageType type, BH__ReleaseKind kind,
 				  uint64_t failed_endpoint);
-static void on_grant_(BH__PlannerPort *port, const BH__Grant *g);
-static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms);
-static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask);
-static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g);
-static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id);
-static void on_pace_(void *inspection, double pace);
 
 /* Returns the service whose planner has this id, or NULL. */
 Service *schedulers_find(const Cluster *c, uint64_t pool_id)
@@ -53,11 +42,7 @@
 	if (s)
 		return s;
 	s = g_new0(Service, 1);
-	s->port = (BH__PlannerPort){.grant = on_grant_,
-								.refuse = on_refuse_,
-								.queued = on_queued_,
-								.abandoned = on_abandoned_,
-								.inspect = on_inspect_};
+	schedulers_set_port(&s->port);
 	s->cluster = c;
 	g_strlcpy(s->service, name, sizeof s->service);
 	bh__takeover_init(&s->takeover);
@@ -282,86 +267,6 @@
 	cluster_ask_again(c, call);
 }
 
-/* A node asks where a request is to go. An ask that comes before this node knows the endpoints, or while it
- * takes over, waits for that. */
-void schedulers_process_ask(Cluster *c, const BH__Ask *ask, uint64_t now_us)
-{
-	Service *s = schedulers_find(c, ask->pool_id);
-	EarlyAsk *e;
-
-	if (may_decide_(c, s, now_us)) {
-		bh__planner_process_ask(s->planner, ask, now_us);
-		return;
-	}
-	if (find_early_(c, ask->ask_id) || g_queue_get_length(&c->early) >= EARLY_MAX)
-		return;
-	e = g_new0(EarlyAsk, 1);
-	e->ask = *ask;
-	e->arrived_us = now_us;
-	g_queue_push_tail(&c->early, e);
-	say_queued_(c, ask);
-}
-
-/* Returns true if this node's planner may answer asks of the nodes: it knows the engines and their work. */
-static bool may_decide_(const Cluster *c, const Service *s, uint64_t now_us)
-{
-	return s && gate_knows_endpoints(c->gate) && bh__takeover_is_done(&s->takeover, c->members, now_us);
-}
-
-static void say_queued_(Cluster *c, const BH__Ask *ask)
-{
-	BH__Message m = {.type = BH__MESSAGE_QUEUED};
-
-	m.as.release.pool_id = ask->pool_id;
-	m.as.release.grant_id = ask->ask_id;
-	cluster_send(c, ask->node_id, &m);
-}
-
-/* Returns the place in the queue of an ask that waits, or NULL. */
-static GList *find_early_(Cluster *c, uint64_t ask_id)
-{
-	for (GList *it = c->early.head; it; it = it->next)
-		if (((const EarlyAsk *)it->data)->ask.ask_id == ask_id)
-			return it;
-	return NULL;
-}
-
-static void drop_early_(Cluster *c, uint64_t ask_id)
-{
-	GList *it = find_early_(c, ask_id);
-
-	if (!it)
-		return;
-	g_free(it->data);
-	g_queue_delete_link(&c->early, it);
-}
-
-/* Looks at the asks that waited. One that came to a node which does not schedule is answered all the same, if
- * that has not changed soon: its sender knows no better one. */
-void schedulers_process_early(Cluster *c, uint64_t now_us)
-{
-	for (guint n = g_queue_get_length(&c->early); n > 0; n--) {
-		EarlyAsk *e = g_queue_pop_head(&c->early);
-		Service *s = schedulers_find(c, e->ask.pool_id);
-		bool is_old = now_us >= e->arrived_us + BH__TAKEOVER_MAX_US;
-		if (may_decide_(c, s, now_us) || (is_old && s && gate_knows_endpoints(c->gate))) {
-			bh__planner_process_ask(s->planner, &e->ask, now_us);
-			g_free(e);
-		}
-		else {
-			g_queue_push_tail(&c->early, e);
-		}
-	}
-}
-
-/* This node knows the endpoints: asks that waited for that are looked at. */
-void cluster_process_early(Cluster *c)
-{
-	schedulers_process_early(c, clock_now_us());
-	cluster_drain_inbox(c);
-	cluster_watch_waiting(c);
-}
-
 /* Sends the ask that is out once more. */
 void cluster_ask_again(Cluster *c, Call *call)
 {
@@ -476,7 +381,7 @@
 	Service *s = schedulers_find(c, m->as.release.pool_id);
 
 	if (m->type == BH__MESSAGE_WITHDRAW)
-		drop_early_(c, m->as.release.grant_id);
+		schedulers_drop_early(c, m->as.release.grant_id);
 	if (!s)
 		return;
 	if (m->type == BH__MESSAGE_RELEASE)
@@ -488,71 +393,6 @@
 		bh__planner_process_withdraw(s->planner, m->as.release.grant_id);
 }
 
-static void on_grant_(BH__PlannerPort *port, const BH__Grant *g)
-{
-	BH__Message m = {.type = BH__MESSAGE_GRANT};
-
-	m.as.grant = *g;
-	cluster_send(((Service *)port)->cluster, g->node_id, &m);
-}
-
-static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms)
-{
-	BH__Message m = {.type = BH__MESSAGE_REFUSE};
-
-	m.as.refuse.ask_id = ask->ask_id;
-	m.as.refuse.pool_id = ask->pool_id;
-	m.as.refuse.reason = reason;
-	m.as.refuse.retry_after_ms = retry_after_ms;
-	cluster_send(((Service *)port)->cluster, ask->node_id, &m);
-}
-
-static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
-{
-	say_queued_(((Service *)port)->cluster, ask);
-}
-
-static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g)
-{
-	memory_free_abandoned(((Service *)port)->cluster->gate, g);
-}
-
-/* An engine whose report was asked for. */
-typedef struct {
-	Cluster *cluster;
-	uint64_t pool_id;
-	uint64_t endpoint_id;
-} Inspection;
-
-static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
-{
-	Service *s = (Service *)port;
-	Gate *g = s->cluster->gate;
-	const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, endpoint_id);
-	Inspection *i;
-
-	if (!e || s->scheduler != bh__members_get_self(s->cluster->members)->node_id)
-		return;
-	i = g_new0(Inspection, 1);
-	i->cluster = s->cluster;
-	i->pool_id = bh__planner_get_id(s->planner);
-	i->endpoint_id = endpoint_id;
-	g->port->report(g, e->entry.address, on_pace_, i);
-}
-
-static void on_pace_(void *inspection, double pace)
-{
-	Inspection *i = inspection;
-	Service *s = schedulers_find(i->cluster, i->pool_id);
-
-	if (s && pace > 0) {
-		if (pace > 1)
-			log_event("engine", "endpoint=%016" G_GINT64_MODIFIER "x pace=%.2f", i->endpoint_id, pace);
-		bh__planner_process_pace(s->planner, i->endpoint_id, pace, clock_now_us());
-	}
-	g_free(i);
-}
-
 /* Takes a grant for a call. One that nobody waits for is given back. */
 void schedulers_take_grant(Cluster *c, const BH__Grant *g, uint64_t from_node)
 {
