--- a/src/test_libbayhoist/test_peers.c
+++ b/src/test_libbayhoist/test_peers.c
@@ -86,6 +86,18 @@
 	peers_send(from->peers, address, &m);
 }
 
+/* Opens two sides of which one has sent the other a message. */
+static void open_pair_(Side *a, Side *b, struct event_base *base)
+{
+	close(listen_(a->address, 1));
+	close(listen_(b->address, 1));
+	open_(a, base);
+	open_(b, base);
+	send_(a, b->address);
+	run_(base, SLOW_MS);
+	assert_int_equal(b->messages, 1);
+}
+
 /* A peer drops opening packets, as one does that has no power yet, and takes connections a moment later. */
 static void a_peer_that_comes_up_is_reached_soon_(void **state)
 {
@@ -127,13 +139,7 @@
 	Side b = {0};
 
 	(void)state;
-	close(listen_(a.address, 1));
-	close(listen_(b.address, 1));
-	open_(&a, base);
-	open_(&b, base);
-	send_(&a, b.address);
-	run_(base, SLOW_MS);
-	assert_int_equal(b.messages, 1);
+	open_pair_(&a, &b, base);
 	peers_delete(b.peers);
 	open_(&b, base);
 	run_(base, SLOW_MS);
@@ -154,12 +160,7 @@
 	Side b = {0};
 
 	(void)state;
-	close(listen_(a.address, 1));
-	close(listen_(b.address, 1));
-	open_(&a, base);
-	open_(&b, base);
-	send_(&a, b.address);
-	run_(base, SLOW_MS);
+	open_pair_(&a, &b, base);
 	peers_delete(b.peers);
 	run_(base, SLOW_MS);
 	assert_int_equal(a.unreachable, 1);
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -108,6 +108,24 @@
 	g_rand_free(rand);
 }
 
+/* An entry of the record of duties names a node and its address, or is none. */
+static void a_recorded_node_is_decoded_(void **state)
+{
+	static const char Text[] = "{\"node\":\"n-1\",\"hall\":\"h\",\"peer_address\":\"10.0.0.1:7000\","
+							   "\"caller_address\":\"10.0.0.1:80\",\"capacity\":250}";
+	static const char *const Wrong[] = {"", "7", "{}", "{\"node\":7,\"peer_address\":\"10.0.0.1:7000\"}",
+										"{\"node\":\"n-1\"}"};
+	BH__MemberInfo info;
+
+	(void)state;
+	assert_true(platform_decode_node(Text, strlen(Text), &info));
+	assert_string_equal(info.name, "n-1");
+	assert_string_equal(info.peer_address, "10.0.0.1:7000");
+	assert_int_equal(info.capacity, 250);
+	for (size_t i = 0; i < G_N_ELEMENTS(Wrong); i++)
+		assert_false(platform_decode_node(Wrong[i], strlen(Wrong[i]), &info));
+}
+
 static void an_endpoint_is_decoded_(void **state)
 {
 	static const char Text[] =
@@ -192,6 +210,7 @@
 		cmocka_unit_test(a_configuration_is_decoded_),
 		cmocka_unit_test(wrong_configurations_name_the_field_),
 		cmocka_unit_test(damaged_configurations_crash_nothing_),
+		cmocka_unit_test(a_recorded_node_is_decoded_),
 		cmocka_unit_test(an_endpoint_is_decoded_),
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(answers_heads_are_read_),
