A part counts until its aim, not until its spare time is used up

A part whose fifth of the aim to spare was gone counted as late, so that newer parts placed by force were reckoned to do no harm by overtaking it, one after the other.

Change: room and damage go by the aim once the spare time is gone.

--- a/src/libbayhoist/include/private/pass_clock.h
+++ b/src/libbayhoist/include/private/pass_clock.h
@@ -15,7 +15,8 @@
 typedef struct {
 	uint64_t grant_id;
 	uint64_t added_us;
-	uint64_t due_us; /* when its request's first event is due */
+	uint64_t due_us; /* by when it is to be read, with some time to spare */
+	uint64_t aim_us; /* when its request's first event is late */
 	double value;    /* of an answer in time */
 	double left_ms;  /* at pace 1 */
 	bool helps;      /* it is read for another engine */
--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -31,7 +31,7 @@
 
 /* planner.c */
 void bh__planner_grant(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t due_us,
-					   uint64_t now_us);
+					   uint64_t aim_us, uint64_t now_us);
 
 /* planner_queue.c */
 void bh__planner_pump(BH__Planner *p, uint64_t now_us);
--- a/src/libbayhoist/pass_clock.c
+++ b/src/libbayhoist/pass_clock.c
@@ -28,6 +28,7 @@
 static double pass_room_ms_(const BH__PassClock *c, const BH__EngineModel *m, uint64_t now_us);
 static double first_pass_ms_(const BH__PassClock *c, const BH__EngineModel *m);
 static double slack_ms_(const BH__PassPart *p, double end_ms, uint64_t now_us);
+static double aim_slack_ms_(const BH__PassPart *p, double end_ms, uint64_t now_us);
 static int find_part_(const BH__PassClock *c, uint64_t grant_id);
 static int next_part_(const BH__PassClock *c, int before);
 static void drop_helps_(BH__PassClock *c, uint64_t before_us);
@@ -191,11 +192,19 @@
 	return room_ms;
 }
 
-/* Returns how long after its part has been read, `end_ms` from now, a request's first event is due; below 0:
- * it is late. */
+/* Returns how much later than `end_ms` from now a part may be read: with time to spare while there is some,
+ * and without when there is none; below 0: its request is late. */
 static double slack_ms_(const BH__PassPart *p, double end_ms, uint64_t now_us)
 {
-	return ((double)p->due_us - (double)now_us) / 1000 - end_ms;
+	double due_ms = ((double)p->due_us - (double)now_us) / 1000 - end_ms;
+
+	return due_ms > 0 ? due_ms : aim_slack_ms_(p, end_ms, now_us);
+}
+
+/* The same without time to spare. */
+static double aim_slack_ms_(const BH__PassPart *p, double end_ms, uint64_t now_us)
+{
+	return ((double)p->aim_us - (double)now_us) / 1000 - end_ms;
 }
 
 /* Returns the room of an engine with streams: all that waits is read in its next pass. */
@@ -222,7 +231,7 @@
 		const BH__PassPart *p = part_(c, i);
 		double slack_ms;
 		end_ms += p->left_ms * c->pace;
-		slack_ms = slack_ms_(p, end_ms, now_us);
+		slack_ms = aim_slack_ms_(p, end_ms, now_us);
 		if (slack_ms > 0 && slack_ms < read_ms * c->pace)
 			damage += p->value;
 	}
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -21,7 +21,8 @@
 static gint compare_order_(gconstpointer a, gconstpointer b, gpointer seed);
 static void free_engine_(gpointer engine);
 static double unread_share_(const BH__Grant *g);
-static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t now_us);
+static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t aim_us,
+								 uint64_t now_us);
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
 static void take_out_(BH__Planner *p, BH__PlacedRequest *r, bool goes_on, uint64_t now_us);
 static void end_reads_(BH__Planner *p, BH__PlacedRequest *r, bool was_read, uint64_t now_us);
@@ -133,7 +134,7 @@
 
 /* Grants an ask whose first event is due at `due_us`. */
 void bh__planner_grant(BH__Planner *p, const BH__Ask *ask, const BH__Placement *place, uint64_t due_us,
-					   uint64_t now_us)
+					   uint64_t aim_us, uint64_t now_us)
 {
 	BH__Grant g = {.grant_id = bh__hash_pair(p->boot_id, ++p->next_grant),
 				   .ask_id = ask->ask_id,
@@ -156,7 +157,7 @@
 		g.member[i].token_count = end - done;
 		done = end;
 	}
-	r = enter_(p, &g, due_us, now_us);
+	r = enter_(p, &g, due_us, aim_us, now_us);
 	r->expected_ms = (double)(place->read_end_us - now_us) / 1000 / place->engine[0]->clock.pace;
 	for (unsigned i = 0; i < place->count; i++)
 		if (place->engine[i]->clock.pace > SLOW_PACE_)
@@ -175,7 +176,8 @@
 }
 
 /* Enters a grant in the ledger. Its first event is due at `due_us`. */
-static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t now_us)
+static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t aim_us,
+								 uint64_t now_us)
 {
 	BH__PlacedRequest *r = g_new0(BH__PlacedRequest, 1);
 	uint64_t prompt_tokens = 0;
@@ -199,6 +201,7 @@
 			bh__pass_clock_add_part(&e->clock,
 									&(BH__PassPart){.grant_id = g->grant_id,
 													.due_us = due_us,
+													.aim_us = aim_us,
 													.value = r->value,
 													.left_ms = part_ms,
 													.helps = i > 0},
@@ -269,7 +272,7 @@
 void bh__planner_process_note(BH__Planner *p, const BH__Grant *grant, uint64_t now_us)
 {
 	if (!g_hash_table_contains(p->placed, &grant->grant_id))
-		enter_(p, grant, now_us + grant->expected_us, now_us);
+		enter_(p, grant, now_us + grant->expected_us, now_us + grant->expected_us, now_us);
 }
 
 /* Asks for an engine's report, unless that was done a moment ago. */
@@ -389,7 +392,7 @@
 	for (uint32_t i = 0; i < count; i++) {
 		g_hash_table_add(named, (gpointer)&grant[i].grant_id);
 		if (full && grant[i].member_count && !g_hash_table_contains(p->placed, &grant[i].grant_id))
-			enter_(p, &grant[i], now_us + grant[i].expected_us, now_us);
+			enter_(p, &grant[i], now_us + grant[i].expected_us, now_us + grant[i].expected_us, now_us);
 	}
 	for (guint i = 0; i < list->len; i++) {
 		BH__PlacedRequest *r = g_ptr_array_index(list, i);
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -131,7 +131,8 @@
 				  : may_force_(p, ask, waited_us) && force_(p, &left, now_us, &place));
 	if (found) {
 		p->counters.late += place.read_end_us > arrived_us + aim_us;
-		bh__planner_grant(p, ask, &place, arrived_us + (uint64_t)((double)aim_us * DUE_SHARE_), now_us);
+		bh__planner_grant(p, ask, &place, arrived_us + (uint64_t)((double)aim_us * DUE_SHARE_),
+						  arrived_us + aim_us, now_us);
 		return true;
 	}
 	if (waited_us < patience_us_(ask) &&
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -498,7 +498,8 @@
 static void add_part_(BH__PassClock *c, uint64_t grant_id, double ms, bool helps, uint64_t due_us,
 					  uint64_t now_us)
 {
-	BH__PassPart p = {.grant_id = grant_id, .due_us = due_us, .value = 1, .left_ms = ms, .helps = helps};
+	BH__PassPart p = {
+		.grant_id = grant_id, .due_us = due_us, .aim_us = due_us, .value = 1, .left_ms = ms, .helps = helps};
 
 	bh__pass_clock_add_part(c, &p, now_us);
 }
@@ -603,6 +604,24 @@
 	bh__pass_clock_clear(&c);
 }
 
+/* A part that has nothing left to spare but can still be in time is no more overtaken than one that has: it
+ * was taken for lost, and starved for seconds. */
+static void a_part_counts_until_its_aim_(void **state)
+{
+	BH__EngineModel m = model_();
+	BH__PassPart p = {
+		.grant_id = 1, .due_us = 350 * MS, .aim_us = 450 * MS, .value = 1, .left_ms = 400, .helps = true};
+	BH__PassClock c;
+
+	(void)state;
+	bh__pass_clock_init(&c);
+	bh__pass_clock_add_part(&c, &p, 0);
+	assert_true(bh__pass_clock_get_room_ms(&c, &m, 0) <= 51);
+	assert_true(bh__pass_clock_get_damage(&c, 40, 0) == 0);
+	assert_true(bh__pass_clock_get_damage(&c, 60, 0) == 1);
+	bh__pass_clock_clear(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -628,6 +647,7 @@
 		cmocka_unit_test(late_prompts_use_idle_engines_),
 		cmocka_unit_test(parts_are_foretold_in_the_order_of_reading_),
 		cmocka_unit_test(a_part_overtakes_only_what_can_wait_),
+		cmocka_unit_test(a_part_counts_until_its_aim_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
