Streams of middle gaps are not gathered on one engine any more

Cause: ablation. Change: 35 lines less in placement.c. test_planner: 23 passed. Conclusion: removed.

--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -64,8 +64,6 @@
 						uint64_t now_us, BH__Placement *out);
 static bool find_long_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
 					   double idle_read_ms, uint64_t now_us, BH__Placement *out);
-static bool gather_home_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts,
-						 const BH__Ask *ask);
 static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count,
 							  const BH__Ask *ask, uint64_t now_us);
 static unsigned most_parts_(const BH__Ask *ask, unsigned count);
@@ -295,8 +293,6 @@
 	for (unsigned i = loose; i < count; i++)
 		c[i].limit_ms -= TIGHT_ROOM_MS_;
 	parts = choose_parts_(m, c, loose, ask, now_us);
-	if (parts && gather_home_(m, c, loose, parts, ask) && fill_(m, c, 1, parts, ask, now_us, out))
-		return true;
 	if (parts && fill_(m, c, loose, parts, ask, now_us, out))
 		return true;
 	qsort(c, count, sizeof *c, compare_for_long_);
@@ -304,37 +300,6 @@
 	return parts && fill_(m, c, count, parts, ask, now_us, out);
 }
 
-/* Streams that bear only shorter passes than the engines for long prompts make are gathered too: on the
- * engine with the shortest limit that has room for one more. Puts that engine first; returns false if there
- * is none. */
-static bool gather_home_(const BH__EngineModel *m, Candidate_ *c, unsigned count, unsigned parts,
-						 const BH__Ask *ask)
-{
-	uint64_t need_tokens = ask->prompt_tokens + ask->max_tokens;
-	double part_ms = bh__engine_model_read_ms(m, ask->prompt_tokens, parts);
-	double limit_ms = gap_limit_ms_(ask->event_gap_us);
-	unsigned best = count;
-	Candidate_ home;
-
-	if (limit_ms <= 0 || limit_ms >= LOOSE_LIMIT_MS_)
-		return false;
-	for (unsigned i = 0; i < count; i++) {
-		bool fits =
-			part_ms <= room_ms_(&c[i]) && c[i].kv_free_tokens >= need_tokens && c[i].slots_free > SLOTS_KEPT_;
-		bool flows = c[i].pending_ms + part_ms * c[i].engine->clock.pace <= limit_ms;
-		if (fits && flows && c[i].limit_ms < LOOSE_LIMIT_MS_ &&
-			(best == count || c[i].limit_ms < c[best].limit_ms))
-			best = i;
-	}
-	if (best == count)
-		return false;
-	home = c[best];
-	for (unsigned i = best; i > 0; i--)
-		c[i] = c[i - 1];
-	c[0] = home;
-	return true;
-}
-
 /* Returns the number of parts, each of which fits the room of its engine, with which the prompt is read
  * soonest; of those that differ little the largest, since it keeps passes short. 0: there is none. The
  * candidates are in the order of their room, in which slow engines come last. */
