Read again: one constant for what a late answer loses; names and comments

LATE_LOSS_ stood twice, two comments named a site or the users' sheets, test_peers opened its pairs twice.

--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -6,6 +6,9 @@
 #include "bayhoist/message.h"
 #include "pass_clock.h"
 
+/* Share of a value that is lost when an answer is late: three quarters on all of the users' routes. */
+#define BH__LATE_LOSS 0.75
+
 /* A request in an engine's table. */
 typedef struct {
 	BH__Grant grant;
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -12,9 +12,8 @@
 #include <stdlib.h>
 #include "bayhoist/planner.h"
 
-/* A prompt of so many tokens more is worth one more; a fit to the users' sheets. */
+/* A prompt of so many tokens more is worth one more; from what the users' kinds of request are worth. */
 #define TOKENS_PER_VALUE_ 12000.0
-#define LATE_LOSS_ 0.75       /* share of a value that is lost when an answer is late; the sheets' */
 #define GAP_MARGIN_MS_ 25.0   /* of a pause, for the network and for what the reckoning misses */
 #define FIRST_MARGIN_MS_ 35.0 /* the same of a first event */
 /* Of a pass on an engine without streams: one may begin there at any time. */
@@ -185,7 +184,7 @@
 		c->tight += bh__placement_is_tight(r->event_gap_us);
 		c->limit_ms = MIN(c->limit_ms, limit_ms);
 		if (c->next_ms <= limit_ms)
-			c->loss += r->value * LATE_LOSS_;
+			c->loss += r->value * BH__LATE_LOSS;
 	}
 }
 
@@ -361,7 +360,7 @@
 		if (!found || p.damage < out->damage ||
 			(p.damage <= out->damage && p.read_end_us < out->read_end_us) ||
 			(!is_in_time_(ask, out, now_us) && is_in_time_(ask, &p, now_us) &&
-			 p.damage < bh__placement_value(ask->prompt_tokens) * LATE_LOSS_))
+			 p.damage < bh__placement_value(ask->prompt_tokens) * BH__LATE_LOSS))
 			*out = p;
 		found = true;
 	}
@@ -395,7 +394,7 @@
 		out->read_end_us = MAX(out->read_end_us, end_us);
 		if (c[i].next_ms + part_ms * c[i].engine->clock.pace > c[i].limit_ms)
 			out->damage += c[i].loss;
-		out->damage += LATE_LOSS_ * bh__pass_clock_get_damage(&c[i].engine->clock, part_ms, now_us);
+		out->damage += BH__LATE_LOSS * bh__pass_clock_get_damage(&c[i].engine->clock, part_ms, now_us);
 	}
 	return true;
 }
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -10,7 +10,6 @@
 #define WAIT_SHARE_TIGHT_ 0.05
 #define WAIT_SHARE_ 0.6
 #define FORCE_LEAD_MS_ 400 /* for the passes under way to end, and for the longer one to come */
-#define LATE_LOSS_ 0.75    /* share of a value that is lost when an answer is late */
 /* Callers give a stream up that has not begun after the longest of these. A request that can't be in time any
  * more waits behind all others until shortly before. */
 #define PATIENCE_US_ (2 * BH__SECOND_US)
@@ -24,8 +23,8 @@
 #define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
 /* A long prompt that is late is read at length on engines that answer nothing, where prompts of the last
  * seconds that could be in time took less than this share of the engines: for this share of the time that its
- * caller waits, the rest being for the answer. That cut the worth of requests refused a second time by a
- * tenth (further 0.0133 to 0.0117 of all, 96 days of the users' mix). */
+ * caller waits, the rest being for the answer. That cut the worth of requests refused a second time
+ * from 0.0133 to 0.0117 of all (96 days of the users' mix). */
 #define LONG_WORK_US_ (3.0 * BH__SECOND_US)
 #define CALM_SHARE_ 0.3
 #define LATE_READ_SHARE_ 0.33
@@ -186,7 +185,7 @@
 /* Finds a place where a request is in time and makes less late than it is worth. */
 static bool force_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place)
 {
-	double gain = bh__placement_value(left->prompt_tokens) * LATE_LOSS_;
+	double gain = bh__placement_value(left->prompt_tokens) * BH__LATE_LOSS;
 
 	return bh__placement_force(&p->model, p->engines, left, now_us, place) &&
 		   place->read_end_us <= now_us + left->first_event_us && place->damage < gain;
@@ -203,7 +202,7 @@
 /* Finds a place where a request that is late makes less late than what it is still worth. */
 static bool force_late_(BH__Planner *p, const BH__Ask *left, uint64_t now_us, BH__Placement *place)
 {
-	double gain = bh__placement_value(left->prompt_tokens) * (1 - LATE_LOSS_);
+	double gain = bh__placement_value(left->prompt_tokens) * (1 - BH__LATE_LOSS);
 
 	return bh__placement_force(&p->model, p->engines, left, now_us, place) && place->damage < gain;
 }
--- a/src/test_libbayhoist/test_peers.c
+++ b/src/test_libbayhoist/test_peers.c
@@ -87,8 +87,10 @@
 }
 
 /* Opens two sides of which one has sent the other a message. */
-static void open_pair_(Side *a, Side *b, struct event_base *base)
+static struct event_base *open_pair_(Side *a, Side *b)
 {
+	struct event_base *base = event_base_new();
+
 	close(listen_(a->address, 1));
 	close(listen_(b->address, 1));
 	open_(a, base);
@@ -96,6 +98,7 @@
 	send_(a, b->address);
 	run_(base, SLOW_MS);
 	assert_int_equal(b->messages, 1);
+	return base;
 }
 
 /* A peer drops opening packets, as one does that has no power yet, and takes connections a moment later. */
@@ -134,12 +137,11 @@
 /* A process ends and another takes its place at once: that is no reason to take the node for gone. */
 static void a_peer_that_is_back_is_not_told_of_as_gone_(void **state)
 {
-	struct event_base *base = event_base_new();
 	Side a = {0};
 	Side b = {0};
+	struct event_base *base = open_pair_(&a, &b);
 
 	(void)state;
-	open_pair_(&a, &b, base);
 	peers_delete(b.peers);
 	open_(&b, base);
 	run_(base, SLOW_MS);
@@ -155,12 +157,11 @@
 /* A process ends and none takes its place. */
 static void a_peer_that_is_gone_is_told_of_(void **state)
 {
-	struct event_base *base = event_base_new();
 	Side a = {0};
 	Side b = {0};
+	struct event_base *base = open_pair_(&a, &b);
 
 	(void)state;
-	open_pair_(&a, &b, base);
 	peers_delete(b.peers);
 	run_(base, SLOW_MS);
 	assert_int_equal(a.unreachable, 1);
