--- a/include/bayhoist/members.h
+++ b/include/bayhoist/members.h
@@ -32,7 +32,8 @@
 uint64_t bh__members_get_version(const BH__Members *m);
 bool bh__member_is_usable(const BH__MemberInfo *info);
 uint64_t bh__members_pick(const BH__Members *m, uint64_t key, const char *hall);
-uint64_t bh__members_pick_other(const BH__Members *m, uint64_t key, uint64_t other_than);
+uint64_t bh__members_pick_except(const BH__Members *m, uint64_t key, const char *hall, const uint64_t *except,
+								 unsigned except_count);
 unsigned bh__members_get_rank(const BH__Members *m, uint64_t key, const char *hall);
 unsigned bh__members_sample(BH__Members *m, const BH__MemberInfo **out, unsigned max);
 
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -9,7 +9,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 2
+#define BH__MESSAGE_VERSION 3
 #define BH__MESSAGE_UPDATES_MAX 8  /* member records that ride on a ping or its answer */
 #define BH__MESSAGE_DIGESTS_MAX 16 /* pool digests that ride on a ping or its answer */
 #define BH__MESSAGE_LIST_MAX 65536 /* longest list that is accepted */
@@ -202,19 +202,24 @@
 			uint32_t count;
 			BH__QuotaEntry *entry;
 		} quota;
-		/* What a node knows of the platform from its own looks, and how old that is. Ages are counted by the
-		 * asker from when it asked, so that a message held up on its way, or read late, does not make them
-		 * younger. */
+		/* What a node knows of the platform, and how old that is: in a question what the asker knows, in the
+		 * answer what it is told. The asker counts from when it asked, by its own clock, so that a message
+		 * which is late on its way, or read late, does not make the ages younger. */
 		struct {
 			uint64_t asked_us; /* by the asker's clock; comes back in the answer */
+			/* for which the question may be kept until there is news, or was kept before it was answered */
+			uint64_t held_us;
 			uint64_t configuration_version;
 			uint64_t configuration_age_us;
+			char *configuration; /* one that is newer than the asker's, as the platform told it; NULL: none */
 			uint64_t registry_boot; /* life and version of the registry that is known, or told */
 			uint64_t registry_version;
 			uint64_t registry_age_us;
-			bool has_entries; /* the list below is whole */
+			bool whole; /* the entries below are all that there are, not only those that changed */
 			uint32_t count;
 			BH__EndpointEntry *entry;
+			uint32_t gone_count;
+			uint64_t *gone; /* ids of endpoints that have left */
 		} look;
 	} as;
 } BH__Message;
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -32,10 +32,11 @@
 typedef struct {
 	uint64_t endpoint_id; /* hash of its id */
 	BH__EndpointEntry entry;
-	uint64_t gone_at_us; /* 0: listed; otherwise it is to be taken as gone from then on */
-	bool listed;         /* in the list that is being read */
-	uint32_t in_flight;  /* requests that this node has there */
-	uint32_t reported;   /* requests that it said run or wait there, of all nodes */
+	uint64_t gone_at_us;      /* 0: listed; otherwise it is to be taken as gone from then on */
+	bool listed;              /* in the list that is being read */
+	uint64_t changed_version; /* of the registry, with the last change to the entry */
+	uint32_t in_flight;       /* requests that this node has there */
+	uint32_t reported;        /* requests that it said run or wait there, of all nodes */
 	uint64_t reported_us;
 	uint64_t set_aside_until_us;
 	uint32_t failures;    /* one after another */
@@ -48,7 +49,8 @@
 void bh__registry_delete(BH__Registry *r);
 uint64_t bh__registry_get_version(const BH__Registry *r);
 bool bh__registry_put(BH__Registry *r, const BH__EndpointEntry *entry);
-void bh__registry_remove(BH__Registry *r, const char *id, uint64_t gone_at_us);
+void bh__registry_remove(BH__Registry *r, uint64_t endpoint_id, uint64_t gone_at_us);
+bool bh__registry_list_changes(const BH__Registry *r, uint64_t since_version, GArray *changed, GArray *gone);
 void bh__registry_begin_list(BH__Registry *r);
 void bh__registry_end_list(BH__Registry *r, uint64_t gone_at_us);
 void bh__registry_process_tick(BH__Registry *r, uint64_t now_us);
--- /dev/null
+++ b/include/bayhoist/source.h
@@ -0,0 +1,39 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Where a node learns what the platform says, so that not every node reads it. The reader, one node of all,
+ * reads the platform. In each data hall one node, the relay, asks the reader, and the other nodes of the hall
+ * ask the relay: no node answers more than those of its hall and one a hall, however many there are. All of
+ * that follows from membership, as schedulers do.
+ *
+ * A source that is of no use is passed over for a while and another asked; so does a reader with itself,
+ * which goes on reading meanwhile. Where several in a row answer and none has anything fresh, the platform
+ * itself is away: then the nodes together make a few looks a second, instead of each as many as if it were
+ * alone. */
+#ifndef BAYHOIST_SOURCE_H
+#define BAYHOIST_SOURCE_H
+
+#include "bayhoist/members.h"
+
+#define BH__SOURCES_MAX 6 /* that are passed over at a time */
+
+typedef struct {
+	uint64_t node; /* that is to be asked; this node itself: none, it reads the platform */
+	struct {
+		uint64_t node;
+		uint64_t until_us;
+	} passed_over[BH__SOURCES_MAX];
+	unsigned next_passed_over;
+	unsigned silent; /* sources in a row that did not answer */
+	unsigned stale;  /* that answered, and knew nothing fresh */
+} BH__Source;
+
+bool bh__source_process_tick(BH__Source *s, const BH__Members *m, uint64_t now_us);
+void bh__source_note_useful(BH__Source *s);
+void bh__source_note_silent(BH__Source *s, uint64_t now_us);
+void bh__source_note_stale(BH__Source *s, uint64_t now_us);
+bool bh__source_asks(const BH__Source *s, const BH__Members *m);
+bool bh__source_reads(const BH__Source *s, const BH__Members *m, uint64_t now_us);
+bool bh__source_is_cut_off(const BH__Source *s);
+bool bh__source_is_platform_away(const BH__Source *s);
+uint64_t bh__source_get_own_period_us(const BH__Source *s, const BH__Members *m, uint64_t period_us);
+
+#endif
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -54,7 +54,9 @@
 	Cluster *cluster;
 	Looks *looks;
 	BH__Routing *routing;       /* NULL: not known yet */
+	char *routing_text;         /* that it was decoded from */
 	uint64_t routing_looked_us; /* when the look was begun that last showed it to be the newest */
+	uint64_t no_routing_us;     /* when the look was begun that last showed that there is none yet */
 	BH__Registry *registry;
 	uint64_t registry_looked_us; /* when the look was begun that it shows */
 	bool duties_read;            /* the record of duties was read, or could not be */
@@ -78,7 +80,8 @@
 bool gate_is_informed(const Gate *g);
 bool gate_knows_endpoints(const Gate *g);
 bool gate_trusts_keys(const Gate *g, uint64_t now_us);
-void gate_set_routing(Gate *g, BH__Routing *routing, uint64_t looked_us);
+void gate_set_routing(Gate *g, BH__Routing *routing, const char *text, uint64_t looked_us);
+void gate_note_no_configuration(Gate *g, uint64_t looked_us);
 void gate_note_look(Gate *g, uint64_t looked_us);
 void gate_note_registry(Gate *g, uint64_t looked_us);
 void gate_presume_node(Gate *g, const char *duty, const BH__MemberInfo *info);
@@ -195,6 +198,7 @@
 void looks_process_tick(Looks *l, uint64_t now_us);
 void looks_process_ask(Looks *l, const BH__Message *m, uint64_t now_us);
 void looks_process_answer(Looks *l, const BH__Message *m, uint64_t now_us);
+void looks_process_news(Looks *l, uint64_t now_us);
 
 /* web.c */
 bool web_start(Gate *g);
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -1,54 +1,84 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
-/* Looks at the platform, shared among the nodes, since each costs a call. One node, the reader, looks often;
- * the others ask it what it saw and how long ago. A node that hears nothing fresh from the reader looks for
- * itself, so that one which is cut off from its peers, or whose reader is cut off from the platform, falls
- * behind no more than the reader would. */
+/* What the platform says, shared among the nodes, since each look at it costs a call. A node asks its source
+ * (source.h) what there is that it does not know yet. The source keeps the question until it has news or has
+ * looked again, so that a change reaches every node within a few messages' time, and what a node knows is
+ * never much older than the reader's latest look. With the answer comes the configuration itself if there is
+ * a newer one, and which endpoints have come, changed or left: a node that the platform turns away goes on
+ * as well as the others. */
 #include "gate.h"
 
 #include <string.h>
 #include "bayhoist/hash.h"
 #include "bayhoist/look.h"
+#include "bayhoist/source.h"
 #include "clock.h"
 #include "log.h"
 
-/* Between the reader's looks; a key taken away must stop in time. */
-#define CONFIGURATION_US (700 * BH__MS_US)
-#define ENDPOINTS_US (500 * BH__MS_US) /* the same for endpoints; a leaving one must be left in time */
-#define ASK_US (500 * BH__MS_US)       /* between the other nodes' questions */
-/* Between looks, and between questions, of a node that has started and knows nothing yet: it serves nobody.
- */
+/* Shares of the times in which a configuration is to be in force, and a leaving endpoint to be left: between
+ * the reader's looks, and an age at which a node that no peer answers looks for itself. */
+#define LOOK_SHARE 0.25
+#define CONFIGURATION_LOOK_SHARE 0.35 /* a watch tells of most changes at once */
+#define ENDPOINTS_OLD_SHARE 0.65
+#define CONFIGURATION_OLD_SHARE 1.0
+/* Between looks of a node that has started and has no answer yet: it serves nobody. */
 #define UNINFORMED_US (150 * BH__MS_US)
-#define UNINFORMED_MAX_US                                                                                    \
-	(5 * BH__SECOND_US)                  /* for which a node relies on a reader that knows nothing either */
-#define ANSWER_US (300 * BH__MS_US)      /* for the reader's answer */
-#define PASS_OVER_US (5 * BH__SECOND_US) /* for which a reader that was of no use is not asked */
-#define USELESS_MAX 2 /* readers asked in turn; after so many of no use a node looks for itself */
 /* Before a reader watches: nodes that start all think they read, until they know each other. */
 #define WATCH_AFTER_US BH__SECOND_US
-/* With what it knows older than this, a node looks for itself. */
-#define CONFIGURATION_OLD_US (2 * BH__SECOND_US)
-#define ENDPOINTS_OLD_US (1300 * BH__MS_US)
+#define ANSWER_US                                                                                            \
+	(300 * BH__MS_US) /* for a source's answer, beside the time that it may keep the question                \
+					   */
+#define HOLD_EXTRA_US (200 * BH__MS_US) /* beyond the reader's period, for the look itself and its way */
+#define AWAY_HOLD_US (500 * BH__MS_US)  /* the same while no source knows anything fresh */
+/* What a source has seen is news if it is so much younger than what the asker knows: messages take some of
+ * that themselves. */
+#define YOUNGER_US (50 * BH__MS_US)
+
+/* A question that waits for news. */
+typedef struct {
+	uint64_t node;
+	uint64_t asked_us; /* by the asker's clock */
+	uint64_t arrived_us;
+	uint64_t until_us; /* it is answered by then, news or not */
+	uint64_t configuration_version;
+	uint64_t registry_boot;
+	uint64_t registry_version;
+	uint64_t known_us; /* by this node's clock, of when the asker's knowledge of endpoints is */
+} HeldQuestion;
 
 struct Looks {
 	Gate *gate;
-	uint64_t reader;   /* node; 0: none is asked */
-	uint64_t asked_us; /* 0: no question is open */
-	uint64_t next_ask_us;
-	uint64_t passed_over; /* node that is not asked now */
-	uint64_t pass_over_until_us;
-	unsigned useless;          /* readers passed over since one was of use */
-	uint64_t reads_since_us;   /* 0: this node is not the reader */
-	bool configuration_wanted; /* there is a newer one */
+	BH__Source source;
+	uint64_t asked_us;        /* 0: no question is open */
+	uint64_t answer_until_us; /* of that question */
+	uint64_t reads_since_us;  /* 0: this node is not the reader */
+	uint64_t next_own_us;     /* look of a node that is not the reader, while the platform is away */
 	BH__Look configuration;
 	BH__Look endpoints;
-	uint64_t told_boot; /* of the registry that this node has from a reader */
+	uint64_t told_boot; /* of the registry that this node has from a source */
 	uint64_t told_version;
+	uint64_t refused_version; /* of a configuration that was told and is wrong */
+	GArray *held;             /* HeldQuestion */
+	bool answering;
 };
 
-static uint64_t pick_reader_(const Looks *l, uint64_t now_us);
-static void pass_over_(Looks *l, const char *cause, uint64_t now_us);
-static void look_(Looks *l, bool reads, uint64_t now_us);
+static uint64_t share_us_(uint64_t ms, double share);
+static const BH__Members *members_(const Looks *l);
+static bool is_fresh_(const Looks *l, uint64_t now_us);
+static void follow_source_(Looks *l, uint64_t now_us);
+static void note_useless_(Looks *l, bool stale, uint64_t now_us);
+static void look_(Looks *l, uint64_t now_us);
+static void look_as_reader_(Looks *l, uint64_t now_us);
+static void leave_reading_(Looks *l, uint64_t now_us);
+static bool is_reached_(const Looks *l);
+static bool is_configuration_old_(const Looks *l, uint64_t now_us);
+static void look_at_endpoints_alone_(Looks *l, uint64_t now_us);
+static void look_at_configuration_alone_(Looks *l, uint64_t now_us);
+static void look_at_endpoints_(Looks *l);
 static void ask_(Looks *l, uint64_t now_us);
+static bool has_news_(const Looks *l, const HeldQuestion *q, uint64_t now_us);
+static void answer_(Looks *l, const HeldQuestion *q, uint64_t now_us);
+static void add_entries_(const Looks *l, const HeldQuestion *q, GArray *changed, GArray *gone, bool *whole);
+static void take_configuration_(Looks *l, const BH__Message *m, uint64_t looked_us);
 static void take_entries_(Looks *l, const BH__Message *m, uint64_t now_us);
 
 Looks *looks_new(Gate *g)
@@ -56,157 +86,348 @@
 	Looks *l = g_new0(Looks, 1);
 
 	l->gate = g;
+	l->held = g_array_new(FALSE, FALSE, sizeof(HeldQuestion));
 	return l;
 }
 
 void looks_delete(Looks *l)
 {
+	if (!l)
+		return;
+	g_array_unref(l->held);
 	g_free(l);
 }
 
-/* Returns the reader: it follows from membership, as a scheduler does. */
-static uint64_t pick_reader_(const Looks *l, uint64_t now_us)
+static uint64_t share_us_(uint64_t ms, double share)
 {
-	uint64_t other_than = now_us < l->pass_over_until_us ? l->passed_over : 0;
+	return (uint64_t)((double)ms * BH__MS_US * share);
+}
 
-	return bh__members_pick_other(cluster_get_members(l->gate->cluster), bh__hash_name("platform-reader"),
-								  other_than);
+static const BH__Members *members_(const Looks *l)
+{
+	return cluster_get_members(l->gate->cluster);
 }
 
-/* The reader was of no use: the next in rank is asked, at once. */
-static void pass_over_(Looks *l, const char *cause, uint64_t now_us)
+/* Returns true if this node's knowledge of endpoints is young enough to be passed on. */
+static bool is_fresh_(const Looks *l, uint64_t now_us)
 {
-	const BH__MemberInfo *info = bh__members_find(cluster_get_members(l->gate->cluster), l->reader);
+	const Gate *g = l->gate;
 
-	log_event("looks", "what=passed-over node=%s cause=\"%s\"", info ? info->name : "", cause);
-	l->passed_over = l->reader;
-	l->useless++;
-	l->pass_over_until_us = now_us + PASS_OVER_US;
-	l->asked_us = 0;
-	l->next_ask_us = l->useless < USELESS_MAX ? now_us : now_us + ASK_US;
+	return g->registry_looked_us &&
+		   now_us < g->registry_looked_us + share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE);
 }
 
 /* Looks or asks if it is time. To be called several times a second. */
 void looks_process_tick(Looks *l, uint64_t now_us)
 {
-	uint64_t self = bh__members_get_self(cluster_get_members(l->gate->cluster))->node_id;
-	uint64_t reader;
-	bool reads;
-
-	if (l->asked_us && now_us >= l->asked_us + ANSWER_US)
-		pass_over_(l, "no answer", now_us);
-	reader = pick_reader_(l, now_us);
-	reads = !reader || reader == self;
-	if (reader != l->reader) {
-		log_event("looks", "what=%s", reads ? "read" : "ask");
-		l->reader = reader;
-		l->asked_us = 0;
-		l->reads_since_us = reads ? now_us : 0;
-	}
-	if (!reads && now_us >= l->next_ask_us)
+	if (l->asked_us && now_us >= l->answer_until_us)
+		note_useless_(l, false, now_us);
+	follow_source_(l, now_us);
+	l->gate->port->watch_configuration(l->gate,
+									   l->reads_since_us && now_us >= l->reads_since_us + WATCH_AFTER_US);
+	look_(l, now_us);
+	if (bh__source_asks(&l->source, members_(l)) && !l->asked_us)
 		ask_(l, now_us);
-	l->gate->port->watch_configuration(l->gate, reads && now_us >= l->reads_since_us + WATCH_AFTER_US);
-	look_(l, reads, now_us);
 	gate_note_registry(l->gate, 0);
 }
 
-/* Looks at the platform if this node is to read it, or knows nothing fresh. */
-static void look_(Looks *l, bool reads, uint64_t now_us)
+/* Asks another source where membership, or what has become of the last question, wants that. */
+static void follow_source_(Looks *l, uint64_t now_us)
+{
+	const BH__MemberInfo *info;
+
+	if (bh__source_process_tick(&l->source, members_(l), now_us)) {
+		info = bh__members_find(members_(l), l->source.node);
+		log_event("looks", "what=%s node=%s", bh__source_asks(&l->source, members_(l)) ? "ask" : "read",
+				  info ? info->name : "");
+		l->asked_us = 0;
+	}
+	if (!bh__source_reads(&l->source, members_(l), now_us))
+		l->reads_since_us = 0;
+	else if (!l->reads_since_us)
+		l->reads_since_us = now_us;
+}
+
+/* The source was of no use: the next in rank is asked, at once. */
+static void note_useless_(Looks *l, bool stale, uint64_t now_us)
+{
+	const BH__MemberInfo *info = bh__members_find(members_(l), l->source.node);
+	bool was_away = bh__source_is_platform_away(&l->source);
+
+	log_event("looks", "what=passed-over node=%s cause=\"%s\"", info ? info->name : "",
+			  stale ? "knows nothing fresh" : "no answer");
+	if (stale)
+		bh__source_note_stale(&l->source, now_us);
+	else
+		bh__source_note_silent(&l->source, now_us);
+	if (!was_away && bh__source_is_platform_away(&l->source)) {
+		uint64_t period_us = bh__source_get_own_period_us(&l->source, members_(l), 0);
+		l->next_own_us = now_us + l->gate->boot_id % MAX(period_us, 1); /* not all at once */
+	}
+	l->asked_us = 0;
+	follow_source_(l, now_us);
+}
+
+/* Looks at the platform if this node is to read it, has just started, or has to see for itself. */
+static void look_(Looks *l, uint64_t now_us)
+{
+	if (l->reads_since_us) {
+		look_as_reader_(l, now_us);
+		leave_reading_(l, now_us);
+		return;
+	}
+	if (!is_fresh_(l, now_us))
+		look_at_endpoints_alone_(l, now_us);
+	if (is_configuration_old_(l, now_us) && (is_fresh_(l, now_us) || is_reached_(l)))
+		look_at_configuration_alone_(l, now_us);
+}
+
+/* The reader looks once a period. While the endpoints' list is not answered that is enough to see when the
+ * platform is back. */
+static void look_as_reader_(Looks *l, uint64_t now_us)
 {
 	Gate *g = l->gate;
-	bool alone = l->useless >= USELESS_MAX;
-	bool old_configuration = alone || now_us >= g->routing_looked_us + CONFIGURATION_OLD_US;
-	bool old_endpoints = alone || now_us >= g->registry_looked_us + ENDPOINTS_OLD_US;
-	uint64_t configuration_us = g->routing && !l->configuration_wanted ? CONFIGURATION_US : UNINFORMED_US;
-	uint64_t endpoints_us = g->registry_looked_us ? ENDPOINTS_US : UNINFORMED_US;
-
-	if ((reads || old_configuration || l->configuration_wanted) &&
-		bh__look_process(&l->configuration, configuration_us, g->routing_looked_us,
-						 reads || l->configuration_wanted, now_us)) {
-		l->configuration_wanted = false;
+	bool knows = g->routing || g->no_routing_us;
+	bool is_away = l->endpoints.sent_us && g->registry_looked_us < l->endpoints.sent_us;
+	uint64_t configuration_us =
+		knows ? share_us_(g->settings.configuration_ms, CONFIGURATION_LOOK_SHARE) : UNINFORMED_US;
+	uint64_t endpoints_us =
+		g->registry_looked_us ? share_us_(g->settings.endpoint_drain_ms, LOOK_SHARE) : UNINFORMED_US;
+
+	if (!is_away && bh__look_process(&l->configuration, configuration_us, g->routing_looked_us, true, now_us))
 		g->port->look_at_configuration(g);
+	if (bh__look_process(&l->endpoints, endpoints_us, g->registry_looked_us, true, now_us))
+		look_at_endpoints_(l);
+}
+
+/* A reader that the platform does not answer asks others too. */
+static void leave_reading_(Looks *l, uint64_t now_us)
+{
+	uint64_t old_us = share_us_(l->gate->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE);
+
+	if (!bh__source_asks(&l->source, members_(l)) && !is_fresh_(l, now_us) &&
+		now_us >= l->reads_since_us + old_us && bh__members_get_count(members_(l)) > 1)
+		note_useless_(l, true, now_us);
+}
+
+/* Returns true if this node's own last look at endpoints was answered, and none was told of since. */
+static bool is_reached_(const Looks *l)
+{
+	return !l->told_boot && l->endpoints.sent_us && l->gate->registry_looked_us >= l->endpoints.sent_us;
+}
+
+static bool is_configuration_old_(const Looks *l, uint64_t now_us)
+{
+	const Gate *g = l->gate;
+	uint64_t old_us = share_us_(g->settings.configuration_ms, CONFIGURATION_OLD_SHARE);
+
+	return now_us >= MAX(g->routing_looked_us, g->no_routing_us) + old_us;
+}
+
+/* A node that is not the reader looks if what it knows is old and no peer answers, or none knows better. */
+static void look_at_endpoints_alone_(Looks *l, uint64_t now_us)
+{
+	Gate *g = l->gate;
+	uint64_t period_us = share_us_(g->settings.endpoint_drain_ms, LOOK_SHARE);
+	bool is_away = bh__source_is_platform_away(&l->source);
+
+	if (bh__source_is_cut_off(&l->source) || (is_away && is_reached_(l))) {
+		if (bh__look_process(&l->endpoints, period_us, g->registry_looked_us, false, now_us))
+			look_at_endpoints_(l);
 	}
-	if ((reads || old_endpoints) &&
-		bh__look_process(&l->endpoints, endpoints_us, g->registry_looked_us, reads, now_us)) {
-		l->told_boot = 0; /* what is read is no more what the reader told */
-		g->port->look_at_endpoints(g);
+	else if (is_away && now_us >= l->next_own_us) {
+		l->next_own_us = now_us + bh__source_get_own_period_us(&l->source, members_(l), period_us);
+		l->endpoints.sent_us = now_us;
+		look_at_endpoints_(l);
 	}
 }
 
+/* The same for the configuration, where the endpoints' list shows that the platform answers. */
+static void look_at_configuration_alone_(Looks *l, uint64_t now_us)
+{
+	Gate *g = l->gate;
+	uint64_t period_us = share_us_(g->settings.configuration_ms, CONFIGURATION_LOOK_SHARE);
+
+	if (bh__look_process(&l->configuration, period_us, g->routing_looked_us, false, now_us))
+		g->port->look_at_configuration(g);
+}
+
+static void look_at_endpoints_(Looks *l)
+{
+	l->told_boot = 0; /* what is read is no more what the source told */
+	l->gate->port->look_at_endpoints(l->gate);
+}
+
 static void ask_(Looks *l, uint64_t now_us)
 {
+	Gate *g = l->gate;
 	BH__Message m = {.type = BH__MESSAGE_LOOK_ASK};
+	uint64_t version = g->routing ? bh__routing_get_version(g->routing) : 0;
+	uint64_t hold_us = 0;
 
-	l->next_ask_us = now_us + (gate_knows_endpoints(l->gate) ? ASK_US : UNINFORMED_US);
+	if (bh__source_is_platform_away(&l->source) || !gate_knows_endpoints(g))
+		hold_us = AWAY_HOLD_US;
+	else if (!l->source.silent && !l->source.stale)
+		hold_us = share_us_(g->settings.endpoint_drain_ms, LOOK_SHARE) + HOLD_EXTRA_US;
 	l->asked_us = now_us;
+	l->answer_until_us = now_us + hold_us + ANSWER_US;
 	m.as.look.asked_us = now_us;
+	m.as.look.held_us = hold_us;
+	m.as.look.configuration_version = MAX(version, l->refused_version);
 	m.as.look.registry_boot = l->told_boot;
 	m.as.look.registry_version = l->told_version;
-	cluster_send(l->gate->cluster, l->reader, &m);
+	m.as.look.registry_age_us = now_us - g->registry_looked_us;
+	cluster_send(g->cluster, l->source.node, &m);
 }
 
-/* Another node asks what this one knows. */
+/* Another node asks what it does not know. */
 void looks_process_ask(Looks *l, const BH__Message *ask, uint64_t now_us)
+{
+	HeldQuestion q = {.node = ask->from_node,
+					  .asked_us = ask->as.look.asked_us,
+					  .arrived_us = now_us,
+					  .until_us = now_us + MIN(ask->as.look.held_us, BH__SECOND_US * 10),
+					  .configuration_version = ask->as.look.configuration_version,
+					  .registry_boot = ask->as.look.registry_boot,
+					  .registry_version = ask->as.look.registry_version,
+					  .known_us = now_us - MIN(now_us, ask->as.look.registry_age_us)};
+
+	for (guint i = l->held->len; i-- > 0;)
+		if (g_array_index(l->held, HeldQuestion, i).node == q.node)
+			g_array_remove_index_fast(l->held, i);
+	if (has_news_(l, &q, now_us))
+		answer_(l, &q, now_us);
+	else
+		g_array_append_val(l->held, q);
+}
+
+/* Returns true if a question is to be answered now. */
+static bool has_news_(const Looks *l, const HeldQuestion *q, uint64_t now_us)
+{
+	const Gate *g = l->gate;
+	bool is_older = g->registry_looked_us <= q->known_us;
+	bool differs =
+		q->registry_boot != g->boot_id || q->registry_version != bh__registry_get_version(g->registry);
+
+	if (now_us >= q->until_us ||
+		(g->routing && bh__routing_get_version(g->routing) > q->configuration_version))
+		return true;
+	return is_fresh_(l, now_us) && !is_older && (differs || g->registry_looked_us > q->known_us + YOUNGER_US);
+}
+
+/* Something has become known: questions that waited for it are answered. */
+void looks_process_news(Looks *l, uint64_t now_us)
+{
+	if (l->answering)
+		return;
+	l->answering = true;
+	for (guint i = l->held->len; i-- > 0;) {
+		HeldQuestion q = g_array_index(l->held, HeldQuestion, i);
+		if (!has_news_(l, &q, now_us))
+			continue;
+		g_array_remove_index_fast(l->held, i);
+		answer_(l, &q, now_us);
+	}
+	l->answering = false;
+}
+
+static void answer_(Looks *l, const HeldQuestion *q, uint64_t now_us)
 {
 	Gate *g = l->gate;
-	unsigned count = bh__registry_get_count(g->registry);
 	BH__Message m = {.type = BH__MESSAGE_LOOK};
+	GArray *changed = g_array_new(FALSE, FALSE, sizeof(BH__EndpointEntry));
+	GArray *gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
-	m.as.look.asked_us = ask->as.look.asked_us;
+	m.as.look.asked_us = q->asked_us;
+	m.as.look.held_us = now_us - q->arrived_us;
 	m.as.look.configuration_version = g->routing ? bh__routing_get_version(g->routing) : 0;
 	m.as.look.configuration_age_us = now_us - g->routing_looked_us;
+	if (m.as.look.configuration_version > q->configuration_version)
+		m.as.look.configuration = g->routing_text;
 	m.as.look.registry_boot = g->boot_id;
 	m.as.look.registry_version = bh__registry_get_version(g->registry);
 	m.as.look.registry_age_us = now_us - g->registry_looked_us;
-	m.as.look.has_entries = ask->as.look.registry_boot != g->boot_id ||
-							ask->as.look.registry_version != m.as.look.registry_version;
-	if (m.as.look.has_entries) {
-		m.as.look.count = count;
-		m.as.look.entry = g_new0(BH__EndpointEntry, count + 1);
-		for (unsigned i = 0; i < count; i++)
-			m.as.look.entry[i] = bh__registry_get(g->registry, i)->entry;
-	}
-	cluster_send(g->cluster, ask->from_node, &m);
-	g_free(m.as.look.entry);
+	if (g->registry_looked_us > q->known_us)
+		add_entries_(l, q, changed, gone, &m.as.look.whole);
+	m.as.look.count = changed->len;
+	m.as.look.entry = (BH__EndpointEntry *)(void *)changed->data;
+	m.as.look.gone_count = gone->len;
+	m.as.look.gone = (uint64_t *)(void *)gone->data;
+	cluster_send(g->cluster, q->node, &m);
+	g_array_unref(changed);
+	g_array_unref(gone);
 }
 
-/* The reader answers. Its ages are taken as counted from the question. */
+/* Adds what the asker of a question does not know of endpoints. */
+static void add_entries_(const Looks *l, const HeldQuestion *q, GArray *changed, GArray *gone, bool *whole)
+{
+	const BH__Registry *r = l->gate->registry;
+
+	*whole = q->registry_boot != l->gate->boot_id ||
+			 !bh__registry_list_changes(r, q->registry_version, changed, gone);
+	if (!*whole)
+		return;
+	for (unsigned i = 0; i < bh__registry_get_count(r); i++)
+		g_array_append_val(changed, bh__registry_get(r, i)->entry);
+}
+
+/* The source answers. Its ages are taken as counted from the question and the time that it was kept. */
 void looks_process_answer(Looks *l, const BH__Message *m, uint64_t now_us)
 {
 	Gate *g = l->gate;
-	uint64_t asked_us = m->as.look.asked_us;
-	uint64_t version = g->routing ? bh__routing_get_version(g->routing) : 0;
+	uint64_t seen_us = MIN(m->as.look.asked_us + m->as.look.held_us, now_us);
+	uint64_t registry_us = seen_us - MIN(seen_us, m->as.look.registry_age_us);
 
-	if (!l->asked_us || asked_us != l->asked_us)
+	if (!l->asked_us || m->as.look.asked_us != l->asked_us)
 		return;
 	l->asked_us = 0;
-	if (m->as.look.configuration_version > version)
-		l->configuration_wanted = true;
-	else if (m->as.look.configuration_version == version && asked_us > m->as.look.configuration_age_us)
-		gate_note_look(g, asked_us - m->as.look.configuration_age_us);
-	if (m->as.look.registry_age_us >= ENDPOINTS_OLD_US) {
-		if (gate_knows_endpoints(g) || now_us >= g->started_us + UNINFORMED_MAX_US)
-			pass_over_(l, "knows nothing fresh", now_us);
-		return;
+	take_configuration_(l, m, seen_us - MIN(seen_us, m->as.look.configuration_age_us));
+	if (m->as.look.registry_age_us >= share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE)) {
+		note_useless_(l, true, now_us);
 	}
-	l->useless = 0;
-	if (m->as.look.has_entries)
-		take_entries_(l, m, now_us);
-	else if (m->as.look.registry_boot != l->told_boot)
-		return;
-	gate_note_registry(g, asked_us - m->as.look.registry_age_us);
+	else {
+		bh__source_note_useful(&l->source);
+		if (registry_us > g->registry_looked_us)
+			take_entries_(l, m, now_us);
+		if (m->as.look.registry_boot == l->told_boot)
+			gate_note_registry(g, registry_us);
+	}
+	follow_source_(l, now_us);
+	if (bh__source_asks(&l->source, members_(l)))
+		ask_(l, now_us);
+}
+
+static void take_configuration_(Looks *l, const BH__Message *m, uint64_t looked_us)
+{
+	Gate *g = l->gate;
+	uint64_t version = g->routing ? bh__routing_get_version(g->routing) : 0;
+
+	if (m->as.look.configuration_version == version && version)
+		gate_note_look(g, looked_us);
+	else if (m->as.look.configuration && m->as.look.configuration_version > version &&
+			 !g->port->take_configuration(g, m->as.look.configuration, looked_us))
+		l->refused_version = m->as.look.configuration_version;
 }
 
 static void take_entries_(Looks *l, const BH__Message *m, uint64_t now_us)
 {
 	BH__Registry *r = l->gate->registry;
+	bool follows = m->as.look.registry_boot == l->told_boot;
 
-	bh__registry_begin_list(r);
+	if (!m->as.look.whole && !follows)
+		return;
+	if (m->as.look.whole)
+		bh__registry_begin_list(r);
 	for (uint32_t i = 0; i < m->as.look.count; i++)
 		bh__registry_put(r, &m->as.look.entry[i]);
-	bh__registry_end_list(r, now_us);
+	for (uint32_t i = 0; i < m->as.look.gone_count; i++)
+		bh__registry_remove(r, m->as.look.gone[i], now_us);
+	if (m->as.look.whole)
+		bh__registry_end_list(r, now_us);
 	l->told_boot = m->as.look.registry_boot;
 	l->told_version = m->as.look.registry_version;
-	log_event("looks", "what=endpoints-told count=%u version=%" G_GUINT64_FORMAT, m->as.look.count,
-			  m->as.look.registry_version);
+	if (m->as.look.count || m->as.look.gone_count)
+		log_event("looks", "what=endpoints-told count=%u gone=%u whole=%s version=%" G_GUINT64_FORMAT,
+				  m->as.look.count, m->as.look.gone_count, m->as.look.whole ? "yes" : "no",
+				  m->as.look.registry_version);
 }
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -97,6 +97,7 @@
 	}
 	add_seeds_(g);
 	cluster_join(g->cluster);
+	looks_process_tick(g->looks, g->started_us);
 	g->port->find_duties(g);
 	add_event_(g, evsignal_new(g->base, SIGTERM, on_terminate_, g), NULL);
 	add_event_(g, evsignal_new(g->base, SIGINT, on_terminate_, g), NULL);
@@ -145,9 +146,9 @@
 	return !g->leaving_since_us && gate_trusts_keys(g, now_us) && bh__registry_get_count(g->registry) > 0;
 }
 
-/* Takes a routing that was read from the platform; the look was begun at `looked_us`. A version never goes
- * back. */
-void gate_set_routing(Gate *g, BH__Routing *routing, uint64_t looked_us)
+/* Takes a routing that was decoded from `text`; the look that showed it was begun at `looked_us`. A version
+ * never goes back. */
+void gate_set_routing(Gate *g, BH__Routing *routing, const char *text, uint64_t looked_us)
 {
 	uint64_t version = bh__routing_get_version(routing);
 
@@ -159,9 +160,18 @@
 				  version, g->routing ? bh__routing_get_version(g->routing) : 0);
 		bh__routing_unref(g->routing);
 		g->routing = routing;
+		g_free(g->routing_text);
+		g->routing_text = g_strdup(text);
 		cluster_follow_routing(g->cluster, clock_now_us());
 	}
 	gate_note_look(g, looked_us);
+	looks_process_news(g->looks, clock_now_us());
+}
+
+/* A look has shown that the operators have not written a configuration yet. */
+void gate_note_no_configuration(Gate *g, uint64_t looked_us)
+{
+	g->no_routing_us = looked_us;
 }
 
 /* The configuration that is held was the newest when a look was begun. */
@@ -210,6 +220,7 @@
 		g->registry_seen = bh__registry_get_version(g->registry);
 		cluster_follow_registry(g->cluster, clock_now_us());
 	}
+	looks_process_news(g->looks, clock_now_us());
 	calls_process_news(g);
 }
 
@@ -303,6 +314,7 @@
 	g_ptr_array_unref(g->own_events);
 	event_base_free(g->base);
 	bh__routing_unref(g->routing);
+	g_free(g->routing_text);
 	bh__registry_delete(g->registry);
 	g_hash_table_unref(g->budgets);
 	g_hash_table_unref(g->caller_times);
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -71,9 +71,13 @@
 
 	/* Follows the configuration, and hands it to gate_set_routing(). */
 	bool (*start)(Gate *g);
+	/* Takes a configuration as the platform told it to another node; the look that showed it to be the newest
+	 * was begun at `looked_us`. Returns false, with a log line, if it is wrong. */
+	bool (*take_configuration)(Gate *g, const char *text, uint64_t looked_us);
 	void (*stop)(Gate *g);
-	/* Looks at the platform: whether the configuration is the newest, told by gate_note_look(), or which
-	 * endpoints there are, told by gate_note_registry(). A look that is under way is not begun again. */
+	/* Looks at the platform: whether the configuration is the newest, told by gate_note_look(), or by
+	 * gate_note_no_configuration() where there is none yet; or which endpoints there are, told by
+	 * gate_note_registry(). A look that is under way is not begun again. */
 	void (*look_at_configuration)(Gate *g);
 	void (*look_at_endpoints)(Gate *g);
 	/* Sets whether a change of the configuration is to be heard of at once, without a look. */
--- a/src/libbayhoist/look.c
+++ b/src/libbayhoist/look.c
@@ -13,7 +13,7 @@
 
 	if (!failed || steady)
 		l->backoff_us = period_us;
-	if (l->sent_us && now_us < l->sent_us + l->backoff_us)
+	if (l->sent_us && now_us < l->sent_us + MAX(l->backoff_us, period_us))
 		return false;
 	if (failed)
 		l->backoff_us = MIN(l->backoff_us * 2, BH__LOOK_BACKOFF_MAX_US);
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -90,7 +90,7 @@
 static void on_ping_req_(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 static void send_members_(BH__Members *m, const char *address);
 static bool is_candidate_(const BH__MemberInfo *info, const char *hall);
-static uint64_t pick_(const BH__Members *m, uint64_t key, const char *hall, uint64_t other_than);
+static bool is_among_(uint64_t node_id, const uint64_t *list, unsigned count);
 
 /* Returns a membership of one: `self`. `seed` sets the order of probes. */
 BH__Members *bh__members_new(BH__MembersPort *port, const BH__MemberInfo *self, uint32_t seed)
@@ -704,18 +704,22 @@
  * when those are gone. Returns 0 if no node is usable. */
 uint64_t bh__members_pick(const BH__Members *m, uint64_t key, const char *hall)
 {
-	uint64_t best = pick_(m, key, hall, 0);
+	uint64_t best = bh__members_pick_except(m, key, hall, NULL, 0);
 
-	return best || !hall ? best : pick_(m, key, NULL, 0);
+	return best || !hall ? best : bh__members_pick_except(m, key, NULL, NULL, 0);
 }
 
-/* The same among all nodes but one, of any hall. */
-uint64_t bh__members_pick_other(const BH__Members *m, uint64_t key, uint64_t other_than)
+static bool is_among_(uint64_t node_id, const uint64_t *list, unsigned count)
 {
-	return pick_(m, key, NULL, other_than);
+	for (unsigned i = 0; i < count; i++)
+		if (list[i] == node_id)
+			return true;
+	return false;
 }
 
-static uint64_t pick_(const BH__Members *m, uint64_t key, const char *hall, uint64_t other_than)
+/* The same without the nodes in `except`, and in no other hall than `hall`; NULL: in any. */
+uint64_t bh__members_pick_except(const BH__Members *m, uint64_t key, const char *hall, const uint64_t *except,
+								 unsigned except_count)
 {
 	uint32_t capacity = 0;
 	uint64_t best = 0;
@@ -723,13 +727,13 @@
 
 	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
 		const BH__MemberInfo *info = bh__members_get(m, i);
-		if (is_candidate_(info, hall) && info->node_id != other_than)
+		if (is_candidate_(info, hall) && !is_among_(info->node_id, except, except_count))
 			capacity = MAX(capacity, info->capacity);
 	}
 	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
 		const BH__MemberInfo *info = bh__members_get(m, i);
 		uint64_t weight = bh__hash_pair(info->node_id, key);
-		if (!is_candidate_(info, hall) || info->node_id == other_than ||
+		if (!is_candidate_(info, hall) || is_among_(info->node_id, except, except_count) ||
 			info->capacity < capacity / CAPACITY_RATIO_ || weight <= best_weight)
 			continue;
 		best = info->node_id;
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -308,16 +308,25 @@
 
 static void look_(Codec_ *c, BH__Message *m)
 {
+	bool has_configuration = m->as.look.configuration != NULL;
+
 	u64_(c, &m->as.look.asked_us);
+	u64_(c, &m->as.look.held_us);
 	u64_(c, &m->as.look.configuration_version);
 	u64_(c, &m->as.look.configuration_age_us);
+	flag_(c, &has_configuration);
+	if (has_configuration)
+		text_(c, &m->as.look.configuration);
 	u64_(c, &m->as.look.registry_boot);
 	u64_(c, &m->as.look.registry_version);
 	u64_(c, &m->as.look.registry_age_us);
-	flag_(c, &m->as.look.has_entries);
+	flag_(c, &m->as.look.whole);
 	m->as.look.entry = list_(c, &m->as.look.count, m->as.look.entry, sizeof *m->as.look.entry);
 	for (uint32_t i = 0; i < m->as.look.count && !c->failed; i++)
 		endpoint_(c, &m->as.look.entry[i]);
+	m->as.look.gone = list_(c, &m->as.look.gone_count, m->as.look.gone, sizeof *m->as.look.gone);
+	for (uint32_t i = 0; i < m->as.look.gone_count && !c->failed; i++)
+		u64_(c, &m->as.look.gone[i]);
 }
 
 static void body_(Codec_ *c, BH__Message *m)
@@ -484,7 +493,9 @@
 		break;
 	case BH__MESSAGE_LOOK_ASK:
 	case BH__MESSAGE_LOOK:
+		g_free(m->as.look.configuration);
 		g_free(m->as.look.entry);
+		g_free(m->as.look.gone);
 		break;
 	default:
 		break;
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -12,15 +12,24 @@
 #define FAILURE_WEIGHT_ 0.2 /* of the latest use in the share of failures */
 #define FAILURE_COST_ 10.0  /* a share of failures of 1 counts as so many requests under way */
 #define HALL_COST_ 0.4      /* another data hall counts as so many */
+#define GONE_KEPT_ 256      /* endpoints that are gone, and told of to nodes that know an older version */
 #define REPORT_FRESH_US_ (1 * BH__SECOND_US)
 
 const char *const BH__UseString[] = {"served", "refused", "failed", "abandoned"};
 
+/* An endpoint that has left the table. */
+typedef struct {
+	uint64_t version; /* of the registry, with which it left */
+	uint64_t endpoint_id;
+} Gone_;
+
 struct BH__Registry {
 	GPtrArray *table; /* BH__RegisteredEndpoint */
 	GHashTable *by_id;
 	GRand *rand;
-	uint64_t version; /* grows with each change of what may be used */
+	uint64_t version;           /* grows with each change of what may be used */
+	GArray *gone;               /* Gone_, the oldest first */
+	uint64_t forgotten_version; /* up to which endpoints that are gone are not in that list any more */
 };
 
 static bool is_tried_(const uint64_t *tried, unsigned count, uint64_t endpoint_id);
@@ -34,6 +43,7 @@
 	r->table = g_ptr_array_new_with_free_func(g_free);
 	r->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	r->rand = g_rand_new_with_seed(seed);
+	r->gone = g_array_new(FALSE, FALSE, sizeof(Gone_));
 	return r;
 }
 
@@ -42,6 +52,7 @@
 	g_hash_table_unref(r->by_id);
 	g_ptr_array_unref(r->table);
 	g_rand_free(r->rand);
+	g_array_unref(r->gone);
 	g_free(r);
 }
 
@@ -66,7 +77,7 @@
 		e->listed = true;
 		g_ptr_array_add(r->table, e);
 		g_hash_table_insert(r->by_id, &e->endpoint_id, e);
-		r->version++;
+		e->changed_version = ++r->version;
 		return true;
 	}
 	draining = e->entry.draining || entry->draining;
@@ -76,14 +87,14 @@
 	e->entry = *entry;
 	e->entry.draining = draining;
 	e->gone_at_us = 0;
-	r->version++;
+	e->changed_version = ++r->version;
 	return true;
 }
 
 /* An endpoint's entry is gone: it is taken as gone from `gone_at_us` on, unless it comes back before. */
-void bh__registry_remove(BH__Registry *r, const char *id, uint64_t gone_at_us)
+void bh__registry_remove(BH__Registry *r, uint64_t endpoint_id, uint64_t gone_at_us)
 {
-	BH__RegisteredEndpoint *e = bh__registry_find(r, bh__hash_name(id));
+	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
 
 	if (e && (!e->gone_at_us || gone_at_us < e->gone_at_us))
 		e->gone_at_us = gone_at_us;
@@ -102,7 +113,7 @@
 	for (guint i = 0; i < r->table->len; i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
 		if (!e->listed)
-			bh__registry_remove(r, e->entry.id, gone_at_us);
+			bh__registry_remove(r, e->endpoint_id, gone_at_us);
 	}
 }
 
@@ -118,9 +129,35 @@
 
 static void drop_(BH__Registry *r, BH__RegisteredEndpoint *e)
 {
+	Gone_ gone = {.version = ++r->version, .endpoint_id = e->endpoint_id};
+
+	g_array_append_val(r->gone, gone);
+	if (r->gone->len > GONE_KEPT_) {
+		r->forgotten_version = g_array_index(r->gone, Gone_, 0).version;
+		g_array_remove_index(r->gone, 0);
+	}
 	g_hash_table_remove(r->by_id, &e->endpoint_id);
 	g_ptr_array_remove(r->table, e);
-	r->version++;
+}
+
+/* Adds to `changed` the entries (BH__EndpointEntry) that came or changed after a version, and to `gone` the
+ * ids (uint64_t) of endpoints that went. Returns false if that is not known any more: the whole table is to
+ * be told. */
+bool bh__registry_list_changes(const BH__Registry *r, uint64_t since_version, GArray *changed, GArray *gone)
+{
+	if (since_version < r->forgotten_version || since_version > r->version)
+		return false;
+	for (guint i = 0; i < r->table->len; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (e->changed_version > since_version)
+			g_array_append_val(changed, e->entry);
+	}
+	for (guint i = 0; i < r->gone->len; i++) {
+		const Gone_ *g = &g_array_index(r->gone, Gone_, i);
+		if (g->version > since_version)
+			g_array_append_val(gone, g->endpoint_id);
+	}
+	return true;
 }
 
 BH__RegisteredEndpoint *bh__registry_find(const BH__Registry *r, uint64_t endpoint_id)
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <stdio.h>
 #include <string.h>
 #include "bayhoist/event_stream.h"
 #include "bayhoist/exchange.h"
@@ -158,7 +159,7 @@
 	assert_true(bh__registry_put(r, &b));
 	bh__registry_process_tick(r, 2000);
 	assert_int_equal(bh__registry_get_count(r), 2);
-	bh__registry_remove(r, "i-2", 3000);
+	bh__registry_remove(r, bh__hash_name("i-2"), 3000);
 	bh__registry_process_tick(r, 3000);
 	assert_int_equal(bh__registry_get_count(r), 1);
 	bh__registry_delete(r);
@@ -259,6 +260,47 @@
 					 900 * BH__MS_US); /* plain services have no passes */
 }
 
+/* A node that knows a version of the table is told what has come, changed and left since; one that knows a
+ * version too old for that is told all. */
+static void changes_are_told_since_a_version_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+	BH__EndpointEntry e = {.id = "i-1", .service = "s", .address = "1.1.1.1:1"};
+	GArray *changed = g_array_new(FALSE, FALSE, sizeof e);
+	GArray *gone = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	uint64_t first;
+
+	(void)state;
+	bh__registry_put(r, &e);
+	first = bh__registry_get_version(r);
+	g_strlcpy(e.id, "i-2", sizeof e.id);
+	bh__registry_put(r, &e);
+	e.draining = true;
+	bh__registry_put(r, &e);
+	bh__registry_remove(r, bh__hash_name("i-1"), 5);
+	bh__registry_process_tick(r, 5);
+	assert_true(bh__registry_list_changes(r, first, changed, gone));
+	assert_int_equal(changed->len, 1);
+	assert_true(g_array_index(changed, BH__EndpointEntry, 0).draining);
+	assert_int_equal(gone->len, 1);
+	assert_true(g_array_index(gone, uint64_t, 0) == bh__hash_name("i-1"));
+	g_array_set_size(changed, 0);
+	g_array_set_size(gone, 0);
+	assert_true(bh__registry_list_changes(r, bh__registry_get_version(r), changed, gone));
+	assert_int_equal(changed->len + gone->len, 0);
+	assert_false(bh__registry_list_changes(r, bh__registry_get_version(r) + 1, changed, gone));
+	for (unsigned i = 0; i < 300; i++) {
+		snprintf(e.id, sizeof e.id, "i-%u", 10 + i);
+		bh__registry_put(r, &e);
+		bh__registry_remove(r, bh__hash_name(e.id), 6);
+		bh__registry_process_tick(r, 6);
+	}
+	assert_false(bh__registry_list_changes(r, first, changed, gone));
+	g_array_unref(changed);
+	g_array_unref(gone);
+	bh__registry_delete(r);
+}
+
 /* A node looks less often at a store that does not answer, and at its usual pace again at once where the
  * store is known to be back, by an answer to itself or to others. (It waited out what the outage had left,
  * and missed a change by it.) */
@@ -385,6 +427,7 @@
 		cmocka_unit_test(sends_again_only_what_may_),
 		cmocka_unit_test(may_have_run_is_not_forgotten_),
 		cmocka_unit_test(a_long_pass_is_no_silence_),
+		cmocka_unit_test(changes_are_told_since_a_version_),
 		cmocka_unit_test(looks_are_rarer_only_while_the_store_is_away_),
 		cmocka_unit_test(no_place_ends_a_request_),
 		cmocka_unit_test(the_repeat_budget_holds_),
--- a/src/test_libbayhoist/test_inputs.c
+++ b/src/test_libbayhoist/test_inputs.c
@@ -112,6 +112,7 @@
 	static BH__ConfigChunk chunks[1] = {{.chunk = 3, .text = (char *)"[]"}};
 	static BH__EndpointEntry endpoints[2] = {
 		{.id = "i-1", .service = "s", .address = "1.1.1.1:1", .slots = 3}};
+	static uint64_t gone[2] = {11, 12};
 	static BH__QuotaEntry quota[2] = {{.account_id = 4, .rate = 2.5, .held = 1}};
 	BH__Message *m = g_new0(BH__Message, 1);
 
@@ -155,9 +156,12 @@
 		m->as.quota.entry = quota;
 		break;
 	case BH__MESSAGE_LOOK:
-		m->as.look.has_entries = true;
+		m->as.look.configuration = (char *)"{}";
+		m->as.look.whole = true;
 		m->as.look.count = 2;
 		m->as.look.entry = endpoints;
+		m->as.look.gone_count = 2;
+		m->as.look.gone = gone;
 		break;
 	default:
 		break;
--- a/src/test_libbayhoist/test_members.c
+++ b/src/test_libbayhoist/test_members.c
@@ -311,7 +311,7 @@
 		uint64_t picked = bh__members_pick(g.node[0].members, key, NULL);
 		large_only &= bh__members_find(g.node[0].members, picked)->capacity >= 300;
 		all_alike &= bh__members_find(g.node[0].members, picked)->capacity == 500;
-		assert_int_not_equal(bh__members_pick_other(g.node[0].members, key, picked), picked);
+		assert_int_not_equal(bh__members_pick_except(g.node[0].members, key, NULL, &picked, 1), picked);
 	}
 	assert_true(large_only);
 	assert_false(all_alike);
--- /dev/null
+++ b/test/check-looks.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# What gateways learn of the platform from each other: three of them, each with a link of its own to the store.
+set -u
+. test/cluster.sh
+begin_run
+. test/gate.sh
+start_site_behind_proxy
+is() { # WHAT HAVE WANTED
+	if [ "$2" = "$3" ]; then echo "ok: $1"; else echo "FAILED: $1: have \"$2\", wanted \"$3\""; FAILED=1; fi
+}
+FAILED=0
+for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; done
+for n in 1 2 3; do start_gate $n; done
+config 1 key1 >"$RUN/config"
+tell config -d "@$RUN/config"
+for n in 1 2 3; do wait_for 10 ready $n 200 || is "gateway $n gets ready" no yes; done
+sleep 1.5 # they know each other
+
+before=$(tell calls)
+sleep 3
+is "at rest they look as often as one alone would" "$(($(tell calls) - before <= 15))" 1
+for version in 2 3 4 5; do
+	config $version key$version >"$RUN/config"
+	tell config -d "@$RUN/config"
+	sleep 0.3
+done
+CALLER_KEY=key5
+is "a change is in force on all" "$(ask 1 /ask/x c1)$(ask 2 /ask/x c2)$(ask 3 /ask/x c3)" 200200200
+is "and one of them has read it" "$(($(tell calls) - before <= 30))" 1
+
+for n in 1 2 3; do
+	set_link store$n reset
+	sleep 1.5
+	config 1$n key1$n >"$RUN/config"
+	tell config -d "@$RUN/config"
+	sleep 1
+	CALLER_KEY=key1$n
+	is "gateway $n, turned away by the store, has the change from the others" "$(ask $n /ask/x r$n)" 200
+	sleep 3
+	is "and goes on for longer than keys may be believed without news" "$(ask $n /ask/x s$n)" 200
+	set_link store$n pass
+	sleep 1
+done
+tell 'drain?id=i-e1'
+sleep 1.2
+before=$(tell 'arrivals?id=i-e1')
+for i in 1 2 3 4 5 6; do ask $((i % 3 + 1)) /ask/x d$i >/dev/null; done
+is "all hear of an endpoint that leaves" "$(tell 'arrivals?id=i-e1')" "$before"
+
+tell down
+sleep 2
+before=$(tell calls)
+sleep 4
+is "in an outage they look seldom" "$(($(tell calls) - before <= 40))" 1
+tell up
+sleep 0.8
+is "and serve soon after it" "$(ask 1 /ask/x u1)$(ask 2 /ask/x u2)$(ask 3 /ask/x u3)" 200200200
+exit $FAILED
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -66,6 +66,7 @@
 static uint64_t Revision_;
 static bool Down_;
 static unsigned WaitingWatches_; /* calls */
+static unsigned StoreCalls_;     /* of all kinds, refused ones too */
 static Replica Replicas_[REPLICAS_MAX];
 static unsigned ReplicaCount_;
 static GHashTable *Runs_; /* counts by request id */
@@ -208,6 +209,7 @@
 	const char *path = web_get_path(req);
 
 	(void)arg;
+	StoreCalls_ += !g_str_has_prefix(path, "/test/");
 	if (g_str_has_prefix(path, "/test/")) {
 		on_test_(req, path + 6);
 	}
@@ -374,6 +376,9 @@
 	else if (!strcmp(what, "watches")) {
 		evbuffer_add_printf(out, "%u\n", WaitingWatches_);
 	}
+	else if (!strcmp(what, "calls")) {
+		evbuffer_add_printf(out, "%u\n", StoreCalls_);
+	}
 	else if (!strcmp(what, "headers")) {
 		evbuffer_add_printf(out, "%s", LastHeaders_ ? LastHeaders_ : "");
 	}
