Nodes that start compare tables of members instead of sending them

Change: a greeting carries a hash of the table; only where it differs is the table sent, and the asker tells back what that lacked. Members that change by the dozen are logged as one line of counts a tick. Measured: records of members sent a node in a start of 80 nodes, 2,245 before, 197 after (test_members, which failed before). Tests: members 8, inputs 8, scenarios 35, pairs 17, peers 4, duties 5, check-gate and check-looks passed.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -41,7 +41,12 @@
 
 extern const char *const BH__MessageTypeString[];
 
-typedef enum { BH__MEMBER_ALIVE, BH__MEMBER_SUSPECT, BH__MEMBER_DEAD } BH__MemberState;
+typedef enum {
+	BH__MEMBER_ALIVE,
+	BH__MEMBER_SUSPECT,
+	BH__MEMBER_DEAD,
+	BH__MEMBER_STATE_COUNT
+} BH__MemberState;
 
 extern const char *const BH__MemberStateString[];
 
@@ -158,8 +163,10 @@
 		} ping_req;
 		struct {
 			BH__MemberInfo self;
+			uint64_t table_hash; /* of what the sender knows of live members */
 		} join;
 		struct {
+			bool answers_join; /* the whole table; whoever knows more tells that */
 			uint32_t count;
 			BH__MemberInfo *member;
 		} members;
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -9,7 +9,10 @@
 #include "log.h"
 
 #define MEMBERS_TICK_MS 100
-#define WAITING_TICK_MS 10  /* while asks wait in a planner */
+#define WAITING_TICK_MS 10 /* while asks wait in a planner */
+/* Changes of single nodes that are logged between two ticks. Where all of 295 nodes start at once each would
+ * write a line for each other: 87,000 lines. */
+#define MEMBER_LINES_MAX 4
 #define CAPACITY_PER_MBPS 5 /* thousandths of a core that a Mbit/s goes with */
 
 static uint32_t capacity_(const GateSettings *s);
@@ -20,6 +23,7 @@
 static void on_tick_(evutil_socket_t fd, short what, void *arg);
 static void on_waiting_tick_(evutil_socket_t fd, short what, void *arg);
 static void set_ready_(Cluster *c, bool ready);
+static void log_members_(Cluster *c);
 static void dispatch_(Cluster *c, const BH__Message *m);
 
 /* Returns what this node's VM has for duties: thousandths of a core, or what its network bears of them if
@@ -138,9 +142,10 @@
 	GHashTableIter it;
 	gpointer value;
 
-	log_event("member", "node=%s state=%s was=%s leaving=%s node_boot=%" G_GINT64_MODIFIER "x", info->name,
-			  BH__MemberStateString[info->state], BH__MemberStateString[old], info->leaving ? "yes" : "no",
-			  info->boot_id);
+	if (++c->member_changes <= MEMBER_LINES_MAX)
+		log_event("member", "node=%s state=%s was=%s leaving=%s node_boot=%" G_GINT64_MODIFIER "x",
+				  info->name, BH__MemberStateString[info->state], BH__MemberStateString[old],
+				  info->leaving ? "yes" : "no", info->boot_id);
 	if (info->state != BH__MEMBER_DEAD || old == BH__MEMBER_DEAD)
 		return;
 	g_hash_table_iter_init(&it, c->services);
@@ -182,6 +187,7 @@
 	(void)what;
 	set_ready_(c, gate_is_ready(c->gate, now_us));
 	bh__members_process_tick(c->members, now_us);
+	log_members_(c);
 	looks_process_tick(c->gate->looks, now_us);
 	schedulers_follow(c, now_us);
 	g_hash_table_iter_init(&it, c->services);
@@ -195,6 +201,20 @@
 	log_flush();
 }
 
+/* Logs what many changes of members have come to. */
+static void log_members_(Cluster *c)
+{
+	unsigned count[BH__MEMBER_STATE_COUNT] = {0};
+
+	if (c->member_changes > MEMBER_LINES_MAX) {
+		for (unsigned i = 0; i < bh__members_get_count(c->members); i++)
+			count[bh__members_get(c->members, i)->state]++;
+		log_event("members", "changes=%u alive=%u suspect=%u dead=%u", c->member_changes,
+				  count[BH__MEMBER_ALIVE], count[BH__MEMBER_SUSPECT], count[BH__MEMBER_DEAD]);
+	}
+	c->member_changes = 0;
+}
+
 /* Sets whether callers are to be sent here. */
 static void set_ready_(Cluster *c, bool ready)
 {
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -34,6 +34,7 @@
 	GQueue early;         /* EarlyAsk of early_asks.c */
 	bool draining;
 	uint64_t members_seen;
+	unsigned member_changes; /* since the last tick */
 	uint64_t next_id;
 	struct event *tick;
 	struct event *waiting_tick;
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -18,8 +18,8 @@
  * within 300 ms of each other. */
 #define PRESUMED_PATIENCE_US_ (300 * BH__MS_US)
 #define SYNC_PERIOD_US_ (30 * BH__SECOND_US)
-/* A node that has just started exchanges whole tables often: where all start at once, news that rides on
- * probes takes a minute to reach everyone (80 nodes, 8 records a message). */
+/* A node that has just started compares tables often: where all start at once, news that rides on probes
+ * takes a minute to reach everyone (80 nodes, 8 records a message). */
 #define YOUNG_US_ (4 * BH__SECOND_US)
 #define YOUNG_SYNC_PERIOD_US_ (250 * BH__MS_US)
 #define HELPERS_ 3
@@ -67,6 +67,8 @@
 static Entry_ *newest_news_(const BH__Members *m, const BH__Message *msg);
 static unsigned spread_(const BH__Members *m);
 static void sync_(BH__Members *m, uint64_t now_us);
+static uint64_t hash_table_(const BH__Members *m);
+static uint64_t hash_entry_(const BH__MemberInfo *info);
 static void join_seeds_(BH__Members *m, uint64_t now_us);
 static void join_(BH__Members *m, const char *address);
 static bool covers_(const BH__Members *m, const char *address);
@@ -89,6 +91,7 @@
 static void on_ack_(BH__Members *m, const BH__Message *msg);
 static void on_ping_req_(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 static void send_members_(BH__Members *m, const char *address);
+static void send_missing_(BH__Members *m, const BH__Message *table);
 static bool is_candidate_(const BH__MemberInfo *info, const char *hall);
 static bool is_among_(uint64_t node_id, const uint64_t *list, unsigned count);
 
@@ -142,8 +145,9 @@
 	sync_(m, now_us);
 }
 
-/* Sends the whole table to any live node now and then. A young node does so often, and asks for the other's
- * table as well. */
+/* Compares tables with any live node now and then, a young node often: where they differ each tells the other
+ * what it lacks. Sending whole tables instead took half of all bytes between halls, 0.31 GB a day for 295
+ * nodes with two starts. */
 static void sync_(BH__Members *m, uint64_t now_us)
 {
 	bool is_young = now_us < m->started_us + YOUNG_US_;
@@ -152,9 +156,27 @@
 	if (now_us < m->next_sync_us || !bh__members_sample(m, &other, 1))
 		return;
 	m->next_sync_us = now_us + (is_young ? YOUNG_SYNC_PERIOD_US_ : SYNC_PERIOD_US_);
-	send_members_(m, other->peer_address);
-	if (is_young)
-		join_(m, other->peer_address);
+	join_(m, other->peer_address);
+}
+
+/* Returns a hash of what is known of live members, this node included; the order does not matter. */
+static uint64_t hash_table_(const BH__Members *m)
+{
+	uint64_t hash = hash_entry_(&m->self.info);
+
+	for (guint i = 0; i < m->entries->len; i++) {
+		const Entry_ *e = g_ptr_array_index(m->entries, i);
+		if (e->info.state != BH__MEMBER_DEAD && !is_presumed_(e))
+			hash ^= hash_entry_(&e->info);
+	}
+	return hash;
+}
+
+static uint64_t hash_entry_(const BH__MemberInfo *info)
+{
+	uint64_t said = ((uint64_t)info->refutation << 2 | info->state) << 1 | info->leaving;
+
+	return bh__hash_pair(bh__hash_pair(info->node_id, info->boot_id), said);
 }
 
 /* Asks seeds that no member covers, so that two halves of a cut find each other again: all of them at the
@@ -186,12 +208,13 @@
 	return false;
 }
 
-/* Tells a node of this one, and asks it for its table. */
+/* Tells a node of this one, and asks it for its table if that differs. */
 static void join_(BH__Members *m, const char *address)
 {
 	BH__Message msg = {.type = BH__MESSAGE_JOIN};
 
 	msg.as.join.self = m->self.info;
+	msg.as.join.table_hash = hash_table_(m);
 	send_(m, address, &msg);
 }
 
@@ -528,9 +551,12 @@
 		return true;
 	case BH__MESSAGE_JOIN:
 		learn_(m, &msg->as.join.self, now_us);
-		send_members_(m, msg->as.join.self.peer_address);
+		if (msg->as.join.table_hash != hash_table_(m))
+			send_members_(m, msg->as.join.self.peer_address);
 		return true;
 	case BH__MESSAGE_MEMBERS:
+		if (msg->as.members.answers_join)
+			send_missing_(m, msg);
 		for (uint32_t i = 0; i < msg->as.members.count; i++)
 			learn_(m, &msg->as.members.member[i], now_us);
 		return true;
@@ -589,11 +615,12 @@
 	send_(m, target->info.peer_address, &ping);
 }
 
-/* Sends the whole table: to a node that joins, and now and then to any. */
+/* Sends the whole table to a node that asks for it. */
 static void send_members_(BH__Members *m, const char *address)
 {
 	BH__Message msg = {.type = BH__MESSAGE_MEMBERS};
 
+	msg.as.members.answers_join = true;
 	msg.as.members.member = g_new(BH__MemberInfo, m->entries->len + 1);
 	msg.as.members.member[msg.as.members.count++] = m->self.info;
 	for (guint i = 0; i < m->entries->len; i++) {
@@ -605,6 +632,30 @@
 	g_free(msg.as.members.member);
 }
 
+/* Sends what this node knows and a table that it was sent lacks. */
+static void send_missing_(BH__Members *m, const BH__Message *table)
+{
+	BH__Message msg = {.type = BH__MESSAGE_MEMBERS};
+	GHashTable *told = g_hash_table_new(g_int64_hash, g_int64_equal);
+	const Entry_ *sender = g_hash_table_lookup(m->by_id, &table->from_node);
+
+	for (uint32_t i = 0; i < table->as.members.count; i++)
+		g_hash_table_insert(told, &table->as.members.member[i].node_id, &table->as.members.member[i]);
+	msg.as.members.member = g_new(BH__MemberInfo, m->entries->len + 1);
+	for (guint i = 0; i < m->entries->len; i++) {
+		const Entry_ *e = g_ptr_array_index(m->entries, i);
+		const BH__MemberInfo *known = g_hash_table_lookup(told, &e->info.node_id);
+		if (is_presumed_(e) || e == sender || (known && !supersedes_(&e->info, known)))
+			continue;
+		if (known || e->info.state != BH__MEMBER_DEAD)
+			msg.as.members.member[msg.as.members.count++] = e->info;
+	}
+	if (sender && msg.as.members.count)
+		send_(m, sender->info.peer_address, &msg);
+	g_free(msg.as.members.member);
+	g_hash_table_unref(told);
+}
+
 /* A connection to the node was refused or broke: suspect it now rather than after a probe. */
 void bh__members_process_unreachable(BH__Members *m, uint64_t node_id, uint64_t now_us)
 {
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -344,8 +344,10 @@
 		break;
 	case BH__MESSAGE_JOIN:
 		member_(c, &m->as.join.self);
+		u64_(c, &m->as.join.table_hash);
 		break;
 	case BH__MESSAGE_MEMBERS:
+		flag_(c, &m->as.members.answers_join);
 		m->as.members.member = list_(c, &m->as.members.count, m->as.members.member, sizeof(BH__MemberInfo));
 		for (uint32_t i = 0; i < m->as.members.count && !c->failed; i++)
 			member_(c, &m->as.members.member[i]);
--- a/src/test_libbayhoist/test_members.c
+++ b/src/test_libbayhoist/test_members.c
@@ -39,8 +39,9 @@
 	GHashTable *by_address; /* index + 1 of a node */
 	GQueue out;             /* Letter: sent in this step */
 	uint64_t now_us;
-	unsigned deaths; /* nodes taken for dead, over all nodes */
-	int lost;        /* node without power; -1: none */
+	unsigned deaths;  /* nodes taken for dead, over all nodes */
+	unsigned records; /* of members, sent in tables */
+	int lost;         /* node without power; -1: none */
 };
 
 static void send_(BH__MembersPort *port, const char *address, BH__Message *m);
@@ -90,9 +91,11 @@
 
 	l->to = GPOINTER_TO_UINT(g_hash_table_lookup(g->by_address, address)) - 1;
 	l->message = *m;
-	if (m->type == BH__MESSAGE_MEMBERS)
+	if (m->type == BH__MESSAGE_MEMBERS) {
+		g->records += m->as.members.count;
 		l->message.as.members.member =
 			g_memdup2(m->as.members.member, m->as.members.count * sizeof(BH__MemberInfo));
+	}
 	g_queue_push_tail(&g->out, l);
 }
 
@@ -157,6 +160,19 @@
 	group_finish_(&g);
 }
 
+/* A start costs few tables: nodes that know the same send none. (Whole tables four times a second, both ways,
+ * were 2,245 records a node here, and half of all bytes between halls with 295 nodes.) */
+static void a_start_costs_few_tables_(void **state)
+{
+	Group g;
+
+	(void)state;
+	group_init_(&g);
+	run_(&g, 5000);
+	assert_true(g.records / NODES <= 6 * NODES);
+	group_finish_(&g);
+}
+
 /* Returns which node of a settled group has the duty. */
 static unsigned find_duty_(void)
 {
@@ -327,6 +343,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(all_start_at_once_),
+		cmocka_unit_test(a_start_costs_few_tables_),
 		cmocka_unit_test(nodes_that_start_agree_by_the_record_),
 		cmocka_unit_test(a_recorded_node_that_is_gone_is_left_),
 		cmocka_unit_test(false_suspicions_are_refuted_),
