--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -14,10 +14,9 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",       "ack",         "ping-req",  "join",        "members", "ask",      "grant",
-	"refuse",     "release",     "progress",  "withdraw",    "hold",    "orphan",   "config-news",
-	"config-ask", "config-data", "quota-ask", "quota-grant", "queued",  "look-ask", "look",
-	"pass"};
+	"ping",      "ack",         "ping-req", "join",     "members", "ask",         "grant",      "refuse",
+	"release",   "progress",    "withdraw", "hold",     "orphan",  "config-news", "config-ask", "config-data",
+	"quota-ask", "quota-grant", "queued",   "look-ask", "look",    "pass"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
