--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -14,21 +14,25 @@
 #include "clock.h"
 #include "log.h"
 
-/* Shares of the times in which a configuration is to be in force, and a leaving endpoint to be left: between
- * the reader's looks, and an age at which a node that no peer answers looks for itself. */
-#define LOOK_SHARE 0.25
+/* Between the reader's looks, as shares of the times in which a leaving endpoint is to be left and a
+ * configuration to be in force: a look that fails can be made again, and what it shows still be told in time.
+ */
+#define ENDPOINTS_LOOK_SHARE 0.25
 #define CONFIGURATION_LOOK_SHARE 0.35 /* a watch tells of most changes at once */
+/* Ages, as shares of the same times, at which a node does not rely on its source any more. */
 #define ENDPOINTS_OLD_SHARE 0.65
 #define CONFIGURATION_OLD_SHARE 1.0
 /* Between looks of a node that has started and has no answer yet: it serves nobody. */
 #define UNINFORMED_US (150 * BH__MS_US)
 /* Before a reader watches: nodes that start all think they read, until they know each other. */
 #define WATCH_AFTER_US BH__SECOND_US
-#define ANSWER_US                                                                                            \
-	(300 * BH__MS_US) /* for a source's answer, beside the time that it may keep the question                \
-					   */
-#define HOLD_EXTRA_US (200 * BH__MS_US) /* beyond the reader's period, for the look itself and its way */
-#define AWAY_HOLD_US (500 * BH__MS_US)  /* the same while no source knows anything fresh */
+/* For a source's answer, beside the time for which it may keep the question. */
+#define ANSWER_US (300 * BH__MS_US)
+/* For which a source may keep a question beyond the reader's period: for the look and its way here. */
+#define HOLD_EXTRA_US (200 * BH__MS_US)
+/* For which one may while no source knows anything fresh. */
+#define AWAY_HOLD_US (500 * BH__MS_US)
+#define HOLD_MAX_US (10 * BH__SECOND_US) /* whatever the asker says */
 /* What a source has seen is news if it is so much younger than what the asker knows: messages take some of
  * that themselves. */
 #define YOUNGER_US (50 * BH__MS_US)
@@ -191,8 +195,9 @@
 	bool is_away = l->endpoints.sent_us && g->registry_looked_us < l->endpoints.sent_us;
 	uint64_t configuration_us =
 		knows ? share_us_(g->settings.configuration_ms, CONFIGURATION_LOOK_SHARE) : UNINFORMED_US;
-	uint64_t endpoints_us =
-		g->registry_looked_us ? share_us_(g->settings.endpoint_drain_ms, LOOK_SHARE) : UNINFORMED_US;
+	uint64_t endpoints_us = g->registry_looked_us
+								? share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_LOOK_SHARE)
+								: UNINFORMED_US;
 
 	if (!is_away && bh__look_process(&l->configuration, configuration_us, g->routing_looked_us, true, now_us))
 		g->port->look_at_configuration(g);
@@ -228,7 +233,7 @@
 static void look_at_endpoints_alone_(Looks *l, uint64_t now_us)
 {
 	Gate *g = l->gate;
-	uint64_t period_us = share_us_(g->settings.endpoint_drain_ms, LOOK_SHARE);
+	uint64_t period_us = share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_LOOK_SHARE);
 	bool is_away = bh__source_is_platform_away(&l->source);
 
 	if (bh__source_is_cut_off(&l->source) || (is_away && is_reached_(l))) {
@@ -268,7 +273,7 @@
 	if (bh__source_is_platform_away(&l->source) || !gate_knows_endpoints(g))
 		hold_us = AWAY_HOLD_US;
 	else if (!l->source.silent && !l->source.stale)
-		hold_us = share_us_(g->settings.endpoint_drain_ms, LOOK_SHARE) + HOLD_EXTRA_US;
+		hold_us = share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_LOOK_SHARE) + HOLD_EXTRA_US;
 	l->asked_us = now_us;
 	l->answer_until_us = now_us + hold_us + ANSWER_US;
 	m.as.look.asked_us = now_us;
@@ -286,7 +291,7 @@
 	HeldQuestion q = {.node = ask->from_node,
 					  .asked_us = ask->as.look.asked_us,
 					  .arrived_us = now_us,
-					  .until_us = now_us + MIN(ask->as.look.held_us, BH__SECOND_US * 10),
+					  .until_us = now_us + MIN(ask->as.look.held_us, HOLD_MAX_US),
 					  .configuration_version = ask->as.look.configuration_version,
 					  .registry_boot = ask->as.look.registry_boot,
 					  .registry_version = ask->as.look.registry_version,
--- a/test/check-gate.sh
+++ b/test/check-gate.sh
@@ -5,9 +5,6 @@
 begin_run
 . test/gate.sh
 start_site
-is() { # WHAT HAVE WANTED
-	if [ "$2" = "$3" ]; then echo "ok: $1"; else echo "FAILED: $1: have \"$2\", wanted \"$3\""; FAILED=1; fi
-}
 ids() { grep -c '^id:' "$RUN/body"; }
 FAILED=0
 for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; done
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -1,5 +1,8 @@
 # Shell functions for three gateways before a stand-in of the users' platform; sourced after cluster.sh.
 # Needs B, the build folder, and a run begun by begin_run.
+is() { # WHAT HAVE WANTED: a check; sets FAILED
+	if [ "$2" = "$3" ]; then echo "ok: $1"; else echo "FAILED: $1: have \"$2\", wanted \"$3\""; FAILED=1; fi
+}
 address() { echo "127.0.0.1:$((BASE + $1))"; }
 CALLER_KEY=key1
 STORE=$(address 0)
