A reader that the store turns away says so at once

They relied on the reader until what it knew was 1.3 s old. Ruled out: the configuration's own way, which took 10 ms a node in the log once a reader had it. Change: a look that fails is told to the gateway; the reader then answers kept questions with that, and asks others itself.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -224,6 +224,7 @@
 			uint64_t registry_boot; /* life and version of the registry that is known, or told */
 			uint64_t registry_version;
 			uint64_t registry_age_us;
+			bool lost;  /* the platform did not answer the node that is asked, which reads it for others */
 			bool whole; /* the entries below are all that there are, not only those that changed */
 			uint32_t count;
 			BH__EndpointEntry *entry;
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -59,6 +59,7 @@
 	uint64_t no_routing_us;     /* when the look was begun that last showed that there is none yet */
 	BH__Registry *registry;
 	uint64_t registry_looked_us; /* when the look was begun that it shows */
+	uint64_t platform_lost_us;   /* when a look at endpoints last failed */
 	bool duties_read;            /* the record of duties was read, or could not be */
 	bool told_informed;          /* calls that waited for all of these have begun */
 	uint64_t registry_seen;      /* version that the planners follow */
@@ -84,6 +85,7 @@
 void gate_note_no_configuration(Gate *g, uint64_t looked_us);
 void gate_note_look(Gate *g, uint64_t looked_us);
 void gate_note_registry(Gate *g, uint64_t looked_us);
+void gate_note_platform_lost(Gate *g);
 void gate_presume_node(Gate *g, const char *duty, const BH__MemberInfo *info);
 void gate_note_duties(Gate *g);
 BH__RepeatBudget *gate_get_budget(Gate *g, const char *service);
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -68,6 +68,8 @@
 static uint64_t share_us_(uint64_t ms, double share);
 static const BH__Members *members_(const Looks *l);
 static bool is_fresh_(const Looks *l, uint64_t now_us);
+static bool is_lost_(const Looks *l);
+static uint64_t endpoints_old_us_(const Looks *l);
 static void follow_source_(Looks *l, uint64_t now_us);
 static void note_useless_(Looks *l, bool stale, uint64_t now_us);
 static void look_(Looks *l, uint64_t now_us);
@@ -117,8 +119,20 @@
 {
 	const Gate *g = l->gate;
 
-	return g->registry_looked_us &&
-		   now_us < g->registry_looked_us + share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE);
+	return g->registry_looked_us && !is_lost_(l) && now_us < g->registry_looked_us + endpoints_old_us_(l);
+}
+
+/* Returns true if this node reads the platform for others and its last look failed. They hear of it at once:
+ * where the platform turns just the reader away, a change that was made then came to the others 2 s later. */
+static bool is_lost_(const Looks *l)
+{
+	return l->reads_since_us && l->gate->platform_lost_us > l->gate->registry_looked_us;
+}
+
+/* Returns the age from which on what is known of endpoints is not relied on. */
+static uint64_t endpoints_old_us_(const Looks *l)
+{
+	return share_us_(l->gate->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE);
 }
 
 /* Looks or asks if it is time. To be called several times a second. */
@@ -208,10 +222,11 @@
 /* A reader that the platform does not answer asks others too. */
 static void leave_reading_(Looks *l, uint64_t now_us)
 {
-	uint64_t old_us = share_us_(l->gate->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE);
+	bool is_lost = is_lost_(l) && l->gate->platform_lost_us >= l->reads_since_us;
+	bool is_old = !is_fresh_(l, now_us) && now_us >= l->reads_since_us + endpoints_old_us_(l);
 
-	if (!bh__source_asks(&l->source, members_(l)) && !is_fresh_(l, now_us) &&
-		now_us >= l->reads_since_us + old_us && bh__members_get_count(members_(l)) > 1)
+	if (!bh__source_asks(&l->source, members_(l)) && (is_lost || is_old) &&
+		bh__members_get_count(members_(l)) > 1)
 		note_useless_(l, true, now_us);
 }
 
@@ -317,6 +332,9 @@
 	if (now_us >= q->until_us ||
 		(g->routing && bh__routing_get_version(g->routing) > q->configuration_version))
 		return true;
+	if (is_lost_(l) &&
+		now_us < q->known_us + endpoints_old_us_(l)) /* the asker can still find a better one */
+		return true;
 	return is_fresh_(l, now_us) && !is_older && (differs || g->registry_looked_us > q->known_us + YOUNGER_US);
 }
 
@@ -352,6 +370,7 @@
 	m.as.look.registry_boot = g->boot_id;
 	m.as.look.registry_version = bh__registry_get_version(g->registry);
 	m.as.look.registry_age_us = now_us - g->registry_looked_us;
+	m.as.look.lost = is_lost_(l);
 	if (g->registry_looked_us > q->known_us)
 		add_entries_(l, q, changed, gone, &m.as.look.whole);
 	m.as.look.count = changed->len;
@@ -387,7 +406,7 @@
 		return;
 	l->asked_us = 0;
 	take_configuration_(l, m, seen_us - MIN(seen_us, m->as.look.configuration_age_us));
-	if (m->as.look.registry_age_us >= share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE)) {
+	if (m->as.look.lost || m->as.look.registry_age_us >= endpoints_old_us_(l)) {
 		note_useless_(l, true, now_us);
 	}
 	else {
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -224,6 +224,13 @@
 	calls_process_news(g);
 }
 
+/* A look at the endpoints has failed: others hear of it if this node looks for them. */
+void gate_note_platform_lost(Gate *g)
+{
+	g->platform_lost_us = clock_now_us();
+	looks_process_news(g->looks, g->platform_lost_us);
+}
+
 /* Returns the budget of repeated sendings to a service, of which this node has an even part. */
 BH__RepeatBudget *gate_get_budget(Gate *g, const char *service)
 {
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -320,6 +320,7 @@
 	u64_(c, &m->as.look.registry_boot);
 	u64_(c, &m->as.look.registry_version);
 	u64_(c, &m->as.look.registry_age_us);
+	flag_(c, &m->as.look.lost);
 	flag_(c, &m->as.look.whole);
 	m->as.look.entry = list_(c, &m->as.look.count, m->as.look.entry, sizeof *m->as.look.entry);
 	for (uint32_t i = 0; i < m->as.look.count && !c->failed; i++)
--- a/src/test_libbayhoist/test_inputs.c
+++ b/src/test_libbayhoist/test_inputs.c
@@ -157,6 +157,7 @@
 		break;
 	case BH__MESSAGE_LOOK:
 		m->as.look.configuration = (char *)"{}";
+		m->as.look.lost = true;
 		m->as.look.whole = true;
 		m->as.look.count = 2;
 		m->as.look.entry = endpoints;
--- a/test/check-looks.sh
+++ b/test/check-looks.sh
@@ -27,11 +27,14 @@
 
 for n in 1 2 3; do
 	set_link store$n reset
-	sleep 1.5
+	sleep 0.2
 	config 1$n key1$n >"$RUN/config"
 	tell config -d "@$RUN/config"
 	sleep 1
 	CALLER_KEY=key1$n
+	is "a change just after the store turned gateway $n away is in force on the others" \
+		"$(ask $((n % 3 + 1)) /ask/x f$n)$(ask $(((n + 1) % 3 + 1)) /ask/x g$n)" 200200
+	CALLER_KEY=key1$n
 	is "gateway $n, turned away by the store, has the change from the others" "$(ask $n /ask/x r$n)" 200
 	sleep 3
 	is "and goes on for longer than keys may be believed without news" "$(ask $n /ask/x s$n)" 200
