--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -224,7 +224,9 @@
 			uint64_t registry_boot; /* life and version of the registry that is known, or told */
 			uint64_t registry_version;
 			uint64_t registry_age_us;
-			bool lost;  /* the platform did not answer the node that is asked, which reads it for others */
+			/* in a question: the asker knows that the platform is away; in an answer: it did not answer the
+			 * node that is asked, which reads it for others */
+			bool lost;
 			bool whole; /* the entries below are all that there are, not only those that changed */
 			uint32_t count;
 			BH__EndpointEntry *entry;
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -46,6 +46,7 @@
 	uint64_t configuration_version;
 	uint64_t registry_boot;
 	uint64_t registry_version;
+	bool knows_away;   /* the asker has heard from several that the platform is away */
 	uint64_t known_us; /* by this node's clock, of when the asker's knowledge of endpoints is */
 } HeldQuestion;
 
@@ -293,6 +294,7 @@
 	l->answer_until_us = now_us + hold_us + ANSWER_US;
 	m.as.look.asked_us = now_us;
 	m.as.look.held_us = hold_us;
+	m.as.look.lost = bh__source_is_platform_away(&l->source);
 	m.as.look.configuration_version = MAX(version, l->refused_version);
 	m.as.look.registry_boot = l->told_boot;
 	m.as.look.registry_version = l->told_version;
@@ -310,6 +312,7 @@
 					  .configuration_version = ask->as.look.configuration_version,
 					  .registry_boot = ask->as.look.registry_boot,
 					  .registry_version = ask->as.look.registry_version,
+					  .knows_away = ask->as.look.lost,
 					  .known_us = now_us - MIN(now_us, ask->as.look.registry_age_us)};
 
 	for (guint i = l->held->len; i-- > 0;)
@@ -332,8 +335,7 @@
 	if (now_us >= q->until_us ||
 		(g->routing && bh__routing_get_version(g->routing) > q->configuration_version))
 		return true;
-	if (is_lost_(l) &&
-		now_us < q->known_us + endpoints_old_us_(l)) /* the asker can still find a better one */
+	if (is_lost_(l) && !q->knows_away) /* the asker may find a better one */
 		return true;
 	return is_fresh_(l, now_us) && !is_older && (differs || g->registry_looked_us > q->known_us + YOUNGER_US);
 }
