--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -63,7 +63,6 @@
 	uint64_t told_version;
 	uint64_t refused_version; /* of a configuration that was told and is wrong */
 	GArray *held;             /* HeldQuestion */
-	bool answering;
 };
 
 static uint64_t share_us_(uint64_t ms, double share);
@@ -71,6 +70,8 @@
 static bool is_fresh_(const Looks *l, uint64_t now_us);
 static bool is_lost_(const Looks *l);
 static uint64_t endpoints_old_us_(const Looks *l);
+static uint64_t endpoints_period_us_(const Looks *l);
+static uint64_t configuration_period_us_(const Looks *l);
 static void follow_source_(Looks *l, uint64_t now_us);
 static void note_useless_(Looks *l, bool stale, uint64_t now_us);
 static void look_(Looks *l, uint64_t now_us);
@@ -136,6 +137,18 @@
 	return share_us_(l->gate->settings.endpoint_drain_ms, ENDPOINTS_OLD_SHARE);
 }
 
+/* Returns the time between the reader's looks at the endpoints. */
+static uint64_t endpoints_period_us_(const Looks *l)
+{
+	return share_us_(l->gate->settings.endpoint_drain_ms, ENDPOINTS_LOOK_SHARE);
+}
+
+/* The same for the configuration. */
+static uint64_t configuration_period_us_(const Looks *l)
+{
+	return share_us_(l->gate->settings.configuration_ms, CONFIGURATION_LOOK_SHARE);
+}
+
 /* Looks or asks if it is time. To be called several times a second. */
 void looks_process_tick(Looks *l, uint64_t now_us)
 {
@@ -208,11 +221,8 @@
 	Gate *g = l->gate;
 	bool knows = g->routing || g->no_routing_us;
 	bool is_away = l->endpoints.sent_us && g->registry_looked_us < l->endpoints.sent_us;
-	uint64_t configuration_us =
-		knows ? share_us_(g->settings.configuration_ms, CONFIGURATION_LOOK_SHARE) : UNINFORMED_US;
-	uint64_t endpoints_us = g->registry_looked_us
-								? share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_LOOK_SHARE)
-								: UNINFORMED_US;
+	uint64_t configuration_us = knows ? configuration_period_us_(l) : UNINFORMED_US;
+	uint64_t endpoints_us = g->registry_looked_us ? endpoints_period_us_(l) : UNINFORMED_US;
 
 	if (!is_away && bh__look_process(&l->configuration, configuration_us, g->routing_looked_us, true, now_us))
 		g->port->look_at_configuration(g);
@@ -249,7 +259,7 @@
 static void look_at_endpoints_alone_(Looks *l, uint64_t now_us)
 {
 	Gate *g = l->gate;
-	uint64_t period_us = share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_LOOK_SHARE);
+	uint64_t period_us = endpoints_period_us_(l);
 	bool is_away = bh__source_is_platform_away(&l->source);
 
 	if (bh__source_is_cut_off(&l->source) || (is_away && is_reached_(l))) {
@@ -267,7 +277,7 @@
 static void look_at_configuration_alone_(Looks *l, uint64_t now_us)
 {
 	Gate *g = l->gate;
-	uint64_t period_us = share_us_(g->settings.configuration_ms, CONFIGURATION_LOOK_SHARE);
+	uint64_t period_us = configuration_period_us_(l);
 
 	if (bh__look_process(&l->configuration, period_us, g->routing_looked_us, false, now_us))
 		g->port->look_at_configuration(g);
@@ -289,7 +299,7 @@
 	if (bh__source_is_platform_away(&l->source) || !gate_knows_endpoints(g))
 		hold_us = AWAY_HOLD_US;
 	else if (!l->source.silent && !l->source.stale)
-		hold_us = share_us_(g->settings.endpoint_drain_ms, ENDPOINTS_LOOK_SHARE) + HOLD_EXTRA_US;
+		hold_us = endpoints_period_us_(l) + HOLD_EXTRA_US;
 	l->asked_us = now_us;
 	l->answer_until_us = now_us + hold_us + ANSWER_US;
 	m.as.look.asked_us = now_us;
@@ -343,9 +353,6 @@
 /* Something has become known: questions that waited for it are answered. */
 void looks_process_news(Looks *l, uint64_t now_us)
 {
-	if (l->answering)
-		return;
-	l->answering = true;
 	for (guint i = l->held->len; i-- > 0;) {
 		HeldQuestion q = g_array_index(l->held, HeldQuestion, i);
 		if (!has_news_(l, &q, now_us))
@@ -353,7 +360,6 @@
 		g_array_remove_index_fast(l->held, i);
 		answer_(l, &q, now_us);
 	}
-	l->answering = false;
 }
 
 static void answer_(Looks *l, const HeldQuestion *q, uint64_t now_us)
--- /dev/null
+++ b/src/test_libbayhoist/quiet_members.c
@@ -0,0 +1,28 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* A port that drops what members say. */
+#include "quiet_members.h"
+
+static void send_(BH__MembersPort *port, const char *address, BH__Message *m)
+{
+	(void)port;
+	(void)address;
+	(void)m;
+}
+
+static void changed_(BH__MembersPort *port, const BH__MemberInfo *info, BH__MemberState old)
+{
+	(void)port;
+	(void)info;
+	(void)old;
+}
+
+BH__MembersPort QuietMembersPort = {.send = send_, .changed = changed_};
+
+/* Another node greets the table's own. */
+void quiet_members_add(BH__Members *m, const BH__MemberInfo *info, uint64_t now_us)
+{
+	BH__Message join = {.type = BH__MESSAGE_JOIN};
+
+	join.as.join.self = *info;
+	bh__members_process_message(m, &join, now_us);
+}
--- /dev/null
+++ b/src/test_libbayhoist/quiet_members.h
@@ -0,0 +1,12 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Tables of members for tests of what follows from them: messages go nowhere. */
+#ifndef TEST_QUIET_MEMBERS_H
+#define TEST_QUIET_MEMBERS_H
+
+#include "bayhoist/members.h"
+
+extern BH__MembersPort QuietMembersPort;
+
+void quiet_members_add(BH__Members *m, const BH__MemberInfo *info, uint64_t now_us);
+
+#endif
--- a/src/test_libbayhoist/test_duties.c
+++ b/src/test_libbayhoist/test_duties.c
@@ -8,38 +8,21 @@
 #include <stdio.h>
 #include "bayhoist/caller_time.h"
 #include "bayhoist/takeover.h"
+#include "quiet_members.h"
 
 #define NODES 4
 #define START_US (1000 * BH__SECOND_US)
 #define LIMIT_US (10 * BH__SECOND_US)
 
-static void send_(BH__MembersPort *port, const char *address, BH__Message *m)
-{
-	(void)port;
-	(void)address;
-	(void)m;
-}
-
-static void changed_(BH__MembersPort *port, const BH__MemberInfo *info, BH__MemberState old)
-{
-	(void)port;
-	(void)info;
-	(void)old;
-}
-
-static BH__MembersPort Port_ = {.send = send_, .changed = changed_};
-
 /* Returns the table of node 1, in which nodes 1 to NODES live. */
 static BH__Members *members_(void)
 {
 	BH__MemberInfo info = {.node_id = 1, .boot_id = 1, .name = "n-1"};
-	BH__Members *m = bh__members_new(&Port_, &info, 1);
+	BH__Members *m = bh__members_new(&QuietMembersPort, &info, 1);
 
 	for (unsigned i = 2; i <= NODES; i++) {
-		BH__Message join = {.type = BH__MESSAGE_JOIN};
 		info.node_id = i;
-		join.as.join.self = info;
-		bh__members_process_message(m, &join, START_US);
+		quiet_members_add(m, &info, START_US);
 	}
 	return m;
 }
--- a/src/test_libbayhoist/test_source.c
+++ b/src/test_libbayhoist/test_source.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include "bayhoist/hash.h"
 #include "bayhoist/source.h"
+#include "quiet_members.h"
 
 #define NODES 295
 #define HALLS 5
@@ -25,22 +26,6 @@
 	uint64_t id[NODES];
 } Fleet;
 
-static void send_(BH__MembersPort *port, const char *address, BH__Message *m)
-{
-	(void)port;
-	(void)address;
-	(void)m;
-}
-
-static void changed_(BH__MembersPort *port, const BH__MemberInfo *info, BH__MemberState old)
-{
-	(void)port;
-	(void)info;
-	(void)old;
-}
-
-static BH__MembersPort Port_ = {.send = send_, .changed = changed_};
-
 static BH__MemberInfo describe_(unsigned i)
 {
 	BH__MemberInfo info = {.boot_id = 1, .capacity = i % 3 ? 100 : 500};
@@ -58,12 +43,11 @@
 	for (unsigned i = 0; i < NODES; i++) {
 		BH__MemberInfo self = describe_(i);
 		f->id[i] = self.node_id;
-		f->members[i] = bh__members_new(&Port_, &self, i);
+		f->members[i] = bh__members_new(&QuietMembersPort, &self, i);
 		for (unsigned k = 0; k < NODES; k++) {
-			BH__Message join = {.type = BH__MESSAGE_JOIN};
-			join.as.join.self = describe_(k);
+			BH__MemberInfo other = describe_(k);
 			if (k != i)
-				bh__members_process_message(f->members[i], &join, START_US);
+				quiet_members_add(f->members[i], &other, START_US);
 		}
 		assert_true(bh__source_process_tick(&f->source[i], f->members[i], START_US));
 	}
