Nodes that the store serves are found, whichever it turns away

Cause: all nodes asked the same sources in the same order. Weighed: ages on probes (85 bytes a record, but a node hears of one other a second: 40 s for 85 nodes); readers that step down and name another (nobody knows who is served); askers in orders of their own (found, but each on its own); all nodes read (85 calls a look). Change: after four sources in vain a node asks others in an order of its own; 48 first looks of all nodes within 1.2 s; the first node that is served takes over and tells all, the higher in rank of two goes on. Protocol among nodes is version 4.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -9,7 +9,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 3
+#define BH__MESSAGE_VERSION 4
 #define BH__MESSAGE_UPDATES_MAX 8  /* member records that ride on a ping or its answer */
 #define BH__MESSAGE_DIGESTS_MAX 16 /* pool digests that ride on a ping or its answer */
 #define BH__MESSAGE_LIST_MAX 65536 /* longest list that is accepted */
@@ -37,6 +37,7 @@
 	BH__MESSAGE_LOOK_ASK,
 	BH__MESSAGE_LOOK,
 	BH__MESSAGE_PASS,
+	BH__MESSAGE_READER,
 	BH__MESSAGE_TYPE_COUNT
 } BH__MessageType;
 
@@ -224,6 +225,7 @@
 			uint64_t registry_boot; /* life and version of the registry that is known, or told */
 			uint64_t registry_version;
 			uint64_t registry_age_us;
+			uint64_t reader; /* in an answer: the node whose look at the platform the registry shows */
 			/* in a question: the asker knows that the platform is away; in an answer: it did not answer the
 			 * node that is asked, which reads it for others */
 			bool lost;
@@ -232,7 +234,7 @@
 			BH__EndpointEntry *entry;
 			uint32_t gone_count;
 			uint64_t *gone; /* ids of endpoints that have left */
-		} look;
+		} look;             /* in a reader message: nothing, the sender reads the platform for all */
 	} as;
 } BH__Message;
 
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -327,6 +327,9 @@
 	case BH__MESSAGE_LOOK:
 		looks_process_answer(c->gate->looks, m, now_us);
 		break;
+	case BH__MESSAGE_READER:
+		looks_process_reader(c->gate->looks, m->from_node, now_us);
+		break;
 	default:
 		break;
 	}
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -200,6 +200,7 @@
 void looks_delete(Looks *l);
 void looks_process_tick(Looks *l, uint64_t now_us);
 void looks_process_ask(Looks *l, const BH__Message *m, uint64_t now_us);
+void looks_process_reader(Looks *l, uint64_t node_id, uint64_t now_us);
 void looks_process_answer(Looks *l, const BH__Message *m, uint64_t now_us);
 void looks_process_news(Looks *l, uint64_t now_us);
 
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -30,8 +30,9 @@
 #define ANSWER_US (300 * BH__MS_US)
 /* For which a source may keep a question beyond the reader's period: for the look and its way here. */
 #define HOLD_EXTRA_US (200 * BH__MS_US)
-/* For which one may while no source knows anything fresh. */
-#define AWAY_HOLD_US (500 * BH__MS_US)
+/* For which one may while no source knows anything fresh: then another is asked, so that news of one node
+ * is with all of hundreds within some of these. */
+#define AWAY_HOLD_US (250 * BH__MS_US)
 #define HOLD_MAX_US (10 * BH__SECOND_US) /* whatever the asker says */
 /* What a source has seen is news if it is so much younger than what the asker knows: messages take some of
  * that themselves. */
@@ -61,6 +62,7 @@
 	BH__Look endpoints;
 	uint64_t told_boot; /* of the registry that this node has from a source */
 	uint64_t told_version;
+	uint64_t told_reader;     /* node whose look at the platform that was */
 	uint64_t refused_version; /* of a configuration that was told and is wrong */
 	GArray *held;             /* HeldQuestion */
 };
@@ -78,6 +80,7 @@
 static void look_as_reader_(Looks *l, uint64_t now_us);
 static void leave_reading_(Looks *l, uint64_t now_us);
 static bool is_reached_(const Looks *l);
+static void take_over_(Looks *l, uint64_t now_us);
 static bool is_configuration_old_(const Looks *l, uint64_t now_us);
 static void look_at_endpoints_alone_(Looks *l, uint64_t now_us);
 static void look_at_configuration_alone_(Looks *l, uint64_t now_us);
@@ -154,6 +157,7 @@
 {
 	if (l->asked_us && now_us >= l->answer_until_us)
 		note_useless_(l, false, now_us);
+	take_over_(l, now_us);
 	follow_source_(l, now_us);
 	l->gate->port->watch_configuration(l->gate,
 									   l->reads_since_us && now_us >= l->reads_since_us + WATCH_AFTER_US);
@@ -192,10 +196,8 @@
 		bh__source_note_stale(&l->source, now_us);
 	else
 		bh__source_note_silent(&l->source, now_us);
-	if (!was_away && bh__source_is_platform_away(&l->source)) {
-		uint64_t period_us = bh__source_get_own_period_us(&l->source, members_(l), 0);
-		l->next_own_us = now_us + l->gate->boot_id % MAX(period_us, 1); /* not all at once */
-	}
+	if (!was_away && bh__source_is_platform_away(&l->source))
+		l->next_own_us = now_us + bh__source_get_first_look_us(&l->source, members_(l), l->gate->boot_id);
 	l->asked_us = 0;
 	follow_source_(l, now_us);
 }
@@ -247,6 +249,33 @@
 	return !l->told_boot && l->endpoints.sent_us && l->gate->registry_looked_us >= l->endpoints.sent_us;
 }
 
+/* A node that the platform answers, while it knows of none that reads it, reads it for all from now on. */
+static void take_over_(Looks *l, uint64_t now_us)
+{
+	const BH__Members *m = members_(l);
+	BH__Message news = {.type = BH__MESSAGE_READER};
+
+	if (!is_reached_(l) || !is_fresh_(l, now_us) || !bh__source_take_over(&l->source, m, now_us))
+		return;
+	log_event("looks", "what=took-over nodes=%u", bh__members_get_count(m));
+	for (unsigned i = 1; i < bh__members_get_count(m); i++) {
+		const BH__MemberInfo *info = bh__members_get(m, i);
+		if (info->state != BH__MEMBER_DEAD)
+			cluster_send(l->gate->cluster, info->node_id, &news);
+	}
+}
+
+/* Another node reads the platform for all. */
+void looks_process_reader(Looks *l, uint64_t node_id, uint64_t now_us)
+{
+	if (!bh__source_note_reader(&l->source, members_(l), node_id, now_us))
+		return;
+	l->asked_us = 0;
+	follow_source_(l, now_us);
+	if (bh__source_asks(&l->source, members_(l)))
+		ask_(l, now_us);
+}
+
 static bool is_configuration_old_(const Looks *l, uint64_t now_us)
 {
 	const Gate *g = l->gate;
@@ -262,7 +291,7 @@
 	uint64_t period_us = endpoints_period_us_(l);
 	bool is_away = bh__source_is_platform_away(&l->source);
 
-	if (bh__source_is_cut_off(&l->source) || (is_away && is_reached_(l))) {
+	if (bh__source_is_cut_off(&l->source)) {
 		if (bh__look_process(&l->endpoints, period_us, g->registry_looked_us, false, now_us))
 			look_at_endpoints_(l);
 	}
@@ -353,6 +382,7 @@
 /* Something has become known: questions that waited for it are answered. */
 void looks_process_news(Looks *l, uint64_t now_us)
 {
+	take_over_(l, now_us);
 	for (guint i = l->held->len; i-- > 0;) {
 		HeldQuestion q = g_array_index(l->held, HeldQuestion, i);
 		if (!has_news_(l, &q, now_us))
@@ -378,6 +408,7 @@
 	m.as.look.registry_boot = g->boot_id;
 	m.as.look.registry_version = bh__registry_get_version(g->registry);
 	m.as.look.registry_age_us = now_us - g->registry_looked_us;
+	m.as.look.reader = l->told_boot ? l->told_reader : bh__members_get_self(members_(l))->node_id;
 	m.as.look.lost = is_lost_(l);
 	if (g->registry_looked_us > q->known_us)
 		add_entries_(l, q, changed, gone, &m.as.look.whole);
@@ -418,7 +449,7 @@
 		note_useless_(l, true, now_us);
 	}
 	else {
-		bh__source_note_useful(&l->source);
+		bh__source_note_useful(&l->source, m->as.look.reader, now_us);
 		if (registry_us > g->registry_looked_us)
 			take_entries_(l, m, now_us);
 		if (m->as.look.registry_boot == l->told_boot)
@@ -458,6 +489,7 @@
 		bh__registry_end_list(r, now_us);
 	l->told_boot = m->as.look.registry_boot;
 	l->told_version = m->as.look.registry_version;
+	l->told_reader = m->as.look.reader;
 	if (m->as.look.count || m->as.look.gone_count)
 		log_event("looks", "what=endpoints-told count=%u gone=%u whole=%s version=%" G_GUINT64_FORMAT,
 				  m->as.look.count, m->as.look.gone_count, m->as.look.whole ? "yes" : "no",
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -156,8 +156,9 @@
 		bh__routing_unref(routing);
 	}
 	else {
-		log_event("configuration", "what=installed version=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT,
-				  version, g->routing ? bh__routing_get_version(g->routing) : 0);
+		log_event("configuration",
+				  "what=installed version=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT " bytes=%zu", version,
+				  g->routing ? bh__routing_get_version(g->routing) : 0, strlen(text));
 		bh__routing_unref(g->routing);
 		g->routing = routing;
 		g_free(g->routing_text);
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -16,7 +16,7 @@
 const char *const BH__MessageTypeString[] = {
 	"ping",      "ack",         "ping-req", "join",     "members", "ask",         "grant",      "refuse",
 	"release",   "progress",    "withdraw", "hold",     "orphan",  "config-news", "config-ask", "config-data",
-	"quota-ask", "quota-grant", "queued",   "look-ask", "look",    "pass"};
+	"quota-ask", "quota-grant", "queued",   "look-ask", "look",    "pass",        "reader"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
@@ -320,6 +320,7 @@
 	u64_(c, &m->as.look.registry_boot);
 	u64_(c, &m->as.look.registry_version);
 	u64_(c, &m->as.look.registry_age_us);
+	u64_(c, &m->as.look.reader);
 	flag_(c, &m->as.look.lost);
 	flag_(c, &m->as.look.whole);
 	m->as.look.entry = list_(c, &m->as.look.count, m->as.look.entry, sizeof *m->as.look.entry);
@@ -402,6 +403,8 @@
 	case BH__MESSAGE_LOOK:
 		look_(c, m);
 		break;
+	case BH__MESSAGE_READER:
+		break;
 	case BH__MESSAGE_TYPE_COUNT:
 		c->failed = true;
 		break;
--- a/src/test_libbayhoist/test_source.c
+++ b/src/test_libbayhoist/test_source.c
@@ -150,7 +150,7 @@
 		}
 		assert_true(asked <= 3);
 		assert_false(bh__source_is_platform_away(s));
-		bh__source_note_useful(s);
+		bh__source_note_useful(s, relay, START_US);
 		bh__source_process_tick(s, f.members[i], START_US + 6 * BH__SECOND_US);
 		assert_true(s->node == relay);
 	}
@@ -177,6 +177,223 @@
 	fleet_finish_(&f);
 }
 
+/* A fleet of which the platform serves only some, played in steps of a few milliseconds: each node asks its
+ * source and reads the platform as the gateway does. */
+#define PLAY_NODES_MAX 295
+#define PLAY_STEP_MS 5   /* also what a message takes */
+#define PLAY_OLD_MS 1950 /* from which age on a source is of no use */
+#define PLAY_HOLD_MS 250 /* that a source keeps a question while the platform is away */
+#define PLAY_TICK_MS 100 /* between looks at membership */
+#define PLAY_MS 4500
+
+typedef struct {
+	BH__Members *members;
+	BH__Source source;
+	uint64_t id;
+	uint64_t knows_us;  /* of when its knowledge is */
+	uint64_t reader;    /* whose look that was */
+	uint64_t look_us;   /* when it looks next as the reader */
+	uint64_t own_us;    /* when it looks next for itself */
+	uint64_t asked_us;  /* 0: it has no question out */
+	uint64_t answer_us; /* when a question that is kept is answered, news or not */
+	bool turned_away;
+	bool was_away;
+	bool lost;    /* it reads for others, and its last look failed */
+	bool follows; /* its source is to be chosen anew */
+} PlayNode;
+
+typedef struct {
+	PlayNode node[PLAY_NODES_MAX];
+	unsigned count;
+	unsigned looks;
+	unsigned questions;
+	unsigned news; /* messages that say who reads */
+} Play;
+
+static PlayNode *play_find_(Play *p, uint64_t id)
+{
+	for (unsigned i = 0; i < p->count; i++)
+		if (p->node[i].id == id)
+			return &p->node[i];
+	return NULL;
+}
+
+/* Every node knows every other, and what the platform said when the play begins. */
+static void play_init_(Play *p, unsigned count)
+{
+	memset(p, 0, sizeof *p);
+	p->count = count;
+	for (unsigned i = 0; i < count; i++) {
+		BH__MemberInfo self = describe_(i);
+		p->node[i].id = self.node_id;
+		p->node[i].members = bh__members_new(&QuietMembersPort, &self, i);
+		for (unsigned k = 0; k < count; k++) {
+			BH__MemberInfo other = describe_(k);
+			if (k != i)
+				quiet_members_add(p->node[i].members, &other, START_US);
+		}
+		p->node[i].knows_us = START_US;
+		bh__source_process_tick(&p->node[i].source, p->node[i].members, START_US);
+	}
+}
+
+static void play_finish_(Play *p)
+{
+	for (unsigned i = 0; i < p->count; i++)
+		bh__members_delete(p->node[i].members);
+}
+
+static bool play_is_fresh_(const PlayNode *n, uint64_t now_us)
+{
+	return !n->lost && now_us < n->knows_us + PLAY_OLD_MS * BH__MS_US;
+}
+
+/* The node asks another one now. */
+static void play_follow_(PlayNode *n)
+{
+	n->asked_us = 0;
+	n->follows = true;
+}
+
+/* A look at the platform, answered at once or refused; one that took over says so to all. */
+static void play_look_(Play *p, PlayNode *n, uint64_t now_us)
+{
+	p->looks++;
+	n->lost = n->turned_away && bh__source_reads(&n->source, n->members, now_us);
+	if (n->turned_away)
+		return;
+	n->knows_us = now_us;
+	n->reader = n->id;
+	if (!bh__source_take_over(&n->source, n->members, now_us))
+		return;
+	for (unsigned i = 0; i < p->count; i++) {
+		PlayNode *other = &p->node[i];
+		p->news += other != n;
+		if (other != n && bh__source_note_reader(&other->source, other->members, n->id, now_us))
+			play_follow_(other);
+	}
+}
+
+/* The question that is out is answered, or kept. */
+static void play_answer_(Play *p, PlayNode *n, uint64_t now_us)
+{
+	const PlayNode *from = play_find_(p, n->source.node);
+	bool has_news = play_is_fresh_(from, now_us) && from->knows_us > n->knows_us;
+
+	if (now_us < n->asked_us + 2 * PLAY_STEP_MS * BH__MS_US ||
+		(!has_news && now_us < n->answer_us && !(from->lost && !bh__source_is_platform_away(&n->source))))
+		return;
+	play_follow_(n);
+	if (!play_is_fresh_(from, now_us)) {
+		bh__source_note_stale(&n->source, now_us);
+		return;
+	}
+	bh__source_note_useful(&n->source, from->reader, now_us);
+	if (!has_news)
+		return;
+	n->knows_us = from->knows_us;
+	n->reader = from->reader;
+}
+
+static void play_step_(Play *p, PlayNode *n, uint64_t now_us)
+{
+	BH__Source *s = &n->source;
+	bool reads;
+
+	if (n->follows || now_us % (PLAY_TICK_MS * BH__MS_US) == 0)
+		n->asked_us = bh__source_process_tick(s, n->members, now_us) ? 0 : n->asked_us;
+	n->follows = false;
+	reads = bh__source_reads(s, n->members, now_us);
+	n->lost = n->lost && reads;
+	if (reads && now_us >= n->look_us) {
+		n->look_us = now_us + PERIOD_US;
+		play_look_(p, n, now_us);
+		if (n->lost && !bh__source_asks(s, n->members)) {
+			bh__source_note_stale(s, now_us);
+			bh__source_process_tick(s, n->members, now_us);
+		}
+	}
+	if (bh__source_is_platform_away(s) && !n->was_away)
+		n->own_us = now_us + bh__source_get_first_look_us(s, n->members, n->id);
+	n->was_away = bh__source_is_platform_away(s);
+	if (n->was_away && !reads && now_us >= n->own_us) {
+		n->own_us = now_us + bh__source_get_own_period_us(s, n->members, PERIOD_US);
+		play_look_(p, n, now_us);
+	}
+	if (!bh__source_asks(s, n->members))
+		return;
+	if (n->asked_us) {
+		play_answer_(p, n, now_us);
+	}
+	else {
+		p->questions++;
+		n->asked_us = now_us;
+		n->answer_us = now_us + (n->was_away ? PLAY_HOLD_MS * BH__MS_US : PERIOD_US);
+		if (s->stale && !n->was_away)
+			n->answer_us = now_us;
+	}
+}
+
+/* Turns away the first `count` nodes in rank. */
+static void play_turn_away_(Play *p, unsigned count)
+{
+	uint64_t key = bh__hash_name("platform-reader");
+
+	for (unsigned done = 0; done < count; done++) {
+		PlayNode *first = NULL;
+		for (unsigned i = 0; i < p->count; i++) {
+			PlayNode *n = &p->node[i];
+			if (!n->turned_away && (!first || bh__hash_pair(n->id, key) > bh__hash_pair(first->id, key)))
+				first = n;
+		}
+		first->turned_away = true;
+	}
+}
+
+/* Plays a fleet of which the platform turns away the first in rank from now on. Returns the oldest age of
+ * what a node knows from `from_ms` on, in ms. */
+static uint64_t play_oldest_ms_(unsigned nodes, unsigned turned_away, uint64_t from_ms, Play *p)
+{
+	uint64_t oldest_ms = 0;
+
+	play_init_(p, nodes);
+	play_turn_away_(p, turned_away);
+	for (uint64_t ms = 0; ms < PLAY_MS; ms += PLAY_STEP_MS) {
+		uint64_t now_us = START_US + ms * BH__MS_US;
+		for (unsigned i = 0; i < p->count; i++)
+			play_step_(p, &p->node[i], now_us);
+		if (ms < from_ms)
+			continue;
+		for (unsigned i = 0; i < p->count; i++)
+			oldest_ms = MAX(oldest_ms, (now_us - p->node[i].knows_us) / BH__MS_US);
+	}
+	print_message("%u nodes, %u turned away: oldest %u ms, %u looks, %u questions, %u messages of readers\n",
+				  nodes, turned_away, (unsigned)oldest_ms, p->looks, p->questions, p->news);
+	play_finish_(p);
+	return oldest_ms;
+}
+
+/* Whichever nodes the platform turns away, also those that come first in rank, all others learn from the ones
+ * that it serves, and the fleet looks a bounded number of times. */
+static void those_that_are_served_are_found_(void **state)
+{
+	static Play p;
+	const struct {
+		unsigned nodes;
+		unsigned away;
+		unsigned within_ms; /* after the fleet has found the platform away */
+	} cases[] = {{9, 6, 1000},   {85, 6, 1000},   {85, 12, 1000},
+				 {85, 75, 1000}, {295, 12, 1000}, {295, 285, 1500}};
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(cases); i++) {
+		uint64_t most_ms = PLAY_OLD_MS + cases[i].within_ms;
+		assert_true(play_oldest_ms_(cases[i].nodes, cases[i].away, most_ms, &p) <= most_ms);
+		assert_true(p.looks <= 120);
+		assert_true(p.questions <= cases[i].nodes * PLAY_MS / 150);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -184,6 +401,7 @@
 		cmocka_unit_test(an_outage_is_not_answered_with_looks_),
 		cmocka_unit_test(readers_that_are_turned_away_are_left_),
 		cmocka_unit_test(a_node_that_is_cut_off_sees_for_itself_),
+		cmocka_unit_test(those_that_are_served_are_found_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
