A start of all keeps its requests while the configuration is on its way

Cause: 85 nodes that start at once know the endpoints and the duties after 0.2 s and the configuration, 400 kB each, after 0.5 s; a fixed 300 ms after its start each refused all that it had kept (272 requests of one start; half of them lost for good). Change: what a node knows is one state (knowledge); requests wait while the store has told the endpoints and the reading of the configuration is under way, and their callers wait; when it fails they are refused at once.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -12,11 +12,8 @@
 /* Without a word from the scheduler a request is placed by this node alone. */
 #define SCHEDULER_PATIENCE_MS 40
 #define QUEUED_REPEAT_MS 200 /* a request that the scheduler keeps waiting asks again after this */
-/* For so long after its start a node keeps requests until it knows where they go; the store answers within
- * some tens of milliseconds, and who was refused might come back before. */
-#define START_PATIENCE_MS 300
-#define UNUSED_GRANTS_MAX 5 /* after more grants than these that could not be used a request is refused */
-#define RETRY_SOON_MS 200   /* when a caller that was refused for a passing cause is to come back */
+#define UNUSED_GRANTS_MAX 5  /* after more grants than these that could not be used a request is refused */
+#define RETRY_SOON_MS 200    /* when a caller that was refused for a passing cause is to come back */
 /* The same while no node knows the configuration. Callers wait for a third of the time they have left at
  * most; on the users' routes that is 0.8 to 5 s. */
 #define RETRY_OUTAGE_MIN_MS 1000
@@ -44,6 +41,7 @@
 static void pass_failure_(Call *c);
 static void finish_(Call *c, CallOutcome outcome, const char *reason);
 static uint64_t overdue_us_(const Call *c);
+static uint64_t starting_until_us_(const Call *c);
 static void on_timer_(evutil_socket_t fd, short what, void *arg);
 static void check_time_(Call *c, uint64_t now_us);
 
@@ -60,7 +58,7 @@
 	c->head.headers = g_string_new(NULL);
 	g_hash_table_add(g->calls, c);
 	g->counters.requests++;
-	if (!gate_is_informed(g) && clock_now_us() < g->started_us + START_PATIENCE_MS * BH__MS_US)
+	if (bh__knowledge_get_state(&g->knowledge, clock_now_us()) == BH__KNOWLEDGE_COMING)
 		call_set_timer(c, clock_now_us());
 	else
 		begin_(c);
@@ -78,17 +76,19 @@
 	place_(c);
 }
 
-/* The node has learnt of the configuration, the endpoints or the duties: requests that wait for these begin.
- */
+/* The node has learnt of the configuration, the endpoints or the duties, or in vain tried to: requests that
+ * wait for these begin. */
 void calls_process_news(Gate *g)
 {
+	BH__KnowledgeState state;
 	GList *all;
 
 	if (gate_knows_endpoints(g))
 		cluster_process_early(g->cluster);
-	if (!gate_is_informed(g) || g->told_informed)
+	state = bh__knowledge_get_state(&g->knowledge, clock_now_us());
+	if (state == BH__KNOWLEDGE_COMING || g->told_informed)
 		return;
-	g->told_informed = true;
+	g->told_informed = state == BH__KNOWLEDGE_WHOLE;
 	all = g_hash_table_get_keys(g->calls);
 	for (GList *it = all; it; it = it->next) {
 		Call *c = it->data;
@@ -465,6 +465,16 @@
 	return c->heard_us + bh__patience_us(c->rule, c->service->is_engine, c->events.events && c->passing);
 }
 
+/* Returns until when a request waits for what the node does not know yet: as long as that is on its way and
+ * the caller waits. */
+static uint64_t starting_until_us_(const Call *c)
+{
+	uint64_t until_us = bh__knowledge_get_wait_until_us(&c->gate->knowledge);
+	uint64_t left_us = c->request->meta.time_left_us;
+
+	return left_us ? MIN(until_us, c->request->arrived_us + left_us) : until_us;
+}
+
 /* Sets the timer to the next moment at which time alone changes something. */
 void call_set_timer(Call *c, uint64_t now_us)
 {
@@ -472,7 +482,7 @@
 	struct timeval tv;
 
 	if (c->state == CALL_STARTING)
-		due_us = c->gate->started_us + START_PATIENCE_MS * BH__MS_US;
+		due_us = starting_until_us_(c);
 	if (c->state == CALL_ASKING)
 		due_us =
 			MIN(due_us, c->asked_us + (c->queued ? QUEUED_REPEAT_MS : SCHEDULER_PATIENCE_MS) * BH__MS_US);
@@ -491,7 +501,10 @@
 
 static void check_time_(Call *c, uint64_t now_us)
 {
-	if (c->state == CALL_STARTING) {
+	if (c->state == CALL_STARTING && now_us < starting_until_us_(c)) {
+		call_set_timer(c, now_us);
+	}
+	else if (c->state == CALL_STARTING) {
 		begin_(c);
 	}
 	else if (now_us >= c->x.deadline_us) {
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -12,6 +12,7 @@
 #include "bayhoist/caller_time.h"
 #include "bayhoist/exchange.h"
 #include "bayhoist/histogram.h"
+#include "bayhoist/knowledge.h"
 #include "bayhoist/members.h"
 #include "bayhoist/planner.h"
 #include "bayhoist/registry.h"
@@ -60,8 +61,8 @@
 	BH__Registry *registry;
 	uint64_t registry_looked_us; /* when the look was begun that it shows */
 	uint64_t platform_lost_us;   /* when a look at endpoints last failed */
-	bool duties_read;            /* the record of duties was read, or could not be */
-	bool told_informed;          /* calls that waited for all of these have begun */
+	BH__Knowledge knowledge;     /* what was learnt since the start */
+	bool told_informed;          /* calls that waited for all of that have begun */
 	uint64_t registry_seen;      /* version that the planners follow */
 	GHashTable *budgets;         /* BH__RepeatBudget by service name */
 	GHashTable *caller_times;    /* BH__CallerTime by route name */
@@ -78,11 +79,12 @@
 
 /* main.c */
 bool gate_is_ready(const Gate *g, uint64_t now_us);
-bool gate_is_informed(const Gate *g);
 bool gate_knows_endpoints(const Gate *g);
 bool gate_trusts_keys(const Gate *g, uint64_t now_us);
 void gate_set_routing(Gate *g, BH__Routing *routing, const char *text, uint64_t looked_us);
 void gate_note_no_configuration(Gate *g, uint64_t looked_us);
+void gate_note_configuration_asked(Gate *g, uint64_t answer_us);
+void gate_note_configuration_lost(Gate *g);
 void gate_note_look(Gate *g, uint64_t looked_us);
 void gate_note_registry(Gate *g, uint64_t looked_us);
 void gate_note_platform_lost(Gate *g);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -78,6 +78,7 @@
 {
 	g->boot_id = clock_new_boot_id();
 	g->started_us = clock_now_us();
+	bh__knowledge_init(&g->knowledge, g->started_us);
 	log_init(g->settings.name, g->settings.hall, g->boot_id);
 	log_set_buffered(true);
 	log_set_limit(LOG_LINES_PER_S);
@@ -173,6 +174,20 @@
 void gate_note_no_configuration(Gate *g, uint64_t looked_us)
 {
 	g->no_routing_us = looked_us;
+	gate_note_configuration_lost(g);
+}
+
+/* The configuration is being read; within `answer_us` that ends or fails. */
+void gate_note_configuration_asked(Gate *g, uint64_t answer_us)
+{
+	bh__knowledge_note_asked(&g->knowledge, answer_us, clock_now_us());
+}
+
+/* It was read in vain: calls that wait for it are refused, unless it comes from another node at once. */
+void gate_note_configuration_lost(Gate *g)
+{
+	bh__knowledge_note_failed(&g->knowledge);
+	calls_process_news(g);
 }
 
 /* The configuration that is held was the newest when a look was begun. */
@@ -180,20 +195,15 @@
 {
 	if (looked_us > g->routing_looked_us)
 		g->routing_looked_us = looked_us;
+	if (g->routing && g->routing_looked_us)
+		bh__knowledge_note_configuration(&g->knowledge, clock_now_us());
 	calls_process_news(g);
 }
 
-/* Returns true once the configuration, the endpoints and the record of duties have been read since the start.
- */
-bool gate_is_informed(const Gate *g)
-{
-	return gate_knows_endpoints(g) && g->duties_read;
-}
-
-/* The same without the record of duties. */
+/* Returns true once the configuration and the endpoints have been learnt since the start. */
 bool gate_knows_endpoints(const Gate *g)
 {
-	return g->routing && g->routing_looked_us && g->registry_looked_us;
+	return bh__knowledge_has_endpoints(&g->knowledge);
 }
 
 /* A node is recorded to do a duty: it is taken for alive until it is heard from or turns out not to be. */
@@ -206,7 +216,7 @@
 /* The record of duties has been read, as far as it can be. */
 void gate_note_duties(Gate *g)
 {
-	g->duties_read = true;
+	bh__knowledge_note_duties(&g->knowledge, clock_now_us());
 	calls_process_news(g);
 }
 
@@ -216,6 +226,8 @@
 {
 	if (looked_us > g->registry_looked_us)
 		g->registry_looked_us = looked_us;
+	if (g->registry_looked_us)
+		bh__knowledge_note_endpoints(&g->knowledge, clock_now_us());
 	bh__registry_process_tick(g->registry, clock_now_us());
 	if (g->registry_seen != bh__registry_get_version(g->registry)) {
 		g->registry_seen = bh__registry_get_version(g->registry);
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -11,6 +11,7 @@
 #include "bayhoist/exchange.h"
 #include "bayhoist/field.h"
 #include "bayhoist/hash.h"
+#include "bayhoist/knowledge.h"
 #include "bayhoist/look.h"
 #include "bayhoist/registry.h"
 #include "bayhoist/planner.h"
@@ -414,6 +415,44 @@
 	assert_false(bh__silence_note_unanswered(&s, 3001 * BH__MS_US));
 }
 
+/* All nodes start at once: endpoints and duties are there after 200 ms, the configuration after 500. What came
+ * meanwhile is kept until then. (It was refused at 300 ms.) */
+static void a_start_waits_for_what_is_on_its_way_(void **state)
+{
+	const uint64_t start_us = 1000 * BH__SECOND_US;
+	BH__Knowledge k;
+
+	(void)state;
+	bh__knowledge_init(&k, start_us);
+	bh__knowledge_note_asked(&k, 1500 * BH__MS_US, start_us);
+	bh__knowledge_note_duties(&k, start_us + 180 * BH__MS_US);
+	bh__knowledge_note_endpoints(&k, start_us + 200 * BH__MS_US);
+	assert_int_equal(bh__knowledge_get_state(&k, start_us + 499 * BH__MS_US), BH__KNOWLEDGE_COMING);
+	bh__knowledge_note_configuration(&k, start_us + 500 * BH__MS_US);
+	assert_int_equal(bh__knowledge_get_state(&k, start_us + 500 * BH__MS_US), BH__KNOWLEDGE_WHOLE);
+}
+
+/* Nothing is kept for what nobody has promised: a platform that says nothing, or has refused. */
+static void a_start_waits_for_nothing_else_(void **state)
+{
+	const uint64_t start_us = 1000 * BH__SECOND_US;
+	const uint64_t later_us = start_us + BH__KNOWLEDGE_START_US;
+	BH__Knowledge k;
+
+	(void)state;
+	bh__knowledge_init(&k, start_us);
+	bh__knowledge_note_asked(&k, 1500 * BH__MS_US, start_us);
+	assert_int_equal(bh__knowledge_get_state(&k, later_us - 1), BH__KNOWLEDGE_COMING);
+	assert_int_equal(bh__knowledge_get_state(&k, later_us), BH__KNOWLEDGE_MISSING); /* it is silent */
+	bh__knowledge_note_endpoints(&k, later_us);
+	assert_int_equal(bh__knowledge_get_state(&k, later_us), BH__KNOWLEDGE_COMING);
+	bh__knowledge_note_failed(&k);
+	assert_int_equal(bh__knowledge_get_state(&k, later_us), BH__KNOWLEDGE_MISSING); /* it has refused */
+	bh__knowledge_note_asked(&k, 1500 * BH__MS_US, later_us);
+	assert_int_equal(bh__knowledge_get_state(&k, later_us + 1499 * BH__MS_US), BH__KNOWLEDGE_COMING);
+	assert_int_equal(bh__knowledge_get_state(&k, later_us + 1500 * BH__MS_US), BH__KNOWLEDGE_MISSING);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -434,6 +473,8 @@
 		cmocka_unit_test(only_whole_events_are_taken_),
 		cmocka_unit_test(events_that_were_seen_are_dropped_),
 		cmocka_unit_test(silence_takes_asks_and_time_),
+		cmocka_unit_test(a_start_waits_for_what_is_on_its_way_),
+		cmocka_unit_test(a_start_waits_for_nothing_else_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
