--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -415,8 +415,8 @@
 	assert_false(bh__silence_note_unanswered(&s, 3001 * BH__MS_US));
 }
 
-/* All nodes start at once: endpoints and duties are there after 200 ms, the configuration after 500. What came
- * meanwhile is kept until then. (It was refused at 300 ms.) */
+/* All nodes start at once: endpoints and duties are there after 200 ms, the configuration after 500. What
+ * came meanwhile is kept until then. (It was refused at 300 ms.) */
 static void a_start_waits_for_what_is_on_its_way_(void **state)
 {
 	const uint64_t start_us = 1000 * BH__SECOND_US;
