A node that is left alone looks at the configuration once a period

Ruled out: the search itself (virtual time: no node older than 1.9 s whichever are cut off). Change: who reads the endpoints itself reads the configuration too, once a period (1.05 s); others at 0.8 of the bound, not at all of it. Test: a_node_left_alone_has_a_change_in_time_.

--- a/include/bayhoist/look.h
+++ b/include/bayhoist/look.h
@@ -15,6 +15,7 @@
 	uint64_t backoff_us; /* until the next, if it is not answered */
 } BH__Look;
 
+uint64_t bh__look_get_old_us(uint64_t bound_us, uint64_t period_us, bool reads_itself);
 bool bh__look_process(BH__Look *l, uint64_t period_us, uint64_t answered_us, bool steady, uint64_t now_us);
 
 #endif
--- a/src/bayhoist-gate/looks.c
+++ b/src/bayhoist-gate/looks.c
@@ -19,9 +19,8 @@
  */
 #define ENDPOINTS_LOOK_SHARE 0.25
 #define CONFIGURATION_LOOK_SHARE 0.35 /* a watch tells of most changes at once */
-/* Ages, as shares of the same times, at which a node does not rely on its source any more. */
+/* The age, as a share of the same time, at which a node does not rely on its source any more. */
 #define ENDPOINTS_OLD_SHARE 0.65
-#define CONFIGURATION_OLD_SHARE 1.0
 /* Between looks of a node that has started and has no answer yet: it serves nobody. */
 #define UNINFORMED_US (150 * BH__MS_US)
 /* Before a reader watches: nodes that start all think they read, until they know each other. */
@@ -286,7 +285,8 @@
 static bool is_configuration_old_(const Looks *l, uint64_t now_us)
 {
 	const Gate *g = l->gate;
-	uint64_t old_us = share_us_(g->settings.configuration_ms, CONFIGURATION_OLD_SHARE);
+	uint64_t bound_us = g->settings.configuration_ms * BH__MS_US;
+	uint64_t old_us = bh__look_get_old_us(bound_us, configuration_period_us_(l), is_reached_(l));
 
 	return now_us >= MAX(g->routing_looked_us, g->no_routing_us) + old_us;
 }
--- a/src/libbayhoist/look.c
+++ b/src/libbayhoist/look.c
@@ -4,6 +4,19 @@
 
 #include <glib.h>
 
+/* Of the time in which a change is to be in force everywhere: what others tell is usually younger, and what
+ * is left is enough for a look and for taking up what it shows. */
+#define OLD_SHARE_ 0.8
+
+/* Returns the age from which on a node that does not read for others looks at the configuration itself; a
+ * change is to be in force everywhere within `bound_us`. One that reads the endpoints itself, since no peer
+ * told it of them, hears nothing of the configuration either: it looks once a period, as a reader does. With
+ * the whole bound for an age, nodes that were left alone took a change up 60 ms after it. */
+uint64_t bh__look_get_old_us(uint64_t bound_us, uint64_t period_us, bool reads_itself)
+{
+	return reads_itself ? period_us : (uint64_t)((double)bound_us * OLD_SHARE_);
+}
+
 /* Returns true, and takes it for made, if a look may be made now. `answered_us` is when the latest look was
  * sent that was answered. With `steady` the store is known to answer somebody, or others wait for this node:
  * it looks once a period. */
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -325,6 +325,21 @@
 	assert_true(bh__look_process(&l, period_us, now_us, false, now_us + period_us)); /* it was itself */
 }
 
+/* A change is made just after the last look that a node knows of; 24 of 79 nodes are cut off, and the node
+ * finds no peer that knows more. It still has the change in time, whether it reads the endpoints itself or is
+ * told of them. (It looked when what it knew was as old as a change may be.) */
+static void a_node_left_alone_has_a_change_in_time_(void **state)
+{
+	const uint64_t bound_us = 3 * BH__SECOND_US;
+	const uint64_t period_us = 1050 * BH__MS_US;
+	const uint64_t look_us = 300 * BH__MS_US; /* with a large configuration on a small VM */
+
+	(void)state;
+	assert_true(bh__look_get_old_us(bound_us, period_us, true) + look_us <= bound_us / 2);
+	assert_true(bh__look_get_old_us(bound_us, period_us, false) + look_us < bound_us);
+	assert_true(bh__look_get_old_us(bound_us, period_us, false) > 2 * period_us); /* others tell it sooner */
+}
+
 /* Where there is no place left, a begun answer is cut and nothing else is written into it. */
 static void no_place_ends_a_request_(void **state)
 {
@@ -468,6 +483,7 @@
 		cmocka_unit_test(a_long_pass_is_no_silence_),
 		cmocka_unit_test(changes_are_told_since_a_version_),
 		cmocka_unit_test(looks_are_rarer_only_while_the_store_is_away_),
+		cmocka_unit_test(a_node_left_alone_has_a_change_in_time_),
 		cmocka_unit_test(no_place_ends_a_request_),
 		cmocka_unit_test(the_repeat_budget_holds_),
 		cmocka_unit_test(only_whole_events_are_taken_),
