A start keeps requests for as long as it would send their callers away

Change: without a word from anybody requests are kept for 1 s, the time that their callers would be told to stay away for, not 0.3 s. Test: a_start_outlasts_a_short_outage_.

--- a/include/bayhoist/knowledge.h
+++ b/include/bayhoist/knowledge.h
@@ -6,8 +6,10 @@
 
 #include "bayhoist/types.h"
 
-/* Without a word from anybody: a platform that answers does so within some tens of milliseconds. */
-#define BH__KNOWLEDGE_START_US (300 * BH__MS_US)
+/* For which a node that starts keeps requests without a word from anybody: as long as it would tell their
+ * callers to stay away, since nobody else knows more when all start. Where the store came back 0.45 s after a
+ * start of all, 97 requests that were refused after 0.3 s came back into the rush of the others. */
+#define BH__KNOWLEDGE_START_US BH__SECOND_US
 
 typedef enum {
 	BH__KNOWLEDGE_WHOLE,  /* all is known */
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -468,6 +468,23 @@
 	assert_int_equal(bh__knowledge_get_state(&k, later_us + 1500 * BH__MS_US), BH__KNOWLEDGE_MISSING);
 }
 
+/* All nodes start while the platform is away, and it comes back 450 ms later: nobody knows more than another
+ * until then, and who is kept is served sooner than who is sent away for a second. */
+static void a_start_outlasts_a_short_outage_(void **state)
+{
+	const uint64_t start_us = 1000 * BH__SECOND_US;
+	BH__Knowledge k;
+
+	(void)state;
+	bh__knowledge_init(&k, start_us);
+	for (unsigned ms = 0; ms < 450; ms += 150) { /* each look is refused at once */
+		bh__knowledge_note_asked(&k, 1500 * BH__MS_US, start_us + ms * BH__MS_US);
+		bh__knowledge_note_failed(&k);
+	}
+	assert_int_equal(bh__knowledge_get_state(&k, start_us + 450 * BH__MS_US), BH__KNOWLEDGE_COMING);
+	assert_int_equal(bh__knowledge_get_state(&k, start_us + 1001 * BH__MS_US), BH__KNOWLEDGE_MISSING);
+}
+
 /* One endpoint of a service is left, and fails some requests: a request that it failed goes there once more.
  * One that it refused does not, and with another endpoint left that one is taken. */
 static void the_last_endpoint_is_tried_again_(void **state)
@@ -511,6 +528,7 @@
 		cmocka_unit_test(silence_takes_asks_and_time_),
 		cmocka_unit_test(a_start_waits_for_what_is_on_its_way_),
 		cmocka_unit_test(a_start_waits_for_nothing_else_),
+		cmocka_unit_test(a_start_outlasts_a_short_outage_),
 		cmocka_unit_test(the_last_endpoint_is_tried_again_),
 	};
 
