Read again: one function builds a table of members in tests, a string table that nobody used is gone

The loop that builds a full table of members stood twice in test_source; the names of the states of knowledge were never printed; a comment told history. Change: table_new_(), the names removed, the comment reworded. No behaviour changes and no assertion was touched.

--- a/include/bayhoist/knowledge.h
+++ b/include/bayhoist/knowledge.h
@@ -17,8 +17,6 @@
 	BH__KNOWLEDGE_MISSING /* something is not, and nothing says that it will be soon */
 } BH__KnowledgeState;
 
-extern const char *const BH__KnowledgeStateString[];
-
 typedef struct {
 	uint64_t started_us;       /* start of the node */
 	uint64_t configuration_us; /* when each was learnt first; 0: it was not */
--- a/src/libbayhoist/knowledge.c
+++ b/src/libbayhoist/knowledge.c
@@ -5,8 +5,6 @@
 #include <glib.h>
 #include <string.h>
 
-const char *const BH__KnowledgeStateString[] = {"whole", "coming", "missing"};
-
 void bh__knowledge_init(BH__Knowledge *k, uint64_t now_us)
 {
 	memset(k, 0, sizeof *k);
@@ -58,7 +56,7 @@
  * Just after the start they are kept in any case. Later the configuration alone may be missing, the largest
  * of the three: where all of 85 nodes start at once and read 400 kB each, the endpoints are there after 0.2 s
  * and the configuration after 0.5 s. A platform that has told the endpoints answers, so that its answer is
- * waited for. Before, all nodes refused what they had kept at 0.3 s: 272 requests of one start. */
+ * waited for. Without that, nodes that kept requests for 0.3 s refused 272 of one start. */
 uint64_t bh__knowledge_get_wait_until_us(const BH__Knowledge *k)
 {
 	uint64_t until_us = k->started_us + BH__KNOWLEDGE_START_US;
--- a/src/test_libbayhoist/test_source.c
+++ b/src/test_libbayhoist/test_source.c
@@ -36,19 +36,27 @@
 	return info;
 }
 
+/* Returns the table of node `i` of `count`, which knows every other. */
+static BH__Members *table_new_(unsigned i, unsigned count)
+{
+	BH__MemberInfo self = describe_(i);
+	BH__Members *m = bh__members_new(&QuietMembersPort, &self, i);
+
+	for (unsigned k = 0; k < count; k++) {
+		BH__MemberInfo other = describe_(k);
+		if (k != i)
+			quiet_members_add(m, &other, START_US);
+	}
+	return m;
+}
+
 /* Every node knows every other, and follows its source. */
 static void fleet_init_(Fleet *f)
 {
 	memset(f, 0, sizeof *f);
 	for (unsigned i = 0; i < NODES; i++) {
-		BH__MemberInfo self = describe_(i);
-		f->id[i] = self.node_id;
-		f->members[i] = bh__members_new(&QuietMembersPort, &self, i);
-		for (unsigned k = 0; k < NODES; k++) {
-			BH__MemberInfo other = describe_(k);
-			if (k != i)
-				quiet_members_add(f->members[i], &other, START_US);
-		}
+		f->members[i] = table_new_(i, NODES);
+		f->id[i] = bh__members_get_self(f->members[i])->node_id;
 		assert_true(bh__source_process_tick(&f->source[i], f->members[i], START_US));
 	}
 }
@@ -226,14 +234,8 @@
 	memset(p, 0, sizeof *p);
 	p->count = count;
 	for (unsigned i = 0; i < count; i++) {
-		BH__MemberInfo self = describe_(i);
-		p->node[i].id = self.node_id;
-		p->node[i].members = bh__members_new(&QuietMembersPort, &self, i);
-		for (unsigned k = 0; k < count; k++) {
-			BH__MemberInfo other = describe_(k);
-			if (k != i)
-				quiet_members_add(p->node[i].members, &other, START_US);
-		}
+		p->node[i].members = table_new_(i, count);
+		p->node[i].id = bh__members_get_self(p->node[i].members)->node_id;
 		p->node[i].knows_us = START_US - (i % 4) * (PERIOD_US / 4);
 		p->node[i].reader =
 			bh__members_pick_except(p->node[i].members, bh__hash_name("platform-reader"), NULL, NULL, 0);
