Sight: fingerprints of requests, endpoints in the lines on ended sendings, counts of how sendings end

Cause: tries of one request have new ids at other nodes, so that logs could not show that one request was under way on every engine that ended; a line on an ended sending did not name its endpoint, and nothing counted broken sendings. No decision is changed.

--- /dev/null
+++ b/include/bayhoist/fingerprint.h
@@ -0,0 +1,32 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Which requests are the same: those of one client account with one method, path and whole body, whatever
+ * name each try has. */
+#ifndef BAYHOIST_FINGERPRINT_H
+#define BAYHOIST_FINGERPRINT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define BH__FINGERPRINT_TEXT_LEN 33 /* in hexadecimal, with its terminator */
+
+typedef struct {
+	uint64_t high;
+	uint64_t low;
+} BH__Fingerprint;
+
+/* What a fingerprint is of. Texts are not NULL. */
+typedef struct {
+	const char *account; /* client account; empty: none */
+	const char *method;
+	const char *target; /* path and query */
+	const uint8_t *body;
+	size_t body_len;
+} BH__FingerprintSource;
+
+BH__Fingerprint bh__fingerprint_compute(const BH__FingerprintSource *source);
+bool bh__fingerprint_equal(const BH__Fingerprint *a, const BH__Fingerprint *b);
+void bh__fingerprint_write(const BH__Fingerprint *f, char out[BH__FINGERPRINT_TEXT_LEN]);
+bool bh__fingerprint_read(const char *text, BH__Fingerprint *out);
+
+#endif
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -27,6 +27,7 @@
 
 static void begin_(Call *c);
 static bool admit_(Call *c);
+static BH__Fingerprint fingerprint_(const Call *c);
 static uint64_t retry_uninformed_ms_(const Gate *g, uint64_t now_us);
 static BH__CallerTime *caller_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
@@ -105,6 +106,7 @@
 	const InboundRequest *r = c->request;
 	uint64_t now_us = clock_now_us();
 	uint64_t time_us;
+	char fingerprint[BH__FINGERPRINT_TEXT_LEN];
 
 	if (!g->routing || !gate_trusts_keys(g, now_us)) {
 		g->counters.stale_refusals++;
@@ -138,18 +140,34 @@
 	bh__exchange_init(&c->x, c->rule, r->arrived_us + time_us);
 	if (r->meta.time_left_us)
 		c->waited_before_us = bh__caller_time_note(caller_time_(c), r->meta.time_left_us);
-	log_event("take",
-			  "request=%s route=%s service=%s account=%s repeat=%s prompt_tokens=%" G_GUINT64_FORMAT
-			  " left_ms=%" G_GUINT64_FORMAT " waited_before_ms=%" G_GUINT64_FORMAT
-			  " configuration=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
-			  r->meta.request_id, c->rule->name, c->service->name, c->owner ? c->owner->name : "",
-			  BH__RepeatString[c->rule->repeat], r->meta.prompt_tokens, time_us / BH__MS_US,
-			  c->waited_before_us / BH__MS_US, bh__routing_get_version(c->routing),
-			  (now_us - g->routing_looked_us) / BH__MS_US);
+	c->fingerprint = fingerprint_(c);
+	bh__fingerprint_write(&c->fingerprint, fingerprint);
+	log_event(
+		"take",
+		"request=%s fingerprint=%s route=%s service=%s account=%s repeat=%s prompt_tokens=%" G_GUINT64_FORMAT
+		" left_ms=%" G_GUINT64_FORMAT " waited_before_ms=%" G_GUINT64_FORMAT
+		" configuration=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
+		r->meta.request_id, fingerprint, c->rule->name, c->service->name, c->owner ? c->owner->name : "",
+		BH__RepeatString[c->rule->repeat], r->meta.prompt_tokens, time_us / BH__MS_US,
+		c->waited_before_us / BH__MS_US, bh__routing_get_version(c->routing),
+		(now_us - g->routing_looked_us) / BH__MS_US);
 	g_strlcpy(c->place.service, c->service->name, sizeof c->place.service);
 	return true;
 }
 
+/* Returns what the request has in common with each other try of it. */
+static BH__Fingerprint fingerprint_(const Call *c)
+{
+	const InboundRequest *r = c->request;
+	BH__FingerprintSource source = {.account = c->owner ? c->owner->name : "",
+									.method = r->method,
+									.target = r->target,
+									.body = r->body->data,
+									.body_len = r->body->len};
+
+	return bh__fingerprint_compute(&source);
+}
+
 /* Returns when a caller is to come back to a node that does not know the newest configuration: soon if others
  * do, else after as long as it has not been known, since outages that have lasted go on. Callers that are
  * told 200 ms in an outage of 0.6 s come back into it, and most of them have no third try. */
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -20,7 +20,8 @@
 	BH__Routing *routing;
 	const BH__RouteRule *rule;
 	const BH__ServiceSpec *service;
-	const BH__KeyOwner *owner; /* NULL: none */
+	const BH__KeyOwner *owner;   /* NULL: none */
+	BH__Fingerprint fingerprint; /* the same in each try of the same request */
 	BH__Exchange x;
 	CallState state;
 	CallPlace place;
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 #include "bayhoist/caller_time.h"
 #include "bayhoist/exchange.h"
+#include "bayhoist/fingerprint.h"
 #include "bayhoist/histogram.h"
 #include "bayhoist/knowledge.h"
 #include "bayhoist/members.h"
@@ -34,6 +35,7 @@
 	uint64_t requests;
 	uint64_t outcomes[CALL_OUTCOME_COUNT];
 	uint64_t sendings;
+	uint64_t sending_ends[BH__SENDING_END_COUNT];
 	uint64_t repeats;
 	uint64_t resumes;
 	uint64_t local_grants; /* decided without the scheduler */
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -277,6 +277,7 @@
 		outbound_cancel(c->out);
 	c->out = NULL;
 	c->paused = false;
+	g->counters.sending_ends[end]++;
 	bh__registry_note_end(g->registry, c->endpoint_id,
 						  end == BH__SENDING_ANSWERED  ? BH__USE_SERVED
 						  : end == BH__SENDING_REFUSED ? BH__USE_REFUSED
@@ -310,6 +311,7 @@
 
 static void log_sending_(const Call *c, BH__SendingEnd end, BH__Next next, uint64_t now_us)
 {
+	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
 	char cause[CAUSE_MAX + 1] = "";
 
 	if (end == BH__SENDING_REFUSED) {
@@ -318,9 +320,9 @@
 		g_strdelimit(cause, "\"\\\r\n", ' ');
 	}
 	log_event("sent",
-			  "request=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
+			  "request=%s endpoint=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
 			  " next=%s at_fault=%s events=%" G_GUINT64_FORMAT " cause=\"%s\"",
-			  c->request->meta.request_id, BH__SendingEndString[end],
+			  c->request->meta.request_id, e ? e->entry.id : "gone", BH__SendingEndString[end],
 			  end == BH__SENDING_UNREACHABLE ? 0 : c->head.status, c->x.sendings,
 			  (now_us - c->sent_us) / BH__MS_US, BH__NextString[next], c->head.meta.at_fault,
 			  c->events.events, cause);
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -143,6 +143,9 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
 		evbuffer_add_printf(out, "bayhoist_%s %" G_GUINT64_FORMAT "\n", all[i].name, all[i].value);
+	for (int i = 0; i < BH__SENDING_END_COUNT; i++)
+		evbuffer_add_printf(out, "bayhoist_sending_ends_total{end=\"%s\"} %" G_GUINT64_FORMAT "\n",
+							BH__SendingEndString[i], k->sending_ends[i]);
 	for (int i = 0; i < CALL_OUTCOME_COUNT; i++)
 		evbuffer_add_printf(out, "bayhoist_outcomes_total{outcome=\"%s\"} %" G_GUINT64_FORMAT "\n",
 							OutcomeString_[i], k->outcomes[i]);
--- a/test/check-gate.sh
+++ b/test/check-gate.sh
@@ -24,6 +24,12 @@
 is "a stream is served" "$(ask 1 /ask/x s1)" 200
 is "with all its events" "$(ids)" 10
 is "run once" "$(tell 'runs?id=s1')" 1
+fingerprint() { grep -h "event=take request=$1 " "$RUN"/gate?.log | grep -o 'fingerprint=[0-9a-f]*'; }
+ask 2 /ask/x s6 >/dev/null
+ask 2 /ask/y s7 >/dev/null
+sleep 0.2
+is "the same request under another id has the same fingerprint on another gateway" "$(fingerprint s6)" "$(fingerprint s1)"
+is "and another path another one" "$([ "$(fingerprint s7)" != "$(fingerprint s1)" ] && echo yes)" yes
 ask 2 /ask/x s2 -H 'X-Tenant: forged' -H 'Helpers: 1.2.3.4:5' >/dev/null
 tell headers >"$RUN/headers"
 is "the account is told" "$(grep -c '^X-Tenant: acct' "$RUN/headers")" 1
