Requests that crash endpoints are held by all nodes after the third crash

Cause: an exchange knew the sendings of one try only, and no node told another what broke off. Change: a node whose sending broke off reports the request's fingerprint to the node that judges the service (the one that would schedule it). That one looks whether the endpoint still listens, waits 60 ms for the other reports, and counts the crash against those of the requests under way there which have the most crashes already. At three a request is held for ten minutes: all nodes are told, refuse it with 503 and the time that is left, and end what is on its way. Probes carry a hash of the entries; those that are held stand in the platform's store, read at a start with the duties. The protocol among nodes is version 5. An endpoint's entry tells when it started (born): one that is back under its id has crashed.

--- a/include/bayhoist/exchange.h
+++ b/include/bayhoist/exchange.h
@@ -15,6 +15,7 @@
 	BH__SENDING_REFUSED,     /* the endpoint says that it did not run the request */
 	BH__SENDING_UNREACHABLE, /* no connection: nothing was sent */
 	BH__SENDING_BROKEN,      /* no whole answer: it may have run */
+	BH__SENDING_STOPPED,     /* we ended it, since it would crash the endpoint: it may have run */
 	BH__SENDING_SILENT,      /* nothing came for so long that we ended it: it may have run */
 	BH__SENDING_END_COUNT
 } BH__SendingEnd;
--- a/include/bayhoist/members.h
+++ b/include/bayhoist/members.h
@@ -23,6 +23,7 @@
 bool bh__members_process_message(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 void bh__members_process_unreachable(BH__Members *m, uint64_t node_id, uint64_t now_us);
 void bh__members_set_self(BH__Members *m, bool leaving, uint64_t config_revision, uint32_t load);
+void bh__members_set_quarantine(BH__Members *m, uint64_t hash);
 void bh__members_announce(BH__Members *m);
 void bh__members_forget(BH__Members *m, uint64_t node_id);
 const BH__MemberInfo *bh__members_get_self(const BH__Members *m);
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -7,10 +7,11 @@
 #include "bayhoist/catalog.h"
 #include "bayhoist/hash.h"
 #include "bayhoist/packed_text.h"
+#include "bayhoist/quarantine.h"
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 4
+#define BH__MESSAGE_VERSION 5
 #define BH__MESSAGE_UPDATES_MAX 8  /* member records that ride on a ping or its answer */
 #define BH__MESSAGE_DIGESTS_MAX 16 /* pool digests that ride on a ping or its answer */
 #define BH__MESSAGE_LIST_MAX 65536 /* longest list that is accepted */
@@ -39,6 +40,8 @@
 	BH__MESSAGE_LOOK,
 	BH__MESSAGE_PASS,
 	BH__MESSAGE_READER,
+	BH__MESSAGE_SUSPECT,
+	BH__MESSAGE_QUARANTINE,
 	BH__MESSAGE_TYPE_COUNT
 } BH__MessageType;
 
@@ -155,6 +158,7 @@
 		struct {
 			uint64_t sequence;
 			BH__MemberInfo self;
+			uint64_t quarantine_hash; /* of the entries that all nodes are to know alike */
 			uint8_t update_count;
 			BH__MemberInfo update[BH__MESSAGE_UPDATES_MAX];
 			uint8_t digest_count;
@@ -236,6 +240,17 @@
 			uint32_t gone_count;
 			uint64_t *gone; /* ids of endpoints that have left */
 		} look;             /* in a reader message: nothing, the sender reads the platform for all */
+		/* What happened to a request that may crash endpoints, for the node which judges that: its endpoint
+		 * broke it off, or it was served. */
+		struct {
+			BH__QuarantineEvent event;
+			uint64_t endpoint_id; /* that broke it off */
+			BH__CrashSuspect suspect;
+		} suspect;
+		struct {
+			uint32_t count;
+			BH__QuarantineEntry *entry; /* `since_us` is the age, since nodes share no clock */
+		} quarantine;
 	} as;
 } BH__Message;
 
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -16,7 +16,8 @@
 	char service[BH__NAME_LEN];
 	char address[BH__ADDRESS_LEN];
 	char hall[BH__NAME_LEN];
-	uint32_t slots; /* requests that it works on at a time */
+	uint32_t slots;   /* requests that it works on at a time */
+	uint64_t born_ms; /* time of day of its start, by its own clock; 0: not said */
 	bool draining;
 } BH__EndpointEntry;
 
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -7,13 +7,15 @@
 #include <string.h>
 #include "bayhoist/hash.h"
 #include "clock.h"
+#include "crashes.h"
 #include "log.h"
 
 /* Without a word from the scheduler a request is placed by this node alone. */
 #define SCHEDULER_PATIENCE_MS 40
 #define QUEUED_REPEAT_MS 200 /* a request that the scheduler keeps waiting asks again after this */
 #define UNUSED_GRANTS_MAX 5  /* after more grants than these that could not be used a request is refused */
-#define RETRY_SOON_MS 200    /* when a caller that was refused for a passing cause is to come back */
+#define HELD_MESSAGE "endpoints have crashed each time they ran this request; it is not sent to any for now"
+#define RETRY_SOON_MS 200 /* when a caller that was refused for a passing cause is to come back */
 /* The same while no node knows the configuration. Callers wait for a third of the time they have left at
  * most; on the users' routes that is 0.8 to 5 s. */
 #define RETRY_OUTAGE_MIN_MS 1000
@@ -32,6 +34,8 @@
 static BH__CallerTime *caller_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
+static bool give_up_held_(Call *c);
+static void send_(Call *c, uint64_t endpoint_id);
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 static void ask_(Call *c);
 static void fill_ask_(Call *c);
@@ -218,6 +222,8 @@
 		call_act(c, bh__exchange_process_deadline(&c->x));
 		return;
 	}
+	if (give_up_held_(c))
+		return;
 	if (c->service->is_engine) {
 		ask_(c);
 		return;
@@ -225,11 +231,54 @@
 	e = bh__registry_pick(g->registry, c->service->name, g->settings.hall, c->x.tried, c->x.tried_count,
 						  c->x.may_have_run, now_us);
 	if (e)
-		sending_start(c, e->endpoint_id);
+		send_(c, e->endpoint_id);
 	else
 		give_up_(c, RETRY_SOON_MS, "no-endpoint", "no endpoint of the service can take the request");
 }
 
+/* Ends a request that is held because it crashes endpoints. Returns false if it is not. */
+static bool give_up_held_(Call *c)
+{
+	uint64_t held_us = crashes_get_held_us(c->gate->crashes, &c->fingerprint);
+
+	if (!held_us)
+		return false;
+	crashes_note_refusal(c->gate->crashes);
+	log_event("refuse", "request=%s cause=held held_ms=%" G_GUINT64_FORMAT, c->request->meta.request_id,
+			  held_us / BH__MS_US);
+	give_up_(c, held_us / BH__MS_US, "crashes-endpoints", HELD_MESSAGE);
+	return true;
+}
+
+/* Sends the request to an endpoint, unless time has gone over that: the node may have been suspended since
+ * the endpoint was granted, or the request may be held by now. */
+static void send_(Call *c, uint64_t endpoint_id)
+{
+	if (clock_now_us() >= c->x.deadline_us)
+		call_act(c, bh__exchange_process_deadline(&c->x));
+	else if (!give_up_held_(c))
+		sending_start(c, endpoint_id);
+}
+
+/* A request is held from now on: its calls end, but for those whose answer has begun. An endpoint that has
+ * not begun to run it is spared a crash, since it drops what is closed. */
+void calls_process_held(Gate *g, const BH__Fingerprint *f)
+{
+	GList *all = g_hash_table_get_keys(g->calls);
+
+	for (GList *it = all; it; it = it->next) {
+		Call *c = it->data;
+		if (!g_hash_table_contains(g->calls, c) || c->state == CALL_STARTING ||
+			!bh__fingerprint_equal(&c->fingerprint, f))
+			continue;
+		if (c->state != CALL_SENDING)
+			give_up_held_(c);
+		else if (!c->x.answer_begun && !evbuffer_get_length(c->body))
+			sending_end(c, BH__SENDING_STOPPED);
+	}
+	g_list_free(all);
+}
+
 /* Ends a request for which there is no place: one that did not run is refused with these words. */
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message)
 {
@@ -349,7 +398,7 @@
 		}
 	}
 	if (!needs_memory) {
-		sending_start(c, g->member[0].endpoint_id);
+		send_(c, g->member[0].endpoint_id);
 		return;
 	}
 	c->state = CALL_RESERVING;
@@ -374,7 +423,7 @@
 	Call *c = ctx;
 
 	if (held) {
-		sending_start(c, c->place.grant.member[0].endpoint_id);
+		send_(c, c->place.grant.member[0].endpoint_id);
 		return;
 	}
 	memory_hold_delete(c->memory);
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -45,6 +45,7 @@
 	bool told_progress;    /* the scheduler knows that this sending's answer has begun */
 	BH__EventStream events;
 	bool paused;
+	bool was_broken; /* a sending that an endpoint broke off was reported */
 	struct event *timer;
 };
 
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include "bayhoist/hash.h"
 #include "clock.h"
+#include "crashes.h"
 #include "log.h"
 
 #define MEMBERS_TICK_MS 100
@@ -189,6 +190,7 @@
 	bh__members_process_tick(c->members, now_us);
 	log_members_(c);
 	looks_process_tick(c->gate->looks, now_us);
+	crashes_process_tick(c->gate->crashes, now_us);
 	schedulers_follow(c, now_us);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
@@ -291,7 +293,8 @@
 	uint64_t now_us = clock_now_us();
 
 	schedulers_hear(c, m->from_node);
-
+	if (m->type == BH__MESSAGE_PING || m->type == BH__MESSAGE_ACK)
+		crashes_compare(c->gate->crashes, m->from_node, m->as.ping.quarantine_hash, now_us);
 	if (bh__members_process_message(c->members, m, now_us)) {
 		schedulers_follow(c, now_us);
 		return;
@@ -330,11 +333,21 @@
 	case BH__MESSAGE_READER:
 		looks_process_reader(c->gate->looks, m->from_node, now_us);
 		break;
+	case BH__MESSAGE_SUSPECT:
+	case BH__MESSAGE_QUARANTINE:
+		crashes_process_message(c->gate->crashes, m, now_us);
+		break;
 	default:
 		break;
 	}
 }
 
+/* Sets the hash of what this node knows of requests that crash endpoints. */
+void cluster_set_quarantine(Cluster *c, uint64_t hash)
+{
+	bh__members_set_quarantine(c->members, hash);
+}
+
 /* Tells the others that this node leaves, and gives up its duties. */
 void cluster_leave(Cluster *c, uint64_t now_us)
 {
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -27,6 +27,7 @@
 typedef struct Outbound Outbound;
 typedef struct Cluster Cluster;
 typedef struct Looks Looks;
+typedef struct Crashes Crashes;
 
 /* Why a request ended, for the counters. */
 typedef enum { CALL_SERVED, CALL_REFUSED, CALL_FAILED, CALL_CALLER_GONE, CALL_OUTCOME_COUNT } CallOutcome;
@@ -56,6 +57,7 @@
 	void *binding; /* the platform binding's own state */
 	Cluster *cluster;
 	Looks *looks;
+	Crashes *crashes;
 	BH__Routing *routing;       /* NULL: not known yet */
 	char *routing_text;         /* that it was decoded from */
 	uint64_t routing_looked_us; /* when the look was begun that last showed it to be the newest */
@@ -92,6 +94,7 @@
 void gate_note_platform_lost(Gate *g);
 void gate_presume_node(Gate *g, const char *duty, const BH__MemberInfo *info);
 void gate_note_duties(Gate *g);
+void gate_learn_held(Gate *g, const BH__QuarantineEntry *aged);
 BH__RepeatBudget *gate_get_budget(Gate *g, const char *service);
 
 /* inbound.c */
@@ -164,6 +167,7 @@
 void call_on_scheduler_lost(Call *c);
 CallPlace *call_get_place(Call *c);
 void calls_process_news(Gate *g);
+void calls_process_held(Gate *g, const BH__Fingerprint *f);
 void calls_free(Gate *g);
 
 /* memory.c */
@@ -195,6 +199,7 @@
 void cluster_tell_progress(Cluster *c, Call *call);
 void cluster_tell_pass(Cluster *c, Call *call, uint64_t pass_us);
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint);
+void cluster_set_quarantine(Cluster *c, uint64_t hash);
 void cluster_write_status(const Cluster *c, struct evbuffer *out);
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -8,6 +8,7 @@
 #include <sysexits.h>
 #include "bayhoist/hash.h"
 #include "clock.h"
+#include "crashes.h"
 #include "daemon_options.h"
 #include "gate.h"
 #include "log.h"
@@ -91,6 +92,7 @@
 	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
 	g->looks = looks_new(g);
+	g->crashes = crashes_new(g);
 	if (!cluster_start(g) || !web_start(g) || !inbounds_listen(g) || !g->port->start(g)) {
 		log_error("start-failed", "caller_address=%s peer_address=%s cause=\"%s\"",
 				  g->settings.caller_address, g->settings.peer_address, strerror(errno));
@@ -220,6 +222,12 @@
 	calls_process_news(g);
 }
 
+/* A request is recorded to be held; `since_us` of the entry is its age. */
+void gate_learn_held(Gate *g, const BH__QuarantineEntry *aged)
+{
+	crashes_learn(g->crashes, aged, clock_now_us());
+}
+
 /* The registry shows the endpoints as they were when a look was begun: the planners follow those that came or
  * went. */
 void gate_note_registry(Gate *g, uint64_t looked_us)
@@ -232,6 +240,7 @@
 	if (g->registry_seen != bh__registry_get_version(g->registry)) {
 		g->registry_seen = bh__registry_get_version(g->registry);
 		cluster_follow_registry(g->cluster, clock_now_us());
+		crashes_follow_registry(g->crashes, clock_now_us());
 	}
 	looks_process_news(g->looks, clock_now_us());
 	calls_process_news(g);
@@ -330,6 +339,7 @@
 	web_stop(g);
 	cluster_free(g->cluster);
 	looks_delete(g->looks);
+	crashes_delete(g->crashes);
 	event_base_loop(g->base, EVLOOP_NONBLOCK); /* frees what was left to the loop */
 	g_ptr_array_unref(g->own_events);
 	event_base_free(g->base);
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -14,6 +14,7 @@
 #define REQUEST_ID_LEN 80
 #define API_KEY_LEN 200
 #define MAC_LEN 200
+#define GATE_RECORDS_MAX 16 /* entries that the platform is to record at once */
 
 typedef struct Gate Gate;
 
@@ -83,12 +84,17 @@
 	/* Sets whether a change of the configuration is to be heard of at once, without a look. */
 	void (*watch_configuration)(Gate *g, bool wanted);
 	/* Reads which nodes did which duty when that was last recorded: each is handed to gate_presume_node(),
-	 * and the end told by gate_note_duties(). While this node knows no other it is read again. */
+	 * the requests that are held to gate_learn_held(), and the end told by gate_note_duties(). While this
+	 * node knows no other it is read again. */
 	void (*find_duties)(Gate *g);
 	/* Records that this node does a duty, for nodes that start. `done` is called once, with whether it is
 	 * recorded. */
 	void (*record_duty)(Gate *g, const char *duty, const BH__MemberInfo *self,
 						void (*done)(void *ctx, bool recorded), void *ctx);
+	/* Records which requests are held, for nodes that start, and takes those away that are not any more.
+	 * `done` is called once, with whether that is done. */
+	void (*record_quarantine)(Gate *g, const BH__QuarantineEntry *entry, unsigned count,
+							  void (*done)(void *ctx, bool recorded), void *ctx);
 	/* Answers a caller that asks where to go, or the platform that asks whether the node takes callers. */
 	void (*answer_directory)(Gate *g, struct evhttp_request *req);
 	void (*answer_readiness)(Gate *g, struct evhttp_request *req);
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 #include "clock.h"
+#include "crashes.h"
 #include "log.h"
 
 #define WHOLE_MAX (256 * 1024) /* bytes of an answer that are kept until it is whole */
@@ -19,6 +20,7 @@
 static void on_body_(void *ctx, const char *data, size_t len);
 static void note_pause_(Call *c, uint64_t pause_us);
 static void on_end_(void *ctx, OutboundEnd end);
+static void report_(Call *c, BH__SendingEnd end, uint64_t at_fault);
 static BH__SendingEnd judge_head_(const Call *c, bool *judged);
 static BH__SendingEnd judge_end_(const Call *c, OutboundEnd end);
 static void pass_events_(Call *c);
@@ -269,7 +271,7 @@
 {
 	Gate *g = c->gate;
 	uint64_t now_us = clock_now_us();
-	bool failed = end != BH__SENDING_ANSWERED && end != BH__SENDING_FAILED;
+	bool failed = end != BH__SENDING_ANSWERED && end != BH__SENDING_FAILED && end != BH__SENDING_STOPPED;
 	uint64_t at_fault = c->endpoint_id;
 	BH__Next next;
 
@@ -281,10 +283,12 @@
 	bh__registry_note_end(g->registry, c->endpoint_id,
 						  end == BH__SENDING_ANSWERED  ? BH__USE_SERVED
 						  : end == BH__SENDING_REFUSED ? BH__USE_REFUSED
+						  : end == BH__SENDING_STOPPED ? BH__USE_ABANDONED
 													   : BH__USE_FAILED,
 						  now_us);
 	if (end == BH__SENDING_REFUSED)
 		at_fault = find_at_fault_(c);
+	report_(c, end, at_fault);
 	memory_hold_delete(c->memory);
 	c->memory = NULL;
 	cluster_release(g->cluster, c,
@@ -298,6 +302,22 @@
 	call_act(c, next);
 }
 
+/* Tells what the end of a sending says of the request: an endpoint that broke off, or a helper that is gone,
+ * may have crashed under it. An answer that is not the caller's is no such sign, since its endpoint lives. */
+static void report_(Call *c, BH__SendingEnd end, uint64_t at_fault)
+{
+	Crashes *crashes = c->gate->crashes;
+	bool broke = end == BH__SENDING_BROKEN && !c->judged;
+	bool helper_gone = end == BH__SENDING_REFUSED && at_fault != c->endpoint_id;
+
+	if (end == BH__SENDING_ANSWERED)
+		crashes_note_served(crashes, c->service->name, &c->fingerprint, c->was_broken);
+	if (!broke && !helper_gone)
+		return;
+	c->was_broken = true;
+	crashes_note_broken(crashes, c->service->name, at_fault, &c->fingerprint, helper_gone);
+}
+
 /* Returns the endpoint that a refusal names as its cause, which may be a helper; else the one that refused.
  */
 static uint64_t find_at_fault_(const Call *c)
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include "bayhoist/verdict.h"
 #include "clock.h"
+#include "crashes.h"
 #include "log.h"
 #include "web.h"
 
@@ -162,6 +163,7 @@
 	write_histogram_(out, "grant_wait_ms", "all", &k->grant_wait);
 	write_histogram_(out, "whole_ms", "all", &k->whole);
 	cluster_write_status(g->cluster, out);
+	crashes_write_status(g->crashes, out);
 }
 
 static void write_histogram_(struct evbuffer *out, const char *name, const char *label,
--- a/src/libbayhoist/exchange.c
+++ b/src/libbayhoist/exchange.c
@@ -20,8 +20,8 @@
 #define LEAST_ENGINE_PATIENCE_MS_ (BH__LONGEST_PASS_MS + 200)
 #define BUDGET_FILL_ 0.7 /* of what is allowed that is used: nodes restart, and then begin anew */
 
-const char *const BH__SendingEndString[] = {"answered",    "failed", "refused",
-											"unreachable", "broken", "silent"};
+const char *const BH__SendingEndString[] = {"answered", "failed",  "refused", "unreachable",
+											"broken",   "stopped", "silent"};
 const char *const BH__NextString[] = {"done",   "pass-on", "send",     "resume",
 									  "refuse", "fail",    "time-out", "break-off"};
 
@@ -105,9 +105,10 @@
 		x->unreachable++;
 	else
 		x->sendings++;
-	if (end == BH__SENDING_BROKEN || end == BH__SENDING_SILENT || end == BH__SENDING_FAILED)
+	if (end == BH__SENDING_BROKEN || end == BH__SENDING_SILENT || end == BH__SENDING_FAILED ||
+		end == BH__SENDING_STOPPED)
 		x->may_have_run = true;
-	if (!bh__exchange_may_send_again(x, now_us))
+	if (end == BH__SENDING_STOPPED || !bh__exchange_may_send_again(x, now_us))
 		return give_up_(x, end);
 	if ((end != BH__SENDING_UNREACHABLE || x->sendings > 0) && !bh__repeat_budget_take(budget))
 		return give_up_(x, end);
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -49,6 +49,7 @@
 	GArray *relays; /* Relay_: probes made for others */
 	GRand *rand;
 	uint64_t version; /* grows with each change that matters to picks */
+	uint64_t quarantine_hash;
 	uint64_t next_sequence;
 	unsigned next_probe;
 	bool probes_neighbour; /* the last probe was of the neighbour */
@@ -368,6 +369,7 @@
 	msg->type = type;
 	msg->as.ping.sequence = sequence;
 	msg->as.ping.self = m->self.info;
+	msg->as.ping.quarantine_hash = m->quarantine_hash;
 	while (msg->as.ping.update_count < BH__MESSAGE_UPDATES_MAX) {
 		Entry_ *e = newest_news_(m, msg);
 		if (!e)
@@ -681,6 +683,13 @@
 	self->load = load;
 }
 
+/* Sets the hash of this node's quarantine, which rides on probes and answers: nodes whose hashes differ tell
+ * each other their entries. */
+void bh__members_set_quarantine(BH__Members *m, uint64_t hash)
+{
+	m->quarantine_hash = hash;
+}
+
 /* Tells every live node at once what this one says of itself. */
 void bh__members_announce(BH__Members *m)
 {
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -14,9 +14,10 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",      "ack",         "ping-req", "join",     "members", "ask",         "grant",      "refuse",
-	"release",   "progress",    "withdraw", "hold",     "orphan",  "config-news", "config-ask", "config-data",
-	"quota-ask", "quota-grant", "queued",   "look-ask", "look",    "pass",        "reader"};
+	"ping",       "ack",         "ping-req",  "join",        "members", "ask",      "grant",
+	"refuse",     "release",     "progress",  "withdraw",    "hold",    "orphan",   "config-news",
+	"config-ask", "config-data", "quota-ask", "quota-grant", "queued",  "look-ask", "look",
+	"pass",       "reader",      "suspect",   "quarantine"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
@@ -49,6 +50,10 @@
 static void quota_(Codec_ *c, BH__Message *m);
 static void endpoint_(Codec_ *c, BH__EndpointEntry *e);
 static void look_(Codec_ *c, BH__Message *m);
+static void fingerprint_(Codec_ *c, BH__Fingerprint *f);
+static void suspect_(Codec_ *c, BH__Message *m);
+static void quarantine_entry_(Codec_ *c, BH__QuarantineEntry *e);
+static void quarantine_(Codec_ *c, BH__Message *m);
 static void body_(Codec_ *c, BH__Message *m);
 static bool is_container_(uint8_t lead);
 
@@ -215,6 +220,7 @@
 {
 	u64_(c, &m->as.ping.sequence);
 	member_(c, &m->as.ping.self);
+	u64_(c, &m->as.ping.quarantine_hash);
 	u8_(c, &m->as.ping.update_count, BH__MESSAGE_UPDATES_MAX);
 	for (unsigned i = 0; i < m->as.ping.update_count; i++)
 		member_(c, &m->as.ping.update[i]);
@@ -320,6 +326,7 @@
 	string_(c, e->address, sizeof e->address);
 	string_(c, e->hall, sizeof e->hall);
 	u32_(c, &e->slots);
+	u64_(c, &e->born_ms);
 	flag_(c, &e->draining);
 }
 
@@ -344,6 +351,48 @@
 		u64_(c, &m->as.look.gone[i]);
 }
 
+static void fingerprint_(Codec_ *c, BH__Fingerprint *f)
+{
+	u64_(c, &f->high);
+	u64_(c, &f->low);
+}
+
+static void suspect_(Codec_ *c, BH__Message *m)
+{
+	uint8_t event = (uint8_t)m->as.suspect.event;
+
+	u8_(c, &event, BH__QUARANTINE_EVENT_COUNT - 1);
+	m->as.suspect.event = (BH__QuarantineEvent)event;
+	u64_(c, &m->as.suspect.endpoint_id);
+	fingerprint_(c, &m->as.suspect.suspect.fingerprint);
+	u32_(c, &m->as.suspect.suspect.weight);
+	c->failed |= m->as.suspect.suspect.weight > BH__CRASH_WEIGHT;
+}
+
+static void quarantine_entry_(Codec_ *c, BH__QuarantineEntry *e)
+{
+	uint8_t state = (uint8_t)e->state;
+
+	fingerprint_(c, &e->fingerprint);
+	u8_(c, &state, BH__QUARANTINE_STATE_COUNT - 1);
+	e->state = (BH__QuarantineState)state;
+	u32_(c, &e->version);
+	u32_(c, &e->weight);
+	u32_(c, &e->times_held);
+	u64_(c, &e->since_us);
+	u8_(c, &e->crash_count, BH__QUARANTINE_CRASHES_MAX);
+	for (unsigned i = 0; i < e->crash_count; i++)
+		u64_(c, &e->crash[i]);
+}
+
+static void quarantine_(Codec_ *c, BH__Message *m)
+{
+	m->as.quarantine.entry =
+		list_(c, &m->as.quarantine.count, m->as.quarantine.entry, sizeof *m->as.quarantine.entry);
+	for (uint32_t i = 0; i < m->as.quarantine.count && !c->failed; i++)
+		quarantine_entry_(c, &m->as.quarantine.entry[i]);
+}
+
 static void body_(Codec_ *c, BH__Message *m)
 {
 	uint8_t kind;
@@ -418,6 +467,12 @@
 		break;
 	case BH__MESSAGE_READER:
 		break;
+	case BH__MESSAGE_SUSPECT:
+		suspect_(c, m);
+		break;
+	case BH__MESSAGE_QUARANTINE:
+		quarantine_(c, m);
+		break;
 	case BH__MESSAGE_TYPE_COUNT:
 		c->failed = true;
 		break;
@@ -518,6 +573,9 @@
 		g_free(m->as.look.entry);
 		g_free(m->as.look.gone);
 		break;
+	case BH__MESSAGE_QUARANTINE:
+		g_free(m->as.quarantine.entry);
+		break;
 	default:
 		break;
 	}
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -84,7 +84,8 @@
 	}
 	draining = e->entry.draining || entry->draining;
 	e->listed = true;
-	if (!e->gone_at_us && draining == e->entry.draining && !strcmp(e->entry.address, entry->address))
+	if (!e->gone_at_us && draining == e->entry.draining && e->entry.born_ms == entry->born_ms &&
+		!strcmp(e->entry.address, entry->address))
 		return false;
 	e->entry = *entry;
 	e->entry.draining = draining;
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -272,6 +272,12 @@
 		g_free(wait);
 		on_watch_(req);
 	}
+	else if (!strcmp(path, "/kv-lease")) { /* one that never ends */
+		struct json_object *o = json_object_new_object();
+		json_object_object_add(o, "lease", json_object_new_int64(1));
+		json_object_object_add(o, "ttl_ms", json_object_new_int64(600000));
+		web_reply_json(req, 200, o);
+	}
 	else if (!strcmp(path, "/kv-txn")) {
 		on_txn_(req);
 	}
