--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -1,7 +1,7 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* Endpoints that register themselves: what each said of itself, what was learned by using it, and the choice
- * among those of a plain service. Every start of an endpoint has an id of its own; an address may come back
- * under another. */
+ * among those of a plain service. An endpoint may start again under its id, and then holds nothing of before;
+ * an address may come back under another id. */
 #ifndef BAYHOIST_REGISTRY_H
 #define BAYHOIST_REGISTRY_H
 
@@ -36,6 +36,7 @@
 	uint64_t gone_at_us;      /* 0: listed; otherwise it is to be taken as gone from then on */
 	bool listed;              /* in the list that is being read */
 	uint64_t changed_version; /* of the registry, with the last change to the entry */
+	uint64_t life;            /* grows with each start that was seen under its id */
 	uint32_t in_flight;       /* requests that this node has there */
 	uint32_t reported;        /* requests that it said run or wait there, of all nodes */
 	uint64_t reported_us;
@@ -63,8 +64,9 @@
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us);
-void bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id);
-void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, BH__Use use, uint64_t now_us);
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id);
+void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, uint64_t life, BH__Use use,
+						   uint64_t now_us);
 void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
 							uint64_t now_us);
 
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -501,7 +501,7 @@
 
 	if (c->out) {
 		outbound_cancel(c->out);
-		bh__registry_note_end(g->registry, c->endpoint_id, BH__USE_ABANDONED, now_us);
+		bh__registry_note_end(g->registry, c->endpoint_id, c->endpoint_life, BH__USE_ABANDONED, now_us);
 	}
 	cluster_drop_ask(g->cluster, c);
 	cluster_release(g->cluster, c, BH__RELEASE_DONE, BH__NO_ENDPOINT);
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -33,6 +33,7 @@
 	MemoryHold *memory;
 	Outbound *out;
 	uint64_t endpoint_id;
+	uint64_t endpoint_life; /* see bh__registry_note_start() */
 	uint64_t sent_us;
 	uint32_t pauses;           /* of the sending that is under way, between what came of the answer */
 	uint64_t longest_pause_us; /* between what the endpoints sent of the answer */
--- a/src/bayhoist-gate/memory.c
+++ b/src/bayhoist-gate/memory.c
@@ -17,6 +17,7 @@
 	Gate *gate;
 	MemoryHold *hold; /* NULL: not wanted any more */
 	uint64_t endpoint_id;
+	uint64_t life; /* of the endpoint */
 	char address[BH__ADDRESS_LEN];
 	char id[ID_LEN];
 	uint64_t tokens;
@@ -37,6 +38,7 @@
 static void write_id_(char out[ID_LEN], const BH__Grant *grant, unsigned index);
 static void reserve_(Part *p);
 static void on_reserved_(void *part, bool held);
+static bool is_there_(const Part *p);
 static void check_(MemoryHold *h, bool failed);
 static void on_timer_(evutil_socket_t fd, short what, void *arg);
 static void set_timer_(MemoryHold *h, uint64_t ms);
@@ -65,6 +67,7 @@
 		p->gate = g;
 		p->hold = h;
 		p->endpoint_id = e->endpoint_id;
+		p->life = e->life;
 		p->tokens = grant->member[i].kv_bytes;
 		g_strlcpy(p->address, e->entry.address, sizeof p->address);
 		write_id_(p->id, grant, i);
@@ -141,10 +144,20 @@
 		return;
 	}
 	for (unsigned i = 0; i < h->count; i++)
-		reserve_(h->part[i]);
+		if (is_there_(h->part[i]))
+			reserve_(h->part[i]);
 	set_timer_(h, RENEW_MS);
 }
 
+/* Returns false if the engine has started again: it has forgotten the memory, and to renew that would set
+ * aside what nobody uses. */
+static bool is_there_(const Part *p)
+{
+	const BH__RegisteredEndpoint *e = bh__registry_find(p->gate->registry, p->endpoint_id);
+
+	return !e || e->life == p->life;
+}
+
 /* Frees the memory everywhere. `h` may be NULL. */
 void memory_hold_delete(MemoryHold *h)
 {
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -104,7 +104,7 @@
 		for (unsigned i = 0; i < bh__registry_get_count(registry); i++) {
 			const BH__RegisteredEndpoint *e = bh__registry_get(registry, i);
 			if (!strcmp(e->entry.service, s->service))
-				bh__planner_set_endpoint(s->planner, e->endpoint_id,
+				bh__planner_set_endpoint(s->planner, e->endpoint_id, e->life,
 										 !bh__registered_endpoint_is_usable(e, now_us), now_us);
 		}
 	}
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -49,7 +49,7 @@
 	evbuffer_drain(c->body, evbuffer_get_length(c->body));
 	write_request_(c, e, out);
 	g->counters.sendings++;
-	bh__registry_note_start(g->registry, endpoint_id);
+	c->endpoint_life = bh__registry_note_start(g->registry, endpoint_id);
 	log_send_(c, e);
 	c->out = outbound_start(g, e->entry.address, out, &Callbacks_, c);
 	evbuffer_free(out);
@@ -280,7 +280,7 @@
 	c->out = NULL;
 	c->paused = false;
 	g->counters.sending_ends[end]++;
-	bh__registry_note_end(g->registry, c->endpoint_id,
+	bh__registry_note_end(g->registry, c->endpoint_id, c->endpoint_life,
 						  end == BH__SENDING_ANSWERED  ? BH__USE_SERVED
 						  : end == BH__SENDING_REFUSED ? BH__USE_REFUSED
 						  : end == BH__SENDING_STOPPED ? BH__USE_ABANDONED
--- a/src/bench/bench_placement.c
+++ b/src/bench/bench_placement.c
@@ -293,7 +293,7 @@
 	run.events = g_sequence_new(g_free);
 	run.by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
 	for (unsigned i = 0; i < site->engines; i++)
-		bh__planner_set_endpoint(run.planner, i + 1, false, 0);
+		bh__planner_set_endpoint(run.planner, i + 1, 0, false, 0);
 	draw_requests_(&run, rng, per_s);
 	play_(&run);
 	judge_(&run, out);
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -22,6 +22,7 @@
 
 typedef struct {
 	uint64_t endpoint_id;
+	uint64_t life; /* of the endpoint, as the registry counts them */
 	bool leaving;
 	uint64_t set_aside_until_us; /* after a failure */
 	unsigned failures;           /* one after another */
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -20,6 +20,8 @@
 static BH__PassEngine *find_engine_(const BH__Planner *p, uint64_t endpoint_id);
 static gint compare_order_(gconstpointer a, gconstpointer b, gpointer seed);
 static void free_engine_(gpointer engine);
+static void restart_(BH__Planner *p, BH__PassEngine *e, uint64_t life);
+static bool names_(const BH__Grant *g, uint64_t endpoint_id);
 static double unread_share_(const BH__Grant *g);
 static BH__PlacedRequest *enter_(BH__Planner *p, const BH__Grant *g, uint64_t due_us, uint64_t aim_us,
 								 uint64_t now_us);
@@ -102,24 +104,63 @@
 	return g_hash_table_lookup(p->by_id, &endpoint_id);
 }
 
-/* Adds an engine, or changes whether it is leaving. */
-void bh__planner_set_endpoint(BH__Planner *p, uint64_t endpoint_id, bool leaving, uint64_t now_us)
+/* Adds an engine, or changes whether it is leaving. With another `life` than before it has started again. */
+void bh__planner_set_endpoint(BH__Planner *p, uint64_t endpoint_id, uint64_t life, bool leaving,
+							  uint64_t now_us)
 {
 	BH__PassEngine *e = find_engine_(p, endpoint_id);
 
 	if (!e) {
 		e = g_new0(BH__PassEngine, 1);
 		e->endpoint_id = endpoint_id;
+		e->life = life;
 		e->homes = g_ptr_array_new();
 		bh__pass_clock_init(&e->clock);
 		g_ptr_array_add(p->engines, e);
 		g_hash_table_insert(p->by_id, &e->endpoint_id, e);
 		g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
 	}
+	if (e->life != life)
+		restart_(p, e, life);
 	e->leaving = leaving;
 	bh__planner_pump(p, now_us);
 }
 
+/* An engine has started again: it holds nothing of what it was given, and no failure counts against it.
+ * Grants that name it keep their other engines until they are released. */
+static void restart_(BH__Planner *p, BH__PassEngine *e, uint64_t life)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, p->placed);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		BH__Grant *g = &((BH__PlacedRequest *)value)->grant;
+		for (unsigned i = 0; i < g->member_count; i++)
+			if (g->member[i].endpoint_id == e->endpoint_id)
+				g->member[i].endpoint_id = BH__NO_ENDPOINT;
+	}
+	g_ptr_array_set_size(e->homes, 0);
+	bh__pass_clock_clear(&e->clock);
+	bh__pass_clock_init(&e->clock);
+	e->life = life;
+	e->helps = 0;
+	e->kv_used_tokens = 0;
+	e->failures = 0;
+	e->set_aside_until_us = 0;
+	e->last_begun_us = 0;
+	e->inspected_us = 0;
+}
+
+/* Returns true if a grant has work on an engine, in that engine's present life. */
+static bool names_(const BH__Grant *g, uint64_t endpoint_id)
+{
+	for (unsigned i = 0; i < g->member_count; i++)
+		if (g->member[i].endpoint_id == endpoint_id)
+			return true;
+	return false;
+}
+
 /* Forgets an engine; grants on it stay until they are released. */
 void bh__planner_remove_endpoint(BH__Planner *p, uint64_t endpoint_id, uint64_t now_us)
 {
@@ -360,7 +401,8 @@
 	BH__PlacedRequest *r = g_hash_table_lookup(p->placed, &grant_id);
 	BH__PassEngine *failed = find_engine_(p, failed_endpoint);
 
-	if (failed && (kind == BH__RELEASE_FAILED || kind == BH__RELEASE_LOST))
+	if (failed && (!r || names_(&r->grant, failed_endpoint)) &&
+		(kind == BH__RELEASE_FAILED || kind == BH__RELEASE_LOST))
 		set_aside_(failed, now_us);
 	if (r)
 		take_out_(p, r, kind == BH__RELEASE_LOST, now_us);
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -36,6 +36,7 @@
 
 static bool is_tried_(const uint64_t *tried, unsigned count, uint64_t endpoint_id);
 static double cost_(const BH__RegisteredEndpoint *e, const char *hall, uint64_t now_us);
+static void begin_life_(BH__RegisteredEndpoint *e);
 static void drop_(BH__Registry *r, BH__RegisteredEndpoint *e);
 
 BH__Registry *bh__registry_new(uint32_t seed)
@@ -64,8 +65,8 @@
 	return r->version;
 }
 
-/* Takes an endpoint's entry. Returns true if it changes anything. Draining is never taken back: an entry that
- * says otherwise is an old one that was written late. */
+/* Takes an endpoint's entry. Returns true if it changes anything. Within a life draining is never taken back:
+ * an entry that says otherwise is an old one that was written late, and so is one of an earlier start. */
 bool bh__registry_put(BH__Registry *r, const BH__EndpointEntry *entry)
 {
 	uint64_t id = bh__hash_name(entry->id);
@@ -82,8 +83,12 @@
 		e->changed_version = ++r->version;
 		return true;
 	}
-	draining = e->entry.draining || entry->draining;
 	e->listed = true;
+	if (entry->born_ms && entry->born_ms < e->entry.born_ms)
+		return false;
+	if (e->entry.born_ms && entry->born_ms > e->entry.born_ms)
+		begin_life_(e);
+	draining = e->entry.draining || entry->draining;
 	if (!e->gone_at_us && draining == e->entry.draining && e->entry.born_ms == entry->born_ms &&
 		!strcmp(e->entry.address, entry->address))
 		return false;
@@ -94,6 +99,19 @@
 	return true;
 }
 
+/* An endpoint has started again under its id: nothing holds that was learnt of it before. */
+static void begin_life_(BH__RegisteredEndpoint *e)
+{
+	e->life++;
+	e->entry.draining = false;
+	e->in_flight = 0;
+	e->reported = 0;
+	e->reported_us = 0;
+	e->set_aside_until_us = 0;
+	e->failures = 0;
+	e->failure_share = 0;
+}
+
 /* An endpoint's entry is gone: it is taken as gone from `gone_at_us` on, unless it comes back before. */
 void bh__registry_remove(BH__Registry *r, uint64_t endpoint_id, uint64_t gone_at_us)
 {
@@ -245,20 +263,23 @@
 	return best;
 }
 
-void bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id)
+/* A request goes to an endpoint. Returns the endpoint's life, for bh__registry_note_end(). */
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id)
 {
 	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
 
-	if (e)
-		e->in_flight++;
+	if (!e)
+		return 0;
+	e->in_flight++;
+	return e->life;
 }
 
-/* Learns from how a request ended. */
-void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, BH__Use use, uint64_t now_us)
+/* Learns from how a request ended, unless the endpoint has started again since the request was sent. */
+void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, uint64_t life, BH__Use use, uint64_t now_us)
 {
 	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
 
-	if (!e)
+	if (!e || e->life != life)
 		return;
 	e->in_flight -= e->in_flight > 0;
 	if (use == BH__USE_SERVED) {
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -166,6 +166,43 @@
 	bh__registry_delete(r);
 }
 
+/* An endpoint that started again under its id was left alone for its failures of before, counted as busy with
+ * requests that had died with it, and once draining never came back. */
+static void an_endpoint_that_is_back_starts_anew_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+	BH__EndpointEntry e = entry_("i-1", "1.1.1.1:1");
+	BH__EndpointEntry old;
+	uint64_t id = bh__hash_name("i-1");
+	const BH__RegisteredEndpoint *known;
+	uint64_t life;
+
+	(void)state;
+	e.born_ms = 1000;
+	e.draining = true;
+	old = e;
+	bh__registry_put(r, &e);
+	life = bh__registry_note_start(r, id);
+	bh__registry_note_start(r, id);
+	for (int i = 0; i < 5; i++)
+		bh__registry_note_end(r, id, life, BH__USE_FAILED, 10);
+	e.born_ms = 2000;
+	e.draining = false;
+	assert_true(bh__registry_put(r, &e));
+	known = bh__registry_find(r, id);
+	assert_true(bh__registered_endpoint_is_usable(known, 11));
+	assert_int_equal(known->in_flight, 0);
+	assert_int_equal(known->failures, 0);
+	assert_int_equal(known->set_aside_until_us, 0);
+	bh__registry_note_start(r, id);
+	bh__registry_note_end(r, id, life, BH__USE_FAILED, 12); /* of a request that died with the old one */
+	assert_int_equal(known->in_flight, 1);
+	assert_int_equal(known->failures, 0);
+	assert_false(bh__registry_put(r, &old)); /* written before the start, and late */
+	assert_true(bh__registered_endpoint_is_usable(known, 13));
+	bh__registry_delete(r);
+}
+
 static void picks_the_least_loaded_and_not_tried_(void **state)
 {
 	BH__Registry *r = bh__registry_new(1);
@@ -182,7 +219,7 @@
 	assert_true(bh__registry_pick(r, "s", "h1", &second, 1, false, 1)->endpoint_id == first);
 	assert_null(bh__registry_pick(r, "t", "h1", NULL, 0, false, 1));
 	for (int i = 0; i < 3; i++)
-		bh__registry_note_end(r, second, BH__USE_FAILED, 10);
+		bh__registry_note_end(r, second, 0, BH__USE_FAILED, 10);
 	assert_true(bh__registry_pick(r, "s", "h1", NULL, 0, false, 11)->endpoint_id == first);
 	assert_true(bh__registry_find_address(r, "1.1.1.1:2")->endpoint_id == second);
 	assert_null(bh__registry_find_address(r, "1.1.1.1:3"));
@@ -500,7 +537,7 @@
 	assert_null(bh__registry_pick(r, "s", "h1", &first, 1, false, 1));
 	bh__registry_put(r, &b);
 	for (int i = 0; i < 3; i++)
-		bh__registry_note_end(r, bh__hash_name("b"), BH__USE_FAILED, 1);
+		bh__registry_note_end(r, bh__hash_name("b"), 0, BH__USE_FAILED, 1);
 	assert_true(bh__registry_pick(r, "s", "h1", &first, 1, true, 2)->endpoint_id == bh__hash_name("b"));
 	bh__registry_delete(r);
 }
@@ -514,6 +551,7 @@
 		cmocka_unit_test(keys_lead_to_their_owner_),
 		cmocka_unit_test(draining_is_not_taken_back_),
 		cmocka_unit_test(gone_endpoints_have_their_grace_),
+		cmocka_unit_test(an_endpoint_that_is_back_starts_anew_),
 		cmocka_unit_test(picks_the_least_loaded_and_not_tried_),
 		cmocka_unit_test(sends_again_only_what_may_),
 		cmocka_unit_test(may_have_run_is_not_forgotten_),
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -90,7 +90,7 @@
 	b->grants = g_array_new(FALSE, TRUE, sizeof(BH__Grant));
 	bh__planner_set_model(b->planner, &m);
 	for (unsigned i = 1; i <= engines; i++)
-		bh__planner_set_endpoint(b->planner, i, false, 0);
+		bh__planner_set_endpoint(b->planner, i, 0, false, 0);
 	return b;
 }
 
@@ -239,6 +239,50 @@
 	bench_free_(b);
 }
 
+/* An engine that is back under its id was thought to hold the memory and read the parts of before its end,
+ * and was left alone for its failure. */
+static void an_engine_that_is_back_holds_nothing_(void **state)
+{
+	Bench *b = bench_new_(2);
+	BH__PlannerEngine e;
+	unsigned others = 0;
+	guint before;
+
+	(void)state;
+	for (unsigned i = 0; i < 8; i++) {
+		BH__Ask a = ask_(b, MEDIUM);
+		bh__planner_process_ask(b->planner, &a, i * MS);
+	}
+	before = b->grants->len;
+	bh__planner_refuse_all(b->planner, BH__REASON_OVERLOAD); /* what waits */
+	bh__planner_process_release(b->planner, grant_(b, 0)->grant_id, BH__RELEASE_LOST, 1, 20 * MS);
+	bh__planner_set_endpoint(b->planner, 1, 1, false, 21 * MS);
+	for (guint i = 1; i < before; i++) /* what breaks off late says nothing of the new life */
+		if (grant_(b, i)->member[0].endpoint_id == 1)
+			bh__planner_process_release(b->planner, grant_(b, i)->grant_id, BH__RELEASE_LOST, 1, 22 * MS);
+	for (unsigned i = 0; i < bh__planner_get_engine_count(b->planner); i++) {
+		bh__planner_get_engine(b->planner, i, &e);
+		others += e.endpoint_id != 1;
+		if (e.endpoint_id != 1)
+			continue;
+		assert_int_equal(e.kv_used_tokens, 0);
+		assert_int_equal(e.homes, 0);
+		assert_int_equal(e.helps, 0);
+		assert_true(e.unread_ms == 0);
+	}
+	assert_int_equal(others, 1);
+	g_array_set_size(b->grants, 0);
+	others = 0;
+	for (unsigned i = 0; i < 10; i++) {
+		BH__Ask a = ask_(b, SHORT_PAGE);
+		bh__planner_process_ask(b->planner, &a, 23 * MS);
+	}
+	for (guint i = 0; i < b->grants->len; i++)
+		others += grant_(b, i)->member[0].endpoint_id != 1;
+	assert_in_range(others, 0, b->grants->len - 1); /* the one that is back takes its share at once */
+	bench_free_(b);
+}
+
 static void an_engine_that_failed_is_left_alone_(void **state)
 {
 	Bench *b = bench_new_(2);
@@ -484,7 +528,7 @@
 		bh__planner_set_model(b->planner, &m);
 		bh__planner_set_alone(b->planner, true);
 		for (unsigned i = 1; i <= ENGINES; i++)
-			bh__planner_set_endpoint(b->planner, i, false, 0);
+			bh__planner_set_endpoint(b->planner, i, 0, false, 0);
 		bh__planner_process_ask(b->planner, &a, 1000);
 		different += !used[grant_(b, 0)->member[0].endpoint_id];
 		used[grant_(b, 0)->member[0].endpoint_id] = true;
@@ -740,6 +784,7 @@
 		cmocka_unit_test(long_prompts_keep_away_from_tight_streams_),
 		cmocka_unit_test(an_engine_is_kept_for_short_prompts_),
 		cmocka_unit_test(a_prompt_over_one_engine_takes_memory_on_another_),
+		cmocka_unit_test(an_engine_that_is_back_holds_nothing_),
 		cmocka_unit_test(an_engine_that_failed_is_left_alone_),
 		cmocka_unit_test(lost_requests_are_read_to_their_end_),
 		cmocka_unit_test(without_engines_requests_are_refused_at_once_),
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -154,6 +154,50 @@
 	g_error_free(error);
 }
 
+/* Entries that another writer left, with fields missing or of another type, name no endpoint. */
+static void an_entry_of_another_writer_names_no_endpoint_(void **state)
+{
+	static const char *const Entries[] = {
+		"",
+		"\xff\xfe\x00",
+		"null",
+		"[]",
+		"17",
+		"\"ready\"",
+		"{}",
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16}",
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,\"state\":\"paused\"}",
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,\"state\":1}",
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":\"16\",\"state\":\"ready\"}",
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":-1,\"state\":\"ready\"}",
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,\"state\":\"ready\",\"born\":\"now\"}",
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,\"state\":\"ready\",\"born\":1.5}",
+		"{\"service\":\"llm\",\"address\":\"nowhere\",\"slots\":16,\"state\":\"ready\"}",
+		"{\"service\":7,\"address\":\"10.1.0.9:80\",\"slots\":16,\"state\":\"ready\"}",
+		"{\"service\":\"llm\",\"address\":[],\"slots\":16,\"state\":\"ready\"}",
+	};
+	BH__EndpointEntry e;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Entries); i++) {
+		GError *error = NULL;
+		assert_false(platform_decode_endpoint("i-1", Entries[i], strlen(Entries[i]), &e, &error));
+		assert_non_null(error);
+		g_error_free(error);
+	}
+}
+
+static void an_endpoint_tells_when_it_started_(void **state)
+{
+	static const char Text[] = "{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,"
+							   "\"state\":\"ready\",\"born\":1767886258748}";
+	BH__EndpointEntry e;
+
+	(void)state;
+	assert_true(platform_decode_endpoint("i-1", Text, strlen(Text), &e, NULL));
+	assert_true(e.born_ms == 1767886258748);
+}
+
 /* A caller can't set what is ours to set, and its key goes no further. */
 static void callers_headers_are_sorted_(void **state)
 {
@@ -221,6 +265,8 @@
 		cmocka_unit_test(damaged_configurations_crash_nothing_),
 		cmocka_unit_test(a_recorded_node_is_decoded_),
 		cmocka_unit_test(an_endpoint_is_decoded_),
+		cmocka_unit_test(an_entry_of_another_writer_names_no_endpoint_),
+		cmocka_unit_test(an_endpoint_tells_when_it_started_),
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(answers_heads_are_read_),
 		cmocka_unit_test(sendings_name_their_helpers_),
