A request that met a third crash waits for the judgement; held requests cost no more messages

Cause: a plain request that crashed its endpoint 30 ms after it came was sent again within the 60 ms that reports of a crash are gathered, and crashed a fourth and sixth one; each later crash of its copies told all nodes once more. Change: a request that is suspected of two crashes and breaks off again is sent on 120 ms later, if it is not held by then; a crash under a request that is held changes no entry.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -15,6 +15,9 @@
 #define QUEUED_REPEAT_MS 200 /* a request that the scheduler keeps waiting asks again after this */
 #define UNUSED_GRANTS_MAX 5  /* after more grants than these that could not be used a request is refused */
 #define HELD_MESSAGE "endpoints have crashed each time they ran this request; it is not sent to any for now"
+/* A request that has met a third crash is sent again once that has been judged: the look at the endpoint and
+ * the reports of others take 60 ms and a few hops. Sent at once it met a fourth one 30 ms later. */
+#define JUDGEMENT_MS 120
 #define RETRY_SOON_MS 200 /* when a caller that was refused for a passing cause is to come back */
 /* The same while no node knows the configuration. Callers wait for a third of the time they have left at
  * most; on the users' routes that is 0.8 to 5 s. */
@@ -25,7 +28,7 @@
 #define LIKELY_FACTOR 2 /* answers are up to so many times as long as the caller guesses */
 #define LIKELY_EXTRA_TOKENS 200
 
-static const char *const StateString_[] = {"starting", "asking", "reserving", "sending"};
+static const char *const StateString_[] = {"starting", "asking", "reserving", "suspected", "sending"};
 
 static void begin_(Call *c);
 static bool admit_(Call *c);
@@ -43,6 +46,7 @@
 static void use_grant_(Call *c);
 static void return_grant_(Call *c, uint64_t unusable_endpoint);
 static void on_memory_(void *ctx, bool held);
+static void send_again_(Call *c);
 static void pass_failure_(Call *c);
 static void finish_(Call *c, CallOutcome outcome, const char *reason);
 static uint64_t overdue_us_(const Call *c);
@@ -452,7 +456,7 @@
 	case BH__NEXT_RESUME:
 		g->counters.repeats++;
 		g->counters.resumes += next == BH__NEXT_RESUME;
-		place_(c);
+		send_again_(c);
 		break;
 	case BH__NEXT_REFUSE:
 		refuse_(c, 503, RETRY_SOON_MS, "not-run", "no endpoint ran the request");
@@ -472,6 +476,18 @@
 	}
 }
 
+/* Finds another endpoint, at once or after the crash that the request has met was judged. */
+static void send_again_(Call *c)
+{
+	if (!c->was_broken || !crashes_is_suspected(c->gate->crashes, &c->fingerprint)) {
+		place_(c);
+		return;
+	}
+	c->state = CALL_SUSPECTED;
+	c->suspected_us = clock_now_us();
+	call_set_timer(c, c->suspected_us);
+}
+
 /* Passes an endpoint's failure on as it is. One that would promise what the endpoint did not say becomes
  * ours. */
 static void pass_failure_(Call *c)
@@ -550,6 +566,8 @@
 
 	if (c->state == CALL_STARTING)
 		due_us = starting_until_us_(c);
+	if (c->state == CALL_SUSPECTED)
+		due_us = MIN(due_us, c->suspected_us + JUDGEMENT_MS * BH__MS_US);
 	if (c->state == CALL_ASKING)
 		due_us =
 			MIN(due_us, c->asked_us + (c->queued ? QUEUED_REPEAT_MS : SCHEDULER_PATIENCE_MS) * BH__MS_US);
@@ -578,6 +596,9 @@
 		c->x.may_have_run |= c->state == CALL_SENDING && c->out && outbound_is_connected(c->out);
 		call_act(c, bh__exchange_process_deadline(&c->x));
 	}
+	else if (c->state == CALL_SUSPECTED && now_us >= c->suspected_us + JUDGEMENT_MS * BH__MS_US) {
+		place_(c);
+	}
 	else if (now_us >= overdue_us_(c)) {
 		if (bh__exchange_may_send_again(&c->x, now_us) && c->x.sendings + 1 < c->x.max_attempts) {
 			sending_end(c, BH__SENDING_SILENT);
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -10,6 +10,7 @@
 	CALL_STARTING,  /* waits until the node knows the configuration and the endpoints */
 	CALL_ASKING,    /* waits for engines */
 	CALL_RESERVING, /* waits for memory on them */
+	CALL_SUSPECTED, /* waits until the crash that it met has been judged */
 	CALL_SENDING    /* an endpoint has it */
 } CallState;
 
@@ -29,6 +30,7 @@
 	bool told_queued;       /* in the log */
 	unsigned unused_grants; /* that had to be given back */
 	uint64_t asked_us;
+	uint64_t suspected_us;     /* since when it waits for that */
 	uint64_t waited_before_us; /* by its caller, before this try */
 	MemoryHold *memory;
 	Outbound *out;
--- a/src/bayhoist-gate/crashes.c
+++ b/src/bayhoist-gate/crashes.c
@@ -109,6 +109,15 @@
 	return bh__quarantine_get_held_us(c->quarantine, f, clock_now_us());
 }
 
+/* Returns true if a request has met two crashes: one more may show that it is the cause. */
+bool crashes_is_suspected(const Crashes *c, const BH__Fingerprint *f)
+{
+	const BH__QuarantineEntry *e = bh__quarantine_find(c->quarantine, f);
+
+	return e && e->weight >= BH__TOLD_WEIGHT &&
+		   (e->state == BH__QUARANTINE_SUSPECTED || e->state == BH__QUARANTINE_PROBATION);
+}
+
 /* A request is refused because it is held. */
 void crashes_note_refusal(Crashes *c)
 {
--- a/src/bayhoist-gate/crashes.h
+++ b/src/bayhoist-gate/crashes.h
@@ -8,6 +8,7 @@
 Crashes *crashes_new(Gate *g);
 void crashes_delete(Crashes *c);
 uint64_t crashes_get_held_us(Crashes *c, const BH__Fingerprint *f);
+bool crashes_is_suspected(const Crashes *c, const BH__Fingerprint *f);
 void crashes_note_refusal(Crashes *c);
 void crashes_note_broken(Crashes *c, const char *service, uint64_t endpoint_id, const BH__Fingerprint *f,
 						 bool helped);
--- a/src/libbayhoist/quarantine.c
+++ b/src/libbayhoist/quarantine.c
@@ -184,12 +184,15 @@
 	}
 }
 
-/* Returns true if this very crash has been counted against a request. */
+/* Returns true if this very crash has been counted against a request, or need not be: one that is held was on
+ * its way already. */
 static bool is_counted_(const BH__Quarantine *q, const BH__CrashSuspect *s, uint64_t endpoint_id,
 						uint64_t now_us)
 {
 	const BH__QuarantineEntry *e = find_(q, &s->fingerprint);
 
+	if (e && e->state == BH__QUARANTINE_HELD)
+		return true;
 	if (!e || now_us - e->since_us >= SAME_CRASH_US_)
 		return false;
 	for (unsigned i = 0; i < e->crash_count; i++)
--- a/test/check-crashes.sh
+++ b/test/check-crashes.sh
@@ -13,7 +13,9 @@
 FAILED=0
 engines=
 for n in $(seq 4 $ENGINES); do engines="$engines --engine i-e$n=$(address $((100 + n)))"; done
-start_site $engines --plain i-p3="$(address 6)" --plain i-p4="$(address 7)"
+plain=
+for n in 3 4 5 6 7 8; do plain="$plain --plain i-p$n=$(address $((120 + n)))"; done
+start_site $engines $plain
 for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; start_gate $n; done
 config 1 key1 >"$RUN/config"
 tell config -d "@$RUN/config"
@@ -55,4 +57,31 @@
 	is "and says when to come back" "$(grep -ci '^retry-after: [1-9]' "$RUN/head")" 1
 done
 is "another body is another request" "$(ask 1 /ask/x other)" 200
+is "the gateways say that one is held" "$(for n in 1 2 3; do
+	curl -s "http://$(node $n 3)/metrics" | grep -c '^bayhoist_quarantine{state="held"} 1'
+done | sort -u)" 1
+
+signal gate2 KILL
+sleep 0.2
+start_gate 2
+wait_for 5 ready 2 200
+is "a gateway that starts refuses it" "$(call 2 /ask/crash/x j1 -H 'X-Token-Usage: 3000,100' -d crash)" 503
+sleep 1.5 # for the record in the store
+before=$(tell crashes)
+for n in 1 2 3; do signal gate$n KILL; done
+sleep 0.2
+for n in 1 2 3; do start_gate $n; done
+for n in 1 2 3; do wait_for 5 ready $n 200; done
+for n in 1 2 3; do
+	is "after all were killed gateway $n refuses it" "$(call $n /ask/crash/x k$n -H 'X-Token-Usage: 3000,100' -d crash)" 503
+done
+is "and it has crashed nothing" "$(tell crashes)" "$before"
+
+CRASHED=$(tell crashes)
+storm plain /free/crash/x /free/
+is "a plain request crashes three endpoints, and those of its copies that were under way" "$(($(crashes) <= 5))" 1
+CRASHED=$(tell crashes)
+storm late /ask/crash-late/x /ask/
+is "so does one whose answer has begun" "$(($(crashes) <= 5))" 1
+is "requests beside them are served" "$(cat "$RUN"/status.plain-* "$RUN"/status.late-* | sort | uniq -c | tr -s ' ')" " 48 200"
 exit $FAILED
