--- a/src/bayhoist-gate/crashes.c
+++ b/src/bayhoist-gate/crashes.c
@@ -65,6 +65,7 @@
 static void on_recorded_(void *crashes, bool recorded);
 static void tell_(Crashes *c, uint64_t node_id, const GArray *entries, uint64_t now_us);
 static void follow_hash_(Crashes *c);
+static struct json_object *describe_entry_(const Crashes *c, const BH__QuarantineEntry *e);
 
 Crashes *crashes_new(Gate *g)
 {
@@ -423,6 +424,43 @@
 	record_(c, now_us);
 }
 
+static struct json_object *describe_entry_(const Crashes *c, const BH__QuarantineEntry *e)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *endpoints = json_object_new_array();
+	char fingerprint[BH__FINGERPRINT_TEXT_LEN];
+	uint64_t held_us = bh__quarantine_get_held_us(c->quarantine, &e->fingerprint, clock_now_us());
+
+	bh__fingerprint_write(&e->fingerprint, fingerprint);
+	for (unsigned i = 0; i < e->crash_count; i++) {
+		const BH__RegisteredEndpoint *r = bh__registry_find(c->gate->registry, e->crash[i]);
+		json_object_array_add(endpoints, json_object_new_string(r ? r->entry.id : "gone"));
+	}
+	json_object_object_add(o, "fingerprint", json_object_new_string(fingerprint));
+	json_object_object_add(o, "state", json_object_new_string(BH__QuarantineStateString[e->state]));
+	json_object_object_add(o, "crashes", json_object_new_double((double)e->weight / BH__CRASH_WEIGHT));
+	json_object_object_add(o, "times_held", json_object_new_int64(e->times_held));
+	json_object_object_add(o, "held_s", json_object_new_int64((int64_t)(held_us / BH__SECOND_US)));
+	json_object_object_add(o, "endpoints", endpoints);
+	return o;
+}
+
+/* Returns what this node knows of requests that crash endpoints, for operators; to free with
+ * json_object_put(). */
+struct json_object *crashes_describe(const Crashes *c)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
+
+	bh__quarantine_list(c->quarantine, false, all);
+	for (guint i = 0; i < all->len; i++)
+		json_object_array_add(list, describe_entry_(c, &g_array_index(all, BH__QuarantineEntry, i)));
+	g_array_unref(all);
+	json_object_object_add(root, "requests", list);
+	return root;
+}
+
 /* Writes counts of requests and crashes, as metrics. */
 void crashes_write_status(const Crashes *c, struct evbuffer *out)
 {
--- a/src/bayhoist-gate/crashes.h
+++ b/src/bayhoist-gate/crashes.h
@@ -3,6 +3,7 @@
 #ifndef BAYHOIST_GATE_CRASHES_H
 #define BAYHOIST_GATE_CRASHES_H
 
+#include <json-c/json.h>
 #include "gate.h"
 
 Crashes *crashes_new(Gate *g);
@@ -20,5 +21,6 @@
 bool crashes_release(Crashes *c, const BH__Fingerprint *f);
 void crashes_process_tick(Crashes *c, uint64_t now_us);
 void crashes_write_status(const Crashes *c, struct evbuffer *out);
+struct json_object *crashes_describe(const Crashes *c);
 
 #endif
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -5,6 +5,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <openssl/crypto.h>
 #include <string.h>
 #include "bayhoist/verdict.h"
 #include "clock.h"
@@ -20,6 +21,8 @@
 static void on_directory_(struct evhttp_request *req, void *arg);
 static void on_readiness_(struct evhttp_request *req, void *arg);
 static void on_control_(struct evhttp_request *req, void *arg);
+static void release_(Gate *g, struct evhttp_request *req);
+static bool is_operator_(const Gate *g, struct evhttp_request *req);
 static void write_metrics_(Gate *g, struct evbuffer *out);
 static void write_histogram_(struct evbuffer *out, const char *name, const char *label,
 							 const BH__Histogram *h);
@@ -50,7 +53,7 @@
 	char ip[BH__ADDRESS_LEN];
 	uint16_t port;
 
-	evhttp_set_allowed_methods(http, EVHTTP_REQ_GET);
+	evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST);
 	evhttp_set_max_headers_size(http, HEADERS_MAX);
 	evhttp_set_max_body_size(http, BODY_MAX);
 	evhttp_set_timeout(http, IDLE_S);
@@ -103,6 +106,14 @@
 	Gate *g = arg;
 	struct evbuffer *out;
 
+	if (!strcmp(web_get_path(req), "/quarantine")) {
+		web_reply_json(req, 200, crashes_describe(g->crashes));
+		return;
+	}
+	if (!strcmp(web_get_path(req), "/quarantine/release")) {
+		release_(g, req);
+		return;
+	}
 	if (strcmp(web_get_path(req), "/metrics") != 0) {
 		web_reply_error(req, 404, NULL, "not-found", "there is no such path");
 		return;
@@ -114,6 +125,32 @@
 	evbuffer_free(out);
 }
 
+/* An operator lets a request go that is suspected or held. */
+static void release_(Gate *g, struct evhttp_request *req)
+{
+	char *text = web_get_query(req, "fingerprint");
+	BH__Fingerprint f;
+
+	if (evhttp_request_get_command(req) != EVHTTP_REQ_POST || !is_operator_(g, req))
+		web_reply_error(req, 401, NULL, "unauthorized", "a release is a POST with the nodes' shared key");
+	else if (!text || !bh__fingerprint_read(text, &f))
+		web_reply_error(req, 400, NULL, "bad-request", "field \"fingerprint\" must be 32 hexadecimal digits");
+	else if (!crashes_release(g->crashes, &f))
+		web_reply_error(req, 404, NULL, "not-found", "this request is neither suspected nor held");
+	else
+		web_reply_json(req, 200, crashes_describe(g->crashes));
+	g_free(text);
+}
+
+static bool is_operator_(const Gate *g, struct evhttp_request *req)
+{
+	const char *header = web_get_header(req, "Authorization");
+	const char *key = header && g_str_has_prefix(header, "Bearer ") ? header + strlen("Bearer ") : "";
+
+	return strlen(key) == strlen(g->settings.peer_key) &&
+		   CRYPTO_memcmp(key, g->settings.peer_key, strlen(key)) == 0;
+}
+
 static void write_metrics_(Gate *g, struct evbuffer *out)
 {
 	static const char *const SizeLabel[BH__SIZE_CLASSES] = {"4k", "32k", "100k", "more"};
--- a/src/bayhoistctl/ctl.h
+++ b/src/bayhoistctl/ctl.h
@@ -34,6 +34,7 @@
 int ctl_where(const Options *o);
 int ctl_status(const Options *o);
 int ctl_timeline(const Options *o);
+int ctl_suspects(const Options *o, char **arguments);
 int ctl_explain(char **arguments);
 struct json_object *ctl_collect_status(const Options *o, int *status);
 
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -25,6 +25,9 @@
 		"  status               show nodes, pools and endpoints\n"
 		"  drain [ENDPOINT]     stop the node without cutting off a request, or mark an endpoint as leaving\n"
 		"  where                show which addresses a caller is told to use\n"
+		"  suspects [FINGERPRINT [release]]\n"
+		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
+		"                       control address, and --key for a release the key that the nodes share\n"
 		"  timeline             show the events of all nodes in order of time\n"
 		"  explain ID LOG...    show a request's way through the gateways' logs, and why it ended so\n"
 		"Options:\n"
@@ -131,6 +134,8 @@
 		return ctl_drain(o, arguments + 1);
 	if (!strcmp(command, "where"))
 		return ctl_where(o);
+	if (!strcmp(command, "suspects"))
+		return ctl_suspects(o, arguments + 1);
 	if (!strcmp(command, "timeline"))
 		return ctl_timeline(o);
 	usage_(stderr);
--- a/test/check-crashes.sh
+++ b/test/check-crashes.sh
@@ -77,6 +77,15 @@
 done
 is "and it has crashed nothing" "$(tell crashes)" "$before"
 
+suspects() { "$B/bayhoistctl" --node "$(node $1 3)" "${@:2}" 2>&1; }
+held=$(suspects 1 suspects | awk '$2 == "held" { print $1 }')
+is "operators see it" "$(suspects 2 suspects "$held" | awk '$2 == "held" { print $3 }')" "3.0"
+is "a release needs the nodes' key" "$(suspects 1 --key other suspects "$held" release >/dev/null; echo $?)" 1
+is "one that is not there is said so" "$(suspects 1 --key k suspects 00000000000000000000000000000000 release | grep -c 'neither')" 1
+is "one is let go" "$(suspects 1 --key k suspects "$held" release | awk '$2 == "cleared"' | wc -l)" 1
+sleep 0.2
+is "on all gateways" "$(for n in 1 2 3; do suspects $n suspects | awk '$2 == "cleared"' | wc -l; done | sort -u)" 1
+
 CRASHED=$(tell crashes)
 storm plain /free/crash/x /free/
 is "a plain request crashes three endpoints, and those of its copies that were under way" "$(($(crashes) <= 5))" 1
