--- a/src/test_libbayhoist/test_inputs.c
+++ b/src/test_libbayhoist/test_inputs.c
@@ -113,6 +113,8 @@
 	static BH__EndpointEntry endpoints[2] = {
 		{.id = "i-1", .service = "s", .address = "1.1.1.1:1", .slots = 3}};
 	static uint64_t gone[2] = {11, 12};
+	static BH__QuarantineEntry held[2] = {
+		{.fingerprint = {1, 2}, .state = BH__QUARANTINE_HELD, .version = 3, .weight = 6, .crash_count = 2}};
 	static BH__QuotaEntry quota[2] = {{.account_id = 4, .rate = 2.5, .held = 1}};
 	BH__Message *m = g_new0(BH__Message, 1);
 
@@ -164,6 +166,14 @@
 		m->as.look.gone_count = 2;
 		m->as.look.gone = gone;
 		break;
+	case BH__MESSAGE_SUSPECT:
+		m->as.suspect.event = BH__QUARANTINE_SERVE;
+		m->as.suspect.suspect.weight = BH__CRASH_WEIGHT;
+		break;
+	case BH__MESSAGE_QUARANTINE:
+		m->as.quarantine.count = 2;
+		m->as.quarantine.entry = held;
+		break;
 	default:
 		break;
 	}
