What nodes tell each other of crashes is decided in the library, and tried with 300 nodes

Cause: reporting, judging and telling stood in the gateway beside its I/O, so that only three real processes could try them. Change: crash_watch.c holds these decisions behind a port; the gateway's crashes.c looks at endpoints, ends calls, records. Result: test_crash_watch, 7 tests on virtual time with 300 nodes: all hold a request within 100 ms of three crashes at once, in 36 reports and at most 600 messages; a judge that dies, a node cut off, one that starts, an operator's word, one served, endpoints that leave. check-crashes unchanged.

--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -120,6 +120,12 @@
 	return c->members;
 }
 
+/* The same, for what tells others more on its probes. */
+BH__Members *cluster_get_own_members(Cluster *c)
+{
+	return c->members;
+}
+
 /* Returns the number of nodes that take callers, this one included. */
 unsigned cluster_count_nodes(const Cluster *c)
 {
@@ -293,8 +299,8 @@
 	uint64_t now_us = clock_now_us();
 
 	schedulers_hear(c, m->from_node);
-	if (m->type == BH__MESSAGE_PING || m->type == BH__MESSAGE_ACK)
-		crashes_compare(c->gate->crashes, m->from_node, m->as.ping.quarantine_hash, now_us);
+	if (crashes_process_message(c->gate->crashes, m, now_us))
+		return;
 	if (bh__members_process_message(c->members, m, now_us)) {
 		schedulers_follow(c, now_us);
 		return;
@@ -333,21 +339,11 @@
 	case BH__MESSAGE_READER:
 		looks_process_reader(c->gate->looks, m->from_node, now_us);
 		break;
-	case BH__MESSAGE_SUSPECT:
-	case BH__MESSAGE_QUARANTINE:
-		crashes_process_message(c->gate->crashes, m, now_us);
-		break;
 	default:
 		break;
 	}
 }
 
-/* Sets the hash of what this node knows of requests that crash endpoints. */
-void cluster_set_quarantine(Cluster *c, uint64_t hash)
-{
-	bh__members_set_quarantine(c->members, hash);
-}
-
 /* Tells the others that this node leaves, and gives up its duties. */
 void cluster_leave(Cluster *c, uint64_t now_us)
 {
--- a/src/bayhoist-gate/crashes.c
+++ b/src/bayhoist-gate/crashes.c
@@ -1,34 +1,19 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
-/* Requests that crash endpoints, among the nodes. A node whose sending broke off reports that to the node
- * which judges the crashes of the service, the one that would schedule it. That node looks whether the
- * endpoint still listens, gathers who was under way there, and tells all nodes of requests that are suspected
- * of a second crash or are held. Probes among nodes carry a hash of these entries, so that one which has
- * missed something is told; those that are held are also recorded on the platform, for nodes that start.
- * While no endpoint breaks off a request this costs no message. */
+/* Requests that crash endpoints, in the gateway: the library's crash_watch.c decides. Here endpoints are
+ * looked at, calls of requests that come to be held are ended, and those that are held are recorded on the
+ * platform, for nodes that start. */
 #include "crashes.h"
 
-#include <string.h>
-#include "bayhoist/crash_reports.h"
+#include "bayhoist/crash_watch.h"
 #include "bayhoist/hash.h"
 #include "clock.h"
 #include "dial.h"
 #include "log.h"
 
-#define REPORT_KEPT_US (2 * BH__SECOND_US) /* and told again if another node comes to judge meanwhile */
-#define REPORTS_MAX 1024
-#define TELL_PERIOD_US (500 * BH__MS_US) /* between times that one node is told all entries */
 /* Entries go to the store together, so that a storm of them costs it one call a second. */
 #define RECORD_PERIOD_US BH__SECOND_US
 #define TO_RECORD_MAX 256 /* entries that wait for that */
 
-/* A report that this node has made. */
-typedef struct {
-	uint64_t service_id;
-	uint64_t at_us;
-	uint64_t judge; /* node that was told */
-	BH__Message message;
-} Report;
-
 /* An endpoint that is being looked at. */
 typedef struct {
 	Crashes *crashes;
@@ -37,46 +22,38 @@
 } Look;
 
 struct Crashes {
+	BH__CrashPort port; /* first: the watch hands it back */
 	Gate *gate;
-	BH__Quarantine *quarantine;
-	BH__CrashReports *reports; /* that this node gathers */
-	GArray *sent;              /* Report */
-	GHashTable *looks;         /* set of Look */
-	GHashTable *told_us;       /* by node id: when it was last told all entries */
-	GArray *to_record;         /* BH__QuarantineEntry */
-	unsigned recording;        /* of those, the first ones, are on their way */
+	BH__CrashWatch *watch;
+	GHashTable *looks;  /* set of Look */
+	GArray *to_record;  /* BH__QuarantineEntry */
+	unsigned recording; /* of those, the first ones, are on their way */
 	uint64_t next_record_us;
-	uint64_t judged; /* crashes that were proven */
 	struct event *timer;
 };
 
-static uint64_t judge_(const Crashes *c, uint64_t service_id);
-static void send_report_(Crashes *c, Report *r);
-static void take_report_(Crashes *c, const BH__Message *m, uint64_t now_us);
-static void look_at_(Crashes *c, uint64_t endpoint_id);
+static void on_send_(BH__CrashPort *port, uint64_t node_id, BH__Message *m);
+static bool on_find_endpoint_(BH__CrashPort *port, uint64_t endpoint_id, uint64_t *born_ms);
+static void on_look_(BH__CrashPort *port, uint64_t endpoint_id);
 static void on_dialled_(void *look, DialEnd end);
-static void note_proof_(Crashes *c, uint64_t endpoint_id, BH__CrashProof proof);
-static void judge_due_(Crashes *c, uint64_t now_us);
-static void on_timer_(evutil_socket_t fd, short what, void *arg);
-static void take_changes_(Crashes *c, const GArray *changed, bool tell, uint64_t now_us);
+static void on_changed_(BH__CrashPort *port, const BH__QuarantineEntry *e, bool judged);
 static void log_entry_(const Crashes *c, const char *what, const BH__QuarantineEntry *e);
-static void note_for_record_(Crashes *c, const BH__QuarantineEntry *e);
+static void set_timer_(Crashes *c);
+static void on_timer_(evutil_socket_t fd, short what, void *arg);
 static void record_(Crashes *c, uint64_t now_us);
 static void on_recorded_(void *crashes, bool recorded);
-static void tell_(Crashes *c, uint64_t node_id, const GArray *entries, uint64_t now_us);
-static void follow_hash_(Crashes *c);
 static struct json_object *describe_entry_(const Crashes *c, const BH__QuarantineEntry *e);
 
+/* Starts to watch. Membership must have been started. */
 Crashes *crashes_new(Gate *g)
 {
 	Crashes *c = g_new0(Crashes, 1);
 
+	c->port = (BH__CrashPort){
+		.send = on_send_, .find_endpoint = on_find_endpoint_, .look = on_look_, .changed = on_changed_};
 	c->gate = g;
-	c->quarantine = bh__quarantine_new();
-	c->reports = bh__crash_reports_new();
-	c->sent = g_array_new(FALSE, FALSE, sizeof(Report));
+	c->watch = bh__crash_watch_new(&c->port, cluster_get_own_members(g->cluster));
 	c->looks = g_hash_table_new(g_direct_hash, g_direct_equal);
-	c->told_us = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	c->to_record = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
 	c->timer = evtimer_new(g->base, on_timer_, c);
 	return c;
@@ -96,109 +73,72 @@
 	}
 	event_free(c->timer);
 	g_hash_table_unref(c->looks);
-	g_hash_table_unref(c->told_us);
 	g_array_unref(c->to_record);
-	g_array_unref(c->sent);
-	bh__crash_reports_delete(c->reports);
-	bh__quarantine_delete(c->quarantine);
+	bh__crash_watch_delete(c->watch);
 	g_free(c);
 }
 
 /* Returns for how much longer a request is to be refused, in microseconds; 0: it may be sent. */
-uint64_t crashes_get_held_us(Crashes *c, const BH__Fingerprint *f)
+uint64_t crashes_get_held_us(const Crashes *c, const BH__Fingerprint *f)
 {
-	return bh__quarantine_get_held_us(c->quarantine, f, clock_now_us());
+	return bh__quarantine_get_held_us(bh__crash_watch_get_quarantine(c->watch), f, clock_now_us());
 }
 
 /* Returns true if a request has met two crashes: one more may show that it is the cause. */
 bool crashes_is_suspected(const Crashes *c, const BH__Fingerprint *f)
 {
-	const BH__QuarantineEntry *e = bh__quarantine_find(c->quarantine, f);
-
-	return e && e->weight >= BH__TOLD_WEIGHT &&
-		   (e->state == BH__QUARANTINE_SUSPECTED || e->state == BH__QUARANTINE_PROBATION);
+	return bh__crash_watch_is_suspected(c->watch, f);
 }
 
 /* A request is refused because it is held. */
 void crashes_note_refusal(Crashes *c)
 {
-	bh__quarantine_note_refusal(c->quarantine);
+	bh__quarantine_note_refusal(bh__crash_watch_get_quarantine(c->watch));
 }
 
-/* Returns the node that judges the crashes of a service's endpoints. */
-static uint64_t judge_(const Crashes *c, uint64_t service_id)
-{
-	const BH__Members *m = cluster_get_members(c->gate->cluster);
-	uint64_t node = bh__members_pick(m, service_id, NULL);
-
-	return node ? node : bh__members_get_self(m)->node_id;
-}
-
-/* An endpoint of `service` broke off a request: it may have crashed, and the request be the cause. `helped`:
- * the endpoint only helped with it, which weighs half, since each such request has many helpers. */
+/* An endpoint broke off a request, or (`helped`) is gone that only helped with it. */
 void crashes_note_broken(Crashes *c, const char *service, uint64_t endpoint_id, const BH__Fingerprint *f,
 						 bool helped)
 {
-	Report r = {.service_id = bh__hash_name(service), .at_us = clock_now_us()};
-
-	r.message.type = BH__MESSAGE_SUSPECT;
-	r.message.as.suspect.event = BH__QUARANTINE_CRASH;
-	r.message.as.suspect.endpoint_id = endpoint_id;
-	r.message.as.suspect.suspect.fingerprint = *f;
-	r.message.as.suspect.suspect.weight = helped ? BH__CRASH_WEIGHT / 2 : BH__CRASH_WEIGHT;
-	send_report_(c, &r);
-	if (c->sent->len < REPORTS_MAX)
-		g_array_append_val(c->sent, r);
+	bh__crash_watch_note_broken(c->watch, bh__hash_name(service), endpoint_id, f, helped, clock_now_us());
+	set_timer_(c);
 }
 
-/* A request was served. If it was suspected (`was_broken`: by a report of this node), it is not any more. */
+/* A request was served; `was_broken`: after this node had reported that it was broken off. */
 void crashes_note_served(Crashes *c, const char *service, const BH__Fingerprint *f, bool was_broken)
 {
-	const BH__QuarantineEntry *e = bh__quarantine_find(c->quarantine, f);
-	Report r = {.service_id = bh__hash_name(service), .at_us = clock_now_us()};
+	bh__crash_watch_note_served(c->watch, bh__hash_name(service), f, was_broken, clock_now_us());
+}
+
+/* Takes a message. Returns false if it is not one on crashes alone. */
+bool crashes_process_message(Crashes *c, const BH__Message *m, uint64_t now_us)
+{
+	bool taken = bh__crash_watch_process_message(c->watch, m, now_us);
 
-	if (!was_broken && (!e || e->state == BH__QUARANTINE_CLEARED))
-		return;
-	r.message.type = BH__MESSAGE_SUSPECT;
-	r.message.as.suspect.event = BH__QUARANTINE_SERVE;
-	r.message.as.suspect.suspect.fingerprint = *f;
-	send_report_(c, &r);
+	if (taken)
+		set_timer_(c);
+	return taken;
 }
 
-static void send_report_(Crashes *c, Report *r)
+static void on_send_(BH__CrashPort *port, uint64_t node_id, BH__Message *m)
 {
-	r->judge = judge_(c, r->service_id);
-	if (r->judge == bh__members_get_self(cluster_get_members(c->gate->cluster))->node_id)
-		take_report_(c, &r->message, clock_now_us());
-	else
-		cluster_send(c->gate->cluster, r->judge, &r->message);
+	cluster_send(((Crashes *)port)->gate->cluster, node_id, m);
 }
 
-/* A node reports what happened to a request. */
-static void take_report_(Crashes *c, const BH__Message *m, uint64_t now_us)
+static bool on_find_endpoint_(BH__CrashPort *port, uint64_t endpoint_id, uint64_t *born_ms)
 {
-	const BH__CrashSuspect *suspect = &m->as.suspect.suspect;
-	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, m->as.suspect.endpoint_id);
-	GArray *changed = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
-
-	if (m->as.suspect.event != BH__QUARANTINE_CRASH) {
-		if (bh__quarantine_process_event(c->quarantine, &suspect->fingerprint, m->as.suspect.event, now_us))
-			g_array_append_val(changed, *bh__quarantine_find(c->quarantine, &suspect->fingerprint));
-		take_changes_(c, changed, true, now_us);
-	}
-	else if (e &&
-			 bh__registered_endpoint_is_usable(e, now_us)) { /* one that leaves breaks off what it must */
-		if (bh__crash_reports_process(c->reports, e->endpoint_id, e->entry.born_ms, suspect, now_us))
-			look_at_(c, e->endpoint_id);
-		judge_due_(c, now_us);
-	}
-	g_array_unref(changed);
+	const Gate *g = ((Crashes *)port)->gate;
+	const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, endpoint_id);
+
+	*born_ms = e ? e->entry.born_ms : 0;
+	return e && bh__registered_endpoint_is_usable(e, clock_now_us());
 }
 
 /* Looks whether an endpoint that broke off a request still listens. One that has crashed does not until it is
  * started again, which takes seconds; behind a cut it is silent. */
-static void look_at_(Crashes *c, uint64_t endpoint_id)
+static void on_look_(BH__CrashPort *port, uint64_t endpoint_id)
 {
+	Crashes *c = (Crashes *)port;
 	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, endpoint_id);
 	Look *l = g_new0(Look, 1);
 
@@ -215,20 +155,14 @@
 											[DIAL_SILENT] = BH__CRASH_UNKNOWN};
 	Look *l = look;
 	Crashes *c = l->crashes;
+	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, l->endpoint_id);
 	uint64_t endpoint_id = l->endpoint_id;
 
 	g_hash_table_remove(c->looks, l);
 	g_free(l);
-	note_proof_(c, endpoint_id, Proofs[end]);
-}
-
-static void note_proof_(Crashes *c, uint64_t endpoint_id, BH__CrashProof proof)
-{
-	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, endpoint_id);
-
-	log_event("crash", "endpoint=%s proof=%s", e ? e->entry.id : "gone", BH__CrashProofString[proof]);
-	bh__crash_reports_process_proof(c->reports, endpoint_id, proof);
-	judge_due_(c, clock_now_us());
+	log_event("crash", "endpoint=%s proof=%s", e ? e->entry.id : "gone", BH__CrashProofString[Proofs[end]]);
+	bh__crash_watch_process_proof(c->watch, endpoint_id, Proofs[end], clock_now_us());
+	set_timer_(c);
 }
 
 /* The registry has changed: endpoints that are there under their old ids may have started since. */
@@ -236,60 +170,42 @@
 {
 	for (unsigned i = 0; i < bh__registry_get_count(c->gate->registry); i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(c->gate->registry, i);
-		bh__crash_reports_process_start(c->reports, e->endpoint_id, e->entry.born_ms);
+		bh__crash_watch_process_start(c->watch, e->endpoint_id, e->entry.born_ms, now_us);
 	}
-	judge_due_(c, now_us);
+	set_timer_(c);
 }
 
-/* Judges the crashes that are due, and sets the timer for the next. */
-static void judge_due_(Crashes *c, uint64_t now_us)
+static void set_timer_(Crashes *c)
 {
-	GArray *changed = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
-	uint64_t due_us;
-
-	if (bh__crash_reports_judge(c->reports, c->quarantine, changed, now_us))
-		c->judged++;
-	take_changes_(c, changed, true, now_us);
-	g_array_unref(changed);
-	due_us = bh__crash_reports_get_due_us(c->reports);
-	if (due_us != UINT64_MAX) {
-		uint64_t wait_us = due_us > now_us ? due_us - now_us : 0;
-		struct timeval tv = {(time_t)(wait_us / BH__SECOND_US), (suseconds_t)(wait_us % BH__SECOND_US)};
+	uint64_t due_us = bh__crash_watch_get_due_us(c->watch);
+	uint64_t now_us = clock_now_us();
+	uint64_t wait_us = due_us > now_us ? due_us - now_us : 0;
+	struct timeval tv = {(time_t)(wait_us / BH__SECOND_US), (suseconds_t)(wait_us % BH__SECOND_US)};
+
+	if (due_us != UINT64_MAX)
 		evtimer_add(c->timer, &tv);
-	}
 }
 
 static void on_timer_(evutil_socket_t fd, short what, void *arg)
 {
+	Crashes *c = arg;
+
 	(void)fd;
 	(void)what;
-	judge_due_(arg, clock_now_us());
+	bh__crash_watch_process_tick(c->watch, clock_now_us());
+	set_timer_(c);
 }
 
-/* Entries have changed: the log, the calls of this node, and with `tell` the other nodes hear of it. */
-static void take_changes_(Crashes *c, const GArray *changed, bool tell, uint64_t now_us)
+/* A request is suspected, held, or not any more. */
+static void on_changed_(BH__CrashPort *port, const BH__QuarantineEntry *e, bool judged)
 {
-	GArray *told = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
-
-	for (guint i = 0; i < changed->len; i++) {
-		const BH__QuarantineEntry *e = &g_array_index(changed, BH__QuarantineEntry, i);
-		if (e->weight < BH__TOLD_WEIGHT)
-			continue;
-		log_entry_(c, tell ? "judged" : "learnt", e);
-		g_array_append_val(told, *e);
-		if (tell)
-			note_for_record_(c, e);
-		if (e->state == BH__QUARANTINE_HELD)
-			calls_process_held(c->gate, &e->fingerprint);
-	}
-	if (tell && told->len)
-		for (unsigned i = 1; i < bh__members_get_count(cluster_get_members(c->gate->cluster)); i++) {
-			const BH__MemberInfo *info = bh__members_get(cluster_get_members(c->gate->cluster), i);
-			if (info->state != BH__MEMBER_DEAD)
-				tell_(c, info->node_id, told, now_us);
-		}
-	follow_hash_(c);
-	g_array_unref(told);
+	Crashes *c = (Crashes *)port;
+
+	log_entry_(c, judged ? "judged" : "learnt", e);
+	if (judged && e->state != BH__QUARANTINE_SUSPECTED && c->to_record->len < TO_RECORD_MAX)
+		g_array_append_val(c->to_record, *e);
+	if (e->state == BH__QUARANTINE_HELD)
+		calls_process_held(c->gate, &e->fingerprint);
 }
 
 static void log_entry_(const Crashes *c, const char *what, const BH__QuarantineEntry *e)
@@ -308,13 +224,7 @@
 	g_string_free(endpoints, TRUE);
 }
 
-/* Keeps an entry that came to be held, or is not any more, until the platform's record follows. */
-static void note_for_record_(Crashes *c, const BH__QuarantineEntry *e)
-{
-	if (e->state != BH__QUARANTINE_SUSPECTED && c->to_record->len < TO_RECORD_MAX)
-		g_array_append_val(c->to_record, *e);
-}
-
+/* Has the platform record what came to be held, or is not any more. */
 static void record_(Crashes *c, uint64_t now_us)
 {
 	if (!c->to_record->len || c->recording || now_us < c->next_record_us)
@@ -335,92 +245,21 @@
 	c->recording = 0;
 }
 
-/* Tells a node of entries. */
-static void tell_(Crashes *c, uint64_t node_id, const GArray *entries, uint64_t now_us)
-{
-	BH__Message m = {.type = BH__MESSAGE_QUARANTINE};
-	GArray *aged = g_array_sized_new(FALSE, FALSE, sizeof(BH__QuarantineEntry), entries->len);
-
-	for (guint i = 0; i < entries->len; i++) {
-		BH__QuarantineEntry e = g_array_index(entries, BH__QuarantineEntry, i);
-		e.since_us = now_us - e.since_us;
-		g_array_append_val(aged, e);
-	}
-	m.as.quarantine.count = aged->len;
-	m.as.quarantine.entry = (BH__QuarantineEntry *)(void *)aged->data;
-	cluster_send(c->gate->cluster, node_id, &m);
-	g_array_unref(aged);
-}
-
-/* The probes carry what this node knows now. */
-static void follow_hash_(Crashes *c)
-{
-	cluster_set_quarantine(c->gate->cluster, bh__quarantine_get_hash(c->quarantine));
-}
-
-/* Another node's probe shows what it knows: if that is not the same, it is told all that this node does. */
-void crashes_compare(Crashes *c, uint64_t node_id, uint64_t hash, uint64_t now_us)
-{
-	uint64_t *told_us = g_hash_table_lookup(c->told_us, &node_id);
-	GArray *entries;
-
-	if (hash == bh__quarantine_get_hash(c->quarantine) || (told_us && now_us < *told_us + TELL_PERIOD_US))
-		return;
-	g_hash_table_replace(c->told_us, g_memdup2(&node_id, sizeof node_id), g_memdup2(&now_us, sizeof now_us));
-	entries = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
-	bh__quarantine_list(c->quarantine, true, entries);
-	if (entries->len)
-		tell_(c, node_id, entries, now_us);
-	g_array_unref(entries);
-}
-
-/* Takes an entry that another node or the platform's record tells; `since_us` is its age. */
+/* Takes an entry of the platform's record; `since_us` is its age. */
 void crashes_learn(Crashes *c, const BH__QuarantineEntry *aged, uint64_t now_us)
 {
-	GArray *changed = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
-	BH__QuarantineEntry e = *aged;
-
-	e.since_us = now_us - aged->since_us;
-	if (bh__quarantine_learn(c->quarantine, &e, now_us))
-		g_array_append_val(changed, e);
-	take_changes_(c, changed, false, now_us);
-	g_array_unref(changed);
-}
-
-void crashes_process_message(Crashes *c, const BH__Message *m, uint64_t now_us)
-{
-	if (m->type == BH__MESSAGE_SUSPECT)
-		take_report_(c, m, now_us);
-	for (uint32_t i = 0; m->type == BH__MESSAGE_QUARANTINE && i < m->as.quarantine.count; i++)
-		crashes_learn(c, &m->as.quarantine.entry[i], now_us);
+	bh__crash_watch_learn(c->watch, aged, now_us);
 }
 
 /* An operator lets a request go. Returns false if it is neither suspected nor held. */
 bool crashes_release(Crashes *c, const BH__Fingerprint *f)
 {
-	GArray *changed = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
-	uint64_t now_us = clock_now_us();
-	bool released = bh__quarantine_process_event(c->quarantine, f, BH__QUARANTINE_RELEASE, now_us);
-
-	if (released)
-		g_array_append_val(changed, *bh__quarantine_find(c->quarantine, f));
-	take_changes_(c, changed, true, now_us);
-	g_array_unref(changed);
-	return released;
+	return bh__crash_watch_release(c->watch, f, clock_now_us());
 }
 
-/* Tells reports again to a node that judges since, and forgets what is old. */
 void crashes_process_tick(Crashes *c, uint64_t now_us)
 {
-	for (guint i = c->sent->len; i-- > 0;) {
-		Report *r = &g_array_index(c->sent, Report, i);
-		if (now_us >= r->at_us + REPORT_KEPT_US)
-			g_array_remove_index_fast(c->sent, i);
-		else if (judge_(c, r->service_id) != r->judge)
-			send_report_(c, r);
-	}
-	bh__quarantine_process_tick(c->quarantine, now_us);
-	judge_due_(c, now_us);
+	bh__crash_watch_process_tick(c->watch, now_us);
 	record_(c, now_us);
 }
 
@@ -429,7 +268,8 @@
 	struct json_object *o = json_object_new_object();
 	struct json_object *endpoints = json_object_new_array();
 	char fingerprint[BH__FINGERPRINT_TEXT_LEN];
-	uint64_t held_us = bh__quarantine_get_held_us(c->quarantine, &e->fingerprint, clock_now_us());
+	uint64_t held_us =
+		bh__quarantine_get_held_us(bh__crash_watch_get_quarantine(c->watch), &e->fingerprint, clock_now_us());
 
 	bh__fingerprint_write(&e->fingerprint, fingerprint);
 	for (unsigned i = 0; i < e->crash_count; i++) {
@@ -453,7 +293,7 @@
 	struct json_object *list = json_object_new_array();
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
 
-	bh__quarantine_list(c->quarantine, false, all);
+	bh__quarantine_list(bh__crash_watch_get_quarantine(c->watch), false, all);
 	for (guint i = 0; i < all->len; i++)
 		json_object_array_add(list, describe_entry_(c, &g_array_index(all, BH__QuarantineEntry, i)));
 	g_array_unref(all);
@@ -464,11 +304,11 @@
 /* Writes counts of requests and crashes, as metrics. */
 void crashes_write_status(const Crashes *c, struct evbuffer *out)
 {
-	const BH__QuarantineCounters *k = bh__quarantine_get_counters(c->quarantine);
+	const BH__QuarantineCounters *k = bh__quarantine_get_counters(bh__crash_watch_get_quarantine(c->watch));
 	unsigned count[BH__QUARANTINE_STATE_COUNT] = {0};
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
 
-	bh__quarantine_list(c->quarantine, false, all);
+	bh__quarantine_list(bh__crash_watch_get_quarantine(c->watch), false, all);
 	for (guint i = 0; i < all->len; i++)
 		count[g_array_index(all, BH__QuarantineEntry, i).state]++;
 	g_array_unref(all);
@@ -480,5 +320,5 @@
 						"bayhoist_quarantine_cleared_total %" G_GUINT64_FORMAT "\n"
 						"bayhoist_quarantine_refusals_total %" G_GUINT64_FORMAT "\n"
 						"bayhoist_crashes_judged_total %" G_GUINT64_FORMAT "\n",
-						k->held, k->cleared, k->refusals, c->judged);
+						k->held, k->cleared, k->refusals, bh__crash_watch_get_judged(c->watch));
 }
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -192,6 +192,7 @@
 void cluster_follow_routing(Cluster *c, uint64_t now_us);
 void cluster_follow_registry(Cluster *c, uint64_t now_us);
 const BH__Members *cluster_get_members(const Cluster *c);
+BH__Members *cluster_get_own_members(Cluster *c);
 unsigned cluster_count_nodes(const Cluster *c);
 void cluster_ask(Cluster *c, Call *call);
 void cluster_ask_again(Cluster *c, Call *call);
@@ -200,7 +201,6 @@
 void cluster_tell_progress(Cluster *c, Call *call);
 void cluster_tell_pass(Cluster *c, Call *call, uint64_t pass_us);
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint);
-void cluster_set_quarantine(Cluster *c, uint64_t hash);
 void cluster_write_status(const Cluster *c, struct evbuffer *out);
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -77,6 +77,8 @@
 
 static bool start_(Gate *g)
 {
+	bool started;
+
 	g->boot_id = clock_new_boot_id();
 	g->started_us = clock_now_us();
 	bh__knowledge_init(&g->knowledge, g->started_us);
@@ -92,8 +94,9 @@
 	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
 	g->looks = looks_new(g);
+	started = cluster_start(g);
 	g->crashes = crashes_new(g);
-	if (!cluster_start(g) || !web_start(g) || !inbounds_listen(g) || !g->port->start(g)) {
+	if (!started || !web_start(g) || !inbounds_listen(g) || !g->port->start(g)) {
 		log_error("start-failed", "caller_address=%s peer_address=%s cause=\"%s\"",
 				  g->settings.caller_address, g->settings.peer_address, strerror(errno));
 		return false;
@@ -337,9 +340,9 @@
 	if (g->binding)
 		g->port->stop(g);
 	web_stop(g);
+	crashes_delete(g->crashes);
 	cluster_free(g->cluster);
 	looks_delete(g->looks);
-	crashes_delete(g->crashes);
 	event_base_loop(g->base, EVLOOP_NONBLOCK); /* frees what was left to the loop */
 	g_ptr_array_unref(g->own_events);
 	event_base_free(g->base);
