bayhoistd holds requests that crash endpoints too; reports are not judged where they are made

Cause: the daemon on the product's own wire tried such a request on up to eight engines, at each node. And in the gateway a report could judge an older crash, hold the very request whose sending was ending, and end it twice: found on reading, not seen. Change: crash_duty.c binds crash_watch.c to a node; a reason crashes-endpoints (503). A report is only entered; the timer or the tick judges.

--- a/include/bayhoist/event.h
+++ b/include/bayhoist/event.h
@@ -18,7 +18,8 @@
 	BH__EVENT_ENDPOINT,
 	BH__EVENT_ORDER,
 	BH__EVENT_STORE,
-	BH__EVENT_NODE
+	BH__EVENT_NODE,
+	BH__EVENT_QUARANTINE
 } BH__EventType;
 
 extern const char *const BH__EventTypeString[];
--- a/include/bayhoist/fingerprint.h
+++ b/include/bayhoist/fingerprint.h
@@ -10,6 +10,7 @@
 
 #define BH__FINGERPRINT_TEXT_LEN 33 /* in hexadecimal, with its terminator */
 
+/* All zeros: none. */
 typedef struct {
 	uint64_t high;
 	uint64_t low;
@@ -26,6 +27,7 @@
 
 BH__Fingerprint bh__fingerprint_compute(const BH__FingerprintSource *source);
 bool bh__fingerprint_equal(const BH__Fingerprint *a, const BH__Fingerprint *b);
+bool bh__fingerprint_is_none(const BH__Fingerprint *f);
 void bh__fingerprint_write(const BH__Fingerprint *f, char out[BH__FINGERPRINT_TEXT_LEN]);
 bool bh__fingerprint_read(const char *text, BH__Fingerprint *out);
 
--- a/include/bayhoist/node.h
+++ b/include/bayhoist/node.h
@@ -5,6 +5,7 @@
 #define BAYHOIST_NODE_H
 
 #include "bayhoist/config.h"
+#include "bayhoist/crash_watch.h"
 #include "bayhoist/event.h"
 #include "bayhoist/histogram.h"
 #include "bayhoist/members.h"
@@ -73,6 +74,8 @@
 	/* Asks an engine for its load; the list of its attempts only if `with_attempts`, since it is long. */
 	void (*endpoint_poll)(struct BH__NodePorts *ports, uint64_t endpoint_id, uint64_t cache_sequence,
 						  bool with_attempts);
+	/* Looks whether an endpoint listens; bh__node_process_endpoint_look() takes what that shows. */
+	void (*endpoint_look)(struct BH__NodePorts *ports, uint64_t endpoint_id);
 	void (*endpoint_order)(struct BH__NodePorts *ports, const BH__Order *order);
 	void (*answer_piece)(struct BH__NodePorts *ports, uint64_t request_id, const char *data, size_t len);
 	void (*answer_end)(struct BH__NodePorts *ports, uint64_t request_id, const BH__Outcome *outcome);
@@ -102,6 +105,7 @@
 	const char *key;   /* idempotency key of a not-repeatable request; may be NULL */
 	const char *stamp; /* that came with the answer to "where"; goes with the key */
 	uint64_t body_hash;
+	BH__Fingerprint fingerprint; /* the same in each try of the same request; none: not known */
 	BH__PrefixChain prefix;
 } BH__Request;
 
@@ -144,6 +148,7 @@
 void bh__node_process_message(BH__Node *n, const BH__Message *m, uint64_t now_us);
 void bh__node_process_unreachable(BH__Node *n, const char *peer_address, uint64_t now_us);
 void bh__node_update_vm_list(BH__Node *n, const BH__Vm *vms, unsigned count, uint64_t now_us);
+void bh__node_process_endpoint_look(BH__Node *n, uint64_t endpoint_id, BH__CrashProof proof, uint64_t now_us);
 void bh__node_process_report(BH__Node *n, const BH__LoadReport *report, const char *const *loaded,
 							 uint64_t now_us);
 void bh__node_process_store_reply(BH__Node *n, const BH__StoreReply *reply, uint64_t now_us);
--- a/src/bayhoistd/caller.c
+++ b/src/bayhoistd/caller.c
@@ -20,6 +20,7 @@
 #define PIECES_MAX (4 * 1024 * 1024)
 #define DEADLINE_MAX_MS 86400000
 #define KEY_MAX 200
+#define ACCOUNT_TEXT_LEN 17 /* of an account's id in hexadecimal, with its terminator */
 
 struct Caller {
 	Daemon *daemon;
@@ -60,6 +61,7 @@
 static Caller *new_(Daemon *d, struct evhttp_request *req, const char *path, const char *model);
 static void unwatch_(Caller *c);
 static void free_(Caller *c);
+static BH__Fingerprint fingerprint_(const Caller *c, uint64_t account_id);
 static void submit_(Caller *c, BH__Request *r, const CallerOptions *o, uint64_t account_id);
 static void on_closed_(struct evhttp_connection *conn, void *arg);
 static void replay_(Caller *c, const BH__Admitted *a);
@@ -314,6 +316,20 @@
 	return g_hash_table_lookup(d->callers, &request_id);
 }
 
+/* Returns what the request has in common with each other try of it. */
+static BH__Fingerprint fingerprint_(const Caller *c, uint64_t account_id)
+{
+	char account[ACCOUNT_TEXT_LEN];
+	BH__FingerprintSource source = {.account = account,
+									.method = c->method == EVHTTP_REQ_POST ? "POST" : "",
+									.target = c->path,
+									.body = (const uint8_t *)c->body->data,
+									.body_len = c->body->len};
+
+	g_snprintf(account, sizeof account, "%016" G_GINT64_MODIFIER "x", account_id);
+	return bh__fingerprint_compute(&source);
+}
+
 /* Hands the request to the node and acts on its admission. */
 static void submit_(Caller *c, BH__Request *r, const CallerOptions *o, uint64_t account_id)
 {
@@ -327,6 +343,7 @@
 	r->key = o->key;
 	r->stamp = o->stamp;
 	r->body_hash = XXH64(c->body->data, c->body->len, 5);
+	r->fingerprint = fingerprint_(c, account_id);
 	bh__node_request(d->node, r, &admitted, clock_now_us());
 	switch (admitted.admission) {
 	case BH__ADMIT_ACCEPTED: /* `c` may be gone by now */
--- a/src/bayhoistd/daemon.h
+++ b/src/bayhoistd/daemon.h
@@ -32,6 +32,7 @@
 	GHashTable *callers;   /* Caller by request id */
 	GHashTable *upstreams; /* Upstream by attempt id */
 	GHashTable *polls;     /* Poll by endpoint id */
+	GHashTable *looks;     /* set of Look: endpoints of which it is seen whether they listen */
 	GPtrArray *own_events; /* struct event *: tick and signals */
 	GQueue *events;        /* the latest, as text for the time line */
 	uint64_t events_first; /* number of the first that is kept */
@@ -86,6 +87,10 @@
 void order_start(BH__NodePorts *ports, const BH__Order *order);
 void polls_free(Daemon *d);
 
+/* look.c */
+void look_start(BH__NodePorts *ports, uint64_t endpoint_id);
+void looks_free(Daemon *d);
+
 /* store.c and vmlist.c */
 EtcdStore *etcd_store_new(Daemon *d);
 void etcd_store_delete(EtcdStore *s);
--- a/src/bayhoistd/main.c
+++ b/src/bayhoistd/main.c
@@ -105,6 +105,7 @@
 							   .attempt_start = upstream_start,
 							   .attempt_cancel = upstream_cancel,
 							   .endpoint_poll = poll_start,
+							   .endpoint_look = look_start,
 							   .endpoint_order = order_start,
 							   .answer_piece = caller_on_piece,
 							   .answer_end = caller_on_end,
@@ -161,6 +162,7 @@
 	d->callers = g_hash_table_new(g_int64_hash, g_int64_equal);
 	d->upstreams = g_hash_table_new(g_int64_hash, g_int64_equal);
 	d->polls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	d->looks = g_hash_table_new(g_direct_hash, g_direct_equal);
 	d->events = g_queue_new();
 	d->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
 	make_node_(d);
@@ -296,6 +298,7 @@
 	callers_free(d);
 	evhttp_free(d->http);
 	polls_free(d);
+	looks_free(d);
 	peers_delete(d->peers);
 	etcd_store_delete(d->store);
 	g_ptr_array_unref(d->own_events);
--- a/src/libbayhoist/admission.c
+++ b/src/libbayhoist/admission.c
@@ -93,8 +93,11 @@
 static bool start_(BH__Node *n, BH__RequestEntry *e, BH__Admitted *out)
 {
 	uint64_t retry_after_us = BH__SECOND_US;
+	uint64_t held_us = bh__crashes_get_held_us(n, &e->fingerprint);
 	bool wait = false;
 
+	if (held_us)
+		return refuse_(out, BH__REASON_CRASHES_ENDPOINTS, held_us, BH__HELD_MESSAGE);
 	if (!take_quota_(n, e, &retry_after_us, &wait))
 		return refuse_(out, BH__REASON_ACCOUNT_LIMIT, retry_after_us, "the account's token rate is used up");
 	if (!wait && !bh__request_ask(n, e))
@@ -204,6 +207,7 @@
 	e->model = g_strdup(model->name);
 	e->is_service = model->as.model.service;
 	e->repeatable = r->repeatable;
+	e->fingerprint = r->fingerprint;
 	e->arrived_us = n->now_us;
 	e->deadline_us = n->now_us + (r->deadline_us ? r->deadline_us : policy->default_deadline_ms * BH__MS_US);
 	fill_ask_(n, e, r, &model->as.model);
--- a/src/libbayhoist/attempt.c
+++ b/src/libbayhoist/attempt.c
@@ -43,6 +43,8 @@
 	}
 	bh__request_drop_ask(n, e, false);
 	accept_part_(n, e, g);
+	if (bh__crashes_end_held(n, e))
+		return;
 	if (e->granted_count < e->part_count)
 		bh__request_ask_part(n, e);
 	else
@@ -219,6 +221,8 @@
 					   bh__node_name_endpoint(n, member->endpoint_id), BH__AttemptEndString[end], e->pieces);
 	switch (end) {
 	case BH__ATTEMPT_DONE:
+		if (answering)
+			bh__crashes_note_served(n, e);
 		if (answering)
 			bh__request_finish(n, e, BH__VERDICT_RAN, BH__REASON_NONE, 0, NULL);
 		else
@@ -238,6 +242,7 @@
 		give_up_attempt_(n, e, BH__RELEASE_FAILED, answering && e->resumes > 0);
 		break;
 	case BH__ATTEMPT_BROKEN:
+		bh__crashes_note_broken(n, e, member->endpoint_id);
 		on_broken_(n, e);
 		break;
 	case BH__ATTEMPT_UNKNOWN:
--- a/src/libbayhoist/crash_watch.c
+++ b/src/libbayhoist/crash_watch.c
@@ -147,7 +147,8 @@
 	}
 }
 
-/* A node reports what happened to a request. */
+/* A node reports what happened to a request. Nothing is judged here: whoever reports is in the middle of that
+ * request's end, and what comes to be held is ended. */
 static void take_report_(BH__CrashWatch *w, const BH__Message *m, uint64_t now_us)
 {
 	const BH__CrashSuspect *suspect = &m->as.suspect.suspect;
@@ -163,7 +164,6 @@
 		return;
 	if (bh__crash_reports_process(w->reports, endpoint_id, born_ms, suspect, now_us))
 		w->port->look(w->port, endpoint_id);
-	judge_due_(w, now_us);
 }
 
 /* Takes what a look at an endpoint that broke off a request has shown. */
--- a/src/libbayhoist/fingerprint.c
+++ b/src/libbayhoist/fingerprint.c
@@ -42,6 +42,11 @@
 	return a->high == b->high && a->low == b->low;
 }
 
+bool bh__fingerprint_is_none(const BH__Fingerprint *f)
+{
+	return f->high == 0 && f->low == 0;
+}
+
 /* Writes a fingerprint in hexadecimal. */
 void bh__fingerprint_write(const BH__Fingerprint *f, char out[BH__FINGERPRINT_TEXT_LEN])
 {
--- a/src/libbayhoist/include/private/node_internal.h
+++ b/src/libbayhoist/include/private/node_internal.h
@@ -12,6 +12,8 @@
 #include "routes.h"
 
 #define BH__TRIED_POOLS_MAX 3
+#define BH__HELD_MESSAGE                                                                                     \
+	"endpoints have crashed each time they ran this request; it is not sent to any for now"
 
 typedef enum {
 	BH__REQUEST_QUOTA,    /* waits for its account's rate */
@@ -58,7 +60,9 @@
 	uint32_t resumes; /* of the current attempt */
 	uint32_t drain_waits;
 	uint64_t once_entry; /* 0: repeatable, or without a key */
-	GString *answer;     /* kept for a later replay; NULL: not kept */
+	BH__Fingerprint fingerprint;
+	bool was_broken; /* an endpoint broke it off, and that was reported */
+	GString *answer; /* kept for a later replay; NULL: not kept */
 } BH__RequestEntry;
 
 typedef struct {
@@ -75,6 +79,7 @@
 	BH__NodePorts *ports;
 	BH__MembersPort members_port; /* these ports lead back here: found by their offset */
 	BH__PoolPort pool_port;
+	BH__CrashPort crash_port;
 	BH__NodeOptions options;
 	uint64_t now_us;
 	bool draining;
@@ -87,6 +92,7 @@
 	BH__Quota *quota;
 	BH__Routes *routes;
 	BH__Orders *orders;
+	BH__CrashWatch *crashes;
 	BH__RetryBudget retry;
 	GHashTable *keys;        /* hex of a key's hash -> BH__Resource * of its account */
 	GHashTable *requests;    /* BH__RequestEntry by request id */
@@ -145,6 +151,13 @@
 void bh__attempt_release(BH__Node *n, BH__RequestEntry *e, BH__ReleaseKind kind, uint64_t failed_endpoint);
 uint64_t bh__attempt_get_pause_us(uint32_t attempts);
 
+/* crash_duty.c */
+void bh__crashes_init(BH__Node *n);
+uint64_t bh__crashes_get_held_us(const BH__Node *n, const BH__Fingerprint *f);
+bool bh__crashes_end_held(BH__Node *n, BH__RequestEntry *e);
+void bh__crashes_note_broken(BH__Node *n, BH__RequestEntry *e, uint64_t endpoint_id);
+void bh__crashes_note_served(BH__Node *n, const BH__RequestEntry *e);
+
 /* duty.c */
 void bh__duties_follow(BH__Node *n);
 void bh__duties_process_tick(BH__Node *n);
--- a/src/libbayhoist/node.c
+++ b/src/libbayhoist/node.c
@@ -15,9 +15,9 @@
 #define BUSY_FACTOR_ 2
 #define BUSY_SLACK_ 32
 
-const char *const BH__EventTypeString[] = {"member",  "duty",  "config", "request", "grant",
-										   "attempt", "retry", "finish", "orphan",  "endpoint",
-										   "order",   "store", "node"};
+const char *const BH__EventTypeString[] = {"member",  "duty",  "config", "request",   "grant",
+										   "attempt", "retry", "finish", "orphan",    "endpoint",
+										   "order",   "store", "node",   "quarantine"};
 const char *const BH__CallKindString[] = {"segment", "answer", "resume", "service"};
 const char *const BH__AttemptEndString[] = {"done",   "refused", "unreachable",
 											"broken", "unknown", "rejected"};
@@ -49,6 +49,7 @@
 	bh__duties_init_port(n);
 	n->store = bh__store_new(store, options->store_reads_per_s, options->store_writes_per_s);
 	n->members = bh__members_new(&n->members_port, &n->options.self, options->seed);
+	bh__crashes_init(n);
 	n->once = bh__once_new(options->once_entries, options->once_answer_bytes);
 	n->quota = bh__quota_new();
 	n->routes = bh__routes_new();
@@ -79,6 +80,7 @@
 	bh__routes_delete(n->routes);
 	bh__quota_delete(n->quota);
 	bh__once_delete(n->once);
+	bh__crash_watch_delete(n->crashes);
 	bh__members_delete(n->members);
 	bh__config_delete(n->config);
 	bh__store_delete(n->store);
@@ -237,6 +239,8 @@
 
 static void dispatch_(BH__Node *n, const BH__Message *m)
 {
+	if (bh__crash_watch_process_message(n->crashes, m, n->now_us))
+		return;
 	if (bh__members_process_message(n->members, m, n->now_us)) {
 		hear_probe_(n, m);
 		return;
@@ -360,6 +364,7 @@
 	}
 	bh__duties_process_tick(n);
 	bh__orders_process_tick(n);
+	bh__crash_watch_process_tick(n->crashes, now_us);
 	if (now_us >= n->next_quota_us) {
 		n->next_quota_us = now_us + QUOTA_PERIOD_US_;
 		bh__spread_send_quota_asks(n);
--- a/src/libbayhoist/request.c
+++ b/src/libbayhoist/request.c
@@ -199,6 +199,8 @@
 
 static void wake_(BH__Node *n, BH__RequestEntry *e)
 {
+	if (bh__crashes_end_held(n, e))
+		return;
 	if (e->state == BH__REQUEST_ASKING)
 		send_ask_(n, e);
 	else if (e->pause_end == BH__PAUSE_RESUME)
--- a/src/test_libbayhoist/scenario.c
+++ b/src/test_libbayhoist/scenario.c
@@ -428,6 +428,8 @@
 		do_request_(s, rest);
 	else if (!strcmp(a[1], "apply"))
 		do_apply_(s, rest);
+	else if (!strcmp(a[1], "crash") && rest[0])
+		g_strlcpy(s->world->crash_tag, rest[0], sizeof s->world->crash_tag);
 	else if (!strcmp(a[1], "vm"))
 		do_vm_(s, rest);
 	else if (!strcmp(a[1], "expect"))
--- a/src/test_libbayhoist/world.c
+++ b/src/test_libbayhoist/world.c
@@ -8,6 +8,8 @@
 
 #define ENGINE_TOKENS_PER_US 0.2
 #define ENGINE_TOKEN_US (20 * BH__MS_US)
+#define CRASH_US (10 * BH__MS_US)    /* after a request that crashes its engine began to run there */
+#define RESTART_US (600 * BH__MS_US) /* of an engine that such a request crashed */
 #define ANSWER_TOKENS 8
 #define CUT_AFTER 3
 
@@ -97,6 +99,9 @@
 	return true;
 }
 
+static void restart_(World *w, Event *e);
+static WorldEngine *engine_by_id_(World *w, uint64_t id);
+
 /* Peers. */
 
 static void deliver_(World *w, Event *e)
@@ -170,6 +175,39 @@
 	return "";
 }
 
+static void crash_(World *w, Event *e)
+{
+	if (!e->engine->dead) {
+		Event *back = event_(restart_, &w->node[e->node]);
+		back->engine = e->engine;
+		push_(w, back, RESTART_US);
+		world_kill_engine(w, e->engine);
+	}
+}
+
+static void restart_(World *w, Event *e)
+{
+	world_start_engine(w, e->engine);
+}
+
+static void tell_look_(World *w, Event *e)
+{
+	BH__Node *node = target_(w, e);
+
+	if (node && !put_off_(w, e))
+		bh__node_process_endpoint_look(node, e->engine->id,
+									   e->engine->dead ? BH__CRASH_PROVEN : BH__CRASH_DENIED, w->now_us);
+}
+
+static void on_look_(BH__NodePorts *ports, uint64_t endpoint_id)
+{
+	WorldNode *n = node_of_(ports);
+	Event *e = event_(tell_look_, n);
+
+	e->engine = engine_by_id_(n->world, endpoint_id);
+	push_(n->world, e, n->world->latency_us);
+}
+
 static void begin_attempt_(World *w, Event *e)
 {
 	WorldEngine *en = e->engine;
@@ -216,6 +254,11 @@
 		a->cut = en->cut > 0;
 		en->cut -= en->cut > 0;
 		en->new_work++;
+		if (w->crash_tag[0] && !strcmp(tag, w->crash_tag)) {
+			Event *crash = event_(crash_, &w->node[e->node]);
+			crash->engine = en;
+			push_(w, crash, CRASH_US);
+		}
 	}
 	g_hash_table_insert(en->attempts, &a->id, a);
 }
@@ -623,8 +666,15 @@
 		n->index = i;
 		g_snprintf(n->name, sizeof n->name, "n%u", i + 1);
 		g_snprintf(n->hall, sizeof n->hall, "h%u", i + 1);
-		n->ports = (BH__NodePorts){on_send_,  on_attempt_start_, on_attempt_cancel_, on_poll_, on_order_,
-								   on_piece_, on_end_,           on_event_};
+		n->ports = (BH__NodePorts){.send = on_send_,
+								   .attempt_start = on_attempt_start_,
+								   .attempt_cancel = on_attempt_cancel_,
+								   .endpoint_poll = on_poll_,
+								   .endpoint_look = on_look_,
+								   .endpoint_order = on_order_,
+								   .answer_piece = on_piece_,
+								   .answer_end = on_end_,
+								   .event = on_event_};
 		n->store_port.call = on_store_call_;
 	}
 	return w;
@@ -820,6 +870,7 @@
 					 .stamp = stamp,
 					 .account_id = bh__hash_name(account),
 					 .body_hash = bh__hash_name(tag),
+					 .fingerprint = {.high = bh__hash_name(tag), .low = bh__hash_name(account)},
 					 .deadline_us = deadline_ms * BH__MS_US};
 	BH__Admitted admitted;
 
--- a/src/test_libbayhoist/world.h
+++ b/src/test_libbayhoist/world.h
@@ -76,9 +76,10 @@
 	unsigned node_count;
 	WorldEngine engine[WORLD_ENGINES_MAX];
 	unsigned engine_count;
-	GPtrArray *requests; /* WorldRequest * */
-	GHashTable *runs;    /* tag -> number of answers begun by engines */
-	GQueue events;       /* Event *, by time */
+	GPtrArray *requests;          /* WorldRequest * */
+	char crash_tag[BH__NAME_LEN]; /* requests with this tag crash the engine that begins their answer */
+	GHashTable *runs;             /* tag -> number of answers begun by engines */
+	GQueue events;                /* Event *, by time */
 	bool cut[WORLD_NODES_MAX][WORLD_NODES_MAX];
 	/* the store */
 	GHashTable *store;  /* key -> StoreEntry */
