A grant is looked at again once memory for it is set aside

Change: engines of the grant are looked at again before the prompt is sent; one that is gone gives the grant back.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -44,6 +44,7 @@
 static void fill_ask_(Call *c);
 static const char *scheduler_name_(const Call *c);
 static void use_grant_(Call *c);
+static uint64_t find_unusable_(const Call *c);
 static void return_grant_(Call *c, uint64_t unusable_endpoint);
 static void on_memory_(void *ctx, bool held);
 static void send_again_(Call *c);
@@ -391,16 +392,15 @@
 static void use_grant_(Call *c)
 {
 	const BH__Grant *g = &c->place.grant;
+	uint64_t unusable = find_unusable_(c);
 	bool needs_memory = false;
 
-	for (unsigned i = 0; i < g->member_count; i++) {
-		bool needed = i == 0 || g->member[i].kv_bytes > 0;
-		needs_memory |= i > 0 && g->member[i].kv_bytes > 0;
-		if (needed && !call_endpoint_is_usable(c, g->member[i].endpoint_id)) {
-			return_grant_(c, g->member[i].endpoint_id);
-			return;
-		}
+	if (unusable) {
+		return_grant_(c, unusable);
+		return;
 	}
+	for (unsigned i = 1; i < g->member_count; i++)
+		needs_memory |= g->member[i].kv_bytes > 0;
 	if (!needs_memory) {
 		send_(c, g->member[0].endpoint_id);
 		return;
@@ -410,6 +410,20 @@
 	call_set_timer(c, clock_now_us());
 }
 
+/* Returns an engine of the grant that is needed and leaves or is gone, or BH__NO_ENDPOINT. A helper without
+ * memory is not needed. */
+static uint64_t find_unusable_(const Call *c)
+{
+	const BH__Grant *g = &c->place.grant;
+
+	for (unsigned i = 0; i < g->member_count; i++) {
+		bool needed = i == 0 || g->member[i].kv_bytes > 0;
+		if (needed && !call_endpoint_is_usable(c, g->member[i].endpoint_id))
+			return g->member[i].endpoint_id;
+	}
+	return BH__NO_ENDPOINT;
+}
+
 /* Gives a grant back because of one of its engines, and asks for another. */
 static void return_grant_(Call *c, uint64_t unusable_endpoint)
 {
@@ -421,18 +435,21 @@
 		ask_(c);
 }
 
-/* The memory on helpers is held, or can't be had. */
+/* The memory on helpers is held, or can't be had. Meanwhile an engine may have gone, of which this node then
+ * knows no address. */
 static void on_memory_(void *ctx, bool held)
 {
 	Call *c = ctx;
+	const BH__Grant *g = &c->place.grant;
+	uint64_t unusable = held ? find_unusable_(c) : g->member[g->member_count - 1].endpoint_id;
 
-	if (held) {
-		send_(c, c->place.grant.member[0].endpoint_id);
+	if (!unusable) {
+		send_(c, g->member[0].endpoint_id);
 		return;
 	}
 	memory_hold_delete(c->memory);
 	c->memory = NULL;
-	return_grant_(c, c->place.grant.member[c->place.grant.member_count - 1].endpoint_id);
+	return_grant_(c, unusable);
 }
 
 void call_act(Call *c, BH__Next next)
--- a/test/check-memory.sh
+++ b/test/check-memory.sh
@@ -20,6 +20,19 @@
 over_one /ask/hold/x m1
 is "a prompt that one engine does not hold is served" "$(cat "$RUN/status.m1")" 200
 is "with memory on another" "$(($(tell reserves) > 0))" 1
+# An endpoint of a grant was gone by the time that memory on the others was set aside, and the gateway used what it no
+# longer knew of it: it ended by itself, with a segmentation fault.
+tell slow-orders
+for try in 1 2 3; do
+	for n in $(seq 1 16); do tell "gone?id=i-e$n" >/dev/null; done
+	over_one /ask/x m3$try
+	is "a prompt whose engines go is answered all the same" "$([ "$(cat "$RUN/status.m3$try")" != 000 ] && echo yes)" yes
+	for n in $(seq 1 16); do tell "back?id=i-e$n" >/dev/null; done
+	sleep 0.7
+done
+is "a gateway lives on when endpoints go while memory is set aside" "$(curl -s "http://$(node 1 3)/metrics" | grep -c '^bayhoist_requests_total')" 1
+tell quick-orders
+
 over_one /ask/dark/x m2 &
 caller=$!
 sleep 1
@@ -28,4 +41,5 @@
 sleep 4
 is "memory is not renewed behind an engine that is silent and does not listen" "$(tell reserves)" "$before"
 wait $caller
+
 exit $FAILED
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -24,6 +24,7 @@
 #define EVENT_MS 30   /* between them */
 #define BREAK_AFTER 4 /* events */
 #define HOLD_MS 1000
+#define ORDER_MS 450
 #define CRASH_AFTER 3  /* events */
 #define RESTART_MS 700 /* of an endpoint that crashed */
 #define CRASHES_MAX 3  /* of one request, after which no endpoint is to get it */
@@ -85,6 +86,7 @@
 static unsigned Crashes_;    /* of endpoints, by requests */
 static uint64_t ThirdCrash_; /* when that was, in microseconds */
 static unsigned Reserves_;   /* orders to set memory aside */
+static bool SlowOrders_;     /* they are answered after ORDER_MS */
 static unsigned SentAgain_;  /* crashing requests that came later than a tenth of CONTACT_MS after it */
 
 static void put_(const char *key, const char *text);
@@ -99,6 +101,7 @@
 static bool answer_watch_(Watch *w, bool even_if_empty);
 static void on_replica_(struct evhttp_request *req, void *arg);
 static void on_order_(struct evhttp_request *req);
+static void on_order_time_(evutil_socket_t fd, short what, void *req);
 static void on_stream_time_(evutil_socket_t fd, short what, void *arg);
 static void begin_stream_(struct evhttp_request *req, Replica *r, bool breaks);
 static unsigned crash_at_(const char *uri);
@@ -411,6 +414,9 @@
 	else if (!strcmp(what, "crashes")) {
 		evbuffer_add_printf(out, "%u\n", Crashes_);
 	}
+	else if (!strcmp(what, "slow-orders") || !strcmp(what, "quick-orders")) {
+		SlowOrders_ = !strcmp(what, "slow-orders");
+	}
 	else if (!strcmp(what, "reserves")) {
 		evbuffer_add_printf(out, "%u\n", Reserves_);
 	}
@@ -427,6 +433,10 @@
 		if (!strcmp(what, "arrivals"))
 			evbuffer_add_printf(out, "%u\n", r->arrivals);
 		r->draining |= !strcmp(what, "drain");
+		if (!strcmp(what, "back")) {
+			r->gone = false;
+			write_entry_(r);
+		}
 		if (!strcmp(what, "gone")) {
 			char *key = g_strdup_printf("servers/%s", id);
 			r->gone = true;
@@ -619,12 +629,24 @@
 
 static void on_order_(struct evhttp_request *req)
 {
-	struct json_object *o = json_object_new_object();
+	struct timeval tv = {0, ORDER_MS * 1000};
 	const char *data;
 	size_t len;
 
 	web_get_body(req, &data, &len);
 	Reserves_ += len && g_strstr_len(data, (gssize)len, "reserve") != NULL;
+	if (SlowOrders_)
+		event_base_once(Base_, -1, EV_TIMEOUT, on_order_time_, req, &tv);
+	else
+		on_order_time_(-1, EV_TIMEOUT, req);
+}
+
+static void on_order_time_(evutil_socket_t fd, short what, void *req)
+{
+	struct json_object *o = json_object_new_object();
+
+	(void)fd;
+	(void)what;
 	json_object_object_add(o, "free", json_object_new_int(1));
 	json_object_object_add(o, "pace", json_object_new_double(1));
 	web_reply_json(req, 200, o);
