--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -6,8 +6,8 @@
  * it, every time, before its first event, "/crash-late/" after some; the endpoint is back after a while under
  * its id. "/dark/" has the endpoint listen no more and say nothing, and a
  * stranger listen at its address later. Under /test/ of the store's address a
- * test sets the configuration, drains endpoints, stops the store, lets entries lapse, has the store go
- * back to a copy, and asks what ran. */
+ * test sets the configuration, drains endpoints and halls, stops the store, lets entries lapse, has the store
+ * go back to a copy, and asks what ran. */
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -48,6 +48,7 @@
 	char *address;
 	char *told; /* address that its entry gives: a proxy's, or its own */
 	char *service;
+	char *hall;
 	bool is_engine;
 	bool draining;
 	bool gone;
@@ -85,6 +86,7 @@
 static uint64_t Era_;
 static GHashTable *Copy_; /* a Change by key, as Items_ held it when the copy was made; NULL: none was */
 static uint64_t CopyRevision_;
+static GHashTable *HallWrites_; /* latest value by key of what operators wrote of halls; empty: taken back */
 static bool Down_;
 static unsigned WaitingWatches_; /* calls */
 static unsigned StoreCalls_;     /* of all kinds, refused ones too */
@@ -131,12 +133,15 @@
 static void copy_(void);
 static void go_back_(void);
 static void on_rewrite_(evutil_socket_t fd, short what, void *arg);
+static void set_hall_(const char *argument);
+static void drain_hall_(const char *hall, bool drains);
 
 int main(int argc, char **argv)
 {
 	static const struct option Options[] = {{"store", required_argument, NULL, 's'},
 											{"engine", required_argument, NULL, 'e'},
 											{"plain", required_argument, NULL, 'p'},
+											{"hall", required_argument, NULL, 'h'},
 											{NULL, 0, NULL, 0}};
 	const char *store = NULL;
 	struct timeval beat = {0, BEAT_MS * 1000};
@@ -147,6 +152,7 @@
 	Changes_ = g_ptr_array_new();
 	Items_ = g_hash_table_new(g_str_hash, g_str_equal);
 	Runs_ = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	HallWrites_ = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	while ((option = getopt_long(argc, argv, "", Options, NULL)) != -1) {
 		if (option == 's') {
 			store = optarg;
@@ -159,10 +165,14 @@
 			r->told = parts[1] && parts[2] ? parts[2] : parts[1];
 			r->is_engine = option == 'e';
 			r->service = g_strdup(r->is_engine ? "llm" : "web");
+			r->hall = g_strdup("h1");
+		}
+		else if (option == 'h') {
+			set_hall_(optarg);
 		}
 		else {
 			fputs("Usage: bh-fake-site --store IP:PORT [--engine ID=IP:PORT[,TOLD]]... [--plain "
-				  "ID=IP:PORT[,TOLD]]...\n",
+				  "ID=IP:PORT[,TOLD]]... [--hall ID=HALL]...\n",
 				  stderr);
 			return 64;
 		}
@@ -187,6 +197,30 @@
 	return 0;
 }
 
+/* Sets the hall of an endpoint that was named before, from "ID=HALL". */
+static void set_hall_(const char *argument)
+{
+	const char *hall = strchr(argument, '=');
+
+	for (unsigned i = 0; hall && i < ReplicaCount_; i++) {
+		Replica *r = &Replicas_[i];
+		if (strlen(r->id) != (size_t)(hall - argument) || strncmp(r->id, argument, strlen(r->id)) != 0)
+			continue;
+		g_free(r->hall);
+		r->hall = g_strdup(hall + 1);
+	}
+}
+
+/* An operator has a hall drain, or takes that back. */
+static void drain_hall_(const char *hall, bool drains)
+{
+	char *key = g_strdup_printf("op/evacuate/%s", hall);
+
+	g_hash_table_replace(HallWrites_, g_strdup(key), g_strdup(drains ? "{}" : ""));
+	put_(key, drains ? "{}" : NULL);
+	g_free(key);
+}
+
 static void copy_(void)
 {
 	GHashTableIter it;
@@ -226,12 +260,19 @@
 
 static void on_rewrite_(evutil_socket_t fd, short what, void *arg)
 {
+	GHashTableIter it;
+	gpointer key;
+	gpointer value;
+
 	(void)fd;
 	(void)what;
 	(void)arg;
 	for (unsigned i = 0; i < ReplicaCount_; i++)
 		if (Replicas_[i].gone)
 			remove_entry_(&Replicas_[i]);
+	g_hash_table_iter_init(&it, HallWrites_);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		put_(key, *(const char *)value ? value : NULL);
 }
 
 /* Every entry's time runs out; those that live write theirs again once the store is up. */
@@ -265,9 +306,9 @@
 {
 	char *key = g_strdup_printf("servers/%s", r->id);
 	char *text = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"h1\",\"version\":\"v1\",\"slots\":16,"
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":16,"
 		"\"state\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT ",\"born\":%" G_GUINT64_FORMAT "}",
-		r->service, r->told, r->draining ? "draining" : "ready", Revision_, r->born_ms);
+		r->service, r->told, r->hall, r->draining ? "draining" : "ready", Revision_, r->born_ms);
 
 	put_(key, text);
 	g_free(text);
@@ -527,6 +568,9 @@
 	else if (!strcmp(what, "lapse")) {
 		lapse_();
 	}
+	else if (!strcmp(what, "drain-hall") || !strcmp(what, "use-hall")) {
+		drain_hall_(id ? id : "", !strcmp(what, "drain-hall"));
+	}
 	else if (!strcmp(what, "page")) {
 		PageSize_ = id ? (guint)strtoul(id, NULL, 10) : 0;
 	}
