--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -11,7 +11,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 7
+#define BH__MESSAGE_VERSION 8
 #define BH__MESSAGE_UPDATES_MAX 8  /* member records that ride on a ping or its answer */
 #define BH__MESSAGE_DIGESTS_MAX 16 /* pool digests that ride on a ping or its answer */
 #define BH__MESSAGE_LIST_MAX 65536 /* longest list that is accepted */
@@ -240,6 +240,8 @@
 			BH__EndpointFact *fact;
 			uint32_t gone_count;
 			BH__EndpointDeparture *gone;
+			uint32_t hall_count; /* all that the sender knows to drain, or to have drained */
+			BH__HallDrain *hall;
 		} look; /* in a reader message: only the reader, who reads the platform for all */
 		/* What happened to a request that may crash endpoints, for the node which judges that: its endpoint
 		 * broke it off, or it was served. */
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -10,7 +10,8 @@
 #include "bayhoist/place.h"
 #include "bayhoist/types.h"
 
-#define BH__TRIED_MAX 4 /* endpoints that one request keeps away from */
+#define BH__TRIED_MAX 4  /* endpoints that one request keeps away from */
+#define BH__HALLS_MAX 64 /* that are remembered to drain, or to have drained */
 
 /* What an endpoint says of itself. */
 typedef struct {
@@ -42,12 +43,23 @@
 	uint64_t drained_born_ms; /* the latest that did */
 } BH__EndpointPast;
 
+/* A data hall that operators drain, or drained: its endpoints get no new work until they take that back. */
+typedef struct {
+	char name[BH__NAME_LEN];
+	bool draining;
+	BH__Place changed;    /* in the store's history, when that was last written or taken back */
+	uint64_t since_us;    /* when this node learnt of it; not told */
+	uint64_t ends_at_us;  /* when it ends unless it is written again; 0: it does not; not told */
+	BH__Place ends_place; /* as of which it was not there; not told */
+} BH__HallDrain;
+
 typedef struct {
 	uint64_t endpoint_id; /* hash of its id */
 	BH__EndpointEntry entry;
 	BH__EndpointPast past;
 	BH__Place learnt;    /* with which the last change of what is believed of it was learnt */
 	uint64_t gone_at_us; /* 0: listed; otherwise it is to be taken as gone from then on */
+	bool hall_drains;    /* the hall that it stands in */
 	uint64_t life;       /* differs for each start that was seen, under whichever id */
 	uint32_t in_flight;  /* requests that this node has there */
 	uint32_t reported;   /* requests that it said run or wait there, of all nodes */
@@ -95,6 +107,7 @@
 BH__RegisteredEndpoint *bh__registry_find_address(const BH__Registry *r, const char *address);
 unsigned bh__registry_get_count(const BH__Registry *r);
 BH__RegisteredEndpoint *bh__registry_get(const BH__Registry *r, unsigned index);
+bool bh__registered_endpoint_stays(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
@@ -105,4 +118,15 @@
 void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
 							uint64_t now_us);
 
+/* registry_halls.c */
+bool bh__registry_put_hall(BH__Registry *r, const char *name, bool draining, BH__Place changed,
+						   uint64_t now_us);
+void bh__registry_keep_halls(BH__Registry *r, GHashTable *names, BH__Place as_of, uint64_t now_us);
+void bh__registry_process_halls(BH__Registry *r, uint64_t now_us);
+bool bh__registry_is_hall_draining(const BH__Registry *r, const char *name);
+unsigned bh__registry_get_hall_count(const BH__Registry *r);
+const BH__HallDrain *bh__registry_get_hall(const BH__Registry *r, unsigned index);
+uint64_t bh__registry_get_halls_version(const BH__Registry *r);
+bool bh__registry_knows_more_of_halls(const BH__Registry *r, const BH__HallDrain *hall, unsigned count);
+
 #endif
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -67,6 +67,7 @@
 	BH__Knowledge knowledge;  /* what was learnt since the start */
 	bool told_informed;       /* calls that waited for all of that have begun */
 	uint64_t registry_seen;   /* version that the planners follow */
+	uint64_t halls_seen;      /* version of what was logged of halls that drain */
 	BH__Place place_seen;     /* in the store\'s history, as far as the registry showed it */
 	GHashTable *budgets;      /* BH__RepeatBudget by service name */
 	GHashTable *caller_times; /* BH__CallerTime by route name */
@@ -212,6 +213,10 @@
 void looks_follow_settings(Looks *l);
 void looks_write_status(const Looks *l, struct evbuffer *out);
 
+/* halls.c */
+void halls_follow(Gate *g);
+void halls_write_status(const Gate *g, struct evbuffer *out);
+
 /* web.c */
 bool web_start(Gate *g);
 void web_stop(Gate *g);
--- /dev/null
+++ b/src/bayhoist-gate/halls.c
@@ -0,0 +1,53 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What operators see of data halls that drain: a line of the log at each change, and metrics. */
+#include "gate.h"
+
+#include <string.h>
+#include "clock.h"
+#include "log.h"
+
+static unsigned count_requests_(const Gate *g, const char *hall);
+
+/* Logs what has become known of halls since this was last called. */
+void halls_follow(Gate *g)
+{
+	char place[BH__PLACE_TEXT_LEN];
+
+	if (g->halls_seen == bh__registry_get_halls_version(g->registry))
+		return;
+	g->halls_seen = bh__registry_get_halls_version(g->registry);
+	for (unsigned i = 0; i < bh__registry_get_hall_count(g->registry); i++) {
+		const BH__HallDrain *d = bh__registry_get_hall(g->registry, i);
+		log_event("hall", "hall=%s what=%s since=%s requests=%u", d->name, d->draining ? "drains" : "in-use",
+				  bh__place_write(d->changed, place), count_requests_(g, d->name));
+	}
+}
+
+/* Returns how many requests of this node run on endpoints of a hall. */
+static unsigned count_requests_(const Gate *g, const char *hall)
+{
+	unsigned count = 0;
+
+	for (unsigned i = 0; i < bh__registry_get_count(g->registry); i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(g->registry, i);
+		if (!strcmp(e->entry.hall, hall))
+			count += e->in_flight;
+	}
+	return count;
+}
+
+/* Writes which halls drain, for how long this node has known, and what of its requests still runs there. */
+void halls_write_status(const Gate *g, struct evbuffer *out)
+{
+	uint64_t now_us = clock_now_us();
+
+	for (unsigned i = 0; i < bh__registry_get_hall_count(g->registry); i++) {
+		const BH__HallDrain *d = bh__registry_get_hall(g->registry, i);
+		evbuffer_add_printf(out,
+							"bayhoist_hall_draining{hall=\"%s\"} %d\n"
+							"bayhoist_hall_known_ms{hall=\"%s\"} %" G_GUINT64_FORMAT "\n"
+							"bayhoist_hall_requests{hall=\"%s\"} %u\n",
+							d->name, d->draining, d->name, (now_us - MIN(now_us, d->since_us)) / BH__MS_US,
+							d->name, count_requests_(g, d->name));
+	}
+}
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -255,6 +255,7 @@
 		bh__knowledge_note_endpoints(&g->knowledge, clock_now_us());
 	bh__registry_process_tick(g->registry, clock_now_us());
 	follow_era_(g);
+	halls_follow(g);
 	if (g->registry_seen != bh__registry_get_version(g->registry)) {
 		g->registry_seen = bh__registry_get_version(g->registry);
 		cluster_follow_registry(g->cluster, clock_now_us());
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -200,6 +200,7 @@
 	write_histogram_(out, "grant_wait_ms", "all", &k->grant_wait);
 	write_histogram_(out, "whole_ms", "all", &k->whole);
 	looks_write_status(g->looks, out);
+	halls_write_status(g, out);
 	cluster_write_status(g->cluster, out);
 	crashes_write_status(g->crashes, out);
 }
--- a/src/libbayhoist/include/private/registry_internal.h
+++ b/src/libbayhoist/include/private/registry_internal.h
@@ -28,6 +28,10 @@
 	GHashTable *departed; /* BH__EndpointDeparture by endpoint id */
 	BH__Place floor;     /* latest place as of which an endpoint was gone that is in neither table any more */
 	BH__Place forgotten; /* latest place with which that had been learnt */
+	GArray *halls;       /* BH__HallDrain */
+	uint64_t halls_version;
 };
 
+BH__Place bh__registry_written(const BH__Registry *r, BH__Place p);
+
 #endif
--- a/src/libbayhoist/looks.c
+++ b/src/libbayhoist/looks.c
@@ -45,9 +45,10 @@
 	uint64_t arrived_us;
 	uint64_t until_us; /* it is answered by then, news or not */
 	uint64_t configuration_version;
-	BH__Place place;   /* up to which the asker knows all changes of endpoints */
-	bool knows_away;   /* the asker has heard from several that the platform is away */
-	uint64_t known_us; /* by this node's clock, of when the asker's knowledge of endpoints is */
+	BH__Place place;        /* up to which the asker knows all changes of endpoints */
+	uint64_t halls_version; /* of what this node knew of halls when the asker did; 0: the asker knows less */
+	bool knows_away;        /* the asker has heard from several that the platform is away */
+	uint64_t known_us;      /* by this node's clock, of when the asker's knowledge of endpoints is */
 } HeldQuestion_;
 
 struct BH__Looks {
@@ -109,6 +110,8 @@
 static const BH__PackedText *packed_configuration_(BH__Looks *l, uint64_t version);
 static void add_facts_(const BH__Looks *l, const HeldQuestion_ *q, uint64_t now_us, GArray *facts,
 					   GArray *departures, bool *whole);
+static void fill_halls_(const BH__Looks *l, BH__Message *m);
+static void take_halls_(BH__Looks *l, const BH__Message *m, uint64_t now_us);
 static void take_configuration_(BH__Looks *l, const BH__Message *m, uint64_t looked_us);
 static void take_facts_(BH__Looks *l, const BH__Message *m, uint64_t looked_us, uint64_t now_us);
 static void keep_only_told_(BH__Registry *r, const BH__Message *m, uint64_t now_us);
@@ -457,9 +460,31 @@
 	m.as.look.place = bh__registry_get_place(l->registry);
 	m.as.look.era_start = bh__registry_get_era_start(l->registry);
 	m.as.look.registry_age_us = now_us - l->known_us;
+	fill_halls_(l, &m);
 	l->port->send(l->port, node, &m);
 }
 
+/* Adds what is known of halls that drain. It is so little that all of it goes both ways: which of two nodes
+ * knows more is not to matter. */
+static void fill_halls_(const BH__Looks *l, BH__Message *m)
+{
+	m->as.look.hall_count = bh__registry_get_hall_count(l->registry);
+	if (m->as.look.hall_count)
+		m->as.look.hall = (BH__HallDrain *)bh__registry_get_hall(l->registry, 0);
+}
+
+/* Takes what another node knows of halls that drain. */
+static void take_halls_(BH__Looks *l, const BH__Message *m, uint64_t now_us)
+{
+	uint64_t was = bh__registry_get_halls_version(l->registry);
+
+	for (uint32_t i = 0; i < m->as.look.hall_count; i++)
+		bh__registry_put_hall(l->registry, m->as.look.hall[i].name, m->as.look.hall[i].draining,
+							  m->as.look.hall[i].changed, now_us);
+	if (bh__registry_get_halls_version(l->registry) != was)
+		l->port->learnt(l->port);
+}
+
 /* Another node asks what it does not know. */
 void bh__looks_process_ask(BH__Looks *l, const BH__Message *ask, uint64_t now_us)
 {
@@ -472,6 +497,9 @@
 					   .knows_away = ask->as.look.lost,
 					   .known_us = now_us - MIN(now_us, ask->as.look.registry_age_us)};
 
+	take_halls_(l, ask, now_us);
+	if (!bh__registry_knows_more_of_halls(l->registry, ask->as.look.hall, ask->as.look.hall_count))
+		q.halls_version = bh__registry_get_halls_version(l->registry) + 1;
 	for (guint i = l->held->len; i-- > 0;)
 		if (g_array_index(l->held, HeldQuestion_, i).node == q.node)
 			g_array_remove_index_fast(l->held, i);
@@ -501,6 +529,8 @@
 
 	if (now_us >= q->until_us || c.version > q->configuration_version)
 		return true;
+	if (bh__registry_get_halls_version(l->registry) + 1 != q->halls_version)
+		return true;
 	if (is_lost_(l) && !q->knows_away) /* the asker may find a better one */
 		return true;
 	return is_fresh_(l, now_us) && !is_older && (differs || l->known_us > q->known_us + YOUNGER_US_);
@@ -542,6 +572,7 @@
 	m.as.look.fact = (BH__EndpointFact *)(void *)facts->data;
 	m.as.look.gone_count = departures->len;
 	m.as.look.gone = (BH__EndpointDeparture *)(void *)departures->data;
+	fill_halls_(l, &m);
 	l->port->send(l->port, q->node, &m);
 	g_array_unref(facts);
 	g_array_unref(departures);
@@ -582,6 +613,7 @@
 	if (!l->asked_us || m->as.look.asked_us != l->asked_us)
 		return;
 	l->asked_us = 0;
+	take_halls_(l, m, now_us);
 	take_configuration_(l, m, seen_us - MIN(seen_us, m->as.look.configuration_age_us));
 	if (l->asks_back)
 		return;
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -371,6 +371,12 @@
 		u64_(c, &m->as.look.gone[i].endpoint_id);
 		past_(c, &m->as.look.gone[i].past);
 	}
+	m->as.look.hall = list_(c, &m->as.look.hall_count, m->as.look.hall, sizeof *m->as.look.hall);
+	for (uint32_t i = 0; i < m->as.look.hall_count && !c->failed; i++) {
+		string_(c, m->as.look.hall[i].name, sizeof m->as.look.hall[i].name);
+		flag_(c, &m->as.look.hall[i].draining);
+		place_(c, &m->as.look.hall[i].changed);
+	}
 }
 
 static void fingerprint_(Codec_ *c, BH__Fingerprint *f)
@@ -595,6 +601,7 @@
 		bh__packed_text_clear(&m->as.look.configuration);
 		g_free(m->as.look.fact);
 		g_free(m->as.look.gone);
+		g_free(m->as.look.hall);
 		break;
 	case BH__MESSAGE_QUARANTINE:
 		g_free(m->as.quarantine.entry);
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -14,7 +14,6 @@
 /* Endpoints that are gone, of which it is remembered when: more than go in a release of the largest fleet. */
 #define DEPARTED_KEPT_ 1024
 
-static BH__Place written_(const BH__Registry *r, BH__Place p);
 static bool merge_(BH__Registry *r, uint64_t id, const BH__EndpointEntry *entry, const BH__EndpointPast *told,
 				   uint64_t gone_at_us, BH__Place as_of);
 static bool merge_known_(BH__Registry *r, BH__RegisteredEndpoint *e, const BH__EndpointEntry *entry,
@@ -41,6 +40,7 @@
 	r->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	r->rand = g_rand_new_with_seed(seed);
 	r->departed = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+	r->halls = g_array_new(FALSE, FALSE, sizeof(BH__HallDrain));
 	return r;
 }
 
@@ -50,6 +50,7 @@
 	g_ptr_array_unref(r->table);
 	g_rand_free(r->rand);
 	g_hash_table_unref(r->departed);
+	g_array_unref(r->halls);
 	g_free(r);
 }
 
@@ -107,7 +108,7 @@
 
 /* Returns the place at which an entry was written: in an earlier era than that in which it was read, if it is
  * part of the copy that the store came back from. */
-static BH__Place written_(const BH__Registry *r, BH__Place p)
+BH__Place bh__registry_written(const BH__Registry *r, BH__Place p)
 {
 	for (unsigned i = 0; i < r->era_count; i++)
 		if (p.era == r->era[i].start.era && p.revision <= r->era[i].start.revision)
@@ -119,7 +120,7 @@
  * true if it changes what is believed. */
 bool bh__registry_put(BH__Registry *r, const BH__EndpointEntry *entry, BH__Place listed, BH__Place as_of)
 {
-	BH__EndpointPast told = {.listed = written_(r, listed),
+	BH__EndpointPast told = {.listed = bh__registry_written(r, listed),
 							 .born_ms = entry->born_ms,
 							 .drained = entry->draining,
 							 .drained_born_ms = entry->born_ms};
@@ -144,7 +145,7 @@
 {
 	BH__EndpointPast told = f->past;
 
-	told.listed = written_(r, told.listed);
+	told.listed = bh__registry_written(r, told.listed);
 	return merge_(r, bh__hash_name(f->entry.id), &f->entry, &told, f->gone_in_us ? now_us + f->gone_in_us : 0,
 				  as_of);
 }
@@ -154,7 +155,7 @@
 {
 	BH__EndpointPast told = d->past;
 
-	told.listed = written_(r, told.listed);
+	told.listed = bh__registry_written(r, told.listed);
 	merge_(r, d->endpoint_id, NULL, &told, 0, as_of);
 }
 
@@ -291,6 +292,7 @@
 	bool starts = !e->entry.id[0] || entry->born_ms > e->entry.born_ms;
 
 	e->entry = *entry;
+	e->hall_drains = bh__registry_is_hall_draining(r, entry->hall);
 	if (!starts)
 		return;
 	e->life = ++r->lives;
@@ -316,7 +318,7 @@
 	d->past = *past;
 }
 
-/* Drops endpoints that are gone. */
+/* Drops endpoints that are gone, and ends what time ends. */
 void bh__registry_process_tick(BH__Registry *r, uint64_t now_us)
 {
 	for (guint i = r->table->len; i-- > 0;) {
@@ -324,6 +326,7 @@
 		if (e->gone_at_us && now_us >= e->gone_at_us)
 			depart_(r, e);
 	}
+	bh__registry_process_halls(r, now_us);
 }
 
 static void depart_(BH__Registry *r, BH__RegisteredEndpoint *e)
@@ -423,8 +426,14 @@
 	return g_ptr_array_index(r->table, index);
 }
 
+/* Returns true if an endpoint is there and has not said that it leaves. */
+bool bh__registered_endpoint_stays(const BH__RegisteredEndpoint *e, uint64_t now_us)
+{
+	return !e->entry.draining && (!e->gone_at_us || now_us < e->gone_at_us);
+}
+
 /* Returns true if new requests may go there. */
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
-	return !e->entry.draining && (!e->gone_at_us || now_us < e->gone_at_us);
+	return !e->hall_drains && bh__registered_endpoint_stays(e, now_us);
 }
--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -55,6 +55,7 @@
 	bool served;
 	bool is_cut; /* from all other nodes */
 	bool is_cut_from_store;
+	bool watches;
 	uint64_t suspended_until_us;
 	uint64_t suspect_us;      /* when all others suspect it; 0: they do not, or have been told */
 	uint32_t refutation;      /* times that it has refuted that */
@@ -68,6 +69,15 @@
 	bool *stopped; /* of each endpoint: this node knows that it left, and does not use it */
 } Node;
 
+/* What operators wrote of a hall. */
+typedef struct {
+	bool drains;
+	uint64_t revision; /* 0: nothing */
+	bool drained_last; /* what was written last, also if the store has gone back since */
+	uint64_t written_us;
+	uint64_t again_us; /* it is written again then, after the store went back; 0: it is not */
+} Hall;
+
 struct Fleet {
 	FleetOptions options;
 	uint64_t now_us;
@@ -76,6 +86,7 @@
 	Node *node;
 	GHashTable *by_id; /* Node */
 	Endpoint *endpoint;
+	Hall *hall;
 	GArray *changes; /* Change */
 	uint64_t era;
 	uint64_t revision;
@@ -153,8 +164,7 @@
 
 static void watch_configuration_(BH__LooksPort *port, bool wanted)
 {
-	(void)port;
-	(void)wanted;
+	node_(port)->watches = wanted;
 }
 
 static BH__LooksConfiguration get_configuration_(BH__LooksPort *port)
@@ -294,6 +304,7 @@
 	f->rand = g_rand_new_with_seed(options->seed);
 	f->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	f->endpoint = g_new0(Endpoint, options->endpoints);
+	f->hall = g_new0(Hall, options->halls);
 	f->changes = g_array_new(FALSE, FALSE, sizeof(Change));
 	f->letters = g_ptr_array_new();
 	f->is_up = true;
@@ -329,6 +340,7 @@
 	g_hash_table_unref(f->by_id);
 	g_rand_free(f->rand);
 	g_free(f->endpoint);
+	g_free(f->hall);
 	g_free(f->node);
 	g_free(f);
 }
@@ -345,8 +357,9 @@
 
 static void put_(Node *n, unsigned endpoint, uint64_t revision, BH__Place as_of)
 {
-	BH__EndpointEntry e = {.service = "s", .hall = "hall-0", .slots = 4, .born_ms = 1};
+	BH__EndpointEntry e = {.service = "s", .slots = 4, .born_ms = 1};
 
+	snprintf(e.hall, sizeof e.hall, "hall-%u", endpoint % n->fleet->options.halls);
 	snprintf(e.id, sizeof e.id, "i-%u", endpoint);
 	snprintf(e.address, sizeof e.address, "10.0.%u.%u:80", endpoint / 250, endpoint % 250);
 	bh__registry_put(n->registry, &e, place_(n->fleet, revision), as_of);
@@ -392,6 +405,33 @@
 	bh__registry_set_place(n->registry, to);
 }
 
+/* What operators wrote of a hall comes to a node that looks or watches. */
+static void tell_hall_(Node *n, unsigned hall)
+{
+	Fleet *f = n->fleet;
+	char name[BH__NAME_LEN];
+
+	snprintf(name, sizeof name, "hall-%u", hall);
+	bh__registry_put_hall(n->registry, name, f->hall[hall].drains, place_(f, f->hall[hall].revision),
+						  f->now_us);
+}
+
+/* The store's answer: all halls that drain. */
+static void read_halls_(Node *n)
+{
+	Fleet *f = n->fleet;
+	GHashTable *names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (unsigned i = 0; i < f->options.halls; i++) {
+		if (!f->hall[i].drains)
+			continue;
+		tell_hall_(n, i);
+		g_hash_table_add(names, g_strdup_printf("hall-%u", i));
+	}
+	bh__registry_keep_halls(n->registry, names, place_(f, f->revision), f->now_us);
+	g_hash_table_unref(names);
+}
+
 static void end_look_(Node *n, int what)
 {
 	uint64_t sent_us = n->look_sent_us[what];
@@ -406,6 +446,7 @@
 	if (what == CONFIGURATION) {
 		n->configuration.version = 1;
 		n->configuration.looked_us = MAX(n->configuration.looked_us, sent_us);
+		read_halls_(n);
 		bh__looks_process_news(n->looks, n->fleet->now_us);
 		return;
 	}
@@ -455,6 +496,9 @@
 			e->revision = ++f->revision; /* its sequence, which is no change that is told */
 		}
 	}
+	for (unsigned i = 0; i < f->options.halls && f->is_up; i++)
+		if (f->hall[i].again_us && f->now_us >= f->hall[i].again_us)
+			fleet_drain_hall(f, i, f->hall[i].drained_last);
 	if (f->changes->len > HISTORY)
 		g_array_remove_range(f->changes, 0, f->changes->len - HISTORY);
 }
@@ -530,8 +574,22 @@
 	f->endpoint[endpoint].left_at = place_(f, f->revision);
 }
 
-/* What was written since the copy is gone; what endpoints wrote is written again within the second that
- * follows. */
+/* Nodes that watch hear of it at once, if the store answers them. */
+void fleet_drain_hall(Fleet *f, unsigned hall, bool drains)
+{
+	f->hall[hall] =
+		(Hall){.drains = drains, .drained_last = drains, .revision = ++f->revision, .written_us = f->now_us};
+	for (unsigned i = 0; i < f->options.nodes; i++) {
+		Node *n = &f->node[i];
+		if (!n->watches || !n->served || n->is_cut_from_store || !runs_(n))
+			continue;
+		tell_hall_(n, hall);
+		learnt_(&n->port);
+	}
+}
+
+/* What was written since the copy is gone; what endpoints and operators wrote is written again within the
+ * second that follows. */
 void fleet_go_back(Fleet *f, uint64_t by_us)
 {
 	uint64_t copy_us = f->now_us - by_us;
@@ -553,6 +611,14 @@
 		e->revision = MIN(e->revision, f->revision);
 		e->back_us = f->now_us + BACK_LEAST_US + (uint64_t)g_rand_int_range(f->rand, 0, 800) * BH__MS_US;
 	}
+	for (unsigned i = 0; i < f->options.halls; i++) {
+		Hall *h = &f->hall[i];
+		if (h->written_us <= copy_us)
+			continue;
+		h->drains = !h->drains;
+		h->revision = MIN(h->revision, f->revision);
+		h->again_us = f->now_us + BACK_LEAST_US + (uint64_t)g_rand_int_range(f->rand, 0, 800) * BH__MS_US;
+	}
 	g_array_set_size(f->changes, 0);
 }
 
@@ -650,6 +716,24 @@
 	return count;
 }
 
+unsigned fleet_count_hall_users(const Fleet *f, unsigned hall)
+{
+	unsigned count = 0;
+
+	for (unsigned i = 0; i < f->options.nodes; i++) {
+		const Node *n = &f->node[i];
+		bool uses = false;
+		for (unsigned k = 0; k < bh__registry_get_count(n->registry); k++) {
+			const BH__RegisteredEndpoint *e = bh__registry_get(n->registry, k);
+			char name[BH__NAME_LEN];
+			snprintf(name, sizeof name, "hall-%u", hall);
+			uses |= !strcmp(e->entry.hall, name) && bh__registered_endpoint_is_usable(e, f->now_us);
+		}
+		count += counts_(n) && uses;
+	}
+	return count;
+}
+
 unsigned fleet_count_revivals(const Fleet *f)
 {
 	return f->revivals;
--- a/src/test_libbayhoist/fleet.h
+++ b/src/test_libbayhoist/fleet.h
@@ -48,6 +48,7 @@
 	Fleet *f); /* every entry goes; endpoints write theirs again, after some time, once the store is up */
 void fleet_leave(Fleet *f, unsigned endpoint); /* its entry goes, for good */
 void fleet_go_back(Fleet *f, uint64_t by_us);  /* the store comes back from a copy that is so old */
+void fleet_drain_hall(Fleet *f, unsigned hall, bool drains); /* as operators write it */
 void fleet_suspend(Fleet *f, unsigned node, uint64_t us);
 void fleet_cut(Fleet *f, unsigned node, bool from_nodes, bool from_store);
 unsigned fleet_find_reader(const Fleet *f); /* node that has looked last */
@@ -58,6 +59,7 @@
 unsigned fleet_count_unaware(const Fleet *f, uint64_t since_us);
 unsigned fleet_count_refusing(const Fleet *f);
 unsigned fleet_count_users(const Fleet *f, unsigned endpoint);
+unsigned fleet_count_hall_users(const Fleet *f, unsigned hall); /* nodes that would use a hall's endpoints */
 unsigned fleet_count_revivals(
 	const Fleet *f); /* an endpoint that had left is used again, at any node, since the start */
 
--- a/src/test_libbayhoist/test_fleet.c
+++ b/src/test_libbayhoist/test_fleet.c
@@ -295,6 +295,104 @@
 	fleet_delete(f);
 }
 
+/* Runs until no node uses a hall's endpoints any more; returns the time, 10 s at most. */
+static uint64_t run_until_left_(Fleet *f, unsigned hall)
+{
+	uint64_t since_us = fleet_now_us(f);
+
+	while (fleet_count_hall_users(f, hall) && fleet_now_us(f) < since_us + 10 * BH__SECOND_US)
+		fleet_run(f, POLL_US);
+	return fleet_now_us(f) - since_us;
+}
+
+/* Operators drain a hall: the last node uses it no more within a second, however many there are, and again
+ * when that is taken back. It takes no message that would not have been sent, but for one answer to each. */
+static void a_hall_that_drains_is_left_by_all_(void **state)
+{
+	const unsigned counts[] = {9, 85, 300, 1000};
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
+		FleetOptions o = {.nodes = counts[i], .halls = 5, .endpoints = 20, .seed = 91 + i};
+		Fleet *f = fleet_new(&o);
+		unsigned rest;
+		uint64_t us;
+		fleet_run(f, 4 * BH__SECOND_US);
+		fleet_take_work(f);
+		fleet_run(f, 2 * BH__SECOND_US);
+		rest = fleet_take_work(f).messages;
+		fleet_drain_hall(f, 2, true);
+		us = run_until_left_(f, 2);
+		print_message("%u nodes: the last has left the hall after %u ms\n", o.nodes,
+					  (unsigned)(us / BH__MS_US));
+		assert_true(us <= LAST_US);
+		fleet_run(f, 2 * BH__SECOND_US - us);
+		assert_true(fleet_take_work(f).messages <= rest + 2 * o.nodes);
+		assert_int_equal(fleet_count_hall_users(f, 1), o.nodes);
+		fleet_run(f, 2 * BH__SECOND_US);
+		assert_int_equal(fleet_count_hall_users(f, 2), 0);
+		fleet_drain_hall(f, 2, false);
+		fleet_run(f, BH__SECOND_US);
+		assert_int_equal(fleet_count_hall_users(f, 2), o.nodes);
+		fleet_delete(f);
+	}
+}
+
+/* A hall drains while the store answers one node in ten, the reader is suspended and the store goes back to
+ * before it: once left it stays so, at each node. Another is taken back in between, and used. */
+static void no_trouble_brings_work_to_a_hall_that_drains_(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 101; seed <= 106; seed++) {
+		FleetOptions o = {.nodes = 85, .halls = 5, .endpoints = 20, .seed = seed};
+		Fleet *f = fleet_new(&o);
+		fleet_run(f, 4 * BH__SECOND_US);
+		fleet_drain_hall(f, 1, true);
+		fleet_run(f, 5 * BH__SECOND_US);
+		fleet_drain_hall(f, 3, true);
+		assert_true(run_until_left_(f, 3) <= LAST_US);
+		fleet_drain_hall(f, 1, false);
+		fleet_run(f, BH__SECOND_US);
+		assert_int_equal(fleet_count_hall_users(f, 1), o.nodes);
+		fleet_set_store(f, 100, seed % 2 ? FLEET_STORE_SILENT : FLEET_STORE_BUSY);
+		fleet_suspend(f, fleet_find_reader(f), BH__SECOND_US);
+		for (unsigned ms = 0; ms < 4000; ms += 10) {
+			fleet_run(f, POLL_US);
+			assert_int_equal(fleet_count_hall_users(f, 3), 0);
+		}
+		fleet_set_store(f, 0, FLEET_STORE_SILENT);
+		fleet_run(f, 500 * BH__MS_US);
+		fleet_go_back(f, 8 * BH__SECOND_US);
+		fleet_set_store(f, 1000, FLEET_STORE_SILENT);
+		for (unsigned ms = 0; ms < 5000; ms += 10) {
+			fleet_run(f, POLL_US);
+			assert_int_equal(fleet_count_hall_users(f, 3), 0);
+		}
+		assert_int_equal(fleet_count_hall_users(f, 1), o.nodes);
+		fleet_delete(f);
+	}
+}
+
+/* One node in ten is turned away by the store as the hall begins to drain: the others tell it. */
+static void a_hall_drains_while_the_store_answers_few_(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 111; seed <= 113; seed++) {
+		FleetOptions o = {.nodes = 300, .halls = 5, .endpoints = 20, .looks_per_s = 160, .seed = seed};
+		Fleet *f = fleet_new(&o);
+		uint64_t us;
+		fleet_run(f, 4 * BH__SECOND_US);
+		fleet_set_store(f, 100, FLEET_STORE_BUSY);
+		fleet_run(f, 4 * BH__SECOND_US);
+		fleet_drain_hall(f, 0, true);
+		us = run_until_left_(f, 0);
+		print_message("300 nodes, one in ten served: the last has left the hall after %u ms\n",
+					  (unsigned)(us / BH__MS_US));
+		assert_true(us <= LAST_US);
+		fleet_delete(f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -307,6 +405,9 @@
 		cmocka_unit_test(nor_does_one_that_goes_back_twice_),
 		cmocka_unit_test(no_trouble_revives_one_that_left_),
 		cmocka_unit_test(a_node_without_peers_sees_for_itself_),
+		cmocka_unit_test(a_hall_that_drains_is_left_by_all_),
+		cmocka_unit_test(no_trouble_brings_work_to_a_hall_that_drains_),
+		cmocka_unit_test(a_hall_drains_while_the_store_answers_few_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_libbayhoist/test_inputs.c
+++ b/src/test_libbayhoist/test_inputs.c
@@ -116,6 +116,7 @@
 		 .gone_in_us = 6}};
 	static BH__EndpointDeparture gone[2] = {{.endpoint_id = 11, .past = {.gone = {7, 8}}},
 											{.endpoint_id = 12}};
+	static BH__HallDrain halls[2] = {{.name = "h1", .draining = true, .changed = {1, 5}}, {.name = "h2"}};
 	static BH__QuarantineEntry held[2] = {
 		{.fingerprint = {1, 2}, .state = BH__QUARANTINE_HELD, .version = 3, .weight = 6, .crash_count = 2}};
 	static BH__QuotaEntry quota[2] = {{.account_id = 4, .rate = 2.5, .held = 1}};
@@ -169,6 +170,8 @@
 		m->as.look.fact = facts;
 		m->as.look.gone_count = 2;
 		m->as.look.gone = gone;
+		m->as.look.hall_count = 2;
+		m->as.look.hall = halls;
 		break;
 	case BH__MESSAGE_SUSPECT:
 		m->as.suspect.event = BH__QUARANTINE_SERVE;
--- a/src/test_libbayhoist/test_registry.c
+++ b/src/test_libbayhoist/test_registry.c
@@ -305,6 +305,75 @@
 	assert_true(bh__outage_get_gone_at_us(&o, NOW_US - 3000000, NOW_US) == NOW_US + back_us);
 }
 
+/* What operators wrote of halls comes in any order, from the store and from other nodes: the latest holds,
+ * and endpoints that come later stand in a hall that drains. */
+static void the_latest_word_on_a_hall_holds_(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(5);
+
+	(void)state;
+	for (unsigned history = 0; history < HISTORIES; history++) {
+		BH__Registry *r = bh__registry_new(1);
+		BH__EndpointEntry e = entry_(1, 7, false);
+		uint64_t latest = 0;
+		for (unsigned i = 0; i < 12; i++) {
+			uint64_t revision = (uint64_t)g_rand_int_range(rand, 10, 40);
+			bool drains = revision % 3 != 0;
+			bool is_news = bh__registry_put_hall(r, "h1", drains, at_(revision), NOW_US);
+			assert_int_equal(is_news, revision > latest);
+			latest = MAX(latest, revision);
+			assert_int_equal(bh__registry_is_hall_draining(r, "h1"), latest % 3 != 0);
+			if (i == 6)
+				bh__registry_put(r, &e, at_(5), at_(50));
+			if (i >= 6)
+				assert_int_equal(is_usable_(r, e.id), latest % 3 == 0);
+		}
+		assert_false(bh__registry_is_hall_draining(r, "h2"));
+		bh__registry_delete(r);
+	}
+	g_rand_free(rand);
+}
+
+/* A list of all halls that drain takes back what it lacks, but not what was written after it; in a store that
+ * went back to a copy only after the time in which operators write it again. */
+static void a_list_of_halls_takes_back_what_it_lacks_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+	GHashTable *none = g_hash_table_new(g_str_hash, g_str_equal);
+
+	(void)state;
+	bh__registry_set_place(r, at_(30));
+	bh__registry_put_hall(r, "h1", true, at_(20), NOW_US);
+	bh__registry_keep_halls(r, none, at_(19), NOW_US);
+	assert_true(bh__registry_is_hall_draining(r, "h1"));
+	bh__registry_keep_halls(r, none, at_(21), NOW_US);
+	assert_false(bh__registry_is_hall_draining(r, "h1"));
+	bh__registry_put_hall(r, "h1", true, at_(25), NOW_US);
+	bh__registry_keep_halls(r, none, (BH__Place){.era = 1, .revision = 3}, NOW_US);
+	bh__registry_process_tick(r, NOW_US + BH__OUTAGE_BACK_US - 1);
+	assert_true(bh__registry_is_hall_draining(r, "h1"));
+	bh__registry_process_tick(r, NOW_US + BH__OUTAGE_BACK_US);
+	assert_false(bh__registry_is_hall_draining(r, "h1"));
+	g_hash_table_unref(none);
+	bh__registry_delete(r);
+}
+
+/* Of more halls than are remembered those are forgotten that are in use. */
+static void halls_that_drain_are_remembered_first_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+
+	(void)state;
+	for (unsigned i = 0; i < 10 * BH__HALLS_MAX; i++) {
+		char name[BH__NAME_LEN];
+		snprintf(name, sizeof name, "h%u", i);
+		bh__registry_put_hall(r, name, i < 10, at_(i + 1), NOW_US);
+	}
+	assert_int_equal(bh__registry_get_hall_count(r), BH__HALLS_MAX);
+	assert_true(bh__registry_is_hall_draining(r, "h0") && bh__registry_is_hall_draining(r, "h9"));
+	bh__registry_delete(r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -314,6 +383,9 @@
 		cmocka_unit_test(a_copy_brings_nothing_back_),
 		cmocka_unit_test(the_time_to_come_back_is_handed_on_),
 		cmocka_unit_test(only_an_outage_gives_time_to_come_back_),
+		cmocka_unit_test(the_latest_word_on_a_hall_holds_),
+		cmocka_unit_test(a_list_of_halls_takes_back_what_it_lacks_),
+		cmocka_unit_test(halls_that_drain_are_remembered_first_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
