Endpoints that are cold: decoded, told among nodes, and kept within what they bear by all nodes together

Cause: an endpoint's entry tells how long it is still cold and its service how many requests a second it bears then; neither was read, and each node sent as if it were alone.

Change: the scheduler of a service has three quarters of the rate; each node that decides alone an even part of a quarter, and of the whole where nobody schedules, from a random phase on. Turning cold is news, also a second time. Callers of a service whose endpoints all stand in halls that drain are told to come back after as long as that has lasted (1 to 10 s) in place of 0.2 s.

--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -7,6 +7,7 @@
 #define BAYHOIST_REGISTRY_H
 
 #include <glib.h>
+#include "bayhoist/cold_rate.h"
 #include "bayhoist/place.h"
 #include "bayhoist/types.h"
 
@@ -19,8 +20,9 @@
 	char service[BH__NAME_LEN];
 	char address[BH__ADDRESS_LEN];
 	char hall[BH__NAME_LEN];
-	uint32_t slots;   /* requests that it works on at a time */
-	uint64_t born_ms; /* time of day of its start, by its own clock; 0: not said */
+	uint32_t slots;         /* requests that it works on at a time */
+	uint64_t born_ms;       /* time of day of its start, by its own clock; 0: not said */
+	uint64_t cold_until_us; /* it bears few requests until then, by this node's clock; 0: it is not cold */
 	bool draining;
 } BH__EndpointEntry;
 
@@ -60,6 +62,7 @@
 	BH__Place learnt;    /* with which the last change of what is believed of it was learnt */
 	uint64_t gone_at_us; /* 0: listed; otherwise it is to be taken as gone from then on */
 	bool hall_drains;    /* the hall that it stands in */
+	BH__ColdRate cold;   /* what this node may send there while it is cold, if nobody schedules its service */
 	uint64_t life;       /* differs for each start that was seen, under whichever id */
 	uint32_t in_flight;  /* requests that this node has there */
 	uint32_t reported;   /* requests that it said run or wait there, of all nodes */
@@ -74,6 +77,7 @@
 	BH__EndpointEntry entry;
 	BH__EndpointPast past;
 	uint64_t gone_in_us; /* if its entry is gone: until it is to be taken as gone */
+	uint64_t cold_in_us; /* if it is cold: until it is not; the entry's own time is not told */
 } BH__EndpointFact;
 
 /* What a node knows of an endpoint that is gone. */
@@ -107,12 +111,13 @@
 BH__RegisteredEndpoint *bh__registry_find_address(const BH__Registry *r, const char *address);
 unsigned bh__registry_get_count(const BH__Registry *r);
 BH__RegisteredEndpoint *bh__registry_get(const BH__Registry *r, unsigned index);
+void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us);
 bool bh__registered_endpoint_stays(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us);
-uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id);
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id, uint64_t now_us);
 void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, uint64_t life, BH__Use use,
 						   uint64_t now_us);
 void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
@@ -126,6 +131,7 @@
 bool bh__registry_is_hall_draining(const BH__Registry *r, const char *name);
 unsigned bh__registry_get_hall_count(const BH__Registry *r);
 const BH__HallDrain *bh__registry_get_hall(const BH__Registry *r, unsigned index);
+uint64_t bh__registry_get_drained_since_us(const BH__Registry *r, const char *service, uint64_t now_us);
 uint64_t bh__registry_get_halls_version(const BH__Registry *r);
 bool bh__registry_knows_more_of_halls(const BH__Registry *r, const BH__HallDrain *hall, unsigned count);
 
--- a/include/bayhoist/routing.h
+++ b/include/bayhoist/routing.h
@@ -43,6 +43,7 @@
 	char name[BH__NAME_LEN];
 	char *health_path;
 	uint32_t max_connections; /* that one endpoint takes from all callers together */
+	double cold_per_s; /* requests that one bears a second while it is cold, of all nodes; 0: any number */
 	bool is_engine;
 	BH__EngineModel engine; /* if it is one */
 } BH__ServiceSpec;
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -23,6 +23,9 @@
  * most; on the users' routes that is 0.8 to 5 s. */
 #define RETRY_OUTAGE_MIN_MS 1000
 #define RETRY_OUTAGE_MAX_MS 3000
+/* The same while a service has endpoints only where halls drain: as long as that has lasted. */
+#define RETRY_DRAIN_MIN_MS 1000
+#define RETRY_DRAIN_MAX_MS 10000
 #define BYTES_PER_TOKEN 4 /* of a prompt whose tokens the caller doesn't tell */
 #define DEFAULT_ANSWER_TOKENS 1000
 #define LIKELY_FACTOR 2 /* answers are up to so many times as long as the caller guesses */
@@ -34,6 +37,7 @@
 static bool admit_(Call *c);
 static BH__Fingerprint fingerprint_(const Call *c);
 static uint64_t retry_uninformed_ms_(const Gate *g, uint64_t now_us);
+static uint64_t retry_no_endpoint_ms_(const Call *c);
 static BH__CallerTime *caller_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
@@ -193,6 +197,17 @@
 	return CLAMP(unknown_ms, RETRY_OUTAGE_MIN_MS, RETRY_OUTAGE_MAX_MS);
 }
 
+/* Returns when a caller is to come back whose service has no endpoint that can be used. */
+static uint64_t retry_no_endpoint_ms_(const Call *c)
+{
+	uint64_t now_us = clock_now_us();
+	uint64_t since_us = bh__registry_get_drained_since_us(c->gate->registry, c->service->name, now_us);
+
+	if (!since_us)
+		return RETRY_SOON_MS;
+	return CLAMP((now_us - since_us) / BH__MS_US, RETRY_DRAIN_MIN_MS, RETRY_DRAIN_MAX_MS);
+}
+
 /* Returns what is known of how long the callers of the request's route wait. */
 static BH__CallerTime *caller_time_(const Call *c)
 {
@@ -238,7 +253,8 @@
 	if (e)
 		send_(c, e->endpoint_id);
 	else
-		give_up_(c, RETRY_SOON_MS, "no-endpoint", "no endpoint of the service can take the request");
+		give_up_(c, retry_no_endpoint_ms_(c), "no-endpoint",
+				 "no endpoint of the service can take the request");
 }
 
 /* Ends a request that is held because it crashes endpoints. Returns false if it is not. */
@@ -363,6 +379,8 @@
 {
 	if (c->state != CALL_ASKING)
 		return;
+	if (reason == BH__REASON_NO_ENDPOINT)
+		retry_after_ms = MAX(retry_after_ms, retry_no_endpoint_ms_(c));
 	log_event("refuse", "request=%s cause=%s scheduler=%s retry_after_ms=%" G_GUINT64_FORMAT,
 			  c->request->meta.request_id, BH__ReasonString[reason], scheduler_name_(c), retry_after_ms);
 	if (reason == BH__REASON_NODE_LEAVING)
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -199,6 +199,7 @@
 	gate_note_registry(c->gate, 0);
 	crashes_process_tick(c->gate->crashes, now_us);
 	schedulers_follow(c, now_us);
+	schedulers_follow_cold(c, now_us);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		if (now_us >= ((Service *)value)->next_holds_us)
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -49,6 +49,7 @@
 void schedulers_free_service(gpointer service);
 void schedulers_hear(Cluster *c, uint64_t node_id);
 void schedulers_follow(Cluster *c, uint64_t now_us);
+void schedulers_follow_cold(Cluster *c, uint64_t now_us);
 void schedulers_tell_holds(Cluster *c, Service *s, uint64_t now_us);
 void schedulers_process_hold(Cluster *c, const BH__Message *m, uint64_t now_us);
 void schedulers_record(Service *s, uint64_t now_us);
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -14,6 +14,7 @@
 #define RECORD_AFTER_US BH__SECOND_US
 
 static Service *add_service_(Cluster *c, const char *name);
+static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, uint64_t now_us);
 static void move_asks_(Cluster *c, const Service *s);
 static void hand_over_(Cluster *c, Service *s, uint64_t now_us);
 static void send_hold_(Cluster *c, const Service *s, GArray *grants, bool full, bool whole);
@@ -85,6 +86,34 @@
 	schedulers_follow(c, now_us);
 }
 
+/* Sets an engine of a planner to what is registered. What a cold one bears comes before that it may be used.
+ */
+static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, uint64_t now_us)
+{
+	const Gate *g = s->cluster->gate;
+	const BH__ServiceSpec *spec = g->routing ? bh__routing_find_service(g->routing, s->service) : NULL;
+
+	bh__planner_set_cold(s->planner, e->endpoint_id, e->entry.cold_until_us, spec ? spec->cold_per_s : 0,
+						 cluster_count_nodes(s->cluster), now_us);
+	bh__planner_set_endpoint(s->planner, e->endpoint_id, e->life,
+							 !bh__registered_endpoint_is_usable(e, now_us), now_us);
+}
+
+/* Sets what this node may send to endpoints that are cold, of services that nobody schedules: its part
+ * follows from the number of nodes. */
+void schedulers_follow_cold(Cluster *c, uint64_t now_us)
+{
+	const BH__Routing *r = c->gate->routing;
+
+	for (unsigned i = 0; r && i < bh__routing_get_service_count(r); i++) {
+		const BH__ServiceSpec *spec = bh__routing_get_service(r, i);
+		if (!spec->is_engine && spec->cold_per_s > 0)
+			bh__registry_set_cold_rate(
+				c->gate->registry, spec->name,
+				bh__cold_rate_get_part(spec->cold_per_s, BH__COLD_PLAIN, cluster_count_nodes(c)), now_us);
+	}
+}
+
 /* Sets each planner's engines to the registered ones. */
 void cluster_follow_registry(Cluster *c, uint64_t now_us)
 {
@@ -104,8 +133,7 @@
 		for (unsigned i = 0; i < bh__registry_get_count(registry); i++) {
 			const BH__RegisteredEndpoint *e = bh__registry_get(registry, i);
 			if (!strcmp(e->entry.service, s->service))
-				bh__planner_set_endpoint(s->planner, e->endpoint_id, e->life,
-										 !bh__registered_endpoint_is_usable(e, now_us), now_us);
+				set_engine_(s, e, now_us);
 		}
 	}
 	cluster_drain_inbox(c);
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -49,7 +49,7 @@
 	evbuffer_drain(c->body, evbuffer_get_length(c->body));
 	write_request_(c, e, out);
 	g->counters.sendings++;
-	c->endpoint_life = bh__registry_note_start(g->registry, endpoint_id);
+	c->endpoint_life = bh__registry_note_start(g->registry, endpoint_id, c->sent_us);
 	log_send_(c, e);
 	c->out = outbound_start(g, e->entry.address, out, &Callbacks_, c);
 	evbuffer_free(out);
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -59,7 +59,7 @@
 		bool was_tried = is_tried_(tried, tried_count, e->endpoint_id);
 		double cost;
 		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us) ||
-			(was_tried && !again))
+			!bh__cold_rate_admits(&e->cold, now_us) || (was_tried && !again))
 			continue;
 		cost = cost_(e, hall, now_us) + (now_us < e->set_aside_until_us ? ASIDE_COST_ : 0) +
 			   (was_tried ? TRIED_COST_ : 0);
@@ -72,13 +72,14 @@
 }
 
 /* A request goes to an endpoint. Returns the endpoint's life, for bh__registry_note_end(). */
-uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id)
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id, uint64_t now_us)
 {
 	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
 
 	if (!e)
 		return 0;
 	e->in_flight++;
+	bh__cold_rate_note(&e->cold, now_us);
 	return e->life;
 }
 
@@ -114,3 +115,13 @@
 	e->reported = running + waiting;
 	e->reported_us = now_us;
 }
+
+/* Sets what this node may send a second to an endpoint of a service while that is cold; 0: without limit. */
+void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us)
+{
+	for (guint i = 0; i < r->table->len; i++) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (!strcmp(e->entry.service, service) && e->cold.per_s != per_s)
+			bh__cold_rate_set(&e->cold, per_s, now_us);
+	}
+}
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -365,6 +365,7 @@
 		endpoint_(c, &m->as.look.fact[i].entry);
 		past_(c, &m->as.look.fact[i].past);
 		u64_(c, &m->as.look.fact[i].gone_in_us);
+		u64_(c, &m->as.look.fact[i].cold_in_us);
 	}
 	m->as.look.gone = list_(c, &m->as.look.gone_count, m->as.look.gone, sizeof *m->as.look.gone);
 	for (uint32_t i = 0; i < m->as.look.gone_count && !c->failed; i++) {
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -87,7 +87,7 @@
 
 bool bh__pass_engine_is_usable(const BH__PassEngine *e, uint64_t now_us)
 {
-	return !e->leaving && now_us >= e->set_aside_until_us;
+	return !e->leaving && now_us >= e->set_aside_until_us && bh__cold_rate_admits(&e->cold, now_us);
 }
 
 static bool is_avoided_(const BH__Ask *ask, uint64_t endpoint_id)
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -18,6 +18,7 @@
 #define HOLD_GRACE_US_ (2 * BH__SECOND_US)
 
 static BH__PassEngine *find_engine_(const BH__Planner *p, uint64_t endpoint_id);
+static BH__PassEngine *add_engine_(BH__Planner *p, uint64_t endpoint_id, uint64_t life);
 static gint compare_order_(gconstpointer a, gconstpointer b, gpointer seed);
 static void free_engine_(gpointer engine);
 static void restart_(BH__Planner *p, BH__PassEngine *e, uint64_t life);
@@ -77,6 +78,8 @@
 void bh__planner_set_alone(BH__Planner *p, bool alone)
 {
 	p->order_seed = alone ? p->boot_id : 0;
+	for (guint i = 0; i < p->engines->len; i++) /* what others have just granted is not known */
+		((BH__PassEngine *)g_ptr_array_index(p->engines, i))->cold.level = 0;
 	g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
 }
 
@@ -104,28 +107,51 @@
 	return g_hash_table_lookup(p->by_id, &endpoint_id);
 }
 
+static BH__PassEngine *add_engine_(BH__Planner *p, uint64_t endpoint_id, uint64_t life)
+{
+	BH__PassEngine *e = g_new0(BH__PassEngine, 1);
+
+	e->endpoint_id = endpoint_id;
+	e->life = life;
+	e->homes = g_ptr_array_new();
+	bh__pass_clock_init(&e->clock);
+	g_ptr_array_add(p->engines, e);
+	g_hash_table_insert(p->by_id, &e->endpoint_id, e);
+	g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
+	return e;
+}
+
 /* Adds an engine, or changes whether it is leaving. With another `life` than before it has started again. */
 void bh__planner_set_endpoint(BH__Planner *p, uint64_t endpoint_id, uint64_t life, bool leaving,
 							  uint64_t now_us)
 {
 	BH__PassEngine *e = find_engine_(p, endpoint_id);
 
-	if (!e) {
-		e = g_new0(BH__PassEngine, 1);
-		e->endpoint_id = endpoint_id;
-		e->life = life;
-		e->homes = g_ptr_array_new();
-		bh__pass_clock_init(&e->clock);
-		g_ptr_array_add(p->engines, e);
-		g_hash_table_insert(p->by_id, &e->endpoint_id, e);
-		g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
-	}
+	if (!e)
+		e = add_engine_(p, endpoint_id, life);
 	if (e->life != life)
 		restart_(p, e, life);
 	e->leaving = leaving;
 	bh__planner_pump(p, now_us);
 }
 
+/* An engine is cold until a time, and bears `per_s` requests a second of all nodes meanwhile; 0: any. One
+ * that is not known yet is added, and used once bh__planner_set_endpoint() says so. */
+void bh__planner_set_cold(BH__Planner *p, uint64_t endpoint_id, uint64_t until_us, double per_s,
+						  unsigned nodes, uint64_t now_us)
+{
+	BH__PassEngine *e = find_engine_(p, endpoint_id);
+	BH__ColdPart part = p->order_seed ? BH__COLD_ALONE : BH__COLD_SCHEDULER;
+
+	if (!e) {
+		e = add_engine_(p, endpoint_id, 0);
+		e->leaving = true;
+	}
+	bh__cold_rate_set(&e->cold, bh__cold_rate_get_part(per_s, part, nodes), now_us);
+	if (until_us > now_us)
+		bh__cold_rate_begin(&e->cold, until_us, bh__cold_phase(p->boot_id, endpoint_id), now_us);
+}
+
 /* An engine has started again: it holds nothing of what it was given, and no failure counts against it.
  * Grants that name it keep their other engines until they are released. */
 static void restart_(BH__Planner *p, BH__PassEngine *e, uint64_t life)
@@ -198,6 +224,7 @@
 		g.member[i].token_count = end - done;
 		done = end;
 	}
+	bh__cold_rate_note(&place->engine[0]->cold, now_us);
 	r = enter_(p, &g, due_us, aim_us, now_us);
 	r->expected_ms = (double)(place->read_end_us - now_us) / 1000 / place->engine[0]->clock.pace;
 	for (unsigned i = 0; i < place->count; i++)
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -13,6 +13,9 @@
 
 /* Endpoints that are gone, of which it is remembered when: more than go in a release of the largest fleet. */
 #define DEPARTED_KEPT_ 1024
+/* An endpoint that is cold for so much longer than was known has turned cold again: all hear of it. Without
+ * that, what is left of the time comes a little different with each check-in. */
+#define COLD_AGAIN_US_ BH__SECOND_US
 
 static bool merge_(BH__Registry *r, uint64_t id, const BH__EndpointEntry *entry, const BH__EndpointPast *told,
 				   uint64_t gone_at_us, BH__Place as_of);
@@ -25,6 +28,7 @@
 static void join_(BH__EndpointPast *past, const BH__EndpointPast *told);
 static bool is_gone_(const BH__EndpointPast *past);
 static bool drains_(const BH__EndpointPast *past);
+static bool turns_cold_(const BH__EndpointEntry *was, const BH__EndpointEntry *is);
 static BH__RegisteredEndpoint *add_(BH__Registry *r, uint64_t id);
 static void take_entry_(BH__Registry *r, BH__RegisteredEndpoint *e, const BH__EndpointEntry *entry);
 static void merge_departed_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place as_of);
@@ -39,6 +43,7 @@
 	r->table = g_ptr_array_new_with_free_func(g_free);
 	r->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	r->rand = g_rand_new_with_seed(seed);
+	r->seed = seed;
 	r->departed = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	r->halls = g_array_new(FALSE, FALSE, sizeof(BH__HallDrain));
 	return r;
@@ -144,9 +149,11 @@
 bool bh__registry_put_fact(BH__Registry *r, const BH__EndpointFact *f, BH__Place as_of, uint64_t now_us)
 {
 	BH__EndpointPast told = f->past;
+	BH__EndpointEntry entry = f->entry;
 
 	told.listed = bh__registry_written(r, told.listed);
-	return merge_(r, bh__hash_name(f->entry.id), &f->entry, &told, f->gone_in_us ? now_us + f->gone_in_us : 0,
+	entry.cold_until_us = f->cold_in_us ? now_us + f->cold_in_us : 0;
+	return merge_(r, bh__hash_name(entry.id), &entry, &told, f->gone_in_us ? now_us + f->gone_in_us : 0,
 				  as_of);
 }
 
@@ -215,7 +222,8 @@
 	else if (!bh__place_compare(told->gone, e->past.gone))
 		e->gone_at_us = MIN(e->gone_at_us, MAX(gone_at_us, 1));
 	if (!is_new && was_gone_at_us == e->gone_at_us && was.draining == e->entry.draining &&
-		was.born_ms == e->entry.born_ms && !strcmp(was.address, e->entry.address)) {
+		was.born_ms == e->entry.born_ms && !strcmp(was.address, e->entry.address) &&
+		!turns_cold_(&was, &e->entry)) {
 		note_silent_change_(r, e, &before, as_of);
 		return false;
 	}
@@ -224,6 +232,11 @@
 	return true;
 }
 
+static bool turns_cold_(const BH__EndpointEntry *was, const BH__EndpointEntry *is)
+{
+	return is->cold_until_us > was->cold_until_us + COLD_AGAIN_US_;
+}
+
 /* An endpoint that went and came back between two looks is used as before, but those who heard that it went
  * must hear that it is back; and one that is listed anew in a new era is known to be there by that. */
 static void note_silent_change_(BH__Registry *r, BH__RegisteredEndpoint *e, const BH__EndpointPast *before,
@@ -293,6 +306,8 @@
 
 	e->entry = *entry;
 	e->hall_drains = bh__registry_is_hall_draining(r, entry->hall);
+	if (entry->cold_until_us)
+		bh__cold_rate_begin(&e->cold, entry->cold_until_us, bh__cold_phase(r->seed, e->endpoint_id), 0);
 	if (!starts)
 		return;
 	e->life = ++r->lives;
@@ -397,6 +412,7 @@
 	BH__EndpointFact f = {.entry = e->entry, .past = e->past};
 
 	f.gone_in_us = e->gone_at_us > now_us ? e->gone_at_us - now_us : 0;
+	f.cold_in_us = e->entry.cold_until_us > now_us ? e->entry.cold_until_us - now_us : 0;
 	g_array_append_val(facts, f);
 }
 
--- a/src/libbayhoist/registry_halls.c
+++ b/src/libbayhoist/registry_halls.c
@@ -133,6 +133,23 @@
 	return &g_array_index(r->halls, BH__HallDrain, index);
 }
 
+/* Returns since when all endpoints of a service that stay stand in halls that drain, as far as this node
+ * knows; 0: not all do, or there is none. */
+uint64_t bh__registry_get_drained_since_us(const BH__Registry *r, const char *service, uint64_t now_us)
+{
+	uint64_t since_us = 0;
+
+	for (guint i = 0; i < r->table->len; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_stays(e, now_us))
+			continue;
+		if (!e->hall_drains)
+			return 0;
+		since_us = MAX(since_us, find_(r, e->entry.hall)->since_us);
+	}
+	return since_us;
+}
+
 /* Returns a number that grows with each change of what is known of halls. */
 uint64_t bh__registry_get_halls_version(const BH__Registry *r)
 {
--- /dev/null
+++ b/src/test_libbayhoist/test_cold.c
@@ -0,0 +1,255 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Endpoints that are cold bear so many requests a second, of all nodes together, and fall over at half as
+ * many again and a few. Each of many nodes that were free to send one at once would bring one down. */
+#include <glib.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <string.h>
+#include "bayhoist/hash.h"
+#include "bayhoist/planner.h"
+#include "bayhoist/registry.h"
+
+#define PER_S 26.0
+#define OVER 1.5 /* times the rate, and so many, in any second, at which one falls over */
+#define SLACK 5
+#define COLD_US (6 * BH__SECOND_US)
+#define STEP_US (10 * BH__MS_US)
+#define NOW_US (1000 * BH__SECOND_US)
+
+typedef struct {
+	BH__PlannerPort port; /* first */
+	BH__Planner *planner;
+	GArray *arrivals; /* uint64_t: moments */
+	uint64_t now_us;
+	uint64_t next_ask;
+} Scheduler;
+
+static void note_(GArray *arrivals, uint64_t now_us)
+{
+	g_array_append_val(arrivals, now_us);
+}
+
+/* Returns the most arrivals of any second. */
+static unsigned most_in_a_second_(const GArray *arrivals)
+{
+	unsigned most = 0;
+
+	for (guint from = 0, to = 0; to < arrivals->len; to++) {
+		while (g_array_index(arrivals, uint64_t, to) - g_array_index(arrivals, uint64_t, from) >=
+			   BH__SECOND_US)
+			from++;
+		most = MAX(most, to - from + 1);
+	}
+	return most;
+}
+
+static void put_(BH__Registry *r, uint64_t revision, uint64_t cold_until_us)
+{
+	BH__EndpointEntry e = {.id = "i-1", .service = "web", .address = "1.1.1.1:1", .hall = "h1", .slots = 6};
+	BH__Place place = {.revision = revision};
+
+	e.cold_until_us = cold_until_us;
+	bh__registry_put(r, &e, place, place);
+	bh__registry_set_place(r, place);
+}
+
+/* Every node of a fleet has requests for a plain service with one endpoint, all the time. */
+static void no_fleet_brings_a_cold_endpoint_down_(void **state)
+{
+	const unsigned counts[] = {1, 9, 85, 300, 1000};
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
+		GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		BH__Registry **r = g_new0(BH__Registry *, counts[i]);
+		for (unsigned n = 0; n < counts[i]; n++) {
+			r[n] = bh__registry_new(n + 1);
+			put_(r[n], 1, NOW_US + COLD_US);
+			bh__registry_set_cold_rate(r[n], "web", bh__cold_rate_get_part(PER_S, BH__COLD_PLAIN, counts[i]),
+									   NOW_US);
+		}
+		for (uint64_t us = NOW_US; us < NOW_US + COLD_US; us += STEP_US) {
+			for (unsigned n = 0; n < counts[i]; n++) {
+				const BH__RegisteredEndpoint *e = bh__registry_pick(r[n], "web", "h1", NULL, 0, false, us);
+				if (!e)
+					continue;
+				bh__registry_note_start(r[n], e->endpoint_id, us);
+				note_(arrivals, us);
+			}
+		}
+		print_message("%u nodes: %u requests in 6 s, %u in a second at most\n", counts[i], arrivals->len,
+					  most_in_a_second_(arrivals));
+		assert_true(most_in_a_second_(arrivals) <= PER_S * OVER + SLACK);
+		assert_true(arrivals->len >= PER_S * COLD_US / BH__SECOND_US * 0.8);
+		assert_non_null(bh__registry_pick(r[0], "web", "h1", NULL, 0, false, NOW_US + COLD_US));
+		for (unsigned n = 0; n < counts[i]; n++)
+			bh__registry_delete(r[n]);
+		g_free(r);
+		g_array_unref(arrivals);
+	}
+}
+
+static void on_grant_(BH__PlannerPort *port, const BH__Grant *g)
+{
+	Scheduler *s = (Scheduler *)port;
+
+	note_(s->arrivals, s->now_us);
+	(void)g;
+}
+
+static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms)
+{
+	(void)port;
+	(void)ask;
+	(void)reason;
+	(void)retry_after_ms;
+}
+
+static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
+{
+	(void)port;
+	(void)ask;
+}
+
+static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g)
+{
+	(void)port;
+	(void)g;
+}
+
+static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
+{
+	(void)port;
+	(void)endpoint_id;
+}
+
+/* Engines answer at once here, so that no other limit holds. */
+static Scheduler *scheduler_new_(GArray *arrivals, uint64_t boot_id, bool alone, unsigned nodes)
+{
+	Scheduler *s = g_new0(Scheduler, 1);
+	BH__EngineModel m;
+
+	bh__engine_model_init(&m);
+	m.slots = 1000;
+	m.kv_tokens = 100 * 1000 * 1000;
+	s->port = (BH__PlannerPort){.grant = on_grant_,
+								.refuse = on_refuse_,
+								.queued = on_queued_,
+								.abandoned = on_abandoned_,
+								.inspect = on_inspect_};
+	s->arrivals = arrivals;
+	s->now_us = NOW_US;
+	s->planner = bh__planner_new(&s->port, 3, boot_id);
+	bh__planner_set_model(s->planner, &m);
+	bh__planner_set_alone(s->planner, alone);
+	bh__planner_set_cold(s->planner, 1, NOW_US + COLD_US, PER_S, nodes, NOW_US);
+	bh__planner_set_endpoint(s->planner, 1, 1, false, NOW_US);
+	return s;
+}
+
+static void ask_(Scheduler *s, uint64_t now_us)
+{
+	BH__Ask a = {.ask_id = ++s->next_ask,
+				 .pool_id = 3,
+				 .node_id = 1,
+				 .boot_id = 1,
+				 .prompt_tokens = 100,
+				 .max_tokens = 10,
+				 .deadline_us = BH__SECOND_US,
+				 .first_event_us = 300 * BH__MS_US,
+				 .event_gap_us = 200 * BH__MS_US};
+	guint was = s->arrivals->len;
+
+	s->now_us = now_us;
+	bh__planner_process_ask(s->planner, &a, now_us);
+	if (s->arrivals->len > was)
+		bh__planner_process_progress(s->planner, 0, now_us);
+}
+
+/* One node schedules, another takes over from it in the middle of a second, and a tenth of all nodes decide
+ * alone all the while. */
+static void nor_do_schedulers_that_change_(void **state)
+{
+	const unsigned counts[] = {9, 85, 300, 1000};
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
+		GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+		unsigned alone_count = counts[i] / 10;
+		Scheduler **alone = g_new0(Scheduler *, alone_count + 1);
+		Scheduler *first = scheduler_new_(arrivals, 1, false, counts[i]);
+		Scheduler *second = scheduler_new_(arrivals, 2, true, counts[i]);
+		for (unsigned n = 0; n < alone_count; n++)
+			alone[n] = scheduler_new_(arrivals, 10 + n, true, counts[i]);
+		for (uint64_t us = NOW_US; us < NOW_US + COLD_US; us += STEP_US) {
+			if (us == NOW_US + COLD_US / 2) {
+				bh__planner_set_alone(second->planner, false);
+				bh__planner_set_cold(second->planner, 1, NOW_US + COLD_US, PER_S, counts[i], us);
+			}
+			ask_(us < NOW_US + COLD_US / 2 ? first : second, us);
+			for (unsigned n = 0; n < alone_count; n++)
+				ask_(alone[n], us);
+		}
+		print_message("%u nodes: %u grants in 6 s, %u in a second at most\n", counts[i], arrivals->len,
+					  most_in_a_second_(arrivals));
+		assert_true(most_in_a_second_(arrivals) <= PER_S * OVER + SLACK);
+		assert_true(arrivals->len >= PER_S * COLD_US / BH__SECOND_US * 0.5);
+		for (unsigned n = 0; n < alone_count; n++) {
+			bh__planner_delete(alone[n]->planner);
+			g_free(alone[n]);
+		}
+		bh__planner_delete(first->planner);
+		bh__planner_delete(second->planner);
+		g_free(first);
+		g_free(second);
+		g_free(alone);
+		g_array_unref(arrivals);
+	}
+}
+
+static unsigned count_changes_(const BH__Registry *r, uint64_t since)
+{
+	GArray *facts = g_array_new(FALSE, FALSE, sizeof(BH__EndpointFact));
+	GArray *departures = g_array_new(FALSE, FALSE, sizeof(BH__EndpointDeparture));
+	unsigned count;
+
+	assert_true(bh__registry_list_changes(r, (BH__Place){.revision = since}, NOW_US, facts, departures));
+	count = facts->len;
+	g_array_unref(facts);
+	g_array_unref(departures);
+	return count;
+}
+
+/* That an endpoint turns cold is news, also a second time; that a little less is left of it is not. */
+static void turning_cold_is_news_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+	uint64_t version;
+
+	(void)state;
+	put_(r, 1, 0);
+	version = bh__registry_get_version(r);
+	put_(r, 2, NOW_US + 3 * BH__SECOND_US);
+	assert_true(bh__registry_get_version(r) > version);
+	assert_int_equal(count_changes_(r, 1), 1);
+	version = bh__registry_get_version(r);
+	put_(r, 3, NOW_US + 3200 * BH__MS_US);
+	assert_int_equal(bh__registry_get_version(r), version);
+	assert_int_equal(count_changes_(r, 2), 0);
+	put_(r, 4, NOW_US + 9 * BH__SECOND_US);
+	assert_int_equal(count_changes_(r, 3), 1);
+	bh__registry_delete(r);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(no_fleet_brings_a_cold_endpoint_down_),
+		cmocka_unit_test(nor_do_schedulers_that_change_),
+		cmocka_unit_test(turning_cold_is_news_),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/test_libbayhoist/test_registry.c
+++ b/src/test_libbayhoist/test_registry.c
@@ -340,6 +340,7 @@
 {
 	BH__Registry *r = bh__registry_new(1);
 	GHashTable *none = g_hash_table_new(g_str_hash, g_str_equal);
+	BH__EndpointEntry e = entry_(1, 7, false);
 
 	(void)state;
 	bh__registry_set_place(r, at_(30));
@@ -349,6 +350,9 @@
 	bh__registry_keep_halls(r, none, at_(21), NOW_US);
 	assert_false(bh__registry_is_hall_draining(r, "h1"));
 	bh__registry_put_hall(r, "h1", true, at_(25), NOW_US);
+	bh__registry_put(r, &e, at_(24), at_(25));
+	assert_true(bh__registry_get_drained_since_us(r, "s", NOW_US + 1) == NOW_US);
+	assert_true(bh__registry_get_drained_since_us(r, "other", NOW_US + 1) == 0);
 	bh__registry_keep_halls(r, none, (BH__Place){.era = 1, .revision = 3}, NOW_US);
 	bh__registry_process_tick(r, NOW_US + BH__OUTAGE_BACK_US - 1);
 	assert_true(bh__registry_is_hall_draining(r, "h1"));
