What one node tells another of halls is merged as it is; a node that does not take it is not answered at once again

Found on reading: places of halls were mapped by where each node had seen an era begin, so that two nodes could each keep their own, and a question that was answered at once for the difference would have been asked again at once, without end. Only the store's own list is mapped now, and such an answer waits 50 ms. No test shows the loop.

--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -126,6 +126,7 @@
 /* registry_halls.c */
 bool bh__registry_put_hall(BH__Registry *r, const char *name, bool draining, BH__Place changed,
 						   uint64_t now_us);
+bool bh__registry_read_hall(BH__Registry *r, const char *name, BH__Place written, uint64_t now_us);
 void bh__registry_keep_halls(BH__Registry *r, GHashTable *names, BH__Place as_of, uint64_t now_us);
 void bh__registry_process_halls(BH__Registry *r, uint64_t now_us);
 bool bh__registry_is_hall_draining(const BH__Registry *r, const char *name);
--- a/src/libbayhoist/looks.c
+++ b/src/libbayhoist/looks.c
@@ -34,6 +34,8 @@
  * from the next one; an answer of a platform that is fifty times as slow as usual takes 0.2 s. */
 #define AWAY_LOOK_US_ (300 * BH__MS_US)
 #define HOLD_MAX_US_ (10 * BH__SECOND_US) /* whatever the asker says */
+/* Before an asker that knows less of halls is told what it lacks: if it does not take that, it asks again. */
+#define HALLS_WAIT_US_ (50 * BH__MS_US)
 /* What a source has seen is news if it is so much younger than what the asker knows: messages take some of
  * that themselves. */
 #define YOUNGER_US_ (50 * BH__MS_US)
@@ -46,7 +48,8 @@
 	uint64_t until_us; /* it is answered by then, news or not */
 	uint64_t configuration_version;
 	BH__Place place;        /* up to which the asker knows all changes of endpoints */
-	uint64_t halls_version; /* of what this node knew of halls when the asker did; 0: the asker knows less */
+	bool knows_less_halls;  /* than this node did when it asked */
+	uint64_t halls_version; /* of what this node knew of halls then */
 	bool knows_away;        /* the asker has heard from several that the platform is away */
 	uint64_t known_us;      /* by this node's clock, of when the asker's knowledge of endpoints is */
 } HeldQuestion_;
@@ -498,8 +501,9 @@
 					   .known_us = now_us - MIN(now_us, ask->as.look.registry_age_us)};
 
 	take_halls_(l, ask, now_us);
-	if (!bh__registry_knows_more_of_halls(l->registry, ask->as.look.hall, ask->as.look.hall_count))
-		q.halls_version = bh__registry_get_halls_version(l->registry) + 1;
+	q.knows_less_halls =
+		bh__registry_knows_more_of_halls(l->registry, ask->as.look.hall, ask->as.look.hall_count);
+	q.halls_version = bh__registry_get_halls_version(l->registry);
 	for (guint i = l->held->len; i-- > 0;)
 		if (g_array_index(l->held, HeldQuestion_, i).node == q.node)
 			g_array_remove_index_fast(l->held, i);
@@ -529,7 +533,8 @@
 
 	if (now_us >= q->until_us || c.version > q->configuration_version)
 		return true;
-	if (bh__registry_get_halls_version(l->registry) + 1 != q->halls_version)
+	if (bh__registry_get_halls_version(l->registry) != q->halls_version ||
+		(q->knows_less_halls && now_us >= q->arrived_us + HALLS_WAIT_US_))
 		return true;
 	if (is_lost_(l) && !q->knows_away) /* the asker may find a better one */
 		return true;
--- a/src/libbayhoist/registry_halls.c
+++ b/src/libbayhoist/registry_halls.c
@@ -56,13 +56,19 @@
 {
 	BH__HallDrain *d = find_(r, name);
 
-	changed = bh__registry_written(r, changed);
 	if (d && !bh__place_is_after(changed, d->changed))
 		return false;
 	set_(r, d ? d : add_(r, name), draining, changed, now_us);
 	return true;
 }
 
+/* Takes an entry of the store's list: a hall drains. The entry may be part of the copy that the store came
+ * back from. */
+bool bh__registry_read_hall(BH__Registry *r, const char *name, BH__Place written, uint64_t now_us)
+{
+	return bh__registry_put_hall(r, name, true, bh__registry_written(r, written), now_us);
+}
+
 /* Sets the state of a hall. */
 static void set_(BH__Registry *r, BH__HallDrain *d, bool draining, BH__Place changed, uint64_t now_us)
 {
--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -407,14 +407,17 @@
 }
 
 /* What operators wrote of a hall comes to a node that looks or watches. */
-static void tell_hall_(Node *n, unsigned hall)
+static void tell_hall_(Node *n, unsigned hall, bool listed)
 {
 	Fleet *f = n->fleet;
 	char name[BH__NAME_LEN];
 
 	snprintf(name, sizeof name, "hall-%u", hall);
-	bh__registry_put_hall(n->registry, name, f->hall[hall].drains, place_(f, f->hall[hall].revision),
-						  f->now_us);
+	if (listed)
+		bh__registry_read_hall(n->registry, name, place_(f, f->hall[hall].revision), f->now_us);
+	else
+		bh__registry_put_hall(n->registry, name, f->hall[hall].drains, place_(f, f->hall[hall].revision),
+							  f->now_us);
 }
 
 /* The store's answer: all halls that drain. */
@@ -426,7 +429,7 @@
 	for (unsigned i = 0; i < f->options.halls; i++) {
 		if (!f->hall[i].drains)
 			continue;
-		tell_hall_(n, i);
+		tell_hall_(n, i, true);
 		g_hash_table_add(names, g_strdup_printf("hall-%u", i));
 	}
 	bh__registry_keep_halls(n->registry, names, place_(f, f->revision), f->now_us);
@@ -584,7 +587,7 @@
 		Node *n = &f->node[i];
 		if (!n->watches || !n->served || n->is_cut_from_store || !runs_(n))
 			continue;
-		tell_hall_(n, hall);
+		tell_hall_(n, hall, false);
 		learnt_(&n->port);
 	}
 }
