--- a/src/share/peers.c
+++ b/src/share/peers.c
@@ -16,7 +16,7 @@
 
 /* Bytes that may wait for a peer that does not read: the largest message, a configuration, has a megabyte. */
 #define OUTPUT_MAX (8u * 1024 * 1024)
-#define PENDING_MAX 1000                /* messages that may wait for a connection */
+#define PENDING_MAX 1000 /* messages that may wait for a connection */
 /* A peer without power drops the opening packet, and the kernel sends it again after a second only. So an
  * attempt is given up after the first of these times, the next after twice that, 1.5 s in all. A peer that is
  * started 50 ms after the attempt is reached after 100 ms instead of 1,000. */
