A node probes few others: its neighbour on the ring, and those half of it, a quarter and so on ahead

Cause: each probed all others in random rounds, and a connection once opened stays: 34 kB at both ends for each pair in the end, 33 MB a node at 984.

Change: probes go to the neighbour and, by turns, to the nodes that lie ahead by half of the ring of ids, a quarter, and so on.

--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -26,6 +26,8 @@
 #define YOUNG_US_ (4 * BH__SECOND_US)
 #define YOUNG_SYNC_PERIOD_US_ (250 * BH__MS_US)
 #define HELPERS_ 3
+#define HALF_RING_ ((uint64_t)1 << 63)
+#define RING_BITS_ 64
 #define CAPACITY_RATIO_ 2 /* VMs with less than this part of what the largest has are left without duties */
 #define SPREAD_FACTOR_ 3  /* times log2(n) that an update is sent on */
 /* Times that a record still rides which went to all: the few that a silent node has kept it from are met by
@@ -58,7 +60,7 @@
 	uint64_t version; /* grows with each change that matters to picks */
 	uint64_t quarantine_hash;
 	uint64_t next_sequence;
-	unsigned next_probe;
+	unsigned next_step;    /* of the ring, halved so many times, to the node that is probed next */
 	bool probes_neighbour; /* the last probe was of the neighbour */
 	uint64_t probe_node;
 	uint64_t probe_sequence;
@@ -84,8 +86,9 @@
 static bool covers_(const BH__Members *m, const char *address);
 static bool is_presumed_(const Entry_ *e);
 static void probe_next_(BH__Members *m, uint64_t now_us);
-static Entry_ *next_neighbour_(BH__Members *m);
-static Entry_ *next_in_round_(BH__Members *m);
+static Entry_ *next_neighbour_(const BH__Members *m);
+static Entry_ *next_ahead_(BH__Members *m);
+static Entry_ *find_from_(const BH__Members *m, uint64_t node_id, BH__MemberState worst);
 static void check_probe_(BH__Members *m, uint64_t now_us);
 static void ask_helpers_(BH__Members *m, const Entry_ *target);
 static void age_(BH__Members *m, uint64_t now_us);
@@ -324,9 +327,8 @@
 	probe_next_(m, now_us);
 }
 
-/* Probes the neighbour and the next of a random round by turns. By chance alone one node in twenty is probed
- * by nobody for 1.5 s; its neighbour does so every second, so that one which goes silent is found in 1.5 s at
- * most. */
+/* Probes the neighbour and a node further ahead by turns. By chance one node in twenty was probed by nobody
+ * for 1.5 s; its neighbour does so every second, so that one which goes silent is found in 1.5 s at most. */
 static void probe_next_(BH__Members *m, uint64_t now_us)
 {
 	Entry_ *e = m->probes_neighbour ? NULL : next_neighbour_(m);
@@ -334,7 +336,7 @@
 
 	m->probes_neighbour = e != NULL;
 	if (!e)
-		e = next_in_round_(m);
+		e = next_ahead_(m);
 	m->probe_node = 0;
 	m->probe_sent_us = now_us;
 	if (!e)
@@ -349,35 +351,33 @@
 /* Returns the live node whose id follows this one's, the lowest id following the highest; NULL: there is
  * none.
  */
-static Entry_ *next_neighbour_(BH__Members *m)
+static Entry_ *next_neighbour_(const BH__Members *m)
 {
-	Entry_ *best = NULL;
+	return find_from_(m, m->self.info.node_id, BH__MEMBER_ALIVE);
+}
 
-	for (guint i = 0; i < m->entries->len; i++) {
-		Entry_ *e = g_ptr_array_index(m->entries, i);
-		uint64_t ahead = e->info.node_id - m->self.info.node_id;
-		if (e->info.state == BH__MEMBER_ALIVE && (!best || ahead < best->info.node_id - m->self.info.node_id))
-			best = e;
-	}
-	return best;
+/* Returns by turns the node that lies ahead of this one by half of the ring, a quarter and so on, up to the
+ * neighbour; NULL: all are dead. So a node probes a few others, and keeps connections to these and not to
+ * all, and news on probes passes each half of the nodes in one step. */
+static Entry_ *next_ahead_(BH__Members *m)
+{
+	const Entry_ *neighbour = find_from_(m, m->self.info.node_id, BH__MEMBER_SUSPECT);
+	Entry_ *e = find_from_(m, m->self.info.node_id + (HALF_RING_ >> m->next_step), BH__MEMBER_SUSPECT);
+
+	m->next_step = e == neighbour || m->next_step + 1 >= RING_BITS_ ? 0 : m->next_step + 1;
+	return e;
 }
 
-/* Returns the next node of a round in random order; NULL: all are dead. */
-static Entry_ *next_in_round_(BH__Members *m)
+/* Returns the first node from an id on, round the ring, whose state is no worse than one; NULL: there is
+ * none. */
+static Entry_ *find_from_(const BH__Members *m, uint64_t node_id, BH__MemberState worst)
 {
-	for (guint tries = 0; tries < m->entries->len; tries++) {
-		Entry_ *e;
-		if (m->next_probe >= m->entries->len) { /* a new round in a new order */
-			for (guint i = m->entries->len; i-- > 1;) {
-				guint k = (guint)g_rand_int_range(m->rand, 0, (gint32)i + 1);
-				gpointer swap = m->entries->pdata[i];
-				m->entries->pdata[i] = m->entries->pdata[k];
-				m->entries->pdata[k] = swap;
-			}
-			m->next_probe = 0;
-		}
-		e = g_ptr_array_index(m->entries, m->next_probe++);
-		if (e->info.state != BH__MEMBER_DEAD)
+	guint at = find_place_(m, node_id);
+
+	for (guint i = 0; i < m->ring_ids->len; i++) {
+		uint64_t id = g_array_index(m->ring_ids, uint64_t, (at + i) % m->ring_ids->len);
+		Entry_ *e = g_hash_table_lookup(m->by_id, &id);
+		if (e->info.state <= worst)
 			return e;
 	}
 	return NULL;
@@ -550,15 +550,9 @@
 	return a->state > b->state;
 }
 
-/* Adds a node at a random place of the round of probes. Where all nodes start at once they learn of each
- * other in much the same order, and would all probe a node in the same second of a round. */
 static void add_(BH__Members *m, Entry_ *e)
 {
-	guint at = (guint)g_rand_int_range(m->rand, 0, (gint32)m->entries->len + 1);
-
-	g_ptr_array_insert(m->entries, (gint)at, e);
-	if (at < m->next_probe)
-		m->next_probe++;
+	g_ptr_array_add(m->entries, e);
 	g_hash_table_insert(m->by_id, &e->info.node_id, e);
 	g_array_insert_val(m->ring_ids, find_place_(m, e->info.node_id), e->info.node_id);
 }
--- a/src/test_libbayhoist/test_news.c
+++ b/src/test_libbayhoist/test_news.c
@@ -22,6 +22,8 @@
 #define REACHED 0.98     /* of the nodes that live, where some are silent and nobody knows yet, in the mean */
 #define ANNOUNCERS 20
 #define SEEDS 3
+#define REST_MS 25000
+#define PEERS_PER_BIT 4 /* of the number of nodes: twice those that it probes and those that probe it */
 #define RESTARTS 24
 #define CONTROL_BYTES_PER_S 22000 /* that a node may send for control */
 #define RECORDS_MAX 50            /* in a table that tells of one difference among 1,000 nodes */
@@ -39,6 +41,7 @@
 	bool silent;
 	unsigned sent;
 	uint64_t bytes;
+	GHashTable *peers; /* indexes + 1 of the nodes that it has sent anything */
 } Node;
 
 typedef struct {
@@ -67,6 +70,7 @@
 	l->to = GPOINTER_TO_UINT(g_hash_table_lookup(n->fleet->by_address, address)) - 1;
 	l->data = bh__message_encode(m, &l->len);
 	n->sent++;
+	g_hash_table_add(n->peers, GUINT_TO_POINTER(l->to + 1));
 	n->fleet->bytes += l->len;
 	n->fleet->type_bytes[m->type] += l->len;
 	n->bytes += l->len;
@@ -113,6 +117,7 @@
 		Node *n = &f->node[i];
 		n->port = (BH__MembersPort){.send = send_, .changed = changed_};
 		n->fleet = f;
+		n->peers = g_hash_table_new(g_direct_hash, g_direct_equal);
 		n->id = all[i].node_id;
 		g_strlcpy(n->address, all[i].peer_address, sizeof n->address);
 		n->members = bh__members_new(&n->port, &all[i], i + 1);
@@ -125,8 +130,10 @@
 
 static void fleet_delete_(Fleet *f)
 {
-	for (unsigned i = 0; i < f->count; i++)
+	for (unsigned i = 0; i < f->count; i++) {
 		bh__members_delete(f->node[i].members);
+		g_hash_table_unref(f->node[i].peers);
+	}
 	g_hash_table_unref(f->by_address);
 	g_free(f->node);
 	g_free(f);
@@ -356,6 +363,33 @@
 	}
 }
 
+/* A node keeps a connection to each node that it has spoken to, of 34 kB at both ends. At rest it speaks to a
+ * few, that grow with the logarithm of the number of nodes, and not to all in the end. */
+static void a_node_speaks_to_few_at_rest_(void **state)
+{
+	const unsigned counts[] = {9, 100, 300, 1000};
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
+		Fleet *f = fleet_new_(counts[i]);
+		unsigned most = 0;
+		unsigned total = 0;
+		run_(f, 5000); /* until nodes are not young any more */
+		for (unsigned k = 0; k < f->count; k++)
+			g_hash_table_remove_all(f->node[k].peers);
+		run_(f, REST_MS);
+		for (unsigned k = 0; k < f->count; k++) {
+			unsigned peers = g_hash_table_size(f->node[k].peers);
+			total += peers;
+			most = MAX(most, peers);
+		}
+		print_message("%u nodes at rest for %u s: a node has sent to %u others, %u at most\n", f->count,
+					  REST_MS / 1000, total / f->count, most);
+		assert_true(total <= f->count * PEERS_PER_BIT * g_bit_storage(f->count));
+		fleet_delete_(f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -364,6 +398,7 @@
 		cmocka_unit_test(a_suspicion_and_its_end_are_cheap_),
 		cmocka_unit_test(tables_that_differ_little_cost_little_),
 		cmocka_unit_test(restarts_in_turn_cost_little_),
+		cmocka_unit_test(a_node_speaks_to_few_at_rest_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
