--- a/src/libbayhoist/include/private/ring.h
+++ b/src/libbayhoist/include/private/ring.h
@@ -27,6 +27,7 @@
 	const void *ctx;
 } BH__Ring;
 
+unsigned bh__ring_find(const uint64_t *ids, unsigned count, uint64_t id);
 BH__Arc bh__ring_all_but(uint64_t id);
 unsigned bh__ring_split(const BH__Ring *r, BH__Arc arc, unsigned way, BH__RingStep out[BH__RING_FANOUT]);
 
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -560,17 +560,7 @@
 /* Returns the index in the ring of the first id that is not below one. */
 static guint find_place_(const BH__Members *m, uint64_t node_id)
 {
-	guint low = 0;
-	guint high = m->ring_ids->len;
-
-	while (low < high) {
-		guint middle = (low + high) / 2;
-		if (g_array_index(m->ring_ids, uint64_t, middle) < node_id)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	return low;
+	return bh__ring_find((const uint64_t *)(const void *)m->ring_ids->data, m->ring_ids->len, node_id);
 }
 
 static void remove_(BH__Members *m, Entry_ *e)
--- a/src/libbayhoist/ring.c
+++ b/src/libbayhoist/ring.c
@@ -5,7 +5,6 @@
 #include <glib.h>
 #include "bayhoist/hash.h"
 
-static unsigned find_(const BH__Ring *r, uint64_t id);
 static unsigned count_(const BH__Ring *r, BH__Arc arc, unsigned *start);
 static bool pick_(const BH__Ring *r, unsigned start, unsigned count, unsigned way, unsigned *at);
 
@@ -15,15 +14,15 @@
 	return (BH__Arc){.first = id + 1, .last = id - 1};
 }
 
-/* Returns the index of the first node whose id is not below `id`. */
-static unsigned find_(const BH__Ring *r, uint64_t id)
+/* Returns the index of the first of `count` ids in rising order that is not below `id`. */
+unsigned bh__ring_find(const uint64_t *ids, unsigned count, uint64_t id)
 {
 	unsigned low = 0;
-	unsigned high = r->count;
+	unsigned high = count;
 
 	while (low < high) {
 		unsigned middle = (low + high) / 2;
-		if (r->id[middle] < id)
+		if (ids[middle] < id)
 			low = middle + 1;
 		else
 			high = middle;
@@ -34,9 +33,9 @@
 /* Returns how many nodes lie in an arc, and the index of the first. */
 static unsigned count_(const BH__Ring *r, BH__Arc arc, unsigned *start)
 {
-	unsigned end = find_(r, arc.last);
+	unsigned end = bh__ring_find(r->id, r->count, arc.last);
 
-	*start = find_(r, arc.first);
+	*start = bh__ring_find(r->id, r->count, arc.first);
 	if (end < r->count && r->id[end] == arc.last)
 		end++;
 	if (arc.first <= arc.last)
