--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -169,8 +169,8 @@
 }
 
 /* Compares tables with any live node now and then, a young node often: each tells the other what it lacks of
- * those parts that differ. Whole tables took half of all bytes between halls at 295 nodes, and among 1,000 of
- * which one starts again 8 MB. */
+ * those parts that differ. Whole tables for one difference took more than all else among hundreds of nodes.
+ */
 static void sync_(BH__Members *m, uint64_t now_us)
 {
 	const BH__MemberInfo *other;
@@ -665,8 +665,8 @@
 }
 
 /* A node joins or compares tables. One that has started is told of to all by a node that has been there for a
- * while: riding on probes alone that took over 2 s where four of 300 nodes a second were restarted. Several
- * seeds do so, one way each. Where all start at once nobody has been there. */
+ * while: riding on probes alone that takes seconds among hundreds. Several seeds do so, one way each. Where
+ * all start at once nobody has been there. */
 static void on_join_(BH__Members *m, const BH__Message *msg, uint64_t now_us)
 {
 	const BH__MemberInfo *info = &msg->as.join.self;
