Test: the stand-in of the platform is told nothing before it listens

Traced: with a stand-in that starts a second late the same checks fail with the same words; the first configuration is posted to a port on which nobody listens yet, and is lost. The test waits for the stand-in now.

--- a/test/gate.sh
+++ b/test/gate.sh
@@ -9,6 +9,7 @@
 start_site() {
 	start site "$B/bh-fake-site" --store "$STORE" --engine i-e1="$(address 1)" --engine i-e2="$(address 2)" \
 	--engine i-e3="$(address 3)" --plain i-p1="$(address 4)" --plain i-p2="$(address 5)" "$@"
+	wait_for 30 tell calls # what a test tells it before it listens is lost
 }
 # The same with every connection to the store (one link a gateway) and to the endpoints going through a proxy.
 LINKS="store1 store2 store3 e1 e2 e3 p1 p2"
@@ -19,6 +20,7 @@
 	start proxy "$B/bh-fault-proxy" --control "$(address 70)" $args
 	start site "$B/bh-fake-site" --store "$STORE" --engine i-e1="$(address 1),$(address 51)" --engine i-e2="$(address 2),$(address 52)" \
 	--engine i-e3="$(address 3),$(address 53)" --plain i-p1="$(address 4),$(address 61)" --plain i-p2="$(address 5),$(address 62)" "$@"
+	wait_for 30 tell calls
 	BEHIND_PROXY=1
 }
 set_link() { # LINK MODE [MS]
