The nodes are counted once when the engines of a service change, not once for each engine

Cause: each engine's part of a rate was set with a count of all nodes and a search of its service: 945,000 looks at members at 960 engines and 984 nodes, on each node, at each change of an endpoint.

Change: both are taken once a service. Nothing is decided otherwise; not measured in time.

--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -14,7 +14,8 @@
 #define RECORD_AFTER_US BH__SECOND_US
 
 static Service *add_service_(Cluster *c, const char *name);
-static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, uint64_t now_us);
+static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, double cold_per_s, unsigned nodes,
+						uint64_t now_us);
 static void move_asks_(Cluster *c, const Service *s);
 static void hand_over_(Cluster *c, Service *s, uint64_t now_us);
 static void send_hold_(Cluster *c, const Service *s, GArray *grants, bool full, bool whole);
@@ -88,13 +89,10 @@
 
 /* Sets an engine of a planner to what is registered. What a cold one bears comes before that it may be used.
  */
-static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, uint64_t now_us)
+static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, double cold_per_s, unsigned nodes,
+						uint64_t now_us)
 {
-	const Gate *g = s->cluster->gate;
-	const BH__ServiceSpec *spec = g->routing ? bh__routing_find_service(g->routing, s->service) : NULL;
-
-	bh__planner_set_cold(s->planner, e->endpoint_id, e->entry.cold_until_us, spec ? spec->cold_per_s : 0,
-						 cluster_count_nodes(s->cluster), now_us);
+	bh__planner_set_cold(s->planner, e->endpoint_id, e->entry.cold_until_us, cold_per_s, nodes, now_us);
 	bh__planner_set_endpoint(s->planner, e->endpoint_id, e->life,
 							 !bh__registered_endpoint_is_usable(e, now_us), now_us);
 }
@@ -118,12 +116,15 @@
 void cluster_follow_registry(Cluster *c, uint64_t now_us)
 {
 	BH__Registry *registry = c->gate->registry;
+	const BH__Routing *routing = c->gate->routing;
+	unsigned nodes = cluster_count_nodes(c);
 	GHashTableIter it;
 	gpointer value;
 
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		Service *s = value;
+		const BH__ServiceSpec *spec = routing ? bh__routing_find_service(routing, s->service) : NULL;
 		for (unsigned i = bh__planner_get_engine_count(s->planner); i-- > 0;) {
 			BH__PlannerEngine e;
 			bh__planner_get_engine(s->planner, i, &e);
@@ -133,7 +134,7 @@
 		for (unsigned i = 0; i < bh__registry_get_count(registry); i++) {
 			const BH__RegisteredEndpoint *e = bh__registry_get(registry, i);
 			if (!strcmp(e->entry.service, s->service))
-				set_engine_(s, e, now_us);
+				set_engine_(s, e, spec ? spec->cold_per_s : 0, nodes, now_us);
 		}
 	}
 	cluster_drain_inbox(c);
