--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -310,6 +310,8 @@
 	sort_fields_(in);
 	if (in->fault == 413)
 		return -1;
+	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX && !keep_(in, p->content_length))
+		return -1;
 	if (find_field_(in, "expect", NULL))
 		bufferevent_write(in->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	return 0;
@@ -370,7 +372,7 @@
 		set_fault_(in, 413, "the body is larger than the limit");
 		return -1;
 	}
-	if (!keep_(in, len))
+	if (p->flags & F_CHUNKED && !keep_(in, len)) /* else there has been room for all of it from its head on */
 		return -1;
 	g_byte_array_append(in->request.body, (const guint8 *)at, (guint)len);
 	return 0;
--- a/test/check-room.sh
+++ b/test/check-room.sh
@@ -31,4 +31,29 @@
 is "and are told when to come back" "$(grep -il '^retry-after: 1' "$RUN"/head* | wc -l)" "$refused"
 is "the room is there again" "$(metric request_bytes)" 0
 is "and used" "$(call 1 /free/x again --data-binary "@$RUN/large")" 200
+
+# Room is taken by a body's length at its head: bodies that are read by halves take none from those that fit.
+half() { # N: the head and half of the body of a request, on a connection that is kept
+	exec {fd}<>"/dev/tcp/$(node 1 0 | tr : /)"
+	fds[$1]=$fd
+	printf 'POST /free/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: h%s\r\nX-Time-Budget-Ms: 9000\r\nX-Api-Key: key1\r\nContent-Length: 90000\r\n\r\n' "$1" >&$fd
+	head -c 45000 "$RUN/large" >&$fd
+}
+status() { # N [SECONDS]: the status that came on its connection, if one did
+	local line=
+	read -r -t "${2:-0.02}" line <&"${fds[$1]}"
+	echo "$line" | cut -d' ' -f2
+}
+for i in $(seq 12); do half $i; done
+sleep 0.2 # well within the time that a request may take to come
+refused=0
+for i in $(seq 12); do
+	answer[$i]=$(status $i)
+	[ "${answer[$i]}" = 503 ] && refused=$((refused + 1))
+done
+is "those that do not fit are refused at their heads" "$refused" 6
+for i in $(seq 12); do
+	[ -n "${answer[$i]}" ] || head -c 45000 "$RUN/large" >&"${fds[$i]}"
+done
+is "and all others are served" "$(for i in $(seq 12); do [ -n "${answer[$i]}" ] || status $i 5; done | sort | uniq -c | tr -s ' ')" " 6 200"
 exit $FAILED
