An endpoint that turns cold again gets no more than the first time

Found on reading: the registry began a cold time without a clock (with 0), so that a second one did not begin at all: each node had gathered two requests since the first, and sent them at once. Besides, a new endpoint of a plain service was without limit until the next tick, 0.1 s.

Change: a cold time begins where the rate is set, which has the clock, and the rate is set right after each change of the table.

--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -121,6 +121,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	schedulers_follow_cold(c, now_us);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		Service *s = value;
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -116,12 +116,18 @@
 	e->reported_us = now_us;
 }
 
-/* Sets what this node may send a second to an endpoint of a service while that is cold; 0: without limit. */
+/* Sets what this node may send a second to an endpoint of a service while that is cold; 0: without limit. To
+ * be called after each change of the table, before one that has turned cold is used. */
 void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us)
 {
 	for (guint i = 0; i < r->table->len; i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		if (!strcmp(e->entry.service, service) && e->cold.per_s != per_s)
+		if (strcmp(e->entry.service, service) != 0)
+			continue;
+		if (e->cold.per_s != per_s)
 			bh__cold_rate_set(&e->cold, per_s, now_us);
+		if (e->entry.cold_until_us > e->cold.until_us)
+			bh__cold_rate_begin(&e->cold, e->entry.cold_until_us, bh__cold_phase(r->seed, e->endpoint_id),
+								now_us);
 	}
 }
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -306,8 +306,6 @@
 
 	e->entry = *entry;
 	e->hall_drains = bh__registry_is_hall_draining(r, entry->hall);
-	if (entry->cold_until_us)
-		bh__cold_rate_begin(&e->cold, entry->cold_until_us, bh__cold_phase(r->seed, e->endpoint_id), 0);
 	if (!starts)
 		return;
 	e->life = ++r->lives;
--- a/src/test_libbayhoist/test_cold.c
+++ b/src/test_libbayhoist/test_cold.c
@@ -91,6 +91,41 @@
 	}
 }
 
+/* An endpoint that was cold, has been used since, and turns cold again gets no more than the first time,
+ * though each node could by now send it a request at once. */
+static void nor_one_that_turns_cold_again_(void **state)
+{
+	const unsigned nodes = 1000;
+	const uint64_t again_us = NOW_US + 20 * BH__SECOND_US;
+	GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	BH__Registry **r = g_new0(BH__Registry *, nodes);
+	double per_s = bh__cold_rate_get_part(PER_S, BH__COLD_PLAIN, nodes);
+
+	(void)state;
+	for (unsigned n = 0; n < nodes; n++) {
+		r[n] = bh__registry_new(n + 1);
+		put_(r[n], 1, NOW_US + COLD_US);
+		bh__registry_set_cold_rate(r[n], "web", per_s, NOW_US);
+		put_(r[n], 2, again_us + COLD_US);
+		bh__registry_set_cold_rate(r[n], "web", per_s, again_us);
+	}
+	for (uint64_t us = again_us; us < again_us + COLD_US; us += STEP_US) {
+		for (unsigned n = 0; n < nodes; n++) {
+			const BH__RegisteredEndpoint *e = bh__registry_pick(r[n], "web", "h1", NULL, 0, false, us);
+			if (!e)
+				continue;
+			bh__registry_note_start(r[n], e->endpoint_id, us);
+			note_(arrivals, us);
+		}
+	}
+	print_message("%u nodes, cold again: %u in a second at most\n", nodes, most_in_a_second_(arrivals));
+	assert_true(most_in_a_second_(arrivals) <= PER_S * OVER + SLACK);
+	for (unsigned n = 0; n < nodes; n++)
+		bh__registry_delete(r[n]);
+	g_free(r);
+	g_array_unref(arrivals);
+}
+
 static void on_grant_(BH__PlannerPort *port, const BH__Grant *g)
 {
 	Scheduler *s = (Scheduler *)port;
@@ -247,6 +282,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(no_fleet_brings_a_cold_endpoint_down_),
+		cmocka_unit_test(nor_one_that_turns_cold_again_),
 		cmocka_unit_test(nor_do_schedulers_that_change_),
 		cmocka_unit_test(turning_cold_is_news_),
 	};
