--- a/include/bayhoist/cold_rate.h
+++ b/include/bayhoist/cold_rate.h
@@ -6,7 +6,7 @@
 #ifndef BAYHOIST_COLD_RATE_H
 #define BAYHOIST_COLD_RATE_H
 
-#include "bayhoist/types.h"
+#include "bayhoist/bucket.h"
 
 /* Who counts against a rate. */
 typedef enum {
@@ -16,10 +16,8 @@
 } BH__ColdPart;
 
 typedef struct {
-	uint64_t until_us; /* it is cold until then; 0: it is not */
-	double per_s;      /* of this node; 0: without limit */
-	double level;      /* requests that it may get now */
-	uint64_t updated_us;
+	uint64_t until_us;   /* it is cold until then; 0: it is not */
+	BH__Bucket requests; /* of this node; a rate of 0: without limit */
 } BH__ColdRate;
 
 double bh__cold_rate_get_part(double per_s, BH__ColdPart part, unsigned nodes);
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -14,7 +14,6 @@
 #define BH__MESSAGE_VERSION 8
 #define BH__MESSAGE_UPDATES_MAX 8 /* member records that ride on a ping or its answer */
 #define BH__MEMBER_PARTS 64       /* of the table of members, by the highest bits of node ids */
-#define BH__MESSAGE_NEWS_MAX 4    /* member records of a news message */
 /* Times that news goes to all, over other nodes each time: one that is silent and not yet known to be keeps
  * it from those whom it was to tell. */
 #define BH__MESSAGE_NEWS_WAYS 2
@@ -184,13 +183,12 @@
 			uint32_t count;
 			BH__MemberInfo *member;
 		} members;
-		/* News that is to go to all nodes at once: the receiver tells those whose ids lie on an arc. */
+		/* News of a node that is to go to all at once: the receiver tells those whose ids lie on an arc. */
 		struct {
 			uint64_t first;
 			uint64_t last;
 			uint8_t way;
-			uint8_t count;
-			BH__MemberInfo member[BH__MESSAGE_NEWS_MAX];
+			BH__MemberInfo member;
 		} news;
 		BH__Ask ask;
 		BH__Grant grant;
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -128,7 +128,6 @@
 						   uint64_t now_us);
 bool bh__registry_read_hall(BH__Registry *r, const char *name, BH__Place written, uint64_t now_us);
 void bh__registry_keep_halls(BH__Registry *r, GHashTable *names, BH__Place as_of, uint64_t now_us);
-void bh__registry_process_halls(BH__Registry *r, uint64_t now_us);
 bool bh__registry_is_hall_draining(const BH__Registry *r, const char *name);
 unsigned bh__registry_get_hall_count(const BH__Registry *r);
 const BH__HallDrain *bh__registry_get_hall(const BH__Registry *r, unsigned index);
--- a/src/bh-fake-platform/main.c
+++ b/src/bh-fake-platform/main.c
@@ -12,7 +12,7 @@
 #include <string.h>
 #include <sysexits.h>
 #include "bayhoist/field.h"
-#include "bucket.h"
+#include "bayhoist/bucket.h"
 #include "clock.h"
 #include "log.h"
 #include "version.h"
--- a/src/libbayhoist/bucket.c
+++ b/src/libbayhoist/bucket.c
@@ -1,11 +1,9 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* Token buckets: full at first, filled at a rate up to a burst. */
-#include "bucket.h"
+#include "bayhoist/bucket.h"
 
 #include <glib.h>
 
-static void refill_(BH__Bucket *b, uint64_t now_us);
-
 void bh__bucket_init(BH__Bucket *b, double rate_per_s, double burst)
 {
 	b->rate_per_s = rate_per_s;
@@ -22,10 +20,18 @@
 	b->level = MIN(b->level, burst);
 }
 
-static void refill_(BH__Bucket *b, uint64_t now_us)
+/* Returns what is there at a time. */
+double bh__bucket_get_level(const BH__Bucket *b, uint64_t now_us)
 {
-	if (now_us > b->updated_us)
-		b->level = MIN(b->burst, b->level + b->rate_per_s * (double)(now_us - b->updated_us) / 1e6);
+	if (now_us <= b->updated_us)
+		return b->level;
+	return MIN(b->burst, b->level + b->rate_per_s * (double)(now_us - b->updated_us) / 1e6);
+}
+
+/* Takes `amount`, whether it is there or not: what is missing becomes a debt. */
+void bh__bucket_spend(BH__Bucket *b, double amount, uint64_t now_us)
+{
+	b->level = bh__bucket_get_level(b, now_us) - amount;
 	b->updated_us = MAX(now_us, b->updated_us);
 }
 
@@ -33,11 +39,10 @@
  * leaves a debt, so that the rate holds and nothing waits for ever. */
 bool bh__bucket_take(BH__Bucket *b, double amount, uint64_t now_us)
 {
-	refill_(b, now_us);
-	if (b->level < MIN(amount, b->burst))
-		return false;
-	b->level -= amount;
-	return true;
+	bool passes = bh__bucket_get_level(b, now_us) >= MIN(amount, b->burst);
+
+	bh__bucket_spend(b, passes ? amount : 0, now_us);
+	return passes;
 }
 
 /* Returns the time until `amount` can be taken. */
--- a/src/libbayhoist/cold_rate.c
+++ b/src/libbayhoist/cold_rate.c
@@ -12,8 +12,6 @@
 #define PLAIN_SHARE_ 1.0
 #define LEVEL_MAX_ 2.0 /* requests that may come at once */
 
-static double level_(const BH__ColdRate *c, uint64_t now_us);
-
 /* Returns what one of so many nodes may send a second to an endpoint that bears `per_s` of all. */
 double bh__cold_rate_get_part(double per_s, BH__ColdPart part, unsigned nodes)
 {
@@ -33,38 +31,29 @@
 void bh__cold_rate_begin(BH__ColdRate *c, uint64_t until_us, double phase, uint64_t now_us)
 {
 	if (now_us >= c->until_us) {
-		c->level = phase;
-		c->updated_us = now_us;
+		c->requests.level = phase;
+		c->requests.updated_us = now_us;
 	}
 	c->until_us = until_us;
 }
 
-/* Sets this node's part. */
+/* Sets this node's part. What has gathered until now stays. */
 void bh__cold_rate_set(BH__ColdRate *c, double per_s, uint64_t now_us)
 {
-	c->level = level_(c, now_us);
-	c->updated_us = now_us;
-	c->per_s = per_s;
-}
-
-static double level_(const BH__ColdRate *c, uint64_t now_us)
-{
-	double gained = now_us > c->updated_us ? c->per_s * (double)(now_us - c->updated_us) / BH__SECOND_US : 0;
-
-	return MIN(c->level + gained, LEVEL_MAX_);
+	bh__bucket_spend(&c->requests, 0, now_us);
+	bh__bucket_set_rate(&c->requests, per_s, LEVEL_MAX_);
 }
 
 /* Returns true if the endpoint may get a request now. */
 bool bh__cold_rate_admits(const BH__ColdRate *c, uint64_t now_us)
 {
-	return now_us >= c->until_us || c->per_s <= 0 || level_(c, now_us) >= 1;
+	return now_us >= c->until_us || c->requests.rate_per_s <= 0 ||
+		   bh__bucket_get_level(&c->requests, now_us) >= 1;
 }
 
 /* The endpoint gets a request. */
 void bh__cold_rate_note(BH__ColdRate *c, uint64_t now_us)
 {
-	if (now_us >= c->until_us)
-		return;
-	c->level = level_(c, now_us) - 1;
-	c->updated_us = now_us;
+	if (now_us < c->until_us)
+		bh__bucket_spend(&c->requests, 1, now_us);
 }
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -124,7 +124,7 @@
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
 		if (strcmp(e->entry.service, service) != 0)
 			continue;
-		if (e->cold.per_s != per_s)
+		if (e->cold.requests.rate_per_s != per_s)
 			bh__cold_rate_set(&e->cold, per_s, now_us);
 		if (e->entry.cold_until_us > e->cold.until_us)
 			bh__cold_rate_begin(&e->cold, e->entry.cold_until_us, bh__cold_phase(r->seed, e->endpoint_id),
--- a/src/libbayhoist/include/private/registry_internal.h
+++ b/src/libbayhoist/include/private/registry_internal.h
@@ -35,4 +35,7 @@
 
 BH__Place bh__registry_written(const BH__Registry *r, BH__Place p);
 
+/* registry_halls.c */
+void bh__registry_process_halls(BH__Registry *r, uint64_t now_us);
+
 #endif
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -28,8 +28,7 @@
 #define HELPERS_ 3
 #define HALF_RING_ ((uint64_t)1 << 63)
 #define RING_BITS_ 64
-#define CAPACITY_RATIO_ 2 /* VMs with less than this part of what the largest has are left without duties */
-#define SPREAD_FACTOR_ 3  /* times log2(n) that an update is sent on */
+#define SPREAD_FACTOR_ 3 /* times log2(n) that an update is sent on */
 /* Times that a record still rides which went to all: the few that a silent node has kept it from are met by
  * several others within a period. */
 #define SPREAD_TOLD_ 4
@@ -113,8 +112,6 @@
 static bool is_in_parts_(uint64_t parts, uint64_t node_id);
 static void send_members_(BH__Members *m, const char *address, uint64_t parts);
 static void send_missing_(BH__Members *m, const BH__Message *table);
-static bool is_candidate_(const BH__MemberInfo *info, const char *hall);
-static bool is_among_(uint64_t node_id, const uint64_t *list, unsigned count);
 
 /* Returns a membership of one: `self`. `seed` sets the order of probes. */
 BH__Members *bh__members_new(BH__MembersPort *port, const BH__MemberInfo *self, uint32_t seed)
@@ -474,8 +471,7 @@
 {
 	BH__Message news = {.type = BH__MESSAGE_NEWS};
 
-	news.as.news.count = 1;
-	news.as.news.member[0] = *info;
+	news.as.news.member = *info;
 	for (news.as.news.way = 0; news.as.news.way < ways; news.as.news.way++)
 		tell_arc_(m, bh__ring_all_but(m->self.info.node_id), &news);
 }
@@ -511,8 +507,7 @@
 {
 	BH__Arc arc = {.first = msg->as.news.first, .last = msg->as.news.last};
 
-	for (unsigned i = 0; i < msg->as.news.count; i++)
-		learn_(m, &msg->as.news.member[i], SPREAD_TOLD_, now_us);
+	learn_(m, &msg->as.news.member, SPREAD_TOLD_, now_us);
 	tell_arc_(m, arc, msg);
 }
 
@@ -857,73 +852,6 @@
 	return m->version;
 }
 
-/* Returns true if the node may take on duties and callers. */
-bool bh__member_is_usable(const BH__MemberInfo *info)
-{
-	return info->state == BH__MEMBER_ALIVE && !info->leaving;
-}
-
-static bool is_candidate_(const BH__MemberInfo *info, const char *hall)
-{
-	return bh__member_is_usable(info) && (!hall || !strcmp(info->hall, hall));
-}
-
-/* Returns the node that a duty falls to: the highest rendezvous weight for `key` among the usable nodes of
- * `hall`, or of any hall if it has none. Nodes on much smaller VMs than others have come into question only
- * when those are gone. Returns 0 if no node is usable. */
-uint64_t bh__members_pick(const BH__Members *m, uint64_t key, const char *hall)
-{
-	uint64_t best = bh__members_pick_except(m, key, hall, NULL, 0);
-
-	return best || !hall ? best : bh__members_pick_except(m, key, NULL, NULL, 0);
-}
-
-static bool is_among_(uint64_t node_id, const uint64_t *list, unsigned count)
-{
-	for (unsigned i = 0; i < count; i++)
-		if (list[i] == node_id)
-			return true;
-	return false;
-}
-
-/* The same without the nodes in `except`, and in no other hall than `hall`; NULL: in any. */
-uint64_t bh__members_pick_except(const BH__Members *m, uint64_t key, const char *hall, const uint64_t *except,
-								 unsigned except_count)
-{
-	uint32_t capacity = 0;
-	uint64_t best = 0;
-	uint64_t best_weight = 0;
-
-	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
-		const BH__MemberInfo *info = bh__members_get(m, i);
-		if (is_candidate_(info, hall) && !is_among_(info->node_id, except, except_count))
-			capacity = MAX(capacity, info->capacity);
-	}
-	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
-		const BH__MemberInfo *info = bh__members_get(m, i);
-		uint64_t weight = bh__hash_pair(info->node_id, key);
-		if (!is_candidate_(info, hall) || is_among_(info->node_id, except, except_count) ||
-			info->capacity < capacity / CAPACITY_RATIO_ || weight <= best_weight)
-			continue;
-		best = info->node_id;
-		best_weight = weight;
-	}
-	return best;
-}
-
-/* Returns how many usable nodes of `hall` come before this one for `key`: 0 is first. */
-unsigned bh__members_get_rank(const BH__Members *m, uint64_t key, const char *hall)
-{
-	uint64_t mine = bh__hash_pair(m->self.info.node_id, key);
-	unsigned rank = 0;
-
-	for (unsigned i = 1; i < bh__members_get_count(m); i++) {
-		const BH__MemberInfo *info = bh__members_get(m, i);
-		rank += is_candidate_(info, hall) && bh__hash_pair(info->node_id, key) > mine;
-	}
-	return rank;
-}
-
 /* Puts up to `max` different random live nodes into `out`; returns their number. */
 unsigned bh__members_sample(BH__Members *m, const BH__MemberInfo **out, unsigned max)
 {
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -451,9 +451,7 @@
 		u64_(c, &m->as.news.first);
 		u64_(c, &m->as.news.last);
 		u8_(c, &m->as.news.way, BH__MESSAGE_NEWS_WAYS - 1);
-		u8_(c, &m->as.news.count, BH__MESSAGE_NEWS_MAX);
-		for (unsigned i = 0; i < m->as.news.count; i++)
-			member_(c, &m->as.news.member[i]);
+		member_(c, &m->as.news.member);
 		break;
 	case BH__MESSAGE_ASK:
 		ask_(c, &m->as.ask);
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -79,7 +79,7 @@
 {
 	p->order_seed = alone ? p->boot_id : 0;
 	for (guint i = 0; i < p->engines->len; i++) /* what others have just granted is not known */
-		((BH__PassEngine *)g_ptr_array_index(p->engines, i))->cold.level = 0;
+		((BH__PassEngine *)g_ptr_array_index(p->engines, i))->cold.requests.level = 0;
 	g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
 }
 
--- a/src/libbayhoist/quota.c
+++ b/src/libbayhoist/quota.c
@@ -7,7 +7,7 @@
 #include "bayhoist/quota.h"
 
 #include <math.h>
-#include "bucket.h"
+#include "bayhoist/bucket.h"
 #include "bayhoist/hash.h"
 
 #define ASK_PERIOD_US_ BH__SECOND_US
--- a/src/libbayhoist/registry_halls.c
+++ b/src/libbayhoist/registry_halls.c
@@ -104,9 +104,11 @@
 		BH__HallDrain *d = &g_array_index(r->halls, BH__HallDrain, i);
 		if (!d->draining || g_hash_table_contains(names, d->name) || !bh__place_is_after(as_of, d->changed))
 			continue;
-		if (as_of.era == d->changed.era)
+		if (as_of.era == d->changed.era) {
 			set_(r, d, false, as_of, now_us);
-		else if (!d->ends_at_us)
+			continue;
+		}
+		if (!d->ends_at_us)
 			d->ends_at_us = now_us + BH__OUTAGE_BACK_US;
 		d->ends_place = as_of;
 	}
--- a/src/libbayhoist/store.c
+++ b/src/libbayhoist/store.c
@@ -4,7 +4,7 @@
 #include "bayhoist/store.h"
 
 #include <glib.h>
-#include "bucket.h"
+#include "bayhoist/bucket.h"
 
 #define CALL_TIMEOUT_US_ (2 * BH__SECOND_US)
 #define BACKOFF_FIRST_US_ (100 * BH__MS_US)
