--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -8,6 +8,7 @@
 
 #include <glib.h>
 #include "bayhoist/cold_rate.h"
+#include "bayhoist/named_limit.h"
 #include "bayhoist/place.h"
 #include "bayhoist/types.h"
 
@@ -63,9 +64,10 @@
 	uint64_t gone_at_us; /* 0: listed; otherwise it is to be taken as gone from then on */
 	bool hall_drains;    /* the hall that it stands in */
 	BH__ColdRate cold;   /* what this node may send there while it is cold, if nobody schedules its service */
-	uint64_t life;       /* differs for each start that was seen, under whichever id */
-	uint32_t in_flight;  /* requests that this node has there */
-	uint32_t reported;   /* requests that it said run or wait there, of all nodes */
+	BH__NamedLimit limit; /* that it named, as far as this node has heard */
+	uint64_t life;        /* differs for each start that was seen, under whichever id */
+	uint32_t in_flight;   /* requests that this node has there */
+	uint32_t reported;    /* requests that it said run or wait there, of all nodes */
 	uint64_t reported_us;
 	uint64_t set_aside_until_us;
 	uint32_t failures;    /* one after another */
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -47,6 +47,8 @@
 	uint64_t stale_refusals; /* because the routing was too old to trust a key */
 	uint64_t directory_answers;
 	uint64_t bad_frames; /* answers that were none */
+	uint64_t limit_changes;
+	uint64_t unreadable_limits;
 	BH__Histogram grant_wait;
 	BH__Histogram first_event[BH__SIZE_CLASSES];
 	BH__Histogram whole;
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -43,6 +43,9 @@
 	} helper[BH__GRANT_MEMBERS_MAX];
 } SendingMeta;
 
+/* Whether an answer names a limit of what its endpoint takes. */
+typedef enum { LIMIT_NOT_NAMED, LIMIT_NAMED, LIMIT_UNREADABLE } LimitWord;
+
 /* What an endpoint says in the head of its answer. */
 typedef struct {
 	char request_id[REQUEST_ID_LEN];
@@ -53,6 +56,9 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	LimitWord limit;
+	double limit_per_s;  /* requests of all nodes together, if it is named */
+	char limit_text[24]; /* as it came, cut short; for the log */
 } AnswerMeta;
 
 /* What becomes of a header. */
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -18,6 +18,7 @@
 static void fill_helpers_(const Call *c, SendingMeta *s);
 static void on_head_(void *ctx, const OutboundHead *head);
 static void on_body_(void *ctx, const char *data, size_t len);
+static void note_limit_(const Call *c);
 static void note_pause_(Call *c, uint64_t pause_us);
 static void on_end_(void *ctx, OutboundEnd end);
 static void report_(Call *c, BH__SendingEnd end, uint64_t at_fault);
@@ -69,10 +70,11 @@
 	log_event("send",
 			  "request=%s endpoint=%s service=%s prompt_tokens=%" G_GUINT64_FORMAT
 			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
-			  " helpers=%s",
+			  " limit_per_s=%.3f helpers=%s",
 			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
 			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US,
-			  g->grant_id ? g->expected_us / BH__MS_US : 0, helpers->str);
+			  g->grant_id ? g->expected_us / BH__MS_US : 0, e->limit.in_force ? e->limit.per_s : -1.0,
+			  helpers->str);
 	g_string_free(helpers, TRUE);
 }
 
@@ -134,10 +136,41 @@
 		bh__registry_note_load(c->gate->registry, c->endpoint_id, head->meta.running, head->meta.waiting,
 							   c->heard_us);
 	c->judgement = judge_head_(c, &c->judged);
+	note_limit_(c);
 	c->passing = !c->judged && c->rule->streams && head->status / 100 == 2;
 	call_set_timer(c, c->heard_us);
 }
 
+/* Takes what the answer says of a limit of its endpoint. One of another endpoint at its address says nothing,
+ * and that a refusal names no limit does not end it. */
+static void note_limit_(const Call *c)
+{
+	const AnswerMeta *m = &c->head.meta;
+	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
+	bool is_others = c->judged && c->judgement == BH__SENDING_BROKEN;
+	double was_per_s;
+	bool changed;
+
+	if (!e || e->life != c->endpoint_life || is_others || c->gate->port->status_says_not_run(c->head.status))
+		return;
+	if (m->limit == LIMIT_NOT_NAMED && (c->judged || !m->mac[0]))
+		return;
+	if (m->limit == LIMIT_UNREADABLE) {
+		c->gate->counters.unreadable_limits++;
+		log_event("limit", "what=unreadable endpoint=%s value=\"%s\"", e->entry.id, m->limit_text);
+		return;
+	}
+	was_per_s = e->limit.in_force ? e->limit.per_s : 0;
+	changed = m->limit == LIMIT_NAMED ? bh__named_limit_hear(&e->limit, m->limit_per_s, c->heard_us)
+									  : bh__named_limit_hear_none(&e->limit, c->sent_us);
+	if (!changed)
+		return;
+	c->gate->counters.limit_changes++;
+	log_event("limit", "what=%s endpoint=%s per_s=%.3f was=%.3f request=%s",
+			  e->limit.in_force ? "named" : "ended", e->entry.id, e->limit.in_force ? e->limit.per_s : 0,
+			  was_per_s, c->request->meta.request_id);
+}
+
 static void on_body_(void *ctx, const char *data, size_t len)
 {
 	Call *c = ctx;
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -172,6 +172,8 @@
 			   {"stale_refusals_total", k->stale_refusals},
 			   {"directory_answers_total", k->directory_answers},
 			   {"bad_answers_total", k->bad_frames},
+			   {"limit_changes_total", k->limit_changes},
+			   {"unreadable_limits_total", k->unreadable_limits},
 			   {"request_bytes", g->room.request_bytes},
 			   {"answer_bytes", inbounds_get_answer_bytes(g)},
 			   {"no_room_total", g->room.refusals},
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -315,6 +315,7 @@
 	e->set_aside_until_us = 0;
 	e->failures = 0;
 	e->failure_share = 0;
+	e->limit = (BH__NamedLimit){0};
 }
 
 /* Takes that an endpoint is gone, or remains so. */
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -258,6 +258,31 @@
 	assert_false(platform_status_says_not_run(503));
 }
 
+/* Requests a second, as a decimal number; anything else is no limit. */
+static void limits_of_endpoints_are_read_(void **state)
+{
+	static const char *const Unreadable[] = {"", "-1", "nan", "ten", "2.5 a second", "1,5"};
+	AnswerMeta m = {0};
+
+	(void)state;
+	assert_int_equal(m.limit, LIMIT_NOT_NAMED);
+	assert_int_equal(platform_read_answer_header(&m, "server-limit", "0.25 "), HEADER_PASS);
+	assert_int_equal(m.limit, LIMIT_NAMED);
+	assert_true(m.limit_per_s == 0.25);
+	platform_read_answer_header(&m, "Server-Limit", "0");
+	assert_int_equal(m.limit, LIMIT_NAMED);
+	assert_true(m.limit_per_s == 0);
+	platform_read_answer_header(&m, "Server-Limit", "1e300");
+	assert_int_equal(m.limit, LIMIT_NAMED);
+	assert_true(m.limit_per_s == 1e6);
+	for (size_t i = 0; i < G_N_ELEMENTS(Unreadable); i++) {
+		m = (AnswerMeta){0};
+		platform_read_answer_header(&m, "Server-Limit", Unreadable[i]);
+		assert_int_equal(m.limit, LIMIT_UNREADABLE);
+		assert_string_equal(m.limit_text, Unreadable[i]);
+	}
+}
+
 static void sendings_name_their_helpers_(void **state)
 {
 	struct evbuffer *out = evbuffer_new();
@@ -294,6 +319,7 @@
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(answers_heads_are_read_),
+		cmocka_unit_test(limits_of_endpoints_are_read_),
 		cmocka_unit_test(sendings_name_their_helpers_),
 	};
 
