--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -5,9 +5,9 @@
  * "/full/" refuses the first time, "/hold/" answers after a second, "/crash/" crashes the endpoint that runs
  * it, every time, before its first event, "/crash-late/" after some; the endpoint is back after a while under
  * its id. "/dark/" has the endpoint listen no more and say nothing, and a
- * stranger listen at its address later. Under /test/ of the store's address a
- * test sets the configuration, drains endpoints and halls, stops the store, lets entries lapse, has the store
- * go back to a copy, and asks what ran. */
+ * stranger listen at its address later. An endpoint may name a limit of requests a second in its answers.
+ * Under /test/ of the store's address a test sets the configuration, drains endpoints and halls, stops the
+ * store, lets entries lapse, has the store go back to a copy, and asks what ran. */
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -36,6 +36,10 @@
 	600 /* after the store went back, until all that endpoints wrote since the copy is there again */
 #define REPLICAS_MAX 32
 #define CONTACT_MS 3000 /* within which nodes hear of each other's changes */
+/* Within so long an endpoint gets at most so much of what its limit allows, and so many requests more. */
+#define LIMIT_SPAN_MS 4000
+#define LIMIT_FACTOR 1.5
+#define LIMIT_EXTRA 5
 
 typedef struct {
 	char *key;
@@ -56,6 +60,9 @@
 	unsigned arrivals;
 	uint64_t born_ms; /* time of day of its start */
 	struct event *restart;
+	char limit[24];    /* that it names in its answers; empty: none */
+	uint64_t named_us; /* when it began to, after having named none */
+	GArray *arrived;   /* uint64_t: when requests came since then, in microseconds */
 } Replica;
 
 typedef struct {
@@ -126,6 +133,9 @@
 static void on_reuse_time_(evutil_socket_t fd, short what, void *replica);
 static void on_stranger_(struct evhttp_request *req, void *arg);
 static void set_common_(struct evhttp_request *req, const Replica *r);
+static void set_limit_(Replica *r, const char *per_s);
+static void note_arrival_(Replica *r);
+static unsigned most_in_span_(const Replica *r);
 static void on_beat_(evutil_socket_t fd, short what, void *arg);
 static void write_entry_(const Replica *r);
 static void remove_entry_(const Replica *r);
@@ -166,6 +176,7 @@
 			r->is_engine = option == 'e';
 			r->service = g_strdup(r->is_engine ? "llm" : "web");
 			r->hall = g_strdup("h1");
+			r->arrived = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 		}
 		else if (option == 'h') {
 			set_hall_(optarg);
@@ -610,6 +621,17 @@
 			continue;
 		if (!strcmp(what, "arrivals"))
 			evbuffer_add_printf(out, "%u\n", r->arrivals);
+		if (!strcmp(what, "most")) {
+			evbuffer_add_printf(
+				out, "%u of %u\n", most_in_span_(r),
+				(unsigned)(LIMIT_FACTOR * g_ascii_strtod(r->limit, NULL) * LIMIT_SPAN_MS / 1000 +
+						   LIMIT_EXTRA));
+		}
+		if (!strcmp(what, "limit")) {
+			char *per_s = web_get_query(req, "per-s");
+			set_limit_(r, per_s ? per_s : "");
+			g_free(per_s);
+		}
 		r->draining |= !strcmp(what, "drain");
 		if (!strcmp(what, "back")) {
 			r->gone = false;
@@ -636,6 +658,44 @@
 	evhttp_add_header(headers, "X-Replica-Id", r->id);
 	evhttp_add_header(headers, "X-Replica-Load", "1,0,16");
 	evhttp_add_header(headers, "X-Replica-Signature", "stand-in");
+	if (r->limit[0])
+		evhttp_add_header(headers, "Server-Limit", r->limit);
+}
+
+/* An endpoint names a limit from now on; an empty one: none. */
+static void set_limit_(Replica *r, const char *per_s)
+{
+	if (!r->limit[0]) {
+		r->named_us = clock_now_us();
+		g_array_set_size(r->arrived, 0);
+	}
+	g_strlcpy(r->limit, per_s, sizeof r->limit);
+}
+
+static void note_arrival_(Replica *r)
+{
+	uint64_t now_us = clock_now_us();
+
+	r->arrivals++;
+	if (r->limit[0])
+		g_array_append_val(r->arrived, now_us);
+}
+
+/* Returns the most requests that came within LIMIT_SPAN_MS, of those that came later than CONTACT_MS after
+ * the limit was first named. */
+static unsigned most_in_span_(const Replica *r)
+{
+	unsigned most = 0;
+
+	for (guint from = 0, to = 0; to < r->arrived->len; to++) {
+		uint64_t at_us = g_array_index(r->arrived, uint64_t, to);
+		if (at_us < r->named_us + CONTACT_MS * 1000)
+			from = to + 1;
+		while (from <= to && at_us - g_array_index(r->arrived, uint64_t, from) >= LIMIT_SPAN_MS * 1000)
+			from++;
+		most = MAX(most, to + 1 - from);
+	}
+	return most;
 }
 
 static void on_replica_(struct evhttp_request *req, void *arg)
@@ -657,7 +717,7 @@
 		g_string_append_printf(seen, "%s: %s\n", h->key, h->value);
 	g_free(LastHeaders_);
 	LastHeaders_ = g_string_free(seen, FALSE);
-	r->arrivals++;
+	note_arrival_(r);
 	if (!id || !expected || strcmp(expected, r->id) != 0) {
 		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Not-Executed", "1");
 		evhttp_send_reply(req, id ? 421 : 400, NULL, NULL);
