--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,7 @@
 soak-gate: all $B/bh-fake-site $B/bh-fault-proxy
 	@B=$B bash test/soak-gate.sh $(or $(FIRST),1) $(or $(SEEDS),3)
 
-bench-policy bench-placement bench-suspects bench-outage bench-core bench-path bench-control: all
+bench-policy bench-placement bench-suspects bench-outage bench-core bench-path bench-control bench-limits: all
 	@B=$B PLOT=$(PLOT) bash test/$@.sh
 
 format:
@@ -93,6 +93,6 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all check demo soak soak-gate bench-suspects bench-outage bench-policy bench-placement bench-core bench-path bench-control format lint clean
+.PHONY: all check demo soak soak-gate bench-suspects bench-outage bench-policy bench-placement bench-core bench-path bench-control bench-limits format lint clean
 .SECONDARY:
 -include $(shell find $B -name '*.d' 2>/dev/null)
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -11,7 +11,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 8
+#define BH__MESSAGE_VERSION 9
 #define BH__MESSAGE_UPDATES_MAX 8 /* member records that ride on a ping or its answer */
 #define BH__MEMBER_PARTS 64       /* of the table of members, by the highest bits of node ids */
 /* Times that news goes to all, over other nodes each time: one that is silent and not yet known to be keeps
@@ -47,6 +47,9 @@
 	BH__MESSAGE_SUSPECT,
 	BH__MESSAGE_QUARANTINE,
 	BH__MESSAGE_NEWS,
+	BH__MESSAGE_LIMIT,
+	BH__MESSAGE_PERMIT_ASK,
+	BH__MESSAGE_PERMIT,
 	BH__MESSAGE_TYPE_COUNT
 } BH__MessageType;
 
@@ -155,6 +158,15 @@
 	char *text;
 } BH__ConfigChunk;
 
+/* What a node has heard of a limit that an endpoint names in its answers. */
+typedef struct {
+	uint64_t endpoint_id;
+	uint64_t born_ms; /* of the endpoint's start that it holds for */
+	bool in_force;    /* otherwise an answer has named none */
+	double per_s;
+	uint64_t age_us; /* since the answer was read, or since its request was sent if it named none */
+} BH__LimitNews;
+
 typedef struct {
 	BH__MessageType type;
 	uint64_t from_node;
@@ -263,6 +275,18 @@
 			uint64_t endpoint_id; /* that broke it off */
 			BH__CrashSuspect suspect;
 		} suspect;
+		BH__LimitNews limit;
+		/* A node asks the home of a limited endpoint for leave to send a request there. */
+		struct {
+			uint64_t ask_id;
+			uint64_t patience_us; /* for which the request may be held back */
+			BH__LimitNews limit;
+		} permit_ask;
+		struct {
+			uint64_t ask_id;
+			bool granted;
+			uint64_t wait_us; /* after which it is to be sent, or else one may ask again */
+		} permit;
 		struct {
 			uint32_t count;
 			BH__QuarantineEntry *entry; /* `since_us` is the age, since nodes share no clock */
--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -55,8 +55,8 @@
 void bh__planner_set_alone(BH__Planner *p, bool alone);
 void bh__planner_set_endpoint(BH__Planner *p, uint64_t endpoint_id, uint64_t life, bool leaving,
 							  uint64_t now_us);
-void bh__planner_set_cold(BH__Planner *p, uint64_t endpoint_id, uint64_t until_us, double per_s,
-						  unsigned nodes, uint64_t now_us);
+void bh__planner_set_limits(BH__Planner *p, uint64_t endpoint_id, const BH__Limit *limit, uint64_t now_us);
+void bh__planner_set_part(BH__Planner *p, double part, uint64_t now_us);
 void bh__planner_remove_endpoint(BH__Planner *p, uint64_t endpoint_id, uint64_t now_us);
 void bh__planner_process_ask(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 void bh__planner_process_withdraw(BH__Planner *p, uint64_t ask_id);
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -7,8 +7,7 @@
 #define BAYHOIST_REGISTRY_H
 
 #include <glib.h>
-#include "bayhoist/cold_rate.h"
-#include "bayhoist/named_limit.h"
+#include "bayhoist/endpoint_rate.h"
 #include "bayhoist/place.h"
 #include "bayhoist/types.h"
 
@@ -60,14 +59,16 @@
 	uint64_t endpoint_id; /* hash of its id */
 	BH__EndpointEntry entry;
 	BH__EndpointPast past;
-	BH__Place learnt;    /* with which the last change of what is believed of it was learnt */
-	uint64_t gone_at_us; /* 0: listed; otherwise it is to be taken as gone from then on */
-	bool hall_drains;    /* the hall that it stands in */
-	BH__ColdRate cold;   /* what this node may send there while it is cold, if nobody schedules its service */
-	BH__NamedLimit limit; /* that it named, as far as this node has heard */
-	uint64_t life;        /* differs for each start that was seen, under whichever id */
-	uint32_t in_flight;   /* requests that this node has there */
-	uint32_t reported;    /* requests that it said run or wait there, of all nodes */
+	BH__Place learnt;       /* with which the last change of what is believed of it was learnt */
+	uint64_t gone_at_us;    /* 0: listed; otherwise it is to be taken as gone from then on */
+	bool hall_drains;       /* the hall that it stands in */
+	BH__NamedLimit named;   /* limit, as far as this node has heard */
+	uint64_t named_told_us; /* when this node last told its home of that */
+	BH__EndpointRate rate;  /* counted here if this node is its home and nobody schedules its service */
+	uint64_t full_until_us; /* its home grants nothing until then */
+	uint64_t life;          /* differs for each start that was seen, under whichever id */
+	uint32_t in_flight;     /* requests that this node has there */
+	uint32_t reported;      /* requests that it said run or wait there, of all nodes */
 	uint64_t reported_us;
 	uint64_t set_aside_until_us;
 	uint32_t failures;    /* one after another */
@@ -86,7 +87,8 @@
 typedef struct {
 	uint64_t endpoint_id;
 	BH__EndpointPast past;
-	BH__Place learnt; /* as that of an endpoint; not told */
+	BH__Place learnt;     /* as that of an endpoint; not told */
+	BH__NamedLimit named; /* by its latest start; not told */
 } BH__EndpointDeparture;
 
 typedef struct BH__Registry BH__Registry;
@@ -114,12 +116,15 @@
 unsigned bh__registry_get_count(const BH__Registry *r);
 BH__RegisteredEndpoint *bh__registry_get(const BH__Registry *r, unsigned index);
 void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us);
+bool bh__registered_endpoint_hear_limit(BH__RegisteredEndpoint *e, const BH__NamedLimit *told,
+										uint64_t now_us);
+uint64_t bh__registry_get_full_until_us(const BH__Registry *r, const char *service, uint64_t now_us);
 bool bh__registered_endpoint_stays(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us);
-uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id, uint64_t now_us);
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id);
 void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, uint64_t life, BH__Use use,
 						   uint64_t now_us);
 void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -13,7 +13,12 @@
 /* Without a word from the scheduler a request is placed by this node alone. */
 #define SCHEDULER_PATIENCE_MS 40
 #define QUEUED_REPEAT_MS 200 /* a request that the scheduler keeps waiting asks again after this */
-#define UNUSED_GRANTS_MAX 5  /* after more grants than these that could not be used a request is refused */
+/* Leave to send to an endpoint that is limited holds for so long: what was counted in one second is not to
+ * come in another. */
+#define PERMIT_FRESH_MS 500
+/* A request may wait for that in this share of the time left to its target; the rest is for the answer. */
+#define PERMIT_WAIT_SHARE 0.5
+#define UNUSED_GRANTS_MAX 5 /* after more grants than these that could not be used a request is refused */
 #define HELD_MESSAGE "endpoints have crashed each time they ran this request; it is not sent to any for now"
 /* A request that has met a third crash is sent again once that has been judged: the look at the endpoint and
  * the reports of others take 60 ms and a few hops. Sent at once it met a fourth one 30 ms later. */
@@ -31,7 +36,8 @@
 #define LIKELY_FACTOR 2 /* answers are up to so many times as long as the caller guesses */
 #define LIKELY_EXTRA_TOKENS 200
 
-static const char *const StateString_[] = {"starting", "asking", "reserving", "suspected", "sending"};
+static const char *const StateString_[] = {"starting", "asking",    "reserving",
+										   "permit",   "suspected", "sending"};
 
 static void begin_(Call *c);
 static bool admit_(Call *c);
@@ -41,6 +47,9 @@
 static BH__CallerTime *caller_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
+static void ask_permit_(Call *c, const BH__RegisteredEndpoint *e);
+static void use_permit_(Call *c);
+static bool is_stale_(uint64_t counted_us);
 static bool give_up_held_(Call *c);
 static void send_(Call *c, uint64_t endpoint_id);
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
@@ -202,7 +211,10 @@
 {
 	uint64_t now_us = clock_now_us();
 	uint64_t since_us = bh__registry_get_drained_since_us(c->gate->registry, c->service->name, now_us);
+	uint64_t full_until_us = bh__registry_get_full_until_us(c->gate->registry, c->service->name, now_us);
 
+	if (full_until_us > now_us)
+		return (full_until_us - now_us) / BH__MS_US + 1;
 	if (!since_us)
 		return RETRY_SOON_MS;
 	return CLAMP((now_us - since_us) / BH__MS_US, RETRY_DRAIN_MIN_MS, RETRY_DRAIN_MAX_MS);
@@ -250,13 +262,67 @@
 	}
 	e = bh__registry_pick(g->registry, c->service->name, g->settings.hall, c->x.tried, c->x.tried_count,
 						  c->x.may_have_run, now_us);
-	if (e)
+	if (e && bh__endpoint_rate_is_limited(&e->rate, now_us))
+		ask_permit_(c, e);
+	else if (e)
 		send_(c, e->endpoint_id);
 	else
 		give_up_(c, retry_no_endpoint_ms_(c), "no-endpoint",
 				 "no endpoint of the service can take the request");
 }
 
+/* Asks for leave to send to an endpoint that is limited. */
+static void ask_permit_(Call *c, const BH__RegisteredEndpoint *e)
+{
+	uint64_t now_us = clock_now_us();
+	uint64_t aim_us = c->request->arrived_us + c->rule->target_ms * BH__MS_US;
+	uint64_t left_us = aim_us > now_us + c->waited_before_us ? aim_us - now_us - c->waited_before_us : 0;
+
+	c->state = CALL_PERMIT;
+	c->permit_endpoint = e->endpoint_id;
+	c->send_at_us = 0;
+	c->asked_us = now_us;
+	call_set_timer(c, now_us);
+	cluster_ask_permit(c->gate->cluster, c, e, (uint64_t)((double)left_us * PERMIT_WAIT_SHARE));
+}
+
+/* The home of an endpoint lets the request go there after a time; or nothing, for as long as that. */
+void call_on_permit(Call *c, bool granted, uint64_t wait_us)
+{
+	uint64_t now_us = clock_now_us();
+	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->permit_endpoint);
+
+	if (c->state != CALL_PERMIT)
+		return;
+	if (granted) {
+		c->send_at_us = now_us + wait_us;
+		if (wait_us)
+			call_set_timer(c, now_us);
+		else
+			use_permit_(c);
+		return;
+	}
+	if (e)
+		e->full_until_us = now_us + MAX(wait_us, BH__MS_US);
+	place_(c);
+}
+
+/* Sends with leave, unless the endpoint has begun to leave or the leave is old. */
+static void use_permit_(Call *c)
+{
+	if (call_endpoint_is_usable(c, c->permit_endpoint) && !is_stale_(c->send_at_us))
+		send_(c, c->permit_endpoint);
+	else
+		place_(c);
+}
+
+/* Returns true if a request was counted too long ago to be sent now: this node was suspended, or it waited
+ * for memory. */
+static bool is_stale_(uint64_t counted_us)
+{
+	return clock_now_us() > counted_us + PERMIT_FRESH_MS * BH__MS_US;
+}
+
 /* Ends a request that is held because it crashes endpoints. Returns false if it is not. */
 static bool give_up_held_(Call *c)
 {
@@ -442,11 +508,12 @@
 	return BH__NO_ENDPOINT;
 }
 
-/* Gives a grant back because of one of its engines, and asks for another. */
+/* Gives a grant back because of one of its engines, or for its age, and asks for another. */
 static void return_grant_(Call *c, uint64_t unusable_endpoint)
 {
 	cluster_release(c->gate->cluster, c, BH__RELEASE_UNUSED, BH__NO_ENDPOINT);
-	bh__exchange_note_tried(&c->x, unusable_endpoint);
+	if (unusable_endpoint != BH__NO_ENDPOINT)
+		bh__exchange_note_tried(&c->x, unusable_endpoint);
 	if (++c->unused_grants > UNUSED_GRANTS_MAX)
 		give_up_(c, RETRY_SOON_MS, "not-run", "no endpoint ran the request");
 	else
@@ -460,8 +527,11 @@
 	Call *c = ctx;
 	const BH__Grant *g = &c->place.grant;
 	uint64_t unusable = held ? find_unusable_(c) : g->member[g->member_count - 1].endpoint_id;
+	const BH__RegisteredEndpoint *home = bh__registry_find(c->gate->registry, g->member[0].endpoint_id);
+	bool is_old =
+		home && bh__endpoint_rate_is_limited(&home->rate, clock_now_us()) && is_stale_(c->place.granted_us);
 
-	if (!unusable) {
+	if (!unusable && !is_old) {
 		send_(c, g->member[0].endpoint_id);
 		return;
 	}
@@ -603,6 +673,8 @@
 		due_us = starting_until_us_(c);
 	if (c->state == CALL_SUSPECTED)
 		due_us = MIN(due_us, c->suspected_us + JUDGEMENT_MS * BH__MS_US);
+	if (c->state == CALL_PERMIT)
+		due_us = MIN(due_us, c->send_at_us ? c->send_at_us : c->asked_us + SCHEDULER_PATIENCE_MS * BH__MS_US);
 	if (c->state == CALL_ASKING)
 		due_us =
 			MIN(due_us, c->asked_us + (c->queued ? QUEUED_REPEAT_MS : SCHEDULER_PATIENCE_MS) * BH__MS_US);
@@ -634,6 +706,16 @@
 	else if (c->state == CALL_SUSPECTED && now_us >= c->suspected_us + JUDGEMENT_MS * BH__MS_US) {
 		place_(c);
 	}
+	else if (c->state == CALL_PERMIT && c->send_at_us && now_us >= c->send_at_us) {
+		use_permit_(c);
+	}
+	else if (c->state == CALL_PERMIT && !c->send_at_us &&
+			 now_us >= c->asked_us + SCHEDULER_PATIENCE_MS * BH__MS_US) {
+		log_event("limit", "what=unanswered request=%s home=%s", c->request->meta.request_id,
+				  scheduler_name_(c));
+		cluster_drop_ask(c->gate->cluster, c);
+		call_on_permit(c, false, RETRY_SOON_MS * BH__MS_US);
+	}
 	else if (now_us >= overdue_us_(c)) {
 		if (bh__exchange_may_send_again(&c->x, now_us) && c->x.sendings + 1 < c->x.max_attempts) {
 			sending_end(c, BH__SENDING_SILENT);
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -10,6 +10,7 @@
 	CALL_STARTING,  /* waits until the node knows the configuration and the endpoints */
 	CALL_ASKING,    /* waits for engines */
 	CALL_RESERVING, /* waits for memory on them */
+	CALL_PERMIT,    /* waits for leave to send to an endpoint that is limited, or until it may */
 	CALL_SUSPECTED, /* waits until the crash that it met has been judged */
 	CALL_SENDING    /* an endpoint has it */
 } CallState;
@@ -30,6 +31,8 @@
 	bool told_queued;       /* in the log */
 	unsigned unused_grants; /* that had to be given back */
 	uint64_t asked_us;
+	uint64_t permit_endpoint;  /* to which it is to be sent with leave */
+	uint64_t send_at_us;       /* with that leave; 0: it has none yet */
 	uint64_t suspected_us;     /* since when it waits for that */
 	uint64_t waited_before_us; /* by its caller, before this try */
 	MemoryHold *memory;
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -66,6 +66,7 @@
 	c->members = bh__members_new(&c->port, &self, (uint32_t)g->boot_id);
 	c->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, schedulers_free_service);
 	c->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
+	c->homes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&c->inbox);
 	g_queue_init(&c->early);
 	c->tick = event_new(g->base, -1, EV_PERSIST, on_tick_, c);
@@ -87,6 +88,7 @@
 	g_queue_clear_full(&c->early, g_free);
 	g_hash_table_unref(c->by_ask);
 	g_hash_table_unref(c->services);
+	g_hash_table_unref(c->homes);
 	bh__members_delete(c->members);
 	g_free(c);
 }
@@ -153,6 +155,8 @@
 		log_event("member", "node=%s state=%s was=%s leaving=%s node_boot=%" G_GINT64_MODIFIER "x",
 				  info->name, BH__MemberStateString[info->state], BH__MemberStateString[old],
 				  info->leaving ? "yes" : "no", info->boot_id);
+	if (bh__member_is_usable(info))
+		limits_tell_node(c, info->node_id);
 	if (info->state != BH__MEMBER_DEAD || old == BH__MEMBER_DEAD)
 		return;
 	g_hash_table_iter_init(&it, c->services);
@@ -200,6 +204,8 @@
 	crashes_process_tick(c->gate->crashes, now_us);
 	schedulers_follow(c, now_us);
 	schedulers_follow_cold(c, now_us);
+	schedulers_follow_parts(c, now_us);
+	limits_follow(c, now_us);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		if (now_us >= ((Service *)value)->next_holds_us)
@@ -303,6 +309,8 @@
 	schedulers_hear(c, m->from_node);
 	if (crashes_process_message(c->gate->crashes, m, now_us))
 		return;
+	if (limits_process_message(c, m, now_us))
+		return;
 	if (bh__members_process_message(c->members, m, now_us)) {
 		schedulers_follow(c, now_us);
 		return;
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -32,6 +32,10 @@
 	GHashTable *by_ask;   /* Call by ask id */
 	GQueue inbox;         /* BH__Message to this node itself */
 	GQueue early;         /* EarlyAsk of early_asks.c */
+	GHashTable
+		*homes; /* since when this node is home of a service that nobody schedules (uint64_t), by name */
+	uint64_t homes_members; /* versions that this follows */
+	uint64_t homes_routing;
 	bool draining;
 	uint64_t members_seen;
 	unsigned member_changes; /* since the last tick */
@@ -50,6 +54,7 @@
 void schedulers_hear(Cluster *c, uint64_t node_id);
 void schedulers_follow(Cluster *c, uint64_t now_us);
 void schedulers_follow_cold(Cluster *c, uint64_t now_us);
+void schedulers_follow_parts(Cluster *c, uint64_t now_us);
 void schedulers_tell_holds(Cluster *c, Service *s, uint64_t now_us);
 void schedulers_process_hold(Cluster *c, const BH__Message *m, uint64_t now_us);
 void schedulers_record(Service *s, uint64_t now_us);
@@ -57,6 +62,13 @@
 void schedulers_take_refusal(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us);
 
+/* limits.c */
+double limits_get_part(const Cluster *c, uint64_t since_us, uint64_t now_us);
+void limits_follow(Cluster *c, uint64_t now_us);
+void limits_tell_node(Cluster *c, uint64_t node_id);
+bool limits_process_message(Cluster *c, const BH__Message *m, uint64_t now_us);
+void limits_write_status(const Cluster *c, struct evbuffer *out);
+
 /* early_asks.c */
 void schedulers_process_ask(Cluster *c, const BH__Ask *ask, uint64_t now_us);
 void schedulers_process_early(Cluster *c, uint64_t now_us);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -170,6 +170,7 @@
 void call_on_grant(Call *c);
 void call_on_refuse(Call *c, BH__Reason reason, uint64_t retry_after_ms);
 void call_on_queued(Call *c);
+void call_on_permit(Call *c, bool granted, uint64_t wait_us);
 void call_on_scheduler_lost(Call *c);
 CallPlace *call_get_place(Call *c);
 void calls_process_news(Gate *g);
@@ -212,6 +213,10 @@
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
 
+/* limits.c */
+bool limits_note_answer(Cluster *c, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard);
+void cluster_ask_permit(Cluster *c, Call *call, const BH__RegisteredEndpoint *e, uint64_t patience_us);
+
 /* looks.c */
 Looks *looks_new(Gate *g);
 void looks_delete(Looks *l);
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -14,8 +14,7 @@
 #define RECORD_AFTER_US BH__SECOND_US
 
 static Service *add_service_(Cluster *c, const char *name);
-static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, double cold_per_s, unsigned nodes,
-						uint64_t now_us);
+static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, uint64_t now_us);
 static void move_asks_(Cluster *c, const Service *s);
 static void hand_over_(Cluster *c, Service *s, uint64_t now_us);
 static void send_hold_(Cluster *c, const Service *s, GArray *grants, bool full, bool whole);
@@ -87,28 +86,37 @@
 	schedulers_follow(c, now_us);
 }
 
-/* Sets an engine of a planner to what is registered. What a cold one bears comes before that it may be used.
- */
-static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, double cold_per_s, unsigned nodes,
-						uint64_t now_us)
+/* Sets an engine of a planner to what is registered. What limits it comes before that it may be used. */
+static void set_engine_(Service *s, const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
-	bh__planner_set_cold(s->planner, e->endpoint_id, e->entry.cold_until_us, cold_per_s, nodes, now_us);
+	bh__planner_set_limits(s->planner, e->endpoint_id, e->rate.limit, now_us);
 	bh__planner_set_endpoint(s->planner, e->endpoint_id, e->life,
 							 !bh__registered_endpoint_is_usable(e, now_us), now_us);
 }
 
-/* Sets what this node may send to endpoints that are cold, of services that nobody schedules: its part
- * follows from the number of nodes. */
+/* Sets what endpoints bear that are cold. */
 void schedulers_follow_cold(Cluster *c, uint64_t now_us)
 {
 	const BH__Routing *r = c->gate->routing;
 
 	for (unsigned i = 0; r && i < bh__routing_get_service_count(r); i++) {
 		const BH__ServiceSpec *spec = bh__routing_get_service(r, i);
-		if (!spec->is_engine && spec->cold_per_s > 0)
-			bh__registry_set_cold_rate(
-				c->gate->registry, spec->name,
-				bh__cold_rate_get_part(spec->cold_per_s, BH__COLD_PLAIN, cluster_count_nodes(c)), now_us);
+		bh__registry_set_cold_rate(c->gate->registry, spec->name, spec->cold_per_s, now_us);
+	}
+}
+
+/* Sets the part of their engines' limits that planners count for: all if this node schedules the service and
+ * none otherwise, so that nodes which decide alone send nothing to engines that are limited. */
+void schedulers_follow_parts(Cluster *c, uint64_t now_us)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->services);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		Service *s = value;
+		bh__planner_set_part(s->planner, s->schedules_us ? limits_get_part(c, s->schedules_us, now_us) : 0,
+							 now_us);
 	}
 }
 
@@ -116,8 +124,6 @@
 void cluster_follow_registry(Cluster *c, uint64_t now_us)
 {
 	BH__Registry *registry = c->gate->registry;
-	const BH__Routing *routing = c->gate->routing;
-	unsigned nodes = cluster_count_nodes(c);
 	GHashTableIter it;
 	gpointer value;
 
@@ -125,7 +131,6 @@
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		Service *s = value;
-		const BH__ServiceSpec *spec = routing ? bh__routing_find_service(routing, s->service) : NULL;
 		for (unsigned i = bh__planner_get_engine_count(s->planner); i-- > 0;) {
 			BH__PlannerEngine e;
 			bh__planner_get_engine(s->planner, i, &e);
@@ -135,7 +140,7 @@
 		for (unsigned i = 0; i < bh__registry_get_count(registry); i++) {
 			const BH__RegisteredEndpoint *e = bh__registry_get(registry, i);
 			if (!strcmp(e->entry.service, s->service))
-				set_engine_(s, e, spec ? spec->cold_per_s : 0, nodes, now_us);
+				set_engine_(s, e, now_us);
 		}
 	}
 	cluster_drain_inbox(c);
@@ -179,6 +184,8 @@
 		if (was && s->scheduler != was)
 			move_asks_(c, s);
 	}
+	if (c->members_seen != bh__members_get_version(c->members))
+		schedulers_follow_parts(c, now_us);
 	c->members_seen = bh__members_get_version(c->members);
 }
 
@@ -500,6 +507,7 @@
 								"bayhoist_peer_type_messages{type=\"%s\"} %" G_GUINT64_FORMAT "\n",
 								BH__MessageTypeString[t], p->type_bytes_out[t], BH__MessageTypeString[t],
 								p->type_messages_out[t]);
+	limits_write_status(c, out);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const Service *s = value;
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -50,7 +50,7 @@
 	evbuffer_drain(c->body, evbuffer_get_length(c->body));
 	write_request_(c, e, out);
 	g->counters.sendings++;
-	c->endpoint_life = bh__registry_note_start(g->registry, endpoint_id, c->sent_us);
+	c->endpoint_life = bh__registry_note_start(g->registry, endpoint_id);
 	log_send_(c, e);
 	c->out = outbound_start(g, e->entry.address, out, &Callbacks_, c);
 	evbuffer_free(out);
@@ -73,7 +73,7 @@
 			  " limit_per_s=%.3f helpers=%s",
 			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
 			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US,
-			  g->grant_id ? g->expected_us / BH__MS_US : 0, e->limit.in_force ? e->limit.per_s : -1.0,
+			  g->grant_id ? g->expected_us / BH__MS_US : 0, e->named.in_force ? e->named.per_s : -1.0,
 			  helpers->str);
 	g_string_free(helpers, TRUE);
 }
@@ -148,8 +148,8 @@
 	const AnswerMeta *m = &c->head.meta;
 	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
 	bool is_others = c->judged && c->judgement == BH__SENDING_BROKEN;
+	BH__NamedLimit heard = {.in_force = m->limit == LIMIT_NAMED, .per_s = m->limit_per_s};
 	double was_per_s;
-	bool changed;
 
 	if (!e || e->life != c->endpoint_life || is_others || c->gate->port->status_says_not_run(c->head.status))
 		return;
@@ -160,14 +160,13 @@
 		log_event("limit", "what=unreadable endpoint=%s value=\"%s\"", e->entry.id, m->limit_text);
 		return;
 	}
-	was_per_s = e->limit.in_force ? e->limit.per_s : 0;
-	changed = m->limit == LIMIT_NAMED ? bh__named_limit_hear(&e->limit, m->limit_per_s, c->heard_us)
-									  : bh__named_limit_hear_none(&e->limit, c->sent_us);
-	if (!changed)
+	was_per_s = e->named.in_force ? e->named.per_s : -1;
+	heard.heard_us = heard.in_force ? c->heard_us : c->sent_us;
+	if (!limits_note_answer(c->gate->cluster, e, &heard))
 		return;
 	c->gate->counters.limit_changes++;
 	log_event("limit", "what=%s endpoint=%s per_s=%.3f was=%.3f request=%s",
-			  e->limit.in_force ? "named" : "ended", e->entry.id, e->limit.in_force ? e->limit.per_s : 0,
+			  e->named.in_force ? "named" : "ended", e->entry.id, e->named.in_force ? e->named.per_s : -1.0,
 			  was_per_s, c->request->meta.request_id);
 }
 
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -59,7 +59,7 @@
 		bool was_tried = is_tried_(tried, tried_count, e->endpoint_id);
 		double cost;
 		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us) ||
-			!bh__cold_rate_admits(&e->cold, now_us) || (was_tried && !again))
+			now_us < e->full_until_us || (was_tried && !again))
 			continue;
 		cost = cost_(e, hall, now_us) + (now_us < e->set_aside_until_us ? ASIDE_COST_ : 0) +
 			   (was_tried ? TRIED_COST_ : 0);
@@ -72,14 +72,13 @@
 }
 
 /* A request goes to an endpoint. Returns the endpoint's life, for bh__registry_note_end(). */
-uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id, uint64_t now_us)
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id)
 {
 	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
 
 	if (!e)
 		return 0;
 	e->in_flight++;
-	bh__cold_rate_note(&e->cold, now_us);
 	return e->life;
 }
 
@@ -116,18 +115,46 @@
 	e->reported_us = now_us;
 }
 
-/* Sets what this node may send a second to an endpoint of a service while that is cold; 0: without limit. To
- * be called after each change of the table, before one that has turned cold is used. */
+/* Sets what an endpoint of a service bears a second, of all nodes, while it is cold; 0: any number. To be
+ * called after each change of the table, before one that has turned cold is used. */
 void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us)
 {
 	for (guint i = 0; i < r->table->len; i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		if (strcmp(e->entry.service, service) != 0)
+		const BH__Limit *l = &e->rate.limit[BH__LIMIT_COLD];
+		if (!strcmp(e->entry.service, service) &&
+			(l->per_s != per_s || l->until_us != e->entry.cold_until_us))
+			bh__endpoint_rate_set_limit(&e->rate, BH__LIMIT_COLD, per_s, e->entry.cold_until_us, now_us);
+	}
+}
+
+/* Takes what was heard of an endpoint's own limit: that it names one, as of when that was read, or that the
+ * answer to a request which was sent at that time names none. Returns true if it changes what is known. */
+bool bh__registered_endpoint_hear_limit(BH__RegisteredEndpoint *e, const BH__NamedLimit *told,
+										uint64_t now_us)
+{
+	bool changed = told->in_force ? bh__named_limit_hear(&e->named, told->per_s, told->heard_us)
+								  : bh__named_limit_hear_none(&e->named, told->heard_us);
+
+	if (changed)
+		bh__endpoint_rate_set_named(&e->rate, &e->named, now_us);
+	if (!e->named.in_force)
+		e->full_until_us = 0;
+	return changed;
+}
+
+/* Returns when the first of a service's endpoints may get a request whose homes grant none now; 0: there are
+ * none such. */
+uint64_t bh__registry_get_full_until_us(const BH__Registry *r, const char *service, uint64_t now_us)
+{
+	uint64_t soonest_us = 0;
+
+	for (guint i = 0; i < r->table->len; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us) ||
+			now_us >= e->full_until_us)
 			continue;
-		if (e->cold.requests.rate_per_s != per_s)
-			bh__cold_rate_set(&e->cold, per_s, now_us);
-		if (e->entry.cold_until_us > e->cold.until_us)
-			bh__cold_rate_begin(&e->cold, e->entry.cold_until_us, bh__cold_phase(r->seed, e->endpoint_id),
-								now_us);
+		soonest_us = soonest_us ? MIN(soonest_us, e->full_until_us) : e->full_until_us;
 	}
+	return soonest_us;
 }
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -3,7 +3,7 @@
 #ifndef BAYHOIST_PRIVATE_PLACEMENT_H
 #define BAYHOIST_PRIVATE_PLACEMENT_H
 
-#include "bayhoist/cold_rate.h"
+#include "bayhoist/endpoint_rate.h"
 #include "bayhoist/message.h"
 #include "pass_clock.h"
 
@@ -27,7 +27,7 @@
 	bool leaving;
 	uint64_t set_aside_until_us; /* after a failure */
 	unsigned failures;           /* one after another */
-	BH__ColdRate cold;           /* what it may be granted while it is cold */
+	BH__EndpointRate rate;       /* what it may be granted */
 	uint64_t inspected_us;       /* when its report was last asked for */
 	uint64_t last_begun_us;      /* when the latest answer from here began */
 	BH__PassClock clock;
--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -17,6 +17,7 @@
 	uint64_t boot_id;
 	uint64_t next_grant;
 	uint64_t order_seed; /* of the order in which engines are filled */
+	double part;         /* of the engines' limits that this planner counts for */
 	BH__EngineModel model;
 	GPtrArray *engines; /* BH__PassEngine */
 	GHashTable *by_id;  /* the same by endpoint id */
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -4,6 +4,7 @@
  * drift apart. */
 #include "bayhoist/message.h"
 
+#include <math.h>
 #include <msgpack.h>
 #include <string.h>
 
@@ -14,10 +15,11 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",       "ack",         "ping-req",  "join",        "members", "ask",      "grant",
-	"refuse",     "release",     "progress",  "withdraw",    "hold",    "orphan",   "config-news",
-	"config-ask", "config-data", "quota-ask", "quota-grant", "queued",  "look-ask", "look",
-	"pass",       "reader",      "suspect",   "quarantine",  "news"};
+	"ping",       "ack",         "ping-req",   "join",        "members",   "ask",
+	"grant",      "refuse",      "release",    "progress",    "withdraw",  "hold",
+	"orphan",     "config-news", "config-ask", "config-data", "quota-ask", "quota-grant",
+	"queued",     "look-ask",    "look",       "pass",        "reader",    "suspect",
+	"quarantine", "news",        "limit",      "permit-ask",  "permit"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
@@ -56,6 +58,9 @@
 static void suspect_(Codec_ *c, BH__Message *m);
 static void quarantine_entry_(Codec_ *c, BH__QuarantineEntry *e);
 static void quarantine_(Codec_ *c, BH__Message *m);
+static void limit_(Codec_ *c, BH__LimitNews *l);
+static void permit_ask_(Codec_ *c, BH__Message *m);
+static void permit_(Codec_ *c, BH__Message *m);
 static void body_(Codec_ *c, BH__Message *m);
 static bool is_container_(uint8_t lead);
 
@@ -422,6 +427,30 @@
 		quarantine_entry_(c, &m->as.quarantine.entry[i]);
 }
 
+static void limit_(Codec_ *c, BH__LimitNews *l)
+{
+	u64_(c, &l->endpoint_id);
+	u64_(c, &l->born_ms);
+	flag_(c, &l->in_force);
+	real_(c, &l->per_s);
+	u64_(c, &l->age_us);
+	c->failed |= !isfinite(l->per_s) || l->per_s < 0;
+}
+
+static void permit_ask_(Codec_ *c, BH__Message *m)
+{
+	u64_(c, &m->as.permit_ask.ask_id);
+	u64_(c, &m->as.permit_ask.patience_us);
+	limit_(c, &m->as.permit_ask.limit);
+}
+
+static void permit_(Codec_ *c, BH__Message *m)
+{
+	u64_(c, &m->as.permit.ask_id);
+	flag_(c, &m->as.permit.granted);
+	u64_(c, &m->as.permit.wait_us);
+}
+
 static void body_(Codec_ *c, BH__Message *m)
 {
 	uint8_t kind;
@@ -511,6 +540,15 @@
 	case BH__MESSAGE_QUARANTINE:
 		quarantine_(c, m);
 		break;
+	case BH__MESSAGE_LIMIT:
+		limit_(c, &m->as.limit);
+		break;
+	case BH__MESSAGE_PERMIT_ASK:
+		permit_ask_(c, m);
+		break;
+	case BH__MESSAGE_PERMIT:
+		permit_(c, m);
+		break;
 	case BH__MESSAGE_TYPE_COUNT:
 		c->failed = true;
 		break;
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -87,7 +87,7 @@
 
 bool bh__pass_engine_is_usable(const BH__PassEngine *e, uint64_t now_us)
 {
-	return !e->leaving && now_us >= e->set_aside_until_us && bh__cold_rate_admits(&e->cold, now_us);
+	return !e->leaving && now_us >= e->set_aside_until_us && bh__endpoint_rate_admits(&e->rate, now_us);
 }
 
 static bool is_avoided_(const BH__Ask *ask, uint64_t endpoint_id)
@@ -160,8 +160,8 @@
 			c[i].limit_ms = MIN(c[i].limit_ms, (double)TIGHT_LIMIT_MS_);
 }
 
-/* Describes an engine. What one that writes no stream has to read may all be left when its next stream
- * begins, and come in one pass. */
+/* Describes an engine; one that is limited helps no other. What one that writes no stream has to read may all
+ * be left when its next stream begins, and come in one pass. */
 static void describe_(const BH__EngineModel *m, BH__PassEngine *e, uint64_t now_us, Candidate_ *c)
 {
 	uint64_t capacity = (uint64_t)((double)m->kv_tokens * KV_FILL_);
@@ -176,6 +176,8 @@
 	c->room_ms = bh__pass_clock_get_room_ms(&e->clock, m, now_us);
 	c->slots_free = e->homes->len < m->slots ? m->slots - e->homes->len : 0;
 	c->helps_free = e->helps < m->slots ? m->slots - e->helps : 0;
+	if (bh__endpoint_rate_is_limited(&e->rate, now_us))
+		c->helps_free = 0;
 	c->kv_free_tokens = capacity > e->kv_used_tokens ? capacity - e->kv_used_tokens : 0;
 	for (guint i = 0; i < e->homes->len; i++) {
 		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -78,8 +78,6 @@
 void bh__planner_set_alone(BH__Planner *p, bool alone)
 {
 	p->order_seed = alone ? p->boot_id : 0;
-	for (guint i = 0; i < p->engines->len; i++) /* what others have just granted is not known */
-		((BH__PassEngine *)g_ptr_array_index(p->engines, i))->cold.requests.level = 0;
 	g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
 }
 
@@ -135,21 +133,29 @@
 	bh__planner_pump(p, now_us);
 }
 
-/* An engine is cold until a time, and bears `per_s` requests a second of all nodes meanwhile; 0: any. One
- * that is not known yet is added, and used once bh__planner_set_endpoint() says so. */
-void bh__planner_set_cold(BH__Planner *p, uint64_t endpoint_id, uint64_t until_us, double per_s,
-						  unsigned nodes, uint64_t now_us)
+/* Sets what limits an engine, one limit of each kind. One that is not known yet is added, and used once
+ * bh__planner_set_endpoint() says so. */
+void bh__planner_set_limits(BH__Planner *p, uint64_t endpoint_id, const BH__Limit *limit, uint64_t now_us)
 {
 	BH__PassEngine *e = find_engine_(p, endpoint_id);
-	BH__ColdPart part = p->order_seed ? BH__COLD_ALONE : BH__COLD_SCHEDULER;
 
 	if (!e) {
 		e = add_engine_(p, endpoint_id, 0);
 		e->leaving = true;
 	}
-	bh__cold_rate_set(&e->cold, bh__cold_rate_get_part(per_s, part, nodes), now_us);
-	if (until_us > now_us)
-		bh__cold_rate_begin(&e->cold, until_us, bh__cold_phase(p->boot_id, endpoint_id), now_us);
+	for (int k = 0; k < BH__LIMIT_KIND_COUNT; k++)
+		if (limit[k].per_s != e->rate.limit[k].per_s || limit[k].until_us != e->rate.limit[k].until_us)
+			bh__endpoint_rate_set_limit(&e->rate, (BH__LimitKind)k, limit[k].per_s, limit[k].until_us,
+										now_us);
+	bh__endpoint_rate_set_part(&e->rate, p->part, now_us);
+}
+
+/* Sets the part of the engines' limits that this planner counts for; 0: it grants none that are limited. */
+void bh__planner_set_part(BH__Planner *p, double part, uint64_t now_us)
+{
+	p->part = part;
+	for (guint i = 0; i < p->engines->len; i++)
+		bh__endpoint_rate_set_part(&((BH__PassEngine *)g_ptr_array_index(p->engines, i))->rate, part, now_us);
 }
 
 /* An engine has started again: it holds nothing of what it was given, and no failure counts against it.
@@ -224,7 +230,7 @@
 		g.member[i].token_count = end - done;
 		done = end;
 	}
-	bh__cold_rate_note(&place->engine[0]->cold, now_us);
+	bh__endpoint_rate_note(&place->engine[0]->rate, now_us);
 	r = enter_(p, &g, due_us, aim_us, now_us);
 	r->expected_ms = (double)(place->read_end_us - now_us) / 1000 / place->engine[0]->clock.pace;
 	for (unsigned i = 0; i < place->count; i++)
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -37,6 +37,7 @@
 static void push_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p);
+static uint64_t limited_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static void note_long_work_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static double idle_read_ms_(const BH__Planner *p, const BH__Ask *left, uint64_t now_us);
 static bool may_force_(const BH__Planner *p, const BH__Ask *ask, uint64_t waited_us);
@@ -46,6 +47,7 @@
 static uint64_t patience_us_(const BH__Ask *ask);
 static bool is_late_(const BH__Planner *p, const BH__WaitingAsk *w, uint64_t now_us);
 static void pump_some_(BH__Planner *p, bool late, uint64_t now_us);
+static uint64_t soonest_free_us_(const BH__Planner *p);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
 
 static uint64_t first_event_us_(const BH__Ask *ask)
@@ -135,7 +137,7 @@
 	}
 	if (!has_engine_(p))
 		refuse_(p, ask, BH__REASON_NO_ENDPOINT, now_us);
-	else if (waited_us >= patience_us_(ask))
+	else if (waited_us + limited_wait_us_(p, ask, now_us) >= patience_us_(ask))
 		refuse_(p, ask, BH__REASON_OVERLOAD, now_us);
 	else
 		return false;
@@ -151,6 +153,33 @@
 	return false;
 }
 
+/* Returns how long an ask has to wait for engines that are all limited, after those that wait before it; 0 if
+ * any engine is not. */
+static uint64_t limited_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
+{
+	double ahead = 1;
+	double per_s = 0;
+
+	for (guint i = 0; i < p->engines->len; i++) {
+		const BH__PassEngine *e = g_ptr_array_index(p->engines, i);
+		if (e->leaving)
+			continue;
+		if (!bh__endpoint_rate_is_limited(&e->rate, now_us))
+			return 0;
+		per_s += e->rate.requests.rate_per_s;
+		ahead -= bh__bucket_get_level(&e->rate.requests, now_us);
+	}
+	for (guint i = 0; i < p->waiting->len; i++) {
+		const BH__WaitingAsk *w = g_ptr_array_index(p->waiting, i);
+		if (w->ask.ask_id == ask->ask_id || w->ask.prompt_tokens > ask->prompt_tokens)
+			break;
+		ahead++;
+	}
+	if (ahead <= 0 || per_s <= 0)
+		return 0;
+	return (uint64_t)(ahead / per_s * BH__SECOND_US);
+}
+
 /* Notes a prompt that is to be in time, of which the long ones need many engines. */
 static void note_long_work_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
 {
@@ -217,23 +246,33 @@
 			   (uint64_t)((double)ask->deadline_us * DEADLINE_SHARE_));
 }
 
-static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us)
+/* Returns when the first engine that does not leave may take a request, as far as is known; UINT64_MAX: there
+ * is none. */
+static uint64_t soonest_free_us_(const BH__Planner *p)
 {
 	uint64_t soonest_us = UINT64_MAX;
-	uint64_t retry_after_ms;
 
 	for (guint i = 0; i < p->engines->len; i++) {
 		const BH__PassEngine *e = g_ptr_array_index(p->engines, i);
-		uint64_t free_us = MAX(e->clock.pass_end_us, e->set_aside_until_us);
 		if (!e->leaving)
-			soonest_us = MIN(soonest_us, free_us);
+			soonest_us = MIN(soonest_us, MAX(e->clock.pass_end_us, e->set_aside_until_us));
 	}
+	return soonest_us;
+}
+
+static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us)
+{
+	uint64_t soonest_us = soonest_free_us_(p);
+	uint64_t limited_ms = limited_wait_us_(p, ask, now_us) / BH__MS_US;
+	uint64_t retry_after_ms;
+
 	if (soonest_us == UINT64_MAX)
 		retry_after_ms = RETRY_AFTER_MAX_MS_ / 4;
 	else
 		retry_after_ms = soonest_us > now_us ? (soonest_us - now_us) / BH__MS_US : 0;
+	retry_after_ms = CLAMP(retry_after_ms, RETRY_AFTER_MIN_MS_, RETRY_AFTER_MAX_MS_);
 	p->counters.refusals++;
-	p->port->refuse(p->port, ask, reason, CLAMP(retry_after_ms, RETRY_AFTER_MIN_MS_, RETRY_AFTER_MAX_MS_));
+	p->port->refuse(p->port, ask, reason, MAX(retry_after_ms, limited_ms));
 }
 
 /* Tries the asks that wait, after something has changed: first those that can be in time. */
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -186,6 +186,8 @@
 	BH__RegisteredEndpoint *e = bh__registry_find(r, id);
 	BH__EndpointDeparture *d = e ? NULL : g_hash_table_lookup(r->departed, &id);
 	BH__EndpointPast after = d ? d->past : (BH__EndpointPast){0};
+	BH__NamedLimit named = d ? d->named : (BH__NamedLimit){0};
+	uint64_t born_ms = after.born_ms;
 
 	if (e)
 		return merge_known_(r, e, entry, told, gone_at_us, as_of);
@@ -199,7 +201,10 @@
 	e = add_(r, id);
 	if (d)
 		e->past = after;
-	return merge_known_(r, e, entry, told, gone_at_us, as_of);
+	merge_known_(r, e, entry, told, gone_at_us, as_of);
+	if (e->entry.born_ms == born_ms) /* not by another start */
+		bh__registered_endpoint_hear_limit(e, &named, 0);
+	return true;
 }
 
 /* Merges news of an endpoint in the table, which may have just been added without an entry. */
@@ -315,7 +320,9 @@
 	e->set_aside_until_us = 0;
 	e->failures = 0;
 	e->failure_share = 0;
-	e->limit = (BH__NamedLimit){0};
+	e->named = (BH__NamedLimit){0};
+	e->rate = (BH__EndpointRate){0};
+	e->full_until_us = 0;
 }
 
 /* Takes that an endpoint is gone, or remains so. */
@@ -347,6 +354,7 @@
 {
 	r->version++;
 	remember_(r, e->endpoint_id, &e->past, e->learnt);
+	((BH__EndpointDeparture *)g_hash_table_lookup(r->departed, &e->endpoint_id))->named = e->named;
 	g_hash_table_remove(r->by_id, &e->endpoint_id);
 	g_ptr_array_remove(r->table, e);
 }
--- a/src/test_libbayhoist/test_cold.c
+++ b/src/test_libbayhoist/test_cold.c
@@ -1,6 +1,7 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* Endpoints that are cold bear so many requests a second, of all nodes together, and fall over at half as
- * many again and a few. Each of many nodes that were free to send one at once would bring one down. */
+ * many again and a few. Each of many nodes that were free to send one at once would bring one down. A request
+ * is counted by the endpoint's home, which all nodes ask. */
 #include <glib.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -55,7 +56,26 @@
 	bh__registry_set_place(r, place);
 }
 
-/* Every node of a fleet has requests for a plain service with one endpoint, all the time. */
+/* Every node of a fleet has requests for a plain service with one endpoint, all the time from a moment on,
+ * and asks the one that is its home. */
+static void ask_home_(BH__EndpointRate *rate, unsigned nodes, uint64_t from_us, GArray *arrivals)
+{
+	uint64_t *full_until_us = g_new0(uint64_t, nodes);
+
+	for (uint64_t us = from_us; us < from_us + COLD_US; us += STEP_US) {
+		for (unsigned n = 0; n < nodes; n++) {
+			uint64_t wait_us;
+			if (us < full_until_us[n])
+				continue;
+			if (bh__endpoint_rate_promise(rate, 0, us, &wait_us))
+				note_(arrivals, us);
+			else
+				full_until_us[n] = us + wait_us;
+		}
+	}
+	g_free(full_until_us);
+}
+
 static void no_fleet_brings_a_cold_endpoint_down_(void **state)
 {
 	const unsigned counts[] = {1, 9, 85, 300, 1000};
@@ -63,30 +83,20 @@
 	(void)state;
 	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
 		GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-		BH__Registry **r = g_new0(BH__Registry *, counts[i]);
-		for (unsigned n = 0; n < counts[i]; n++) {
-			r[n] = bh__registry_new(n + 1);
-			put_(r[n], 1, NOW_US + COLD_US);
-			bh__registry_set_cold_rate(r[n], "web", bh__cold_rate_get_part(PER_S, BH__COLD_PLAIN, counts[i]),
-									   NOW_US);
-		}
-		for (uint64_t us = NOW_US; us < NOW_US + COLD_US; us += STEP_US) {
-			for (unsigned n = 0; n < counts[i]; n++) {
-				const BH__RegisteredEndpoint *e = bh__registry_pick(r[n], "web", "h1", NULL, 0, false, us);
-				if (!e)
-					continue;
-				bh__registry_note_start(r[n], e->endpoint_id, us);
-				note_(arrivals, us);
-			}
-		}
+		BH__Registry *r = bh__registry_new(1);
+		BH__RegisteredEndpoint *e;
+		put_(r, 1, NOW_US + COLD_US);
+		bh__registry_set_cold_rate(r, "web", PER_S, NOW_US);
+		e = bh__registry_get(r, 0);
+		assert_false(bh__endpoint_rate_admits(&e->rate, NOW_US)); /* but by its home */
+		bh__endpoint_rate_set_part(&e->rate, bh__home_part(counts[i], counts[i], 0, NOW_US), NOW_US);
+		ask_home_(&e->rate, counts[i], NOW_US, arrivals);
 		print_message("%u nodes: %u requests in 6 s, %u in a second at most\n", counts[i], arrivals->len,
 					  most_in_a_second_(arrivals));
 		assert_true(most_in_a_second_(arrivals) <= PER_S * OVER + SLACK);
 		assert_true(arrivals->len >= PER_S * COLD_US / BH__SECOND_US * 0.8);
-		assert_non_null(bh__registry_pick(r[0], "web", "h1", NULL, 0, false, NOW_US + COLD_US));
-		for (unsigned n = 0; n < counts[i]; n++)
-			bh__registry_delete(r[n]);
-		g_free(r);
+		assert_true(bh__endpoint_rate_admits(&e->rate, NOW_US + COLD_US));
+		bh__registry_delete(r);
 		g_array_unref(arrivals);
 	}
 }
@@ -98,31 +108,20 @@
 	const unsigned nodes = 1000;
 	const uint64_t again_us = NOW_US + 20 * BH__SECOND_US;
 	GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	BH__Registry **r = g_new0(BH__Registry *, nodes);
-	double per_s = bh__cold_rate_get_part(PER_S, BH__COLD_PLAIN, nodes);
+	BH__Registry *r = bh__registry_new(1);
+	BH__RegisteredEndpoint *e;
 
 	(void)state;
-	for (unsigned n = 0; n < nodes; n++) {
-		r[n] = bh__registry_new(n + 1);
-		put_(r[n], 1, NOW_US + COLD_US);
-		bh__registry_set_cold_rate(r[n], "web", per_s, NOW_US);
-		put_(r[n], 2, again_us + COLD_US);
-		bh__registry_set_cold_rate(r[n], "web", per_s, again_us);
-	}
-	for (uint64_t us = again_us; us < again_us + COLD_US; us += STEP_US) {
-		for (unsigned n = 0; n < nodes; n++) {
-			const BH__RegisteredEndpoint *e = bh__registry_pick(r[n], "web", "h1", NULL, 0, false, us);
-			if (!e)
-				continue;
-			bh__registry_note_start(r[n], e->endpoint_id, us);
-			note_(arrivals, us);
-		}
-	}
+	put_(r, 1, NOW_US + COLD_US);
+	e = bh__registry_get(r, 0);
+	bh__registry_set_cold_rate(r, "web", PER_S, NOW_US);
+	bh__endpoint_rate_set_part(&e->rate, 1, NOW_US);
+	put_(r, 2, again_us + COLD_US);
+	bh__registry_set_cold_rate(r, "web", PER_S, again_us);
+	ask_home_(&e->rate, nodes, again_us, arrivals);
 	print_message("%u nodes, cold again: %u in a second at most\n", nodes, most_in_a_second_(arrivals));
 	assert_true(most_in_a_second_(arrivals) <= PER_S * OVER + SLACK);
-	for (unsigned n = 0; n < nodes; n++)
-		bh__registry_delete(r[n]);
-	g_free(r);
+	bh__registry_delete(r);
 	g_array_unref(arrivals);
 }
 
@@ -161,8 +160,10 @@
 }
 
 /* Engines answer at once here, so that no other limit holds. */
-static Scheduler *scheduler_new_(GArray *arrivals, uint64_t boot_id, bool alone, unsigned nodes)
+static Scheduler *scheduler_new_(GArray *arrivals, uint64_t boot_id, double part)
 {
+	const BH__Limit limit[BH__LIMIT_KIND_COUNT] = {
+		[BH__LIMIT_COLD] = {.per_s = PER_S, .until_us = NOW_US + COLD_US}};
 	Scheduler *s = g_new0(Scheduler, 1);
 	BH__EngineModel m;
 
@@ -178,8 +179,9 @@
 	s->now_us = NOW_US;
 	s->planner = bh__planner_new(&s->port, 3, boot_id);
 	bh__planner_set_model(s->planner, &m);
-	bh__planner_set_alone(s->planner, alone);
-	bh__planner_set_cold(s->planner, 1, NOW_US + COLD_US, PER_S, nodes, NOW_US);
+	bh__planner_set_alone(s->planner, part <= 0);
+	bh__planner_set_part(s->planner, part, NOW_US);
+	bh__planner_set_limits(s->planner, 1, limit, NOW_US);
 	bh__planner_set_endpoint(s->planner, 1, 1, false, NOW_US);
 	return s;
 }
@@ -203,8 +205,8 @@
 		bh__planner_process_progress(s->planner, 0, now_us);
 }
 
-/* One node schedules, another takes over from it in the middle of a second, and a tenth of all nodes decide
- * alone all the while. */
+/* One node schedules, another takes over from it in the middle of a second, of which the first does not hear,
+ * and a tenth of all nodes decide alone all the while. */
 static void nor_do_schedulers_that_change_(void **state)
 {
 	const unsigned counts[] = {9, 85, 300, 1000};
@@ -214,16 +216,18 @@
 		GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 		unsigned alone_count = counts[i] / 10;
 		Scheduler **alone = g_new0(Scheduler *, alone_count + 1);
-		Scheduler *first = scheduler_new_(arrivals, 1, false, counts[i]);
-		Scheduler *second = scheduler_new_(arrivals, 2, true, counts[i]);
+		Scheduler *first = scheduler_new_(arrivals, 1, 1);
+		Scheduler *second = scheduler_new_(arrivals, 2, 0);
 		for (unsigned n = 0; n < alone_count; n++)
-			alone[n] = scheduler_new_(arrivals, 10 + n, true, counts[i]);
+			alone[n] = scheduler_new_(arrivals, 10 + n, 0);
 		for (uint64_t us = NOW_US; us < NOW_US + COLD_US; us += STEP_US) {
-			if (us == NOW_US + COLD_US / 2) {
+			if (us == NOW_US + COLD_US / 2)
 				bh__planner_set_alone(second->planner, false);
-				bh__planner_set_cold(second->planner, 1, NOW_US + COLD_US, PER_S, counts[i], us);
-			}
-			ask_(us < NOW_US + COLD_US / 2 ? first : second, us);
+			if (us >= NOW_US + COLD_US / 2)
+				bh__planner_set_part(second->planner,
+									 bh__home_part(counts[i], counts[i], NOW_US + COLD_US / 2, us), us);
+			ask_(first, us);
+			ask_(second, us);
 			for (unsigned n = 0; n < alone_count; n++)
 				ask_(alone[n], us);
 		}
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -215,8 +215,8 @@
 	e.draining = true;
 	old = e;
 	put_(r, &e, 1);
-	life = bh__registry_note_start(r, id, 1);
-	bh__registry_note_start(r, id, 1);
+	life = bh__registry_note_start(r, id);
+	bh__registry_note_start(r, id);
 	for (int i = 0; i < 5; i++)
 		bh__registry_note_end(r, id, life, BH__USE_FAILED, 10);
 	e.born_ms = 2000;
@@ -227,7 +227,7 @@
 	assert_int_equal(known->in_flight, 0);
 	assert_int_equal(known->failures, 0);
 	assert_int_equal(known->set_aside_until_us, 0);
-	bh__registry_note_start(r, id, 1);
+	bh__registry_note_start(r, id);
 	bh__registry_note_end(r, id, life, BH__USE_FAILED, 12); /* of a request that died with the old one */
 	assert_int_equal(known->in_flight, 1);
 	assert_int_equal(known->failures, 0);
@@ -247,7 +247,7 @@
 	(void)state;
 	put_(r, &a, 1);
 	put_(r, &b, 2);
-	bh__registry_note_start(r, first, 1);
+	bh__registry_note_start(r, first);
 	assert_true(bh__registry_pick(r, "s", "h1", NULL, 0, false, 1)->endpoint_id == second);
 	assert_true(bh__registry_pick(r, "s", "h1", &second, 1, false, 1)->endpoint_id == first);
 	assert_null(bh__registry_pick(r, "t", "h1", NULL, 0, false, 1));
--- a/test/check-limit-overrun.sh
+++ b/test/check-limit-overrun.sh
@@ -39,7 +39,7 @@
 load 9
 within "beside others" i-e1 i-e3 i-p1
 is "the others serve what it leaves" "$(statuses a 1)$(statuses f 1)" " $sent 200 $sent 200"
-is "each gateway knows of it" "$(grep -l 'event=limit what=named endpoint=i-e3 per_s=1.000' "$RUN"/gate?.log | wc -l)" 3
+is "each gateway knows of it" "$(grep -l 'event=limit what=\(named\|told\) endpoint=i-p1 per_s=1.000' "$RUN"/gate?.log | wc -l)" 3
 
 # the gateways die in turn, those who count among them, and start again
 first=$((sent + 1))
