--- a/src/bench/bench_placement.c
+++ b/src/bench/bench_placement.c
@@ -84,6 +84,12 @@
 	bool refused;
 } Request;
 
+/* How many engines name which limit. */
+typedef struct {
+	unsigned engines;
+	double per_s;
+} Limits;
+
 /* Something that happens at a time. */
 typedef struct {
 	uint64_t at_us;
@@ -122,7 +128,9 @@
 static void draw_requests_(Run *run, gsl_rng *rng, double per_s);
 static void push_(Run *run, uint64_t at_us, Request *request, const BH__Grant *grant);
 static gint compare_events_(gconstpointer a, gconstpointer b, gpointer data);
-static void run_(const Site *site, Policy policy, double per_s, unsigned long seed, Result *out);
+static void run_(const Site *site, const Limits *limits, Policy policy, double per_s, unsigned long seed,
+				 Result *out);
+static void set_limits_(BH__Planner *p, const Limits *limits);
 static void play_(Run *run);
 static void arrive_(Run *run, Request *r);
 static void place_simply_(Run *run, Request *r);
@@ -140,17 +148,19 @@
 int main(int argc, char **argv)
 {
 	static const struct option Options[] = {
-		{"seeds", required_argument, NULL, 's'},  {"load", required_argument, NULL, 'l'},
-		{"policy", required_argument, NULL, 'p'}, {"site", required_argument, NULL, 'S'},
-		{"help", no_argument, NULL, 'h'},         {NULL, 0, NULL, 0}};
+		{"seeds", required_argument, NULL, 's'},   {"load", required_argument, NULL, 'l'},
+		{"policy", required_argument, NULL, 'p'},  {"site", required_argument, NULL, 'S'},
+		{"limited", required_argument, NULL, 'n'}, {"limit", required_argument, NULL, 'L'},
+		{"help", no_argument, NULL, 'h'},          {NULL, 0, NULL, 0}};
 	unsigned seeds = 3;
 	double loads[2] = {41, 55};
 	unsigned load_count = 2;
 	const char *only = NULL;
 	const Site *site = &Sites_[0];
+	Limits limits = {0};
 	int option;
 
-	while ((option = getopt_long(argc, argv, "s:l:p:S:h", Options, NULL)) != -1) {
+	while ((option = getopt_long(argc, argv, "s:l:p:S:n:L:h", Options, NULL)) != -1) {
 		if (option == 's') {
 			seeds = (unsigned)strtoul(optarg, NULL, 10);
 		}
@@ -161,12 +171,18 @@
 		else if (option == 'p') {
 			only = optarg;
 		}
+		else if (option == 'n') {
+			limits.engines = (unsigned)strtoul(optarg, NULL, 10);
+		}
+		else if (option == 'L') {
+			limits.per_s = strtod(optarg, NULL);
+		}
 		else if (option == 'S') {
 			site = find_site_(optarg);
 		}
 		else {
 			puts("Usage: bench_placement [--seeds N] [--load REQUESTS_PER_S] [--policy NAME] [--site "
-				 "small|grown]");
+				 "small|grown] [--limited ENGINES --limit REQUESTS_PER_S]");
 			return option == 'h' ? 0 : 64;
 		}
 	}
@@ -184,7 +200,7 @@
 			if (only && strcmp(only, PolicyString_[p]) != 0)
 				continue;
 			for (unsigned s = 0; s < seeds; s++)
-				run_(site, (Policy)p, loads[l], s + 1, &results[s]);
+				run_(site, &limits, (Policy)p, loads[l], s + 1, &results[s]);
 			print_(site, (Policy)p, loads[l], seeds, results);
 			g_free(results);
 		}
@@ -274,7 +290,8 @@
 	return x->order < y->order ? -1 : 1;
 }
 
-static void run_(const Site *site, Policy policy, double per_s, unsigned long seed, Result *out)
+static void run_(const Site *site, const Limits *limits, Policy policy, double per_s, unsigned long seed,
+				 Result *out)
 {
 	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
 	Run run = {.site = site, .policy = policy};
@@ -294,6 +311,7 @@
 	run.by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
 	for (unsigned i = 0; i < site->engines; i++)
 		bh__planner_set_endpoint(run.planner, i + 1, 0, false, 0);
+	set_limits_(run.planner, limits);
 	draw_requests_(&run, rng, per_s);
 	play_(&run);
 	judge_(&run, out);
@@ -305,6 +323,17 @@
 	gsl_rng_free(rng);
 }
 
+/* The first engines name a limit all the time. */
+static void set_limits_(BH__Planner *p, const Limits *limits)
+{
+	const BH__Limit limit[BH__LIMIT_KIND_COUNT] = {
+		[BH__LIMIT_NAMED] = {.per_s = limits->per_s, .until_us = BH__LIMIT_NO_END}};
+
+	bh__planner_set_part(p, 1, 0);
+	for (unsigned i = 0; i < limits->engines; i++)
+		bh__planner_set_limits(p, i + 1, limit, 0);
+}
+
 /* Plays until nothing is left to happen. */
 static void play_(Run *run)
 {
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -37,6 +37,7 @@
 	BH__PassEngine *engine;
 	unsigned order;    /* place in the table of engines */
 	unsigned tight;    /* tight streams that it writes or will write */
+	bool limited;      /* in the requests that it may get */
 	bool kept;         /* for tight streams, of which it may have none yet */
 	double limit_ms;   /* of its next pass */
 	double next_ms;    /* its next pass as it stands, or the first that a stream would make */
@@ -160,7 +161,7 @@
 			c[i].limit_ms = MIN(c[i].limit_ms, (double)TIGHT_LIMIT_MS_);
 }
 
-/* Describes an engine; one that is limited helps no other. What one that writes no stream has to read may all
+/* Describes an engine. What one that writes no stream has to read may all
  * be left when its next stream begins, and come in one pass. */
 static void describe_(const BH__EngineModel *m, BH__PassEngine *e, uint64_t now_us, Candidate_ *c)
 {
@@ -176,8 +177,7 @@
 	c->room_ms = bh__pass_clock_get_room_ms(&e->clock, m, now_us);
 	c->slots_free = e->homes->len < m->slots ? m->slots - e->homes->len : 0;
 	c->helps_free = e->helps < m->slots ? m->slots - e->helps : 0;
-	if (bh__endpoint_rate_is_limited(&e->rate, now_us))
-		c->helps_free = 0;
+	c->limited = bh__endpoint_rate_is_limited(&e->rate, now_us);
 	c->kv_free_tokens = capacity > e->kv_used_tokens ? capacity - e->kv_used_tokens : 0;
 	for (guint i = 0; i < e->homes->len; i++) {
 		const BH__PlacedRequest *r = g_ptr_array_index(e->homes, i);
@@ -476,7 +476,8 @@
 	while (left) {
 		unsigned best = 0;
 		for (unsigned i = 1; i < parts; i++)
-			if (!out->kv_tokens[i] && (!best || c[i].kv_free_tokens > c[best].kv_free_tokens))
+			if (!c[i].limited && !out->kv_tokens[i] &&
+				(!best || c[i].kv_free_tokens > c[best].kv_free_tokens))
 				best = i;
 		if (!best || !c[best].kv_free_tokens)
 			return false;
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -230,7 +230,8 @@
 		g.member[i].token_count = end - done;
 		done = end;
 	}
-	bh__endpoint_rate_note(&place->engine[0]->rate, now_us);
+	for (unsigned i = 0; i < place->count; i++)
+		bh__endpoint_rate_note(&place->engine[i]->rate, now_us);
 	r = enter_(p, &g, due_us, aim_us, now_us);
 	r->expected_ms = (double)(place->read_end_us - now_us) / 1000 / place->engine[0]->clock.pace;
 	for (unsigned i = 0; i < place->count; i++)
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -24,6 +24,7 @@
 	BH__Planner *planner;
 	GArray *grants; /* BH__Grant */
 	unsigned refused;
+	uint64_t retry_after_ms; /* of the last refusal */
 	unsigned queued;
 	unsigned abandoned;
 	unsigned inspected;
@@ -40,6 +41,7 @@
 	(void)ask;
 	(void)reason;
 	assert_true(retry_after_ms > 0);
+	((Bench *)port)->retry_after_ms = retry_after_ms;
 	((Bench *)port)->refused++;
 }
 
@@ -775,9 +777,101 @@
 	bh__pass_clock_clear(&c);
 }
 
+/* The first engines name a limit. */
+static void limit_(Bench *b, unsigned engines, double per_s)
+{
+	const BH__Limit limit[BH__LIMIT_KIND_COUNT] = {
+		[BH__LIMIT_NAMED] = {.per_s = per_s, .until_us = BH__LIMIT_NO_END}};
+
+	for (unsigned i = 1; i <= engines; i++)
+		bh__planner_set_limits(b->planner, i, limit, 0);
+}
+
+/* Returns how often the grants from one on name an engine. */
+static unsigned count_parts_(const Bench *b, unsigned first, uint64_t endpoint_id)
+{
+	unsigned parts = 0;
+
+	for (unsigned i = first; i < b->grants->len; i++)
+		for (unsigned k = 0; k < grant_(b, i)->member_count; k++)
+			parts += grant_(b, i)->member[k].endpoint_id == endpoint_id;
+	return parts;
+}
+
+/* A part read for another engine counts as a request, and brings no orders for memory with it. */
+static void limited_engines_read_no_more_parts_than_they_take_(void **state)
+{
+	Bench *b = bench_new_(ENGINES);
+	const unsigned limited = ENGINES - 4;
+	const uint64_t every_us = 250 * MS;
+	unsigned helped = 0;
+
+	(void)state;
+	bh__planner_set_part(b->planner, 1, 0);
+	limit_(b, limited, 2);
+	for (unsigned i = 0; i < 40; i++) {
+		BH__Ask a = ask_(b, LONG);
+		unsigned first = b->grants->len;
+		bh__planner_process_ask(b->planner, &a, (i + 1) * every_us);
+		for (unsigned k = first; k < b->grants->len; k++)
+			bh__planner_process_release(b->planner, grant_(b, k)->grant_id, BH__RELEASE_DONE, 0,
+										(i + 1) * every_us + 200 * MS);
+		for (unsigned k = first; k < b->grants->len; k++)
+			for (unsigned m = 1; m < grant_(b, k)->member_count; m++)
+				assert_true(grant_(b, k)->member[m].endpoint_id > limited ||
+							!grant_(b, k)->member[m].kv_bytes);
+	}
+	assert_true(count_parts_(b, 0, ENGINES) > 30);
+	for (unsigned e = 1; e <= limited; e++) {
+		helped += count_parts_(b, 0, e);
+		assert_in_range(count_parts_(b, 0, e), 0, 2 * 10 + 2);
+	}
+	assert_in_range(helped, 2 * 10, limited * (2 * 10 + 2));
+	bench_free_(b);
+}
+
+/* Where all engines are limited, those that can't have their turn are refused at once, and told when it is.
+ */
+static void what_limited_engines_leave_is_refused_at_once_(void **state)
+{
+	Bench *b = bench_new_(2);
+
+	(void)state;
+	bh__planner_set_part(b->planner, 1, 0);
+	limit_(b, 2, 1);
+	for (unsigned i = 0; i < 30; i++) {
+		BH__Ask a = ask_(b, PAGE);
+		bh__planner_process_ask(b->planner, &a, 10 * BH__SECOND_US);
+	}
+	assert_in_range(b->grants->len, 2, 4);
+	assert_in_range(b->refused, 20, 27);
+	assert_in_range(b->retry_after_ms, 1000, 3000);
+	bench_free_(b);
+}
+
+/* A node that decides alone does not know what others send. */
+static void alone_nothing_goes_to_limited_engines_(void **state)
+{
+	Bench *b = bench_new_(3);
+
+	(void)state;
+	bh__planner_set_alone(b->planner, true);
+	limit_(b, 2, 100);
+	for (unsigned i = 0; i < 5; i++) {
+		BH__Ask a = ask_(b, PAGE);
+		bh__planner_process_ask(b->planner, &a, (i + 1) * BH__SECOND_US);
+	}
+	assert_int_equal(b->grants->len, 5);
+	assert_int_equal(count_parts_(b, 0, 3), 5);
+	bench_free_(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(limited_engines_read_no_more_parts_than_they_take_),
+		cmocka_unit_test(what_limited_engines_leave_is_refused_at_once_),
+		cmocka_unit_test(alone_nothing_goes_to_limited_engines_),
 		cmocka_unit_test(a_short_prompt_is_read_by_one_engine_),
 		cmocka_unit_test(no_engine_is_named_twice_),
 		cmocka_unit_test(no_engine_helps_more_than_its_slots_),
