--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -118,6 +118,7 @@
 void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us);
 bool bh__registered_endpoint_hear_limit(BH__RegisteredEndpoint *e, const BH__NamedLimit *told,
 										uint64_t now_us);
+bool bh__registry_has_unlimited(const BH__Registry *r, const char *service, uint64_t now_us);
 uint64_t bh__registry_get_full_until_us(const BH__Registry *r, const char *service, uint64_t now_us);
 bool bh__registered_endpoint_stays(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -274,13 +274,15 @@
 				 "no endpoint of the service can take the request");
 }
 
-/* Asks for leave to send to an endpoint that is limited. */
+/* Asks for leave to send to an endpoint that is limited, and waits for its turn only if there is no other. */
 static void ask_permit_(Call *c, const BH__RegisteredEndpoint *e)
 {
 	uint64_t now_us = clock_now_us();
 	uint64_t aim_us = c->request->arrived_us + c->rule->target_ms * BH__MS_US;
 	uint64_t left_us = aim_us > now_us + c->waited_before_us ? aim_us - now_us - c->waited_before_us : 0;
 
+	if (bh__registry_has_unlimited(c->gate->registry, c->service->name, now_us))
+		left_us = 0;
 	c->state = CALL_PERMIT;
 	c->permit_endpoint = e->endpoint_id;
 	c->send_at_us = 0;
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -143,6 +143,18 @@
 	return changed;
 }
 
+/* Returns true if an endpoint of a service may get a request that is not limited. */
+bool bh__registry_has_unlimited(const BH__Registry *r, const char *service, uint64_t now_us)
+{
+	for (guint i = 0; i < r->table->len; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (!strcmp(e->entry.service, service) && bh__registered_endpoint_is_usable(e, now_us) &&
+			now_us >= e->set_aside_until_us && !bh__endpoint_rate_is_limited(&e->rate, now_us))
+			return true;
+	}
+	return false;
+}
+
 /* Returns when the first of a service's endpoints may get a request whose homes grant none now; 0: there are
  * none such. */
 uint64_t bh__registry_get_full_until_us(const BH__Registry *r, const char *service, uint64_t now_us)
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -350,9 +350,12 @@
 		enter_(p, grant, now_us + grant->expected_us, now_us + grant->expected_us, now_us);
 }
 
-/* Asks for an engine's report, unless that was done a moment ago. */
+/* Asks for an engine's report, unless that was done a moment ago, or the engine is limited in what it gets.
+ */
 static void inspect_(BH__Planner *p, BH__PassEngine *e, uint64_t now_us)
 {
+	if (bh__endpoint_rate_is_limited(&e->rate, now_us))
+		return;
 	if (e->inspected_us && now_us < e->inspected_us + INSPECT_PERIOD_US_)
 		return;
 	e->inspected_us = now_us;
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -849,6 +849,22 @@
 	bench_free_(b);
 }
 
+/* An engine in need is not asked for reports either, however late its answers are. */
+static void limited_engines_are_not_inspected_(void **state)
+{
+	Bench *b = bench_new_(3);
+	BH__Ask a = ask_(b, MEDIUM);
+
+	(void)state;
+	bh__planner_set_part(b->planner, 1, 0);
+	limit_(b, 3, 50);
+	bh__planner_process_ask(b->planner, &a, BH__SECOND_US);
+	assert_true(grant_(b, 0)->member_count > 1);
+	bh__planner_process_progress(b->planner, grant_(b, 0)->grant_id, 4 * BH__SECOND_US);
+	assert_int_equal(b->inspected, 0);
+	bench_free_(b);
+}
+
 /* A node that decides alone does not know what others send. */
 static void alone_nothing_goes_to_limited_engines_(void **state)
 {
@@ -872,6 +888,7 @@
 		cmocka_unit_test(limited_engines_read_no_more_parts_than_they_take_),
 		cmocka_unit_test(what_limited_engines_leave_is_refused_at_once_),
 		cmocka_unit_test(alone_nothing_goes_to_limited_engines_),
+		cmocka_unit_test(limited_engines_are_not_inspected_),
 		cmocka_unit_test(a_short_prompt_is_read_by_one_engine_),
 		cmocka_unit_test(no_engine_is_named_twice_),
 		cmocka_unit_test(no_engine_helps_more_than_its_slots_),
