--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -86,6 +86,7 @@
 	uint64_t boot_id;
 	uint64_t started_us;
 	uint64_t leaving_since_us; /* 0: not leaving */
+	bool is_ending;            /* its last answers go out */
 	uint64_t stop_at_us;       /* when the node ends at the latest, if it is leaving */
 };
 
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -312,9 +312,11 @@
 
 	(void)fd;
 	(void)what;
-	if (now_us < g->stop_at_us && !(may_end && !g_hash_table_size(g->calls)))
+	if (g->is_ending || (now_us < g->stop_at_us && !(may_end && !g_hash_table_size(g->calls))))
 		return;
 	log_event("stop", "what=ending calls=%u", g_hash_table_size(g->calls));
+	g->is_ending = true;
+	g->stop_at_us = now_us; /* what comes now is refused */
 	calls_stop(g);
 	event_base_loopexit(g->base, &flush);
 }
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -122,8 +122,8 @@
 	for (guint i = 0; i < r->table->len; i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
 		const BH__Limit *l = &e->rate.limit[BH__LIMIT_COLD];
-		if (!strcmp(e->entry.service, service) &&
-			(l->per_s != per_s || l->until_us != e->entry.cold_until_us))
+		if ((l->per_s != per_s || l->until_us != e->entry.cold_until_us) &&
+			!strcmp(e->entry.service, service))
 			bh__endpoint_rate_set_limit(&e->rate, BH__LIMIT_COLD, per_s, e->entry.cold_until_us, now_us);
 	}
 }
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -33,7 +33,8 @@
 static void take_entry_(BH__Registry *r, BH__RegisteredEndpoint *e, const BH__EndpointEntry *entry);
 static void merge_departed_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place as_of);
 static void depart_(BH__Registry *r, BH__RegisteredEndpoint *e);
-static void remember_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place learnt);
+static void remember_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place learnt,
+					  const BH__NamedLimit *named);
 static void forget_oldest_(BH__Registry *r);
 
 BH__Registry *bh__registry_new(uint32_t seed)
@@ -331,7 +332,7 @@
 	BH__EndpointDeparture *d = g_hash_table_lookup(r->departed, &id);
 
 	if (!d) {
-		remember_(r, id, past, note_change_(r, as_of));
+		remember_(r, id, past, note_change_(r, as_of), &(BH__NamedLimit){0});
 		return;
 	}
 	if (bh__place_is_after(past->gone, d->past.gone)) /* others may have seen it come back meanwhile */
@@ -353,19 +354,20 @@
 static void depart_(BH__Registry *r, BH__RegisteredEndpoint *e)
 {
 	r->version++;
-	remember_(r, e->endpoint_id, &e->past, e->learnt);
-	((BH__EndpointDeparture *)g_hash_table_lookup(r->departed, &e->endpoint_id))->named = e->named;
+	remember_(r, e->endpoint_id, &e->past, e->learnt, &e->named);
 	g_hash_table_remove(r->by_id, &e->endpoint_id);
 	g_ptr_array_remove(r->table, e);
 }
 
-static void remember_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place learnt)
+static void remember_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place learnt,
+					  const BH__NamedLimit *named)
 {
 	BH__EndpointDeparture *d = g_new0(BH__EndpointDeparture, 1);
 
 	d->endpoint_id = id;
 	d->past = *past;
 	d->learnt = learnt;
+	d->named = *named;
 	g_hash_table_replace(r->departed, &d->endpoint_id, d);
 	if (g_hash_table_size(r->departed) > DEPARTED_KEPT_)
 		forget_oldest_(r);
--- a/src/test_libbayhoist/test_endpoint_rate.c
+++ b/src/test_libbayhoist/test_endpoint_rate.c
@@ -271,6 +271,30 @@
 	bh__registry_delete(r);
 }
 
+/* More leave than are remembered, the one that left first last of all. */
+static void many_that_leave_harm_nothing_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+	const BH__Place listed = {.revision = 1};
+	BH__Place place = {.revision = 2000};
+	const unsigned count = 1100;
+
+	(void)state;
+	for (unsigned i = 0; i < count; i++) {
+		BH__EndpointEntry e = {.service = "web", .address = "1.1.1.1:1", .hall = "h1", .slots = 6};
+		g_snprintf(e.id, sizeof e.id, "i-%u", i);
+		bh__registry_put(r, &e, listed, listed);
+	}
+	for (unsigned i = 0; i < count; i++) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, 0);
+		place.revision--;
+		bh__registry_remove(r, e->endpoint_id, place, 1, place);
+		bh__registry_process_tick(r, NOW_US);
+	}
+	assert_int_equal(bh__registry_get_count(r), 0);
+	bh__registry_delete(r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -281,6 +305,7 @@
 		cmocka_unit_test(one_that_takes_none_is_asked_now_and_then_),
 		cmocka_unit_test(the_least_limit_counts_),
 		cmocka_unit_test(a_limit_belongs_to_one_start_),
+		cmocka_unit_test(many_that_leave_harm_nothing_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
