--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -33,6 +33,7 @@
 #define RETRY_DRAIN_MAX_MS 10000
 #define BYTES_PER_TOKEN 4 /* of a prompt whose tokens the caller doesn't tell */
 #define DEFAULT_ANSWER_TOKENS 1000
+#define WRITE_FACTOR 2  /* a token takes up to so many steps, between the reading of other prompts */
 #define LIKELY_FACTOR 2 /* answers are up to so many times as long as the caller guesses */
 #define LIKELY_EXTRA_TOKENS 200
 
@@ -53,6 +54,7 @@
 static bool give_up_held_(Call *c);
 static bool give_up_stopping_(Call *c);
 static uint64_t retry_stopping_ms_(const Gate *g, uint64_t now_us);
+static uint64_t longest_answer_us_(const Call *c);
 static BH__AnswerTime *answer_time_(const Call *c);
 static void send_(Call *c, uint64_t endpoint_id);
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
@@ -352,19 +354,19 @@
 		sending_start(c, endpoint_id);
 }
 
-/* Ends a request whose answer this node can't see to the end, since it stops before, as far as answers of the
- * route have shown. Returns false if it can. */
+/* Refuses a request whose answer this node can't see to the end, since it stops before. Returns false if it
+ * can, or if the request may have run: that is followed as far as it goes. */
 static bool give_up_stopping_(Call *c)
 {
 	const Gate *g = c->gate;
 	uint64_t now_us = clock_now_us();
 
-	if (!g->leaving_since_us || now_us + bh__answer_time_get_longest_us(answer_time_(c)) <= g->stop_at_us)
+	if (!g->leaving_since_us || c->x.may_have_run || now_us + longest_answer_us_(c) <= g->stop_at_us)
 		return false;
 	log_event("refuse",
 			  "request=%s cause=stopping left_ms=%" G_GUINT64_FORMAT " longest_ms=%" G_GUINT64_FORMAT,
 			  c->request->meta.request_id, (g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US,
-			  bh__answer_time_get_longest_us(answer_time_(c)) / BH__MS_US);
+			  longest_answer_us_(c) / BH__MS_US);
 	give_up_(c, retry_stopping_ms_(g, now_us), "node-leaving", "this node stops before the answer would end");
 	return true;
 }
@@ -381,6 +383,20 @@
 	return MAX((g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US, RETRY_SOON_MS);
 }
 
+/* Returns a time that the answer hardly exceeds: by those that this node has seen, or where it has seen none
+ * by when one counts as silent, and by what its engine takes for as many tokens as the caller allows. */
+static uint64_t longest_answer_us_(const Call *c)
+{
+	uint64_t seen_us = bh__answer_time_get_longest_us(answer_time_(c));
+	uint64_t tokens = c->request->meta.max_tokens ? c->request->meta.max_tokens : DEFAULT_ANSWER_TOKENS;
+	double write_ms = c->service->is_engine ? (double)tokens * c->service->engine.step_ms : 0;
+
+	if (seen_us)
+		return seen_us;
+	return bh__patience_us(c->rule, c->service->is_engine, false) +
+		   (uint64_t)(write_ms * WRITE_FACTOR) * BH__MS_US;
+}
+
 /* Returns what is known of how long answers to such prompts of the request's route take, from their sending
  * to their end. */
 static BH__AnswerTime *answer_time_(const Call *c)
--- a/test/check-stop-all.sh
+++ b/test/check-stop-all.sh
@@ -10,8 +10,8 @@
 FAILED=0
 start_three_gates
 short() { ask "$1" /ask/x "s$2" -D "$RUN/head.s$2" >"$RUN/status.s$2"; echo " $?" >>"$RUN/status.s$2"; }
-long() {
-	call "$1" /ask/long/x "l$2" -H 'X-Token-Usage: 50000,100' -d 'a prompt' -D "$RUN/head.l$2" >"$RUN/status.l$2"
+long() { # N NAME [PATH]
+	call "$1" "${3:-/ask/long/x}" "l$2" -H 'X-Token-Usage: 5000,2000' -d 'a prompt' -D "$RUN/head.l$2" >"$RUN/status.l$2"
 	echo " $?" >>"$RUN/status.l$2"
 }
 for round in 1 2 3; do # how long answers usually take
@@ -23,6 +23,9 @@
 for n in 1 2 3; do signal gate$n TERM; done
 began=$(date +%s%N)
 after_s() { echo $((($(date +%s%N) - began) / 100000000)); } # in tenths
+for n in 1 2 3; do # these are broken off after 1.6 s, when what is new would be refused, and go on elsewhere
+	(sleep 1; long $n resumed$n /ask/break/long/x) &
+done
 i=0
 early=0 # long ones that came in the first 1.5 s, which end well before that
 while [ "$(after_s)" -lt 68 ]; do # the gateways end after 7.2 s
@@ -37,6 +40,7 @@
 # 7: the gateway has ended before it was asked
 is "no request is cut" "$(cat "$RUN"/status.[ls][0-9]* | grep -vc '^\(200 0\|503 0\|000 7\)$')" 0
 is "long ones are served that end in time" "$(for n in $(seq $early); do cat "$RUN/status.l$n"; done | sort | uniq -c | tr -s ' ')" " $early 200 0"
+is "one that was broken off goes on" "$(cat "$RUN"/status.lresumed* | sort | uniq -c | tr -s ' ')" " 3 200 0"
 is "and then refused" "$(($(count l '^503') >= 10))" 1
 is "short ones are served to the end" "$(($(count s '^200') >= 3 * (i - 4)))" 1
 for n in $(seq $i); do
@@ -45,4 +49,20 @@
 	grep -qi '^retry-after: [0-9.]*[1-9]' "$RUN/head.l$n" || echo "l$n without a time"
 done | sort -u >"$RUN/refused"
 is "what is refused has not run, and is told when to come back" "$(cat "$RUN/refused")" 0
+
+# gateways that have just started, and seen no answer yet
+for n in 1 2 3; do start_gate $n; done
+for n in 1 2 3; do wait_for 10 ready $n 200 || is "gateway $n gets ready" no yes; done
+for n in 1 2 3; do signal gate$n TERM; done
+began=$(date +%s%N)
+i=0
+while [ "$(after_s)" -lt 68 ]; do
+	i=$((i + 1))
+	[ "$(after_s)" -gt 30 ] && long $((i % 3 + 1)) fresh$i &
+	for n in 1 2 3; do short $n fresh$n$i & done
+	sleep 0.15
+done
+sleep 5
+is "no request is cut at gateways that know nothing" "$(cat "$RUN"/status.[ls]fresh* | grep -vc '^\(200 0\|503 0\|000 7\)$')" 0
+is "short ones are served there" "$(($(cat "$RUN"/status.sfresh* | grep -c '^200') >= 2 * i))" 1
 exit $FAILED
