--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -45,7 +45,8 @@
 static BH__Fingerprint fingerprint_(const Call *c);
 static uint64_t retry_uninformed_ms_(const Gate *g, uint64_t now_us);
 static uint64_t retry_no_endpoint_ms_(const Call *c);
-static BH__CallerTime *caller_time_(const Call *c);
+static RouteTimes *route_times_(const Call *c);
+static BH__AnswerTime *answer_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
 static void ask_permit_(Call *c, const BH__RegisteredEndpoint *e);
@@ -55,7 +56,6 @@
 static bool give_up_stopping_(Call *c);
 static uint64_t retry_stopping_ms_(const Gate *g, uint64_t now_us);
 static uint64_t longest_answer_us_(const Call *c);
-static BH__AnswerTime *answer_time_(const Call *c);
 static void send_(Call *c, uint64_t endpoint_id);
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 static void ask_(Call *c);
@@ -166,7 +166,7 @@
 		time_us = r->meta.time_left_us;
 	bh__exchange_init(&c->x, c->rule, r->arrived_us + time_us);
 	if (r->meta.time_left_us)
-		c->waited_before_us = bh__caller_time_note(caller_time_(c), r->meta.time_left_us);
+		c->waited_before_us = bh__caller_time_note(&route_times_(c)->caller, r->meta.time_left_us);
 	c->fingerprint = fingerprint_(c);
 	bh__fingerprint_write(&c->fingerprint, fingerprint);
 	log_event(
@@ -225,20 +225,27 @@
 	return CLAMP((now_us - since_us) / BH__MS_US, RETRY_DRAIN_MIN_MS, RETRY_DRAIN_MAX_MS);
 }
 
-/* Returns what is known of how long the callers of the request's route wait. */
-static BH__CallerTime *caller_time_(const Call *c)
+/* Returns what is known of the times of the request's route. */
+static RouteTimes *route_times_(const Call *c)
 {
-	GHashTable *times = c->gate->caller_times;
-	BH__CallerTime *t = g_hash_table_lookup(times, c->rule->name);
+	GHashTable *all = c->gate->route_times;
+	RouteTimes *t = g_hash_table_lookup(all, c->rule->name);
 
 	if (t)
 		return t;
-	t = g_new0(BH__CallerTime, 1);
-	bh__caller_time_init(t, c->rule->timeout_ms * BH__MS_US);
-	g_hash_table_insert(times, g_strdup(c->rule->name), t);
+	t = g_new0(RouteTimes, 1);
+	bh__caller_time_init(&t->caller, c->rule->timeout_ms * BH__MS_US);
+	g_hash_table_insert(all, g_strdup(c->rule->name), t);
 	return t;
 }
 
+/* Returns what is known of how long answers to such prompts of the request's route take, from their sending
+ * to their end. */
+static BH__AnswerTime *answer_time_(const Call *c)
+{
+	return &route_times_(c)->answer[bh__size_class(c->request->meta.prompt_tokens)];
+}
+
 /* Answers that the request did not run, or can't. */
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message)
 {
@@ -360,13 +367,17 @@
 {
 	const Gate *g = c->gate;
 	uint64_t now_us = clock_now_us();
+	uint64_t longest_us;
 
-	if (!g->leaving_since_us || c->x.may_have_run || now_us + longest_answer_us_(c) <= g->stop_at_us)
+	if (!g->leaving_since_us || c->x.may_have_run)
+		return false;
+	longest_us = longest_answer_us_(c);
+	if (now_us + longest_us <= g->stop_at_us)
 		return false;
 	log_event("refuse",
 			  "request=%s cause=stopping left_ms=%" G_GUINT64_FORMAT " longest_ms=%" G_GUINT64_FORMAT,
 			  c->request->meta.request_id, (g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US,
-			  longest_answer_us_(c) / BH__MS_US);
+			  longest_us / BH__MS_US);
 	give_up_(c, retry_stopping_ms_(g, now_us), "node-leaving", "this node stops before the answer would end");
 	return true;
 }
@@ -397,20 +408,6 @@
 		   (uint64_t)(write_ms * WRITE_FACTOR) * BH__MS_US;
 }
 
-/* Returns what is known of how long answers to such prompts of the request's route take, from their sending
- * to their end. */
-static BH__AnswerTime *answer_time_(const Call *c)
-{
-	GHashTable *times = c->gate->answer_times;
-	BH__AnswerTime *by_size = g_hash_table_lookup(times, c->rule->name);
-
-	if (!by_size) {
-		by_size = g_new0(BH__AnswerTime, BH__SIZE_CLASSES);
-		g_hash_table_insert(times, g_strdup(c->rule->name), by_size);
-	}
-	return &by_size[bh__size_class(c->request->meta.prompt_tokens)];
-}
-
 /* A request is held from now on: its calls end, but for those whose answer has begun. An endpoint that has
  * not begun to run it is spared a crash, since it drops what is closed. */
 void calls_process_held(Gate *g, const BH__Fingerprint *f)
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -55,6 +55,12 @@
 	BH__Histogram whole;
 } GateCounters;
 
+/* How long the callers of one route wait, and its answers take. */
+typedef struct {
+	BH__CallerTime caller;
+	BH__AnswerTime answer[BH__SIZE_CLASSES];
+} RouteTimes;
+
 struct Gate {
 	const GatePort *port;
 	GateSettings settings;
@@ -68,17 +74,16 @@
 	uint64_t routing_looked_us; /* when the look was begun that last showed it to be the newest */
 	uint64_t no_routing_us;     /* when the look was begun that last showed that there is none yet */
 	BH__Registry *registry;
-	BH__Knowledge knowledge;  /* what was learnt since the start */
-	bool told_informed;       /* calls that waited for all of that have begun */
-	uint64_t registry_seen;   /* version that the planners follow */
-	uint64_t halls_seen;      /* version of what was logged of halls that drain */
-	BH__Place place_seen;     /* in the store\'s history, as far as the registry showed it */
-	GHashTable *budgets;      /* BH__RepeatBudget by service name */
-	GHashTable *caller_times; /* BH__CallerTime by route name */
-	GHashTable *answer_times; /* BH__AnswerTime of each size class, by route name */
-	GHashTable *calls;        /* set of live Call */
-	GHashTable *inbounds;     /* set of open Inbound */
-	BH__Room room;            /* of the memory that is kept for callers and endpoints */
+	BH__Knowledge knowledge; /* what was learnt since the start */
+	bool told_informed;      /* calls that waited for all of that have begun */
+	uint64_t registry_seen;  /* version that the planners follow */
+	uint64_t halls_seen;     /* version of what was logged of halls that drain */
+	BH__Place place_seen;    /* in the store\'s history, as far as the registry showed it */
+	GHashTable *budgets;     /* BH__RepeatBudget by service name */
+	GHashTable *route_times; /* RouteTimes by route name */
+	GHashTable *calls;       /* set of live Call */
+	GHashTable *inbounds;    /* set of open Inbound */
+	BH__Room room;           /* of the memory that is kept for callers and endpoints */
 	struct evconnlistener *listener;
 	struct evhttp *web[3]; /* directory, readiness, control */
 	GPtrArray *own_events;
--- a/src/bayhoist-gate/limits.c
+++ b/src/bayhoist-gate/limits.c
@@ -96,12 +96,14 @@
 {
 	uint64_t now_us = clock_now_us();
 	bool changed = take_(c, e, heard, now_us);
-	uint64_t home = find_home_(c, e->entry.service);
-	BH__LimitNews n = news_(e, heard, now_us);
+	BH__LimitNews n;
+	uint64_t home;
 
 	if (!changed && (!heard->in_force || now_us < e->named_told_us + RETELL_US))
 		return false;
 	e->named_told_us = now_us;
+	n = news_(e, heard, now_us);
+	home = find_home_(c, e->entry.service);
 	if (home != bh__members_get_self(c->members)->node_id)
 		tell_(c, home, &n);
 	return changed;
@@ -156,9 +158,11 @@
 
 	for (unsigned i = 0; i < bh__registry_get_count(c->gate->registry); i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(c->gate->registry, i);
-		BH__LimitNews n = news_(e, &e->named, now_us);
-		if (e->named.in_force && is_home_(c, e->entry.service))
-			tell_(c, node_id, &n);
+		BH__LimitNews n;
+		if (!e->named.in_force || !is_home_(c, e->entry.service))
+			continue;
+		n = news_(e, &e->named, now_us);
+		tell_(c, node_id, &n);
 	}
 }
 
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -93,8 +93,7 @@
 	g->port = &PlatformGatePort;
 	g->registry = bh__registry_new((uint32_t)g->boot_id);
 	g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g->caller_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g->answer_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->route_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
@@ -372,8 +371,7 @@
 	g_free(g->routing_text);
 	bh__registry_delete(g->registry);
 	g_hash_table_unref(g->budgets);
-	g_hash_table_unref(g->caller_times);
-	g_hash_table_unref(g->answer_times);
+	g_hash_table_unref(g->route_times);
 	g_hash_table_unref(g->calls);
 	g_hash_table_unref(g->inbounds);
 	gate_settings_finish(&g->settings);
--- a/src/libbayhoist/endpoint_rate.c
+++ b/src/libbayhoist/endpoint_rate.c
@@ -80,13 +80,14 @@
 /* Returns the time until this node may grant a request; BH__LIMIT_NO_END: another node counts. */
 uint64_t bh__endpoint_rate_get_wait_us(const BH__EndpointRate *r, uint64_t now_us)
 {
-	double missing = 1 - bh__bucket_get_level(&r->requests, now_us);
+	BH__Bucket b = r->requests;
 
 	if (!bh__endpoint_rate_is_limited(r, now_us))
 		return 0;
-	if (r->requests.rate_per_s <= 0)
+	if (b.rate_per_s <= 0)
 		return BH__LIMIT_NO_END;
-	return missing > 0 ? (uint64_t)(missing / r->requests.rate_per_s * BH__SECOND_US) + 1 : 0;
+	bh__bucket_spend(&b, 0, now_us);
+	return bh__bucket_get_wait_us(&b, 1);
 }
 
 /* Returns true if this node may grant a request now. */
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -44,7 +44,6 @@
 	r->table = g_ptr_array_new_with_free_func(g_free);
 	r->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	r->rand = g_rand_new_with_seed(seed);
-	r->seed = seed;
 	r->departed = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	r->halls = g_array_new(FALSE, FALSE, sizeof(BH__HallDrain));
 	return r;
