Signals in endpoints' answers: one way in, log lines, counters

Change: what endpoints say of themselves in answers' heads is decoded by a table in the adapter into BH__Signal and taken in one place, signals.c, with the endpoint's life and the times of the request and the answer. Limits, which were read in sending.c, go the same way; answers to orders and questions of the gateway's own are read, too. Leavings and rests are logged and counted only: no decision changes. Headers that nobody here knows are counted by name, 32 at most, so that the next such signal is seen.

Of several headers of one kind in an answer the strictest counts; the test that read three limits into one answer, and wanted the last, now reads each into an answer of its own and asks the same of all three signals, and has a case for two in one answer.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -49,7 +49,8 @@
 	uint64_t directory_answers;
 	uint64_t bad_frames; /* answers that were none */
 	uint64_t limit_changes;
-	uint64_t unreadable_limits;
+	uint64_t signals[BH__SIGNAL_KIND_COUNT]; /* answers that gave one */
+	uint64_t unreadable_signals[BH__SIGNAL_KIND_COUNT];
 	BH__Histogram grant_wait;
 	BH__Histogram first_event[BH__SIZE_CLASSES];
 	BH__Histogram whole;
@@ -74,16 +75,17 @@
 	uint64_t routing_looked_us; /* when the look was begun that last showed it to be the newest */
 	uint64_t no_routing_us;     /* when the look was begun that last showed that there is none yet */
 	BH__Registry *registry;
-	BH__Knowledge knowledge; /* what was learnt since the start */
-	bool told_informed;      /* calls that waited for all of that have begun */
-	uint64_t registry_seen;  /* version that the planners follow */
-	uint64_t halls_seen;     /* version of what was logged of halls that drain */
-	BH__Place place_seen;    /* in the store\'s history, as far as the registry showed it */
-	GHashTable *budgets;     /* BH__RepeatBudget by service name */
-	GHashTable *route_times; /* RouteTimes by route name */
-	GHashTable *calls;       /* set of live Call */
-	GHashTable *inbounds;    /* set of open Inbound */
-	BH__Room room;           /* of the memory that is kept for callers and endpoints */
+	BH__Knowledge knowledge;     /* what was learnt since the start */
+	bool told_informed;          /* calls that waited for all of that have begun */
+	uint64_t registry_seen;      /* version that the planners follow */
+	uint64_t halls_seen;         /* version of what was logged of halls that drain */
+	BH__Place place_seen;        /* in the store\'s history, as far as the registry showed it */
+	GHashTable *budgets;         /* BH__RepeatBudget by service name */
+	GHashTable *route_times;     /* RouteTimes by route name */
+	GHashTable *calls;           /* set of live Call */
+	GHashTable *unknown_headers; /* uint64_t, how often an endpoint's answer had one, by its name */
+	GHashTable *inbounds;        /* set of open Inbound */
+	BH__Room room;               /* of the memory that is kept for callers and endpoints */
 	struct evconnlistener *listener;
 	struct evhttp *web[3]; /* directory, readiness, control */
 	GPtrArray *own_events;
@@ -223,6 +225,23 @@
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
 
+/* signals.c */
+
+/* The answer that gave an endpoint's signals. */
+typedef struct {
+	uint64_t endpoint_id;
+	uint64_t life; /* of the endpoint when the request was sent, see bh__registry_note_start() */
+	uint64_t sent_us;
+	uint64_t heard_us;
+	int status;
+	bool is_served;         /* the endpoint ran what was asked: a limit that is not there is none any more */
+	const char *request_id; /* for the log */
+} AnswerOrigin;
+
+void signals_note_answer(Gate *g, const AnswerOrigin *o, const AnswerMeta *m);
+void signals_note_unknown(Gate *g, const char *header);
+void signals_write_status(const Gate *g, struct evbuffer *out);
+
 /* limits.c */
 bool limits_note_answer(Cluster *c, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard);
 void cluster_ask_permit(Cluster *c, Call *call, const BH__RegisteredEndpoint *e, uint64_t patience_us);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -96,6 +96,7 @@
 	g->route_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
+	g->unknown_headers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
 	started = cluster_start(g);
 	g->looks = looks_new(g);
@@ -374,6 +375,7 @@
 	g_hash_table_unref(g->route_times);
 	g_hash_table_unref(g->calls);
 	g_hash_table_unref(g->inbounds);
+	g_hash_table_unref(g->unknown_headers);
 	gate_settings_finish(&g->settings);
 	log_finish();
 }
--- a/src/bayhoist-gate/memory.c
+++ b/src/bayhoist-gate/memory.c
@@ -47,8 +47,10 @@
 };
 
 static void write_id_(char out[ID_LEN], const BH__Grant *grant, unsigned index);
+static EndpointRef ref_(const Part *p);
 static void reserve_(Part *p);
 static void on_reserved_(void *part, bool held);
+static void free_(const Part *p);
 static void renew_(MemoryHold *h);
 static void look_at_home_(MemoryHold *h);
 static void on_dialled_(void *hold, DialEnd end);
@@ -104,10 +106,17 @@
 	return NULL;
 }
 
+static EndpointRef ref_(const Part *p)
+{
+	return (EndpointRef){.address = p->address, .endpoint_id = p->endpoint_id, .life = p->life};
+}
+
 static void reserve_(Part *p)
 {
+	EndpointRef to = ref_(p);
+
 	p->awaited++;
-	p->gate->port->reserve(p->gate, p->address, p->id, p->tokens, HOLD_MS, on_reserved_, p);
+	p->gate->port->reserve(p->gate, &to, p->id, p->tokens, HOLD_MS, on_reserved_, p);
 }
 
 static void on_reserved_(void *part, bool held)
@@ -120,12 +129,18 @@
 		check_(p->hold, !held && !p->held);
 		return;
 	}
-	p->gate->port->free_memory(p->gate, p->address,
-							   p->id); /* it may have been set aside after it was freed */
+	free_(p); /* it may have been set aside after it was freed */
 	if (!p->awaited)
 		g_free(p);
 }
 
+static void free_(const Part *p)
+{
+	EndpointRef to = ref_(p);
+
+	p->gate->port->free_memory(p->gate, &to, p->id);
+}
+
 /* Tells the owner once all is held or something is not to be had. */
 static void check_(MemoryHold *h, bool failed)
 {
@@ -226,7 +241,7 @@
 	for (unsigned i = 0; i < h->count; i++) {
 		Part *p = h->part[i];
 		p->hold = NULL;
-		h->gate->port->free_memory(h->gate, p->address, p->id);
+		free_(p);
 		if (!p->awaited)
 			g_free(p);
 	}
@@ -241,11 +256,13 @@
 {
 	for (unsigned i = 1; i < grant->member_count; i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, grant->member[i].endpoint_id);
+		EndpointRef to;
 		char id[ID_LEN];
 		if (!grant->member[i].kv_bytes || !e)
 			continue;
+		to = (EndpointRef){.address = e->entry.address, .endpoint_id = e->endpoint_id, .life = e->life};
 		write_id_(id, grant, i);
 		log_event("memory", "what=freed cause=\"its node is gone\" endpoint=%s id=%s", e->entry.id, id);
-		g->port->free_memory(g, e->entry.address, id);
+		g->port->free_memory(g, &to, id);
 	}
 }
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -207,6 +207,7 @@
 
 static void store_field_(Outbound *o)
 {
+	HeaderUse use;
 	bool drop = false;
 
 	for (size_t k = 0; k < G_N_ELEMENTS(ConnectionFields_) && !drop; k++)
@@ -214,7 +215,10 @@
 	if (!g_ascii_strcasecmp(o->name->str, "content-type") &&
 		!g_ascii_strncasecmp(o->value->str, "text/event-stream", 17))
 		o->head.is_event_stream = true;
-	if (!drop && o->gate->port->read_answer_header(&o->head.meta, o->name->str, o->value->str) == HEADER_PASS)
+	use = drop ? HEADER_DROP : o->gate->port->read_answer_header(&o->head.meta, o->name->str, o->value->str);
+	if (use == HEADER_UNKNOWN)
+		signals_note_unknown(o->gate, o->name->str);
+	if (use != HEADER_DROP)
 		g_string_append_printf(o->head.headers, "%s: %s\r\n", o->name->str, o->value->str);
 	g_string_truncate(o->name, 0);
 	g_string_truncate(o->value, 0);
--- a/src/bayhoist-gate/planner_port.c
+++ b/src/bayhoist-gate/planner_port.c
@@ -74,6 +74,7 @@
 	Service *s = (Service *)port;
 	Gate *g = s->cluster->gate;
 	const BH__RegisteredEndpoint *e = bh__registry_find(g->registry, endpoint_id);
+	EndpointRef to;
 	Inspection *i;
 
 	if (!e || s->scheduler != bh__members_get_self(s->cluster->members)->node_id)
@@ -82,7 +83,8 @@
 	i->cluster = s->cluster;
 	i->pool_id = bh__planner_get_id(s->planner);
 	i->endpoint_id = endpoint_id;
-	g->port->report(g, e->entry.address, on_pace_, i);
+	to = (EndpointRef){.address = e->entry.address, .endpoint_id = e->endpoint_id, .life = e->life};
+	g->port->report(g, &to, on_pace_, i);
 }
 
 static void on_pace_(void *inspection, double pace)
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -7,6 +7,7 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include "bayhoist/endpoint_signal.h"
 #include "bayhoist/event_stream.h"
 #include "bayhoist/message.h"
 #include "bayhoist/types.h"
@@ -43,9 +44,6 @@
 	} helper[BH__GRANT_MEMBERS_MAX];
 } SendingMeta;
 
-/* Whether an answer names a limit of what its endpoint takes. */
-typedef enum { LIMIT_NOT_NAMED, LIMIT_NAMED, LIMIT_UNREADABLE } LimitWord;
-
 /* What an endpoint says in the head of its answer. */
 typedef struct {
 	char request_id[REQUEST_ID_LEN];
@@ -56,17 +54,23 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
-	LimitWord limit;
-	double limit_per_s;  /* requests of all nodes together, if it is named */
-	char limit_text[24]; /* as it came, cut short; for the log */
+	BH__Signal signal[BH__SIGNAL_KIND_COUNT];
 } AnswerMeta;
 
 /* What becomes of a header. */
 typedef enum {
-	HEADER_PASS, /* goes on as it is */
-	HEADER_DROP  /* does not: it is ours to set, or nobody's business */
+	HEADER_PASS,    /* goes on as it is */
+	HEADER_UNKNOWN, /* goes on, too; what it says is known to nobody here */
+	HEADER_DROP     /* does not: it is ours to set, or nobody's business */
 } HeaderUse;
 
+/* An endpoint to which an order or a question of the gateway's own goes. */
+typedef struct {
+	const char *address;
+	uint64_t endpoint_id;
+	uint64_t life; /* see bh__registry_note_start() */
+} EndpointRef;
+
 typedef struct GatePort {
 	HeaderUse (*read_request_header)(RequestMeta *meta, const char *name, const char *value);
 	void (*write_sending_headers)(struct evbuffer *out, const RequestMeta *meta, const SendingMeta *sending);
@@ -106,12 +110,13 @@
 	void (*answer_directory)(Gate *g, struct evhttp_request *req);
 	void (*answer_readiness)(Gate *g, struct evhttp_request *req);
 
-	/* Sets memory aside on an engine, or renews that. `done` is called once, with whether it is held. */
-	void (*reserve)(Gate *g, const char *address, const char *memory_id, uint64_t tokens, uint64_t hold_ms,
+	/* Orders to engines and questions; the signals of their answers go to signals_note_answer(). The first
+	 * sets memory aside, or renews that. `done` is called once, with whether it is held. */
+	void (*reserve)(Gate *g, const EndpointRef *to, const char *memory_id, uint64_t tokens, uint64_t hold_ms,
 					void (*done)(void *ctx, bool held), void *ctx);
-	void (*free_memory)(Gate *g, const char *address, const char *memory_id);
+	void (*free_memory)(Gate *g, const EndpointRef *to, const char *memory_id);
 	/* Asks an engine for its report. `done` is called once, with its pace, or 0 if there was no answer. */
-	void (*report)(Gate *g, const char *address, void (*done)(void *ctx, double pace), void *ctx);
+	void (*report)(Gate *g, const EndpointRef *to, void (*done)(void *ctx, double pace), void *ctx);
 } GatePort;
 
 #endif
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -18,7 +18,7 @@
 static void fill_helpers_(const Call *c, SendingMeta *s);
 static void on_head_(void *ctx, const OutboundHead *head);
 static void on_body_(void *ctx, const char *data, size_t len);
-static void note_limit_(const Call *c);
+static void note_signals_(const Call *c);
 static void note_pause_(Call *c, uint64_t pause_us);
 static void on_end_(void *ctx, OutboundEnd end);
 static void report_(Call *c, BH__SendingEnd end, uint64_t at_fault);
@@ -136,38 +136,27 @@
 		bh__registry_note_load(c->gate->registry, c->endpoint_id, head->meta.running, head->meta.waiting,
 							   c->heard_us);
 	c->judgement = judge_head_(c, &c->judged);
-	note_limit_(c);
+	note_signals_(c);
 	c->passing = !c->judged && c->rule->streams && head->status / 100 == 2;
 	call_set_timer(c, c->heard_us);
 }
 
-/* Takes what the answer says of a limit of its endpoint. One of another endpoint at its address says nothing,
- * and that a refusal names no limit does not end it. */
-static void note_limit_(const Call *c)
+/* Takes the signals of the answer's endpoint. An answer that another endpoint at its address gave says
+ * nothing of it. */
+static void note_signals_(const Call *c)
 {
 	const AnswerMeta *m = &c->head.meta;
-	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
 	bool is_others = c->judged && c->judgement == BH__SENDING_BROKEN;
-	BH__NamedLimit heard = {.in_force = m->limit == LIMIT_NAMED, .per_s = m->limit_per_s};
-	double was_per_s;
-
-	if (!e || e->life != c->endpoint_life || is_others || c->gate->port->status_says_not_run(c->head.status))
-		return;
-	if (m->limit == LIMIT_NOT_NAMED && (c->judged || !m->mac[0]))
-		return;
-	if (m->limit == LIMIT_UNREADABLE) {
-		c->gate->counters.unreadable_limits++;
-		log_event("limit", "what=unreadable endpoint=%s value=\"%s\"", e->entry.id, m->limit_text);
-		return;
-	}
-	was_per_s = e->named.in_force ? e->named.per_s : -1;
-	heard.heard_us = heard.in_force ? c->heard_us : c->sent_us;
-	if (!limits_note_answer(c->gate->cluster, e, &heard))
-		return;
-	c->gate->counters.limit_changes++;
-	log_event("limit", "what=%s endpoint=%s per_s=%.3f was=%.3f request=%s",
-			  e->named.in_force ? "named" : "ended", e->entry.id, e->named.in_force ? e->named.per_s : -1.0,
-			  was_per_s, c->request->meta.request_id);
+	AnswerOrigin origin = {.endpoint_id = c->endpoint_id,
+						   .life = c->endpoint_life,
+						   .sent_us = c->sent_us,
+						   .heard_us = c->heard_us,
+						   .status = c->head.status,
+						   .is_served = !c->judged && m->mac[0],
+						   .request_id = c->request->meta.request_id};
+
+	if (!is_others && !c->gate->port->status_says_not_run(c->head.status))
+		signals_note_answer(c->gate, &origin, m);
 }
 
 static void on_body_(void *ctx, const char *data, size_t len)
--- /dev/null
+++ b/src/bayhoist-gate/signals.c
@@ -0,0 +1,108 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Signals that endpoints give in the heads of their answers (bayhoist/endpoint_signal.h): the one place where
+ * they are taken, whatever the answer was to. One more kind is a row of the adapter's table and one of
+ * Takers_. */
+#include "gate.h"
+
+#include <string.h>
+#include "log.h"
+
+#define UNKNOWN_HEADERS_MAX 32 /* names of headers that are counted apart */
+#define HEADER_NAME_MAX 60     /* bytes of such a name that are kept */
+
+typedef void Take(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s);
+
+static void take_limit_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s);
+static void take_leaving_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s);
+static void take_backoff_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s);
+
+static Take *const Takers_[BH__SIGNAL_KIND_COUNT] = {[BH__SIGNAL_LIMIT] = take_limit_,
+													 [BH__SIGNAL_LEAVING] = take_leaving_,
+													 [BH__SIGNAL_BACKOFF] = take_backoff_};
+
+/* Takes what an answer says of its endpoint, unless that has started again since the request was sent. */
+void signals_note_answer(Gate *g, const AnswerOrigin *o, const AnswerMeta *m)
+{
+	for (int k = 0; k < BH__SIGNAL_KIND_COUNT; k++) {
+		const BH__Signal *s = &m->signal[k];
+		BH__RegisteredEndpoint *e = bh__registry_find(g->registry, o->endpoint_id);
+		if (!e || e->life != o->life)
+			return;
+		g->counters.signals[k] += s->state == BH__SIGNAL_GIVEN;
+		if (s->state != BH__SIGNAL_UNREADABLE) {
+			Takers_[k](g, e, o, s);
+			continue;
+		}
+		g->counters.unreadable_signals[k]++;
+		log_event("signal", "kind=%s what=unreadable endpoint=%s value=\"%s\" request=%s",
+				  BH__SignalKindString[k], e->entry.id, s->text, o->request_id);
+	}
+}
+
+/* A limit ends by an answer that names none; a refusal that names none does not end it. */
+static void take_limit_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
+{
+	BH__NamedLimit heard = {.in_force = s->state == BH__SIGNAL_GIVEN, .per_s = s->value};
+	double was_per_s = e->named.in_force ? e->named.per_s : -1;
+
+	if (!heard.in_force && !o->is_served)
+		return;
+	heard.heard_us = heard.in_force ? o->heard_us : o->sent_us;
+	if (!limits_note_answer(g->cluster, e, &heard))
+		return;
+	g->counters.limit_changes++;
+	log_event("limit", "what=%s endpoint=%s per_s=%.3f was=%.3f request=%s",
+			  e->named.in_force ? "named" : "ended", e->entry.id, e->named.in_force ? e->named.per_s : -1.0,
+			  was_per_s, o->request_id);
+}
+
+static void take_leaving_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
+{
+	(void)g;
+	if (s->state == BH__SIGNAL_GIVEN && s->value > 0)
+		log_event("signal", "kind=leaving what=heard endpoint=%s request=%s", e->entry.id, o->request_id);
+}
+
+/* Only a refusal asks for rest: in other answers the header speaks to the caller. */
+static void take_backoff_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
+{
+	(void)g;
+	if (s->state == BH__SIGNAL_GIVEN && o->status == 503)
+		log_event("signal", "kind=backoff what=heard endpoint=%s for_s=%.3f request=%s", e->entry.id,
+				  s->value, o->request_id);
+}
+
+/* An endpoint's answer has a header that nobody here knows: what it says may bind the gateway one day. */
+void signals_note_unknown(Gate *g, const char *header)
+{
+	char *name = g_ascii_strdown(header, (gssize)MIN(strlen(header), (size_t)HEADER_NAME_MAX));
+	uint64_t *count = g_hash_table_lookup(g->unknown_headers, name);
+
+	if (!count && g_hash_table_size(g->unknown_headers) < UNKNOWN_HEADERS_MAX) {
+		log_event("signal", "what=unknown header=\"%s\"", name);
+		count = g_new0(uint64_t, 1);
+		g_hash_table_insert(g->unknown_headers, g_strdup(name), count);
+	}
+	if (count)
+		(*count)++;
+	g_free(name);
+}
+
+/* Writes how often each signal was given, as metrics. */
+void signals_write_status(const Gate *g, struct evbuffer *out)
+{
+	GHashTableIter it;
+	gpointer name;
+	gpointer count;
+
+	for (int k = 0; k < BH__SIGNAL_KIND_COUNT; k++)
+		evbuffer_add_printf(out,
+							"bayhoist_signals_total{kind=\"%s\",what=\"given\"} %" G_GUINT64_FORMAT "\n"
+							"bayhoist_signals_total{kind=\"%s\",what=\"unreadable\"} %" G_GUINT64_FORMAT "\n",
+							BH__SignalKindString[k], g->counters.signals[k], BH__SignalKindString[k],
+							g->counters.unreadable_signals[k]);
+	g_hash_table_iter_init(&it, g->unknown_headers);
+	while (g_hash_table_iter_next(&it, &name, &count))
+		evbuffer_add_printf(out, "bayhoist_unknown_headers_total{header=\"%s\"} %" G_GUINT64_FORMAT "\n",
+							(const char *)name, *(uint64_t *)count);
+}
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -173,7 +173,6 @@
 			   {"directory_answers_total", k->directory_answers},
 			   {"bad_answers_total", k->bad_frames},
 			   {"limit_changes_total", k->limit_changes},
-			   {"unreadable_limits_total", k->unreadable_limits},
 			   {"request_bytes", g->room.request_bytes},
 			   {"answer_bytes", inbounds_get_answer_bytes(g)},
 			   {"no_room_total", g->room.refusals},
@@ -206,6 +205,7 @@
 	write_histogram_(out, "whole_ms", "all", &k->whole);
 	looks_write_status(g->looks, out);
 	halls_write_status(g, out);
+	signals_write_status(g, out);
 	cluster_write_status(g->cluster, out);
 	crashes_write_status(g->crashes, out);
 }
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -258,31 +258,86 @@
 	assert_false(platform_status_says_not_run(503));
 }
 
-/* Requests a second, as a decimal number; anything else is no limit. */
-static void limits_of_endpoints_are_read_(void **state)
+/* Reads one header of an answer; returns the signal of a kind. */
+static BH__Signal read_(const char *name, const char *value, BH__SignalKind kind)
 {
-	static const char *const Unreadable[] = {"", "-1", "nan", "ten", "2.5 a second", "1,5"};
 	AnswerMeta m = {0};
 
+	assert_int_equal(m.signal[kind].state, BH__SIGNAL_ABSENT);
+	assert_int_equal(platform_read_answer_header(&m, name, value), HEADER_PASS);
+	return m.signal[kind];
+}
+
+/* A decimal number each; anything else is unreadable, and is not taken for a limit, a leaving or a rest. */
+static void signals_of_endpoints_are_read_(void **state)
+{
+	static const char *const Unreadable[] = {
+		"", "-1", "nan", "ten", "2.5 a second", "1,5", "Thu, 03 Dec 2026 12:00:00 GMT"};
+	static const struct {
+		const char *name;
+		BH__SignalKind kind;
+		double max;
+	} Header[] = {{"Server-Limit", BH__SIGNAL_LIMIT, 1e6},
+				  {"Server-Leaving", BH__SIGNAL_LEAVING, 1},
+				  {"Retry-After", BH__SIGNAL_BACKOFF, 3600}};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Header); i++) {
+		BH__SignalKind kind = Header[i].kind;
+		char *lower = g_ascii_strdown(Header[i].name, -1);
+		assert_int_equal(read_(lower, "0.25 ", kind).state, BH__SIGNAL_GIVEN);
+		assert_true(read_(lower, "0.25 ", kind).value == 0.25);
+		assert_int_equal(read_(lower, "0", kind).state, BH__SIGNAL_GIVEN);
+		assert_true(read_(lower, "0", kind).value == 0);
+		assert_int_equal(read_(lower, "1e300", kind).state, BH__SIGNAL_GIVEN);
+		assert_true(read_(lower, "1e300", kind).value == Header[i].max);
+		for (size_t k = 0; k < G_N_ELEMENTS(Unreadable); k++) {
+			BH__Signal s = read_(Header[i].name, Unreadable[k], kind);
+			assert_int_equal(s.state, BH__SIGNAL_UNREADABLE);
+			assert_true(g_str_has_prefix(Unreadable[k], s.text));
+			assert_true(strlen(s.text) == MIN(strlen(Unreadable[k]), sizeof s.text - 1));
+		}
+		g_free(lower);
+	}
+}
+
+/* Of two in one answer the strictest counts, in either order, and one that can't be read takes nothing away.
+ */
+static void the_strictest_of_two_signals_counts_(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *value[2];
+		BH__SignalKind kind;
+		double wanted;
+	} Case[] = {{"Server-Limit", {"2", "3"}, BH__SIGNAL_LIMIT, 2},
+				{"Server-Leaving", {"1", "0"}, BH__SIGNAL_LEAVING, 1},
+				{"Retry-After", {"3", "0.5"}, BH__SIGNAL_BACKOFF, 3},
+				{"Retry-After", {"3", "soon"}, BH__SIGNAL_BACKOFF, 3}};
+
 	(void)state;
-	assert_int_equal(m.limit, LIMIT_NOT_NAMED);
-	assert_int_equal(platform_read_answer_header(&m, "server-limit", "0.25 "), HEADER_PASS);
-	assert_int_equal(m.limit, LIMIT_NAMED);
-	assert_true(m.limit_per_s == 0.25);
-	platform_read_answer_header(&m, "Server-Limit", "0");
-	assert_int_equal(m.limit, LIMIT_NAMED);
-	assert_true(m.limit_per_s == 0);
-	platform_read_answer_header(&m, "Server-Limit", "1e300");
-	assert_int_equal(m.limit, LIMIT_NAMED);
-	assert_true(m.limit_per_s == 1e6);
-	for (size_t i = 0; i < G_N_ELEMENTS(Unreadable); i++) {
-		m = (AnswerMeta){0};
-		platform_read_answer_header(&m, "Server-Limit", Unreadable[i]);
-		assert_int_equal(m.limit, LIMIT_UNREADABLE);
-		assert_string_equal(m.limit_text, Unreadable[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(Case); i++) {
+		for (unsigned first = 0; first < 2; first++) {
+			AnswerMeta m = {0};
+			platform_read_answer_header(&m, Case[i].name, Case[i].value[first]);
+			platform_read_answer_header(&m, Case[i].name, Case[i].value[!first]);
+			assert_int_equal(m.signal[Case[i].kind].state, BH__SIGNAL_GIVEN);
+			assert_true(m.signal[Case[i].kind].value == Case[i].wanted);
+		}
 	}
 }
 
+/* A header that nobody knows goes on, and is told apart from those that are known to say nothing. */
+static void unknown_headers_are_told_apart_(void **state)
+{
+	AnswerMeta m = {0};
+
+	(void)state;
+	assert_int_equal(platform_read_answer_header(&m, "Server-Mood", "1"), HEADER_UNKNOWN);
+	assert_int_equal(platform_read_answer_header(&m, "content-type", "text/plain"), HEADER_PASS);
+	assert_int_equal(platform_read_answer_header(&m, "X-Replica-Load", "1,0,8"), HEADER_PASS);
+}
+
 static void sendings_name_their_helpers_(void **state)
 {
 	struct evbuffer *out = evbuffer_new();
@@ -319,7 +374,9 @@
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(answers_heads_are_read_),
-		cmocka_unit_test(limits_of_endpoints_are_read_),
+		cmocka_unit_test(signals_of_endpoints_are_read_),
+		cmocka_unit_test(the_strictest_of_two_signals_counts_),
+		cmocka_unit_test(unknown_headers_are_told_apart_),
 		cmocka_unit_test(sendings_name_their_helpers_),
 	};
 
