--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 PROGS := bayhoistd bayhoist-gate bayhoistctl bh-fake-platform bh-fake-engine bh-fake-service bh-load bh-check
 BENCHES := $(patsubst src/bench/%.c,%,$(wildcard src/bench/bench_*.c))
 TESTS := $(patsubst src/test_libbayhoist/%.c,%,$(wildcard src/test_libbayhoist/test_*.c))
-FORMATTED := $(wildcard include/bayhoist/*.h src/*/*.c src/*/*.h src/libbayhoist/include/private/*.h platform/*.c platform/*.h test/platform/*.c)
+FORMATTED := $(wildcard include/bayhoist/*.h src/*/*.c src/*/*.h src/libbayhoist/include/private/*.h platform/*.c platform/*.h test/platform/*.c test/platform/*.h)
 
 all: $(PROGS:%=$B/%) $(BENCHES:%=$B/%)
 
@@ -58,7 +58,7 @@
 		$B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
-$B/bh-fake-site: $B/test/platform/fake_site.o $B/libshare.a $B/libbayhoist.a
+$B/bh-fake-site: $B/test/platform/fake_site.o $B/test/platform/fake_signals.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $B/bh-fault-proxy: $B/test/platform/fault_proxy.o $B/libshare.a $B/libbayhoist.a
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -33,8 +33,8 @@
 settings() { # N
 	printf '{"name":"gate%s","hall":"h1","region":"r","caller_address":"%s","readiness_address":"%s",' "$1" "$(node "$1" 0)" "$(node "$1" 1)"
 	printf '"directory_address":"%s","control_address":"%s","peer_address":"%s","peer_key":"k",' "$(node "$1" 2)" "$(node "$1" 3)" "$(node "$1" 4)"
-	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":3000} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" \
-		"$([ -z "${BEHIND_PROXY:-}" ] && echo "$STORE" || address $((40 + $1)))"
+	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":%s} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" \
+		"$([ -z "${BEHIND_PROXY:-}" ] && echo "$STORE" || address $((40 + $1)))" "${KEY_TRUST_MS:-3000}"
 }
 config() { # VERSION KEY
 	cat <<JSON
@@ -74,3 +74,7 @@
 		sleep 0.1
 	done
 }
+busiest() { # ENDPOINT...: the one that got the most requests
+	local id
+	for id in "$@"; do echo "$(tell "arrivals?id=$id") $id"; done | sort -n | tail -n 1 | cut -d' ' -f2
+}
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -5,9 +5,10 @@
  * "/full/" refuses the first time, "/hold/" answers after a second, "/long/" with long pauses, "/crash/"
  * crashes the endpoint that runs it, every time, before its first event, "/crash-late/" after some; the
  * endpoint is back after a while under its id. "/dark/" has the endpoint listen no more and say nothing, and
- * a stranger listen at its address later. An endpoint may name a limit of requests a second in its answers.
- * Under /test/ of the store's address a test sets the configuration, drains endpoints and halls, stops the
- * store, lets entries lapse, has the store go back to a copy, and asks what ran. */
+ * a stranger listen at its address later. An endpoint may name a limit of requests a second in its answers,
+ * say there that it leaves, and ask for rest where it refuses. Under /test/ of the store's address a test
+ * sets the configuration, drains endpoints and halls, stops the store, lets entries lapse, has the store go
+ * back to a copy, and asks what ran. */
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -20,6 +21,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "clock.h"
+#include "fake_signals.h"
 #include "web.h"
 
 #define EVENTS 10     /* of an engine's answer */
@@ -64,6 +66,7 @@
 	char limit[24];    /* that it names in its answers; empty: none */
 	uint64_t named_us; /* when it began to, after having named none */
 	GArray *arrived;   /* uint64_t: when requests came since then, in microseconds */
+	FakeSignals *signals;
 } Replica;
 
 typedef struct {
@@ -130,6 +133,7 @@
 static void end_stream_(Stream *s);
 static void crash_(Replica *r);
 static void on_restart_(evutil_socket_t fd, short what, void *replica);
+static void start_again_(Replica *r);
 static void keep_socket_(struct evhttp_bound_socket *socket, void *out);
 static void on_reuse_time_(evutil_socket_t fd, short what, void *replica);
 static void on_stranger_(struct evhttp_request *req, void *arg);
@@ -178,6 +182,7 @@
 			r->service = g_strdup(r->is_engine ? "llm" : "web");
 			r->hall = g_strdup("h1");
 			r->arrived = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+			r->signals = fake_signals_new();
 		}
 		else if (option == 'h') {
 			set_hall_(optarg);
@@ -633,6 +638,24 @@
 			set_limit_(r, per_s ? per_s : "");
 			g_free(per_s);
 		}
+		if (!strcmp(what, "leaving") || !strcmp(what, "rest")) {
+			char *value = web_get_query(req, "value");
+			(what[0] == 'l' ? fake_signals_set_leaving : fake_signals_set_rest)(r->signals,
+																				value ? value : "");
+			g_free(value);
+		}
+		if (!strcmp(what, "after-leaving"))
+			evbuffer_add_printf(out, "%u\n", fake_signals_count_after_leaving(r->signals));
+		if (!strcmp(what, "in-rest"))
+			evbuffer_add_printf(out, "%u\n", fake_signals_get_most_in_rest(r->signals));
+		if (!strcmp(what, "rest-left")) {
+			char *gateway = web_get_query(req, "gateway");
+			evbuffer_add_printf(out, "%u\n",
+								fake_signals_get_rest_left_ms(r->signals, gateway ? gateway : ""));
+			g_free(gateway);
+		}
+		if (!strcmp(what, "start-again"))
+			start_again_(r);
 		r->draining |= !strcmp(what, "drain");
 		if (!strcmp(what, "back")) {
 			r->gone = false;
@@ -661,6 +684,7 @@
 	evhttp_add_header(headers, "X-Replica-Signature", "stand-in");
 	if (r->limit[0])
 		evhttp_add_header(headers, "Server-Limit", r->limit);
+	fake_signals_answer(r->signals, req, false);
 }
 
 /* An endpoint names a limit from now on; an empty one: none. */
@@ -711,6 +735,7 @@
 
 	if (!strcmp(web_get_path(req), "/order") || !strcmp(web_get_path(req), "/report")) {
 		g_string_free(seen, TRUE);
+		fake_signals_answer(r->signals, req, false);
 		on_order_(req);
 		return;
 	}
@@ -719,11 +744,18 @@
 	g_free(LastHeaders_);
 	LastHeaders_ = g_string_free(seen, FALSE);
 	note_arrival_(r);
+	fake_signals_note_arrival(r->signals, req);
 	if (!id || !expected || strcmp(expected, r->id) != 0) {
 		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Not-Executed", "1");
 		evhttp_send_reply(req, id ? 421 : 400, NULL, NULL);
 		return;
 	}
+	if (fake_signals_wants_rest(r->signals)) {
+		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Not-Executed", "1");
+		fake_signals_answer(r->signals, req, true);
+		evhttp_send_reply(req, 503, NULL, NULL);
+		return;
+	}
 	if (strstr(uri, "/full/") && !runs) {
 		g_hash_table_replace(Runs_, g_strdup(id), GUINT_TO_POINTER(1u << 16)); /* refused, not run */
 		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Not-Executed", "1");
@@ -806,10 +838,17 @@
 
 	(void)fd;
 	(void)what;
-	r->born_ms = clock_wall_us() / 1000;
 	r->http = web_listen(Base_, r->address, on_replica_, r);
 	if (!r->http)
 		abort();
+	start_again_(r);
+}
+
+/* An endpoint is there under its id, and knows nothing of before. */
+static void start_again_(Replica *r)
+{
+	r->born_ms = clock_wall_us() / 1000;
+	fake_signals_restart(r->signals);
 	write_entry_(r);
 }
 
