Endpoints that say in an answer that they leave get nothing more, from any node

Seen: requests reached engines and plain endpoints up to 11 s after an answer had told the sending node that they leave; the store was away, so that their entries could not say it.

Cause: the header was read by nobody. Class: what a node is told on the path of a request, and does not take for knowledge.

Change: a leaving that an answer tells joins what is kept of the endpoint for good (the latest start that said so), by the merge rule that was there: no entry, list, peer's table or copy of the store ends it, only a later start. The node that hears it tells the endpoint's home at once, the home all others along the ring of ids, and each node that starts; if the home dies the hearer tells the next. Planners follow at once.

--- a/include/bayhoist/members.h
+++ b/include/bayhoist/members.h
@@ -25,6 +25,8 @@
 void bh__members_set_self(BH__Members *m, bool leaving, uint64_t config_revision, uint32_t load);
 void bh__members_set_quarantine(BH__Members *m, uint64_t hash);
 void bh__members_announce(BH__Members *m);
+void bh__members_tell_all(BH__Members *m, BH__Message *msg);
+void bh__members_pass_on(BH__Members *m, const BH__Message *msg);
 void bh__members_forget(BH__Members *m, uint64_t node_id);
 const BH__MemberInfo *bh__members_get_self(const BH__Members *m);
 const BH__MemberInfo *bh__members_find(const BH__Members *m, uint64_t node_id);
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -5,18 +5,20 @@
 
 #include <glib.h>
 #include "bayhoist/catalog.h"
+#include "bayhoist/endpoint_signal.h"
 #include "bayhoist/hash.h"
 #include "bayhoist/packed_text.h"
 #include "bayhoist/quarantine.h"
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 9
+#define BH__MESSAGE_VERSION 10
 #define BH__MESSAGE_UPDATES_MAX 8 /* member records that ride on a ping or its answer */
 #define BH__MEMBER_PARTS 64       /* of the table of members, by the highest bits of node ids */
 /* Times that news goes to all, over other nodes each time: one that is silent and not yet known to be keeps
  * it from those whom it was to tell. */
 #define BH__MESSAGE_NEWS_WAYS 2
+#define BH__MESSAGE_SIGNALS_MAX 32 /* signals of endpoints in one message */
 #define BH__MESSAGE_DIGESTS_MAX 16 /* pool digests that ride on a ping or its answer */
 #define BH__MESSAGE_LIST_MAX 65536 /* longest list that is accepted */
 
@@ -48,6 +50,7 @@
 	BH__MESSAGE_QUARANTINE,
 	BH__MESSAGE_NEWS,
 	BH__MESSAGE_LIMIT,
+	BH__MESSAGE_SIGNALS,
 	BH__MESSAGE_PERMIT_ASK,
 	BH__MESSAGE_PERMIT,
 	BH__MESSAGE_TYPE_COUNT
@@ -158,6 +161,20 @@
 	char *text;
 } BH__ConfigChunk;
 
+/* Nodes that whoever gets a message is to tell it: those whose ids lie on an arc of the ring of all ids. */
+typedef struct {
+	uint64_t first;
+	uint64_t last;
+	uint8_t way; /* news that goes to all more than once goes over other nodes each time */
+} BH__MessageArc;
+
+/* What a node has heard of a signal that an endpoint gives in its answers. */
+typedef struct {
+	BH__SignalKind kind;
+	uint64_t endpoint_id;
+	uint64_t born_ms; /* of the endpoint's start that it holds for */
+} BH__SignalNews;
+
 /* What a node has heard of a limit that an endpoint names in its answers. */
 typedef struct {
 	uint64_t endpoint_id;
@@ -195,13 +212,17 @@
 			uint32_t count;
 			BH__MemberInfo *member;
 		} members;
-		/* News of a node that is to go to all at once: the receiver tells those whose ids lie on an arc. */
+		BH__MessageArc arc; /* of each message that goes to all: it stands first there */
 		struct {
-			uint64_t first;
-			uint64_t last;
-			uint8_t way;
+			BH__MessageArc arc;
 			BH__MemberInfo member;
 		} news;
+		struct {
+			BH__MessageArc arc; /* empty if only the receiver is told */
+			bool for_all;       /* the receiver is to tell all others */
+			uint8_t count;
+			BH__SignalNews item[BH__MESSAGE_SIGNALS_MAX];
+		} signals;
 		BH__Ask ask;
 		BH__Grant grant;
 		struct {
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -59,16 +59,18 @@
 	uint64_t endpoint_id; /* hash of its id */
 	BH__EndpointEntry entry;
 	BH__EndpointPast past;
-	BH__Place learnt;       /* with which the last change of what is believed of it was learnt */
-	uint64_t gone_at_us;    /* 0: listed; otherwise it is to be taken as gone from then on */
-	bool hall_drains;       /* the hall that it stands in */
-	BH__NamedLimit named;   /* limit, as far as this node has heard */
-	uint64_t named_told_us; /* when this node last told its home of that */
-	BH__EndpointRate rate;  /* counted here if this node is its home and nobody schedules its service */
-	uint64_t full_until_us; /* its home grants nothing until then */
-	uint64_t life;          /* differs for each start that was seen, under whichever id */
-	uint32_t in_flight;     /* requests that this node has there */
-	uint32_t reported;      /* requests that it said run or wait there, of all nodes */
+	BH__Place learnt;           /* with which the last change of what is believed of it was learnt */
+	uint64_t gone_at_us;        /* 0: listed; otherwise it is to be taken as gone from then on */
+	bool hall_drains;           /* the hall that it stands in */
+	bool said_leaving;          /* in an answer to this node */
+	uint64_t leaving_told_node; /* the home that this node has told of that; 0: none */
+	BH__NamedLimit named;       /* limit, as far as this node has heard */
+	uint64_t named_told_us;     /* when this node last told its home of that */
+	BH__EndpointRate rate;      /* counted here if this node is its home and nobody schedules its service */
+	uint64_t full_until_us;     /* its home grants nothing until then */
+	uint64_t life;              /* differs for each start that was seen, under whichever id */
+	uint32_t in_flight;         /* requests that this node has there */
+	uint32_t reported;          /* requests that it said run or wait there, of all nodes */
 	uint64_t reported_us;
 	uint64_t set_aside_until_us;
 	uint32_t failures;    /* one after another */
@@ -106,6 +108,7 @@
 						 BH__Place as_of);
 bool bh__registry_put_fact(BH__Registry *r, const BH__EndpointFact *f, BH__Place as_of, uint64_t now_us);
 void bh__registry_put_departure(BH__Registry *r, const BH__EndpointDeparture *d, BH__Place as_of);
+bool bh__registry_note_leaving(BH__Registry *r, uint64_t endpoint_id, uint64_t born_ms);
 void bh__registry_keep_only(BH__Registry *r, GHashTable *ids, BH__Place as_of, uint64_t gone_at_us);
 bool bh__registry_list_changes(const BH__Registry *r, BH__Place since, uint64_t now_us, GArray *facts,
 							   GArray *departures);
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -69,6 +69,7 @@
 	c->homes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&c->inbox);
 	g_queue_init(&c->early);
+	c->signals = signals_new(c);
 	c->tick = event_new(g->base, -1, EV_PERSIST, on_tick_, c);
 	c->waiting_tick = evtimer_new(g->base, on_waiting_tick_, c);
 	event_add(c->tick, &tick);
@@ -89,6 +90,7 @@
 	g_hash_table_unref(c->by_ask);
 	g_hash_table_unref(c->services);
 	g_hash_table_unref(c->homes);
+	signals_delete(c->signals);
 	bh__members_delete(c->members);
 	g_free(c);
 }
@@ -155,8 +157,10 @@
 		log_event("member", "node=%s state=%s was=%s leaving=%s node_boot=%" G_GINT64_MODIFIER "x",
 				  info->name, BH__MemberStateString[info->state], BH__MemberStateString[old],
 				  info->leaving ? "yes" : "no", info->boot_id);
-	if (bh__member_is_usable(info))
+	if (bh__member_is_usable(info)) {
 		limits_tell_node(c, info->node_id);
+		signals_tell_node(c->signals, info->node_id);
+	}
 	if (info->state != BH__MEMBER_DEAD || old == BH__MEMBER_DEAD)
 		return;
 	g_hash_table_iter_init(&it, c->services);
@@ -206,6 +210,7 @@
 	schedulers_follow_cold(c, now_us);
 	schedulers_follow_parts(c, now_us);
 	limits_follow(c, now_us);
+	signals_process_tick(c->signals);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		if (now_us >= ((Service *)value)->next_holds_us)
@@ -309,7 +314,7 @@
 	schedulers_hear(c, m->from_node);
 	if (crashes_process_message(c->gate->crashes, m, now_us))
 		return;
-	if (limits_process_message(c, m, now_us))
+	if (signals_process_message(c->signals, m) || limits_process_message(c, m, now_us))
 		return;
 	if (bh__members_process_message(c->members, m, now_us)) {
 		schedulers_follow(c, now_us);
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -3,6 +3,7 @@
 #ifndef BAYHOIST_CLUSTER_INTERNAL_H
 #define BAYHOIST_CLUSTER_INTERNAL_H
 
+#include "bayhoist/signal_relay.h"
 #include "bayhoist/silence.h"
 #include "bayhoist/takeover.h"
 #include "gate.h"
@@ -23,6 +24,13 @@
 	BH__Silence silence; /* of the scheduler */
 } Service;
 
+/* What nodes tell each other of endpoints' signals. */
+typedef struct {
+	BH__SignalRelayPort port; /* first: the relay hands it back */
+	Cluster *cluster;
+	BH__SignalRelay *relay;
+} Signals;
+
 struct Cluster {
 	BH__MembersPort port; /* first: membership hands it back */
 	Gate *gate;
@@ -32,6 +40,7 @@
 	GHashTable *by_ask;   /* Call by ask id */
 	GQueue inbox;         /* BH__Message to this node itself */
 	GQueue early;         /* EarlyAsk of early_asks.c */
+	Signals *signals;
 	GHashTable
 		*homes; /* since when this node is home of a service that nobody schedules (uint64_t), by name */
 	uint64_t homes_members; /* versions that this follows */
@@ -62,7 +71,15 @@
 void schedulers_take_refusal(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us);
 
+/* signals.c */
+Signals *signals_new(Cluster *c);
+void signals_delete(Signals *s);
+void signals_process_tick(Signals *s);
+bool signals_process_message(Signals *s, const BH__Message *m);
+void signals_tell_node(Signals *s, uint64_t node_id);
+
 /* limits.c */
+uint64_t limits_find_home(const Cluster *c, const char *service);
 double limits_get_part(const Cluster *c, uint64_t since_us, uint64_t now_us);
 void limits_follow(Cluster *c, uint64_t now_us);
 void limits_tell_node(Cluster *c, uint64_t node_id);
--- a/src/bayhoist-gate/limits.c
+++ b/src/bayhoist-gate/limits.c
@@ -13,7 +13,6 @@
 /* When a node may ask again that took another for home than that one itself. */
 #define OTHER_HOME_WAIT_US (100 * BH__MS_US)
 
-static uint64_t find_home_(const Cluster *c, const char *service);
 static bool is_home_(const Cluster *c, const char *service);
 static double home_part_(const Cluster *c, const char *service, uint64_t now_us);
 static BH__LimitNews news_(const BH__RegisteredEndpoint *e, const BH__NamedLimit *heard, uint64_t now_us);
@@ -24,7 +23,7 @@
 static void process_ask_(Cluster *c, const BH__Message *m, uint64_t now_us);
 
 /* Returns the node that counts for the endpoints of a service. */
-static uint64_t find_home_(const Cluster *c, const char *service)
+uint64_t limits_find_home(const Cluster *c, const char *service)
 {
 	const Service *s = g_hash_table_lookup(c->services, service);
 	uint64_t node_id = s ? s->scheduler : bh__members_pick(c->members, bh__hash_name(service), NULL);
@@ -34,7 +33,7 @@
 
 static bool is_home_(const Cluster *c, const char *service)
 {
-	return find_home_(c, service) == bh__members_get_self(c->members)->node_id;
+	return limits_find_home(c, service) == bh__members_get_self(c->members)->node_id;
 }
 
 /* Returns the part of its endpoints' limits that this node counts for as home of a service since a time. */
@@ -103,7 +102,7 @@
 		return false;
 	e->named_told_us = now_us;
 	n = news_(e, heard, now_us);
-	home = find_home_(c, e->entry.service);
+	home = limits_find_home(c, e->entry.service);
 	if (home != bh__members_get_self(c->members)->node_id)
 		tell_(c, home, &n);
 	return changed;
@@ -184,7 +183,7 @@
 
 	cluster_drop_ask(c, call);
 	p->ask.ask_id = bh__hash_pair(self->boot_id, ++c->next_id);
-	p->asked_node = find_home_(c, e->entry.service);
+	p->asked_node = limits_find_home(c, e->entry.service);
 	g_hash_table_insert(c->by_ask, &p->ask.ask_id, call);
 	m.as.permit_ask.ask_id = p->ask.ask_id;
 	m.as.permit_ask.patience_us = patience_us;
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -5,6 +5,7 @@
 #include "gate.h"
 
 #include <string.h>
+#include "cluster_internal.h"
 #include "log.h"
 
 #define UNKNOWN_HEADERS_MAX 32 /* names of headers that are counted apart */
@@ -16,6 +17,11 @@
 static void take_leaving_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s);
 static void take_backoff_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s);
 
+static void relay_send_(BH__SignalRelayPort *port, uint64_t node_id, BH__Message *m);
+static uint64_t relay_find_home_(BH__SignalRelayPort *port, const char *service);
+static void relay_learnt_(BH__SignalRelayPort *port, BH__SignalKind kind, const BH__RegisteredEndpoint *e);
+static void follow_(Gate *g);
+
 static Take *const Takers_[BH__SIGNAL_KIND_COUNT] = {[BH__SIGNAL_LIMIT] = take_limit_,
 													 [BH__SIGNAL_LEAVING] = take_leaving_,
 													 [BH__SIGNAL_BACKOFF] = take_backoff_};
@@ -56,11 +62,15 @@
 			  was_per_s, o->request_id);
 }
 
+/* A leaving ends by a later start alone: an answer that does not say it may have been made before. */
 static void take_leaving_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
 {
-	(void)g;
-	if (s->state == BH__SIGNAL_GIVEN && s->value > 0)
-		log_event("signal", "kind=leaving what=heard endpoint=%s request=%s", e->entry.id, o->request_id);
+	if (s->state != BH__SIGNAL_GIVEN || s->value <= 0 ||
+		!bh__signal_relay_hear_leaving(g->cluster->signals->relay, e))
+		return;
+	log_event("signal", "kind=leaving what=heard endpoint=%s born_ms=%" G_GUINT64_FORMAT " request=%s",
+			  e->entry.id, e->entry.born_ms, o->request_id);
+	follow_(g);
 }
 
 /* Only a refusal asks for rest: in other answers the header speaks to the caller. */
@@ -72,6 +82,67 @@
 				  s->value, o->request_id);
 }
 
+/* What is known of endpoints has changed: the planners follow before anything else is granted. */
+static void follow_(Gate *g)
+{
+	gate_note_registry(g, 0);
+}
+
+/* Returns what tells other nodes, and is told by them. Membership must have been started. */
+Signals *signals_new(Cluster *c)
+{
+	Signals *s = g_new0(Signals, 1);
+
+	s->port =
+		(BH__SignalRelayPort){.send = relay_send_, .find_home = relay_find_home_, .learnt = relay_learnt_};
+	s->cluster = c;
+	s->relay = bh__signal_relay_new(&s->port, c->members, c->gate->registry);
+	return s;
+}
+
+void signals_delete(Signals *s)
+{
+	bh__signal_relay_delete(s->relay);
+	g_free(s);
+}
+
+static void relay_send_(BH__SignalRelayPort *port, uint64_t node_id, BH__Message *m)
+{
+	cluster_send(((Signals *)port)->cluster, node_id, m);
+}
+
+static uint64_t relay_find_home_(BH__SignalRelayPort *port, const char *service)
+{
+	return limits_find_home(((Signals *)port)->cluster, service);
+}
+
+static void relay_learnt_(BH__SignalRelayPort *port, BH__SignalKind kind, const BH__RegisteredEndpoint *e)
+{
+	(void)port;
+	log_event("signal", "kind=%s what=told endpoint=%s born_ms=%" G_GUINT64_FORMAT,
+			  BH__SignalKindString[kind], e->entry.id, e->entry.born_ms);
+}
+
+void signals_process_tick(Signals *s)
+{
+	bh__signal_relay_process_tick(s->relay);
+}
+
+/* Takes a message. Returns false if it is not one of signals. */
+bool signals_process_message(Signals *s, const BH__Message *m)
+{
+	if (!bh__signal_relay_process_message(s->relay, m))
+		return false;
+	follow_(s->cluster->gate);
+	return true;
+}
+
+/* A node is there that may know nothing yet. */
+void signals_tell_node(Signals *s, uint64_t node_id)
+{
+	bh__signal_relay_tell_node(s->relay, node_id);
+}
+
 /* An endpoint's answer has a header that nobody here knows: what it says may bind the gateway one day. */
 void signals_note_unknown(Gate *g, const char *header)
 {
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -103,7 +103,8 @@
 static void ask_suspect_(BH__Members *m, Entry_ *e, uint64_t now_us);
 static void tell_all_(BH__Members *m, const BH__MemberInfo *info, unsigned ways);
 static bool may_tell_(const void *members, uint64_t node_id);
-static void tell_arc_(BH__Members *m, BH__Arc arc, const BH__Message *news);
+static void tell_ways_(BH__Members *m, BH__Message *msg, unsigned ways);
+static void tell_arc_(BH__Members *m, const BH__Message *msg);
 static void on_news_(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 static void set_state_(BH__Members *m, Entry_ *e, BH__MemberState state, uint64_t now_us);
 static void tell_of_suspicion_(BH__Members *m, uint64_t node_id);
@@ -472,8 +473,23 @@
 	BH__Message news = {.type = BH__MESSAGE_NEWS};
 
 	news.as.news.member = *info;
-	for (news.as.news.way = 0; news.as.news.way < ways; news.as.news.way++)
-		tell_arc_(m, bh__ring_all_but(m->self.info.node_id), &news);
+	tell_ways_(m, &news, ways);
+}
+
+/* Tells all nodes something at once; the message has an arc, which is filled in here. */
+void bh__members_tell_all(BH__Members *m, BH__Message *msg)
+{
+	tell_ways_(m, msg, BH__MESSAGE_NEWS_WAYS);
+}
+
+static void tell_ways_(BH__Members *m, BH__Message *msg, unsigned ways)
+{
+	BH__Arc all = bh__ring_all_but(m->self.info.node_id);
+
+	for (unsigned way = 0; way < ways; way++) {
+		msg->as.arc = (BH__MessageArc){.first = all.first, .last = all.last, .way = (uint8_t)way};
+		tell_arc_(m, msg);
+	}
 }
 
 static bool may_tell_(const void *members, uint64_t node_id)
@@ -483,32 +499,37 @@
 	return e->info.state == BH__MEMBER_ALIVE;
 }
 
-/* Tells the nodes of an arc. */
-static void tell_arc_(BH__Members *m, BH__Arc arc, const BH__Message *news)
+/* Tells the nodes of a message's arc. */
+static void tell_arc_(BH__Members *m, const BH__Message *msg)
 {
+	BH__Arc arc = {.first = msg->as.arc.first, .last = msg->as.arc.last};
 	BH__RingStep step[BH__RING_FANOUT];
 	BH__Ring ring = {.id = (const uint64_t *)(const void *)m->ring_ids->data,
 					 .count = m->ring_ids->len,
 					 .lives = may_tell_,
 					 .ctx = m};
-	unsigned steps = bh__ring_split(&ring, arc, news->as.news.way, step);
+	unsigned steps = bh__ring_split(&ring, arc, msg->as.arc.way, step);
 
 	for (unsigned i = 0; i < steps; i++) {
 		const Entry_ *e = g_hash_table_lookup(m->by_id, &ring.id[step[i].at]);
-		BH__Message msg = *news;
-		msg.as.news.first = step[i].piece.first;
-		msg.as.news.last = step[i].piece.last;
-		send_(m, e->info.peer_address, &msg);
+		BH__Message out = *msg;
+		out.as.arc.first = step[i].piece.first;
+		out.as.arc.last = step[i].piece.last;
+		send_(m, e->info.peer_address, &out);
 	}
 }
 
-/* News that goes to all: it is taken, and told to the nodes that this one is to tell. */
-static void on_news_(BH__Members *m, const BH__Message *msg, uint64_t now_us)
+/* Tells a message that goes to all to those nodes that this one is to tell. */
+void bh__members_pass_on(BH__Members *m, const BH__Message *msg)
 {
-	BH__Arc arc = {.first = msg->as.news.first, .last = msg->as.news.last};
+	tell_arc_(m, msg);
+}
 
+/* News that goes to all: it is taken, and passed on. */
+static void on_news_(BH__Members *m, const BH__Message *msg, uint64_t now_us)
+{
 	learn_(m, &msg->as.news.member, SPREAD_TOLD_, now_us);
-	tell_arc_(m, arc, msg);
+	tell_arc_(m, msg);
 }
 
 /* Tells a suspect what is thought of it, so that it refutes that if it lives: news on its way over others may
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -15,11 +15,11 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",       "ack",         "ping-req",   "join",        "members",   "ask",
-	"grant",      "refuse",      "release",    "progress",    "withdraw",  "hold",
-	"orphan",     "config-news", "config-ask", "config-data", "quota-ask", "quota-grant",
-	"queued",     "look-ask",    "look",       "pass",        "reader",    "suspect",
-	"quarantine", "news",        "limit",      "permit-ask",  "permit"};
+	"ping",       "ack",         "ping-req",   "join",        "members",    "ask",
+	"grant",      "refuse",      "release",    "progress",    "withdraw",   "hold",
+	"orphan",     "config-news", "config-ask", "config-data", "quota-ask",  "quota-grant",
+	"queued",     "look-ask",    "look",       "pass",        "reader",     "suspect",
+	"quarantine", "news",        "limit",      "signals",     "permit-ask", "permit"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
@@ -58,6 +58,8 @@
 static void suspect_(Codec_ *c, BH__Message *m);
 static void quarantine_entry_(Codec_ *c, BH__QuarantineEntry *e);
 static void quarantine_(Codec_ *c, BH__Message *m);
+static void arc_(Codec_ *c, BH__MessageArc *a);
+static void signals_(Codec_ *c, BH__Message *m);
 static void limit_(Codec_ *c, BH__LimitNews *l);
 static void permit_ask_(Codec_ *c, BH__Message *m);
 static void permit_(Codec_ *c, BH__Message *m);
@@ -427,6 +429,28 @@
 		quarantine_entry_(c, &m->as.quarantine.entry[i]);
 }
 
+static void arc_(Codec_ *c, BH__MessageArc *a)
+{
+	u64_(c, &a->first);
+	u64_(c, &a->last);
+	u8_(c, &a->way, BH__MESSAGE_NEWS_WAYS - 1);
+}
+
+static void signals_(Codec_ *c, BH__Message *m)
+{
+	arc_(c, &m->as.arc);
+	flag_(c, &m->as.signals.for_all);
+	u8_(c, &m->as.signals.count, BH__MESSAGE_SIGNALS_MAX);
+	for (unsigned i = 0; i < m->as.signals.count; i++) {
+		BH__SignalNews *n = &m->as.signals.item[i];
+		uint8_t kind = (uint8_t)n->kind;
+		u8_(c, &kind, BH__SIGNAL_KIND_COUNT - 1);
+		n->kind = (BH__SignalKind)kind;
+		u64_(c, &n->endpoint_id);
+		u64_(c, &n->born_ms);
+	}
+}
+
 static void limit_(Codec_ *c, BH__LimitNews *l)
 {
 	u64_(c, &l->endpoint_id);
@@ -477,9 +501,7 @@
 			member_(c, &m->as.members.member[i]);
 		break;
 	case BH__MESSAGE_NEWS:
-		u64_(c, &m->as.news.first);
-		u64_(c, &m->as.news.last);
-		u8_(c, &m->as.news.way, BH__MESSAGE_NEWS_WAYS - 1);
+		arc_(c, &m->as.arc);
 		member_(c, &m->as.news.member);
 		break;
 	case BH__MESSAGE_ASK:
@@ -540,6 +562,9 @@
 	case BH__MESSAGE_QUARANTINE:
 		quarantine_(c, m);
 		break;
+	case BH__MESSAGE_SIGNALS:
+		signals_(c, m);
+		break;
 	case BH__MESSAGE_LIMIT:
 		limit_(c, &m->as.limit);
 		break;
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -166,6 +166,17 @@
 	merge_(r, d->endpoint_id, NULL, &told, 0, as_of);
 }
 
+/* An endpoint has said in an answer that it leaves, in the life that began at `born_ms`. That has no place in
+ * the store's history, and needs none: a start that has said so leaves, whatever is read of it before or
+ * after, and only a later start is used again. Returns true if that changes what is believed of an endpoint
+ * in the table; for one that is not in it yet it is remembered. */
+bool bh__registry_note_leaving(BH__Registry *r, uint64_t endpoint_id, uint64_t born_ms)
+{
+	BH__EndpointPast told = {.drained = true, .drained_born_ms = born_ms};
+
+	return merge_(r, endpoint_id, NULL, &told, 0, (BH__Place){0});
+}
+
 /* A whole list was read, of the store or of another node, which holds as of a place: endpoints whose ids
  * (uint64_t) are not in `ids`, and of which nothing later is known, were gone by then. Of those that are
  * known to be gone it says nothing new. */
@@ -320,6 +331,8 @@
 	e->set_aside_until_us = 0;
 	e->failures = 0;
 	e->failure_share = 0;
+	e->said_leaving = false;
+	e->leaving_told_node = 0;
 	e->named = (BH__NamedLimit){0};
 	e->rate = (BH__EndpointRate){0};
 	e->full_until_us = 0;
--- /dev/null
+++ b/src/test_libbayhoist/member_fleet.c
@@ -0,0 +1,171 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Nodes that know each other, on virtual time. */
+#include "member_fleet.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include "bayhoist/hash.h"
+
+#define TICK_MS 100
+
+typedef struct {
+	unsigned to;
+	char *data;
+	size_t len;
+} Letter;
+
+static void send_(BH__MembersPort *port, const char *address, BH__Message *m)
+{
+	MemberNode *n = (MemberNode *)port;
+	Letter *l = g_new0(Letter, 1);
+
+	l->to = GPOINTER_TO_UINT(g_hash_table_lookup(n->fleet->by_address, address)) - 1;
+	l->data = bh__message_encode(m, &l->len);
+	n->sent++;
+	g_hash_table_add(n->peers, GUINT_TO_POINTER(l->to + 1));
+	n->fleet->bytes += l->len;
+	n->fleet->type_bytes[m->type] += l->len;
+	n->bytes += l->len;
+	if (m->type == BH__MESSAGE_MEMBERS) {
+		n->fleet->records += m->as.members.count;
+		n->fleet->tables++;
+	}
+	g_queue_push_tail(&n->fleet->letters, l);
+}
+
+static void changed_(BH__MembersPort *port, const BH__MemberInfo *now, BH__MemberState old)
+{
+	(void)port;
+	(void)now;
+	(void)old;
+}
+
+BH__MemberInfo member_fleet_describe(unsigned i)
+{
+	BH__MemberInfo info = {.boot_id = 5};
+
+	snprintf(info.name, sizeof info.name, "front-hall-%u", i);
+	snprintf(info.hall, sizeof info.hall, "hall-%u", i % 5);
+	snprintf(info.peer_address, sizeof info.peer_address, "10.%u.%u.%u:7340", i % 5, i / 250, i % 250);
+	snprintf(info.caller_address, sizeof info.caller_address, "10.%u.%u.%u:8227", i % 5, i / 250, i % 250);
+	info.node_id = bh__hash_name(info.name);
+	return info;
+}
+
+/* All nodes know all. */
+MemberFleet *member_fleet_new(unsigned count)
+{
+	MemberFleet *f = g_new0(MemberFleet, 1);
+	BH__MemberInfo *all = g_new0(BH__MemberInfo, count);
+	BH__Message table = {.type = BH__MESSAGE_MEMBERS, .as.members = {.count = count, .member = all}};
+
+	f->count = count;
+	f->now_us = BH__SECOND_US;
+	f->node = g_new0(MemberNode, count);
+	f->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	for (unsigned i = 0; i < count; i++)
+		all[i] = member_fleet_describe(i);
+	for (unsigned i = 0; i < count; i++) {
+		MemberNode *n = &f->node[i];
+		n->port = (BH__MembersPort){.send = send_, .changed = changed_};
+		n->fleet = f;
+		n->peers = g_hash_table_new(g_direct_hash, g_direct_equal);
+		n->id = all[i].node_id;
+		g_strlcpy(n->address, all[i].peer_address, sizeof n->address);
+		n->members = bh__members_new(&n->port, &all[i], i + 1);
+		bh__members_process_message(n->members, &table, f->now_us);
+		g_hash_table_insert(f->by_address, n->address, GUINT_TO_POINTER(i + 1));
+	}
+	g_free(all);
+	return f;
+}
+
+void member_fleet_delete(MemberFleet *f)
+{
+	for (unsigned i = 0; i < f->count; i++) {
+		bh__members_delete(f->node[i].members);
+		g_hash_table_unref(f->node[i].peers);
+	}
+	g_hash_table_unref(f->by_address);
+	g_free(f->node);
+	g_free(f);
+}
+
+/* Delivers messages until none is on its way. */
+void member_fleet_settle(MemberFleet *f)
+{
+	Letter *l;
+
+	while ((l = g_queue_pop_head(&f->letters))) {
+		MemberNode *n = &f->node[l->to];
+		BH__Message m;
+		if (!n->silent && bh__message_decode(&m, l->data, l->len, NULL)) {
+			if (!bh__members_process_message(n->members, &m, f->now_us) && f->on_message)
+				f->on_message(n, &m);
+			bh__message_finish(&m);
+		}
+		free(l->data);
+		g_free(l);
+	}
+}
+
+/* Lets nodes probe each other for a while. */
+void member_fleet_run(MemberFleet *f, unsigned ms)
+{
+	for (unsigned done = 0; done < ms; done += TICK_MS) {
+		f->now_us += TICK_MS * BH__MS_US;
+		for (unsigned i = 0; i < f->count; i++)
+			if (!f->node[i].silent)
+				bh__members_process_tick(f->node[i].members, f->now_us);
+		member_fleet_settle(f);
+	}
+}
+
+/* Sends a message to a node, or to the sender itself. */
+void member_fleet_send(MemberNode *n, uint64_t node_id, BH__Message *m)
+{
+	const BH__MemberInfo *self = bh__members_get_self(n->members);
+	const BH__MemberInfo *info = node_id == self->node_id ? self : bh__members_find(n->members, node_id);
+
+	m->from_node = self->node_id;
+	m->from_boot = self->boot_id;
+	if (info)
+		send_(&n->port, info->peer_address, m);
+}
+
+/* Counts anew. */
+void member_fleet_reset_counts(MemberFleet *f)
+{
+	f->bytes = 0;
+	for (unsigned i = 0; i < f->count; i++) {
+		f->node[i].sent = 0;
+		f->node[i].bytes = 0;
+	}
+}
+
+unsigned member_fleet_get_busiest(const MemberFleet *f)
+{
+	unsigned most = 0;
+
+	for (unsigned i = 0; i < f->count; i++)
+		most = MAX(most, f->node[i].sent);
+	return most;
+}
+
+unsigned member_fleet_get_total(const MemberFleet *f)
+{
+	unsigned total = 0;
+
+	for (unsigned i = 0; i < f->count; i++)
+		total += f->node[i].sent;
+	return total;
+}
+
+uint64_t member_fleet_get_busiest_bytes(const MemberFleet *f)
+{
+	uint64_t most = 0;
+
+	for (unsigned i = 0; i < f->count; i++)
+		most = MAX(most, f->node[i].bytes);
+	return most;
+}
--- a/src/test_libbayhoist/test_registry.c
+++ b/src/test_libbayhoist/test_registry.c
@@ -378,6 +378,78 @@
 	bh__registry_delete(r);
 }
 
+/* What an endpoint says of its leaving has no place in the store's history. Against each kind of older or
+ * blind news, and whenever it comes, it holds for the start that said it, and for no later one. */
+static void a_leaving_told_by_an_answer_holds_(void **state)
+{
+	enum { STEPS = 7 };
+	GRand *rand = g_rand_new_with_seed(48);
+
+	(void)state;
+	for (unsigned round = 0; round < 2000; round++) {
+		BH__Registry *r = bh__registry_new(round);
+		BH__Registry *other = bh__registry_new(round);
+		BH__EndpointEntry first = entry_(1, 7, false);
+		BH__EndpointEntry second = entry_(1, 9, false);
+		uint64_t id = bh__hash_name(first.id);
+		bool has_said = false;
+		bool is_listed = false;
+		unsigned order[STEPS];
+		for (unsigned i = 0; i < STEPS; i++) {
+			unsigned k = (unsigned)g_rand_int_range(rand, 0, (gint32)i + 1);
+			order[i] = order[k];
+			order[k] = i;
+		}
+		bh__registry_put(other, &first, at_(12), at_(40)); /* a node that has not heard it */
+		for (unsigned i = 0; i < STEPS; i++) {
+			switch (order[i]) {
+			case 0:
+				bh__registry_note_leaving(r, id, first.born_ms);
+				has_said = true;
+				break;
+			case 1: /* an entry that says ready; read again, written again, and once more after it lapsed */
+				bh__registry_put(r, &first, at_(10), at_(10));
+				is_listed = true;
+				break;
+			case 2:
+				bh__registry_put(r, &first, at_(12), at_(14));
+				is_listed = true;
+				break;
+			case 3:
+				bh__registry_remove(r, id, at_(20), NOW_US, at_(20));
+				break;
+			case 4:
+				bh__registry_put(r, &first, at_(30), at_(30));
+				is_listed = true;
+				break;
+			case 5:
+				tell_(other, r);
+				is_listed = true;
+				break;
+			case 6: /* the store has come back from a copy */
+				bh__registry_begin_era(r, (BH__Place){.era = 1, .revision = 5});
+				bh__registry_put(r, &first, (BH__Place){.era = 1, .revision = 3},
+								 (BH__Place){.era = 1, .revision = 6});
+				is_listed = true;
+				break;
+			}
+			bh__registry_process_tick(r, NOW_US);
+			assert_false(has_said && is_usable_(r, first.id));
+		}
+		assert_true(is_listed);
+		bh__registry_put(r, &second, (BH__Place){.era = 1, .revision = 50},
+						 (BH__Place){.era = 1, .revision = 50});
+		assert_true(is_usable_(r, first.id));
+		bh__registry_note_leaving(r, id, first.born_ms); /* late, of the start before */
+		assert_true(is_usable_(r, first.id));
+		bh__registry_note_leaving(r, id, second.born_ms);
+		assert_false(is_usable_(r, first.id));
+		bh__registry_delete(r);
+		bh__registry_delete(other);
+	}
+	g_rand_free(rand);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -386,6 +458,7 @@
 		cmocka_unit_test(readers_change_at_any_place_),
 		cmocka_unit_test(a_copy_brings_nothing_back_),
 		cmocka_unit_test(the_time_to_come_back_is_handed_on_),
+		cmocka_unit_test(a_leaving_told_by_an_answer_holds_),
 		cmocka_unit_test(only_an_outage_gives_time_to_come_back_),
 		cmocka_unit_test(the_latest_word_on_a_hall_holds_),
 		cmocka_unit_test(a_list_of_halls_takes_back_what_it_lacks_),
