An endpoint that asks a node for rest gets nothing of that node in that time

Seen: an endpoint that turned a request away with 503 and Retry-After got up to 5 requests of the same node within the time that it had asked for; callers were refused although two other endpoints of the service took requests.

Cause: nobody read the header; a refusal left the endpoint as the one with the least load, so that the next request went there too.

Change: the registry keeps until when an endpoint wants nothing of this node: the latest end counts, it outlasts an entry that lapses, and a later start ends it. Engines that rest go with each ask, so that whoever schedules grants them to other nodes and not to this one, also one that has just taken over or decides alone. Where all endpoints of a service rest a request is refused at once, and Retry-After is the end of the first rest; so it is after a last try that was turned away.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -114,6 +114,10 @@
 	uint32_t priority_level;
 	uint8_t avoid_count;
 	uint64_t avoid[BH__AVOID_MAX];
+	/* Engines that want nothing of the asking node for now. They go with each ask, so that whoever grants it
+	 * knows them, also one that has just become the scheduler. */
+	uint8_t resting_count;
+	uint64_t resting[BH__RESTING_MAX];
 	BH__PrefixChain prefix;
 } BH__Ask;
 
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -68,6 +68,7 @@
 	uint64_t named_told_us;     /* when this node last told its home of that */
 	BH__EndpointRate rate;      /* counted here if this node is its home and nobody schedules its service */
 	uint64_t full_until_us;     /* its home grants nothing until then */
+	uint64_t backoff_until_us;  /* it wants nothing of this node until then */
 	uint64_t life;              /* differs for each start that was seen, under whichever id */
 	uint32_t in_flight;         /* requests that this node has there */
 	uint32_t reported;          /* requests that it said run or wait there, of all nodes */
@@ -89,8 +90,9 @@
 typedef struct {
 	uint64_t endpoint_id;
 	BH__EndpointPast past;
-	BH__Place learnt;     /* as that of an endpoint; not told */
-	BH__NamedLimit named; /* by its latest start; not told */
+	BH__Place learnt;          /* as that of an endpoint; not told */
+	BH__NamedLimit named;      /* by its latest start; not told */
+	uint64_t backoff_until_us; /* the same */
 } BH__EndpointDeparture;
 
 typedef struct BH__Registry BH__Registry;
@@ -122,9 +124,13 @@
 bool bh__registered_endpoint_hear_limit(BH__RegisteredEndpoint *e, const BH__NamedLimit *told,
 										uint64_t now_us);
 bool bh__registry_has_unlimited(const BH__Registry *r, const char *service, uint64_t now_us);
-uint64_t bh__registry_get_full_until_us(const BH__Registry *r, const char *service, uint64_t now_us);
+uint64_t bh__registry_get_taking_us(const BH__Registry *r, const char *service, uint64_t now_us);
 bool bh__registered_endpoint_stays(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
+bool bh__registered_endpoint_takes(const BH__RegisteredEndpoint *e, uint64_t now_us);
+bool bh__registered_endpoint_hear_backoff(BH__RegisteredEndpoint *e, uint64_t until_us);
+unsigned bh__registry_list_resting(const BH__Registry *r, const char *service, uint64_t now_us,
+								   uint64_t out[], unsigned max);
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us);
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -49,6 +49,7 @@
 static BH__AnswerTime *answer_time_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
+static void give_up_no_endpoint_(Call *c);
 static void ask_permit_(Call *c, const BH__RegisteredEndpoint *e);
 static void use_permit_(Call *c);
 static bool is_stale_(uint64_t counted_us);
@@ -60,6 +61,7 @@
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 static void ask_(Call *c);
 static void fill_ask_(Call *c);
+static void fill_resting_(Call *c);
 static const char *scheduler_name_(const Call *c);
 static void use_grant_(Call *c);
 static uint64_t find_unusable_(const Call *c);
@@ -216,10 +218,10 @@
 {
 	uint64_t now_us = clock_now_us();
 	uint64_t since_us = bh__registry_get_drained_since_us(c->gate->registry, c->service->name, now_us);
-	uint64_t full_until_us = bh__registry_get_full_until_us(c->gate->registry, c->service->name, now_us);
+	uint64_t taking_us = bh__registry_get_taking_us(c->gate->registry, c->service->name, now_us);
 
-	if (full_until_us > now_us)
-		return (full_until_us - now_us) / BH__MS_US + 1;
+	if (taking_us > now_us)
+		return (taking_us - now_us) / BH__MS_US + 1;
 	if (!since_us)
 		return RETRY_SOON_MS;
 	return CLAMP((now_us - since_us) / BH__MS_US, RETRY_DRAIN_MIN_MS, RETRY_DRAIN_MAX_MS);
@@ -269,7 +271,10 @@
 	if (give_up_held_(c) || give_up_stopping_(c))
 		return;
 	if (c->service->is_engine) {
-		ask_(c);
+		if (bh__registry_get_taking_us(g->registry, c->service->name, now_us))
+			give_up_no_endpoint_(c);
+		else
+			ask_(c);
 		return;
 	}
 	e = bh__registry_pick(g->registry, c->service->name, g->settings.hall, c->x.tried, c->x.tried_count,
@@ -279,8 +284,13 @@
 	else if (e)
 		send_(c, e->endpoint_id);
 	else
-		give_up_(c, retry_no_endpoint_ms_(c), "no-endpoint",
-				 "no endpoint of the service can take the request");
+		give_up_no_endpoint_(c);
+}
+
+/* Ends a request whose service has no endpoint that takes it now. */
+static void give_up_no_endpoint_(Call *c)
+{
+	give_up_(c, retry_no_endpoint_ms_(c), "no-endpoint", "no endpoint of the service can take the request");
 }
 
 /* Asks for leave to send to an endpoint that is limited, and waits for its turn only if there is no other. */
@@ -468,6 +478,16 @@
 	a->priority_level = c->owner && c->owner->has_priority ? c->owner->priority : c->rule->priority;
 	for (unsigned i = 0; i < c->x.tried_count && a->avoid_count < BH__AVOID_MAX; i++)
 		a->avoid[a->avoid_count++] = c->x.tried[i];
+	fill_resting_(c);
+}
+
+/* Names the engines that want nothing of this node in the ask, before each time that it is sent. */
+static void fill_resting_(Call *c)
+{
+	BH__Ask *a = &c->place.ask;
+
+	a->resting_count = (uint8_t)bh__registry_list_resting(c->gate->registry, c->service->name, clock_now_us(),
+														  a->resting, BH__RESTING_MAX);
 }
 
 CallPlace *call_get_place(Call *c)
@@ -530,7 +550,7 @@
 {
 	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, endpoint_id);
 
-	return e && bh__registered_endpoint_is_usable(e, clock_now_us());
+	return e && bh__registered_endpoint_takes(e, clock_now_us());
 }
 
 /* Takes up a grant, unless one of its engines has begun to leave. */
@@ -625,7 +645,7 @@
 		send_again_(c);
 		break;
 	case BH__NEXT_REFUSE:
-		refuse_(c, 503, RETRY_SOON_MS, "not-run", "no endpoint ran the request");
+		refuse_(c, 503, retry_no_endpoint_ms_(c), "not-run", "no endpoint ran the request");
 		break;
 	case BH__NEXT_FAIL:
 		inbound_answer_own(c->in, 502, 0, "endpoint-failed", "the endpoint failed; the request may have run");
@@ -791,6 +811,7 @@
 		c->queued = false;
 		c->asked_us = now_us;
 		call_set_timer(c, now_us);
+		fill_resting_(c);
 		cluster_ask_again(c->gate->cluster, c);
 	}
 	else if (c->state == CALL_ASKING && !c->queued &&
@@ -798,6 +819,7 @@
 			 cluster_awaits(c->gate->cluster, c->place.asked_node)) {
 		c->asked_us = now_us;
 		call_set_timer(c, now_us);
+		fill_resting_(c);
 		cluster_ask_again(c->gate->cluster, c);
 	}
 	else if (c->state == CALL_ASKING && !c->queued &&
@@ -807,6 +829,7 @@
 				  c->request->meta.request_id, scheduler_name_(c), (now_us - c->asked_us) / BH__MS_US);
 		c->asked_us = now_us;
 		call_set_timer(c, now_us);
+		fill_resting_(c);
 		cluster_ask_locally(c->gate->cluster, c);
 	}
 	else {
--- a/src/bayhoist-gate/planner_port.c
+++ b/src/bayhoist-gate/planner_port.c
@@ -77,7 +77,8 @@
 	EndpointRef to;
 	Inspection *i;
 
-	if (!e || s->scheduler != bh__members_get_self(s->cluster->members)->node_id)
+	if (!e || !bh__registered_endpoint_takes(e, clock_now_us()) ||
+		s->scheduler != bh__members_get_self(s->cluster->members)->node_id)
 		return;
 	i = g_new0(Inspection, 1);
 	i->cluster = s->cluster;
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -8,6 +8,7 @@
 #include "cluster_internal.h"
 #include "log.h"
 
+#define REFUSED 503            /* the status of an answer that turns a request away */
 #define UNKNOWN_HEADERS_MAX 32 /* names of headers that are counted apart */
 #define HEADER_NAME_MAX 60     /* bytes of such a name that are kept */
 
@@ -73,13 +74,20 @@
 	follow_(g);
 }
 
-/* Only a refusal asks for rest: in other answers the header speaks to the caller. */
+/* Only a refusal asks for rest: in other answers the header speaks to the caller. The time counts from when
+ * the answer was read, by a clock that does not stop while the node is suspended. */
 static void take_backoff_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
 {
+	uint64_t was_until_us = MAX(e->backoff_until_us, o->heard_us);
+
 	(void)g;
-	if (s->state == BH__SIGNAL_GIVEN && o->status == 503)
-		log_event("signal", "kind=backoff what=heard endpoint=%s for_s=%.3f request=%s", e->entry.id,
-				  s->value, o->request_id);
+	if (s->state != BH__SIGNAL_GIVEN || o->status != REFUSED)
+		return;
+	if (!bh__registered_endpoint_hear_backoff(e, o->heard_us + (uint64_t)(s->value * BH__SECOND_US)))
+		return;
+	log_event("signal",
+			  "kind=backoff what=heard endpoint=%s for_ms=%.0f was_ms=%" G_GUINT64_FORMAT " request=%s",
+			  e->entry.id, s->value * 1000, (was_until_us - o->heard_us) / BH__MS_US, o->request_id);
 }
 
 /* What is known of endpoints has changed: the planners follow before anything else is granted. */
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -58,7 +58,7 @@
 		BH__RegisteredEndpoint *e = bh__registry_get(r, (start + i) % r->table->len);
 		bool was_tried = is_tried_(tried, tried_count, e->endpoint_id);
 		double cost;
-		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us) ||
+		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_takes(e, now_us) ||
 			now_us < e->full_until_us || (was_tried && !again))
 			continue;
 		cost = cost_(e, hall, now_us) + (now_us < e->set_aside_until_us ? ASIDE_COST_ : 0) +
@@ -148,25 +148,53 @@
 {
 	for (guint i = 0; i < r->table->len; i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		if (!strcmp(e->entry.service, service) && bh__registered_endpoint_is_usable(e, now_us) &&
+		if (!strcmp(e->entry.service, service) && bh__registered_endpoint_takes(e, now_us) &&
 			now_us >= e->set_aside_until_us && !bh__endpoint_rate_is_limited(&e->rate, now_us))
 			return true;
 	}
 	return false;
 }
 
-/* Returns when the first of a service's endpoints may get a request whose homes grant none now; 0: there are
- * none such. */
-uint64_t bh__registry_get_full_until_us(const BH__Registry *r, const char *service, uint64_t now_us)
+/* Returns when the first of a service's endpoints may get a request, where each wants none of this node for
+ * now, or its home grants none; 0: one may get it now, or there is none that can be used. */
+uint64_t bh__registry_get_taking_us(const BH__Registry *r, const char *service, uint64_t now_us)
 {
 	uint64_t soonest_us = 0;
 
 	for (guint i = 0; i < r->table->len; i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us) ||
-			now_us >= e->full_until_us)
+		uint64_t taking_us = MAX(e->full_until_us, e->backoff_until_us);
+		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us))
 			continue;
-		soonest_us = soonest_us ? MIN(soonest_us, e->full_until_us) : e->full_until_us;
+		if (taking_us <= now_us)
+			return 0;
+		soonest_us = soonest_us ? MIN(soonest_us, taking_us) : taking_us;
 	}
 	return soonest_us;
 }
+
+/* An endpoint wants nothing of this node until a time. The latest such time counts: neither a shorter word
+ * nor a success ends it, since answers are read in another order than they were made. Returns true if it is
+ * later than was known. */
+bool bh__registered_endpoint_hear_backoff(BH__RegisteredEndpoint *e, uint64_t until_us)
+{
+	if (until_us <= e->backoff_until_us)
+		return false;
+	e->backoff_until_us = until_us;
+	return true;
+}
+
+/* Lists the endpoints of a service that want nothing of this node for now; returns how many those are, or
+ * `max` if there are more. */
+unsigned bh__registry_list_resting(const BH__Registry *r, const char *service, uint64_t now_us,
+								   uint64_t out[], unsigned max)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < r->table->len && count < max; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		if (now_us < e->backoff_until_us && !strcmp(e->entry.service, service))
+			out[count++] = e->endpoint_id;
+	}
+	return count;
+}
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -51,5 +51,6 @@
 double bh__placement_value(uint64_t prompt_tokens);
 bool bh__placement_is_tight(uint64_t event_gap_us);
 bool bh__pass_engine_is_usable(const BH__PassEngine *e, uint64_t now_us);
+bool bh__ask_rests_from(const BH__Ask *ask, uint64_t endpoint_id);
 
 #endif
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -257,6 +257,9 @@
 	u8_(c, &a->avoid_count, BH__AVOID_MAX);
 	for (unsigned i = 0; i < a->avoid_count; i++)
 		u64_(c, &a->avoid[i]);
+	u8_(c, &a->resting_count, BH__RESTING_MAX);
+	for (unsigned i = 0; i < a->resting_count; i++)
+		u64_(c, &a->resting[i]);
 	u8_(c, &a->prefix.count, BH__PREFIX_MAX);
 	for (unsigned i = 0; i < a->prefix.count; i++)
 		u64_(c, &a->prefix.hash[i]);
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -49,7 +49,7 @@
 	uint64_t kv_free_tokens;
 } Candidate_;
 
-static bool is_avoided_(const BH__Ask *ask, uint64_t endpoint_id);
+static bool is_in_(const uint64_t *list, unsigned count, uint64_t endpoint_id);
 static bool is_overdue_(const BH__PassEngine *e, uint64_t now_us);
 static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 					  Candidate_ *out);
@@ -91,14 +91,20 @@
 	return !e->leaving && now_us >= e->set_aside_until_us && bh__endpoint_rate_admits(&e->rate, now_us);
 }
 
-static bool is_avoided_(const BH__Ask *ask, uint64_t endpoint_id)
+static bool is_in_(const uint64_t *list, unsigned count, uint64_t endpoint_id)
 {
-	for (unsigned i = 0; i < ask->avoid_count; i++)
-		if (ask->avoid[i] == endpoint_id)
+	for (unsigned i = 0; i < count; i++)
+		if (list[i] == endpoint_id)
 			return true;
 	return false;
 }
 
+/* Returns true if an engine wants nothing of the asking node. */
+bool bh__ask_rests_from(const BH__Ask *ask, uint64_t endpoint_id)
+{
+	return is_in_(ask->resting, ask->resting_count, endpoint_id);
+}
+
 /* Returns true if an answer from this engine should have begun, and none has begun there since. A prompt that
  * helpers read too doesn't count: any of them may be the cause. */
 static bool is_overdue_(const BH__PassEngine *e, uint64_t now_us)
@@ -113,8 +119,8 @@
 	return false;
 }
 
-/* Lists the engines that may be used; those that the ask avoids, or where answers are overdue, only if there
- * is no other. */
+/* Lists the engines that may be used, not those that want nothing of the asking node; those that the ask
+ * avoids, or where answers are overdue, only if there is no other. */
 static unsigned list_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask, uint64_t now_us,
 					  Candidate_ *out)
 {
@@ -123,8 +129,8 @@
 	for (int avoid = 1; avoid >= 0 && !count; avoid--) {
 		for (guint i = 0; i < engines->len; i++) {
 			BH__PassEngine *e = g_ptr_array_index(engines, i);
-			if (!bh__pass_engine_is_usable(e, now_us) ||
-				(avoid && (is_avoided_(ask, e->endpoint_id) || is_overdue_(e, now_us))))
+			if (!bh__pass_engine_is_usable(e, now_us) || bh__ask_rests_from(ask, e->endpoint_id) ||
+				(avoid && (is_in_(ask->avoid, ask->avoid_count, e->endpoint_id) || is_overdue_(e, now_us))))
 				continue;
 			bh__pass_clock_advance(&e->clock, m, now_us);
 			out[count].order = i;
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -36,7 +36,7 @@
 static BH__WaitingAsk *find_waiting_(const BH__Planner *p, uint64_t ask_id);
 static void push_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
-static bool has_engine_(const BH__Planner *p);
+static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
 static uint64_t limited_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static void note_long_work_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static double idle_read_ms_(const BH__Planner *p, const BH__Ask *left, uint64_t now_us);
@@ -69,12 +69,15 @@
 void bh__planner_process_ask(BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
 {
 	BH__PlacedRequest *known = g_hash_table_lookup(p->by_ask, &ask->ask_id);
+	BH__WaitingAsk *waiting = find_waiting_(p, ask->ask_id);
 
 	if (known) {
 		p->port->grant(p->port, &known->grant);
 		return;
 	}
-	if (find_waiting_(p, ask->ask_id)) {
+	if (waiting) { /* of the engines that it rests from others may be left by now */
+		waiting->ask.resting_count = ask->resting_count;
+		memcpy(waiting->ask.resting, ask->resting, sizeof ask->resting);
 		p->port->queued(p->port, ask);
 		return;
 	}
@@ -135,7 +138,7 @@
 						  arrived_us + aim_us, now_us);
 		return true;
 	}
-	if (!has_engine_(p))
+	if (!has_engine_(p, ask))
 		refuse_(p, ask, BH__REASON_NO_ENDPOINT, now_us);
 	else if (waited_us + limited_wait_us_(p, ask, now_us) >= patience_us_(ask))
 		refuse_(p, ask, BH__REASON_OVERLOAD, now_us);
@@ -144,12 +147,14 @@
 	return true;
 }
 
-/* Returns true if there is an engine that is not leaving. */
-static bool has_engine_(const BH__Planner *p)
+/* Returns true if there is an engine that is not leaving, and has not asked the ask's node for rest. */
+static bool has_engine_(const BH__Planner *p, const BH__Ask *ask)
 {
-	for (guint i = 0; i < p->engines->len; i++)
-		if (!((const BH__PassEngine *)g_ptr_array_index(p->engines, i))->leaving)
+	for (guint i = 0; i < p->engines->len; i++) {
+		const BH__PassEngine *e = g_ptr_array_index(p->engines, i);
+		if (!e->leaving && !bh__ask_rests_from(ask, e->endpoint_id))
 			return true;
+	}
 	return false;
 }
 
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -33,8 +33,7 @@
 static void take_entry_(BH__Registry *r, BH__RegisteredEndpoint *e, const BH__EndpointEntry *entry);
 static void merge_departed_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place as_of);
 static void depart_(BH__Registry *r, BH__RegisteredEndpoint *e);
-static void remember_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place learnt,
-					  const BH__NamedLimit *named);
+static void remember_(BH__Registry *r, const BH__EndpointDeparture *departure);
 static void forget_oldest_(BH__Registry *r);
 
 BH__Registry *bh__registry_new(uint32_t seed)
@@ -198,6 +197,7 @@
 	BH__EndpointDeparture *d = e ? NULL : g_hash_table_lookup(r->departed, &id);
 	BH__EndpointPast after = d ? d->past : (BH__EndpointPast){0};
 	BH__NamedLimit named = d ? d->named : (BH__NamedLimit){0};
+	uint64_t backoff_until_us = d ? d->backoff_until_us : 0;
 	uint64_t born_ms = after.born_ms;
 
 	if (e)
@@ -213,8 +213,10 @@
 	if (d)
 		e->past = after;
 	merge_known_(r, e, entry, told, gone_at_us, as_of);
-	if (e->entry.born_ms == born_ms) /* not by another start */
+	if (e->entry.born_ms == born_ms) { /* not by another start */
 		bh__registered_endpoint_hear_limit(e, &named, 0);
+		bh__registered_endpoint_hear_backoff(e, backoff_until_us);
+	}
 	return true;
 }
 
@@ -336,6 +338,7 @@
 	e->named = (BH__NamedLimit){0};
 	e->rate = (BH__EndpointRate){0};
 	e->full_until_us = 0;
+	e->backoff_until_us = 0;
 }
 
 /* Takes that an endpoint is gone, or remains so. */
@@ -344,7 +347,8 @@
 	BH__EndpointDeparture *d = g_hash_table_lookup(r->departed, &id);
 
 	if (!d) {
-		remember_(r, id, past, note_change_(r, as_of), &(BH__NamedLimit){0});
+		remember_(
+			r, &(BH__EndpointDeparture){.endpoint_id = id, .past = *past, .learnt = note_change_(r, as_of)});
 		return;
 	}
 	if (bh__place_is_after(past->gone, d->past.gone)) /* others may have seen it come back meanwhile */
@@ -366,20 +370,19 @@
 static void depart_(BH__Registry *r, BH__RegisteredEndpoint *e)
 {
 	r->version++;
-	remember_(r, e->endpoint_id, &e->past, e->learnt, &e->named);
+	remember_(r, &(BH__EndpointDeparture){.endpoint_id = e->endpoint_id,
+										  .past = e->past,
+										  .learnt = e->learnt,
+										  .named = e->named,
+										  .backoff_until_us = e->backoff_until_us});
 	g_hash_table_remove(r->by_id, &e->endpoint_id);
 	g_ptr_array_remove(r->table, e);
 }
 
-static void remember_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place learnt,
-					  const BH__NamedLimit *named)
+static void remember_(BH__Registry *r, const BH__EndpointDeparture *departure)
 {
-	BH__EndpointDeparture *d = g_new0(BH__EndpointDeparture, 1);
+	BH__EndpointDeparture *d = g_memdup2(departure, sizeof *departure);
 
-	d->endpoint_id = id;
-	d->past = *past;
-	d->learnt = learnt;
-	d->named = *named;
 	g_hash_table_replace(r->departed, &d->endpoint_id, d);
 	if (g_hash_table_size(r->departed) > DEPARTED_KEPT_)
 		forget_oldest_(r);
@@ -469,8 +472,14 @@
 	return !e->entry.draining && (!e->gone_at_us || now_us < e->gone_at_us);
 }
 
-/* Returns true if new requests may go there. */
+/* Returns true if new requests may go there, as far as all nodes are concerned. */
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
 	return !e->hall_drains && bh__registered_endpoint_stays(e, now_us);
 }
+
+/* Returns true if new requests of this node may go there. */
+bool bh__registered_endpoint_takes(const BH__RegisteredEndpoint *e, uint64_t now_us)
+{
+	return now_us >= e->backoff_until_us && bh__registered_endpoint_is_usable(e, now_us);
+}
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -882,12 +882,96 @@
 	bench_free_(b);
 }
 
+/* The engines from one on want nothing of the node that asks. */
+static void rest_from_(BH__Ask *a, unsigned first, unsigned last)
+{
+	a->resting_count = 0;
+	for (unsigned i = first; i <= last; i++)
+		a->resting[a->resting_count++] = i;
+}
+
+/* They get nothing of that node, as the one that answers or as helpers, alone and in the rush, while other
+ * nodes use them. */
+static void engines_that_want_rest_are_left_to_others_(void **state)
+{
+	Bench *b = bench_new_(ENGINES);
+	const uint64_t prompts[] = {PAGE, MEDIUM, LONG, OVER_ONE};
+	unsigned others = 0;
+
+	(void)state;
+	for (unsigned round = 0; round < 40; round++) {
+		BH__Ask a = ask_(b, prompts[round % 4]);
+		a.node_id = 1 + round % 2;
+		if (a.node_id == 1)
+			rest_from_(&a, 5, ENGINES);
+		bh__planner_process_ask(b->planner, &a, round * 20 * MS);
+		bh__planner_process_tick(b->planner, round * 20 * MS + 10 * MS);
+	}
+	for (unsigned ms = 800; ms < 6000; ms += 10)
+		bh__planner_process_tick(b->planner, ms * MS);
+	assert_true(b->grants->len > 20);
+	for (unsigned i = 0; i < b->grants->len; i++) {
+		const BH__Grant *g = grant_(b, i);
+		for (unsigned k = 0; k < g->member_count; k++) {
+			assert_true(g->node_id == 2 || g->member[k].endpoint_id < 5);
+			others += g->node_id == 2 && g->member[k].endpoint_id >= 5;
+		}
+	}
+	assert_true(others > 0);
+	bench_free_(b);
+}
+
+/* Where all that are there want rest, an ask is refused at once; one of another node is not. */
+static void what_all_engines_refuse_is_refused_at_once_(void **state)
+{
+	Bench *b = bench_new_(3);
+	BH__Ask a = ask_(b, PAGE);
+	BH__Ask other = ask_(b, PAGE);
+
+	(void)state;
+	rest_from_(&a, 1, 2);
+	bh__planner_set_endpoint(b->planner, 3, 0, true, 0);
+	bh__planner_process_ask(b->planner, &a, 1000);
+	assert_int_equal(b->refused, 1);
+	assert_int_equal(b->queued, 0);
+	bh__planner_process_ask(b->planner, &other, 1000);
+	assert_int_equal(b->grants->len, 1);
+	bench_free_(b);
+}
+
+/* An ask that waits says again and again which engines its node rests from: it gets one that is left of those
+ * by now, and none that has joined them meanwhile. */
+static void an_ask_that_waits_follows_the_rests_(void **state)
+{
+	Bench *b = bench_new_(2);
+	BH__Ask first = ask_(b, PAGE);
+	BH__Ask a = ask_(b, PAGE);
+
+	(void)state;
+	rest_from_(&first, 1, 1);
+	bh__planner_process_ask(b->planner, &first, 1000);
+	bh__planner_process_release(b->planner, grant_(b, 0)->grant_id, BH__RELEASE_FAILED, 2, 2000);
+	rest_from_(&a, 1, 1);
+	bh__planner_process_ask(b->planner, &a, 3000); /* the other engine is set aside */
+	bh__planner_process_tick(b->planner, 10 * MS);
+	assert_int_equal(b->grants->len, 1);
+	rest_from_(&a, 2, 2);
+	bh__planner_process_ask(b->planner, &a, 20 * MS);
+	bh__planner_process_tick(b->planner, 30 * MS);
+	assert_int_equal(b->grants->len, 2);
+	assert_int_equal(grant_(b, 1)->member[0].endpoint_id, 1);
+	bench_free_(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(limited_engines_read_no_more_parts_than_they_take_),
 		cmocka_unit_test(what_limited_engines_leave_is_refused_at_once_),
 		cmocka_unit_test(alone_nothing_goes_to_limited_engines_),
+		cmocka_unit_test(engines_that_want_rest_are_left_to_others_),
+		cmocka_unit_test(what_all_engines_refuse_is_refused_at_once_),
+		cmocka_unit_test(an_ask_that_waits_follows_the_rests_),
 		cmocka_unit_test(limited_engines_are_not_inspected_),
 		cmocka_unit_test(a_short_prompt_is_read_by_one_engine_),
 		cmocka_unit_test(no_engine_is_named_twice_),
--- a/src/test_libbayhoist/test_registry.c
+++ b/src/test_libbayhoist/test_registry.c
@@ -394,11 +394,12 @@
 		uint64_t id = bh__hash_name(first.id);
 		bool has_said = false;
 		bool is_listed = false;
-		unsigned order[STEPS];
-		for (unsigned i = 0; i < STEPS; i++) {
+		unsigned order[STEPS] = {0, 1, 2, 3, 4, 5, 6};
+		for (unsigned i = STEPS - 1; i > 0; i--) {
 			unsigned k = (unsigned)g_rand_int_range(rand, 0, (gint32)i + 1);
+			unsigned was = order[i];
 			order[i] = order[k];
-			order[k] = i;
+			order[k] = was;
 		}
 		bh__registry_put(other, &first, at_(12), at_(40)); /* a node that has not heard it */
 		for (unsigned i = 0; i < STEPS; i++) {
@@ -450,6 +451,47 @@
 	g_rand_free(rand);
 }
 
+/* An endpoint asks this node for rest: the latest end counts, whatever is heard before or after, of its entry
+ * too; a later start of it knows nothing of that. */
+static void a_rest_ends_by_time_or_a_later_start_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+	BH__EndpointEntry e = entry_(1, 7, false);
+	BH__EndpointEntry other = entry_(2, 7, false);
+	uint64_t id = bh__hash_name(e.id);
+	uint64_t until_us = NOW_US + 3 * BH__SECOND_US;
+	uint64_t resting[4];
+
+	(void)state;
+	bh__registry_put(r, &e, at_(10), at_(10));
+	assert_int_equal(bh__registry_get_taking_us(r, "s", NOW_US), 0);
+	assert_true(bh__registered_endpoint_hear_backoff(bh__registry_find(r, id), until_us));
+	assert_false(bh__registered_endpoint_hear_backoff(bh__registry_find(r, id), until_us - 1));
+	bh__registry_note_end(r, id, bh__registry_find(r, id)->life, BH__USE_SERVED, NOW_US);
+	assert_false(bh__registered_endpoint_takes(bh__registry_find(r, id), until_us - 1));
+	assert_true(bh__registered_endpoint_takes(bh__registry_find(r, id), until_us));
+	assert_true(is_usable_(r, e.id)); /* for others */
+	assert_int_equal(bh__registry_get_taking_us(r, "s", NOW_US), until_us);
+	assert_null(bh__registry_pick(r, "s", "h1", NULL, 0, true, NOW_US));
+	assert_int_equal(bh__registry_list_resting(r, "s", NOW_US, resting, 4), 1);
+	assert_int_equal(resting[0], id);
+	assert_int_equal(bh__registry_list_resting(r, "another", NOW_US, resting, 4), 0);
+	bh__registry_put(r, &other, at_(11), at_(11));
+	assert_int_equal(bh__registry_get_taking_us(r, "s", NOW_US), 0);
+	assert_int_equal(bh__registry_pick(r, "s", "h1", NULL, 0, true, NOW_US)->endpoint_id,
+					 bh__hash_name(other.id));
+
+	bh__registry_remove(r, id, at_(12), NOW_US, at_(12)); /* lapses, and is back */
+	bh__registry_process_tick(r, NOW_US);
+	assert_null(bh__registry_find(r, id));
+	bh__registry_put(r, &e, at_(13), at_(13));
+	assert_false(bh__registered_endpoint_takes(bh__registry_find(r, id), until_us - 1));
+	e.born_ms++;
+	bh__registry_put(r, &e, at_(14), at_(14));
+	assert_true(bh__registered_endpoint_takes(bh__registry_find(r, id), NOW_US));
+	bh__registry_delete(r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -459,6 +501,7 @@
 		cmocka_unit_test(a_copy_brings_nothing_back_),
 		cmocka_unit_test(the_time_to_come_back_is_handed_on_),
 		cmocka_unit_test(a_leaving_told_by_an_answer_holds_),
+		cmocka_unit_test(a_rest_ends_by_time_or_a_later_start_),
 		cmocka_unit_test(only_an_outage_gives_time_to_come_back_),
 		cmocka_unit_test(the_latest_word_on_a_hall_holds_),
 		cmocka_unit_test(a_list_of_halls_takes_back_what_it_lacks_),
