An endpoint that turns requests away is known to all: by plain services' nodes as full, by planners for as long as it says

Cause: the word of one that turns requests away bound only the node that it was said to. To each other node it looked idle, so that it drew requests and turned each node away once; and an engine that had asked for 3 s was set aside for up to 4 s for all, so that prompts waited for it, or their callers were told to come back later than it would have taken them.

Change: of plain endpoints the home tells all, once in each rest, and until its end the endpoint counts as one whose slots are taken: it is used after others that have room, and by no node that it asked for rest. Of engines the scheduler hears with the release for how long, and sets them aside for no longer. An ask whose engines are all set aside for longer than it may wait is refused at once, with the time until the first is back.

check-rest waits until prompts that may wait have their answers, and has both plain endpoints turn a gateway away before it compares Retry-After with the first rest's end, where before that was left to chance; its bounds are as they were.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -177,6 +177,7 @@
 	BH__SignalKind kind;
 	uint64_t endpoint_id;
 	uint64_t born_ms; /* of the endpoint's start that it holds for */
+	uint64_t left_us; /* of a rest; 0 in news of another kind */
 } BH__SignalNews;
 
 /* What a node has heard of a limit that an endpoint names in its answers. */
@@ -241,6 +242,7 @@
 			BH__ReleaseKind kind;
 			uint64_t failed_endpoint;
 			uint64_t pass_us; /* length of the engine's pass that has just ended; 0 but in a pass message */
+			uint64_t rest_us; /* for which the engine that failed has asked; 0: it has not */
 		} release;            /* also progress, pass, withdraw and queued */
 		struct {
 			uint64_t pool_id;
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -69,6 +69,7 @@
 	BH__EndpointRate rate;      /* counted here if this node is its home and nobody schedules its service */
 	uint64_t full_until_us;     /* its home grants nothing until then */
 	uint64_t backoff_until_us;  /* it wants nothing of this node until then */
+	uint64_t crowded_until_us;  /* it has turned away requests of some node, and wants rest until then */
 	uint64_t life;              /* differs for each start that was seen, under whichever id */
 	uint32_t in_flight;         /* requests that this node has there */
 	uint32_t reported;          /* requests that it said run or wait there, of all nodes */
@@ -129,6 +130,7 @@
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_takes(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_hear_backoff(BH__RegisteredEndpoint *e, uint64_t until_us);
+bool bh__registered_endpoint_hear_crowd(BH__RegisteredEndpoint *e, uint64_t until_us, uint64_t now_us);
 unsigned bh__registry_list_resting(const BH__Registry *r, const char *service, uint64_t now_us,
 								   uint64_t out[], unsigned max);
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
--- a/include/bayhoist/signal_relay.h
+++ b/include/bayhoist/signal_relay.h
@@ -23,7 +23,9 @@
 									  BH__Registry *registry);
 void bh__signal_relay_delete(BH__SignalRelay *r);
 bool bh__signal_relay_hear_leaving(BH__SignalRelay *r, BH__RegisteredEndpoint *e);
-bool bh__signal_relay_process_message(BH__SignalRelay *r, const BH__Message *m);
+void bh__signal_relay_hear_crowd(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t until_us,
+								 uint64_t now_us);
+bool bh__signal_relay_process_message(BH__SignalRelay *r, const BH__Message *m, uint64_t now_us);
 void bh__signal_relay_process_tick(BH__SignalRelay *r);
 void bh__signal_relay_tell_node(BH__SignalRelay *r, uint64_t node_id);
 
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -59,6 +59,7 @@
 
 /* schedulers.c */
 Service *schedulers_find(const Cluster *c, uint64_t pool_id);
+bool schedulers_has_service(const Cluster *c, const char *service);
 void schedulers_free_service(gpointer service);
 void schedulers_hear(Cluster *c, uint64_t node_id);
 void schedulers_follow(Cluster *c, uint64_t now_us);
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -35,6 +35,12 @@
 	return NULL;
 }
 
+/* Returns true if a service has engines, which a scheduler grants. */
+bool schedulers_has_service(const Cluster *c, const char *service)
+{
+	return g_hash_table_contains(c->services, service);
+}
+
 static Service *add_service_(Cluster *c, const char *name)
 {
 	Service *s = g_hash_table_lookup(c->services, name);
@@ -406,13 +412,16 @@
 /* Gives back the grant that the call holds, if it holds one. */
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint)
 {
+	const BH__RegisteredEndpoint *failed = bh__registry_find(c->gate->registry, failed_endpoint);
 	CallPlace *p = call_get_place(call);
 	BH__Message m = {.type = BH__MESSAGE_RELEASE};
+	uint64_t now_us = clock_now_us();
 
 	if (!p->grant.grant_id)
 		return;
 	m.as.release.kind = kind;
 	m.as.release.failed_endpoint = failed_endpoint;
+	m.as.release.rest_us = failed ? failed->backoff_until_us - MIN(now_us, failed->backoff_until_us) : 0;
 	tell_(c, call, &m);
 	memset(&p->grant, 0, sizeof p->grant);
 }
@@ -442,9 +451,13 @@
 		schedulers_drop_early(c, m->as.release.grant_id);
 	if (!s)
 		return;
-	if (m->type == BH__MESSAGE_RELEASE)
+	if (m->type == BH__MESSAGE_RELEASE) {
+		if (m->as.release.rest_us)
+			bh__planner_process_rest(s->planner, m->as.release.failed_endpoint, m->as.release.rest_us,
+									 now_us);
 		bh__planner_process_release(s->planner, m->as.release.grant_id, m->as.release.kind,
 									m->as.release.failed_endpoint, now_us);
+	}
 	else if (m->type == BH__MESSAGE_PASS)
 		bh__planner_process_pass(s->planner, m->as.release.grant_id, m->as.release.pass_us, now_us);
 	else if (m->type == BH__MESSAGE_PROGRESS)
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -5,6 +5,7 @@
 #include "gate.h"
 
 #include <string.h>
+#include "clock.h"
 #include "cluster_internal.h"
 #include "log.h"
 
@@ -79,15 +80,17 @@
 static void take_backoff_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
 {
 	uint64_t was_until_us = MAX(e->backoff_until_us, o->heard_us);
+	uint64_t until_us = o->heard_us + (uint64_t)(s->value * BH__SECOND_US);
 
-	(void)g;
 	if (s->state != BH__SIGNAL_GIVEN || o->status != REFUSED)
 		return;
-	if (!bh__registered_endpoint_hear_backoff(e, o->heard_us + (uint64_t)(s->value * BH__SECOND_US)))
+	if (!bh__registered_endpoint_hear_backoff(e, until_us))
 		return;
 	log_event("signal",
 			  "kind=backoff what=heard endpoint=%s for_ms=%.0f was_ms=%" G_GUINT64_FORMAT " request=%s",
 			  e->entry.id, s->value * 1000, (was_until_us - o->heard_us) / BH__MS_US, o->request_id);
+	if (!schedulers_has_service(g->cluster, e->entry.service)) /* a scheduler hears of it by the release */
+		bh__signal_relay_hear_crowd(g->cluster->signals->relay, e, until_us, clock_now_us());
 }
 
 /* What is known of endpoints has changed: the planners follow before anything else is granted. */
@@ -139,7 +142,7 @@
 /* Takes a message. Returns false if it is not one of signals. */
 bool signals_process_message(Signals *s, const BH__Message *m)
 {
-	if (!bh__signal_relay_process_message(s->relay, m))
+	if (!bh__signal_relay_process_message(s->relay, m, clock_now_us()))
 		return false;
 	follow_(s->cluster->gate);
 	return true;
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -36,6 +36,8 @@
 
 	if (e->reported_us && now_us < e->reported_us + REPORT_FRESH_US_)
 		load = MAX(load, (double)e->reported);
+	if (now_us < e->crowded_until_us)
+		load = MAX(load, (double)e->entry.slots);
 	load += FAILURE_COST_ * e->failure_share;
 	if (strcmp(e->entry.hall, hall) != 0)
 		load += HALL_COST_;
@@ -184,6 +186,17 @@
 	return true;
 }
 
+/* An endpoint has turned away a request of this or another node, and wants rest until a time: until then it
+ * counts as one whose slots are all taken. Without that each node finds it idle, and is turned away once.
+ * Returns true if that was not known. */
+bool bh__registered_endpoint_hear_crowd(BH__RegisteredEndpoint *e, uint64_t until_us, uint64_t now_us)
+{
+	bool is_new = now_us >= e->crowded_until_us && now_us < until_us;
+
+	e->crowded_until_us = MAX(e->crowded_until_us, until_us);
+	return is_new;
+}
+
 /* Lists the endpoints of a service that want nothing of this node for now; returns how many those are, or
  * `max` if there are more. */
 unsigned bh__registry_list_resting(const BH__Registry *r, const char *service, uint64_t now_us,
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -26,6 +26,7 @@
 	uint64_t life; /* of the endpoint, as the registry counts them */
 	bool leaving;
 	uint64_t set_aside_until_us; /* after a failure */
+	uint64_t rest_until_us;      /* it has asked some node for rest until then */
 	unsigned failures;           /* one after another */
 	BH__EndpointRate rate;       /* what it may be granted */
 	uint64_t inspected_us;       /* when its report was last asked for */
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -451,6 +451,7 @@
 		n->kind = (BH__SignalKind)kind;
 		u64_(c, &n->endpoint_id);
 		u64_(c, &n->born_ms);
+		u64_(c, &n->left_us);
 	}
 }
 
@@ -533,6 +534,7 @@
 		m->as.release.kind = (BH__ReleaseKind)kind;
 		u64_(c, &m->as.release.failed_endpoint);
 		u64_(c, &m->as.release.pass_us);
+		u64_(c, &m->as.release.rest_us);
 		break;
 	case BH__MESSAGE_HOLD:
 		hold_(c, m);
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -38,6 +38,7 @@
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
 static uint64_t limited_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+static uint64_t aside_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static void note_long_work_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static double idle_read_ms_(const BH__Planner *p, const BH__Ask *left, uint64_t now_us);
 static bool may_force_(const BH__Planner *p, const BH__Ask *ask, uint64_t waited_us);
@@ -140,7 +141,8 @@
 	}
 	if (!has_engine_(p, ask))
 		refuse_(p, ask, BH__REASON_NO_ENDPOINT, now_us);
-	else if (waited_us + limited_wait_us_(p, ask, now_us) >= patience_us_(ask))
+	else if (waited_us + MAX(limited_wait_us_(p, ask, now_us), aside_wait_us_(p, ask, now_us)) >=
+			 patience_us_(ask))
 		refuse_(p, ask, BH__REASON_OVERLOAD, now_us);
 	else
 		return false;
@@ -185,6 +187,20 @@
 	return (uint64_t)(ahead / per_s * BH__SECOND_US);
 }
 
+/* Returns how long an ask has to wait for engines that are all set aside, those aside that want nothing of
+ * its node; 0 if any engine is not. */
+static uint64_t aside_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
+{
+	uint64_t least_us = UINT64_MAX;
+
+	for (guint i = 0; i < p->engines->len; i++) {
+		const BH__PassEngine *e = g_ptr_array_index(p->engines, i);
+		if (!e->leaving && !bh__ask_rests_from(ask, e->endpoint_id))
+			least_us = MIN(least_us, e->set_aside_until_us);
+	}
+	return least_us != UINT64_MAX && least_us > now_us ? least_us - now_us : 0;
+}
+
 /* Notes a prompt that is to be in time, of which the long ones need many engines. */
 static void note_long_work_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
 {
@@ -268,7 +284,7 @@
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us)
 {
 	uint64_t soonest_us = soonest_free_us_(p);
-	uint64_t limited_ms = limited_wait_us_(p, ask, now_us) / BH__MS_US;
+	uint64_t known_us = MAX(limited_wait_us_(p, ask, now_us), aside_wait_us_(p, ask, now_us));
 	uint64_t retry_after_ms;
 
 	if (soonest_us == UINT64_MAX)
@@ -277,7 +293,7 @@
 		retry_after_ms = soonest_us > now_us ? (soonest_us - now_us) / BH__MS_US : 0;
 	retry_after_ms = CLAMP(retry_after_ms, RETRY_AFTER_MIN_MS_, RETRY_AFTER_MAX_MS_);
 	p->counters.refusals++;
-	p->port->refuse(p->port, ask, reason, MAX(retry_after_ms, limited_ms));
+	p->port->refuse(p->port, ask, reason, MAX(retry_after_ms, known_us / BH__MS_US));
 }
 
 /* Tries the asks that wait, after something has changed: first those that can be in time. */
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -339,6 +339,7 @@
 	e->rate = (BH__EndpointRate){0};
 	e->full_until_us = 0;
 	e->backoff_until_us = 0;
+	e->crowded_until_us = 0;
 }
 
 /* Takes that an endpoint is gone, or remains so. */
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -963,6 +963,43 @@
 	bench_free_(b);
 }
 
+/* The engines that take requests of the node are set aside for longer than the ask may wait: it is refused at
+ * once, and told when the first is back. */
+static void what_has_to_wait_too_long_is_refused_at_once_(void **state)
+{
+	Bench *b = bench_new_(2);
+	BH__Ask a;
+
+	(void)state;
+	for (unsigned i = 0; i < 4; i++) { /* each failure sets it aside for longer, up to 4 s */
+		a = ask_(b, PAGE);
+		rest_from_(&a, 1, 1);
+		bh__planner_process_ask(b->planner, &a, i * 10 * BH__SECOND_US);
+		bh__planner_process_release(b->planner, grant_(b, i)->grant_id, BH__RELEASE_FAILED, 2,
+									i * 10 * BH__SECOND_US + MS);
+	}
+	a = ask_(b, PAGE);
+	rest_from_(&a, 1, 1);
+	bh__planner_process_ask(b->planner, &a, 30 * BH__SECOND_US + 1000 * MS);
+	assert_int_equal(b->refused, 1);
+	assert_in_range(b->retry_after_ms, 2900, 3100);
+	a = ask_(b, PAGE); /* that of another node goes to the other engine */
+	bh__planner_process_ask(b->planner, &a, 30 * BH__SECOND_US + 1000 * MS);
+	assert_int_equal(b->grants->len, 5);
+	a = ask_(b, PAGE); /* it is back, and asks for less rest than it would be set aside for */
+	rest_from_(&a, 1, 1);
+	bh__planner_process_ask(b->planner, &a, 40 * BH__SECOND_US);
+	bh__planner_process_rest(b->planner, 2, 2000 * MS, 40 * BH__SECOND_US);
+	bh__planner_process_release(b->planner, grant_(b, 5)->grant_id, BH__RELEASE_FAILED, 2,
+								40 * BH__SECOND_US);
+	a = ask_(b, PAGE);
+	rest_from_(&a, 1, 1);
+	bh__planner_process_ask(b->planner, &a, 40 * BH__SECOND_US);
+	assert_int_equal(b->refused, 2);
+	assert_in_range(b->retry_after_ms, 1990, 2010);
+	bench_free_(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -972,6 +1009,7 @@
 		cmocka_unit_test(engines_that_want_rest_are_left_to_others_),
 		cmocka_unit_test(what_all_engines_refuse_is_refused_at_once_),
 		cmocka_unit_test(an_ask_that_waits_follows_the_rests_),
+		cmocka_unit_test(what_has_to_wait_too_long_is_refused_at_once_),
 		cmocka_unit_test(limited_engines_are_not_inspected_),
 		cmocka_unit_test(a_short_prompt_is_read_by_one_engine_),
 		cmocka_unit_test(no_engine_is_named_twice_),
--- a/src/test_libbayhoist/test_signal_relay.c
+++ b/src/test_libbayhoist/test_signal_relay.c
@@ -55,7 +55,7 @@
 
 static void on_message_(MemberNode *n, const BH__Message *m)
 {
-	assert_true(bh__signal_relay_process_message(((Listener *)n->user)->relay, m));
+	assert_true(bh__signal_relay_process_message(((Listener *)n->user)->relay, m, n->fleet->now_us));
 }
 
 static BH__EndpointEntry entry_(unsigned i, uint64_t born_ms)
@@ -271,7 +271,7 @@
 		Listener *l = f->node[i].user;
 		BH__EndpointEntry e = entry_(1, BORN_MS + 500);
 		bh__registry_put(l->registry, &e, (BH__Place){0, 9}, (BH__Place){0, 9});
-		bh__signal_relay_process_message(l->relay, &late);
+		bh__signal_relay_process_message(l->relay, &late, f->now_us);
 	}
 	assert_int_equal(count_users_(f, 1), f->count);
 	fleet_delete_(f);
@@ -330,6 +330,137 @@
 	}
 }
 
+/* Requests at a plain service of which one endpoint turns away all, or each what it can't take. */
+typedef struct {
+	unsigned turned_away;
+	unsigned refused; /* twice, so that its caller is */
+	unsigned served;
+	unsigned messages;
+} Crowd;
+
+typedef struct {
+	uint64_t end_us;
+	unsigned node;
+	unsigned endpoint;
+	uint64_t life;
+} Work;
+
+#define CROWD_ENDPOINTS 3
+#define CROWD_SLOTS 8 /* as entry_() says */
+#define CROWD_QUEUE 2
+#define CROWD_WORK_US (60 * BH__MS_US)
+#define CROWD_REST_US (3 * BH__SECOND_US)
+#define CROWD_STEP_US (5 * BH__MS_US)
+
+/* Sends a request of a node to an endpoint. Returns false if that turns it away. */
+static bool offer_(MemberFleet *f, unsigned node, BH__RegisteredEndpoint *e, unsigned index, GArray *works,
+				   bool sheds_all, bool tells)
+{
+	Listener *l = f->node[node].user;
+	unsigned running = 0;
+	Work w = {.node = node, .endpoint = index};
+
+	for (guint i = 0; i < works->len; i++)
+		running += g_array_index(works, Work, i).endpoint == index;
+	w.life = bh__registry_note_start(l->registry, e->endpoint_id);
+	w.end_us = f->now_us + CROWD_WORK_US * MAX(running / CROWD_SLOTS, 1u);
+	if ((sheds_all && index == 0) || running >= CROWD_SLOTS + CROWD_QUEUE) {
+		bh__registry_note_end(l->registry, e->endpoint_id, w.life, BH__USE_REFUSED, f->now_us);
+		bh__registered_endpoint_hear_backoff(e, f->now_us + CROWD_REST_US);
+		if (tells)
+			bh__signal_relay_hear_crowd(l->relay, e, f->now_us + CROWD_REST_US, f->now_us);
+		return false;
+	}
+	g_array_append_val(works, w);
+	return true;
+}
+
+static Crowd play_crowd_(unsigned nodes, unsigned per_s, bool sheds_all, bool tells)
+{
+	MemberFleet *f = fleet_new_(nodes, CROWD_ENDPOINTS);
+	GRand *rand = g_rand_new_with_seed(nodes);
+	GArray *works = g_array_new(FALSE, FALSE, sizeof(Work));
+	Crowd crowd = {0};
+	double due = 0;
+
+	member_fleet_reset_counts(f);
+	for (unsigned step = 0; step < OUTAGE_MS * BH__MS_US / CROWD_STEP_US; step++) {
+		f->now_us += CROWD_STEP_US;
+		for (guint i = works->len; i-- > 0;) {
+			const Work *w = &g_array_index(works, Work, i);
+			if (f->now_us < w->end_us)
+				continue;
+			bh__registry_note_end(((Listener *)f->node[w->node].user)->registry, id_(w->endpoint), w->life,
+								  BH__USE_SERVED, f->now_us);
+			g_array_remove_index_fast(works, i);
+			crowd.served++;
+		}
+		for (due += (double)per_s * CROWD_STEP_US / BH__SECOND_US; due >= 1; due--) {
+			unsigned node = (unsigned)g_rand_int_range(rand, 0, (gint32)nodes);
+			BH__Registry *r = ((Listener *)f->node[node].user)->registry;
+			uint64_t tried[2];
+			unsigned tries = 0;
+			BH__RegisteredEndpoint *e;
+			while (tries < 2 && (e = bh__registry_pick(r, "llm", "", tried, tries, false, f->now_us))) {
+				unsigned index = (unsigned)g_ascii_strtoull(e->entry.id + 2, NULL, 10);
+				if (offer_(f, node, e, index, works, sheds_all, tells))
+					break;
+				tried[tries++] = e->endpoint_id;
+				crowd.turned_away++;
+			}
+			crowd.refused += tries == 2 || !e;
+		}
+		member_fleet_settle(f);
+		if (step % (TICK_MS * BH__MS_US / CROWD_STEP_US) == 0)
+			tick_(f);
+	}
+	crowd.messages = member_fleet_get_total(f);
+	g_array_unref(works);
+	g_rand_free(rand);
+	fleet_delete_(f);
+	return crowd;
+}
+
+/* An endpoint that turns all away looks idle to each node that it has not turned away yet. Where nodes tell
+ * each other, it gets in each rest no more than what comes until all know. */
+static void a_crowded_endpoint_is_known_to_all_(void **state)
+{
+	const unsigned counts[] = {9, 85, 300};
+	const unsigned per_s = 30;
+	const unsigned rests = OUTAGE_MS * BH__MS_US / CROWD_REST_US + 1;
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
+		Crowd kept = play_crowd_(counts[i], per_s, true, false);
+		Crowd told = play_crowd_(counts[i], per_s, true, true);
+		print_message(
+			"%u nodes, one of three turns all away: %u turned away where each node learns for itself, "
+			"%u where they tell each other (%u messages)\n",
+			counts[i], kept.turned_away, told.turned_away, told.messages);
+		assert_true(told.turned_away <= rests * per_s * KNOWN_MS / 1000 + rests);
+		assert_int_equal(told.refused, 0);
+		assert_true(told.messages <= rests * (TOTAL_FACTOR * counts[i] + per_s * KNOWN_MS / 1000 + 1));
+	}
+}
+
+/* All are crowded: what they bear is used no less than where each node learns for itself. */
+static void crowded_endpoints_are_used_(void **state)
+{
+	const unsigned counts[] = {9, 85, 300};
+	const unsigned per_s = 600; /* of 400 that they bear */
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
+		Crowd kept = play_crowd_(counts[i], per_s, false, false);
+		Crowd told = play_crowd_(counts[i], per_s, false, true);
+		print_message(
+			"%u nodes, half as much again as all bear: %u served and %u turned away where each node "
+			"learns for itself, %u and %u where they tell each other (%u messages)\n",
+			counts[i], kept.served, kept.turned_away, told.served, told.turned_away, told.messages);
+		assert_true(told.served >= 0.95 * kept.served);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -339,6 +470,8 @@
 		cmocka_unit_test(a_node_that_starts_is_told_),
 		cmocka_unit_test(a_later_start_is_used_),
 		cmocka_unit_test(in_an_outage_all_hear_at_once_),
+		cmocka_unit_test(a_crowded_endpoint_is_known_to_all_),
+		cmocka_unit_test(crowded_endpoints_are_used_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/check-rest.sh
+++ b/test/check-rest.sh
@@ -56,6 +56,7 @@
 load 1
 first=$((sent + 1))
 load 4
+sleep 2 # prompts may wait for up to 1.5 s where an engine is to be back in that time
 rests "with all at rest" i-e1 i-e2 i-e3 i-p1 i-p2
 is "nothing is served" "$(statuses a $first)$(statuses f $first)" " $((sent - first + 1)) 503 $((sent - first + 1)) 503"
 is "what is refused has not run" "$(for i in $(seq $first "$sent"); do n=$((i % 3 + 1)); tell "runs?id=g$n-f$i"; tell "runs?id=g$n-a$i"; done | sort -u)" 0
@@ -63,6 +64,7 @@
 	for k in a f; do tr -d '\r' <"$RUN/head.$k$i" | awk -F': ' 'tolower($1) == "retry-after" && $2 > 0 && $2 <= 3 { ok = 1 } END { if (!ok) print "no" }'; done
 done | wc -l)" 0
 for n in 1 2 3; do # a caller that comes back when it was told finds that the first rest has just ended
+	for i in 1 2 3; do call $n /free/x "g$n-all$i" >/dev/null; done # both rest from this gateway now
 	call $n /free/x "g$n-r$n" -D "$RUN/head.r$n" >/dev/null
 	told=$(tr -d '\r' <"$RUN/head.r$n" | awk -F': ' 'tolower($1) == "retry-after" { print int($2 * 1000) }')
 	left=$(for id in i-p1 i-p2; do tell "rest-left?id=$id&gateway=g$n"; done | sort -n | head -n 1)
