Limits of endpoints go along the ring of ids, and a figure that moves is little news

Cause: the home of a limited endpoint told each other node of each change in a message of its own, 983 at 984 nodes (read from the code). An endpoint that names a slightly other figure in each answer, or 300 that come into need in the same second, made that a storm of the kind which the ring was built against.

Change: limits go the same way as the other signals (signal_relay.c): from who heard to the home, from there to all, 32 to a message. All hear when a limit begins, ends or has moved by more than a fifth; the home hears of a figure that moves ten times a second at most, and with each request for leave. What limits.c had of it is gone, and a message type with it.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -49,7 +49,6 @@
 	BH__MESSAGE_SUSPECT,
 	BH__MESSAGE_QUARANTINE,
 	BH__MESSAGE_NEWS,
-	BH__MESSAGE_LIMIT,
 	BH__MESSAGE_SIGNALS,
 	BH__MESSAGE_PERMIT_ASK,
 	BH__MESSAGE_PERMIT,
@@ -177,18 +176,12 @@
 	BH__SignalKind kind;
 	uint64_t endpoint_id;
 	uint64_t born_ms; /* of the endpoint's start that it holds for */
-	uint64_t left_us; /* of a rest; 0 in news of another kind */
+	bool in_force;    /* of a limit: false if an answer has named none */
+	double per_s;     /* of a limit */
+	/* of a rest, what is left of it; of a limit, since the answer was read */
+	uint64_t time_us;
 } BH__SignalNews;
 
-/* What a node has heard of a limit that an endpoint names in its answers. */
-typedef struct {
-	uint64_t endpoint_id;
-	uint64_t born_ms; /* of the endpoint's start that it holds for */
-	bool in_force;    /* otherwise an answer has named none */
-	double per_s;
-	uint64_t age_us; /* since the answer was read, or since its request was sent if it named none */
-} BH__LimitNews;
-
 typedef struct {
 	BH__MessageType type;
 	uint64_t from_node;
@@ -302,12 +295,11 @@
 			uint64_t endpoint_id; /* that broke it off */
 			BH__CrashSuspect suspect;
 		} suspect;
-		BH__LimitNews limit;
 		/* A node asks the home of a limited endpoint for leave to send a request there. */
 		struct {
 			uint64_t ask_id;
 			uint64_t patience_us; /* for which the request may be held back */
-			BH__LimitNews limit;
+			BH__SignalNews limit;
 		} permit_ask;
 		struct {
 			uint64_t ask_id;
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -66,13 +66,15 @@
 	uint64_t leaving_told_node; /* the home that this node has told of that; 0: none */
 	BH__NamedLimit named;       /* limit, as far as this node has heard */
 	uint64_t named_told_us;     /* when this node last told its home of that */
-	BH__EndpointRate rate;      /* counted here if this node is its home and nobody schedules its service */
-	uint64_t full_until_us;     /* its home grants nothing until then */
-	uint64_t backoff_until_us;  /* it wants nothing of this node until then */
-	uint64_t crowded_until_us;  /* it has turned away requests of some node, and wants rest until then */
-	uint64_t life;              /* differs for each start that was seen, under whichever id */
-	uint32_t in_flight;         /* requests that this node has there */
-	uint32_t reported;          /* requests that it said run or wait there, of all nodes */
+	bool spread_in_force;       /* what all were last told of its limit, as far as this node knows */
+	double spread_per_s;
+	BH__EndpointRate rate;     /* counted here if this node is its home and nobody schedules its service */
+	uint64_t full_until_us;    /* its home grants nothing until then */
+	uint64_t backoff_until_us; /* it wants nothing of this node until then */
+	uint64_t crowded_until_us; /* it has turned away requests of some node, and wants rest until then */
+	uint64_t life;             /* differs for each start that was seen, under whichever id */
+	uint32_t in_flight;        /* requests that this node has there */
+	uint32_t reported;         /* requests that it said run or wait there, of all nodes */
 	uint64_t reported_us;
 	uint64_t set_aside_until_us;
 	uint32_t failures;    /* one after another */
--- a/include/bayhoist/signal_relay.h
+++ b/include/bayhoist/signal_relay.h
@@ -22,11 +22,15 @@
 BH__SignalRelay *bh__signal_relay_new(BH__SignalRelayPort *port, BH__Members *members,
 									  BH__Registry *registry);
 void bh__signal_relay_delete(BH__SignalRelay *r);
-bool bh__signal_relay_hear_leaving(BH__SignalRelay *r, BH__RegisteredEndpoint *e);
+bool bh__signal_relay_hear_leaving(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t now_us);
 void bh__signal_relay_hear_crowd(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t until_us,
 								 uint64_t now_us);
+bool bh__signal_relay_hear_limit(BH__SignalRelay *r, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard,
+								 uint64_t now_us);
+bool bh__signal_relay_take(BH__SignalRelay *r, const BH__SignalNews *n, uint64_t now_us);
 bool bh__signal_relay_process_message(BH__SignalRelay *r, const BH__Message *m, uint64_t now_us);
-void bh__signal_relay_process_tick(BH__SignalRelay *r);
-void bh__signal_relay_tell_node(BH__SignalRelay *r, uint64_t node_id);
+void bh__signal_relay_process_tick(BH__SignalRelay *r, uint64_t now_us);
+void bh__signal_relay_tell_node(BH__SignalRelay *r, uint64_t node_id, uint64_t now_us);
+BH__SignalNews bh__signal_news(BH__SignalKind kind, const BH__RegisteredEndpoint *e, uint64_t now_us);
 
 #endif
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -157,10 +157,8 @@
 		log_event("member", "node=%s state=%s was=%s leaving=%s node_boot=%" G_GINT64_MODIFIER "x",
 				  info->name, BH__MemberStateString[info->state], BH__MemberStateString[old],
 				  info->leaving ? "yes" : "no", info->boot_id);
-	if (bh__member_is_usable(info)) {
-		limits_tell_node(c, info->node_id);
+	if (bh__member_is_usable(info))
 		signals_tell_node(c->signals, info->node_id);
-	}
 	if (info->state != BH__MEMBER_DEAD || old == BH__MEMBER_DEAD)
 		return;
 	g_hash_table_iter_init(&it, c->services);
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -64,6 +64,7 @@
 void schedulers_hear(Cluster *c, uint64_t node_id);
 void schedulers_follow(Cluster *c, uint64_t now_us);
 void schedulers_follow_cold(Cluster *c, uint64_t now_us);
+void schedulers_follow_limits(Cluster *c, const BH__RegisteredEndpoint *e);
 void schedulers_follow_parts(Cluster *c, uint64_t now_us);
 void schedulers_tell_holds(Cluster *c, Service *s, uint64_t now_us);
 void schedulers_process_hold(Cluster *c, const BH__Message *m, uint64_t now_us);
@@ -83,7 +84,6 @@
 uint64_t limits_find_home(const Cluster *c, const char *service);
 double limits_get_part(const Cluster *c, uint64_t since_us, uint64_t now_us);
 void limits_follow(Cluster *c, uint64_t now_us);
-void limits_tell_node(Cluster *c, uint64_t node_id);
 bool limits_process_message(Cluster *c, const BH__Message *m, uint64_t now_us);
 void limits_write_status(const Cluster *c, struct evbuffer *out);
 
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -243,7 +243,6 @@
 void signals_write_status(const Gate *g, struct evbuffer *out);
 
 /* limits.c */
-bool limits_note_answer(Cluster *c, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard);
 void cluster_ask_permit(Cluster *c, Call *call, const BH__RegisteredEndpoint *e, uint64_t patience_us);
 
 /* looks.c */
--- a/src/bayhoist-gate/limits.c
+++ b/src/bayhoist-gate/limits.c
@@ -8,18 +8,11 @@
 #include "cluster_internal.h"
 #include "log.h"
 
-/* While answers name a limit its home is told of that again: it may be new, or have missed it. */
-#define RETELL_US BH__SECOND_US
 /* When a node may ask again that took another for home than that one itself. */
 #define OTHER_HOME_WAIT_US (100 * BH__MS_US)
 
 static bool is_home_(const Cluster *c, const char *service);
 static double home_part_(const Cluster *c, const char *service, uint64_t now_us);
-static BH__LimitNews news_(const BH__RegisteredEndpoint *e, const BH__NamedLimit *heard, uint64_t now_us);
-static bool take_(Cluster *c, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard, uint64_t now_us);
-static bool take_news_(Cluster *c, const BH__LimitNews *n, uint64_t now_us);
-static void tell_all_(Cluster *c, const BH__RegisteredEndpoint *e, uint64_t now_us);
-static void tell_(Cluster *c, uint64_t node_id, const BH__LimitNews *n);
 static void process_ask_(Cluster *c, const BH__Message *m, uint64_t now_us);
 
 /* Returns the node that counts for the endpoints of a service. */
@@ -80,99 +73,6 @@
 	}
 }
 
-static BH__LimitNews news_(const BH__RegisteredEndpoint *e, const BH__NamedLimit *heard, uint64_t now_us)
-{
-	return (BH__LimitNews){.endpoint_id = e->endpoint_id,
-						   .born_ms = e->entry.born_ms,
-						   .in_force = heard->in_force,
-						   .per_s = heard->per_s,
-						   .age_us = now_us - MIN(now_us, heard->heard_us)};
-}
-
-/* An answer of an endpoint, read by this node, names a limit or none (see
- * bh__registered_endpoint_hear_limit()). Returns true if that changes what is known. */
-bool limits_note_answer(Cluster *c, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard)
-{
-	uint64_t now_us = clock_now_us();
-	bool changed = take_(c, e, heard, now_us);
-	BH__LimitNews n;
-	uint64_t home;
-
-	if (!changed && (!heard->in_force || now_us < e->named_told_us + RETELL_US))
-		return false;
-	e->named_told_us = now_us;
-	n = news_(e, heard, now_us);
-	home = limits_find_home(c, e->entry.service);
-	if (home != bh__members_get_self(c->members)->node_id)
-		tell_(c, home, &n);
-	return changed;
-}
-
-/* Takes what was heard of a limit, by this node or another. Its home tells all of a change. */
-static bool take_(Cluster *c, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard, uint64_t now_us)
-{
-	Service *s = g_hash_table_lookup(c->services, e->entry.service);
-
-	if (!bh__registered_endpoint_hear_limit(e, heard, now_us))
-		return false;
-	if (s)
-		bh__planner_set_limits(s->planner, e->endpoint_id, e->rate.limit, now_us);
-	if (is_home_(c, e->entry.service))
-		tell_all_(c, e, now_us);
-	return true;
-}
-
-static bool take_news_(Cluster *c, const BH__LimitNews *n, uint64_t now_us)
-{
-	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, n->endpoint_id);
-	BH__NamedLimit heard = {.in_force = n->in_force, .per_s = n->per_s};
-
-	if (!e || e->entry.born_ms != n->born_ms)
-		return false;
-	heard.heard_us = now_us - MIN(now_us, n->age_us);
-	if (!take_(c, e, &heard, now_us))
-		return false;
-	log_event("limit", "what=told endpoint=%s per_s=%.3f", e->entry.id,
-			  e->named.in_force ? e->named.per_s : -1.0);
-	return true;
-}
-
-static void tell_all_(Cluster *c, const BH__RegisteredEndpoint *e, uint64_t now_us)
-{
-	BH__LimitNews n = news_(e, &e->named, now_us);
-
-	if (!e->named.in_force) /* as of now, since an earlier naming must not outlast it */
-		n.age_us = 0;
-	for (unsigned i = 1; i < bh__members_get_count(c->members); i++) {
-		const BH__MemberInfo *info = bh__members_get(c->members, i);
-		if (bh__member_is_usable(info))
-			tell_(c, info->node_id, &n);
-	}
-}
-
-/* A node is there that may know nothing yet: it hears of the limits whose home this node is. */
-void limits_tell_node(Cluster *c, uint64_t node_id)
-{
-	uint64_t now_us = clock_now_us();
-
-	for (unsigned i = 0; i < bh__registry_get_count(c->gate->registry); i++) {
-		const BH__RegisteredEndpoint *e = bh__registry_get(c->gate->registry, i);
-		BH__LimitNews n;
-		if (!e->named.in_force || !is_home_(c, e->entry.service))
-			continue;
-		n = news_(e, &e->named, now_us);
-		tell_(c, node_id, &n);
-	}
-}
-
-static void tell_(Cluster *c, uint64_t node_id, const BH__LimitNews *n)
-{
-	BH__Message m = {.type = BH__MESSAGE_LIMIT};
-
-	m.as.limit = *n;
-	cluster_send(c, node_id, &m);
-}
-
 /* Asks the home of a call's endpoint for leave to send to it, within `patience_us`. The answer comes to
  * call.c, maybe before this returns. */
 void cluster_ask_permit(Cluster *c, Call *call, const BH__RegisteredEndpoint *e, uint64_t patience_us)
@@ -187,7 +87,7 @@
 	g_hash_table_insert(c->by_ask, &p->ask.ask_id, call);
 	m.as.permit_ask.ask_id = p->ask.ask_id;
 	m.as.permit_ask.patience_us = patience_us;
-	m.as.permit_ask.limit = news_(e, &e->named, clock_now_us());
+	m.as.permit_ask.limit = bh__signal_news(BH__SIGNAL_LIMIT, e, clock_now_us());
 	cluster_send(c, p->asked_node, &m);
 	cluster_drain_inbox(c);
 }
@@ -195,12 +95,12 @@
 /* A node asks for leave to send. It may know of a limit of which this one does not. */
 static void process_ask_(Cluster *c, const BH__Message *m, uint64_t now_us)
 {
-	const BH__LimitNews *n = &m->as.permit_ask.limit;
+	const BH__SignalNews *n = &m->as.permit_ask.limit;
 	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, n->endpoint_id);
 	BH__Message out = {.type = BH__MESSAGE_PERMIT};
 
 	if (n->in_force)
-		take_news_(c, n, now_us);
+		bh__signal_relay_take(c->signals->relay, n, now_us);
 	out.as.permit.ask_id = m->as.permit_ask.ask_id;
 	if (e) {
 		bh__endpoint_rate_set_part(&e->rate, home_part_(c, e->entry.service, now_us), now_us);
@@ -218,9 +118,6 @@
 	Call *call;
 
 	switch (m->type) {
-	case BH__MESSAGE_LIMIT:
-		take_news_(c, &m->as.limit, now_us);
-		return true;
 	case BH__MESSAGE_PERMIT_ASK:
 		process_ask_(c, m, now_us);
 		return true;
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -100,6 +100,15 @@
 							 !bh__registered_endpoint_is_usable(e, now_us), now_us);
 }
 
+/* An engine's limits have changed: its planner follows. */
+void schedulers_follow_limits(Cluster *c, const BH__RegisteredEndpoint *e)
+{
+	Service *s = g_hash_table_lookup(c->services, e->entry.service);
+
+	if (s)
+		bh__planner_set_limits(s->planner, e->endpoint_id, e->rate.limit, clock_now_us());
+}
+
 /* Sets what endpoints bear that are cold. */
 void schedulers_follow_cold(Cluster *c, uint64_t now_us)
 {
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -56,8 +56,9 @@
 	if (!heard.in_force && !o->is_served)
 		return;
 	heard.heard_us = heard.in_force ? o->heard_us : o->sent_us;
-	if (!limits_note_answer(g->cluster, e, &heard))
+	if (!bh__signal_relay_hear_limit(g->cluster->signals->relay, e, &heard, clock_now_us()))
 		return;
+	schedulers_follow_limits(g->cluster, e);
 	g->counters.limit_changes++;
 	log_event("limit", "what=%s endpoint=%s per_s=%.3f was=%.3f request=%s",
 			  e->named.in_force ? "named" : "ended", e->entry.id, e->named.in_force ? e->named.per_s : -1.0,
@@ -68,7 +69,7 @@
 static void take_leaving_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
 {
 	if (s->state != BH__SIGNAL_GIVEN || s->value <= 0 ||
-		!bh__signal_relay_hear_leaving(g->cluster->signals->relay, e))
+		!bh__signal_relay_hear_leaving(g->cluster->signals->relay, e, clock_now_us()))
 		return;
 	log_event("signal", "kind=leaving what=heard endpoint=%s born_ms=%" G_GUINT64_FORMAT " request=%s",
 			  e->entry.id, e->entry.born_ms, o->request_id);
@@ -129,14 +130,19 @@
 
 static void relay_learnt_(BH__SignalRelayPort *port, BH__SignalKind kind, const BH__RegisteredEndpoint *e)
 {
-	(void)port;
-	log_event("signal", "kind=%s what=told endpoint=%s born_ms=%" G_GUINT64_FORMAT,
-			  BH__SignalKindString[kind], e->entry.id, e->entry.born_ms);
+	if (kind != BH__SIGNAL_LIMIT) {
+		log_event("signal", "kind=%s what=told endpoint=%s born_ms=%" G_GUINT64_FORMAT,
+				  BH__SignalKindString[kind], e->entry.id, e->entry.born_ms);
+		return;
+	}
+	schedulers_follow_limits(((Signals *)port)->cluster, e);
+	log_event("limit", "what=told endpoint=%s per_s=%.3f", e->entry.id,
+			  e->named.in_force ? e->named.per_s : -1.0);
 }
 
 void signals_process_tick(Signals *s)
 {
-	bh__signal_relay_process_tick(s->relay);
+	bh__signal_relay_process_tick(s->relay, clock_now_us());
 }
 
 /* Takes a message. Returns false if it is not one of signals. */
@@ -151,7 +157,7 @@
 /* A node is there that may know nothing yet. */
 void signals_tell_node(Signals *s, uint64_t node_id)
 {
-	bh__signal_relay_tell_node(s->relay, node_id);
+	bh__signal_relay_tell_node(s->relay, node_id, clock_now_us());
 }
 
 /* An endpoint's answer has a header that nobody here knows: what it says may bind the gateway one day. */
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -15,11 +15,11 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",       "ack",         "ping-req",   "join",        "members",    "ask",
-	"grant",      "refuse",      "release",    "progress",    "withdraw",   "hold",
-	"orphan",     "config-news", "config-ask", "config-data", "quota-ask",  "quota-grant",
-	"queued",     "look-ask",    "look",       "pass",        "reader",     "suspect",
-	"quarantine", "news",        "limit",      "signals",     "permit-ask", "permit"};
+	"ping",       "ack",         "ping-req",   "join",        "members",   "ask",
+	"grant",      "refuse",      "release",    "progress",    "withdraw",  "hold",
+	"orphan",     "config-news", "config-ask", "config-data", "quota-ask", "quota-grant",
+	"queued",     "look-ask",    "look",       "pass",        "reader",    "suspect",
+	"quarantine", "news",        "signals",    "permit-ask",  "permit"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 
 /* Either packs into `packer` or reads the next values of an array. */
@@ -60,7 +60,7 @@
 static void quarantine_(Codec_ *c, BH__Message *m);
 static void arc_(Codec_ *c, BH__MessageArc *a);
 static void signals_(Codec_ *c, BH__Message *m);
-static void limit_(Codec_ *c, BH__LimitNews *l);
+static void signal_(Codec_ *c, BH__SignalNews *n);
 static void permit_ask_(Codec_ *c, BH__Message *m);
 static void permit_(Codec_ *c, BH__Message *m);
 static void body_(Codec_ *c, BH__Message *m);
@@ -444,32 +444,29 @@
 	arc_(c, &m->as.arc);
 	flag_(c, &m->as.signals.for_all);
 	u8_(c, &m->as.signals.count, BH__MESSAGE_SIGNALS_MAX);
-	for (unsigned i = 0; i < m->as.signals.count; i++) {
-		BH__SignalNews *n = &m->as.signals.item[i];
-		uint8_t kind = (uint8_t)n->kind;
-		u8_(c, &kind, BH__SIGNAL_KIND_COUNT - 1);
-		n->kind = (BH__SignalKind)kind;
-		u64_(c, &n->endpoint_id);
-		u64_(c, &n->born_ms);
-		u64_(c, &n->left_us);
-	}
+	for (unsigned i = 0; i < m->as.signals.count; i++)
+		signal_(c, &m->as.signals.item[i]);
 }
 
-static void limit_(Codec_ *c, BH__LimitNews *l)
+static void signal_(Codec_ *c, BH__SignalNews *n)
 {
-	u64_(c, &l->endpoint_id);
-	u64_(c, &l->born_ms);
-	flag_(c, &l->in_force);
-	real_(c, &l->per_s);
-	u64_(c, &l->age_us);
-	c->failed |= !isfinite(l->per_s) || l->per_s < 0;
+	uint8_t kind = (uint8_t)n->kind;
+
+	u8_(c, &kind, BH__SIGNAL_KIND_COUNT - 1);
+	n->kind = (BH__SignalKind)kind;
+	u64_(c, &n->endpoint_id);
+	u64_(c, &n->born_ms);
+	flag_(c, &n->in_force);
+	real_(c, &n->per_s);
+	u64_(c, &n->time_us);
+	c->failed |= !isfinite(n->per_s) || n->per_s < 0;
 }
 
 static void permit_ask_(Codec_ *c, BH__Message *m)
 {
 	u64_(c, &m->as.permit_ask.ask_id);
 	u64_(c, &m->as.permit_ask.patience_us);
-	limit_(c, &m->as.permit_ask.limit);
+	signal_(c, &m->as.permit_ask.limit);
 }
 
 static void permit_(Codec_ *c, BH__Message *m)
@@ -570,9 +567,6 @@
 	case BH__MESSAGE_SIGNALS:
 		signals_(c, m);
 		break;
-	case BH__MESSAGE_LIMIT:
-		limit_(c, &m->as.limit);
-		break;
 	case BH__MESSAGE_PERMIT_ASK:
 		permit_ask_(c, m);
 		break;
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -336,6 +336,9 @@
 	e->said_leaving = false;
 	e->leaving_told_node = 0;
 	e->named = (BH__NamedLimit){0};
+	e->named_told_us = 0;
+	e->spread_in_force = false;
+	e->spread_per_s = 0;
 	e->rate = (BH__EndpointRate){0};
 	e->full_until_us = 0;
 	e->backoff_until_us = 0;
--- a/src/test_libbayhoist/test_signal_relay.c
+++ b/src/test_libbayhoist/test_signal_relay.c
@@ -128,14 +128,15 @@
 {
 	Listener *l = n->user;
 
-	return bh__signal_relay_hear_leaving(l->relay, bh__registry_find(l->registry, id_(endpoint)));
+	return bh__signal_relay_hear_leaving(l->relay, bh__registry_find(l->registry, id_(endpoint)),
+										 n->fleet->now_us);
 }
 
 static void tick_(MemberFleet *f)
 {
 	for (unsigned i = 0; i < f->count; i++)
 		if (!f->node[i].silent)
-			bh__signal_relay_process_tick(((Listener *)f->node[i].user)->relay);
+			bh__signal_relay_process_tick(((Listener *)f->node[i].user)->relay, f->now_us);
 	member_fleet_settle(f);
 }
 
@@ -246,7 +247,7 @@
 	listener_start_(late, 80);
 	late->silent = false;
 	assert_true(uses_(late, 69));
-	bh__signal_relay_tell_node(((Listener *)home->user)->relay, late->id);
+	bh__signal_relay_tell_node(((Listener *)home->user)->relay, late->id, f->now_us);
 	member_fleet_settle(f);
 	for (unsigned k = 0; k < 80; k++)
 		assert_int_equal(uses_(late, k), k >= 70);
@@ -461,6 +462,90 @@
 	}
 }
 
+static bool hear_limit_(MemberNode *n, unsigned endpoint, double per_s)
+{
+	Listener *l = n->user;
+	BH__NamedLimit heard = {.in_force = per_s > 0, .per_s = per_s, .heard_us = n->fleet->now_us};
+
+	return bh__signal_relay_hear_limit(l->relay, bh__registry_find(l->registry, id_(endpoint)), &heard,
+									   n->fleet->now_us);
+}
+
+static unsigned count_limited_(const MemberFleet *f, unsigned endpoint)
+{
+	unsigned count = 0;
+
+	for (unsigned i = 0; i < f->count; i++)
+		count += bh__registry_find(((Listener *)f->node[i].user)->registry, id_(endpoint))->named.in_force;
+	return count;
+}
+
+/* A limit that begins or ends is known to all, and no node tells all itself: the home told each other node.
+ */
+static void limits_go_along_the_ring_(void **state)
+{
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(Counts_); i++) {
+		MemberFleet *f = fleet_new_(Counts_[i], 3);
+		for (unsigned k = 0; k < 2; k++) {
+			member_fleet_reset_counts(f);
+			f->now_us += BH__SECOND_US;
+			assert_true(hear_limit_(&f->node[f->count / 2], 1, k ? 0 : 2.5));
+			member_fleet_settle(f);
+			tick_(f);
+			assert_int_equal(count_limited_(f, 1), k ? 0 : f->count);
+			assert_true(member_fleet_get_busiest(f) <= SENT_MAX + 1);
+		}
+		print_message("%u nodes, a limit: %u messages in all, %u of one node\n", f->count,
+					  member_fleet_get_total(f), member_fleet_get_busiest(f));
+		fleet_delete_(f);
+	}
+}
+
+/* An endpoint that names a slightly other figure in each answer, and 300 that come into need in one second:
+ * for control a node spends no more than it may. */
+static void limits_that_move_are_little_news_(void **state)
+{
+	const unsigned endpoints = 300;
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(Counts_); i++) {
+		MemberFleet *f = fleet_new_(Counts_[i], endpoints);
+		for (unsigned k = 0; k < 1000; k++) { /* a hundred answers a second */
+			f->now_us += 10 * BH__MS_US;
+			hear_limit_(&f->node[k * 7 % f->count], 1, 10 + (k % 10) * 0.1);
+			member_fleet_settle(f);
+			if (k % 10 == 9)
+				tick_(f);
+		}
+		print_message(
+			"%u nodes, a figure that moves: %u bytes a second a node, %u messages of one node in 10 s\n",
+			f->count, (unsigned)(f->bytes / 10 / f->count), member_fleet_get_busiest(f));
+		assert_true(f->bytes / 10 / f->count <= CONTROL_BYTES_PER_S / 10);
+		assert_true(member_fleet_get_busiest(f) <= 1000 + 2 * SENT_MAX);
+		assert_int_equal(count_limited_(f, 1), f->count);
+		member_fleet_reset_counts(f);
+		for (unsigned k = 0; k < endpoints; k++) {
+			hear_limit_(&f->node[k * 7 % f->count], k, 5);
+			if (k % 30 == 29) {
+				f->now_us += TICK_MS * BH__MS_US;
+				member_fleet_settle(f);
+				tick_(f);
+			}
+		}
+		for (unsigned k = 0; k < 10; k++)
+			tick_(f);
+		print_message("%u nodes, %u limits in a second: %u bytes a node, %u of one node\n", f->count,
+					  endpoints, (unsigned)(f->bytes / f->count),
+					  (unsigned)member_fleet_get_busiest_bytes(f));
+		assert_true(f->bytes / f->count <= CONTROL_BYTES_PER_S);
+		assert_true(member_fleet_get_busiest_bytes(f) <= LINK_BYTES_PER_S / 10);
+		for (unsigned k = 0; k < endpoints; k++)
+			assert_int_equal(count_limited_(f, k), f->count);
+		fleet_delete_(f);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -472,6 +557,8 @@
 		cmocka_unit_test(in_an_outage_all_hear_at_once_),
 		cmocka_unit_test(a_crowded_endpoint_is_known_to_all_),
 		cmocka_unit_test(crowded_endpoints_are_used_),
+		cmocka_unit_test(limits_go_along_the_ring_),
+		cmocka_unit_test(limits_that_move_are_little_news_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
