A second try that a stopping node can't see to its end fails at once

Cause: what may have run was followed to its end, whether its answer had begun or not. Where it has not, the caller gains nothing by the wait: it gets 502 now, and may repeat the request elsewhere.

check-stop-all, with an engine that fails a prompt 1.5 s after it came: 3 of 3 cut before, 3 of 3 get 502 now.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -371,15 +371,16 @@
 		sending_start(c, endpoint_id);
 }
 
-/* Refuses a request whose answer this node can't see to the end, since it stops before. Returns false if it
- * can, or if the request may have run: that is followed as far as it goes. */
+/* Ends a request whose answer this node can't see to the end, since it stops before: one that has not run is
+ * refused, another fails, so that its caller may repeat it elsewhere. Returns false if it can, or if the
+ * answer has begun: that is followed as far as it goes. */
 static bool give_up_stopping_(Call *c)
 {
 	const Gate *g = c->gate;
 	uint64_t now_us = clock_now_us();
 	uint64_t longest_us;
 
-	if (!g->leaving_since_us || c->x.may_have_run)
+	if (!g->leaving_since_us || c->x.answer_begun)
 		return false;
 	longest_us = longest_answer_us_(c);
 	if (now_us + longest_us <= g->stop_at_us)
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -1,7 +1,7 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* bh-fake-site: a stand-in for the users' platform, for tests of the gateway: its store and a few endpoints,
  * in one process. Paths of requests name faults: "/break/" closes the first answer midway, "/fail/" answers
- * 500 the first time,
+ * 500 the first time, "/late-fail/" does so after a while,
  * "/full/" refuses the first time, "/hold/" answers after a second, "/long/" with long pauses, "/crash/"
  * crashes the endpoint that runs it, every time, before its first event, "/crash-late/" after some; the
  * endpoint is back after a while under its id. "/dark/" has the endpoint listen no more and say nothing, and
@@ -30,6 +30,7 @@
 #define HOLD_MS 1000
 #define LONG_EVENT_MS 400
 #define ORDER_MS 450
+#define LATE_FAIL_MS 1500
 #define REUSE_MS 2000  /* of the address of an endpoint that is gone */
 #define CRASH_AFTER 3  /* events */
 #define RESTART_MS 700 /* of an endpoint that crashed */
@@ -134,6 +135,7 @@
 static void crash_(Replica *r);
 static void on_restart_(evutil_socket_t fd, short what, void *replica);
 static void start_again_(Replica *r);
+static void on_fail_time_(evutil_socket_t fd, short what, void *req);
 static void keep_socket_(struct evhttp_bound_socket *socket, void *out);
 static void on_reuse_time_(evutil_socket_t fd, short what, void *replica);
 static void on_stranger_(struct evhttp_request *req, void *arg);
@@ -773,12 +775,24 @@
 		r->gone = true; /* writes its entry no more */
 		return;
 	}
+	if (strstr(uri, "/late-fail/") && !runs) {
+		struct timeval late = {LATE_FAIL_MS / 1000, LATE_FAIL_MS % 1000 * 1000};
+		event_base_once(Base_, -1, EV_TIMEOUT, on_fail_time_, req, &late);
+		return;
+	}
 	if (strstr(uri, "/fail/") && !runs)
 		evhttp_send_reply(req, 500, NULL, NULL);
 	else
 		begin_stream_(req, r, strstr(uri, "/break/") && !runs);
 }
 
+static void on_fail_time_(evutil_socket_t fd, short what, void *req)
+{
+	(void)fd;
+	(void)what;
+	evhttp_send_reply(req, 500, NULL, NULL);
+}
+
 static void keep_socket_(struct evhttp_bound_socket *socket, void *out)
 {
 	*(struct evhttp_bound_socket **)out = socket;
