Operators see which endpoints leave, rest from a gateway, are crowded or limited; explain names signals in force

bayhoistctl endpoints [SERVICE] (GET /endpoints of a gateway's control address); explain shows a leaving or a rest that was in force when a request came, however long before it was said. check-explain, check-leaving-told and check-rest ask for both.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -241,6 +241,7 @@
 void signals_note_answer(Gate *g, const AnswerOrigin *o, const AnswerMeta *m);
 void signals_note_unknown(Gate *g, const char *header);
 void signals_write_status(const Gate *g, struct evbuffer *out);
+struct json_object *signals_describe(const Gate *g);
 
 /* limits.c */
 void cluster_ask_permit(Cluster *c, Call *call, const BH__RegisteredEndpoint *e, uint64_t patience_us);
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -4,6 +4,7 @@
  * Takers_. */
 #include "gate.h"
 
+#include <json-c/json.h>
 #include <string.h>
 #include "clock.h"
 #include "cluster_internal.h"
@@ -176,6 +177,51 @@
 	g_free(name);
 }
 
+/* Returns what an endpoint is to new requests of this node: it is listed and takes them, it leaves, its hall
+ * drains, or its entry is gone. */
+static const char *state_(const BH__RegisteredEndpoint *e, uint64_t now_us)
+{
+	if (e->entry.draining)
+		return "leaving";
+	if (e->hall_drains)
+		return "drained";
+	return bh__registered_endpoint_stays(e, now_us) ? "used" : "gone";
+}
+
+static int64_t left_ms_(uint64_t until_us, uint64_t now_us)
+{
+	return (int64_t)((until_us - MIN(now_us, until_us)) / BH__MS_US);
+}
+
+static struct json_object *describe_endpoint_(const BH__RegisteredEndpoint *e, uint64_t now_us)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "id", json_object_new_string(e->entry.id));
+	json_object_object_add(o, "service", json_object_new_string(e->entry.service));
+	json_object_object_add(o, "hall", json_object_new_string(e->entry.hall));
+	json_object_object_add(o, "state", json_object_new_string(state_(e, now_us)));
+	json_object_object_add(o, "rests_ms", json_object_new_int64(left_ms_(e->backoff_until_us, now_us)));
+	json_object_object_add(o, "crowded_ms", json_object_new_int64(left_ms_(e->crowded_until_us, now_us)));
+	json_object_object_add(o, "limit_per_s",
+						   json_object_new_double(bh__endpoint_rate_get_per_s(&e->rate, now_us)));
+	json_object_object_add(o, "requests", json_object_new_int64(e->in_flight));
+	return o;
+}
+
+/* Returns the endpoints as this node knows them, for operators; to free with json_object_put(). */
+struct json_object *signals_describe(const Gate *g)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	uint64_t now_us = clock_now_us();
+
+	for (unsigned i = 0; i < bh__registry_get_count(g->registry); i++)
+		json_object_array_add(list, describe_endpoint_(bh__registry_get(g->registry, i), now_us));
+	json_object_object_add(root, "endpoints", list);
+	return root;
+}
+
 /* Writes how often each signal was given, as metrics. */
 void signals_write_status(const Gate *g, struct evbuffer *out)
 {
--- a/src/bayhoistctl/explain.c
+++ b/src/bayhoistctl/explain.c
@@ -44,6 +44,7 @@
 static void free_line_(gpointer line);
 static int print_(const char *id, GPtrArray *lines);
 static bool is_belief_(const char *text);
+static bool is_in_force_(const Line *l, uint64_t at_us);
 
 /* Explains a request from log files. */
 int ctl_explain(char **arguments)
@@ -91,12 +92,24 @@
 	return true;
 }
 
+/* Returns true for a signal of an endpoint that was in force at a time, however long ago it was given. */
+static bool is_in_force_(const Line *l, uint64_t at_us)
+{
+	char *for_ms = ctl_log_value(l->text, "for_ms");
+	uint64_t until_us = for_ms ? l->time_us + g_ascii_strtoull(for_ms, NULL, 10) * 1000 : UINT64_MAX;
+	bool is_signal = strstr(l->text, "event=signal kind=") != NULL;
+
+	g_free(for_ms);
+	return is_signal && l->time_us <= at_us && at_us < until_us;
+}
+
 /* Returns true for lines that tell of a change in what a node believes. */
 static bool is_belief_(const char *text)
 {
 	static const char *const Events[] = {
 		"event=member ",        "event=scheduler ", "event=store ", "event=looks ",  "event=endpoint ",
-		"event=configuration ", "event=start ",     "event=stop ",  "event=engine ", "event=log "};
+		"event=configuration ", "event=start ",     "event=stop ",  "event=engine ", "event=log ",
+		"event=signal ",        "event=limit ",     "event=hall "};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(Events); i++)
 		if (strstr(text, Events[i]))
@@ -162,7 +175,8 @@
 	for (guint i = 0; i < lines->len; i++) {
 		const Line *l = g_ptr_array_index(lines, i);
 		char *process = ctl_log_value(l->text, "process");
-		bool near = l->time_us + AROUND_US >= first_us && l->time_us <= last_us;
+		bool near =
+			(l->time_us + AROUND_US >= first_us && l->time_us <= last_us) || is_in_force_(l, first_us);
 		if (l->own || (near && process && node && !strcmp(process, node)))
 			printf("%c %s\n", l->own ? '*' : ' ', l->text);
 		g_free(process);
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -26,6 +26,7 @@
 		"  drain [ENDPOINT]     stop the node without cutting off a request, or mark an endpoint as leaving\n"
 		"  where                show which addresses a caller is told to use\n"
 		"  suspects [FINGERPRINT [release]]\n"
+		"  endpoints [SERVICE]\n"
 		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
 		"                       control address, and --key for a release the key that the nodes share\n"
 		"  timeline             show the events of all nodes in order of time\n"
@@ -134,6 +135,8 @@
 		return ctl_drain(o, arguments + 1);
 	if (!strcmp(command, "where"))
 		return ctl_where(o);
+	if (!strcmp(command, "endpoints"))
+		return ctl_endpoints(o, arguments + 1);
 	if (!strcmp(command, "suspects"))
 		return ctl_suspects(o, arguments + 1);
 	if (!strcmp(command, "timeline"))
--- a/test/check-explain.sh
+++ b/test/check-explain.sh
@@ -19,6 +19,15 @@
 time_us=2900000 process=vm2 hall=h boot=2 seq=1 level=info event=member node=vm3 state=dead
 time_us=5000000 process=vm2 hall=h boot=2 seq=2 level=info event=take request=r2 route=ask age_ms=100
 LOG
+cat >"$RUN/c.log" <<'LOG'
+time_us=1000000 process=vm3 hall=h boot=1 seq=1 level=info event=signal kind=leaving what=told endpoint=i-1 born_ms=1
+time_us=70000000 process=vm3 hall=h boot=1 seq=2 level=info event=signal kind=backoff what=heard endpoint=i-2 for_ms=9000 was_ms=0 request=r0
+time_us=71000000 process=vm3 hall=h boot=1 seq=3 level=info event=signal kind=backoff what=heard endpoint=i-3 for_ms=500 was_ms=0 request=r0
+time_us=78000000 process=vm3 hall=h boot=1 seq=4 level=info event=take request=r3 route=ask age_ms=100
+time_us=78000000 process=vm3 hall=h boot=1 seq=5 level=info event=end request=r3 outcome=no-endpoint state=asking
+LOG
+out=$("$B/bayhoistctl" explain r3 "$RUN/c.log")
+is "an endpoint that leaves and one that rests are named, however long ago they said so" "$(grep -o 'endpoint=i-.' <<<"$out" | tr '\n' ' ')" "endpoint=i-1 endpoint=i-2 "
 out=$("$B/bayhoistctl" explain r1 "$RUN/b.log" "$RUN/a.log")
 is "its own lines are shown" "$(grep -c '^\*' <<<"$out")" 4
 is "and what its node believed" "$(grep -c 'event=store' <<<"$out")" 1
--- a/test/check-leaving-told.sh
+++ b/test/check-leaving-told.sh
@@ -41,6 +41,7 @@
 for id in $engine $plain; do tell "leaving?id=$id&value=1"; done
 load 3
 is "every gateway knows of both" "$(grep -l 'kind=leaving what=\(heard\|told\) endpoint='$engine "$RUN"/gate?.log | wc -l) $(grep -l 'kind=leaving what=\(heard\|told\) endpoint='$plain "$RUN"/gate?.log | wc -l)" "3 3"
+is "operators see it" "$("$B/bayhoistctl" --node "$(node 1 3)" endpoints | awk '$4 == "leaving" { print $1 }' | sort | tr '\n' ' ')" "$(printf '%s\n' $engine $plain | sort | tr '\n' ' ')"
 mark
 load 3
 is_left "in an outage"
--- a/test/check-rest.sh
+++ b/test/check-rest.sh
@@ -70,6 +70,7 @@
 	left=$(for id in i-p1 i-p2; do tell "rest-left?id=$id&gateway=g$n"; done | sort -n | head -n 1)
 	is "gateway $n tells $told ms, and the first rest ends in $left ms" "$((told >= left - 50 && told <= left + 150))" 1
 done
+is "operators see who rests" "$(for n in 1 2 3; do "$B/bayhoistctl" --node "$(node $n 3)" endpoints web | awk '$5 > 0 && $5 <= 3000' | wc -l; done | sort -u)" 2
 is "lookups are refused within 0.1 s" "$(for i in $(seq $first "$sent"); do awk '$2 > 0.1' "$RUN/status.f$i"; done | wc -l)" 0
 
 # a rest ends by itself
