Read again: backoff and overload by the field's words, an endpoint's signals in one struct, one way to ask again

Names follow the standard terms (backoff, overload) in place of rest and crowd; what an endpoint has said of itself in answers is BH__EndpointSignals, forgotten as a whole by a later start and kept as a whole with an entry that lapses.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -113,10 +113,10 @@
 	uint32_t priority_level;
 	uint8_t avoid_count;
 	uint64_t avoid[BH__AVOID_MAX];
-	/* Engines that want nothing of the asking node for now. They go with each ask, so that whoever grants it
+	/* Engines that have asked the node for backoff. They go with each ask, so that whoever grants it
 	 * knows them, also one that has just become the scheduler. */
-	uint8_t resting_count;
-	uint64_t resting[BH__RESTING_MAX];
+	uint8_t backoff_count;
+	uint64_t backoff[BH__BACKOFF_MAX];
 	BH__PrefixChain prefix;
 } BH__Ask;
 
@@ -178,7 +178,7 @@
 	uint64_t born_ms; /* of the endpoint's start that it holds for */
 	bool in_force;    /* of a limit: false if an answer has named none */
 	double per_s;     /* of a limit */
-	/* of a rest, what is left of it; of a limit, since the answer was read */
+	/* of a backoff, what is left of it; of a limit, since the answer was read */
 	uint64_t time_us;
 } BH__SignalNews;
 
@@ -235,8 +235,8 @@
 			BH__ReleaseKind kind;
 			uint64_t failed_endpoint;
 			uint64_t pass_us; /* length of the engine's pass that has just ended; 0 but in a pass message */
-			uint64_t rest_us; /* for which the engine that failed has asked; 0: it has not */
-		} release;            /* also progress, pass, withdraw and queued */
+			uint64_t backoff_us; /* for which the engine that failed has asked; 0: it has not */
+		} release;               /* also progress, pass, withdraw and queued */
 		struct {
 			uint64_t pool_id;
 			bool full;  /* `grant` is whole; otherwise only the ids are set */
--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -65,7 +65,7 @@
 void bh__planner_process_pass(BH__Planner *p, uint64_t grant_id, uint64_t pass_us, uint64_t now_us);
 void bh__planner_process_release(BH__Planner *p, uint64_t grant_id, BH__ReleaseKind kind,
 								 uint64_t failed_endpoint, uint64_t now_us);
-void bh__planner_process_rest(BH__Planner *p, uint64_t endpoint_id, uint64_t rest_us, uint64_t now_us);
+void bh__planner_process_backoff(BH__Planner *p, uint64_t endpoint_id, uint64_t backoff_us, uint64_t now_us);
 void bh__planner_process_hold(BH__Planner *p, uint64_t node_id, uint64_t boot_id, bool full,
 							  const BH__Grant *grant, uint32_t count, uint64_t now_us);
 void bh__planner_list_grants(const BH__Planner *p, GArray *out, uint64_t now_us);
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -55,26 +55,33 @@
 	BH__Place ends_place; /* as of which it was not there; not told */
 } BH__HallDrain;
 
+/* What an endpoint has said of itself in answers, in its latest start, and whom this node has told. A leaving
+ * is kept in the endpoint's past. */
 typedef struct {
-	uint64_t endpoint_id; /* hash of its id */
-	BH__EndpointEntry entry;
-	BH__EndpointPast past;
-	BH__Place learnt;           /* with which the last change of what is believed of it was learnt */
-	uint64_t gone_at_us;        /* 0: listed; otherwise it is to be taken as gone from then on */
-	bool hall_drains;           /* the hall that it stands in */
-	bool said_leaving;          /* in an answer to this node */
+	bool said_leaving;          /* to this node */
 	uint64_t leaving_told_node; /* the home that this node has told of that; 0: none */
 	BH__NamedLimit named;       /* limit, as far as this node has heard */
 	uint64_t named_told_us;     /* when this node last told its home of that */
-	bool spread_in_force;       /* what all were last told of its limit, as far as this node knows */
+	bool spread_in_force;       /* what all were last told of the limit, as far as this node knows */
 	double spread_per_s;
-	BH__EndpointRate rate;     /* counted here if this node is its home and nobody schedules its service */
-	uint64_t full_until_us;    /* its home grants nothing until then */
 	uint64_t backoff_until_us; /* it wants nothing of this node until then */
-	uint64_t crowded_until_us; /* it has turned away requests of some node, and wants rest until then */
-	uint64_t life;             /* differs for each start that was seen, under whichever id */
-	uint32_t in_flight;        /* requests that this node has there */
-	uint32_t reported;         /* requests that it said run or wait there, of all nodes */
+	uint64_t
+		overloaded_until_us; /* it has turned away requests of some node, and asked for backoff until then */
+} BH__EndpointSignals;
+
+typedef struct {
+	uint64_t endpoint_id; /* hash of its id */
+	BH__EndpointEntry entry;
+	BH__EndpointPast past;
+	BH__Place learnt; /* with which the last change of what is believed of it was learnt */
+	BH__EndpointSignals signals;
+	uint64_t gone_at_us;    /* 0: listed; otherwise it is to be taken as gone from then on */
+	bool hall_drains;       /* the hall that it stands in */
+	BH__EndpointRate rate;  /* counted here if this node is its home and nobody schedules its service */
+	uint64_t full_until_us; /* its home grants nothing until then */
+	uint64_t life;          /* differs for each start that was seen, under whichever id */
+	uint32_t in_flight;     /* requests that this node has there */
+	uint32_t reported;      /* requests that it said run or wait there, of all nodes */
 	uint64_t reported_us;
 	uint64_t set_aside_until_us;
 	uint32_t failures;    /* one after another */
@@ -93,9 +100,8 @@
 typedef struct {
 	uint64_t endpoint_id;
 	BH__EndpointPast past;
-	BH__Place learnt;          /* as that of an endpoint; not told */
-	BH__NamedLimit named;      /* by its latest start; not told */
-	uint64_t backoff_until_us; /* the same */
+	BH__Place learnt;            /* as that of an endpoint; not told */
+	BH__EndpointSignals signals; /* not told */
 } BH__EndpointDeparture;
 
 typedef struct BH__Registry BH__Registry;
@@ -132,9 +138,9 @@
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_takes(const BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__registered_endpoint_hear_backoff(BH__RegisteredEndpoint *e, uint64_t until_us);
-bool bh__registered_endpoint_hear_crowd(BH__RegisteredEndpoint *e, uint64_t until_us, uint64_t now_us);
-unsigned bh__registry_list_resting(const BH__Registry *r, const char *service, uint64_t now_us,
-								   uint64_t out[], unsigned max);
+bool bh__registered_endpoint_hear_overload(BH__RegisteredEndpoint *e, uint64_t until_us, uint64_t now_us);
+unsigned bh__registry_list_backoffs(const BH__Registry *r, const char *service, uint64_t now_us,
+									uint64_t out[], unsigned max);
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us);
--- a/include/bayhoist/signal_relay.h
+++ b/include/bayhoist/signal_relay.h
@@ -23,8 +23,8 @@
 									  BH__Registry *registry);
 void bh__signal_relay_delete(BH__SignalRelay *r);
 bool bh__signal_relay_hear_leaving(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t now_us);
-void bh__signal_relay_hear_crowd(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t until_us,
-								 uint64_t now_us);
+void bh__signal_relay_hear_overload(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t until_us,
+									uint64_t now_us);
 bool bh__signal_relay_hear_limit(BH__SignalRelay *r, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard,
 								 uint64_t now_us);
 bool bh__signal_relay_take(BH__SignalRelay *r, const BH__SignalNews *n, uint64_t now_us);
--- a/include/bayhoist/types.h
+++ b/include/bayhoist/types.h
@@ -16,7 +16,7 @@
 #define BH__PARTS_MAX 3     /* most pools that hold one prompt together */
 #define BH__ADAPTERS_MAX 16 /* most adapters that one endpoint is known to hold */
 #define BH__AVOID_MAX 4     /* most endpoints that a retry asks to avoid */
-#define BH__RESTING_MAX 64  /* most engines that want nothing of a node which it names in an ask */
+#define BH__BACKOFF_MAX 64  /* most engines that want nothing of a node which it names in an ask */
 #define BH__SIZE_CLASSES 4  /* of prompts: up to 4k, 32k and 100k tokens, and above */
 #define BH__NO_ENDPOINT 0u  /* an endpoint id that names none */
 
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -61,7 +61,8 @@
 static void give_up_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 static void ask_(Call *c);
 static void fill_ask_(Call *c);
-static void fill_resting_(Call *c);
+static void fill_backoffs_(Call *c);
+static void ask_again_(Call *c, uint64_t now_us);
 static const char *scheduler_name_(const Call *c);
 static void use_grant_(Call *c);
 static uint64_t find_unusable_(const Call *c);
@@ -479,16 +480,25 @@
 	a->priority_level = c->owner && c->owner->has_priority ? c->owner->priority : c->rule->priority;
 	for (unsigned i = 0; i < c->x.tried_count && a->avoid_count < BH__AVOID_MAX; i++)
 		a->avoid[a->avoid_count++] = c->x.tried[i];
-	fill_resting_(c);
+	fill_backoffs_(c);
 }
 
-/* Names the engines that want nothing of this node in the ask, before each time that it is sent. */
-static void fill_resting_(Call *c)
+/* Names the engines from which this node backs off in the ask, before each time that it is sent. */
+static void fill_backoffs_(Call *c)
 {
 	BH__Ask *a = &c->place.ask;
 
-	a->resting_count = (uint8_t)bh__registry_list_resting(c->gate->registry, c->service->name, clock_now_us(),
-														  a->resting, BH__RESTING_MAX);
+	a->backoff_count = (uint8_t)bh__registry_list_backoffs(c->gate->registry, c->service->name,
+														   clock_now_us(), a->backoff, BH__BACKOFF_MAX);
+}
+
+/* Sends the ask that is out once more, with what is known by now. */
+static void ask_again_(Call *c, uint64_t now_us)
+{
+	c->asked_us = now_us;
+	call_set_timer(c, now_us);
+	fill_backoffs_(c);
+	cluster_ask_again(c->gate->cluster, c);
 }
 
 CallPlace *call_get_place(Call *c)
@@ -810,18 +820,12 @@
 	}
 	else if (c->state == CALL_ASKING && c->queued && now_us >= c->asked_us + QUEUED_REPEAT_MS * BH__MS_US) {
 		c->queued = false;
-		c->asked_us = now_us;
-		call_set_timer(c, now_us);
-		fill_resting_(c);
-		cluster_ask_again(c->gate->cluster, c);
+		ask_again_(c, now_us);
 	}
 	else if (c->state == CALL_ASKING && !c->queued &&
 			 now_us >= c->asked_us + SCHEDULER_PATIENCE_MS * BH__MS_US &&
 			 cluster_awaits(c->gate->cluster, c->place.asked_node)) {
-		c->asked_us = now_us;
-		call_set_timer(c, now_us);
-		fill_resting_(c);
-		cluster_ask_again(c->gate->cluster, c);
+		ask_again_(c, now_us);
 	}
 	else if (c->state == CALL_ASKING && !c->queued &&
 			 now_us >= c->asked_us + SCHEDULER_PATIENCE_MS * BH__MS_US) {
@@ -830,7 +834,7 @@
 				  c->request->meta.request_id, scheduler_name_(c), (now_us - c->asked_us) / BH__MS_US);
 		c->asked_us = now_us;
 		call_set_timer(c, now_us);
-		fill_resting_(c);
+		fill_backoffs_(c);
 		cluster_ask_locally(c->gate->cluster, c);
 	}
 	else {
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -430,7 +430,8 @@
 		return;
 	m.as.release.kind = kind;
 	m.as.release.failed_endpoint = failed_endpoint;
-	m.as.release.rest_us = failed ? failed->backoff_until_us - MIN(now_us, failed->backoff_until_us) : 0;
+	m.as.release.backoff_us =
+		failed ? failed->signals.backoff_until_us - MIN(now_us, failed->signals.backoff_until_us) : 0;
 	tell_(c, call, &m);
 	memset(&p->grant, 0, sizeof p->grant);
 }
@@ -461,9 +462,9 @@
 	if (!s)
 		return;
 	if (m->type == BH__MESSAGE_RELEASE) {
-		if (m->as.release.rest_us)
-			bh__planner_process_rest(s->planner, m->as.release.failed_endpoint, m->as.release.rest_us,
-									 now_us);
+		if (m->as.release.backoff_us)
+			bh__planner_process_backoff(s->planner, m->as.release.failed_endpoint, m->as.release.backoff_us,
+										now_us);
 		bh__planner_process_release(s->planner, m->as.release.grant_id, m->as.release.kind,
 									m->as.release.failed_endpoint, now_us);
 	}
--- a/src/bayhoist-gate/sending.c
+++ b/src/bayhoist-gate/sending.c
@@ -73,8 +73,8 @@
 			  " limit_per_s=%.3f helpers=%s",
 			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
 			  c->x.sendings, c->events.last_id, (c->x.deadline_us - c->sent_us) / BH__MS_US,
-			  g->grant_id ? g->expected_us / BH__MS_US : 0, e->named.in_force ? e->named.per_s : -1.0,
-			  helpers->str);
+			  g->grant_id ? g->expected_us / BH__MS_US : 0,
+			  e->signals.named.in_force ? e->signals.named.per_s : -1.0, helpers->str);
 	g_string_free(helpers, TRUE);
 }
 
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -52,7 +52,7 @@
 static void take_limit_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
 {
 	BH__NamedLimit heard = {.in_force = s->state == BH__SIGNAL_GIVEN, .per_s = s->value};
-	double was_per_s = e->named.in_force ? e->named.per_s : -1;
+	double was_per_s = e->signals.named.in_force ? e->signals.named.per_s : -1;
 
 	if (!heard.in_force && !o->is_served)
 		return;
@@ -62,8 +62,8 @@
 	schedulers_follow_limits(g->cluster, e);
 	g->counters.limit_changes++;
 	log_event("limit", "what=%s endpoint=%s per_s=%.3f was=%.3f request=%s",
-			  e->named.in_force ? "named" : "ended", e->entry.id, e->named.in_force ? e->named.per_s : -1.0,
-			  was_per_s, o->request_id);
+			  e->signals.named.in_force ? "named" : "ended", e->entry.id,
+			  e->signals.named.in_force ? e->signals.named.per_s : -1.0, was_per_s, o->request_id);
 }
 
 /* A leaving ends by a later start alone: an answer that does not say it may have been made before. */
@@ -77,11 +77,11 @@
 	follow_(g);
 }
 
-/* Only a refusal asks for rest: in other answers the header speaks to the caller. The time counts from when
- * the answer was read, by a clock that does not stop while the node is suspended. */
+/* Only a refusal asks for backoff: in other answers the header speaks to the caller. The time counts from
+ * when the answer was read, by a clock that does not stop while the node is suspended. */
 static void take_backoff_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
 {
-	uint64_t was_until_us = MAX(e->backoff_until_us, o->heard_us);
+	uint64_t was_until_us = MAX(e->signals.backoff_until_us, o->heard_us);
 	uint64_t until_us = o->heard_us + (uint64_t)(s->value * BH__SECOND_US);
 
 	if (s->state != BH__SIGNAL_GIVEN || o->status != REFUSED)
@@ -92,7 +92,7 @@
 			  "kind=backoff what=heard endpoint=%s for_ms=%.0f was_ms=%" G_GUINT64_FORMAT " request=%s",
 			  e->entry.id, s->value * 1000, (was_until_us - o->heard_us) / BH__MS_US, o->request_id);
 	if (!schedulers_has_service(g->cluster, e->entry.service)) /* a scheduler hears of it by the release */
-		bh__signal_relay_hear_crowd(g->cluster->signals->relay, e, until_us, clock_now_us());
+		bh__signal_relay_hear_overload(g->cluster->signals->relay, e, until_us, clock_now_us());
 }
 
 /* What is known of endpoints has changed: the planners follow before anything else is granted. */
@@ -138,7 +138,7 @@
 	}
 	schedulers_follow_limits(((Signals *)port)->cluster, e);
 	log_event("limit", "what=told endpoint=%s per_s=%.3f", e->entry.id,
-			  e->named.in_force ? e->named.per_s : -1.0);
+			  e->signals.named.in_force ? e->signals.named.per_s : -1.0);
 }
 
 void signals_process_tick(Signals *s)
@@ -201,8 +201,10 @@
 	json_object_object_add(o, "service", json_object_new_string(e->entry.service));
 	json_object_object_add(o, "hall", json_object_new_string(e->entry.hall));
 	json_object_object_add(o, "state", json_object_new_string(state_(e, now_us)));
-	json_object_object_add(o, "rests_ms", json_object_new_int64(left_ms_(e->backoff_until_us, now_us)));
-	json_object_object_add(o, "crowded_ms", json_object_new_int64(left_ms_(e->crowded_until_us, now_us)));
+	json_object_object_add(o, "backoff_ms",
+						   json_object_new_int64(left_ms_(e->signals.backoff_until_us, now_us)));
+	json_object_object_add(o, "overloaded_ms",
+						   json_object_new_int64(left_ms_(e->signals.overloaded_until_us, now_us)));
 	json_object_object_add(o, "limit_per_s",
 						   json_object_new_double(bh__endpoint_rate_get_per_s(&e->rate, now_us)));
 	json_object_object_add(o, "requests", json_object_new_int64(e->in_flight));
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -36,7 +36,7 @@
 
 	if (e->reported_us && now_us < e->reported_us + REPORT_FRESH_US_)
 		load = MAX(load, (double)e->reported);
-	if (now_us < e->crowded_until_us)
+	if (now_us < e->signals.overloaded_until_us)
 		load = MAX(load, (double)e->entry.slots);
 	load += FAILURE_COST_ * e->failure_share;
 	if (strcmp(e->entry.hall, hall) != 0)
@@ -135,12 +135,12 @@
 bool bh__registered_endpoint_hear_limit(BH__RegisteredEndpoint *e, const BH__NamedLimit *told,
 										uint64_t now_us)
 {
-	bool changed = told->in_force ? bh__named_limit_hear(&e->named, told->per_s, told->heard_us)
-								  : bh__named_limit_hear_none(&e->named, told->heard_us);
+	bool changed = told->in_force ? bh__named_limit_hear(&e->signals.named, told->per_s, told->heard_us)
+								  : bh__named_limit_hear_none(&e->signals.named, told->heard_us);
 
 	if (changed)
-		bh__endpoint_rate_set_named(&e->rate, &e->named, now_us);
-	if (!e->named.in_force)
+		bh__endpoint_rate_set_named(&e->rate, &e->signals.named, now_us);
+	if (!e->signals.named.in_force)
 		e->full_until_us = 0;
 	return changed;
 }
@@ -165,7 +165,7 @@
 
 	for (guint i = 0; i < r->table->len; i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		uint64_t taking_us = MAX(e->full_until_us, e->backoff_until_us);
+		uint64_t taking_us = MAX(e->full_until_us, e->signals.backoff_until_us);
 		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_is_usable(e, now_us))
 			continue;
 		if (taking_us <= now_us)
@@ -180,33 +180,33 @@
  * later than was known. */
 bool bh__registered_endpoint_hear_backoff(BH__RegisteredEndpoint *e, uint64_t until_us)
 {
-	if (until_us <= e->backoff_until_us)
+	if (until_us <= e->signals.backoff_until_us)
 		return false;
-	e->backoff_until_us = until_us;
+	e->signals.backoff_until_us = until_us;
 	return true;
 }
 
-/* An endpoint has turned away a request of this or another node, and wants rest until a time: until then it
- * counts as one whose slots are all taken. Without that each node finds it idle, and is turned away once.
- * Returns true if that was not known. */
-bool bh__registered_endpoint_hear_crowd(BH__RegisteredEndpoint *e, uint64_t until_us, uint64_t now_us)
+/* An endpoint has turned away a request of this or another node, and asked for backoff until a time: until
+ * then it counts as one whose slots are all taken. Without that each node finds it idle, and is turned away
+ * once. Returns true if that was not known. */
+bool bh__registered_endpoint_hear_overload(BH__RegisteredEndpoint *e, uint64_t until_us, uint64_t now_us)
 {
-	bool is_new = now_us >= e->crowded_until_us && now_us < until_us;
+	bool is_new = now_us >= e->signals.overloaded_until_us && now_us < until_us;
 
-	e->crowded_until_us = MAX(e->crowded_until_us, until_us);
+	e->signals.overloaded_until_us = MAX(e->signals.overloaded_until_us, until_us);
 	return is_new;
 }
 
 /* Lists the endpoints of a service that want nothing of this node for now; returns how many those are, or
  * `max` if there are more. */
-unsigned bh__registry_list_resting(const BH__Registry *r, const char *service, uint64_t now_us,
-								   uint64_t out[], unsigned max)
+unsigned bh__registry_list_backoffs(const BH__Registry *r, const char *service, uint64_t now_us,
+									uint64_t out[], unsigned max)
 {
 	unsigned count = 0;
 
 	for (guint i = 0; i < r->table->len && count < max; i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		if (now_us < e->backoff_until_us && !strcmp(e->entry.service, service))
+		if (now_us < e->signals.backoff_until_us && !strcmp(e->entry.service, service))
 			out[count++] = e->endpoint_id;
 	}
 	return count;
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -25,12 +25,12 @@
 	uint64_t endpoint_id;
 	uint64_t life; /* of the endpoint, as the registry counts them */
 	bool leaving;
-	uint64_t set_aside_until_us; /* after a failure */
-	uint64_t rest_until_us;      /* it has asked some node for rest until then */
-	unsigned failures;           /* one after another */
-	BH__EndpointRate rate;       /* what it may be granted */
-	uint64_t inspected_us;       /* when its report was last asked for */
-	uint64_t last_begun_us;      /* when the latest answer from here began */
+	uint64_t set_aside_until_us;     /* after a failure */
+	uint64_t asked_backoff_until_us; /* it has asked some node for that */
+	unsigned failures;               /* one after another */
+	BH__EndpointRate rate;           /* what it may be granted */
+	uint64_t inspected_us;           /* when its report was last asked for */
+	uint64_t last_begun_us;          /* when the latest answer from here began */
 	BH__PassClock clock;
 	GPtrArray *homes; /* BH__PlacedRequest whose answers come from here */
 	unsigned helps;   /* parts of prompts of others under way */
@@ -52,6 +52,6 @@
 double bh__placement_value(uint64_t prompt_tokens);
 bool bh__placement_is_tight(uint64_t event_gap_us);
 bool bh__pass_engine_is_usable(const BH__PassEngine *e, uint64_t now_us);
-bool bh__ask_rests_from(const BH__Ask *ask, uint64_t endpoint_id);
+bool bh__ask_backs_off_from(const BH__Ask *ask, uint64_t endpoint_id);
 
 #endif
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -257,9 +257,9 @@
 	u8_(c, &a->avoid_count, BH__AVOID_MAX);
 	for (unsigned i = 0; i < a->avoid_count; i++)
 		u64_(c, &a->avoid[i]);
-	u8_(c, &a->resting_count, BH__RESTING_MAX);
-	for (unsigned i = 0; i < a->resting_count; i++)
-		u64_(c, &a->resting[i]);
+	u8_(c, &a->backoff_count, BH__BACKOFF_MAX);
+	for (unsigned i = 0; i < a->backoff_count; i++)
+		u64_(c, &a->backoff[i]);
 	u8_(c, &a->prefix.count, BH__PREFIX_MAX);
 	for (unsigned i = 0; i < a->prefix.count; i++)
 		u64_(c, &a->prefix.hash[i]);
@@ -531,7 +531,7 @@
 		m->as.release.kind = (BH__ReleaseKind)kind;
 		u64_(c, &m->as.release.failed_endpoint);
 		u64_(c, &m->as.release.pass_us);
-		u64_(c, &m->as.release.rest_us);
+		u64_(c, &m->as.release.backoff_us);
 		break;
 	case BH__MESSAGE_HOLD:
 		hold_(c, m);
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -100,9 +100,9 @@
 }
 
 /* Returns true if an engine wants nothing of the asking node. */
-bool bh__ask_rests_from(const BH__Ask *ask, uint64_t endpoint_id)
+bool bh__ask_backs_off_from(const BH__Ask *ask, uint64_t endpoint_id)
 {
-	return is_in_(ask->resting, ask->resting_count, endpoint_id);
+	return is_in_(ask->backoff, ask->backoff_count, endpoint_id);
 }
 
 /* Returns true if an answer from this engine should have begun, and none has begun there since. A prompt that
@@ -129,7 +129,7 @@
 	for (int avoid = 1; avoid >= 0 && !count; avoid--) {
 		for (guint i = 0; i < engines->len; i++) {
 			BH__PassEngine *e = g_ptr_array_index(engines, i);
-			if (!bh__pass_engine_is_usable(e, now_us) || bh__ask_rests_from(ask, e->endpoint_id) ||
+			if (!bh__pass_engine_is_usable(e, now_us) || bh__ask_backs_off_from(ask, e->endpoint_id) ||
 				(avoid && (is_in_(ask->avoid, ask->avoid_count, e->endpoint_id) || is_overdue_(e, now_us))))
 				continue;
 			bh__pass_clock_advance(&e->clock, m, now_us);
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -180,7 +180,7 @@
 	e->kv_used_tokens = 0;
 	e->failures = 0;
 	e->set_aside_until_us = 0;
-	e->rest_until_us = 0;
+	e->asked_backoff_until_us = 0;
 	e->last_begun_us = 0;
 	e->inspected_us = 0;
 }
@@ -430,18 +430,18 @@
 
 	e->failures++;
 	e->set_aside_until_us = now_us + MIN(aside_us, ASIDE_MAX_US_);
-	if (now_us < e->rest_until_us)
-		e->set_aside_until_us = MIN(e->set_aside_until_us, e->rest_until_us);
+	if (now_us < e->asked_backoff_until_us)
+		e->set_aside_until_us = MIN(e->set_aside_until_us, e->asked_backoff_until_us);
 }
 
-/* An engine has asked a node for rest for so long. To be called before the release of the grant that it
+/* An engine has asked a node for so long a backoff. To be called before the release of the grant that it
  * turned away: it is not set aside for the others for longer than its own word says. */
-void bh__planner_process_rest(BH__Planner *p, uint64_t endpoint_id, uint64_t rest_us, uint64_t now_us)
+void bh__planner_process_backoff(BH__Planner *p, uint64_t endpoint_id, uint64_t backoff_us, uint64_t now_us)
 {
 	BH__PassEngine *e = find_engine_(p, endpoint_id);
 
 	if (e)
-		e->rest_until_us = MAX(e->rest_until_us, now_us + rest_us);
+		e->asked_backoff_until_us = MAX(e->asked_backoff_until_us, now_us + backoff_us);
 }
 
 /* A grant ends. An engine that failed takes nothing for a while. */
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -76,9 +76,9 @@
 		p->port->grant(p->port, &known->grant);
 		return;
 	}
-	if (waiting) { /* of the engines that it rests from others may be left by now */
-		waiting->ask.resting_count = ask->resting_count;
-		memcpy(waiting->ask.resting, ask->resting, sizeof ask->resting);
+	if (waiting) { /* other engines may have asked for backoff by now */
+		waiting->ask.backoff_count = ask->backoff_count;
+		memcpy(waiting->ask.backoff, ask->backoff, sizeof ask->backoff);
 		p->port->queued(p->port, ask);
 		return;
 	}
@@ -149,12 +149,12 @@
 	return true;
 }
 
-/* Returns true if there is an engine that is not leaving, and has not asked the ask's node for rest. */
+/* Returns true if there is an engine that is not leaving, and has not asked the ask's node for backoff. */
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask)
 {
 	for (guint i = 0; i < p->engines->len; i++) {
 		const BH__PassEngine *e = g_ptr_array_index(p->engines, i);
-		if (!e->leaving && !bh__ask_rests_from(ask, e->endpoint_id))
+		if (!e->leaving && !bh__ask_backs_off_from(ask, e->endpoint_id))
 			return true;
 	}
 	return false;
@@ -195,7 +195,7 @@
 
 	for (guint i = 0; i < p->engines->len; i++) {
 		const BH__PassEngine *e = g_ptr_array_index(p->engines, i);
-		if (!e->leaving && !bh__ask_rests_from(ask, e->endpoint_id))
+		if (!e->leaving && !bh__ask_backs_off_from(ask, e->endpoint_id))
 			least_us = MIN(least_us, e->set_aside_until_us);
 	}
 	return least_us != UINT64_MAX && least_us > now_us ? least_us - now_us : 0;
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -196,8 +196,7 @@
 	BH__RegisteredEndpoint *e = bh__registry_find(r, id);
 	BH__EndpointDeparture *d = e ? NULL : g_hash_table_lookup(r->departed, &id);
 	BH__EndpointPast after = d ? d->past : (BH__EndpointPast){0};
-	BH__NamedLimit named = d ? d->named : (BH__NamedLimit){0};
-	uint64_t backoff_until_us = d ? d->backoff_until_us : 0;
+	BH__EndpointSignals signals = d ? d->signals : (BH__EndpointSignals){0};
 	uint64_t born_ms = after.born_ms;
 
 	if (e)
@@ -213,9 +212,9 @@
 	if (d)
 		e->past = after;
 	merge_known_(r, e, entry, told, gone_at_us, as_of);
-	if (e->entry.born_ms == born_ms) { /* not by another start */
-		bh__registered_endpoint_hear_limit(e, &named, 0);
-		bh__registered_endpoint_hear_backoff(e, backoff_until_us);
+	if (e->entry.born_ms == born_ms) { /* it is the same start */
+		e->signals = signals;
+		bh__endpoint_rate_set_named(&e->rate, &e->signals.named, 0);
 	}
 	return true;
 }
@@ -333,16 +332,9 @@
 	e->set_aside_until_us = 0;
 	e->failures = 0;
 	e->failure_share = 0;
-	e->said_leaving = false;
-	e->leaving_told_node = 0;
-	e->named = (BH__NamedLimit){0};
-	e->named_told_us = 0;
-	e->spread_in_force = false;
-	e->spread_per_s = 0;
+	e->signals = (BH__EndpointSignals){0};
 	e->rate = (BH__EndpointRate){0};
 	e->full_until_us = 0;
-	e->backoff_until_us = 0;
-	e->crowded_until_us = 0;
 }
 
 /* Takes that an endpoint is gone, or remains so. */
@@ -374,11 +366,9 @@
 static void depart_(BH__Registry *r, BH__RegisteredEndpoint *e)
 {
 	r->version++;
-	remember_(r, &(BH__EndpointDeparture){.endpoint_id = e->endpoint_id,
-										  .past = e->past,
-										  .learnt = e->learnt,
-										  .named = e->named,
-										  .backoff_until_us = e->backoff_until_us});
+	remember_(
+		r, &(BH__EndpointDeparture){
+			   .endpoint_id = e->endpoint_id, .past = e->past, .learnt = e->learnt, .signals = e->signals});
 	g_hash_table_remove(r->by_id, &e->endpoint_id);
 	g_ptr_array_remove(r->table, e);
 }
@@ -485,5 +475,5 @@
 /* Returns true if new requests of this node may go there. */
 bool bh__registered_endpoint_takes(const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
-	return now_us >= e->backoff_until_us && bh__registered_endpoint_is_usable(e, now_us);
+	return now_us >= e->signals.backoff_until_us && bh__registered_endpoint_is_usable(e, now_us);
 }
--- a/src/libbayhoist/signal_relay.c
+++ b/src/libbayhoist/signal_relay.c
@@ -68,7 +68,7 @@
 {
 	if (!bh__registry_note_leaving(r->registry, e->endpoint_id, e->entry.born_ms))
 		return false;
-	e->said_leaving = true;
+	e->signals.said_leaving = true;
 	r->has_heard = true;
 	tell_leaving_(r, e, now_us);
 	return true;
@@ -79,18 +79,18 @@
 {
 	uint64_t home = r->port->find_home(r->port, e->entry.service);
 
-	if (e->leaving_told_node == home)
+	if (e->signals.leaving_told_node == home)
 		return;
-	e->leaving_told_node = home;
+	e->signals.leaving_told_node = home;
 	tell_home_(r, BH__SIGNAL_LEAVING, e, now_us);
 }
 
-/* An endpoint has turned away a request of this node, and wants rest until a time. One message for each rest,
- * not for each request that is turned away. */
-void bh__signal_relay_hear_crowd(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t until_us,
-								 uint64_t now_us)
+/* An endpoint has turned away a request of this node, and asked for backoff until a time. One message for
+ * each backoff, not for each request that is turned away. */
+void bh__signal_relay_hear_overload(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t until_us,
+									uint64_t now_us)
 {
-	if (bh__registered_endpoint_hear_crowd(e, until_us, now_us))
+	if (bh__registered_endpoint_hear_overload(e, until_us, now_us))
 		tell_home_(r, BH__SIGNAL_BACKOFF, e, now_us);
 }
 
@@ -99,12 +99,12 @@
 bool bh__signal_relay_hear_limit(BH__SignalRelay *r, BH__RegisteredEndpoint *e, const BH__NamedLimit *heard,
 								 uint64_t now_us)
 {
-	bool was_in_force = e->named.in_force;
+	bool was_in_force = e->signals.named.in_force;
 	bool changed = bh__registered_endpoint_hear_limit(e, heard, now_us);
-	uint64_t period_us = !changed ? RETELL_US_ : was_in_force == e->named.in_force ? MOVED_US_ : 0;
+	uint64_t period_us = !changed ? RETELL_US_ : was_in_force == e->signals.named.in_force ? MOVED_US_ : 0;
 
-	if ((changed || heard->in_force) && now_us >= e->named_told_us + period_us) {
-		e->named_told_us = now_us;
+	if ((changed || heard->in_force) && now_us >= e->signals.named_told_us + period_us) {
+		e->signals.named_told_us = now_us;
 		tell_home_(r, BH__SIGNAL_LIMIT, e, now_us);
 	}
 	return changed;
@@ -133,13 +133,13 @@
 /* All are to hear of a limit that begins, ends, or has moved far. */
 static void tell_limit_(BH__SignalRelay *r, BH__RegisteredEndpoint *e)
 {
-	double per_s = e->named.in_force ? e->named.per_s : 0;
-	bool moved = fabs(per_s - e->spread_per_s) > MOVED_SHARE_ * e->spread_per_s;
+	double per_s = e->signals.named.in_force ? e->signals.named.per_s : 0;
+	bool moved = fabs(per_s - e->signals.spread_per_s) > MOVED_SHARE_ * e->signals.spread_per_s;
 
-	if (e->spread_in_force == e->named.in_force && !moved)
+	if (e->signals.spread_in_force == e->signals.named.in_force && !moved)
 		return;
-	e->spread_in_force = e->named.in_force;
-	e->spread_per_s = per_s;
+	e->signals.spread_in_force = e->signals.named.in_force;
+	e->signals.spread_per_s = per_s;
 	add_(r, BH__SIGNAL_LIMIT, e->endpoint_id);
 }
 
@@ -166,13 +166,13 @@
 	BH__SignalNews n = {.kind = kind, .endpoint_id = e->endpoint_id, .born_ms = e->entry.born_ms};
 
 	if (kind == BH__SIGNAL_BACKOFF) {
-		n.time_us = e->crowded_until_us - MIN(now_us, e->crowded_until_us);
+		n.time_us = e->signals.overloaded_until_us - MIN(now_us, e->signals.overloaded_until_us);
 	}
 	else if (kind == BH__SIGNAL_LIMIT) {
-		n.in_force = e->named.in_force;
-		n.per_s = e->named.in_force ? e->named.per_s : 0;
+		n.in_force = e->signals.named.in_force;
+		n.per_s = e->signals.named.in_force ? e->signals.named.per_s : 0;
 		/* an end counts as of now: an earlier naming must not outlast it */
-		n.time_us = e->named.in_force ? now_us - MIN(now_us, e->named.heard_us) : 0;
+		n.time_us = e->signals.named.in_force ? now_us - MIN(now_us, e->signals.named.heard_us) : 0;
 	}
 	return n;
 }
@@ -200,8 +200,8 @@
 		tell_limit_(r, e);
 	}
 	else if (n->kind == BH__SIGNAL_LIMIT) {
-		e->spread_in_force = n->in_force;
-		e->spread_per_s = n->per_s;
+		e->signals.spread_in_force = n->in_force;
+		e->signals.spread_per_s = n->per_s;
 	}
 	else if (for_all) {
 		add_(r, n->kind, n->endpoint_id);
@@ -220,7 +220,7 @@
 		is_new = bh__registry_note_leaving(r->registry, n->endpoint_id, n->born_ms);
 		break;
 	case BH__SIGNAL_BACKOFF:
-		is_new = is_same_start && bh__registered_endpoint_hear_crowd(e, now_us + n->time_us, now_us);
+		is_new = is_same_start && bh__registered_endpoint_hear_overload(e, now_us + n->time_us, now_us);
 		break;
 	case BH__SIGNAL_LIMIT:
 		is_new = is_same_start && take_limit_(e, n, now_us);
@@ -264,7 +264,7 @@
 	r->has_heard = false;
 	for (unsigned i = 0; i < bh__registry_get_count(r->registry); i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r->registry, i);
-		if (!e->said_leaving)
+		if (!e->signals.said_leaving)
 			continue;
 		r->has_heard = true;
 		tell_leaving_(r, e, now_us);
@@ -293,7 +293,7 @@
 	for (unsigned i = 0; i < bh__registry_get_count(r->registry); i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(r->registry, i);
 		const bool known[BH__SIGNAL_KIND_COUNT] = {
-			[BH__SIGNAL_LEAVING] = e->entry.draining, [BH__SIGNAL_LIMIT] = e->named.in_force};
+			[BH__SIGNAL_LEAVING] = e->entry.draining, [BH__SIGNAL_LIMIT] = e->signals.named.in_force};
 		for (int kind = 0; kind < BH__SIGNAL_KIND_COUNT; kind++) {
 			if (!known[kind] || !is_home_(r, e->entry.service))
 				continue;
--- a/src/test_libbayhoist/test_endpoint_rate.c
+++ b/src/test_libbayhoist/test_endpoint_rate.c
@@ -261,9 +261,9 @@
 	remove_(r, 2);
 	put_(r, 3, 77);
 	e = bh__registry_get(r, 0);
-	assert_true(e->named.in_force && bh__endpoint_rate_is_limited(&e->rate, NOW_US));
+	assert_true(e->signals.named.in_force && bh__endpoint_rate_is_limited(&e->rate, NOW_US));
 	put_(r, 4, 78);
-	assert_false(e->named.in_force || bh__endpoint_rate_is_limited(&e->rate, NOW_US));
+	assert_false(e->signals.named.in_force || bh__endpoint_rate_is_limited(&e->rate, NOW_US));
 	assert_true(bh__registered_endpoint_hear_limit(e, &told, NOW_US));
 	remove_(r, 5);
 	put_(r, 6, 79);
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -885,9 +885,9 @@
 /* The engines from one on want nothing of the node that asks. */
 static void rest_from_(BH__Ask *a, unsigned first, unsigned last)
 {
-	a->resting_count = 0;
+	a->backoff_count = 0;
 	for (unsigned i = first; i <= last; i++)
-		a->resting[a->resting_count++] = i;
+		a->backoff[a->backoff_count++] = i;
 }
 
 /* They get nothing of that node, as the one that answers or as helpers, alone and in the rush, while other
@@ -989,7 +989,7 @@
 	a = ask_(b, PAGE); /* it is back, and asks for less rest than it would be set aside for */
 	rest_from_(&a, 1, 1);
 	bh__planner_process_ask(b->planner, &a, 40 * BH__SECOND_US);
-	bh__planner_process_rest(b->planner, 2, 2000 * MS, 40 * BH__SECOND_US);
+	bh__planner_process_backoff(b->planner, 2, 2000 * MS, 40 * BH__SECOND_US);
 	bh__planner_process_release(b->planner, grant_(b, 5)->grant_id, BH__RELEASE_FAILED, 2,
 								40 * BH__SECOND_US);
 	a = ask_(b, PAGE);
--- a/src/test_libbayhoist/test_registry.c
+++ b/src/test_libbayhoist/test_registry.c
@@ -473,9 +473,9 @@
 	assert_true(is_usable_(r, e.id)); /* for others */
 	assert_int_equal(bh__registry_get_taking_us(r, "s", NOW_US), until_us);
 	assert_null(bh__registry_pick(r, "s", "h1", NULL, 0, true, NOW_US));
-	assert_int_equal(bh__registry_list_resting(r, "s", NOW_US, resting, 4), 1);
+	assert_int_equal(bh__registry_list_backoffs(r, "s", NOW_US, resting, 4), 1);
 	assert_int_equal(resting[0], id);
-	assert_int_equal(bh__registry_list_resting(r, "another", NOW_US, resting, 4), 0);
+	assert_int_equal(bh__registry_list_backoffs(r, "another", NOW_US, resting, 4), 0);
 	bh__registry_put(r, &other, at_(11), at_(11));
 	assert_int_equal(bh__registry_get_taking_us(r, "s", NOW_US), 0);
 	assert_int_equal(bh__registry_pick(r, "s", "h1", NULL, 0, true, NOW_US)->endpoint_id,
--- a/src/test_libbayhoist/test_signal_relay.c
+++ b/src/test_libbayhoist/test_signal_relay.c
@@ -369,7 +369,7 @@
 		bh__registry_note_end(l->registry, e->endpoint_id, w.life, BH__USE_REFUSED, f->now_us);
 		bh__registered_endpoint_hear_backoff(e, f->now_us + CROWD_REST_US);
 		if (tells)
-			bh__signal_relay_hear_crowd(l->relay, e, f->now_us + CROWD_REST_US, f->now_us);
+			bh__signal_relay_hear_overload(l->relay, e, f->now_us + CROWD_REST_US, f->now_us);
 		return false;
 	}
 	g_array_append_val(works, w);
@@ -476,7 +476,8 @@
 	unsigned count = 0;
 
 	for (unsigned i = 0; i < f->count; i++)
-		count += bh__registry_find(((Listener *)f->node[i].user)->registry, id_(endpoint))->named.in_force;
+		count +=
+			bh__registry_find(((Listener *)f->node[i].user)->registry, id_(endpoint))->signals.named.in_force;
 	return count;
 }
 
