--- a/src/test_libbayhoist/test_endpoint_rate.c
+++ b/src/test_libbayhoist/test_endpoint_rate.c
@@ -267,7 +267,7 @@
 	assert_true(bh__registered_endpoint_hear_limit(e, &told, NOW_US));
 	remove_(r, 5);
 	put_(r, 6, 79);
-	assert_false(bh__registry_get(r, 0)->named.in_force);
+	assert_false(bh__registry_get(r, 0)->signals.named.in_force);
 	bh__registry_delete(r);
 }
 
