A stopping node reckons with an answer's own length

Cause: the node went by what answers before had taken, whatever their length. Pages take 1 to 7 s, at 1.0 to 1.7 ms a token mostly. A long one after short ones was thought to end in time, and short ones were refused after long ones.

Hypothesis: compared with what each answer is expected to take, the route's target and the writing of as many tokens as its caller allows, few are cut and fewer refused.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -47,6 +47,9 @@
 static uint64_t retry_no_endpoint_ms_(const Call *c);
 static RouteTimes *route_times_(const Call *c);
 static BH__AnswerTime *answer_time_(const Call *c);
+static uint64_t answer_tokens_(const Call *c);
+static double write_ms_(const Call *c);
+static uint64_t expected_answer_us_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void place_(Call *c);
 static void give_up_no_endpoint_(Call *c);
@@ -249,6 +252,29 @@
 	return &route_times_(c)->answer[bh__size_class(c->request->meta.prompt_tokens)];
 }
 
+/* Returns how long the answer may be, in tokens, by what the caller allows and guesses. */
+static uint64_t answer_tokens_(const Call *c)
+{
+	const RequestMeta *m = &c->request->meta;
+	uint64_t most = m->max_tokens ? m->max_tokens : DEFAULT_ANSWER_TOKENS;
+
+	return m->likely_tokens ? MIN(most, m->likely_tokens * LIKELY_FACTOR + LIKELY_EXTRA_TOKENS) : most;
+}
+
+/* Returns how long an engine takes to write such an answer if it has nothing else to do; 0 for other
+ * endpoints. */
+static double write_ms_(const Call *c)
+{
+	return c->service->is_engine ? (double)answer_tokens_(c) * c->service->engine.step_ms : 0;
+}
+
+/* Returns how long the answer is expected to take from its sending to its end: until its target it begins,
+ * and then it is written. */
+static uint64_t expected_answer_us_(const Call *c)
+{
+	return (uint64_t)MAX(((double)c->rule->target_ms + write_ms_(c)) * BH__MS_US, 1);
+}
+
 /* Answers that the request did not run, or can't. */
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message)
 {
@@ -410,14 +436,12 @@
  * by when one counts as silent, and by what its engine takes for as many tokens as the caller allows. */
 static uint64_t longest_answer_us_(const Call *c)
 {
-	uint64_t seen_us = bh__answer_time_get_longest_us(answer_time_(c));
-	uint64_t tokens = c->request->meta.max_tokens ? c->request->meta.max_tokens : DEFAULT_ANSWER_TOKENS;
-	double write_ms = c->service->is_engine ? (double)tokens * c->service->engine.step_ms : 0;
+	uint64_t seen_us = bh__answer_time_get_longest_us(answer_time_(c), expected_answer_us_(c));
 
 	if (seen_us)
 		return seen_us;
 	return bh__patience_us(c->rule, c->service->is_engine, false) +
-		   (uint64_t)(write_ms * WRITE_FACTOR) * BH__MS_US;
+		   (uint64_t)(write_ms_(c) * WRITE_FACTOR) * BH__MS_US;
 }
 
 /* A request is held from now on: its calls end, but for those whose answer has begun. An endpoint that has
@@ -471,9 +495,7 @@
 
 	memset(a, 0, sizeof *a);
 	a->prompt_tokens = m->prompt_tokens ? m->prompt_tokens : c->request->body->len / BYTES_PER_TOKEN + 1;
-	a->max_tokens = m->max_tokens ? m->max_tokens : DEFAULT_ANSWER_TOKENS;
-	if (m->likely_tokens)
-		a->max_tokens = MIN(a->max_tokens, m->likely_tokens * LIKELY_FACTOR + LIKELY_EXTRA_TOKENS);
+	a->max_tokens = answer_tokens_(c);
 	a->deadline_us = c->x.deadline_us - now_us;
 	a->first_event_us = target_us - before_us > now_us ? target_us - before_us - now_us : 1;
 	a->event_gap_us = c->rule->event_gap_ms * BH__MS_US;
@@ -722,7 +744,7 @@
 	g->counters.outcomes[outcome]++;
 	if (outcome == CALL_SERVED) {
 		bh__histogram_add(&g->counters.whole, now_us - c->request->arrived_us);
-		bh__answer_time_note(answer_time_(c), now_us - c->sent_us);
+		bh__answer_time_note(answer_time_(c), now_us - c->sent_us, expected_answer_us_(c));
 	}
 	log_event("end",
 			  "request=%s route=%s outcome=%s status=%d state=%s sendings=%u may_have_run=%s "
--- a/src/libbayhoist/answer_time.c
+++ b/src/libbayhoist/answer_time.c
@@ -8,22 +8,23 @@
 #define DEVIATION_WEIGHT_ 0.25
 #define DEVIATIONS_ 4 /* above the mean that few answers exceed */
 
-/* Notes how long an answer took. */
-void bh__answer_time_note(BH__AnswerTime *t, uint64_t took_us)
+/* Notes how long an answer took of which `expected_us` (not 0) was expected. */
+void bh__answer_time_note(BH__AnswerTime *t, uint64_t took_us, uint64_t expected_us)
 {
-	double off_us = (double)took_us - t->mean_us;
+	double ratio = (double)took_us / (double)expected_us;
+	double off = ratio - t->mean;
 
-	if (t->mean_us <= 0) {
-		t->mean_us = (double)took_us;
-		t->deviation_us = (double)took_us / 2;
+	if (t->mean <= 0) {
+		t->mean = ratio;
+		t->deviation = ratio / 2;
 		return;
 	}
-	t->deviation_us += DEVIATION_WEIGHT_ * (fabs(off_us) - t->deviation_us);
-	t->mean_us += MEAN_WEIGHT_ * off_us;
+	t->deviation += DEVIATION_WEIGHT_ * (fabs(off) - t->deviation);
+	t->mean += MEAN_WEIGHT_ * off;
 }
 
-/* Returns a time that few answers exceed; 0: none was seen. */
-uint64_t bh__answer_time_get_longest_us(const BH__AnswerTime *t)
+/* Returns a time that an answer hardly exceeds of which `expected_us` is expected; 0: none was seen. */
+uint64_t bh__answer_time_get_longest_us(const BH__AnswerTime *t, uint64_t expected_us)
 {
-	return (uint64_t)(t->mean_us + DEVIATIONS_ * t->deviation_us);
+	return (uint64_t)((t->mean + DEVIATIONS_ * t->deviation) * (double)expected_us);
 }
