--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -338,6 +338,29 @@
 	assert_int_equal(platform_read_answer_header(&m, "X-Replica-Load", "1,0,8"), HEADER_PASS);
 }
 
+static void on_called_(void *ctx, int status, const char *body, size_t len)
+{
+	(void)body;
+	assert_int_equal(status, 0);
+	assert_int_equal(len, 0);
+	(*(unsigned *)ctx)++;
+}
+
+/* A call that fails before it has begun says so from the loop, like any other: callers keep what http_call()
+ * returns, and free what they gave it when they are told. */
+static void a_call_that_fails_at_once_says_so_later_(void **state)
+{
+	struct event_base *base = event_base_new();
+	unsigned called = 0;
+
+	(void)state;
+	http_call(base, "no address", EVHTTP_REQ_GET, "/", NULL, 100, on_called_, &called);
+	assert_int_equal(called, 0);
+	event_base_dispatch(base);
+	assert_int_equal(called, 1);
+	event_base_free(base);
+}
+
 static void sendings_name_their_helpers_(void **state)
 {
 	struct evbuffer *out = evbuffer_new();
@@ -377,6 +400,7 @@
 		cmocka_unit_test(signals_of_endpoints_are_read_),
 		cmocka_unit_test(the_strictest_of_two_signals_counts_),
 		cmocka_unit_test(unknown_headers_are_told_apart_),
+		cmocka_unit_test(a_call_that_fails_at_once_says_so_later_),
 		cmocka_unit_test(sendings_name_their_helpers_),
 	};
 
