Calls that find nobody listening leave no connection behind

Cause: no fault of the test. evhttp frees a connection that is to be freed on completion after an answer, a time-out or a reset, but not where it could not be established: refused, or failed at once. Each call to a store, an engine or a VM list that is down lost 1.3 KB so, for the life of the gateway and of bayhoistd.

Looked for elsewhere: five places let evhttp free the connection, two of them in the stand-in of an engine; all had it.

--- a/src/bayhoistd/poll.c
+++ b/src/bayhoistd/poll.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "log.h"
 #include "web.h"
+#include "web_call.h"
 
 #define POLL_TIMEOUT_S 1
 #define ORDER_TIMEOUT_S 20
@@ -222,6 +223,7 @@
 	struct evhttp_connection *conn;
 	struct evhttp_request *req;
 	OrderCall *call;
+	WebCall *web;
 	const char *text;
 
 	if (!r)
@@ -239,12 +241,12 @@
 	text = json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN);
 	conn = connect_open(d, r->as.endpoint.address, r->as.endpoint.tls);
 	evhttp_connection_set_timeout(conn, ORDER_TIMEOUT_S);
-	evhttp_connection_free_on_completion(conn);
-	req = evhttp_request_new(on_ordered_, call);
+	web = web_call_new(d->base, conn, on_ordered_, call);
+	req = web_call_get_request(web);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", r->as.endpoint.address);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
 	evbuffer_add(evhttp_request_get_output_buffer(req), text, strlen(text));
-	evhttp_make_request(conn, req, EVHTTP_REQ_POST, "/admin/orders");
+	web_call_start(web, EVHTTP_REQ_POST, "/admin/orders");
 	json_object_put(body);
 }
 
--- a/src/bayhoistd/upstream.c
+++ b/src/bayhoistd/upstream.c
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "log.h"
 #include "web.h"
+#include "web_call.h"
 
 #define ANSWER_TIMEOUT_S 60 /* without a byte from the endpoint */
 #define CANCEL_TIMEOUT_S 5
@@ -361,18 +362,19 @@
 		e ? bh__catalog_find(bh__node_get_catalog(d->node), BH__KIND_MODEL, bh__hash_name(e->model)) : NULL;
 	struct evhttp_connection *conn;
 	struct evhttp_request *req;
+	WebCall *call;
 	char path[64];
 
 	if (!e || (model && model->as.model.service))
 		return;
 	conn = connect_open(d, e->address, e->tls);
-	req = evhttp_request_new(on_cancelled_, NULL);
 	g_snprintf(path, sizeof path, "/v1/attempts/%016" G_GINT64_MODIFIER "x", attempt_id);
 	evhttp_connection_set_timeout(conn, CANCEL_TIMEOUT_S);
+	call = web_call_new(d->base, conn, on_cancelled_, NULL);
+	req = web_call_get_request(call);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", e->address);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
-	evhttp_connection_free_on_completion(conn);
-	evhttp_make_request(conn, req, EVHTTP_REQ_DELETE, path);
+	web_call_start(call, EVHTTP_REQ_DELETE, path);
 }
 
 /* Nothing hangs on the answer: an attempt that is not dropped shows in the engine's report. */
--- a/src/bayhoistd/vmlist.c
+++ b/src/bayhoistd/vmlist.c
@@ -6,6 +6,7 @@
 #include "bayhoist/field.h"
 #include "clock.h"
 #include "web.h"
+#include "web_call.h"
 
 #define TIMEOUT_S 2
 #define VMS_MAX 100000
@@ -18,16 +19,17 @@
 {
 	struct evhttp_connection *conn;
 	struct evhttp_request *req;
+	WebCall *call;
 
 	if (!d->settings.vm_list_address[0])
 		return;
 	conn = connect_open(d, d->settings.vm_list_address, false);
-	req = evhttp_request_new(on_list_, d);
 	evhttp_connection_set_timeout(conn, TIMEOUT_S);
-	evhttp_connection_free_on_completion(conn);
+	call = web_call_new(d->base, conn, on_list_, d);
+	req = web_call_get_request(call);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", d->settings.vm_list_address);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
-	evhttp_make_request(conn, req, EVHTTP_REQ_GET, "/vms");
+	web_call_start(call, EVHTTP_REQ_GET, "/vms");
 }
 
 static void on_list_(struct evhttp_request *req, void *arg)
--- a/src/bh-fake-engine/main.c
+++ b/src/bh-fake-engine/main.c
@@ -25,6 +25,7 @@
 #include "prompt.h"
 #include "version.h"
 #include "web.h"
+#include "web_call.h"
 
 #define TICK_MS 5
 #define DEFAULT_MAX_TOKENS 16
@@ -343,6 +344,7 @@
 		uint64_t *ref = g_new(uint64_t, 2);
 		struct evhttp_connection *conn;
 		struct evhttp_request *req;
+		WebCall *call;
 		ref[0] = (uint64_t)(uintptr_t)a->engine;
 		ref[1] = a->id;
 		a->imports++;
@@ -357,11 +359,11 @@
 		}
 		conn = evhttp_connection_base_new(a->engine->base, NULL, ip, port);
 		evhttp_connection_set_timeout(conn, 5);
-		evhttp_connection_free_on_completion(conn);
-		req = evhttp_request_new(on_imported_, ref);
+		call = web_call_new(a->engine->base, conn, on_imported_, ref);
+		req = web_call_get_request(call);
 		g_snprintf(path, sizeof path, "/v1/kv/segments/%s", slash);
 		evhttp_add_header(evhttp_request_get_output_headers(req), "Host", *at);
-		evhttp_make_request(conn, req, EVHTTP_REQ_GET, path);
+		web_call_start(call, EVHTTP_REQ_GET, path);
 	}
 	g_strfreev(address);
 }
@@ -582,6 +584,7 @@
 	char path[64];
 	struct evhttp_connection *conn;
 	struct evhttp_request *req;
+	WebCall *call;
 
 	(void)fd;
 	(void)what;
@@ -591,11 +594,11 @@
 	}
 	conn = evhttp_connection_base_new(l->engine->base, NULL, ip, port);
 	evhttp_connection_set_timeout(conn, 5);
-	evhttp_connection_free_on_completion(conn);
-	req = evhttp_request_new(on_weights_, l);
+	call = web_call_new(l->engine->base, conn, on_weights_, l);
+	req = web_call_get_request(call);
 	g_snprintf(path, sizeof path, "/weights?bytes=%" G_GUINT64_FORMAT, l->bytes);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", l->engine->weights);
-	evhttp_make_request(conn, req, EVHTTP_REQ_GET, path);
+	web_call_start(call, EVHTTP_REQ_GET, path);
 }
 
 static void on_order_(Engine *e, struct evhttp_request *req, struct json_object *order)
--- /dev/null
+++ b/src/share/web_call.c
@@ -0,0 +1,90 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* One HTTP call on a connection of its own. Two habits of evhttp are kept from its callers: it tells of a
+ * connection that fails at once before the call to it returns, and a connection that it is to free by itself
+ * (evhttp_connection_free_on_completion) stays for good where it could not be established. */
+#include "web_call.h"
+
+#include <glib.h>
+#include <stdbool.h>
+
+struct WebCall {
+	WebCallDone done;
+	void *arg;
+	struct event_base *base;
+	struct evhttp_connection *conn;
+	struct evhttp_request *req; /* evhttp's, until it has ended */
+	bool is_starting;           /* web_call_start() has not returned yet */
+	bool has_failed_at_once;
+};
+
+static void on_done_(struct evhttp_request *req, void *arg);
+static void on_failed_at_once_(evutil_socket_t fd, short what, void *arg);
+static void on_end_(evutil_socket_t fd, short what, void *arg);
+static void run_from_loop_(WebCall *call, event_callback_fn run);
+
+/* Returns a call over `conn`, which it takes over. `done` is called once, from the loop; both are gone after
+ * that. */
+WebCall *web_call_new(struct event_base *base, struct evhttp_connection *conn, WebCallDone done, void *arg)
+{
+	WebCall *call = g_new0(WebCall, 1);
+
+	call->done = done;
+	call->arg = arg;
+	call->base = base;
+	call->conn = conn;
+	call->req = evhttp_request_new(on_done_, call);
+	return call;
+}
+
+/* Returns the request, to be filled in before the start. */
+struct evhttp_request *web_call_get_request(const WebCall *call)
+{
+	return call->req;
+}
+
+void web_call_start(WebCall *call, enum evhttp_cmd_type method, const char *path)
+{
+	call->is_starting = true;
+	if (evhttp_make_request(call->conn, call->req, method, path) != 0)
+		call->has_failed_at_once = true;
+	call->is_starting = false;
+	if (call->has_failed_at_once)
+		run_from_loop_(call, on_failed_at_once_);
+}
+
+static void on_done_(struct evhttp_request *req, void *arg)
+{
+	WebCall *call = arg;
+
+	if (call->is_starting) {
+		call->has_failed_at_once = true;
+		return;
+	}
+	call->done(req, call->arg);
+	run_from_loop_(call, on_end_); /* evhttp still uses the connection */
+}
+
+static void on_failed_at_once_(evutil_socket_t fd, short what, void *arg)
+{
+	WebCall *call = arg;
+
+	call->done(NULL, call->arg);
+	on_end_(fd, what, call);
+}
+
+static void on_end_(evutil_socket_t fd, short what, void *arg)
+{
+	WebCall *call = arg;
+
+	(void)fd;
+	(void)what;
+	evhttp_connection_free(call->conn);
+	g_free(call);
+}
+
+static void run_from_loop_(WebCall *call, event_callback_fn run)
+{
+	const struct timeval at_once = {0, 0};
+
+	event_base_once(call->base, -1, EV_TIMEOUT, run, call, &at_once);
+}
--- /dev/null
+++ b/src/share/web_call.h
@@ -0,0 +1,18 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* One HTTP call on a connection of its own. */
+#ifndef BAYHOIST_SHARE_WEB_CALL_H
+#define BAYHOIST_SHARE_WEB_CALL_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+/* `req` NULL or its response code 0: no answer came. */
+typedef void (*WebCallDone)(struct evhttp_request *req, void *arg);
+
+typedef struct WebCall WebCall;
+
+WebCall *web_call_new(struct event_base *base, struct evhttp_connection *conn, WebCallDone done, void *arg);
+struct evhttp_request *web_call_get_request(const WebCall *call);
+void web_call_start(WebCall *call, enum evhttp_cmd_type method, const char *path);
+
+#endif
