bayhoistctl halls: halls that drain, what still runs there, who has not heard

Operators who empty a hall had to read a metric of each gateway to know whether all have heard and when it may be switched off.

The usage text had the explanation of `suspects` under `endpoints`.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -256,6 +256,7 @@
 /* halls.c */
 void halls_follow(Gate *g);
 void halls_write_status(const Gate *g, struct evbuffer *out);
+struct json_object *halls_describe(const Gate *g);
 
 /* web.c */
 bool web_start(Gate *g);
--- a/src/bayhoist-gate/halls.c
+++ b/src/bayhoist-gate/halls.c
@@ -2,6 +2,7 @@
 /* What operators see of data halls that drain: a line of the log at each change, and metrics. */
 #include "gate.h"
 
+#include <json-c/json.h>
 #include <string.h>
 #include "clock.h"
 #include "log.h"
@@ -36,6 +37,29 @@
 	return count;
 }
 
+/* Returns what operators are shown of halls, also of those that were drained and are in use again. */
+struct json_object *halls_describe(const Gate *g)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	uint64_t now_us = clock_now_us();
+
+	for (unsigned i = 0; i < bh__registry_get_hall_count(g->registry); i++) {
+		const BH__HallDrain *d = bh__registry_get_hall(g->registry, i);
+		struct json_object *o = json_object_new_object();
+		json_object_object_add(o, "hall", json_object_new_string(d->name));
+		json_object_object_add(o, "draining", json_object_new_boolean(d->draining));
+		json_object_object_add(o, "era", json_object_new_int64((int64_t)d->changed.era));
+		json_object_object_add(o, "revision", json_object_new_int64((int64_t)d->changed.revision));
+		json_object_object_add(
+			o, "known_ms", json_object_new_int64((int64_t)((now_us - MIN(now_us, d->since_us)) / BH__MS_US)));
+		json_object_object_add(o, "requests", json_object_new_int64(count_requests_(g, d->name)));
+		json_object_array_add(list, o);
+	}
+	json_object_object_add(root, "halls", list);
+	return root;
+}
+
 /* Writes which halls drain, for how long this node has known, and what of its requests still runs there. */
 void halls_write_status(const Gate *g, struct evbuffer *out)
 {
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -114,6 +114,10 @@
 		web_reply_json(req, 200, signals_describe(g));
 		return;
 	}
+	if (!strcmp(web_get_path(req), "/halls")) {
+		web_reply_json(req, 200, halls_describe(g));
+		return;
+	}
 	if (!strcmp(web_get_path(req), "/quarantine/release")) {
 		release_(g, req);
 		return;
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -13,6 +13,7 @@
 
 static void usage_(FILE *out);
 static int run_(const Options *o, char **arguments);
+static bool needs_no_node_(const Options *o, char **arguments);
 
 static void usage_(FILE *out)
 {
@@ -26,9 +27,11 @@
 		"  drain [ENDPOINT]     stop the node without cutting off a request, or mark an endpoint as leaving\n"
 		"  where                show which addresses a caller is told to use\n"
 		"  suspects [FINGERPRINT [release]]\n"
-		"  endpoints [SERVICE]\n"
 		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
 		"                       control address, and --key for a release the key that the nodes share\n"
+		"  endpoints [SERVICE]  show endpoints as the gateway with control address --node knows them\n"
+		"  halls [IP:PORT...]   show halls that drain, and which of the gateways with these control\n"
+		"                       addresses (or --node) have not heard of it\n"
 		"  timeline             show the events of all nodes in order of time\n"
 		"  explain ID LOG...    show a request's way through the gateways' logs, and why it ended so\n"
 		"Options:\n"
@@ -110,7 +113,7 @@
 		g_ptr_array_unref(o.logs);
 		return ctl_explain(argv + optind + 1);
 	}
-	if (!o.node && !(o.logs->len && !strcmp(argv[optind], "timeline"))) {
+	if (!o.node && !needs_no_node_(&o, argv + optind)) {
 		fputs("bayhoistctl: which node? Give --node IP:PORT or set BAYHOIST_NODE.\n", stderr);
 		return EX_USAGE;
 	}
@@ -119,6 +122,13 @@
 	return result;
 }
 
+/* Logs alone make a time line, and halls may be asked of gateways that are named. */
+static bool needs_no_node_(const Options *o, char **arguments)
+{
+	return (o->logs->len && !strcmp(arguments[0], "timeline")) ||
+		   (arguments[1] && !strcmp(arguments[0], "halls"));
+}
+
 static int run_(const Options *o, char **arguments)
 {
 	const char *command = arguments[0];
@@ -137,6 +147,8 @@
 		return ctl_where(o);
 	if (!strcmp(command, "endpoints"))
 		return ctl_endpoints(o, arguments + 1);
+	if (!strcmp(command, "halls"))
+		return ctl_halls(o, arguments + 1);
 	if (!strcmp(command, "suspects"))
 		return ctl_suspects(o, arguments + 1);
 	if (!strcmp(command, "timeline"))
--- a/test/check-halls.sh
+++ b/test/check-halls.sh
@@ -31,7 +31,18 @@
 is "all is served while a hall drains" "$(asks 3 b)" " 18 200"
 is "a hall that drains gets nothing" "$(arrivals)" "$before"
 is "each gateway says so" "$(grep -l 'event=hall hall=h2 what=drains' "$RUN"/gate?.log | wc -l)" 3
-is "operators see it" "$(for n in 1 2 3; do curl -s "http://$(node $n 3)/metrics" | grep -c 'bayhoist_hall_draining{hall="h2"} 1'; done | sort -u)" 1
+halls() { "$B/bayhoistctl" halls "$@" 2>/dev/null | awk '$1 == "h2"' | tr -s ' ' | cut -d' ' -f"2,6-"; }
+gates="$(node 1 3) $(node 2 3) $(node 3 3)"
+is "all have heard" "$(halls $gates)" "drains 3/3 "
+settings 9 | sed 's/"seeds":\[[^]]*\]/"seeds":[]/' >"$RUN/gate9.json" # its link to the store leads nowhere
+start_gate 9
+wait_for 5 curl -s -m 1 -o /dev/null "http://$(node 9 3)/halls"
+is "operators see who has not heard" "$(halls $gates "$(node 9 3)")" "drains 3/4 $(node 9 3)"
+signal gate9 KILL
+is "and who does not answer" "$(halls $gates "$(node 9 3)"; "$B/bayhoistctl" halls $gates "$(node 9 3)" 2>&1 >/dev/null)" \
+	"drains 3/4 $(node 9 3)
+bayhoistctl: $(node 9 3): no answer"
+is "metrics say it too" "$(for n in 1 2 3; do curl -s "http://$(node $n 3)/metrics" | grep -c 'bayhoist_hall_draining{hall="h2"} 1'; done | sort -u)" 1
 
 # a gateway starts meanwhile; the store is away, and the reader of it is turned away
 signal gate3 KILL
