An endpoint that is warm before the time that it had told is used as before

Seen by the new check-cold, three gateways: an engine that had told that it is cold for 600 s and then that it is not got 0 requests of 25 and more that were wanted, and callers were refused, while a plain endpoint in the same place was used. An entry from a writer that is wrong could limit an endpoint for an hour so.

Cause: the registry takes only a longer cold time for news. A shorter one changed the reader's own table without a new version, so that no planner followed and no other node heard of it. Ruled out: the rate itself (test_cold, and the plain endpoint, whose rate is set at each tick) and the planner (with no rate for cold endpoints in the configuration the same run passes).

Change: a time that differs by more than a second either way is news. One that is merely over is none: what is left is compared as of the latest tick.

--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -207,6 +207,7 @@
 						   json_object_new_int64(left_ms_(e->signals.overloaded_until_us, now_us)));
 	json_object_object_add(o, "limit_per_s",
 						   json_object_new_double(bh__endpoint_rate_get_per_s(&e->rate, now_us)));
+	json_object_object_add(o, "cold_ms", json_object_new_int64(left_ms_(e->entry.cold_until_us, now_us)));
 	json_object_object_add(o, "requests", json_object_new_int64(e->in_flight));
 	return o;
 }
--- a/src/bayhoistctl/endpoints.c
+++ b/src/bayhoistctl/endpoints.c
@@ -24,8 +24,8 @@
 		return EX_OK;
 	}
 	list = json_object_object_get(root, "endpoints");
-	printf("%-24s %-16s %-12s %-8s %9s %9s %9s %8s\n", "ENDPOINT", "SERVICE", "HALL", "STATE", "BACKOFF",
-		   "OVERLOAD", "LIMIT/S", "REQUESTS");
+	printf("%-24s %-16s %-12s %-8s %9s %9s %9s %9s %8s\n", "ENDPOINT", "SERVICE", "HALL", "STATE", "BACKOFF",
+		   "OVERLOAD", "COLD", "LIMIT/S", "REQUESTS");
 	for (size_t i = 0; i < json_object_array_length(list); i++) {
 		struct json_object *e = json_object_array_get_idx(list, i);
 		if (!service || !strcmp(ctl_text(e, "service"), service))
@@ -42,9 +42,10 @@
 
 	if (per_s > 0)
 		g_snprintf(limit, sizeof limit, "%.2f", per_s);
-	printf("%-24s %-16s %-12s %-8s %6" G_GUINT64_FORMAT " ms %6" G_GUINT64_FORMAT
+	printf("%-24s %-16s %-12s %-8s %6" G_GUINT64_FORMAT " ms %6" G_GUINT64_FORMAT " ms %6" G_GUINT64_FORMAT
 		   " ms %9s %8" G_GUINT64_FORMAT "\n",
 		   ctl_text(endpoint, "id"), ctl_text(endpoint, "service"), ctl_text(endpoint, "hall"),
 		   ctl_text(endpoint, "state"), ctl_number(endpoint, "backoff_ms"),
-		   ctl_number(endpoint, "overloaded_ms"), limit, ctl_number(endpoint, "requests"));
+		   ctl_number(endpoint, "overloaded_ms"), ctl_number(endpoint, "cold_ms"), limit,
+		   ctl_number(endpoint, "requests"));
 }
--- a/src/libbayhoist/include/private/registry_internal.h
+++ b/src/libbayhoist/include/private/registry_internal.h
@@ -19,6 +19,7 @@
 	GPtrArray *table; /* BH__RegisteredEndpoint */
 	GHashTable *by_id;
 	GRand *rand;
+	uint64_t now_us;                 /* of the latest tick */
 	uint64_t version;                /* grows with each change of what may be used */
 	uint64_t lives;                  /* starts of endpoints that were seen */
 	BH__Place place;                 /* up to which all changes are known */
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -13,9 +13,9 @@
 
 /* Endpoints that are gone, of which it is remembered when: more than go in a release of the largest fleet. */
 #define DEPARTED_KEPT_ 1024
-/* An endpoint that is cold for so much longer than was known has turned cold again: all hear of it. Without
- * that, what is left of the time comes a little different with each check-in. */
-#define COLD_AGAIN_US_ BH__SECOND_US
+/* An endpoint that is cold for so much longer or shorter than was known has turned cold again, or is warm:
+ * all hear of it. What is left of the time comes a little different with each check-in. */
+#define COLD_DIFFERS_US_ BH__SECOND_US
 
 static bool merge_(BH__Registry *r, uint64_t id, const BH__EndpointEntry *entry, const BH__EndpointPast *told,
 				   uint64_t gone_at_us, BH__Place as_of);
@@ -28,7 +28,8 @@
 static void join_(BH__EndpointPast *past, const BH__EndpointPast *told);
 static bool is_gone_(const BH__EndpointPast *past);
 static bool drains_(const BH__EndpointPast *past);
-static bool turns_cold_(const BH__EndpointEntry *was, const BH__EndpointEntry *is);
+static bool differs_in_cold_(const BH__Registry *r, const BH__EndpointEntry *was,
+							 const BH__EndpointEntry *is);
 static BH__RegisteredEndpoint *add_(BH__Registry *r, uint64_t id);
 static void take_entry_(BH__Registry *r, BH__RegisteredEndpoint *e, const BH__EndpointEntry *entry);
 static void merge_departed_(BH__Registry *r, uint64_t id, const BH__EndpointPast *past, BH__Place as_of);
@@ -240,7 +241,7 @@
 		e->gone_at_us = MIN(e->gone_at_us, MAX(gone_at_us, 1));
 	if (!is_new && was_gone_at_us == e->gone_at_us && was.draining == e->entry.draining &&
 		was.born_ms == e->entry.born_ms && !strcmp(was.address, e->entry.address) &&
-		!turns_cold_(&was, &e->entry)) {
+		!differs_in_cold_(r, &was, &e->entry)) {
 		note_silent_change_(r, e, &before, as_of);
 		return false;
 	}
@@ -249,9 +250,12 @@
 	return true;
 }
 
-static bool turns_cold_(const BH__EndpointEntry *was, const BH__EndpointEntry *is)
+static bool differs_in_cold_(const BH__Registry *r, const BH__EndpointEntry *was, const BH__EndpointEntry *is)
 {
-	return is->cold_until_us > was->cold_until_us + COLD_AGAIN_US_;
+	uint64_t was_us = MAX(was->cold_until_us, r->now_us);
+	uint64_t is_us = MAX(is->cold_until_us, r->now_us);
+
+	return MAX(was_us, is_us) - MIN(was_us, is_us) > COLD_DIFFERS_US_;
 }
 
 /* An endpoint that went and came back between two looks is used as before, but those who heard that it went
@@ -355,6 +359,7 @@
 /* Drops endpoints that are gone, and ends what time ends. */
 void bh__registry_process_tick(BH__Registry *r, uint64_t now_us)
 {
+	r->now_us = now_us;
 	for (guint i = r->table->len; i-- > 0;) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
 		if (e->gone_at_us && now_us >= e->gone_at_us)
--- a/src/test_libbayhoist/test_cold.c
+++ b/src/test_libbayhoist/test_cold.c
@@ -282,6 +282,32 @@
 	bh__registry_delete(r);
 }
 
+/* So is that it is warm before the time that it had told, as after an entry that was wrong: nodes that did
+ * not hear of it would keep to the rate until then. That the time is over is not. */
+static void being_warm_early_is_news_(void **state)
+{
+	BH__Registry *r = bh__registry_new(1);
+	uint64_t version;
+
+	(void)state;
+	bh__registry_process_tick(r, NOW_US);
+	put_(r, 1, NOW_US + 600 * BH__SECOND_US);
+	version = bh__registry_get_version(r);
+	put_(r, 2, NOW_US + 3 * BH__SECOND_US);
+	assert_true(bh__registry_get_version(r) > version);
+	assert_int_equal(count_changes_(r, 1), 1);
+	bh__registry_process_tick(r, NOW_US + BH__SECOND_US);
+	put_(r, 3, 0);
+	assert_int_equal(count_changes_(r, 2), 1);
+	put_(r, 4, NOW_US + 3 * BH__SECOND_US);
+	version = bh__registry_get_version(r);
+	bh__registry_process_tick(r, NOW_US + 3 * BH__SECOND_US);
+	put_(r, 5, 0);
+	assert_int_equal(bh__registry_get_version(r), version);
+	assert_int_equal(count_changes_(r, 4), 0);
+	bh__registry_delete(r);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -289,6 +315,7 @@
 		cmocka_unit_test(nor_one_that_turns_cold_again_),
 		cmocka_unit_test(nor_do_schedulers_that_change_),
 		cmocka_unit_test(turning_cold_is_news_),
+		cmocka_unit_test(being_warm_early_is_news_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -44,6 +44,7 @@
 #define LIMIT_SPAN_MS 4000
 #define LIMIT_FACTOR 1.5
 #define LIMIT_EXTRA 5
+#define COLD_SPAN_MS 1000 /* in which the requests are counted that an endpoint gets while it is cold */
 
 typedef struct {
 	char *key;
@@ -66,7 +67,8 @@
 	struct event *restart;
 	char limit[24];    /* that it names in its answers; empty: none */
 	uint64_t named_us; /* when it began to, after having named none */
-	GArray *arrived;   /* uint64_t: when requests came since then, in microseconds */
+	uint64_t cold_until_us;
+	GArray *arrived; /* uint64_t: when requests came since it was limited or cold, in microseconds */
 	FakeSignals *signals;
 } Replica;
 
@@ -142,7 +144,9 @@
 static void set_common_(struct evhttp_request *req, const Replica *r);
 static void set_limit_(Replica *r, const char *per_s);
 static void note_arrival_(Replica *r);
-static unsigned most_in_span_(const Replica *r);
+static unsigned most_in_span_(const Replica *r, uint64_t from_us, uint64_t span_ms);
+static void set_cold_(Replica *r, const char *ms);
+static uint64_t cold_ms_(const Replica *r);
 static void on_beat_(evutil_socket_t fd, short what, void *arg);
 static void write_entry_(const Replica *r);
 static void remove_entry_(const Replica *r);
@@ -326,14 +330,23 @@
 	char *key = g_strdup_printf("servers/%s", r->id);
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":16,"
-		"\"state\":\"%s\",\"sequence\":%" G_GUINT64_FORMAT ",\"born\":%" G_GUINT64_FORMAT "}",
-		r->service, r->told, r->hall, r->draining ? "draining" : "ready", Revision_, r->born_ms);
+		"\"state\":\"%s\",\"cold-remaining-ms\":%" G_GUINT64_FORMAT ",\"sequence\":%" G_GUINT64_FORMAT
+		",\"born\":%" G_GUINT64_FORMAT "}",
+		r->service, r->told, r->hall, r->draining ? "draining" : "ready", cold_ms_(r), Revision_, r->born_ms);
 
 	put_(key, text);
 	g_free(text);
 	g_free(key);
 }
 
+/* Returns how much longer an endpoint is cold. */
+static uint64_t cold_ms_(const Replica *r)
+{
+	uint64_t now_us = clock_now_us();
+
+	return (r->cold_until_us - MIN(now_us, r->cold_until_us)) / 1000;
+}
+
 static void put_(const char *key, const char *text)
 {
 	char *value = text ? g_base64_encode((const guchar *)text, strlen(text)) : NULL;
@@ -631,7 +644,7 @@
 			evbuffer_add_printf(out, "%u\n", r->arrivals);
 		if (!strcmp(what, "most")) {
 			evbuffer_add_printf(
-				out, "%u of %u\n", most_in_span_(r),
+				out, "%u of %u\n", most_in_span_(r, r->named_us + CONTACT_MS * 1000, LIMIT_SPAN_MS),
 				(unsigned)(LIMIT_FACTOR * g_ascii_strtod(r->limit, NULL) * LIMIT_SPAN_MS / 1000 +
 						   LIMIT_EXTRA));
 		}
@@ -640,6 +653,13 @@
 			set_limit_(r, per_s ? per_s : "");
 			g_free(per_s);
 		}
+		if (!strcmp(what, "cold")) {
+			char *ms = web_get_query(req, "ms");
+			set_cold_(r, ms ? ms : "0");
+			g_free(ms);
+		}
+		if (!strcmp(what, "most-cold"))
+			evbuffer_add_printf(out, "%u\n", most_in_span_(r, 0, COLD_SPAN_MS));
 		if (!strcmp(what, "leaving") || !strcmp(what, "rest")) {
 			char *value = web_get_query(req, "value");
 			(what[0] == 'l' ? fake_signals_set_leaving : fake_signals_set_rest)(r->signals,
@@ -699,26 +719,33 @@
 	g_strlcpy(r->limit, per_s, sizeof r->limit);
 }
 
+/* An endpoint is cold for so long from now on, and its entry says so. */
+static void set_cold_(Replica *r, const char *ms)
+{
+	r->cold_until_us = clock_now_us() + strtoul(ms, NULL, 10) * 1000;
+	g_array_set_size(r->arrived, 0);
+	write_entry_(r);
+}
+
 static void note_arrival_(Replica *r)
 {
 	uint64_t now_us = clock_now_us();
 
 	r->arrivals++;
-	if (r->limit[0])
+	if (r->limit[0] || now_us < r->cold_until_us)
 		g_array_append_val(r->arrived, now_us);
 }
 
-/* Returns the most requests that came within LIMIT_SPAN_MS, of those that came later than CONTACT_MS after
- * the limit was first named. */
-static unsigned most_in_span_(const Replica *r)
+/* Returns the most requests that came within a span, of those that came from a time on. */
+static unsigned most_in_span_(const Replica *r, uint64_t from_us, uint64_t span_ms)
 {
 	unsigned most = 0;
 
 	for (guint from = 0, to = 0; to < r->arrived->len; to++) {
 		uint64_t at_us = g_array_index(r->arrived, uint64_t, to);
-		if (at_us < r->named_us + CONTACT_MS * 1000)
+		if (at_us < from_us)
 			from = to + 1;
-		while (from <= to && at_us - g_array_index(r->arrived, uint64_t, from) >= LIMIT_SPAN_MS * 1000)
+		while (from <= to && at_us - g_array_index(r->arrived, uint64_t, from) >= span_ms * 1000)
 			from++;
 		most = MAX(most, to + 1 - from);
 	}
