--- a/include/bayhoist/resource.h
+++ b/include/bayhoist/resource.h
@@ -14,6 +14,7 @@
 	BH__KIND_PRIORITY,
 	BH__KIND_ENDPOINT,
 	BH__KIND_POLICY,
+	BH__KIND_HALL,
 	BH__KIND_COUNT
 } BH__Kind;
 
@@ -80,6 +81,11 @@
 	double retry_share; /* retries as a share of first attempts */
 } BH__Policy;
 
+/* A data hall, by its name. */
+typedef struct {
+	bool draining; /* its endpoints, those that are added later too, are to receive no new work */
+} BH__Hall;
+
 typedef struct {
 	BH__Kind kind;
 	char name[BH__NAME_LEN];
@@ -95,6 +101,7 @@
 		BH__Priority priority;
 		BH__Endpoint endpoint;
 		BH__Policy policy;
+		BH__Hall hall;
 	} as;
 } BH__Resource;
 
--- a/src/bayhoistctl/resources.c
+++ b/src/bayhoistctl/resources.c
@@ -10,6 +10,7 @@
 #define APPLY_TIMEOUT_S 15
 
 static int send_change_(const Options *o, struct json_object *change);
+static int drain_hall_(const Options *o, const char *hall, bool drains);
 static char *new_change_id_(void);
 static void print_resources_(struct json_object *list);
 static unsigned print_changes_(GHashTable *known, struct json_object *list, uint64_t revision);
@@ -174,7 +175,27 @@
 	return EX_OK;
 }
 
-/* Marks an endpoint as leaving, keeping the rest of its spec; or drains the node itself. */
+/* Has a data hall drain, or takes that back. */
+static int drain_hall_(const Options *o, const char *hall, bool drains)
+{
+	struct json_object *change = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	struct json_object *resource = json_object_new_object();
+	struct json_object *spec = json_object_new_object();
+	int result;
+
+	json_object_object_add(spec, "draining", json_object_new_boolean(drains));
+	json_object_object_add(resource, "kind", json_object_new_string("hall"));
+	json_object_object_add(resource, "name", json_object_new_string(hall));
+	json_object_object_add(resource, "spec", spec);
+	json_object_array_add(list, resource);
+	json_object_object_add(change, "resources", list);
+	result = send_change_(o, change);
+	json_object_put(change);
+	return result;
+}
+
+/* Marks an endpoint as leaving, keeping the rest of its spec; has a hall drain; or drains the node itself. */
 int ctl_drain(const Options *o, char **arguments)
 {
 	FetchCall call = {.address = o->node,
@@ -190,6 +211,8 @@
 	char *path;
 	int result;
 
+	if (o->hall)
+		return drain_hall_(o, o->hall, !arguments[0] || strcmp(arguments[0], "off") != 0);
 	if (!arguments[0]) {
 		answer = fetch_json(&call, &status);
 		if (status != 202)
--- a/src/bayhoistctl/status.c
+++ b/src/bayhoistctl/status.c
@@ -72,14 +72,14 @@
 			   ctl_number(p, "endpoints"), ctl_number(p, "queued"), ctl_number(p, "short_wait_ms"),
 			   ctl_number(p, "long_wait_ms"));
 	}
-	printf("\n%-16s %-14s %-16s %-9s %-6s %7s %12s %12s\n", "ENDPOINT", "HALL", "MODEL", "REACHABLE", "READY",
-		   "STREAMS", "GRANTED MB", "REPORTED MB");
+	printf("\n%-16s %-14s %-16s %-9s %-6s %-7s %7s %12s %12s\n", "ENDPOINT", "HALL", "MODEL", "REACHABLE",
+		   "READY", "LEAVING", "STREAMS", "GRANTED MB", "REPORTED MB");
 	list = json_object_object_get(root, "endpoints");
 	for (size_t i = 0; i < json_object_array_length(list); i++) {
 		struct json_object *e = json_object_array_get_idx(list, i);
-		printf("%-16s %-14s %-16s %-9s %-6s %7" G_GUINT64_FORMAT " %12.2f %12.2f\n", ctl_text(e, "name"),
+		printf("%-16s %-14s %-16s %-9s %-6s %-7s %7" G_GUINT64_FORMAT " %12.2f %12.2f\n", ctl_text(e, "name"),
 			   ctl_text(e, "hall"), ctl_text(e, "model"), ctl_text(e, "reachable"), ctl_text(e, "ready"),
-			   ctl_number(e, "streams"), (double)ctl_number(e, "granted_bytes") / MB,
+			   ctl_text(e, "leaving"), ctl_number(e, "streams"), (double)ctl_number(e, "granted_bytes") / MB,
 			   (double)ctl_number(e, "reported_bytes") / MB);
 	}
 }
--- a/src/libbayhoist/catalog.c
+++ b/src/libbayhoist/catalog.c
@@ -93,6 +93,14 @@
 	return r ? &r->as.policy : &c->default_policy;
 }
 
+/* Returns true if operators have an endpoint receive no new work: it leaves, or its hall drains. */
+bool bh__catalog_is_leaving(const BH__Catalog *c, const BH__Endpoint *e)
+{
+	const BH__Resource *hall = bh__catalog_find(c, BH__KIND_HALL, bh__hash_name(e->hall));
+
+	return e->leaving || (hall && hall->as.hall.draining);
+}
+
 /* Applies {"resources": [{"kind", "name", "spec" | "delete", "if_generation"}]} as one change. On an error
  * the catalog may be half changed: apply to a copy. */
 bool bh__catalog_apply(BH__Catalog *c, struct json_object *change, GError **error)
--- a/src/libbayhoist/resource.c
+++ b/src/libbayhoist/resource.c
@@ -8,8 +8,8 @@
 
 #define MAX_BYTES_ (UINT64_C(1) << 50)
 
-const char *const BH__KindString[] = {"model",   "version",  "adapter",  "role",
-									  "account", "priority", "endpoint", "policy"};
+const char *const BH__KindString[] = {"model",    "version",  "adapter", "role", "account",
+									  "priority", "endpoint", "policy",  "hall"};
 
 static const BH__Field ModelFields_[] = {
 	BH__U64_FIELD(BH__Model, kv_bytes_per_token, false, 0, 1 << 24),
@@ -61,6 +61,7 @@
 	BH__U64_FIELD(BH__Policy, default_deadline_ms, false, 1, 86400000),
 	BH__REAL_FIELD(BH__Policy, retry_share, 0, 10),
 };
+static const BH__Field HallFields_[] = {BH__BOOL_FIELD(BH__Hall, draining)};
 
 typedef struct {
 	const BH__Field *fields;
@@ -72,8 +73,9 @@
 		T, G_N_ELEMENTS(T)                                                                                   \
 	}
 static const FieldTable_ Tables_[BH__KIND_COUNT] = {
-	TABLE_(ModelFields_),   TABLE_(VersionFields_),  TABLE_(AdapterFields_),  TABLE_(RoleFields_),
-	TABLE_(AccountFields_), TABLE_(PriorityFields_), TABLE_(EndpointFields_), TABLE_(PolicyFields_),
+	TABLE_(ModelFields_),    TABLE_(VersionFields_), TABLE_(AdapterFields_),
+	TABLE_(RoleFields_),     TABLE_(AccountFields_), TABLE_(PriorityFields_),
+	TABLE_(EndpointFields_), TABLE_(PolicyFields_),  TABLE_(HallFields_),
 };
 
 static void set_defaults_(BH__Resource *r);
--- a/src/libbayhoist/routes.c
+++ b/src/libbayhoist/routes.c
@@ -55,7 +55,7 @@
 	for (guint i = 0; i < all->len; i++) {
 		const BH__Resource *r = g_ptr_array_index(all, i);
 		BH__Route *route = add_(t, &r->as.endpoint);
-		route->endpoints += !r->as.endpoint.leaving;
+		route->endpoints += !bh__catalog_is_leaving(c, &r->as.endpoint);
 	}
 }
 
--- a/test/check-api.sh
+++ b/test/check-api.sh
@@ -107,6 +107,21 @@
 adapter_ready() { curl -s -m 5 -H "$K" -d '{"model":"archive+welsh","prompt":"shwmae","max_tokens":3}' "$A/v1/completions" | grep -q '"completion_tokens":3'; }
 wait_for 20 adapter_ready || { echo "no answer with an adapter"; failed=1; }
 
+# a data hall drains: its engine gets nothing new, another serves; then it is used again
+runs() { grep -c event=engine-run "$RUN/engine1.log"; }
+hall=$(hall_of 1)
+ctl 1 drain --hall "$hall" >/dev/null || { echo "the hall does not drain"; failed=1; }
+leaves() { ctl 1 status | awk '$1 == "engine1" { print $6 }' | grep -q "$1"; }
+wait_for 5 leaves true || { echo "status does not show the engine of a hall that drains"; failed=1; }
+sleep 2
+before=$(runs)
+for i in 1 2 3 4; do
+	expect 200 '"completion_tokens":3' -H "$K" -d '{"model":"archive","prompt":"shwmae","max_tokens":3}' "http://$(caller_address $((i % 2 + 1)))/v1/completions"
+done
+[ "$(runs)" = "$before" ] || { echo "a hall that drains got $(($(runs) - before)) requests"; failed=1; }
+ctl 1 drain --hall "$hall" off >/dev/null || { echo "the hall is not taken back"; failed=1; }
+wait_for 5 leaves false || { echo "status does not show the engine in use again"; failed=1; }
+
 # a stranger cannot speak to nodes: what it sends is refused and nothing stops
 printf 'GET / HTTP/1.0\r\n\r\n0123456789012345678901234567890123456789' | timeout 2 bash -c "cat >/dev/tcp/127.0.0.1/$((BASE + 201))" || true
 wait_for 5 grep -q 'peer-frame-refused' "$RUN/node1.log" || { echo "a stranger's frame was not refused"; failed=1; }
