bayhoistctl: one way to show an answer

Five commands each asked for the status, printed JSON or a table and freed the answer; endpoints and suspects alike to the line. ctl_show() does that, and a command gives it how its table is printed. No change of behaviour: check-api, check-rest, check-leaving-told, check-crashes and check-halls passed.

--- a/src/bayhoistctl/ctl.c
+++ b/src/bayhoistctl/ctl.c
@@ -26,6 +26,21 @@
 	return !status ? EX_UNAVAILABLE : status == 504 ? EX_TEMPFAIL : 1;
 }
 
+/* Shows an answer and frees it: as JSON if that is wanted, else by `print`, which returns the exit status. */
+int ctl_show(const Options *o, int status, struct json_object *answer, CtlPrint print, char **arguments)
+{
+	int result = EX_OK;
+
+	if (status != 200)
+		return ctl_fail(status, answer);
+	if (o->json)
+		puts(json_object_to_json_string_ext(answer, JSON_C_TO_STRING_PRETTY));
+	else
+		result = print(answer, arguments);
+	json_object_put(answer);
+	return result;
+}
+
 const char *ctl_text(struct json_object *o, const char *name)
 {
 	const char *text = json_object_get_string(json_object_object_get(o, name));
--- a/src/bayhoistctl/ctl.h
+++ b/src/bayhoistctl/ctl.h
@@ -20,8 +20,12 @@
 	bool json;
 } Options;
 
+/* Prints an answer, as a command's arguments want it; returns the exit status. */
+typedef int (*CtlPrint)(struct json_object *answer, char **arguments);
+
 struct json_object *ctl_get(const Options *o, const char *node, const char *path, int *status);
 int ctl_fail(int status, struct json_object *answer);
+int ctl_show(const Options *o, int status, struct json_object *answer, CtlPrint print, char **arguments);
 const char *ctl_text(struct json_object *o, const char *name);
 uint64_t ctl_number(struct json_object *o, const char *name);
 
--- a/src/bayhoistctl/endpoints.c
+++ b/src/bayhoistctl/endpoints.c
@@ -6,24 +6,23 @@
 #include <sysexits.h>
 #include "ctl.h"
 
+static int print_all_(struct json_object *answer, char **arguments);
 static void print_(struct json_object *endpoint);
 
 /* Lists all endpoints, or those of one service. */
 int ctl_endpoints(const Options *o, char **arguments)
 {
-	const char *service = arguments[0];
 	int status = 0;
-	struct json_object *root = ctl_get(o, o->node, "/endpoints", &status);
-	struct json_object *list;
+	struct json_object *answer = ctl_get(o, o->node, "/endpoints", &status);
+
+	return ctl_show(o, status, answer, print_all_, arguments);
+}
+
+static int print_all_(struct json_object *answer, char **arguments)
+{
+	const char *service = arguments[0];
+	struct json_object *list = json_object_object_get(answer, "endpoints");
 
-	if (status != 200)
-		return ctl_fail(status, root);
-	if (o->json) {
-		puts(json_object_to_json_string_ext(root, JSON_C_TO_STRING_PRETTY));
-		json_object_put(root);
-		return EX_OK;
-	}
-	list = json_object_object_get(root, "endpoints");
 	printf("%-24s %-16s %-12s %-8s %9s %9s %9s %9s %8s\n", "ENDPOINT", "SERVICE", "HALL", "STATE", "BACKOFF",
 		   "OVERLOAD", "COLD", "LIMIT/S", "REQUESTS");
 	for (size_t i = 0; i < json_object_array_length(list); i++) {
@@ -31,7 +30,6 @@
 		if (!service || !strcmp(ctl_text(e, "service"), service))
 			print_(e);
 	}
-	json_object_put(root);
 	return EX_OK;
 }
 
--- a/src/bayhoistctl/resources.c
+++ b/src/bayhoistctl/resources.c
@@ -12,7 +12,8 @@
 static int send_change_(const Options *o, struct json_object *change);
 static int drain_hall_(const Options *o, const char *hall, bool drains);
 static char *new_change_id_(void);
-static void print_resources_(struct json_object *list);
+static int print_resources_(struct json_object *answer, char **arguments);
+static int print_addresses_(struct json_object *answer, char **arguments);
 static unsigned print_changes_(GHashTable *known, struct json_object *list, uint64_t revision);
 static char *name_of_(struct json_object *resource);
 
@@ -83,8 +84,11 @@
 	return g_strdup_printf("%s/%s", ctl_text(resource, "kind"), ctl_text(resource, "name"));
 }
 
-static void print_resources_(struct json_object *list)
+static int print_resources_(struct json_object *answer, char **arguments)
 {
+	struct json_object *list = json_object_object_get(answer, "resources");
+
+	(void)arguments;
 	printf("%-32s %10s  %s\n", "RESOURCE", "GENERATION", "SPEC");
 	for (size_t i = 0; i < json_object_array_length(list); i++) {
 		struct json_object *r = json_object_array_get_idx(list, i);
@@ -93,6 +97,7 @@
 			   json_object_to_json_string_ext(json_object_object_get(r, "spec"), JSON_C_TO_STRING_PLAIN));
 		g_free(name);
 	}
+	return EX_OK;
 }
 
 int ctl_get_resources(const Options *o, char **arguments)
@@ -104,14 +109,7 @@
 	struct json_object *answer = ctl_get(o, o->node, path, &status);
 
 	g_free(path);
-	if (status != 200)
-		return ctl_fail(status, answer);
-	if (o->json)
-		puts(json_object_to_json_string_ext(answer, JSON_C_TO_STRING_PRETTY));
-	else
-		print_resources_(json_object_object_get(answer, "resources"));
-	json_object_put(answer);
-	return EX_OK;
+	return ctl_show(o, status, answer, print_resources_, arguments);
 }
 
 /* Prints what differs from the `known` generations and brings those up to date. Returns the number of lines.
@@ -249,16 +247,17 @@
 	char *path = o->hall ? g_strconcat("/v1/where?hall=", o->hall, NULL) : g_strdup("/v1/where");
 	int status;
 	struct json_object *answer = ctl_get(o, o->node, path, &status);
-	struct json_object *list;
 
 	g_free(path);
-	if (status != 200)
-		return ctl_fail(status, answer);
-	list = json_object_object_get(answer, "addresses");
-	if (o->json)
-		puts(json_object_to_json_string_ext(answer, JSON_C_TO_STRING_PRETTY));
-	for (size_t i = 0; !o->json && i < json_object_array_length(list); i++)
+	return ctl_show(o, status, answer, print_addresses_, NULL);
+}
+
+static int print_addresses_(struct json_object *answer, char **arguments)
+{
+	struct json_object *list = json_object_object_get(answer, "addresses");
+
+	(void)arguments;
+	for (size_t i = 0; i < json_object_array_length(list); i++)
 		puts(json_object_get_string(json_object_array_get_idx(list, i)));
-	json_object_put(answer);
 	return EX_OK;
 }
--- a/src/bayhoistctl/status.c
+++ b/src/bayhoistctl/status.c
@@ -9,7 +9,7 @@
 #define MB (1024.0 * 1024.0)
 
 static void add_counters_(struct json_object *node, struct json_object *from);
-static void print_(struct json_object *root);
+static int print_(struct json_object *root, char **arguments);
 
 /* Returns one node's status, completed from the others it names, or NULL. */
 struct json_object *ctl_collect_status(const Options *o, int *status)
@@ -49,7 +49,7 @@
 	json_object_object_add(node, "store_up", json_object_get(json_object_object_get(from, "store_up")));
 }
 
-static void print_(struct json_object *root)
+static int print_(struct json_object *root, char **arguments)
 {
 	struct json_object *list = json_object_object_get(root, "nodes");
 
@@ -82,6 +82,8 @@
 			   ctl_text(e, "leaving"), ctl_number(e, "streams"), (double)ctl_number(e, "granted_bytes") / MB,
 			   (double)ctl_number(e, "reported_bytes") / MB);
 	}
+	(void)arguments;
+	return EX_OK;
 }
 
 int ctl_status(const Options *o)
@@ -89,12 +91,5 @@
 	int status;
 	struct json_object *root = ctl_collect_status(o, &status);
 
-	if (status != 200)
-		return ctl_fail(status, root);
-	if (o->json)
-		puts(json_object_to_json_string_ext(root, JSON_C_TO_STRING_PRETTY));
-	else
-		print_(root);
-	json_object_put(root);
-	return EX_OK;
+	return ctl_show(o, status, root, print_, NULL);
 }
--- a/src/bayhoistctl/suspects.c
+++ b/src/bayhoistctl/suspects.c
@@ -8,6 +8,7 @@
 #define TIMEOUT_S 5
 
 static struct json_object *release_(const Options *o, const char *fingerprint, int *status);
+static int print_all_(struct json_object *answer, char **arguments);
 static void print_(struct json_object *entry);
 
 /* Lists all, shows the one named, or releases it. */
@@ -16,19 +17,19 @@
 	const char *fingerprint = arguments[0];
 	bool releases = fingerprint && arguments[1] && !strcmp(arguments[1], "release");
 	int status = 0;
-	struct json_object *root =
+	struct json_object *answer =
 		releases ? release_(o, fingerprint, &status) : ctl_get(o, o->node, "/quarantine", &status);
-	struct json_object *list;
+
+	return ctl_show(o, status, answer, print_all_, arguments);
+}
+
+/* One that is named and not there is an error. */
+static int print_all_(struct json_object *answer, char **arguments)
+{
+	const char *fingerprint = arguments[0];
+	struct json_object *list = json_object_object_get(answer, "requests");
 	unsigned shown = 0;
 
-	if (status != 200)
-		return ctl_fail(status, root);
-	if (o->json) {
-		puts(json_object_to_json_string_ext(root, JSON_C_TO_STRING_PRETTY));
-		json_object_put(root);
-		return EX_OK;
-	}
-	list = json_object_object_get(root, "requests");
 	printf("%-32s  %-10s %8s %6s %8s  %s\n", "FINGERPRINT", "STATE", "CRASHES", "TIMES", "HELD FOR",
 		   "ENDPOINTS");
 	for (size_t i = 0; i < json_object_array_length(list); i++) {
@@ -38,7 +39,6 @@
 		print_(entry);
 		shown++;
 	}
-	json_object_put(root);
 	return fingerprint && !shown ? 1 : EX_OK;
 }
 
