--- a/src/share/web_call.c
+++ b/src/share/web_call.c
@@ -15,8 +15,10 @@
 	struct evhttp_request *req; /* evhttp's, until it has ended */
 	bool is_starting;           /* web_call_start() has not returned yet */
 	bool has_failed_at_once;
+	bool has_begun; /* the head of the answer has come */
 };
 
+static int on_head_(struct evhttp_request *req, void *arg);
 static void on_done_(struct evhttp_request *req, void *arg);
 static void on_failed_at_once_(evutil_socket_t fd, short what, void *arg);
 static void on_end_(evutil_socket_t fd, short what, void *arg);
@@ -33,6 +35,7 @@
 	call->base = base;
 	call->conn = conn;
 	call->req = evhttp_request_new(on_done_, call);
+	evhttp_request_set_header_cb(call->req, on_head_);
 	return call;
 }
 
@@ -52,6 +55,19 @@
 		run_from_loop_(call, on_failed_at_once_);
 }
 
+static int on_head_(struct evhttp_request *req, void *arg)
+{
+	(void)req;
+	((WebCall *)arg)->has_begun = true;
+	return 0;
+}
+
+/* Returns true once the head of the answer has come. */
+bool web_call_has_begun(const WebCall *call)
+{
+	return call->has_begun;
+}
+
 static void on_done_(struct evhttp_request *req, void *arg)
 {
 	WebCall *call = arg;
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -5,6 +5,9 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <cmocka.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <sys/socket.h>
 #include <string.h>
 #include "platform.h"
 
@@ -348,6 +351,42 @@
 
 /* A call that fails before it has begun says so from the loop, like any other: callers keep what http_call()
  * returns, and free what they gave it when they are told. */
+/* The head of an answer, and nothing more. */
+static void on_asked_(struct evhttp_request *req, void *arg)
+{
+	(void)arg;
+	evhttp_send_reply_start(req, 200, "OK");
+}
+
+static void a_call_says_that_its_answer_has_begun_(void **state)
+{
+	struct event_base *base = event_base_new();
+	struct evhttp *http = evhttp_new(base);
+	struct evhttp_bound_socket *bound = evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+	ev_socklen_t len = sizeof(struct sockaddr_in);
+	struct sockaddr_in at;
+	unsigned called = 0;
+	char address[32];
+	HttpCall *call;
+
+	(void)state;
+	assert_non_null(bound);
+	getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&at, &len);
+	snprintf(address, sizeof address, "127.0.0.1:%u", ntohs(at.sin_port));
+	evhttp_set_gencb(http, on_asked_, NULL);
+	call = http_call(base, address, EVHTTP_REQ_GET, "/", NULL, 300, on_called_, &called);
+	assert_false(http_call_has_begun(call));
+	for (unsigned i = 0; i < 1000 && !called && !http_call_has_begun(call); i++)
+		event_base_loop(base, EVLOOP_ONCE);
+	assert_int_equal(called, 0);
+	assert_true(http_call_has_begun(call));
+	evhttp_free(http);
+	while (!called)
+		event_base_loop(base, EVLOOP_ONCE);
+	event_base_loop(base, EVLOOP_NONBLOCK);
+	event_base_free(base);
+}
+
 static void a_call_that_fails_at_once_says_so_later_(void **state)
 {
 	struct event_base *base = event_base_new();
@@ -401,6 +440,7 @@
 		cmocka_unit_test(the_strictest_of_two_signals_counts_),
 		cmocka_unit_test(unknown_headers_are_told_apart_),
 		cmocka_unit_test(a_call_that_fails_at_once_says_so_later_),
+		cmocka_unit_test(a_call_says_that_its_answer_has_begun_),
 		cmocka_unit_test(sendings_name_their_helpers_),
 	};
 
