Tests: one load of callers for three checks

check-limit-overrun, check-rest and check-leaving-told each had the loop that sends prompts and lookups over all gateways, and two of them the count of statuses; four had the question for an endpoint's arrivals. They stand in gate.sh now. Requests of check-limit-overrun have ids that name their gateway, as the others had; every assertion is as it was, and in check-leaving-told prompts and lookups are counted apart instead of together.

--- a/test/check-cold.sh
+++ b/test/check-cold.sh
@@ -23,7 +23,7 @@
 	done
 	wait
 }
-load() { # SECONDS
+load_fast() { # SECONDS
 	local n pids=()
 	for n in 1 2 3; do load_one "$1" $n & pids+=($!); done
 	wait "${pids[@]}"
@@ -39,29 +39,28 @@
 		is "$1: $id gets $have in a second, which is at most $MOST" "$((have <= MOST))" 1
 	done
 }
-arrivals() { tell "arrivals?id=$1"; }
 
-load 3
+load_fast 3
 engine=$(busiest i-e1 i-e2 i-e3)
 plain=$(busiest i-p1 i-p2)
 is "warm, they get more than that" "$(($(arrivals $engine) > 3 * MOST)) $(($(arrivals $plain) > 3 * MOST))" "1 1"
 cold 600000 $engine $plain
 sleep 1 # until all have heard
 cold 600000 $engine $plain # counted from now on
-load 4
+load_fast 4
 within "beside others that are warm" $engine $plain
 is "all is served" "$(grep -o '...' "$RUN/statuses" | sort -u)" 200
 is "operators see it" "$("$B/bayhoistctl" --node "$(node 2 3)" endpoints | awk 'NR > 1 && $9 > 0 { print $1, $11 }' | sort | tr '\n' ' ')" \
 	"$engine $COLD_PER_S.00 $plain $COLD_PER_S.00 "
 
 for n in 1 2 3; do
-	load 1
+	load_fast 1
 	signal gate$n KILL
 	sleep 0.2
 	start_gate $n
 	wait_for 5 ready $n 200 || is "gateway $n gets ready" no yes
 done
-load 1
+load_fast 1
 within "while gateways die" $engine $plain
 
 cold 0 $engine $plain
--- a/test/check-halls.sh
+++ b/test/check-halls.sh
@@ -9,7 +9,7 @@
 start_site_behind_proxy --hall i-e2=h2 --hall i-p2=h2
 FAILED=0
 start_three_gates
-arrivals() { echo "$(tell "arrivals?id=i-e2")+$(tell "arrivals?id=i-p2")"; }
+hall_arrivals() { echo "$(tell "arrivals?id=i-e2")+$(tell "arrivals?id=i-p2")"; }
 asks() { # COUNT TAG: prompts at each gateway, and lookups; prints the statuses
 	local i n pids=()
 	for i in $(seq "$1"); do for n in 1 2 3; do
@@ -21,15 +21,15 @@
 	wait "${pids[@]}"
 	cat "$RUN"/status.$2* "$RUN"/status.f$2* | grep -o '...' | sort | uniq -c | tr -s ' '
 }
-before=$(arrivals)
+before=$(hall_arrivals)
 asks 3 a >/dev/null
-is "a hall in use gets work" "$([ "$(arrivals)" != "$before" ] && echo yes)" yes
+is "a hall in use gets work" "$([ "$(hall_arrivals)" != "$before" ] && echo yes)" yes
 
 tell 'drain-hall?id=h2'
 sleep 1
-before=$(arrivals)
+before=$(hall_arrivals)
 is "all is served while a hall drains" "$(asks 3 b)" " 18 200"
-is "a hall that drains gets nothing" "$(arrivals)" "$before"
+is "a hall that drains gets nothing" "$(hall_arrivals)" "$before"
 is "each gateway says so" "$(grep -l 'event=hall hall=h2 what=drains' "$RUN"/gate?.log | wc -l)" 3
 halls() { "$B/bayhoistctl" halls "$@" 2>/dev/null | awk '$1 == "h2"' | tr -s ' ' | cut -d' ' -f"2,6-"; }
 gates="$(node 1 3) $(node 2 3) $(node 3 3)"
@@ -59,7 +59,7 @@
 	lookups 1
 	set_link store$n pass
 done
-is "no gateway has sent anything there" "$(arrivals)" "$before"
+is "no gateway has sent anything there" "$(hall_arrivals)" "$before"
 
 # the store comes back from a copy in which the hall does not drain; the operator writes it again, after 0.6 s
 tell 'use-hall?id=h2'
@@ -67,27 +67,27 @@
 tell copy
 tell 'drain-hall?id=h2'
 sleep 1
-before=$(arrivals)
+before=$(hall_arrivals)
 tell down
 tell go-back
 tell up
 lookups 3
-is "a hall drains on when the store goes back to before that" "$(arrivals)" "$before"
+is "a hall drains on when the store goes back to before that" "$(hall_arrivals)" "$before"
 
 # the last hall
 tell 'drain-hall?id=h1'
 sleep 1
-before="$(arrivals) $(tell 'arrivals?id=i-e1') $(tell 'arrivals?id=i-p1')"
+before="$(hall_arrivals) $(tell 'arrivals?id=i-e1') $(tell 'arrivals?id=i-p1')"
 started=$(date +%s%N)
 is "with all halls draining callers are refused" "$(ask 1 /ask/x z1 -D "$RUN/head")$(call 2 /free/x z2)$(ask 3 /ask/x z3)" 503503503
 is "at once" "$(($(date +%s%N) - started < 1000000000))" 1
 is "and told not to come back at once" "$(awk 'tolower($1) == "retry-after:" { print ($2 >= 1) }' "$RUN/head")" 1
-is "nothing was sent" "$(arrivals) $(tell 'arrivals?id=i-e1') $(tell 'arrivals?id=i-p1')" "$before"
+is "nothing was sent" "$(hall_arrivals) $(tell 'arrivals?id=i-e1') $(tell 'arrivals?id=i-p1')" "$before"
 
 tell 'use-hall?id=h1'
 tell 'use-hall?id=h2'
 sleep 1
-before=$(arrivals)
+before=$(hall_arrivals)
 is "taken back, all is served" "$(asks 3 d)" " 18 200"
-is "and the hall gets work" "$([ "$(arrivals)" != "$before" ] && echo yes)" yes
+is "and the hall gets work" "$([ "$(hall_arrivals)" != "$before" ] && echo yes)" yes
 exit $FAILED
--- a/test/check-leaving-told.sh
+++ b/test/check-leaving-told.sh
@@ -9,29 +9,17 @@
 start_site
 FAILED=0
 start_three_gates
-sent=0
-load() { # SECONDS: 11 prompts and 11 lookups a second, over all gateways
-	local until=$(($(date +%s%N) + $1 * 1000000000)) n
-	while [ "$(date +%s%N)" -lt $until ]; do
-		sent=$((sent + 1))
-		n=$((sent % 3 + 1))
-		ask $n /ask/x "g$n-a$sent" >"$RUN/status.a$sent" &
-		call $n /free/x "g$n-f$sent" >"$RUN/status.f$sent" &
-		sleep 0.08
-	done
-	sleep 1
-}
 is_served() { # WHAT: all requests since the last time
-	is "$1: all are served" "$(for i in $(seq $((served + 1)) "$sent"); do for k in a f; do cat "$RUN/status.$k$i"; echo; done; done | sort | uniq -c | tr -s ' ')" " $(((sent - served) * 2)) 200"
+	is "$1: all are served" "$(statuses a $((served + 1)))$(statuses f $((served + 1)))" " $((sent - served)) 200 $((sent - served)) 200"
 	served=$sent
 }
 served=0
 is_left() { # WHAT: nothing goes any more to those that leave
-	is "$1: an engine that leaves gets nothing" "$(tell "after-leaving?id=$engine") $(($(tell "arrivals?id=$engine") - e1))" "0 0"
-	is "$1: a plain endpoint that leaves gets nothing" "$(tell "after-leaving?id=$plain") $(($(tell "arrivals?id=$plain") - p1))" "0 0"
+	is "$1: an engine that leaves gets nothing" "$(tell "after-leaving?id=$engine") $(($(arrivals $engine) - e1))" "0 0"
+	is "$1: a plain endpoint that leaves gets nothing" "$(tell "after-leaving?id=$plain") $(($(arrivals $plain) - p1))" "0 0"
 	is_served "$1"
 }
-mark() { e1=$(tell "arrivals?id=$engine"); p1=$(tell "arrivals?id=$plain"); }
+mark() { e1=$(arrivals $engine); p1=$(arrivals $plain); }
 
 # The store is away when they begin to leave. Each gateway that asks one hears of it, and so do the others.
 tell down
@@ -73,8 +61,8 @@
 load 2
 first=$((sent + 1))
 load 1
-is "where all leave nothing is served" "$(for i in $(seq $first "$sent"); do for k in a f; do cat "$RUN/status.$k$i"; echo; done; done | sort | uniq -c | tr -s ' ')" " $(((sent - first + 1) * 2)) 503"
-is "and nothing has run" "$(for i in $(seq $first "$sent"); do n=$((i % 3 + 1)); tell "runs?id=g$n-a$i"; tell "runs?id=g$n-f$i"; done | sort -u)" 0
+is "where all leave nothing is served" "$(statuses a $first)$(statuses f $first)" " $((sent - first + 1)) 503 $((sent - first + 1)) 503"
+is "and nothing has run" "$(for i in $(seq $first "$sent"); do tell "runs?id=$(id_of a $i)"; tell "runs?id=$(id_of f $i)"; done | sort -u)" 0
 
 # Later starts of theirs know nothing of it.
 for id in i-e1 i-e2 i-e3 i-p1 i-p2; do tell "start-again?id=$id"; done
@@ -82,6 +70,6 @@
 served=$sent
 mark
 load 3
-is "a later start is used" "$(($(tell "arrivals?id=$engine") > e1)) $(($(tell "arrivals?id=$plain") > p1))" "1 1"
+is "a later start is used" "$(($(arrivals $engine) > e1)) $(($(arrivals $plain) > p1))" "1 1"
 is_served "a later start"
 exit $FAILED
--- a/test/check-limit-overrun.sh
+++ b/test/check-limit-overrun.sh
@@ -9,22 +9,6 @@
 start_site
 FAILED=0
 start_three_gates
-sent=0
-load() { # SECONDS: 11 prompts and 11 lookups a second, over all gateways
-	local until=$(($(date +%s%N) + $1 * 1000000000)) n
-	while [ "$(date +%s%N)" -lt $until ]; do
-		sent=$((sent + 1))
-		n=$((sent % 3 + 1))
-		ask $n /ask/x "a$sent" -D "$RUN/head.a$sent" >"$RUN/status.a$sent" &
-		call $n /free/x "f$sent" -D "$RUN/head.f$sent" >"$RUN/status.f$sent" &
-		sleep 0.08
-	done
-	sleep 1
-}
-statuses() { # KIND FIRST: how often each came, from a request on
-	local i
-	for i in $(seq "$2" "$sent"); do cat "$RUN/status.$1$i"; echo; done | sort | uniq -c | tr -s ' '
-}
 within() { # WHAT ENDPOINT...: none got more than its limit allows in any 4 s
 	local id have
 	for id in "${@:2}"; do
@@ -32,7 +16,6 @@
 		is "$1: $id gets $have in 4 s, which is within its limit" "$((${have% of*} <= ${have#*of }))" 1
 	done
 }
-arrivals() { tell "arrivals?id=$1"; }
 
 # two engines of three, and one plain endpoint of two
 for id in i-e1 i-e3 i-p1; do tell "limit?id=$id&per-s=1"; done
@@ -63,10 +46,10 @@
 set -- $before
 used=$(($(arrivals i-p1) - $1 + $(arrivals i-p2) - $2))
 is "four fifths of what they take are used, $used of 32" "$((used >= 26))" 1
-late=$(for i in $(seq $first "$sent"); do [ "$(cat "$RUN/status.f$i")" = 503 ] && tell "runs?id=f$i"; done | sort -u)
+late=$(for i in $(seq $first "$sent"); do [ "$(status_of f $i)" = 503 ] && tell "runs?id=$(id_of f $i)"; done | sort -u)
 is "what is refused has not run" "$late" 0
 is "and is told when to come back" "$(for i in $(seq $first "$sent"); do
-	[ "$(cat "$RUN/status.f$i")" = 503 ] && ! grep -qi '^retry-after: [0-9.]*[1-9]' "$RUN/head.f$i" && echo "f$i"
+	[ "$(status_of f $i)" = 503 ] && ! grep -qi '^retry-after: [0-9.]*[1-9]' "$RUN/head.f$i" && echo "f$i"
 done | wc -l)" 0
 
 # no limit any more
--- a/test/check-rest.sh
+++ b/test/check-rest.sh
@@ -7,22 +7,6 @@
 start_site
 FAILED=0
 start_three_gates
-sent=0
-load() { # SECONDS: 11 prompts and 11 lookups a second, over all gateways
-	local until=$(($(date +%s%N) + $1 * 1000000000)) n
-	while [ "$(date +%s%N)" -lt $until ]; do
-		sent=$((sent + 1))
-		n=$((sent % 3 + 1))
-		ask $n /ask/x "g$n-a$sent" -D "$RUN/head.a$sent" >"$RUN/status.a$sent" &
-		call $n /free/x "g$n-f$sent" -D "$RUN/head.f$sent" -w '%{http_code} %{time_total}' >"$RUN/status.f$sent" &
-		sleep 0.08
-	done
-	sleep 1
-}
-statuses() { # KIND FIRST: how often each came, from a request on
-	local i
-	for i in $(seq "$2" "$sent"); do cut -d' ' -f1 "$RUN/status.$1$i"; echo; done | grep . | sort | uniq -c | tr -s ' '
-}
 rests() { # WHAT ENDPOINT...: no gateway sends more to one than what was on its way
 	local id most
 	for id in "${@:2}"; do
@@ -59,7 +43,7 @@
 sleep 2 # prompts may wait for up to 1.5 s where an engine is to be back in that time
 rests "with all at rest" i-e1 i-e2 i-e3 i-p1 i-p2
 is "nothing is served" "$(statuses a $first)$(statuses f $first)" " $((sent - first + 1)) 503 $((sent - first + 1)) 503"
-is "what is refused has not run" "$(for i in $(seq $first "$sent"); do n=$((i % 3 + 1)); tell "runs?id=g$n-f$i"; tell "runs?id=g$n-a$i"; done | sort -u)" 0
+is "what is refused has not run" "$(for i in $(seq $first "$sent"); do tell "runs?id=$(id_of f $i)"; tell "runs?id=$(id_of a $i)"; done | sort -u)" 0
 is "and is told when to come back, within 3 s" "$(for i in $(seq $first "$sent"); do
 	for k in a f; do tr -d '\r' <"$RUN/head.$k$i" | awk -F': ' 'tolower($1) == "retry-after" && $2 > 0 && $2 <= 3 { ok = 1 } END { if (!ok) print "no" }'; done
 done | wc -l)" 0
--- a/test/check-store-era.sh
+++ b/test/check-store-era.sh
@@ -10,7 +10,6 @@
 start_site_behind_proxy
 FAILED=0
 start_three_gates
-arrivals() { tell "arrivals?id=$1"; }
 tell copy
 sleep 3 # check-ins, whose revisions will be given out again
 tell 'gone?id=i-p1'
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -76,5 +76,25 @@
 }
 busiest() { # ENDPOINT...: the one that got the most requests
 	local id
-	for id in "$@"; do echo "$(tell "arrivals?id=$id") $id"; done | sort -n | tail -n 1 | cut -d' ' -f2
+	for id in "$@"; do echo "$(arrivals "$id") $id"; done | sort -n | tail -n 1 | cut -d' ' -f2
+}
+arrivals() { tell "arrivals?id=$1"; }
+sent=0
+load() { # SECONDS: 11 prompts (kind a) and 11 lookups (kind f) a second, over all gateways; their heads, statuses and times are kept
+	local until=$(($(date +%s%N) + $1 * 1000000000)) n
+	while [ "$(date +%s%N)" -lt $until ]; do
+		sent=$((sent + 1))
+		n=$((sent % 3 + 1))
+		ask $n /ask/x "$(id_of a $sent)" -D "$RUN/head.a$sent" >"$RUN/status.a$sent" &
+		call $n /free/x "$(id_of f $sent)" -D "$RUN/head.f$sent" -w '%{http_code} %{time_total}' >"$RUN/status.f$sent" &
+		sleep 0.08
+	done
+	sleep 1
+}
+# Of a request of load(), by its KIND and NUMBER: its id, which names its gateway, and its status.
+id_of() { echo "g$(($2 % 3 + 1))-$1$2"; }
+status_of() { cut -d' ' -f1 "$RUN/status.$1$2"; }
+statuses() { # KIND FIRST: how often each came, from a request on
+	local i
+	for i in $(seq "$2" "$sent"); do status_of "$1" $i; done | sort | uniq -c | tr -s ' '
 }
