bayhoistctl halls: words are ordered by the library's places

halls.c compared era and revision by itself beside bh__place_compare(). It keeps a BH__Place now and asks that. check-halls: 18 checks passed, the order of words among them.

--- a/src/bayhoistctl/halls.c
+++ b/src/bayhoistctl/halls.c
@@ -4,14 +4,14 @@
 #include <stdio.h>
 #include <string.h>
 #include <sysexits.h>
+#include "bayhoist/place.h"
 #include "ctl.h"
 
 /* What gateways say of one hall. */
 typedef struct {
 	char *name;
-	bool draining; /* by the latest word */
-	uint64_t era;  /* of the latest word, its place in the store's history */
-	uint64_t revision;
+	BH__Place changed; /* of the latest word */
+	bool draining;     /* by that */
 	uint64_t known_ms; /* for the longest time that a gateway has known it */
 	uint64_t requests; /* of all gateways, that still run there */
 	GPtrArray *heard;  /* addresses of gateways that know the latest word */
@@ -21,7 +21,6 @@
 static void take_(GPtrArray *halls, struct json_object *said, const char *address);
 static Hall *find_(GPtrArray *halls, const char *name);
 static void free_hall_(gpointer hall);
-static int compare_(uint64_t era, uint64_t revision, const Hall *h);
 static struct json_object *describe_(const Hall *h, char **addresses);
 static void print_(const GPtrArray *halls, char **addresses);
 static void print_json_(const GPtrArray *halls, char **addresses);
@@ -69,17 +68,15 @@
 static void take_(GPtrArray *halls, struct json_object *said, const char *address)
 {
 	Hall *h = find_(halls, ctl_text(said, "hall"));
-	uint64_t era = ctl_number(said, "era");
-	uint64_t revision = ctl_number(said, "revision");
-	int order = compare_(era, revision, h);
+	BH__Place changed = {.era = ctl_number(said, "era"), .revision = ctl_number(said, "revision")};
+	int order = bh__place_compare(changed, h->changed);
 
 	h->requests += ctl_number(said, "requests");
 	if (order < 0)
 		return;
 	if (order > 0) {
 		g_ptr_array_set_size(h->heard, 0);
-		h->era = era;
-		h->revision = revision;
+		h->changed = changed;
 		h->known_ms = 0;
 		h->draining = json_object_get_boolean(json_object_object_get(said, "draining"));
 	}
@@ -112,14 +109,6 @@
 	g_free(h);
 }
 
-/* Returns above 0 if a word is later than what is known of a hall, 0 if it is the same. */
-static int compare_(uint64_t era, uint64_t revision, const Hall *h)
-{
-	if (era != h->era)
-		return era > h->era ? 1 : -1;
-	return (revision > h->revision) - (revision < h->revision);
-}
-
 static bool has_heard_(const Hall *h, const char *address)
 {
 	return g_ptr_array_find_with_equal_func(h->heard, address, g_str_equal, NULL);
@@ -163,8 +152,8 @@
 			json_object_array_add(not_heard, json_object_new_string(*a));
 	json_object_object_add(o, "hall", json_object_new_string(h->name));
 	json_object_object_add(o, "draining", json_object_new_boolean(h->draining));
-	json_object_object_add(o, "era", json_object_new_int64((int64_t)h->era));
-	json_object_object_add(o, "revision", json_object_new_int64((int64_t)h->revision));
+	json_object_object_add(o, "era", json_object_new_int64((int64_t)h->changed.era));
+	json_object_object_add(o, "revision", json_object_new_int64((int64_t)h->changed.revision));
 	json_object_object_add(o, "known_ms", json_object_new_int64((int64_t)h->known_ms));
 	json_object_object_add(o, "requests", json_object_new_int64((int64_t)h->requests));
 	json_object_object_add(o, "not_heard", not_heard);
