One answer to whether an endpoint leaves, for pools and crashes

duty.c and crash_duty.c each put together the catalogue's word and the VM list's. bh__node_endpoint_leaves() does.

--- a/src/libbayhoist/crash_duty.c
+++ b/src/libbayhoist/crash_duty.c
@@ -34,12 +34,11 @@
 static bool on_find_endpoint_(BH__CrashPort *port, uint64_t endpoint_id, uint64_t *born_ms)
 {
 	const BH__Node *n = of_port_(port);
-	const BH__Catalog *c = bh__config_get_catalog(n->config);
-	const BH__Resource *r = bh__catalog_find(c, BH__KIND_ENDPOINT, endpoint_id);
+	const BH__Resource *r =
+		bh__catalog_find(bh__config_get_catalog(n->config), BH__KIND_ENDPOINT, endpoint_id);
 
 	*born_ms = 0;
-	return r && !bh__catalog_is_leaving(c, &r->as.endpoint) &&
-		   !g_hash_table_contains(n->leaving_vms, &endpoint_id);
+	return r && !bh__node_endpoint_leaves(n, r);
 }
 
 static void on_look_(BH__CrashPort *port, uint64_t endpoint_id)
--- a/src/libbayhoist/duty.c
+++ b/src/libbayhoist/duty.c
@@ -97,8 +97,7 @@
 							   .max_streams = (uint32_t)e->max_streams,
 							   .serves_short = !role || role->as.role.serves_short,
 							   .serves_long = !role || role->as.role.serves_long,
-							   .leaving = bh__catalog_is_leaving(c, e) ||
-										  g_hash_table_contains(n->leaving_vms, &r->id),
+							   .leaving = bh__node_endpoint_leaves(n, r),
 							   .ready = bh__orders_is_ready(n, r)};
 		add_adapters_(n, r, &pe);
 		if (e->pool_id == d->pool_id)
--- a/src/libbayhoist/include/private/node_internal.h
+++ b/src/libbayhoist/include/private/node_internal.h
@@ -117,6 +117,7 @@
 void bh__node_event(BH__Node *n, BH__EventType type, uint64_t request_id, uint64_t attempt_id,
 					const char *subject, const char *what, uint64_t value);
 const char *bh__node_name_endpoint(const BH__Node *n, uint64_t endpoint_id);
+bool bh__node_endpoint_leaves(const BH__Node *n, const BH__Resource *endpoint);
 
 /* spread.c */
 void bh__spread_hear_revision(BH__Node *n, uint64_t node_id, uint64_t revision);
--- a/src/libbayhoist/node.c
+++ b/src/libbayhoist/node.c
@@ -113,6 +113,13 @@
 	return r ? r->name : "";
 }
 
+/* Returns true if an endpoint is to receive no new work: operators or the VM list say so. */
+bool bh__node_endpoint_leaves(const BH__Node *n, const BH__Resource *endpoint)
+{
+	return bh__catalog_is_leaving(bh__config_get_catalog(n->config), &endpoint->as.endpoint) ||
+		   g_hash_table_contains(n->leaving_vms, &endpoint->id);
+}
+
 /* A new revision is in force: follow it, and tell a few nodes at once. */
 static void on_installed_(void *ctx, uint64_t revision)
 {
