A home tells of a limit without looking its endpoint up again

tell_home_() took the endpoint as const and looked it up in the registry to be rid of that. test_signal_relay: 10 passed. A stray backslash in a comment of gate.h is gone.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -79,7 +79,7 @@
 	bool told_informed;          /* calls that waited for all of that have begun */
 	uint64_t registry_seen;      /* version that the planners follow */
 	uint64_t halls_seen;         /* version of what was logged of halls that drain */
-	BH__Place place_seen;        /* in the store\'s history, as far as the registry showed it */
+	BH__Place place_seen;        /* in the store's history, as far as the registry showed it */
 	GHashTable *budgets;         /* BH__RepeatBudget by service name */
 	GHashTable *route_times;     /* RouteTimes by route name */
 	GHashTable *calls;           /* set of live Call */
--- a/src/libbayhoist/signal_relay.c
+++ b/src/libbayhoist/signal_relay.c
@@ -33,8 +33,7 @@
 };
 
 static void tell_leaving_(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t now_us);
-static void tell_home_(BH__SignalRelay *r, BH__SignalKind kind, const BH__RegisteredEndpoint *e,
-					   uint64_t now_us);
+static void tell_home_(BH__SignalRelay *r, BH__SignalKind kind, BH__RegisteredEndpoint *e, uint64_t now_us);
 static void tell_homes_again_(BH__SignalRelay *r, uint64_t now_us);
 static void tell_limit_(BH__SignalRelay *r, BH__RegisteredEndpoint *e);
 static bool is_home_(const BH__SignalRelay *r, const char *service);
@@ -111,8 +110,7 @@
 }
 
 /* Tells an endpoint's home what this node knows, or all if that is this node. */
-static void tell_home_(BH__SignalRelay *r, BH__SignalKind kind, const BH__RegisteredEndpoint *e,
-					   uint64_t now_us)
+static void tell_home_(BH__SignalRelay *r, BH__SignalKind kind, BH__RegisteredEndpoint *e, uint64_t now_us)
 {
 	BH__Message m = {.type = BH__MESSAGE_SIGNALS};
 
@@ -123,7 +121,7 @@
 		r->port->send(r->port, r->port->find_home(r->port, e->entry.service), &m);
 	}
 	else if (kind == BH__SIGNAL_LIMIT) {
-		tell_limit_(r, bh__registry_find(r->registry, e->endpoint_id));
+		tell_limit_(r, e);
 	}
 	else {
 		add_(r, kind, e->endpoint_id);
