gate: Log and count failures that eject engines

The scheduler now logs each failure that a node reports with the engines ejected at that moment; the planner counts ejections and tells how long each lasts.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -156,6 +156,8 @@
 	BH__RELEASE_LOST /* the connection broke before an answer; the engines may still run the request */
 } BH__ReleaseKind;
 
+extern const char *const BH__ReleaseKindString[];
+
 typedef struct {
 	uint64_t account_id;
 	double rate; /* tokens per second: requested in an ask, allowed in a grant */
--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -36,19 +36,21 @@
 	uint64_t helped; /* grants with helpers */
 	uint64_t queued; /* asks that had to wait */
 	uint64_t refusals;
-	uint64_t late; /* grants whose first event was predicted to be late */
+	uint64_t late;      /* grants whose first event was predicted to be late */
+	uint64_t ejections; /* times that a failure ejected an engine */
 } BH__PlannerCounters;
 
 /* The planner's view of one engine. */
 typedef struct {
 	uint64_t endpoint_id;
-	unsigned primaries;      /* requests whose answers the engine generates */
-	unsigned streams;        /* answers that have started */
-	unsigned helper_parts;   /* prompt parts that the engine prefills for other engines */
-	uint64_t kv_used_tokens; /* memory granted on the engine, in tokens */
-	double prefill_left_ms;  /* remaining prefill time at slowdown 1 */
-	double slowdown;         /* slowdown factor against the model; 1: as fast as the model */
-	bool usable;             /* not leaving */
+	unsigned primaries;        /* requests whose answers the engine generates */
+	unsigned streams;          /* answers that have started */
+	unsigned helper_parts;     /* prompt parts that the engine prefills for other engines */
+	uint64_t kv_used_tokens;   /* memory granted on the engine, in tokens */
+	double prefill_left_ms;    /* remaining prefill time at slowdown 1 */
+	double slowdown;           /* slowdown factor against the model; 1: as fast as the model */
+	bool usable;               /* not leaving */
+	uint64_t ejected_until_us; /* when the ejection after failures ends; in the past if there is none */
 } BH__PlannerEngine;
 
 BH__Planner *bh__planner_new(BH__PlannerPort *port, uint64_t pool_id, uint64_t boot_id);
@@ -79,6 +81,7 @@
 void bh__planner_refuse_all(BH__Planner *p, BH__Reason reason);
 bool bh__planner_is_waiting(const BH__Planner *p);
 unsigned bh__planner_get_engine_count(const BH__Planner *p);
+unsigned bh__planner_count_ejected(const BH__Planner *p, uint64_t now_us);
 void bh__planner_get_engine(const BH__Planner *p, unsigned index, BH__PlannerEngine *out);
 const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p);
 
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -22,6 +22,7 @@
 static void on_recorded_(void *service, bool recorded);
 static void record_unanswered_(Cluster *c, Service *s, uint64_t node_id);
 static void notify_nodes_(Cluster *c, Call *call, BH__Message *m);
+static void log_failure_(const Cluster *c, const Service *s, const BH__Message *m, uint64_t now_us);
 
 /* Returns the service whose planner has this id, or NULL. */
 Service *schedulers_find(const Cluster *c, uint64_t pool_id)
@@ -471,6 +472,19 @@
 	cluster_drain_inbox(c);
 }
 
+/* Logs, on the scheduler, the failure of an engine that a node reports, and how many engines are ejected. */
+static void log_failure_(const Cluster *c, const Service *s, const BH__Message *m, uint64_t now_us)
+{
+	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, m->as.release.failed_endpoint);
+	const BH__MemberInfo *node = bh__members_find(c->members, m->from_node);
+
+	if (!e || !s->scheduling_since_us)
+		return;
+	log_event("engine", "what=failed endpoint=%s node=%s kind=%s ejected=%u engines=%u", e->entry.id,
+			  node ? node->name : "unknown", BH__ReleaseKindString[m->as.release.kind],
+			  bh__planner_count_ejected(s->planner, now_us), bh__planner_get_engine_count(s->planner));
+}
+
 /* Processes a release, progress, iteration or withdraw message. */
 void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us)
 {
@@ -486,6 +500,7 @@
 										now_us);
 		bh__planner_process_release(s->planner, m->as.release.grant_id, m->as.release.kind,
 									m->as.release.failed_endpoint, now_us);
+		log_failure_(c, s, m, now_us);
 	}
 	else if (m->type == BH__MESSAGE_ITERATION)
 		bh__planner_process_iteration(s->planner, m->as.release.grant_id, m->as.release.iteration_us, now_us);
@@ -532,49 +547,3 @@
 	call_get_admission(call)->ask.ask_id = 0;
 	call_on_refuse(call, reason, retry_after_ms);
 }
-
-/* Writes, as metrics, the number of nodes, the peer traffic, the rate limits in force, and the state of the
- * planners and their engines as this node sees it. */
-void cluster_write_status(const Cluster *c, struct evbuffer *out)
-{
-	const PeersCounters *p = peers_get_counters(c->peers);
-	GHashTableIter it;
-	gpointer value;
-
-	evbuffer_add_printf(out, "bayhoist_nodes %u\n", cluster_count_nodes(c));
-	evbuffer_add_printf(out, "bayhoist_peer_bytes{direction=\"out\"} %" G_GUINT64_FORMAT "\n", p->bytes_out);
-	evbuffer_add_printf(out, "bayhoist_peer_bytes{direction=\"in\"} %" G_GUINT64_FORMAT "\n", p->bytes_in);
-	for (int t = 0; t < BH__MESSAGE_TYPE_COUNT; t++)
-		if (p->type_messages_out[t])
-			evbuffer_add_printf(out,
-								"bayhoist_peer_type_bytes{type=\"%s\"} %" G_GUINT64_FORMAT "\n"
-								"bayhoist_peer_type_messages{type=\"%s\"} %" G_GUINT64_FORMAT "\n",
-								BH__MessageTypeString[t], p->type_bytes_out[t], BH__MessageTypeString[t],
-								p->type_messages_out[t]);
-	limits_write_status(c, out);
-	g_hash_table_iter_init(&it, c->services);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const Service *s = value;
-		const BH__PlannerCounters *k = bh__planner_get_counters(s->planner);
-		evbuffer_add_printf(out,
-							"bayhoist_planner{service=\"%s\",what=\"grants\"} %" G_GUINT64_FORMAT "\n"
-							"bayhoist_planner{service=\"%s\",what=\"helped\"} %" G_GUINT64_FORMAT "\n"
-							"bayhoist_planner{service=\"%s\",what=\"queued\"} %" G_GUINT64_FORMAT "\n"
-							"bayhoist_planner{service=\"%s\",what=\"refusals\"} %" G_GUINT64_FORMAT "\n"
-							"bayhoist_planner{service=\"%s\",what=\"late\"} %" G_GUINT64_FORMAT "\n",
-							s->service, k->grants, s->service, k->helped, s->service, k->queued, s->service,
-							k->refusals, s->service, k->late);
-		for (unsigned i = 0; i < bh__planner_get_engine_count(s->planner); i++) {
-			BH__PlannerEngine e;
-			bh__planner_get_engine(s->planner, i, &e);
-			evbuffer_add_printf(
-				out,
-				"bayhoist_engine{service=\"%s\",endpoint=\"%" G_GINT64_MODIFIER "x\",what=\"homes\"} %u\n"
-				"bayhoist_engine{service=\"%s\",endpoint=\"%" G_GINT64_MODIFIER
-				"x\",what=\"unread_ms\"} %.0f\n"
-				"bayhoist_engine{service=\"%s\",endpoint=\"%" G_GINT64_MODIFIER "x\",what=\"pace\"} %.2f\n",
-				s->service, e.endpoint_id, e.primaries, s->service, e.endpoint_id, e.prefill_left_ms,
-				s->service, e.endpoint_id, e.slowdown);
-		}
-	}
-}
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -21,6 +21,7 @@
 	"queued",     "look-ask",    "look",       "pass",        "reader",    "suspect",
 	"quarantine", "news",        "signals",    "permit-ask",  "permit"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
+const char *const BH__ReleaseKindString[] = {"done", "failed", "refused", "unused", "lost"};
 
 /* State of encoding or decoding one message: packs values into `packer`, or takes them from an array of
  * decoded values. */
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -37,7 +37,7 @@
 static void end_prefill_(BH__Planner *p, BH__PlacedRequest *r, bool completed, uint64_t now_us);
 static void request_report_(BH__Planner *p, BH__IterationEngine *e, uint64_t now_us);
 static void inspect_if_late_(BH__Planner *p, const BH__PlacedRequest *r, double took_ms, uint64_t now_us);
-static void eject_(BH__IterationEngine *e, uint64_t now_us);
+static void eject_(BH__Planner *p, BH__IterationEngine *e, uint64_t now_us);
 static GPtrArray *list_node_grants_(const BH__Planner *p, uint64_t node_id, bool other_nodes);
 
 /* Returns a planner without engines. `boot_id` is the id of this node's process run and makes the ids of the
@@ -448,10 +448,11 @@
 
 /* Ejects an engine after a failure. The ejection doubles with each consecutive failure, and does not last
  * beyond a backoff that the engine itself has requested. */
-static void eject_(BH__IterationEngine *e, uint64_t now_us)
+static void eject_(BH__Planner *p, BH__IterationEngine *e, uint64_t now_us)
 {
 	uint64_t eject_us = EJECT_FIRST_US_ << MIN(e->failures, 8u);
 
+	p->counters.ejections++;
 	e->failures++;
 	e->ejected_until_us = now_us + MIN(eject_us, EJECT_MAX_US_);
 	if (now_us < e->requested_backoff_until_us)
@@ -478,7 +479,7 @@
 
 	if (failed && (!r || grant_uses_(&r->grant, failed_endpoint)) &&
 		(kind == BH__RELEASE_FAILED || kind == BH__RELEASE_LOST))
-		eject_(failed, now_us);
+		eject_(p, failed, now_us);
 	if (r)
 		remove_grant_(p, r, kind == BH__RELEASE_LOST, now_us);
 	bh__planner_place_waiting(p, now_us);
@@ -589,7 +590,18 @@
 							   .kv_used_tokens = e->kv_used_tokens,
 							   .prefill_left_ms = bh__iteration_clock_get_backlog_ms(&e->clock),
 							   .slowdown = e->clock.slowdown,
-							   .usable = !e->leaving};
+							   .usable = !e->leaving,
+							   .ejected_until_us = e->ejected_until_us};
+}
+
+/* Returns the number of engines that are ejected after failures. */
+unsigned bh__planner_count_ejected(const BH__Planner *p, uint64_t now_us)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < p->engines->len; i++)
+		count += now_us < ((const BH__IterationEngine *)g_ptr_array_index(p->engines, i))->ejected_until_us;
+	return count;
 }
 
 const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p)
