test: Gateways cut off from all endpoints, failing

What callers saw: gateways that lost their own links refused everybody, and those beside them refused many.

The proxy takes modes for callers from one address, and drops packets by a filter on its sockets. For that a gateway can be told from which IP to connect to endpoints (endpoint_source), as a VM with several needs it.

--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -4,6 +4,7 @@
  * the rest of an earlier body for the next request. */
 #include "gate.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <http_parser.h>
@@ -11,6 +12,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include "clock.h"
+#include "log.h"
 
 /* Connecting takes a few ms within a region, and about 200 ms more if a packet is lost. */
 #define CONNECT_TIMEOUT_MS 400
@@ -36,6 +38,7 @@
 	bool no_body;     /* the request is a HEAD request, so the answer has no body */
 };
 
+static evutil_socket_t bound_socket_(const Gate *g);
 static void on_read_(struct bufferevent *bev, void *arg);
 static void on_event_(struct bufferevent *bev, short what, void *arg);
 static int on_message_begin_(http_parser *p);
@@ -86,7 +89,8 @@
 	o->no_body = !strcmp(method, "HEAD ");
 	http_parser_init(&o->parser, HTTP_RESPONSE);
 	o->parser.data = o;
-	o->bev = bufferevent_socket_new(g->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	o->bev =
+		bufferevent_socket_new(g->base, bound_socket_(g), BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(o->bev, on_read_, NULL, on_event_, o);
 	bufferevent_set_timeouts(o->bev, NULL, &timeout);
 	bufferevent_enable(o->bev, EV_READ | EV_WRITE);
@@ -100,6 +104,28 @@
 	return o;
 }
 
+/* Returns a new socket that is bound to the address from which the settings have endpoints connected to, or
+ * -1 if they name none or the address can't be used, which is logged. */
+static evutil_socket_t bound_socket_(const Gate *g)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	evutil_socket_t fd;
+
+	if (!g->settings.endpoint_source[0])
+		return -1;
+	evutil_inet_pton(AF_INET, g->settings.endpoint_source, &sa.sin_addr);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (fd >= 0 && bind(fd, (struct sockaddr *)&sa, sizeof sa) == 0) {
+		evutil_make_socket_nonblocking(fd);
+		evutil_make_socket_closeonexec(fd);
+		return fd;
+	}
+	log_error("bind-failed", "address=%s cause=\"%s\"", g->settings.endpoint_source, strerror(errno));
+	if (fd >= 0)
+		evutil_closesocket(fd);
+	return -1;
+}
+
 /* Returns true once the connection to the endpoint is established. */
 bool outbound_is_connected(const Outbound *o)
 {
--- a/src/bayhoist-gate/settings.c
+++ b/src/bayhoist-gate/settings.c
@@ -2,6 +2,8 @@
 /* Reads and validates the gateway's settings. */
 #include "settings.h"
 
+#include <event2/util.h>
+#include <netinet/in.h>
 #include <string.h>
 #include "settings_file.h"
 
@@ -17,6 +19,7 @@
 	BH__STRING_FIELD(GateSettings, peer_key, true),
 	BH__LIST_FIELD(GateSettings, seeds, 64),
 	BH__STRING_FIELD(GateSettings, store_address, true),
+	BH__STRING_FIELD(GateSettings, endpoint_source, false),
 	BH__U64_FIELD(GateSettings, max_connections, false, 16, 1000000),
 	BH__U64_FIELD(GateSettings, stop_grace_ms, false, 100, 3600000),
 	BH__U64_FIELD(GateSettings, endpoint_drain_ms, false, 100, 3600000),
@@ -72,6 +75,7 @@
 static bool check_(const void *settings, GError **error)
 {
 	const GateSettings *s = settings;
+	struct in_addr ip;
 	const struct {
 		const char *field;
 		const char *address;
@@ -82,5 +86,10 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
 		if (!settings_check_address(all[i].field, all[i].address, error))
 			return false;
+	if (s->endpoint_source[0] && evutil_inet_pton(AF_INET, s->endpoint_source, &ip) != 1) {
+		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD,
+					"field \"endpoint_source\": \"%s\" is no IPv4 address", s->endpoint_source);
+		return false;
+	}
 	return true;
 }
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -23,8 +23,13 @@
 	wait_for 30 tell calls
 	BEHIND_PROXY=1
 }
-set_link() { # LINK MODE [MS]
-	curl -s -m 3 "http://$(address 70)/set?link=$1&mode=$2&ms=${3:-0}"
+set_link() { # LINK MODE [MS [FROM]]
+	curl -s -m 3 "http://$(address 70)/set?link=$1&mode=$2&ms=${3:-0}&from=${4:-}"
+}
+ENDPOINT_LINKS="e1 e2 e3 p1 p2"
+cut_endpoints() { # MODE GATEWAY...: the links of some gateways to all endpoints
+	local l n
+	for n in "${@:2}"; do for l in $ENDPOINT_LINKS; do set_link $l "$1" 0 "127.0.0.$((10 + n))"; done; done
 }
 tell() { curl -s -m 3 "http://$STORE/test/$1" "${@:2}"; }
 node() { # N FIELD: an address of gateway N
@@ -33,6 +38,7 @@
 settings() { # N
 	printf '{"name":"gate%s","hall":"h1","region":"r","caller_address":"%s","readiness_address":"%s",' "$1" "$(node "$1" 0)" "$(node "$1" 1)"
 	printf '"directory_address":"%s","control_address":"%s","peer_address":"%s","peer_key":"k",' "$(node "$1" 2)" "$(node "$1" 3)" "$(node "$1" 4)"
+	[ -z "${BEHIND_PROXY:-}" ] || printf '"endpoint_source":"%s",' "127.0.0.$((10 + $1))"
 	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":%s} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" \
 		"$([ -z "${BEHIND_PROXY:-}" ] && echo "$STORE" || address $((40 + $1)))" "${KEY_TRUST_MS:-3000}"
 }
