planner: Keep who reported an engine's failures, to take them back

What callers saw: gateways whose links were whole served 62 to 91 of 100 first tries while others were cut off. Class: one node's evidence about itself taken as evidence about an endpoint. The ejection now holds the reports by node (ejection.c, out of planner.c), so that those of a node which finds out that its links were cut can be withdrawn; other nodes' reports still count. Nobody withdraws yet: that comes with the node's belief about its links.

--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -70,6 +70,7 @@
 void bh__planner_process_iteration(BH__Planner *p, uint64_t grant_id, uint64_t iteration_us, uint64_t now_us);
 void bh__planner_process_release(BH__Planner *p, uint64_t grant_id, BH__ReleaseKind kind,
 								 uint64_t failed_endpoint, uint64_t now_us);
+unsigned bh__planner_withdraw_failures(BH__Planner *p, uint64_t node_id, uint64_t now_us);
 void bh__planner_process_backoff(BH__Planner *p, uint64_t endpoint_id, uint64_t backoff_us, uint64_t now_us);
 void bh__planner_process_hold(BH__Planner *p, uint64_t node_id, uint64_t boot_id, bool full,
 							  const BH__Grant *grant, uint32_t count, uint64_t now_us);
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -4,6 +4,7 @@
 #ifndef BAYHOIST_PRIVATE_PLACEMENT_H
 #define BAYHOIST_PRIVATE_PLACEMENT_H
 
+#include "ejection.h"
 #include "bayhoist/endpoint_rate.h"
 #include "bayhoist/message.h"
 #include "iteration_clock.h"
@@ -28,9 +29,8 @@
 	uint64_t endpoint_id;
 	uint64_t incarnation; /* incarnation of the endpoint, as counted by the registry */
 	bool leaving;
-	uint64_t ejected_until_us;           /* no grants before this time, because of failures */
+	BH__Ejection ejection;               /* no grants for a while, because of failures */
 	uint64_t requested_backoff_until_us; /* end of the backoff that the engine has requested from some node */
-	unsigned failures;                   /* consecutive failures */
 	BH__EndpointRate rate;               /* limits on the requests that the engine may be granted */
 	uint64_t inspected_us;               /* time of the last request for its report; 0: none */
 	uint64_t last_stream_started_us;     /* time of the latest first event from this engine; 0: none */
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -98,7 +98,7 @@
  * limits. */
 bool bh__iteration_engine_is_usable(const BH__IterationEngine *e, uint64_t now_us)
 {
-	return !e->leaving && now_us >= e->ejected_until_us && bh__endpoint_rate_admits(&e->rate, now_us);
+	return !e->leaving && now_us >= e->ejection.until_us && bh__endpoint_rate_admits(&e->rate, now_us);
 }
 
 static bool contains_(const uint64_t *list, unsigned count, uint64_t endpoint_id)
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -4,10 +4,6 @@
 #include <string.h>
 #include "planner_internal.h"
 
-/* Duration of an engine's first ejection after a failure; it doubles with each consecutive failure up to the
- * maximum. */
-#define EJECT_FIRST_US_ (600 * BH__MS_US)
-#define EJECT_MAX_US_ (4 * BH__SECOND_US)
 /* A request's engines are inspected if its first event takes longer than this multiple of the predicted time
  * plus this margin. */
 #define LATE_FACTOR_ 1.5
@@ -37,7 +33,7 @@
 static void end_prefill_(BH__Planner *p, BH__PlacedRequest *r, bool completed, uint64_t now_us);
 static void request_report_(BH__Planner *p, BH__IterationEngine *e, uint64_t now_us);
 static void inspect_if_late_(BH__Planner *p, const BH__PlacedRequest *r, double took_ms, uint64_t now_us);
-static void eject_(BH__Planner *p, BH__IterationEngine *e, uint64_t now_us);
+static void eject_(BH__Planner *p, BH__IterationEngine *e, uint64_t node_id, uint64_t now_us);
 static GPtrArray *list_node_grants_(const BH__Planner *p, uint64_t node_id, bool other_nodes);
 
 /* Returns a planner without engines. `boot_id` is the id of this node's process run and makes the ids of the
@@ -192,8 +188,7 @@
 	e->incarnation = incarnation;
 	e->helper_parts = 0;
 	e->kv_used_tokens = 0;
-	e->failures = 0;
-	e->ejected_until_us = 0;
+	memset(&e->ejection, 0, sizeof e->ejection);
 	e->requested_backoff_until_us = 0;
 	e->last_stream_started_us = 0;
 	e->inspected_us = 0;
@@ -423,7 +418,7 @@
 	start_stream_(p, r, now_us);
 	e = find_engine_(p, r->grant.member[0].endpoint_id);
 	if (e) {
-		e->failures = 0;
+		bh__ejection_note_success(&e->ejection);
 		e->last_stream_started_us = now_us;
 		if (r->grant.member_count == 1)
 			bh__iteration_clock_observe(&e->clock, r->expected_ms, (double)(now_us - r->granted_us) / 1000);
@@ -446,17 +441,29 @@
 	bh__planner_place_waiting(p, now_us);
 }
 
-/* Ejects an engine after a failure. The ejection doubles with each consecutive failure, and does not last
- * beyond a backoff that the engine itself has requested. */
-static void eject_(BH__Planner *p, BH__IterationEngine *e, uint64_t now_us)
+/* Ejects an engine after a failure that a node reports, but not beyond a backoff that the engine itself has
+ * requested. */
+static void eject_(BH__Planner *p, BH__IterationEngine *e, uint64_t node_id, uint64_t now_us)
 {
-	uint64_t eject_us = EJECT_FIRST_US_ << MIN(e->failures, 8u);
+	uint64_t backoff_us = e->requested_backoff_until_us;
 
 	p->counters.ejections++;
-	e->failures++;
-	e->ejected_until_us = now_us + MIN(eject_us, EJECT_MAX_US_);
-	if (now_us < e->requested_backoff_until_us)
-		e->ejected_until_us = MIN(e->ejected_until_us, e->requested_backoff_until_us);
+	bh__ejection_add(&e->ejection, node_id, now_us < backoff_us ? backoff_us : 0, now_us);
+}
+
+/* Takes back the failures that a node reported before it knew that its own links were cut. Returns the number
+ * of engines that it had reported. */
+unsigned bh__planner_withdraw_failures(BH__Planner *p, uint64_t node_id, uint64_t now_us)
+{
+	unsigned count = 0;
+
+	for (guint i = 0; i < p->engines->len; i++) {
+		BH__IterationEngine *e = g_ptr_array_index(p->engines, i);
+		count += bh__ejection_withdraw(&e->ejection, node_id);
+	}
+	if (count)
+		bh__planner_place_waiting(p, now_us);
+	return count;
 }
 
 /* Records that an engine has requested a backoff of `backoff_us` from a node. This must be called before the
@@ -479,7 +486,7 @@
 
 	if (failed && (!r || grant_uses_(&r->grant, failed_endpoint)) &&
 		(kind == BH__RELEASE_FAILED || kind == BH__RELEASE_LOST))
-		eject_(p, failed, now_us);
+		eject_(p, failed, r ? r->grant.node_id : 0, now_us);
 	if (r)
 		remove_grant_(p, r, kind == BH__RELEASE_LOST, now_us);
 	bh__planner_place_waiting(p, now_us);
@@ -591,7 +598,7 @@
 							   .prefill_left_ms = bh__iteration_clock_get_backlog_ms(&e->clock),
 							   .slowdown = e->clock.slowdown,
 							   .usable = !e->leaving,
-							   .ejected_until_us = e->ejected_until_us};
+							   .ejected_until_us = e->ejection.until_us};
 }
 
 /* Returns the number of engines that are ejected after failures. */
@@ -600,7 +607,7 @@
 	unsigned count = 0;
 
 	for (guint i = 0; i < p->engines->len; i++)
-		count += now_us < ((const BH__IterationEngine *)g_ptr_array_index(p->engines, i))->ejected_until_us;
+		count += now_us < ((const BH__IterationEngine *)g_ptr_array_index(p->engines, i))->ejection.until_us;
 	return count;
 }
 
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -207,7 +207,7 @@
 	for (guint i = 0; i < p->engines->len; i++) {
 		const BH__IterationEngine *e = g_ptr_array_index(p->engines, i);
 		if (!e->leaving && !bh__ask_backs_off_from(ask, e->endpoint_id))
-			min_us = MIN(min_us, e->ejected_until_us);
+			min_us = MIN(min_us, e->ejection.until_us);
 	}
 	return min_us != UINT64_MAX && min_us > now_us ? min_us - now_us : 0;
 }
@@ -297,7 +297,7 @@
 	for (guint i = 0; i < p->engines->len; i++) {
 		const BH__IterationEngine *e = g_ptr_array_index(p->engines, i);
 		if (!e->leaving)
-			soonest_us = MIN(soonest_us, MAX(e->clock.iteration_end_us, e->ejected_until_us));
+			soonest_us = MIN(soonest_us, MAX(e->clock.iteration_end_us, e->ejection.until_us));
 	}
 	return soonest_us;
 }
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -1018,6 +1018,57 @@
 	fixture_free_(f);
 }
 
+/* Two nodes that have lost their own links report that every engine fails. As soon as both have said so, the
+ * requests of the others are placed at once. */
+static void failures_of_nodes_that_lost_their_links_are_withdrawn_(void **state)
+{
+	Fixture *f = fixture_new_(3);
+	BH__Ask a;
+
+	(void)state;
+	for (unsigned i = 0; i < 3; i++) {
+		a = ask_(f, SHORT);
+		a.node_id = 7 + i % 2;
+		bh__planner_process_ask(f->planner, &a, i * MS);
+		bh__planner_process_release(f->planner, grant_(f, i)->grant_id, BH__RELEASE_FAILED,
+									grant_(f, i)->member[0].endpoint_id, i * MS);
+	}
+	assert_int_equal(bh__planner_count_ejected(f->planner, 10 * MS), 3);
+	a = ask_(f, SHORT);
+	bh__planner_process_ask(f->planner, &a, 10 * MS);
+	assert_int_equal(f->queued, 1);
+	bh__planner_withdraw_failures(f->planner, 7, 20 * MS);
+	bh__planner_withdraw_failures(f->planner, 8, 20 * MS);
+	assert_int_equal(bh__planner_count_ejected(f->planner, 20 * MS), 0);
+	assert_int_equal(f->queued, 1);
+	assert_int_equal(grant_(f, f->grants->len - 1)->ask_id, a.ask_id);
+	fixture_free_(f);
+}
+
+/* An engine that two nodes report is still ejected when one of them takes its report back. */
+static void what_other_nodes_reported_still_counts_(void **state)
+{
+	Fixture *f = fixture_new_(1);
+	BH__Ask first = ask_(f, SHORT);
+	BH__Ask second = ask_(f, SHORT);
+
+	(void)state;
+	first.node_id = 7;
+	second.node_id = 8;
+	bh__planner_process_ask(f->planner, &first, 0);
+	bh__planner_process_progress(f->planner, grant_(f, 0)->grant_id, 30 * MS);
+	bh__planner_process_ask(f->planner, &second, 300 * MS);
+	bh__planner_process_tick(f->planner, 400 * MS);
+	assert_int_equal(f->grants->len, 2);
+	for (unsigned i = 0; i < 2; i++)
+		bh__planner_process_release(f->planner, grant_(f, i)->grant_id, BH__RELEASE_FAILED, 1, 500 * MS);
+	assert_int_equal(bh__planner_withdraw_failures(f->planner, 7, 510 * MS), 1);
+	assert_int_equal(bh__planner_count_ejected(f->planner, 510 * MS), 1);
+	assert_int_equal(bh__planner_withdraw_failures(f->planner, 8, 520 * MS), 1);
+	assert_int_equal(bh__planner_count_ejected(f->planner, 520 * MS), 0);
+	fixture_free_(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -1028,6 +1079,8 @@
 		cmocka_unit_test(an_ask_with_backoffs_from_all_engines_is_refused_at_once_),
 		cmocka_unit_test(a_waiting_ask_follows_changed_backoffs_),
 		cmocka_unit_test(an_ask_that_would_wait_too_long_is_refused_at_once_),
+		cmocka_unit_test(failures_of_nodes_that_lost_their_links_are_withdrawn_),
+		cmocka_unit_test(what_other_nodes_reported_still_counts_),
 		cmocka_unit_test(limited_engines_are_not_inspected_),
 		cmocka_unit_test(a_short_prompt_is_prefilled_by_one_engine_),
 		cmocka_unit_test(no_grant_names_an_engine_twice_),
