gate: Send requests through a peer while this node's links are cut

Cause: a node knew one way to an endpoint, and took every failure on it for the endpoint's. Class: own fault taken for others'.

Change: a request goes over the first channel that opens. A connection that broke is reported only after this node and a peer have looked at the endpoint; the evaluation of crashes looks through a peer as well.

--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -12,7 +12,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 10
+#define BH__MESSAGE_VERSION 11
 #define BH__MESSAGE_UPDATES_MAX 8 /* member records piggybacked on a ping or its ack */
 #define BH__MEMBER_PARTITIONS 64  /* partitions of the member table, by the highest bits of the node id */
 /* Number of broadcast trees that each update is sent along. An unresponsive node that is not yet known to be
@@ -21,6 +21,7 @@
 #define BH__MESSAGE_SIGNALS_MAX 32 /* endpoint signals in one message */
 #define BH__MESSAGE_DIGESTS_MAX 16 /* pool digests piggybacked on a ping or its ack */
 #define BH__MESSAGE_LIST_MAX 65536 /* a message with a longer list is rejected as malformed */
+#define BH__REQUEST_ID_LEN 80      /* size of the text of a request's id, terminating NUL included */
 
 typedef enum {
 	BH__MESSAGE_PING,
@@ -52,6 +53,12 @@
 	BH__MESSAGE_SIGNALS,
 	BH__MESSAGE_PERMIT_ASK,
 	BH__MESSAGE_PERMIT,
+	BH__MESSAGE_LINKS,
+	/* These go over a connection of their own, which carries one request through a peer. */
+	BH__MESSAGE_RELAY_OPEN,
+	BH__MESSAGE_RELAY_REPLY,
+	BH__MESSAGE_RELAY_DATA,
+	BH__MESSAGE_RELAY_END,
 	BH__MESSAGE_TYPE_COUNT
 } BH__MessageType;
 
@@ -189,6 +196,22 @@
 	uint64_t time_us;
 } BH__SignalUpdate;
 
+/* Why a node does not connect to an endpoint for a peer. */
+typedef enum {
+	BH__RELAY_OPENED,            /* it has connected */
+	BH__RELAY_ENDPOINT_REFUSED,  /* the endpoint's VM refused the connection */
+	BH__RELAY_ENDPOINT_SILENT,   /* no answer came in time */
+	BH__RELAY_ENDPOINT_UNUSABLE, /* the endpoint is not registered, is leaving, or wants a backoff */
+	/* the node could not connect, and to no other endpoint since it last connected to one */
+	BH__RELAY_NODE_DOUBTFUL,
+	BH__RELAY_NODE_CUT,     /* the node has lost its own links */
+	BH__RELAY_NODE_FULL,    /* the node has as much to do for peers as it bears */
+	BH__RELAY_NODE_LEAVING, /* the node stops */
+	BH__RELAY_RESULT_COUNT
+} BH__RelayResult;
+
+extern const char *const BH__RelayResultString[];
+
 typedef struct {
 	BH__MessageType type;
 	uint64_t from_node;
@@ -318,6 +341,30 @@
 			/* if granted, the wait before the request is sent; otherwise, the wait before the next ask */
 			uint64_t wait_us;
 		} permit;
+		/* Broadcast by a node when it loses its links to the endpoints, and again while that lasts. */
+		struct {
+			BH__MessageRange range;
+			uint64_t node_id;
+			bool is_cut;
+		} links;
+		/* Asks a peer to connect to an endpoint and to pass bytes both ways. */
+		struct {
+			uint64_t endpoint_id;
+			uint64_t time_us; /* for connecting */
+			bool is_probe;    /* no request follows */
+			char request_id[BH__REQUEST_ID_LEN];
+		} relay_open;
+		struct {
+			BH__RelayResult result;
+		} relay_reply;
+		struct {
+			char *bytes;
+			uint32_t len;
+		} relay_data;
+		/* The endpoint has closed the connection, or it broke. */
+		struct {
+			bool is_clean;
+		} relay_end;
 		struct {
 			uint32_t count;
 			BH__QuarantineEntry *entry; /* `since_us` holds an age, since the nodes have no common clock */
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -158,6 +158,7 @@
 uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id);
 void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, uint64_t incarnation,
 						   BH__EndpointOutcome use, uint64_t now_us);
+void bh__registry_withdraw_failures(BH__Registry *r);
 void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
 							uint64_t now_us);
 
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -8,6 +8,7 @@
 #include "bayhoist/hash.h"
 #include "clock.h"
 #include "crashes.h"
+#include "links.h"
 #include "log.h"
 
 /* A request whose scheduler has not answered within this time is placed by this node itself. */
@@ -63,6 +64,7 @@
 static bool is_stale_(uint64_t counted_us);
 static bool abandon_quarantined_(Call *c);
 static bool abandon_stopping_(Call *c);
+static bool abandon_cut_off_(Call *c);
 static uint64_t retry_stopping_ms_(const Gate *g, uint64_t now_us);
 static uint64_t longest_answer_us_(const Call *c);
 static void dispatch_(Call *c, uint64_t endpoint_id);
@@ -306,7 +308,7 @@
 		call_act(c, bh__retry_state_process_deadline(&c->retry));
 		return;
 	}
-	if (abandon_quarantined_(c) || abandon_stopping_(c))
+	if (abandon_quarantined_(c) || abandon_stopping_(c) || abandon_cut_off_(c))
 		return;
 	if (c->service->is_engine) {
 		if (bh__registry_get_available_us(g->registry, c->service->name, now_us))
@@ -403,6 +405,20 @@
 	return true;
 }
 
+/* Ends a request that nobody can send: this node has lost its links to the endpoints, and no peer has any.
+ * Returns false if there may be a way. */
+static bool abandon_cut_off_(Call *c)
+{
+	uint64_t retry_after_ms = links_get_retry_after_ms(c->gate->links);
+
+	if (!retry_after_ms)
+		return false;
+	log_event("refuse", "request=%s cause=cut-off retry_after_ms=%" G_GUINT64_FORMAT,
+			  c->request->meta.request_id, retry_after_ms);
+	abandon_(c, retry_after_ms, "cut-off", "this node has no way to the endpoints");
+	return true;
+}
+
 /* Dispatches the request to an endpoint. Checks the deadline, the quarantine and the node's own stop again,
  * since the node may have been suspended, or the request quarantined, after the endpoint was granted. */
 static void dispatch_(Call *c, uint64_t endpoint_id)
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -45,6 +45,7 @@
 	uint64_t received_us;      /* when the endpoint last sent a part of the answer, or the dispatch began */
 	bool end_known;            /* the dispatch's end is known before its connection ends */
 	BH__DispatchEnd known_end; /* that end; valid if `end_known` */
+	bool is_own_fault;         /* the last dispatch failed on the way to its endpoint */
 	OutboundHead head;         /* head of the answer; `headers` is a copy that the call owns */
 	struct evbuffer *body;     /* answer buffered until it is complete, or the incomplete event of a stream */
 	bool is_streaming;         /* the answer is a stream, forwarded event by event */
--- /dev/null
+++ b/src/bayhoist-gate/channel.h
@@ -0,0 +1,50 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* A byte channel to an endpoint, for one request: over a connection of this node's (direct_channel.c) or
+ * through a peer that connects to the endpoint (relay_channel.c). */
+#ifndef BAYHOIST_GATE_CHANNEL_H
+#define BAYHOIST_GATE_CHANNEL_H
+
+#include <event2/buffer.h>
+#include "gate.h"
+
+typedef struct Channel Channel;
+
+typedef enum {
+	CHANNEL_CLOSED, /* the endpoint closed the open channel in an orderly way */
+	CHANNEL_BROKEN, /* the endpoint broke the open channel off */
+	CHANNEL_LOST, /* the open channel was lost on the way to the peer, which tells nothing of the endpoint */
+	CHANNEL_REFUSED, /* it could not be opened: the connection to the endpoint was refused */
+	CHANNEL_SILENT,  /* it could not be opened in time */
+	CHANNEL_NO_PEER  /* it could not be opened: no peer is there that could tell more */
+} ChannelEnd;
+
+/* Receivers of what happens on a channel. on_end() is called once, from the event loop; the channel is freed
+ * afterwards. on_drained() is called when all that was written has been passed on. */
+typedef struct {
+	void (*on_open)(void *ctx, Channel *c);
+	void (*on_data)(void *ctx, Channel *c, struct evbuffer *data);
+	void (*on_drained)(void *ctx, Channel *c);
+	void (*on_end)(void *ctx, Channel *c, ChannelEnd end);
+} ChannelCallbacks;
+
+/* What a kind of channel does. */
+typedef struct {
+	void (*write)(Channel *c,
+				  struct evbuffer *data);   /* moves the bytes out of `data`; only once it is open */
+	void (*pause)(Channel *c, bool paused); /* pauses or resumes reading */
+	void (*close)(Channel *c);              /* closes and frees it without on_end() */
+} ChannelOps;
+
+struct Channel {
+	const ChannelOps *ops;
+	ChannelCallbacks cb;
+	void *ctx;
+};
+
+Channel *direct_channel_new(Gate *g, const char *address, uint64_t patience_us, const ChannelCallbacks *cb,
+							void *ctx);
+Channel *relay_channel_new(Gate *g, uint64_t endpoint_id, const char *request_id, uint64_t patience_us,
+						   const ChannelCallbacks *cb, void *ctx);
+uint64_t relay_channel_get_peer(const Channel *c);
+
+#endif
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -7,7 +7,9 @@
 #include "bayhoist/hash.h"
 #include "clock.h"
 #include "crashes.h"
+#include "links.h"
 #include "log.h"
+#include "relay_server.h"
 
 #define MEMBERS_TICK_MS 100
 #define WAITING_TICK_MS 10 /* tick period while asks wait in a planner */
@@ -21,6 +23,7 @@
 static void members_changed_(BH__MembersPort *port, const BH__MemberInfo *info, BH__MemberState old);
 static void on_message_(void *cluster, const BH__Message *m);
 static void on_unreachable_(void *cluster, const char *address);
+static void on_stream_(void *cluster, PeerStream *s, const BH__Message *m);
 static void on_tick_(evutil_socket_t fd, short what, void *arg);
 static void on_waiting_tick_(evutil_socket_t fd, short what, void *arg);
 static void set_ready_(Cluster *c, bool ready);
@@ -51,6 +54,7 @@
 						  .key = g->settings.peer_key,
 						  .on_message = on_message_,
 						  .on_unreachable = on_unreachable_,
+						  .on_stream = on_stream_,
 						  .ctx = c};
 
 	g->cluster = c;
@@ -180,6 +184,12 @@
 	cluster_schedule_waiting_tick(c);
 }
 
+/* Passes a stream that a peer has opened to the relay server. */
+static void on_stream_(void *cluster, PeerStream *s, const BH__Message *m)
+{
+	relay_server_accept(((Cluster *)cluster)->gate->relay_server, s, m);
+}
+
 /* Notifies membership that the nodes at an address cannot be reached. */
 static void on_unreachable_(void *cluster, const char *address)
 {
@@ -210,6 +220,7 @@
 	bh__platform_sync_process_tick(platform_sync_get(c->gate->platform_sync), now_us);
 	gate_note_registry(c->gate, 0);
 	crashes_process_tick(c->gate->crashes, now_us);
+	links_process_tick(c->gate->links, now_us);
 	schedulers_apply_membership(c, now_us);
 	schedulers_apply_cold_rates(c, now_us);
 	schedulers_apply_rate_shares(c, now_us);
@@ -323,7 +334,7 @@
 	uint64_t now_us = clock_now_us();
 
 	schedulers_process_contact(c, m->from_node);
-	if (crashes_process_message(c->gate->crashes, m, now_us))
+	if (crashes_process_message(c->gate->crashes, m, now_us) || links_process_message(c->gate->links, m))
 		return;
 	if (signals_process_message(c->signals, m) || limits_process_message(c, m, now_us))
 		return;
--- a/src/bayhoist-gate/crashes.c
+++ b/src/bayhoist-gate/crashes.c
@@ -7,7 +7,8 @@
 #include "bayhoist/crash_watch.h"
 #include "bayhoist/hash.h"
 #include "clock.h"
-#include "dial.h"
+#include "link_probe.h"
+#include "links.h"
 #include "log.h"
 
 /* Entries are written to the store in batches, so that a burst of them costs at most one store call per
@@ -15,18 +16,11 @@
 #define WRITE_PERIOD_US BH__SECOND_US
 #define UNRECORDED_MAX 256 /* maximum number of entries that wait to be written; further ones are dropped */
 
-/* A liveness probe in progress. */
-typedef struct {
-	Crashes *crashes;
-	uint64_t endpoint_id;
-	Dial *dial;
-} LivenessProbe;
-
 struct Crashes {
 	BH__CrashPort port; /* must be the first member: callbacks receive it and cast it to Crashes */
 	Gate *gate;
 	BH__CrashWatch *watch;
-	GHashTable *probes;       /* set of LivenessProbe */
+	GHashTable *probes;       /* LinkProbe by endpoint id: liveness probes in progress */
 	GArray *unrecorded;       /* BH__QuarantineEntry items to write to the store, oldest first */
 	unsigned in_flight_count; /* number of leading items being written now; 0: no write in progress */
 	uint64_t next_write_us;   /* earliest time of the next write */
@@ -36,7 +30,8 @@
 static void on_send_(BH__CrashPort *port, uint64_t node_id, BH__Message *m);
 static bool on_find_endpoint_(BH__CrashPort *port, uint64_t endpoint_id, uint64_t *started_ms);
 static void on_probe_(BH__CrashPort *port, uint64_t endpoint_id);
-static void on_dialled_(void *probe, DialEnd end);
+static void on_probed_(void *crashes, uint64_t endpoint_id, LinkProbeResult own, LinkProbeResult peer);
+static BH__CrashEvidence weigh_(const Crashes *c, LinkProbeResult own, LinkProbeResult peer);
 static void on_changed_(BH__CrashPort *port, const BH__QuarantineEntry *e, bool evaluated);
 static void log_entry_(const Crashes *c, const char *what, const BH__QuarantineEntry *e);
 static void set_timer_(Crashes *c);
@@ -54,7 +49,7 @@
 		.send = on_send_, .find_endpoint = on_find_endpoint_, .probe = on_probe_, .changed = on_changed_};
 	c->gate = g;
 	c->watch = bh__crash_watch_new(&c->port, cluster_get_mutable_members(g->cluster));
-	c->probes = g_hash_table_new(g_direct_hash, g_direct_equal);
+	c->probes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	c->unrecorded = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
 	c->timer = evtimer_new(g->base, on_timer_, c);
 	return c;
@@ -69,10 +64,8 @@
 	if (!c)
 		return;
 	g_hash_table_iter_init(&it, c->probes);
-	while (g_hash_table_iter_next(&it, &probe, NULL)) {
-		dial_cancel(((LivenessProbe *)probe)->dial);
-		g_free(probe);
-	}
+	while (g_hash_table_iter_next(&it, NULL, &probe))
+		link_probe_delete(probe);
 	event_free(c->timer);
 	g_hash_table_unref(c->probes);
 	g_array_unref(c->unrecorded);
@@ -144,38 +137,43 @@
 }
 
 /* Probes whether an endpoint that aborted a request still listens. A crashed endpoint refuses connections
- * until it is restarted, which takes seconds; an endpoint behind a network partition does not answer. */
+ * until it is restarted, which takes seconds; an endpoint behind a network partition does not answer. A peer
+ * probes it too, since this node may have lost its own links. */
 static void on_probe_(BH__CrashPort *port, uint64_t endpoint_id)
 {
 	Crashes *c = (Crashes *)port;
 	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, endpoint_id);
-	LivenessProbe *p = g_new0(LivenessProbe, 1);
 
-	p->crashes = c;
-	p->endpoint_id = endpoint_id;
-	p->dial = dial_start(c->gate->base, e->entry.address, on_dialled_, p);
-	g_hash_table_add(c->probes, p);
+	if (!g_hash_table_contains(c->probes, &endpoint_id))
+		g_hash_table_insert(c->probes, g_memdup2(&endpoint_id, sizeof endpoint_id),
+							link_probe_new(c->gate, e, true, on_probed_, c));
 }
 
 /* Passes the result of a probe to the crash watch as evidence. */
-static void on_dialled_(void *probe, DialEnd end)
+static void on_probed_(void *crashes, uint64_t endpoint_id, LinkProbeResult own, LinkProbeResult peer)
 {
-	static const BH__CrashEvidence Evidence[] = {[DIAL_CONNECTED] = BH__CRASH_DISPROVEN,
-												 [DIAL_REFUSED] = BH__CRASH_CONFIRMED,
-												 [DIAL_SILENT] = BH__CRASH_UNKNOWN};
-	LivenessProbe *p = probe;
-	Crashes *c = p->crashes;
-	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, p->endpoint_id);
-	uint64_t endpoint_id = p->endpoint_id;
-
-	g_hash_table_remove(c->probes, p);
-	g_free(p);
-	log_event("crash", "endpoint=%s proof=%s", e ? e->entry.id : "gone",
-			  BH__CrashEvidenceString[Evidence[end]]);
-	bh__crash_watch_process_evidence(c->watch, endpoint_id, Evidence[end], clock_now_us());
+	Crashes *c = crashes;
+	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, endpoint_id);
+	BH__CrashEvidence evidence = weigh_(c, own, peer);
+
+	g_hash_table_remove(c->probes, &endpoint_id);
+	log_event("crash", "endpoint=%s proof=%s", e ? e->entry.id : "gone", BH__CrashEvidenceString[evidence]);
+	bh__crash_watch_process_evidence(c->watch, endpoint_id, evidence, clock_now_us());
 	set_timer_(c);
 }
 
+/* Weighs what this node and a peer have found. An endpoint that either connects to lives. One that refuses
+ * has crashed, unless only this node says so and its links are cut. */
+static BH__CrashEvidence weigh_(const Crashes *c, LinkProbeResult own, LinkProbeResult peer)
+{
+	if (own == LINK_PROBE_CONNECTED || peer == LINK_PROBE_CONNECTED)
+		return BH__CRASH_DISPROVEN;
+	if (peer == LINK_PROBE_REFUSED)
+		return BH__CRASH_CONFIRMED;
+	return own == LINK_PROBE_REFUSED && !links_are_cut(c->gate->links) ? BH__CRASH_CONFIRMED
+																	   : BH__CRASH_UNKNOWN;
+}
+
 /* Handles a change of the registry: endpoints that keep their ids may have been restarted. */
 void crashes_apply_registry(Crashes *c, uint64_t now_us)
 {
--- /dev/null
+++ b/src/bayhoist-gate/direct_channel.c
@@ -0,0 +1,167 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* A channel over a connection of this node's to the endpoint. */
+#include "channel.h"
+
+#include <errno.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include "log.h"
+
+/* Longest time that sent bytes may stay unacknowledged; a sound endpoint may be silent for a second. */
+#define UNACKED_TIMEOUT_MS 3000
+
+typedef struct {
+	Channel base; /* first member: callbacks cast it to the enclosing structure */
+	Gate *gate;
+	struct bufferevent *bev;
+	bool is_open;
+	bool is_closed; /* closed; the event loop frees the memory later */
+} DirectChannel;
+
+static void write_(Channel *c, struct evbuffer *data);
+static void pause_(Channel *c, bool paused);
+static void close_(Channel *c);
+static evutil_socket_t bound_socket_(const Gate *g);
+static void on_read_(struct bufferevent *bev, void *arg);
+static void on_written_(struct bufferevent *bev, void *arg);
+static void on_event_(struct bufferevent *bev, short what, void *arg);
+static ChannelEnd end_of_(const DirectChannel *d, short what);
+static void on_free_(evutil_socket_t fd, short what, void *arg);
+
+static const ChannelOps Ops_ = {.write = write_, .pause = pause_, .close = close_};
+
+/* Begins to connect to `address`, for `patience_us` at most. */
+Channel *direct_channel_new(Gate *g, const char *address, uint64_t patience_us, const ChannelCallbacks *cb,
+							void *ctx)
+{
+	DirectChannel *d = g_new0(DirectChannel, 1);
+	struct timeval timeout = {(time_t)(patience_us / BH__SECOND_US),
+							  (suseconds_t)(patience_us % BH__SECOND_US)};
+	struct sockaddr_storage sa;
+	int len = sizeof sa;
+	int one = 1;
+	unsigned unacked_timeout_ms = UNACKED_TIMEOUT_MS;
+
+	d->base = (Channel){.ops = &Ops_, .cb = *cb, .ctx = ctx};
+	d->gate = g;
+	d->bev =
+		bufferevent_socket_new(g->base, bound_socket_(g), BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(d->bev, on_read_, on_written_, on_event_, d);
+	bufferevent_set_timeouts(d->bev, NULL, &timeout);
+	bufferevent_enable(d->bev, EV_READ | EV_WRITE);
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&sa, &len) != 0)
+		memset(&sa, 0, sizeof sa); /* the connection attempt fails, which the event loop reports */
+	bufferevent_socket_connect(d->bev, (struct sockaddr *)&sa, len);
+	setsockopt(bufferevent_getfd(d->bev), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+	setsockopt(bufferevent_getfd(d->bev), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_timeout_ms,
+			   sizeof unacked_timeout_ms);
+	return &d->base;
+}
+
+/* Returns a new socket that is bound to the address from which the settings have endpoints connected to, or
+ * -1 if they name none or the address can't be used, which is logged. */
+static evutil_socket_t bound_socket_(const Gate *g)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	evutil_socket_t fd;
+
+	if (!g->settings.endpoint_source[0])
+		return -1;
+	evutil_inet_pton(AF_INET, g->settings.endpoint_source, &sa.sin_addr);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	if (fd >= 0 && bind(fd, (struct sockaddr *)&sa, sizeof sa) == 0) {
+		evutil_make_socket_nonblocking(fd);
+		evutil_make_socket_closeonexec(fd);
+		return fd;
+	}
+	log_error("bind-failed", "address=%s cause=\"%s\"", g->settings.endpoint_source, strerror(errno));
+	if (fd >= 0)
+		evutil_closesocket(fd);
+	return -1;
+}
+
+static void write_(Channel *c, struct evbuffer *data)
+{
+	bufferevent_write_buffer(((DirectChannel *)c)->bev, data);
+}
+
+static void pause_(Channel *c, bool paused)
+{
+	if (paused)
+		bufferevent_disable(((DirectChannel *)c)->bev, EV_READ);
+	else
+		bufferevent_enable(((DirectChannel *)c)->bev, EV_READ);
+}
+
+static void on_read_(struct bufferevent *bev, void *arg)
+{
+	DirectChannel *d = arg;
+
+	d->base.cb.on_data(d->base.ctx, &d->base, bufferevent_get_input(bev));
+}
+
+static void on_written_(struct bufferevent *bev, void *arg)
+{
+	DirectChannel *d = arg;
+
+	(void)bev;
+	if (d->is_open && d->base.cb.on_drained)
+		d->base.cb.on_drained(d->base.ctx, &d->base);
+}
+
+/* Handles the established connection, a failed connection attempt, and a connection that the endpoint closes
+ * or that fails. */
+static void on_event_(struct bufferevent *bev, short what, void *arg)
+{
+	DirectChannel *d = arg;
+	ChannelEnd end;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		d->is_open = true;
+		bufferevent_set_timeouts(bev, NULL, NULL);
+		d->base.cb.on_open(d->base.ctx, &d->base);
+		return;
+	}
+	if (what & BEV_EVENT_EOF && evbuffer_get_length(bufferevent_get_input(bev)) > 0)
+		on_read_(bev, d);
+	if (d->is_closed)
+		return;
+	end = end_of_(d, what);
+	close_(&d->base);
+	d->base.cb.on_end(d->base.ctx, &d->base, end);
+}
+
+/* Returns how a connection has ended, by the events that ended it. */
+static ChannelEnd end_of_(const DirectChannel *d, short what)
+{
+	if (d->is_open)
+		return what & BEV_EVENT_EOF ? CHANNEL_CLOSED : CHANNEL_BROKEN;
+	return what & BEV_EVENT_TIMEOUT ? CHANNEL_SILENT : CHANNEL_REFUSED;
+}
+
+/* Closes the connection to further events; the event loop frees it later. */
+static void close_(Channel *c)
+{
+	DirectChannel *d = (DirectChannel *)c;
+	struct timeval at_once = {0, 0};
+
+	if (d->is_closed)
+		return;
+	d->is_closed = true;
+	bufferevent_setcb(d->bev, NULL, NULL, NULL, NULL);
+	bufferevent_disable(d->bev, EV_READ | EV_WRITE);
+	event_base_once(d->gate->base, -1, EV_TIMEOUT, on_free_, d, &at_once);
+}
+
+/* Frees a closed channel and closes its socket. */
+static void on_free_(evutil_socket_t fd, short what, void *arg)
+{
+	DirectChannel *d = arg;
+
+	(void)fd;
+	(void)what;
+	bufferevent_free(d->bev);
+	g_free(d);
+}
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include "clock.h"
 #include "crashes.h"
+#include "links.h"
 #include "log.h"
 
 /* Bytes of an answer that are buffered at most; a longer one is forwarded before it is complete. */
@@ -22,7 +23,9 @@
 static void on_body_(void *ctx, const char *data, size_t len);
 static void note_signals_(const Call *c);
 static void note_pause_(Call *c, uint64_t pause_us);
-static void on_end_(void *ctx, OutboundEnd end);
+static void on_end_(void *ctx, OutboundEnd end, bool is_own_fault);
+static BH__EndpointOutcome outcome_(const Call *c, BH__DispatchEnd end);
+static bool is_unexplained_(const Call *c, BH__DispatchEnd end);
 static void report_crash_(Call *c, BH__DispatchEnd end, uint64_t at_fault);
 static BH__DispatchEnd classify_head_(const Call *c, bool *end_known);
 static BH__DispatchEnd classify_end_(const Call *c, OutboundEnd end);
@@ -47,6 +50,7 @@
 	c->sent_us = clock_now_us();
 	c->received_us = c->sent_us;
 	c->end_known = false;
+	c->is_own_fault = false;
 	c->is_streaming = false;
 	c->progress_notified = false;
 	c->pauses = 0;
@@ -55,7 +59,7 @@
 	g->counters.dispatches++;
 	c->endpoint_incarnation = bh__registry_note_start(g->registry, endpoint_id);
 	log_dispatch_(c, e);
-	c->out = outbound_start(g, e->entry.address, out, &Callbacks_, c);
+	c->out = outbound_start(g, e, out, c->request->meta.request_id, &Callbacks_, c);
 	evbuffer_free(out);
 	call_set_timer(c, c->sent_us);
 }
@@ -209,11 +213,12 @@
 }
 
 /* Ends the dispatch when its connection has ended. The end that the head has decided takes precedence. */
-static void on_end_(void *ctx, OutboundEnd end)
+static void on_end_(void *ctx, OutboundEnd end, bool is_own_fault)
 {
 	Call *c = ctx;
 
 	c->out = NULL;
+	c->is_own_fault = is_own_fault;
 	dispatch_end(c, c->end_known ? c->known_end : classify_end_(c, end));
 }
 
@@ -316,40 +321,60 @@
 	uint64_t at_fault = c->endpoint_id;
 	BH__NextAction next;
 
-	if (c->out)
+	if (c->out) {
+		c->is_own_fault = outbound_is_own_fault(c->out);
 		outbound_cancel(c->out);
+	}
 	c->out = NULL;
 	c->paused = false;
 	g->counters.dispatch_ends[end]++;
-	bh__registry_note_end(g->registry, c->endpoint_id, c->endpoint_incarnation,
-						  end == BH__DISPATCH_ANSWERED  ? BH__ENDPOINT_OUTCOME_SERVED
-						  : end == BH__DISPATCH_REFUSED ? BH__ENDPOINT_OUTCOME_REFUSED
-						  : end == BH__DISPATCH_STOPPED ? BH__ENDPOINT_OUTCOME_ABANDONED
-														: BH__ENDPOINT_OUTCOME_FAILED,
-						  now_us);
+	bh__registry_note_end(g->registry, c->endpoint_id, c->endpoint_incarnation, outcome_(c, end), now_us);
 	if (end == BH__DISPATCH_REFUSED)
 		at_fault = find_at_fault_(c);
 	report_crash_(c, end, at_fault);
+	if (is_unexplained_(c, end)) {
+		links_report_broken(g->links, c->service->name, at_fault);
+		at_fault = BH__NO_ENDPOINT;
+	}
 	memory_hold_delete(c->memory);
 	c->memory = NULL;
 	cluster_release(g->cluster, c,
 					end == BH__DISPATCH_BROKEN ? BH__RELEASE_LOST
 					: failed                   ? BH__RELEASE_FAILED
 											   : BH__RELEASE_DONE,
-					failed ? at_fault : BH__NO_ENDPOINT);
-	bh__retry_state_note_tried(&c->retry, at_fault);
+					failed && !c->is_own_fault ? at_fault : BH__NO_ENDPOINT);
+	bh__retry_state_note_tried(&c->retry, at_fault ? at_fault : c->endpoint_id);
 	next = bh__retry_state_process_end(&c->retry, end, gate_get_budget(g, c->service->name), now_us);
 	log_dispatch_end_(c, end, next, now_us);
 	call_act(c, next);
 }
 
+/* Returns what the end of a dispatch says of its endpoint: nothing if this node ended it, or if the way to
+ * the endpoint is at fault. */
+static BH__EndpointOutcome outcome_(const Call *c, BH__DispatchEnd end)
+{
+	if (end == BH__DISPATCH_ANSWERED)
+		return BH__ENDPOINT_OUTCOME_SERVED;
+	if (end == BH__DISPATCH_REFUSED)
+		return BH__ENDPOINT_OUTCOME_REFUSED;
+	return end == BH__DISPATCH_STOPPED || c->is_own_fault ? BH__ENDPOINT_OUTCOME_ABANDONED
+														  : BH__ENDPOINT_OUTCOME_FAILED;
+}
+
+/* Returns true if a dispatch broke off and it is open whether the endpoint or this node's links are at fault.
+ */
+static bool is_unexplained_(const Call *c, BH__DispatchEnd end)
+{
+	return end == BH__DISPATCH_BROKEN && !c->end_known && !c->is_own_fault;
+}
+
 /* Reports the end of a dispatch to crashes.c: a completed answer, or a possible crash of an endpoint that
  * broke off or of a helper that is gone. An answer to another request is no sign of a crash, since its
  * endpoint is alive. */
 static void report_crash_(Call *c, BH__DispatchEnd end, uint64_t at_fault)
 {
 	Crashes *crashes = c->gate->crashes;
-	bool broke = end == BH__DISPATCH_BROKEN && !c->end_known;
+	bool broke = is_unexplained_(c, end);
 	bool helper_gone = end == BH__DISPATCH_REFUSED && at_fault != c->endpoint_id;
 
 	if (end == BH__DISPATCH_ANSWERED)
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -31,6 +31,8 @@
 typedef struct Cluster Cluster;
 typedef struct PlatformSync PlatformSync;
 typedef struct Crashes Crashes;
+typedef struct Links Links;
+typedef struct RelayServer RelayServer;
 
 /* How a request ended, for the counters. */
 typedef enum { CALL_SERVED, CALL_REFUSED, CALL_FAILED, CALL_CALLER_GONE, CALL_OUTCOME_COUNT } CallOutcome;
@@ -71,6 +73,8 @@
 	Cluster *cluster;            /* membership, schedulers and messages between nodes */
 	PlatformSync *platform_sync; /* how this node shares the platform's state with other nodes */
 	Crashes *crashes;            /* crash reports and quarantine */
+	Links *links;                /* this node's own links to the endpoints */
+	RelayServer *relay_server;   /* requests that peers send through this node */
 	BH__Routing *routing;        /* configuration in use; NULL: none yet */
 	char *routing_text;          /* text that `routing` was decoded from */
 	uint64_t routing_read_us;    /* start of the last platform read that showed `routing` to be the newest */
@@ -161,14 +165,17 @@
 typedef struct {
 	void (*on_head)(void *ctx, const OutboundHead *head);
 	void (*on_body)(void *ctx, const char *data, size_t len);
-	void (*on_end)(void *ctx, OutboundEnd end);
+	/* `is_own_fault`: what failed is the way to the endpoint, which says nothing of the endpoint */
+	void (*on_end)(void *ctx, OutboundEnd end, bool is_own_fault);
 } OutboundCallbacks;
 
-Outbound *outbound_start(Gate *g, const char *address, struct evbuffer *request, const OutboundCallbacks *cb,
-						 void *ctx);
+Outbound *outbound_start(Gate *g, const BH__RegisteredEndpoint *e, struct evbuffer *request,
+						 const char *request_id, const OutboundCallbacks *cb, void *ctx);
 void outbound_cancel(Outbound *o);
 void outbound_pause(Outbound *o, bool paused);
 bool outbound_is_connected(const Outbound *o);
+bool outbound_has_answer(const Outbound *o);
+bool outbound_is_own_fault(const Outbound *o);
 
 /* call.c */
 
@@ -229,6 +236,8 @@
 void cluster_drop_ask(Cluster *c, Call *call);
 void cluster_notify_progress(Cluster *c, Call *call);
 void cluster_notify_iteration(Cluster *c, Call *call, uint64_t iteration_us);
+void cluster_report_failure(Cluster *c, const char *service, uint64_t endpoint_id);
+void cluster_withdraw_failures(Cluster *c, uint64_t node_id);
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint);
 void cluster_write_status(const Cluster *c, struct evbuffer *out);
 
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -9,6 +9,8 @@
 #include "bayhoist/hash.h"
 #include "clock.h"
 #include "crashes.h"
+#include "links.h"
+#include "relay_server.h"
 #include "daemon_options.h"
 #include "gate.h"
 #include "log.h"
@@ -105,6 +107,8 @@
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
 	started = cluster_start(g);
 	g->platform_sync = platform_sync_new(g);
+	g->links = links_new(g);
+	g->relay_server = relay_server_new(g);
 	g->crashes = crashes_new(g);
 	if (!started || !web_start(g) || !inbounds_listen(g) || !g->port->start(g)) {
 		log_error("start-failed", "caller_address=%s peer_address=%s cause=\"%s\"",
@@ -326,12 +330,14 @@
 	const struct timeval flush = {0, STOP_FLUSH_MS * 1000};
 	uint64_t now_us = clock_now_us();
 	bool min_time_over = now_us >= g->leaving_since_us + STOP_MIN_MS * BH__MS_US;
+	unsigned busy = g_hash_table_size(g->calls) + relay_server_get_count(g->relay_server);
 
 	(void)fd;
 	(void)what;
-	if (g->is_ending || (now_us < g->stop_at_us && !(min_time_over && !g_hash_table_size(g->calls))))
+	if (g->is_ending || (now_us < g->stop_at_us && !(min_time_over && !busy)))
 		return;
-	log_event("stop", "what=ending calls=%u", g_hash_table_size(g->calls));
+	log_event("stop", "what=ending calls=%u relays=%u", g_hash_table_size(g->calls),
+			  relay_server_get_count(g->relay_server));
 	g->is_ending = true;
 	g->stop_at_us = now_us; /* new requests are refused from now on */
 	calls_stop(g);
@@ -379,7 +385,9 @@
 	if (g->binding)
 		g->port->stop(g);
 	web_stop(g);
+	relay_server_delete(g->relay_server);
 	crashes_delete(g->crashes);
+	links_delete(g->links);
 	cluster_free(g->cluster);
 	platform_sync_delete(g->platform_sync);
 	event_base_loop(g->base, EVLOOP_NONBLOCK); /* runs the deferred frees of closed connections */
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -12,7 +12,7 @@
 #include "bayhoist/message.h"
 #include "bayhoist/types.h"
 
-#define REQUEST_ID_LEN 80
+#define REQUEST_ID_LEN BH__REQUEST_ID_LEN
 #define API_KEY_LEN 200
 #define MAC_LEN 200
 #define GATE_RECORDS_MAX 16 /* quarantine entries in one call of record_quarantine() at most */
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -10,7 +10,9 @@
 #include "bayhoist/verdict.h"
 #include "clock.h"
 #include "crashes.h"
+#include "links.h"
 #include "log.h"
+#include "relay_server.h"
 #include "web.h"
 
 #define IDLE_TIMEOUT_S 10 /* time without traffic after which a connection is closed */
@@ -123,6 +125,10 @@
 		web_reply_json(req, 200, signals_describe(g));
 		return;
 	}
+	if (!strcmp(web_get_path(req), "/links")) {
+		web_reply_json(req, 200, links_describe(g->links));
+		return;
+	}
 	if (!strcmp(web_get_path(req), "/halls")) {
 		web_reply_json(req, 200, halls_describe(g));
 		return;
@@ -229,6 +235,8 @@
 	signals_write_status(g, out);
 	cluster_write_status(g->cluster, out);
 	crashes_write_status(g->crashes, out);
+	links_write_status(g->links, out);
+	relay_server_write_status(g->relay_server, out);
 }
 
 /* Writes a histogram with cumulative buckets; `label` is the value of its `size` label. */
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -110,6 +110,17 @@
 	}
 }
 
+/* Takes back all failures, which were this node's own fault. */
+void bh__registry_withdraw_failures(BH__Registry *r)
+{
+	for (guint i = 0; i < r->table->len; i++) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		e->ejected_until_us = 0;
+		e->failures = 0;
+		e->failure_share = 0;
+	}
+}
+
 /* Records the numbers of running and waiting requests reported by an endpoint. */
 void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
 							uint64_t now_us)
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -15,12 +15,15 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",       "ack",         "ping-req",   "join",        "members",   "ask",
-	"grant",      "refuse",      "release",    "progress",    "withdraw",  "hold",
-	"orphan",     "config-news", "config-ask", "config-data", "quota-ask", "quota-grant",
-	"queued",     "look-ask",    "look",       "pass",        "reader",    "suspect",
-	"quarantine", "news",        "signals",    "permit-ask",  "permit"};
+	"ping",       "ack",         "ping-req",   "join",        "members",    "ask",      "grant",
+	"refuse",     "release",     "progress",   "withdraw",    "hold",       "orphan",   "config-news",
+	"config-ask", "config-data", "quota-ask",  "quota-grant", "queued",     "look-ask", "look",
+	"pass",       "reader",      "suspect",    "quarantine",  "news",       "signals",  "permit-ask",
+	"permit",     "links",       "relay-open", "relay-reply", "relay-data", "relay-end"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
+const char *const BH__RelayResultString[] = {
+	"opened",        "endpoint-refused", "endpoint-silent", "endpoint-unusable",
+	"node-doubtful", "node-cut",         "node-full",       "node-leaving"};
 const char *const BH__ReleaseKindString[] = {"done", "failed", "refused", "unused", "lost"};
 
 /* State of encoding or decoding one message: packs values into `packer`, or takes them from an array of
@@ -42,6 +45,7 @@
 static void string_(Codec_ *c, char *value, size_t size);
 static void text_(Codec_ *c, char **value);
 static void packed_text_(Codec_ *c, BH__PackedText *value);
+static void bytes_(Codec_ *c, char **bytes, uint32_t *len);
 static void *list_(Codec_ *c, uint32_t *count, void *list, size_t size);
 static void member_(Codec_ *c, BH__MemberInfo *m);
 static void digest_(Codec_ *c, BH__PoolDigest *d);
@@ -185,6 +189,22 @@
 	value->len = o->via.bin.size;
 }
 
+/* Packs or takes bytes. Decoded ones are allocated; none leave `*bytes` NULL. */
+static void bytes_(Codec_ *c, char **bytes, uint32_t *len)
+{
+	const msgpack_object *o;
+
+	if (is_packing_(c)) {
+		msgpack_pack_bin_with_body(c->packer, *bytes, *len);
+		return;
+	}
+	o = take_(c, MSGPACK_OBJECT_BIN);
+	if (!o || !o->via.bin.size)
+		return;
+	*bytes = g_memdup2(o->via.bin.ptr, o->via.bin.size);
+	*len = o->via.bin.size;
+}
+
 /* Packs the length of a list and returns `list`, or reads the length and returns a new zeroed list. A length
  * above BH__MESSAGE_LIST_MAX or above the number of values left fails with NULL and a count of 0. */
 static void *list_(Codec_ *c, uint32_t *count, void *list, size_t size)
@@ -583,6 +603,28 @@
 	case BH__MESSAGE_PERMIT:
 		permit_(c, m);
 		break;
+	case BH__MESSAGE_LINKS:
+		range_(c, &m->as.range);
+		u64_(c, &m->as.links.node_id);
+		flag_(c, &m->as.links.is_cut);
+		break;
+	case BH__MESSAGE_RELAY_OPEN:
+		u64_(c, &m->as.relay_open.endpoint_id);
+		u64_(c, &m->as.relay_open.time_us);
+		flag_(c, &m->as.relay_open.is_probe);
+		string_(c, m->as.relay_open.request_id, sizeof m->as.relay_open.request_id);
+		break;
+	case BH__MESSAGE_RELAY_REPLY:
+		kind = (uint8_t)m->as.relay_reply.result;
+		u8_(c, &kind, BH__RELAY_RESULT_COUNT - 1);
+		m->as.relay_reply.result = (BH__RelayResult)kind;
+		break;
+	case BH__MESSAGE_RELAY_DATA:
+		bytes_(c, &m->as.relay_data.bytes, &m->as.relay_data.len);
+		break;
+	case BH__MESSAGE_RELAY_END:
+		flag_(c, &m->as.relay_end.is_clean);
+		break;
 	case BH__MESSAGE_TYPE_COUNT:
 		c->failed = true;
 		break;
@@ -690,6 +732,9 @@
 	case BH__MESSAGE_QUARANTINE:
 		g_free(m->as.quarantine.entry);
 		break;
+	case BH__MESSAGE_RELAY_DATA:
+		g_free(m->as.relay_data.bytes);
+		break;
 	default:
 		break;
 	}
--- a/src/share/frame.c
+++ b/src/share/frame.c
@@ -21,6 +21,16 @@
 	SHA256((const unsigned char *)secret, strlen(secret), s->key);
 }
 
+/* Sets `out` to the session of the other direction of the same connection. Its nonce differs, so that no
+ * frame can be played back to its sender. */
+void frame_reverse(const FrameSession *s, FrameSession *out)
+{
+	*out = *s;
+	out->next_sequence = 0;
+	for (int i = 0; i < FRAME_NONCE_LEN; i++)
+		out->nonce[i] = (unsigned char)~s->nonce[i];
+}
+
 static void put_u64_(unsigned char *at, uint64_t value)
 {
 	for (int i = 0; i < 8; i++)
--- a/src/share/frame.h
+++ b/src/share/frame.h
@@ -26,6 +26,7 @@
 typedef enum { FRAME_INCOMPLETE, FRAME_OK, FRAME_BAD } FrameStatus;
 
 void frame_set_key(FrameSession *s, const char *secret);
+void frame_reverse(const FrameSession *s, FrameSession *out);
 void frame_write(FrameSession *s, struct evbuffer *out, const char *body, size_t len);
 FrameStatus frame_read(FrameSession *s, struct evbuffer *in, char **body, size_t *len);
 
--- a/src/share/peers.c
+++ b/src/share/peers.c
@@ -55,6 +55,7 @@
 
 static void on_accept_(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg);
 static void on_in_read_(struct bufferevent *bev, void *arg);
+static bool hand_over_(PeerIn *in, const BH__Message *m);
 static void on_in_event_(struct bufferevent *bev, short what, void *arg);
 static PeerOut *open_(Peers *p, const char *address);
 static void connect_(PeerOut *out);
@@ -145,6 +146,10 @@
 			continue;
 		}
 		if (bh__message_decode(&m, body, len, &error)) {
+			if (m.type == BH__MESSAGE_RELAY_OPEN && hand_over_(in, &m)) {
+				free(body);
+				return;
+			}
 			p->options.on_message(p->options.ctx, &m);
 		}
 		else {
@@ -160,6 +165,22 @@
 	}
 }
 
+/* Passes a connection that a peer has opened for one exchange to whoever takes such streams. Returns false if
+ * nobody does. */
+static bool hand_over_(PeerIn *in, const BH__Message *m)
+{
+	Peers *p = in->peers;
+	struct bufferevent *bev = in->bev;
+	FrameSession session = in->session;
+
+	if (!p->options.on_stream)
+		return false;
+	in->bev = NULL;
+	g_hash_table_remove(p->in, in);
+	p->options.on_stream(p->options.ctx, peer_stream_accept(bev, &session), m);
+	return true;
+}
+
 static void on_in_event_(struct bufferevent *bev, short what, void *arg)
 {
 	PeerIn *in = arg;
@@ -171,7 +192,8 @@
 
 static void free_in_(gpointer in)
 {
-	bufferevent_free(((PeerIn *)in)->bev);
+	if (((PeerIn *)in)->bev)
+		bufferevent_free(((PeerIn *)in)->bev);
 	g_free(in);
 }
 
--- a/src/share/peers.h
+++ b/src/share/peers.h
@@ -5,6 +5,7 @@
 
 #include <event2/event.h>
 #include "bayhoist/message.h"
+#include "peer_stream.h"
 
 typedef struct Peers Peers;
 
@@ -14,6 +15,8 @@
 	const char *key;     /* that all nodes share */
 	void (*on_message)(void *ctx, const BH__Message *m);
 	void (*on_unreachable)(void *ctx, const char *address);
+	/* A peer opens a stream with this message; the receiver owns the stream. NULL: streams are refused. */
+	void (*on_stream)(void *ctx, PeerStream *s, const BH__Message *m);
 	void *ctx;
 } PeersOptions;
 
