--- a/src/bayhoistctl/explain.c
+++ b/src/bayhoistctl/explain.c
@@ -27,6 +27,9 @@
 	{"not-run", "Its endpoints refused it, and no attempt was left: it did not run."},
 	{"no-configuration", "The node's configuration was too old to trust keys, or there was none: it was "
 						 "refused and did not run."},
+	{"cut-off",
+	 "Its node had lost its links to the endpoints, and knew no peer that had any: it was refused and "
+	 "did not run."},
 	{"no-route", "No route led from its host and path."},
 	{"unauthorized", "Its API key was not known to the configuration in force."},
 	{"endpoint-failed",
@@ -109,7 +112,7 @@
 	static const char *const Events[] = {
 		"event=member ",        "event=scheduler ", "event=store ", "event=looks ",  "event=endpoint ",
 		"event=configuration ", "event=start ",     "event=stop ",  "event=engine ", "event=log ",
-		"event=signal ",        "event=limit ",     "event=hall "};
+		"event=signal ",        "event=limit ",     "event=hall ",  "event=links "};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(Events); i++)
 		if (strstr(text, Events[i]))
