--- a/test/check-soak-gate.sh
+++ b/test/check-soak-gate.sh
@@ -6,4 +6,5 @@
 	bash test/soak-gate.sh $seed 1 5 || exit 1
 done
 HISTORY=1 bash test/soak-gate.sh 3001 1 8 || exit 1
-CULPRITS=1 bash test/soak-gate.sh 2001 1 5
+CULPRITS=1 bash test/soak-gate.sh 2001 1 5 || exit 1
+CUTS=1 bash test/soak-gate.sh 4001 1 8
--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -7,6 +7,8 @@
 #   - with CULPRITS=1, a request that crashes what runs it is sent all the time; in the end all gateways refuse it;
 #   - with HISTORY=1, the store has outages of half a second to six seconds besides, in which entries lapse, and comes back from
 #     copies, while an endpoint leaves and returns; one that has left gets nothing in the end;
+#   - with CUTS=1, one to three gateways at a time lose their own links to all endpoints or to those of one service, for a
+#     part of a second up to four, some of them by turns;
 #   - afterwards every gateway serves within ten seconds, and none has ended by itself.
 # usage: soak-gate.sh FIRST_SEED [SEEDS [SECONDS]]; SAVE=PREFIX keeps the logs of a seed that fails.
 set -u
@@ -72,6 +74,24 @@
 		sleep 0.$((RANDOM % 9 + 1))
 	done
 }
+cuts() { # gateways lose their own links to endpoints, until $RUN/over is there
+	local face cut times
+	RANDOM=$((seed * 100 + 97))
+	while [ ! -e "$RUN/over" ]; do
+		face=$(pick reset refuse dark)
+		cut=$(pick 1 2 3 "1 2" "2 3" "1 3" "1 2 3")
+		ENDPOINT_LINKS=$(pick "e1 e2 e3 p1 p2" "e1 e2 e3 p1 p2" "e1 e2 e3" "p1 p2" "e1 p1")
+		times=$(pick 1 1 1 4)
+		echo "cut $face gates $cut links $ENDPOINT_LINKS times $times" >>"$RUN/faults"
+		while [ $times -gt 0 ]; do
+			cut_endpoints $face $cut
+			sleep $((RANDOM % 4 / times)).$((RANDOM % 9 + 1))
+			cut_endpoints pass $cut
+			times=$((times - 1))
+			sleep 0.$((RANDOM % 9 + 1))
+		done
+	done
+}
 pick() { shift $((RANDOM % $#)); echo "$1"; }
 is_alive() { kill -0 "$(pid_of "gate$1")" 2>/dev/null; }
 renew() { # N: kills what is left of a gateway and starts it again
@@ -181,6 +201,10 @@
 		history &
 		callers="$callers $!"
 	fi
+	if [ -n "${CUTS:-}" ]; then
+		cuts &
+		callers="$callers $!"
+	fi
 	until=$((SECONDS + seconds))
 	while [ $SECONDS -lt $until ]; do
 		one_fault
@@ -192,6 +216,7 @@
 	for n in 1 2 3; do signal gate$n CONT; done
 	touch "$RUN/over"
 	wait $callers
+	for link in $LINKS; do set_link $link pass; done
 	for n in 1 2 3; do wait_for 10 ready $n 200 || violation "gate$n is not ready"; done
 	judge
 	[ -z "${CULPRITS:-}" ] || judge_culprit
