--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -21,13 +21,10 @@
  * the answer. */
 #define PERMIT_WAIT_SHARE 0.5
 #define UNUSED_GRANTS_MAX 5 /* a request that has had more unusable grants than this is refused */
-#define CRASHES_MESSAGE                                                                                      \
-	"endpoints have crashed each time they ran this request; it is not sent to any for now"
 /* Time allowed for evaluating a crash before the request is sent again: the liveness probe of the endpoint
  * and the reports of other nodes take 60 ms and a few hops. A request that had met three crashes and was sent
  * again at once met a fourth one 30 ms later. */
 #define EVALUATION_MAX_MS 120
-#define RETRY_SOON_MS 200 /* retry-after of a refusal whose cause is brief */
 /* Retry-after while no node knows the configuration. Callers wait for at most a third of the time they have
  * left; on the users' routes that is 0.8 to 5 s. */
 #define RETRY_OUTAGE_MIN_MS 1000
@@ -62,13 +59,7 @@
 static void ask_permit_(Call *c, const BH__RegisteredEndpoint *e);
 static void use_permit_(Call *c);
 static bool is_stale_(uint64_t counted_us);
-static bool abandon_quarantined_(Call *c);
-static bool abandon_stopping_(Call *c);
-static bool abandon_cut_off_(Call *c);
-static uint64_t retry_stopping_ms_(const Gate *g, uint64_t now_us);
-static uint64_t longest_answer_us_(const Call *c);
 static void dispatch_(Call *c, uint64_t endpoint_id);
-static void abandon_(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 static void ask_(Call *c);
 static void fill_ask_(Call *c);
 static void fill_backoffs_(Call *c);
@@ -308,7 +299,7 @@
 		call_act(c, bh__retry_state_process_deadline(&c->retry));
 		return;
 	}
-	if (abandon_quarantined_(c) || abandon_stopping_(c) || abandon_cut_off_(c))
+	if (call_abandon_unsendable(c))
 		return;
 	if (c->service->is_engine) {
 		if (bh__registry_get_available_us(g->registry, c->service->name, now_us))
@@ -330,7 +321,8 @@
 /* Ends a request whose service has no endpoint that can take it now. */
 static void abandon_no_endpoint_(Call *c)
 {
-	abandon_(c, retry_no_endpoint_ms_(c), "no-endpoint", "no endpoint of the service can take the request");
+	call_abandon(c, retry_no_endpoint_ms_(c), "no-endpoint",
+				 "no endpoint of the service can take the request");
 }
 
 /* Asks the home node of a rate-limited endpoint for a permit. Accepts a wait only if the service has no
@@ -391,82 +383,20 @@
 	return clock_now_us() > counted_us + PERMIT_VALID_MS * BH__MS_US;
 }
 
-/* Ends a request that is quarantined because it crashes endpoints. Returns false if it is not quarantined. */
-static bool abandon_quarantined_(Call *c)
-{
-	uint64_t held_us = crashes_get_quarantine_us(c->gate->crashes, &c->fingerprint);
-
-	if (!held_us)
-		return false;
-	crashes_note_refusal(c->gate->crashes);
-	log_event("refuse", "request=%s cause=held held_ms=%" G_GUINT64_FORMAT, c->request->meta.request_id,
-			  held_us / BH__MS_US);
-	abandon_(c, held_us / BH__MS_US, "crashes-endpoints", CRASHES_MESSAGE);
-	return true;
-}
-
-/* Ends a request that nobody can send: this node has lost its links to the endpoints, and no peer has any.
- * Returns false if there may be a way. */
-static bool abandon_cut_off_(Call *c)
-{
-	uint64_t retry_after_ms = links_get_retry_after_ms(c->gate->links);
-
-	if (!retry_after_ms)
-		return false;
-	log_event("refuse", "request=%s cause=cut-off retry_after_ms=%" G_GUINT64_FORMAT,
-			  c->request->meta.request_id, retry_after_ms);
-	abandon_(c, retry_after_ms, "cut-off", "this node has no way to the endpoints");
-	return true;
-}
-
 /* Dispatches the request to an endpoint. Checks the deadline, the quarantine and the node's own stop again,
  * since the node may have been suspended, or the request quarantined, after the endpoint was granted. */
 static void dispatch_(Call *c, uint64_t endpoint_id)
 {
 	if (clock_now_us() >= c->retry.deadline_us)
 		call_act(c, bh__retry_state_process_deadline(&c->retry));
-	else if (!abandon_quarantined_(c) && !abandon_stopping_(c))
+	else if (!call_abandon_unsendable(c))
 		dispatch_start(c, endpoint_id);
 }
 
-/* Ends a request whose answer would probably outlast this node, which is leaving: refuses it if it has not
- * run and fails it otherwise, so that the caller may retry it elsewhere. Returns false if the answer can end
- * in time or has begun; an answer that has begun is forwarded until the node exits. */
-static bool abandon_stopping_(Call *c)
-{
-	const Gate *g = c->gate;
-	uint64_t now_us = clock_now_us();
-	uint64_t longest_us;
-
-	if (!g->leaving_since_us || c->retry.answer_begun)
-		return false;
-	longest_us = longest_answer_us_(c);
-	if (now_us + longest_us <= g->stop_at_us)
-		return false;
-	log_event("refuse",
-			  "request=%s cause=stopping left_ms=%" G_GUINT64_FORMAT " longest_ms=%" G_GUINT64_FORMAT,
-			  c->request->meta.request_id, (g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US,
-			  longest_us / BH__MS_US);
-	abandon_(c, retry_stopping_ms_(g, now_us), "node-leaving", "this node stops before the answer would end");
-	return true;
-}
-
-/* Returns the retry-after in milliseconds of a refusal by a leaving node: short if there is another usable
- * node, otherwise the time until this one has exited. */
-static uint64_t retry_stopping_ms_(const Gate *g, uint64_t now_us)
-{
-	const BH__Members *m = cluster_get_members(g->cluster);
-
-	for (unsigned i = 1; i < bh__members_get_count(m); i++)
-		if (bh__member_is_usable(bh__members_get(m, i)))
-			return RETRY_SOON_MS;
-	return MAX((g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US, RETRY_SOON_MS);
-}
-
 /* Returns a time from dispatch to end, in microseconds, that the answer rarely exceeds: by the answers that
  * this node has observed, or, if there are none, by the time after which an endpoint counts as unresponsive
  * plus the time that its engine takes for as many tokens as the caller allows. */
-static uint64_t longest_answer_us_(const Call *c)
+uint64_t call_longest_answer_us(const Call *c)
 {
 	uint64_t seen_us = bh__answer_time_get_upper_bound_us(answer_time_(c), expected_answer_us_(c));
 
@@ -489,7 +419,7 @@
 			!bh__fingerprint_equal(&c->fingerprint, f))
 			continue;
 		if (c->state != CALL_DISPATCHED)
-			abandon_quarantined_(c);
+			call_abandon_unsendable(c);
 		else if (!c->retry.answer_begun && !evbuffer_get_length(c->body))
 			dispatch_end(c, BH__DISPATCH_STOPPED);
 	}
@@ -498,7 +428,7 @@
 
 /* Ends a request that can't be placed: refuses it with `code` and `message` if it has not run, and otherwise
  * takes the action that the retry state names. */
-static void abandon_(Call *c, uint64_t retry_after_ms, const char *code, const char *message)
+void call_abandon(Call *c, uint64_t retry_after_ms, const char *code, const char *message)
 {
 	BH__NextAction next = bh__retry_state_process_no_endpoint(&c->retry);
 
@@ -606,7 +536,7 @@
 	if (reason == BH__REASON_NODE_LEAVING)
 		ask_(c);
 	else
-		abandon_(c, retry_after_ms, BH__ReasonString[reason], "no engine can take the request in time");
+		call_abandon(c, retry_after_ms, BH__ReasonString[reason], "no engine can take the request in time");
 }
 
 /* Processes the grant in the call's admission state. Returns it if the call no longer waits for it. */
@@ -673,7 +603,7 @@
 	if (unusable_endpoint != BH__NO_ENDPOINT)
 		bh__retry_state_note_tried(&c->retry, unusable_endpoint);
 	if (++c->unused_grants > UNUSED_GRANTS_MAX)
-		abandon_(c, RETRY_SOON_MS, "not-run", "no endpoint ran the request");
+		call_abandon(c, RETRY_SOON_MS, "not-run", "no endpoint ran the request");
 	else
 		ask_(c);
 }
@@ -933,7 +863,7 @@
 			continue;
 		}
 		c->retry.may_have_run |= c->state == CALL_DISPATCHED && c->out && outbound_is_connected(c->out);
-		abandon_(c, retry_stopping_ms_(g, clock_now_us()), "node-leaving", "this node stops");
+		call_abandon(c, call_retry_stopping_ms(g, clock_now_us()), "node-leaving", "this node stops");
 	}
 	g_list_free(all);
 }
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -6,6 +6,8 @@
 #include <event2/buffer.h>
 #include "gate.h"
 
+#define RETRY_SOON_MS 200 /* retry-after of a refusal whose cause is brief */
+
 typedef enum {
 	CALL_STARTING,  /* waits until the node's startup state is complete, or the wait for it ends */
 	CALL_ASKING,    /* waits for the scheduler to grant engines */
@@ -61,6 +63,13 @@
 void call_act(Call *c, BH__NextAction next);
 void call_set_timer(Call *c, uint64_t now_us);
 
+uint64_t call_longest_answer_us(const Call *c);
+void call_abandon(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
+
+/* call_refusal.c */
+bool call_abandon_unsendable(Call *c);
+uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us);
+
 /* dispatch.c */
 void dispatch_start(Call *c, uint64_t endpoint_id);
 void dispatch_end(Call *c, BH__DispatchEnd end);
--- /dev/null
+++ b/src/bayhoist-gate/call_refusal.c
@@ -0,0 +1,85 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Reasons that this node has by itself not to send a request, looked at right before it is placed and before
+ * it is sent. */
+#include "call_internal.h"
+
+#include "clock.h"
+#include "crashes.h"
+#include "links.h"
+#include "log.h"
+
+#define CRASHES_MESSAGE                                                                                      \
+	"endpoints have crashed each time they ran this request; it is not sent to any for now"
+
+static bool abandon_quarantined_(Call *c);
+static bool abandon_cut_off_(Call *c);
+static bool abandon_stopping_(Call *c);
+
+/* Ends a request that this node must not, or can't, send now. Returns false if it may be sent. */
+bool call_abandon_unsendable(Call *c)
+{
+	return abandon_quarantined_(c) || abandon_stopping_(c) || abandon_cut_off_(c);
+}
+
+/* Ends a request that is quarantined because it crashes endpoints. Returns false if it is not quarantined. */
+static bool abandon_quarantined_(Call *c)
+{
+	uint64_t held_us = crashes_get_quarantine_us(c->gate->crashes, &c->fingerprint);
+
+	if (!held_us)
+		return false;
+	crashes_note_refusal(c->gate->crashes);
+	log_event("refuse", "request=%s cause=held held_ms=%" G_GUINT64_FORMAT, c->request->meta.request_id,
+			  held_us / BH__MS_US);
+	call_abandon(c, held_us / BH__MS_US, "crashes-endpoints", CRASHES_MESSAGE);
+	return true;
+}
+
+/* Ends a request that nobody can send: this node has lost its links to the endpoints, and no peer has any.
+ * Returns false if there may be a way. */
+static bool abandon_cut_off_(Call *c)
+{
+	uint64_t retry_after_ms = links_get_retry_after_ms(c->gate->links);
+
+	if (!retry_after_ms)
+		return false;
+	log_event("refuse", "request=%s cause=cut-off retry_after_ms=%" G_GUINT64_FORMAT,
+			  c->request->meta.request_id, retry_after_ms);
+	call_abandon(c, retry_after_ms, "cut-off", "this node has no way to the endpoints");
+	return true;
+}
+
+/* Ends a request whose answer would probably outlast this node, which is leaving: refuses it if it has not
+ * run and fails it otherwise, so that the caller may retry it elsewhere. Returns false if the answer can end
+ * in time or has begun; an answer that has begun is forwarded until the node exits. */
+static bool abandon_stopping_(Call *c)
+{
+	const Gate *g = c->gate;
+	uint64_t now_us = clock_now_us();
+	uint64_t longest_us;
+
+	if (!g->leaving_since_us || c->retry.answer_begun)
+		return false;
+	longest_us = call_longest_answer_us(c);
+	if (now_us + longest_us <= g->stop_at_us)
+		return false;
+	log_event("refuse",
+			  "request=%s cause=stopping left_ms=%" G_GUINT64_FORMAT " longest_ms=%" G_GUINT64_FORMAT,
+			  c->request->meta.request_id, (g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US,
+			  longest_us / BH__MS_US);
+	call_abandon(c, call_retry_stopping_ms(g, now_us), "node-leaving",
+				 "this node stops before the answer would end");
+	return true;
+}
+
+/* Returns the retry-after in milliseconds of a refusal by a leaving node: short if there is another usable
+ * node, otherwise the time until this one has exited. */
+uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us)
+{
+	const BH__Members *m = cluster_get_members(g->cluster);
+
+	for (unsigned i = 1; i < bh__members_get_count(m); i++)
+		if (bh__member_is_usable(bh__members_get(m, i)))
+			return RETRY_SOON_MS;
+	return MAX((g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US, RETRY_SOON_MS);
+}
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -77,6 +77,9 @@
 void schedulers_process_refusal(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us);
 
+/* engine_failures.c */
+void engine_failures_log(const Cluster *c, const Service *s, const BH__Message *m, uint64_t now_us);
+
 /* signals.c */
 Signals *signals_new(Cluster *c);
 void signals_delete(Signals *s);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -236,13 +236,15 @@
 void cluster_drop_ask(Cluster *c, Call *call);
 void cluster_notify_progress(Cluster *c, Call *call);
 void cluster_notify_iteration(Cluster *c, Call *call, uint64_t iteration_us);
-void cluster_report_failure(Cluster *c, const char *service, uint64_t endpoint_id);
-void cluster_withdraw_failures(Cluster *c, uint64_t node_id);
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint);
 void cluster_write_status(const Cluster *c, struct evbuffer *out);
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
 
+/* engine_failures.c */
+void cluster_report_failure(Cluster *c, const char *service, uint64_t endpoint_id);
+void cluster_withdraw_failures(Cluster *c, uint64_t node_id);
+
 /* signals.c */
 
 /* The answer in which an endpoint's signals were received. */
