gate: A node is dark after a quarter of a second; what nobody uses goes

With a dead service beside others the state came and went with each request, with a log line each time. Endpoints that only peers were asked about no longer count as failed.

--- a/src/bayhoist-gate/channel.h
+++ b/src/bayhoist-gate/channel.h
@@ -45,6 +45,5 @@
 							void *ctx);
 Channel *relay_channel_new(Gate *g, uint64_t endpoint_id, const char *request_id, uint64_t patience_us,
 						   const ChannelCallbacks *cb, void *ctx);
-uint64_t relay_channel_get_peer(const Channel *c);
 
 #endif
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -174,7 +174,6 @@
 void outbound_cancel(Outbound *o);
 void outbound_pause(Outbound *o, bool paused);
 bool outbound_is_connected(const Outbound *o);
-bool outbound_has_answer(const Outbound *o);
 bool outbound_is_own_fault(const Outbound *o);
 
 /* call.c */
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -15,8 +15,8 @@
  * these bounds. */
 #define RETRY_CUT_MIN_MS 1000
 #define RETRY_CUT_MAX_MS 3000
-/* A state that lasts shorter than this ends without an announcement: with requests to a service that is dead
- * and to others by turns, it would come and go with each. */
+/* A node is known to be dark after this time: with requests to a service that is dead and to others by turns,
+ * the state comes and goes with each. */
 #define DARK_MIN_US (250 * BH__MS_US)
 #define PROBES_MAX 64 /* probes at the same time */
 
@@ -33,7 +33,6 @@
 	GHashTable *probes;                       /* LinkProbe by endpoint id */
 	GArray *reports;                          /* Report: they wait for a probe */
 	BH__LinksState known;                     /* state that was last logged and announced */
-	uint64_t changed_us;                      /* when `known` last changed */
 	uint64_t announced_us;                    /* when the cut was last announced */
 	uint64_t results[BH__RELAY_RESULT_COUNT]; /* peers' answers */
 };
@@ -281,15 +280,16 @@
 static void process_change_(Links *l)
 {
 	BH__LinksState was = l->known;
+	BH__LinksState state = bh__link_state_get(l->state);
 	uint64_t now_us = clock_now_us();
-	bool was_long = now_us >= l->changed_us + DARK_MIN_US;
 	BH__LinkEvidence e;
 
-	if (was == bh__link_state_get(l->state))
+	if (was == state)
 		return;
-	l->known = bh__link_state_get(l->state);
-	l->changed_us = now_us;
 	bh__link_state_get_evidence(l->state, &e);
+	if (state == BH__LINKS_DARK && now_us < e.since_us + DARK_MIN_US)
+		return;
+	l->known = state;
 	log_event("links",
 			  "what=%s was=%s since_ms=%" G_GUINT64_FORMAT
 			  " failed_endpoints=%u reached_by_peers=%u failures=%" G_GUINT64_FORMAT
@@ -297,10 +297,10 @@
 			  BH__LinksStateString[l->known], BH__LinksStateString[was],
 			  (now_us - MIN(now_us, e.since_us)) / BH__MS_US, e.failed_paths, e.bad_paths, e.failures,
 			  e.peers_reached);
-	if (l->known == BH__LINKS_CUT || was == BH__LINKS_CUT || (l->known == BH__LINKS_UP && was_long)) {
-		withdraw_(l);
-		announce_(l, now_us);
-	}
+	if (l->known == BH__LINKS_DARK)
+		return;
+	withdraw_(l);
+	announce_(l, now_us);
 }
 
 /* Takes back, on this node, what it has reported of endpoints. */
@@ -343,6 +343,7 @@
 
 	if (l->known == BH__LINKS_CUT && now_us >= l->announced_us + ANNOUNCE_PERIOD_US)
 		announce_(l, now_us);
+	process_change_(l);
 	forget_gone_(l);
 	endpoint_id = bh__link_state_take_look(l->state, now_us);
 	if (endpoint_id)
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -125,12 +125,6 @@
 	return o->used != NULL;
 }
 
-/* Returns true if a part of the answer has been received. */
-bool outbound_has_answer(const Outbound *o)
-{
-	return o->answer_started;
-}
-
 /* Returns true if a failure of the request now is to be put down to the way to the endpoint, and not to the
  * endpoint. What a peer that is connected to it reports is the endpoint's. */
 bool outbound_is_own_fault(const Outbound *o)
--- a/src/bayhoist-gate/relay_channel.c
+++ b/src/bayhoist-gate/relay_channel.c
@@ -69,14 +69,6 @@
 	return &r->base;
 }
 
-/* Returns the node id of the peer that the channel goes through, or 0 if it isn't open. */
-uint64_t relay_channel_get_peer(const Channel *c)
-{
-	const RelayChannel *r = (const RelayChannel *)c;
-
-	return r->is_open ? r->peer : 0;
-}
-
 /* Asks the next peer to connect, and waits for it until the next one is to be asked. If there is none, the
  * channel ends from the event loop. */
 static void ask_next_peer_(RelayChannel *r)
@@ -100,6 +92,7 @@
 	set_timer_(r, MIN(left_us, links_get_patience_us(r->gate->links) * PEER_PATIENCE_FACTOR));
 }
 
+/* Names the endpoint to the current peer, which has `time_us` to connect. */
 static void send_open_(RelayChannel *r, uint64_t time_us)
 {
 	BH__Message m = {.type = BH__MESSAGE_RELAY_OPEN};
--- a/src/libbayhoist/link_state.c
+++ b/src/libbayhoist/link_state.c
@@ -80,10 +80,11 @@
 	gpointer path;
 
 	*out = l->evidence;
-	out->failed_paths = g_hash_table_size(l->paths);
 	g_hash_table_iter_init(&it, l->paths);
-	while (g_hash_table_iter_next(&it, NULL, &path))
+	while (g_hash_table_iter_next(&it, NULL, &path)) {
+		out->failed_paths += ((const Path_ *)path)->failed_us != 0;
 		out->bad_paths += is_bad_(path);
+	}
 }
 
 /* Returns how a request gets to an endpoint. */
