gate: Bound how often requests try a peer on suspicion

Hypothesis: a node or an endpoint that is slow because it has too much to do gets more through peers, since slow and refused connections try one each time. A peer is left 200 ms where a connection took all the time.

--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -17,6 +17,7 @@
 
 /* Time for opening a channel: a few ms within a region, and some 200 ms more if a packet is lost. */
 #define CONNECT_TIMEOUT_MS 400
+#define PEER_TIMEOUT_MS 200 /* that is left for a peer at least */
 
 struct Outbound {
 	Gate *gate;
@@ -107,7 +108,8 @@
 {
 	evtimer_del(o->timer);
 	o->relay_tried = true;
-	o->relay = relay_channel_new(o->gate, o->endpoint_id, o->request_id, left_us_(o), &ChannelCallbacks_, o);
+	o->relay = relay_channel_new(o->gate, o->endpoint_id, o->request_id,
+								 MAX(left_us_(o), PEER_TIMEOUT_MS * BH__MS_US), &ChannelCallbacks_, o);
 }
 
 /* Returns the time that is left for opening a channel, at least 1. */
@@ -227,7 +229,7 @@
 static void on_direct_failed_(Outbound *o)
 {
 	links_note_failed(o->gate->links, o->endpoint_id);
-	if (!o->relay_tried)
+	if (!o->relay_tried && links_take_detour(o->gate->links))
 		open_relay_(o);
 	else if (!o->relay)
 		finish_(o, OUTBOUND_UNREACHABLE);
@@ -246,9 +248,12 @@
 /* Asks a peer too. */
 static void on_timer_(evutil_socket_t fd, short what, void *arg)
 {
+	Outbound *o = arg;
+
 	(void)fd;
 	(void)what;
-	open_relay_(arg);
+	if (links_take_detour(o->gate->links))
+		open_relay_(o);
 }
 
 /* Closes the request and calls on_end with the result. Does nothing if it is closed. */
