--- a/include/bayhoist/link_state.h
+++ b/include/bayhoist/link_state.h
@@ -44,8 +44,6 @@
 void bh__link_state_get_evidence(const BH__LinkState *l, BH__LinkEvidence *out);
 BH__LinkRoute bh__link_state_choose(const BH__LinkState *l, uint64_t endpoint_id);
 uint64_t bh__link_state_get_patience_us(const BH__LinkState *l);
-void bh__link_state_note_request(BH__LinkState *l);
-bool bh__link_state_take_detour(BH__LinkState *l);
 uint64_t bh__link_state_take_look(BH__LinkState *l, uint64_t now_us);
 void bh__link_state_forget(BH__LinkState *l, uint64_t endpoint_id);
 void bh__link_state_list(const BH__LinkState *l, GArray *out);
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -76,18 +76,11 @@
 }
 
 /* Returns how a request gets to an endpoint. */
-BH__LinkRoute links_choose(Links *l, uint64_t endpoint_id)
+BH__LinkRoute links_choose(const Links *l, uint64_t endpoint_id)
 {
-	bh__link_state_note_request(l->state);
 	return bh__link_state_choose(l->state, endpoint_id);
 }
 
-/* Returns true if a request whose own connection is slow or has failed may try a peer now. */
-bool links_take_detour(Links *l)
-{
-	return bh__link_state_take_detour(l->state);
-}
-
 /* Returns for how long a connection may be pending before a peer is asked too. */
 uint64_t links_get_patience_us(const Links *l)
 {
--- a/src/bayhoist-gate/links.h
+++ b/src/bayhoist-gate/links.h
@@ -10,8 +10,7 @@
 
 Links *links_new(Gate *g);
 void links_delete(Links *l);
-BH__LinkRoute links_choose(Links *l, uint64_t endpoint_id);
-bool links_take_detour(Links *l);
+BH__LinkRoute links_choose(const Links *l, uint64_t endpoint_id);
 uint64_t links_get_patience_us(const Links *l);
 uint64_t links_get_retry_after_ms(const Links *l);
 bool links_are_cut(const Links *l);
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -17,7 +17,6 @@
 
 /* Time for opening a channel: a few ms within a region, and some 200 ms more if a packet is lost. */
 #define CONNECT_TIMEOUT_MS 400
-#define PEER_TIMEOUT_MS 200 /* that is left for a peer at least */
 
 struct Outbound {
 	Gate *gate;
@@ -108,8 +107,7 @@
 {
 	evtimer_del(o->timer);
 	o->relay_tried = true;
-	o->relay = relay_channel_new(o->gate, o->endpoint_id, o->request_id,
-								 MAX(left_us_(o), PEER_TIMEOUT_MS * BH__MS_US), &ChannelCallbacks_, o);
+	o->relay = relay_channel_new(o->gate, o->endpoint_id, o->request_id, left_us_(o), &ChannelCallbacks_, o);
 }
 
 /* Returns the time that is left for opening a channel, at least 1. */
@@ -229,7 +227,7 @@
 static void on_direct_failed_(Outbound *o)
 {
 	links_note_failed(o->gate->links, o->endpoint_id);
-	if (!o->relay_tried && links_take_detour(o->gate->links))
+	if (!o->relay_tried)
 		open_relay_(o);
 	else if (!o->relay)
 		finish_(o, OUTBOUND_UNREACHABLE);
@@ -248,12 +246,9 @@
 /* Asks a peer too. */
 static void on_timer_(evutil_socket_t fd, short what, void *arg)
 {
-	Outbound *o = arg;
-
 	(void)fd;
 	(void)what;
-	if (links_take_detour(o->gate->links))
-		open_relay_(o);
+	open_relay_(arg);
 }
 
 /* Closes the request and calls on_end with the result. Does nothing if it is closed. */
--- a/src/libbayhoist/link_state.c
+++ b/src/libbayhoist/link_state.c
@@ -20,11 +20,6 @@
 #define TIME_WEIGHT_ 0.125
 #define DEVIATION_WEIGHT_ 0.25
 #define DEVIATIONS_ 4
-/* Requests may try a peer on suspicion, because their own connection is slow or has failed, as often as this:
- * a burst, and a share of all requests. Without a bound, a node or an endpoint that is slow because it has
- * too much to do would get still more. */
-#define DETOURS_MAX_ 8
-#define DETOURS_SHARE_ 0.05
 #define PATHS_MAX_ 4096 /* entries at most; beyond that, failures of further endpoints are not recorded */
 
 const char *const BH__LinksStateString[] = {"up", "dark", "cut"};
@@ -46,7 +41,6 @@
 	uint64_t failed_us;    /* when a connection to any endpoint last failed; 0: never */
 	uint64_t cut_ended_us; /* when the last cut ended; 0: there was none */
 	uint64_t looked_us;    /* when the last look was taken; 0: never */
-	double detours;        /* requests that may try a peer on suspicion now */
 	double time_us;        /* estimated connect time; 0: unknown */
 	double deviation_us;   /* estimated deviation from it */
 };
@@ -63,7 +57,6 @@
 
 	l->paths = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	l->evidence.since_us = now_us;
-	l->detours = DETOURS_MAX_;
 	return l;
 }
 
@@ -110,21 +103,6 @@
 	return l->time_us > 0 ? (uint64_t)CLAMP(us, PATIENCE_MIN_US_, PATIENCE_MAX_US_) : PATIENCE_MAX_US_;
 }
 
-/* Counts a request to some endpoint. */
-void bh__link_state_note_request(BH__LinkState *l)
-{
-	l->detours = MIN(l->detours + DETOURS_SHARE_, DETOURS_MAX_);
-}
-
-/* Returns true if a request whose own connection is slow or has failed may try a peer, which counts. */
-bool bh__link_state_take_detour(BH__LinkState *l)
-{
-	if (l->detours < 1)
-		return false;
-	l->detours -= 1;
-	return true;
-}
-
 /* Returns the endpoint at which this node should look now, whether it can be connected to again, or
  * BH__NO_ENDPOINT: of those that it can't connect to, if that may be its links' fault, the one at which it
  * last looked longest ago. The caller looks and notes the result. */
--- a/src/test_libbayhoist/link_fleet.c
+++ b/src/test_libbayhoist/link_fleet.c
@@ -141,7 +141,6 @@
 	bool is_dead = false;
 
 	*took_us = 0;
-	bh__link_state_note_request(n->state);
 	if (f->way == WAY_RELAY && bh__link_state_choose(n->state, endpoint_id) == BH__LINK_ROUTE_PEER)
 		return relay_(n, endpoint_id, false, took_us, &is_dead);
 	switch (connect_(n, endpoint_id)) {
@@ -161,8 +160,7 @@
 		look_(n, endpoint_id, now_us);
 		break;
 	}
-	if (f->way == WAY_RELAY && bh__link_state_take_detour(n->state) &&
-		relay_(n, endpoint_id, false, took_us, &is_dead))
+	if (f->way == WAY_RELAY && relay_(n, endpoint_id, false, took_us, &is_dead))
 		return true;
 	if (f->way == WAY_STEER)
 		verify_(n, endpoint_id);
