gate: One piece of code sends bytes to a peer, and the peer reads only the head

Cause: the loop that cuts bytes into messages stood in relay_channel.c and relay_server.c alike, and the peer copied and parsed whole answers, chunk by chunk, to a callback that ignored them; in a cut, each failure walked the table of paths for nothing. Change: peer_stream_send_bytes(); parsing ends with the head, which is all that the peer learns from. The bytes that callers and endpoints see are the same.

--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -240,6 +240,14 @@
 	m->from_boot = self->boot_id;
 }
 
+/* Sends the bytes in `data`, which are drained, over a stream, with this node as the sender. */
+void links_send_bytes(const Links *l, PeerStream *s, struct evbuffer *data)
+{
+	const BH__MemberInfo *self = bh__members_get_self(cluster_get_members(l->gate->cluster));
+
+	peer_stream_send_bytes(s, self->node_id, self->boot_id, data);
+}
+
 /* Records that a request begins to go through a peer. */
 void links_note_peer_begin(Links *l, uint64_t node_id)
 {
--- a/src/bayhoist-gate/links.h
+++ b/src/bayhoist-gate/links.h
@@ -7,6 +7,7 @@
 #include <json-c/json.h>
 #include "bayhoist/link_state.h"
 #include "gate.h"
+#include "peer_stream.h"
 
 Links *links_new(Gate *g);
 void links_delete(Links *l);
@@ -26,6 +27,7 @@
 const char *links_get_name(const Links *l, uint64_t node_id);
 const char *links_get_endpoint(const Links *l, uint64_t endpoint_id);
 void links_fill_sender(const Links *l, BH__Message *m);
+void links_send_bytes(const Links *l, PeerStream *s, struct evbuffer *data);
 void links_note_peer_begin(Links *l, uint64_t node_id);
 void links_note_peer_end(Links *l, uint64_t node_id);
 void links_note_peer_lost(Links *l, uint64_t node_id);
--- a/src/bayhoist-gate/relay_channel.c
+++ b/src/bayhoist-gate/relay_channel.c
@@ -10,8 +10,7 @@
 #include "log.h"
 #include "peer_stream.h"
 
-#define PEERS_MAX 6           /* peers that are asked for one channel */
-#define CHUNK_MAX (16 * 1024) /* bytes in one message */
+#define PEERS_MAX 6 /* peers that are asked for one channel */
 /* A peer takes as long as a connection of this node's, and a round trip more. */
 #define PEER_PATIENCE_FACTOR 2
 
@@ -220,20 +219,11 @@
 	r->base.cb.on_end(r->base.ctx, &r->base, end);
 }
 
-/* Sends the bytes in messages of limited size, so that both sides handle them piece by piece. */
 static void write_(Channel *c, struct evbuffer *data)
 {
 	RelayChannel *r = (RelayChannel *)c;
 
-	while (evbuffer_get_length(data) > 0) {
-		size_t len = MIN(evbuffer_get_length(data), (size_t)CHUNK_MAX);
-		BH__Message m = {.type = BH__MESSAGE_RELAY_DATA};
-		m.as.relay_data.bytes = (char *)evbuffer_pullup(data, (ev_ssize_t)len);
-		m.as.relay_data.len = (uint32_t)len;
-		links_fill_sender(r->gate->links, &m);
-		peer_stream_send(r->stream, &m);
-		evbuffer_drain(data, len);
-	}
+	links_send_bytes(r->gate->links, r->stream, data);
 }
 
 static void pause_(Channel *c, bool paused)
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -11,7 +11,6 @@
 #include "links.h"
 #include "log.h"
 
-#define CHUNK_MAX (16 * 1024)   /* bytes in one message */
 #define QUEUED_MAX (128 * 1024) /* bytes that wait for the peer before reading from the endpoint pauses */
 /* Requests of peers at the same time, as a share of the connections that callers may open. */
 #define RELAYS_SHARE 8
@@ -32,6 +31,7 @@
 	uint64_t bytes_out; /* to the peer */
 	bool is_probe;      /* no request follows, and this node does not look in turn */
 	bool is_open;
+	bool has_head;  /* the head of the answer has been read */
 	bool is_paused; /* reading from the endpoint pauses until the peer has caught up */
 } Relay;
 
@@ -50,11 +50,11 @@
 static void on_closed_(void *ctx);
 static void on_open_(void *ctx, Channel *c);
 static void on_data_(void *ctx, Channel *c, struct evbuffer *data);
+static void read_head_(Relay *y, struct evbuffer *data);
 static void on_channel_drained_(void *ctx, Channel *c);
 static void on_channel_end_(void *ctx, Channel *c, ChannelEnd end);
 static void reply_failed_(Relay *y, ChannelEnd end);
 static void on_head_(void *ctx, const OutboundHead *head);
-static void on_body_(void *ctx, const char *data, size_t len);
 static void delete_(Relay *y);
 
 static const PeerStreamCallbacks StreamCallbacks_ = {
@@ -97,7 +97,7 @@
 {
 	const BH__RegisteredEndpoint *e = bh__registry_find(r->gate->registry, open->as.relay_open.endpoint_id);
 	BH__RelayResult result = admit_(r, e);
-	AnswerCallbacks answer = {.on_head = on_head_, .on_body = on_body_};
+	AnswerCallbacks answer = {.on_head = on_head_}; /* which ends the parser, so that no body comes */
 	Relay *y = g_new0(Relay, 1);
 
 	y->server = r;
@@ -192,25 +192,26 @@
 {
 	Relay *y = ctx;
 
-	while (evbuffer_get_length(data) > 0) {
-		size_t len = MIN(evbuffer_get_length(data), (size_t)CHUNK_MAX);
-		BH__Message m = {.type = BH__MESSAGE_RELAY_DATA};
-		struct evbuffer *copy = evbuffer_new();
-		m.as.relay_data.bytes = (char *)evbuffer_pullup(data, (ev_ssize_t)len);
-		m.as.relay_data.len = (uint32_t)len;
-		links_fill_sender(y->server->gate->links, &m);
-		peer_stream_send(y->stream, &m);
-		evbuffer_remove_buffer(data, copy, len);
-		answer_parser_read(y->parser, copy);
-		evbuffer_free(copy);
-		y->bytes_out += len;
-	}
+	if (!y->has_head)
+		read_head_(y, data);
+	y->bytes_out += evbuffer_get_length(data);
+	links_send_bytes(y->server->gate->links, y->stream, data);
 	if (peer_stream_get_queued(y->stream) > QUEUED_MAX && !y->is_paused) {
 		y->is_paused = true;
 		c->ops->pause(c, true);
 	}
 }
 
+/* Parses a copy of the first bytes of the answer, up to the end of its head; nothing here needs the body. */
+static void read_head_(Relay *y, struct evbuffer *data)
+{
+	struct evbuffer *copy = evbuffer_new();
+
+	evbuffer_add(copy, evbuffer_pullup(data, -1), evbuffer_get_length(data));
+	answer_parser_read(y->parser, copy);
+	evbuffer_free(copy);
+}
+
 /* Reads on from the endpoint once the peer has taken what was sent. */
 static void on_drained_(void *ctx)
 {
@@ -236,19 +237,14 @@
 						   .is_served = !head->meta.not_run && head->meta.mac[0],
 						   .request_id = y->request_id};
 
+	y->has_head = true;
+	answer_parser_end(y->parser);
 	if (head->meta.has_load)
 		bh__registry_note_load(g->registry, y->endpoint_id, head->meta.running, head->meta.waiting, now_us);
 	if (!g->port->status_says_not_run(head->status))
 		signals_note_answer(g, &origin, &head->meta);
 }
 
-static void on_body_(void *ctx, const char *data, size_t len)
-{
-	(void)ctx;
-	(void)data;
-	(void)len;
-}
-
 /* Tells the peer that the endpoint could not be connected to. The fault may be that of this node's links. */
 static void reply_failed_(Relay *y, ChannelEnd end)
 {
--- a/src/libbayhoist/link_state.c
+++ b/src/libbayhoist/link_state.c
@@ -263,6 +263,8 @@
 	GHashTableIter it;
 	gpointer path;
 
+	if (l->state == BH__LINKS_CUT)
+		return;
 	g_hash_table_iter_init(&it, l->paths);
 	while (g_hash_table_iter_next(&it, NULL, &path)) {
 		const Path_ *p = path;
@@ -272,8 +274,6 @@
 		bad += is_bad_(p);
 		since_us = MIN(since_us, MAX(p->first_failed_us, l->connected_us));
 	}
-	if (l->state == BH__LINKS_CUT)
-		return;
 	if (bad >= CUT_PATHS_)
 		enter_(l, BH__LINKS_CUT, since_us);
 	else if (failed >= CUT_PATHS_)
--- a/src/share/peer_stream.c
+++ b/src/share/peer_stream.c
@@ -17,6 +17,7 @@
  * keep-alive probe: a peer without power shows by nothing else. */
 #define SILENT_MS 1000
 #define KEEPALIVE_IDLE_S 1
+#define CHUNK_MAX (16 * 1024) /* bytes in one message */
 
 struct PeerStream {
 	struct event_base *base;
@@ -117,6 +118,20 @@
 	free(data);
 }
 
+/* Sends the bytes in `data`, which are drained, as messages of limited size of the node with this id and boot
+ * id, so that both sides handle them piece by piece. */
+void peer_stream_send_bytes(PeerStream *s, uint64_t node_id, uint64_t boot_id, struct evbuffer *data)
+{
+	while (evbuffer_get_length(data) > 0) {
+		size_t len = MIN(evbuffer_get_length(data), (size_t)CHUNK_MAX);
+		BH__Message m = {.type = BH__MESSAGE_RELAY_DATA, .from_node = node_id, .from_boot = boot_id};
+		m.as.relay_data.bytes = (char *)evbuffer_pullup(data, (ev_ssize_t)len);
+		m.as.relay_data.len = (uint32_t)len;
+		peer_stream_send(s, &m);
+		evbuffer_drain(data, len);
+	}
+}
+
 /* Returns the number of bytes that have been sent and not yet been passed to the kernel. */
 size_t peer_stream_get_queued(const PeerStream *s)
 {
--- a/src/share/peer_stream.h
+++ b/src/share/peer_stream.h
@@ -5,6 +5,7 @@
 #ifndef BAYHOIST_SHARE_PEER_STREAM_H
 #define BAYHOIST_SHARE_PEER_STREAM_H
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include "bayhoist/message.h"
 #include "frame.h"
@@ -24,6 +25,7 @@
 PeerStream *peer_stream_accept(struct bufferevent *bev, const FrameSession *received);
 void peer_stream_set_callbacks(PeerStream *s, const PeerStreamCallbacks *cb, void *ctx);
 void peer_stream_send(PeerStream *s, const BH__Message *m);
+void peer_stream_send_bytes(PeerStream *s, uint64_t node_id, uint64_t boot_id, struct evbuffer *data);
 size_t peer_stream_get_queued(const PeerStream *s);
 void peer_stream_pause(PeerStream *s, bool paused);
 void peer_stream_close(PeerStream *s);
