test: load() waits for its callers' answers before their statuses are read

check-cut-links counted requests as not served whose answer came later than a second after the load ended (a run kept its files: 281 statuses, 277 of them 200 in the end, of which the check had counted 0 to 40 in 100). Each caller gives up after 12 s by itself, so none is waited for without end.

--- a/test/gate.sh
+++ b/test/gate.sh
@@ -87,15 +87,18 @@
 arrivals() { tell "arrivals?id=$1"; }
 sent=0
 load() { # SECONDS: 11 prompts (kind a) and 11 lookups (kind f) a second, over all gateways; their heads, statuses and times are kept
-	local until=$(($(date +%s%N) + $1 * 1000000000)) n
+	local until=$(($(date +%s%N) + $1 * 1000000000)) n callers=()
 	while [ "$(date +%s%N)" -lt $until ]; do
 		sent=$((sent + 1))
 		n=$((sent % 3 + 1))
 		ask $n /ask/x "$(id_of a $sent)" -D "$RUN/head.a$sent" >"$RUN/status.a$sent" &
+		callers+=($!)
 		call $n /free/x "$(id_of f $sent)" -D "$RUN/head.f$sent" -w '%{http_code} %{time_total}' >"$RUN/status.f$sent" &
+		callers+=($!)
 		sleep 0.08
 	done
 	sleep 1
+	wait "${callers[@]}" # a caller that has no answer yet has no status either
 }
 # Of a request of load(), by its KIND and NUMBER: its id, which names its gateway, and its status.
 id_of() { echo "g$(($2 % 3 + 1))-$1$2"; }
