--- a/include/bayhoist/relay_peers.h
+++ b/include/bayhoist/relay_peers.h
@@ -16,6 +16,7 @@
 void bh__relay_peers_note_begin(BH__RelayPeers *r, uint64_t node_id);
 void bh__relay_peers_note_end(BH__RelayPeers *r, uint64_t node_id);
 void bh__relay_peers_note_refused(BH__RelayPeers *r, uint64_t node_id, uint64_t now_us);
+void bh__relay_peers_note_lost(BH__RelayPeers *r, uint64_t node_id, uint64_t now_us);
 void bh__relay_peers_set_cut(BH__RelayPeers *r, uint64_t node_id, bool is_cut, uint64_t now_us);
 bool bh__relay_peers_is_cut(const BH__RelayPeers *r, uint64_t node_id, uint64_t now_us);
 unsigned bh__relay_peers_get_in_use(const BH__RelayPeers *r, uint64_t node_id);
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -263,7 +263,7 @@
 /* Records that a peer could not be reached. */
 void links_note_peer_lost(Links *l, uint64_t node_id)
 {
-	bh__relay_peers_note_refused(l->peers, node_id, clock_now_us());
+	bh__relay_peers_note_lost(l->peers, node_id, clock_now_us());
 }
 
 /* Records a peer's answer: what it tells of the endpoint, and of the peer itself. */
--- a/src/libbayhoist/relay_peers.c
+++ b/src/libbayhoist/relay_peers.c
@@ -8,7 +8,7 @@
 #define DRAWN_ 3 /* peers that are compared for one choice */
 /* What a hop to another hall costs beside the load, in requests in progress on a node of usual capacity. */
 #define HALL_COST_ 2.0
-/* A peer that refused or could not be reached is left alone for this time. */
+/* A peer that refused is left alone for this time; one that could not be reached is used after all others. */
 #define AVOID_US_ BH__SECOND_US
 /* What a node told about its links counts for this long. It tells again in less while they are cut. */
 #define CUT_VALID_US_ (5 * BH__SECOND_US)
@@ -16,7 +16,8 @@
 /* What is known of one peer; relevant only while one of its fields is set. */
 typedef struct {
 	unsigned in_use;         /* requests of this node's that go through it now */
-	uint64_t avoid_until_us; /* it refused, or could not be reached */
+	uint64_t avoid_until_us; /* it refused */
+	uint64_t lost_until_us;  /* it could not be reached */
 	uint64_t cut_until_us;   /* it has told that it has lost its own links */
 } Peer_;
 
@@ -26,8 +27,10 @@
 };
 
 static Peer_ *add_peer_(BH__RelayPeers *r, uint64_t node_id);
+static void list_candidates_(const BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
+							 unsigned except_count, bool with_lost, uint64_t now_us, GPtrArray *out);
 static bool is_candidate_(const BH__RelayPeers *r, const BH__MemberInfo *info, const uint64_t *except,
-						  unsigned except_count, uint64_t now_us);
+						  unsigned except_count, bool with_lost, uint64_t now_us);
 static double cost_(const BH__RelayPeers *r, const BH__MemberInfo *info, const BH__MemberInfo *self);
 
 BH__RelayPeers *bh__relay_peers_new(uint32_t seed)
@@ -49,7 +52,8 @@
 }
 
 /* Returns the id of the peer to use next, or 0 if there is none. `except` lists peers that this request has
- * tried. */
+ * tried. A peer that could not be reached is used if there is no other: where one node in three has its
+ * links, a single slow hop would otherwise leave the other two without any way for AVOID_US_. */
 uint64_t bh__relay_peers_pick(BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
 							  unsigned except_count, uint64_t now_us)
 {
@@ -58,9 +62,9 @@
 	GPtrArray *all = g_ptr_array_new();
 	uint64_t node_id;
 
-	for (unsigned i = 1; i < bh__members_get_count(m); i++)
-		if (is_candidate_(r, bh__members_get(m, i), except, except_count, now_us))
-			g_ptr_array_add(all, (gpointer)bh__members_get(m, i));
+	list_candidates_(r, m, except, except_count, false, now_us, all);
+	if (!all->len)
+		list_candidates_(r, m, except, except_count, true, now_us, all);
 	for (unsigned drawn = 0; drawn < DRAWN_ && all->len; drawn++) {
 		const BH__MemberInfo *info =
 			g_ptr_array_remove_index_fast(all, (guint)g_rand_int_range(r->rand, 0, (gint32)all->len));
@@ -72,16 +76,29 @@
 	return node_id;
 }
 
+/* Appends the peers through which a request may go to `out` (BH__MemberInfo), those that could not be reached
+ * lately only `with_lost`. */
+static void list_candidates_(const BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
+							 unsigned except_count, bool with_lost, uint64_t now_us, GPtrArray *out)
+{
+	for (unsigned i = 1; i < bh__members_get_count(m); i++)
+		if (is_candidate_(r, bh__members_get(m, i), except, except_count, with_lost, now_us))
+			g_ptr_array_add(out, (gpointer)bh__members_get(m, i));
+}
+
 /* Returns true if a request may go through a node. */
 static bool is_candidate_(const BH__RelayPeers *r, const BH__MemberInfo *info, const uint64_t *except,
-						  unsigned except_count, uint64_t now_us)
+						  unsigned except_count, bool with_lost, uint64_t now_us)
 {
 	const Peer_ *p = g_hash_table_lookup(r->peers, &info->node_id);
 
 	for (unsigned i = 0; i < except_count; i++)
 		if (except[i] == info->node_id)
 			return false;
-	return bh__member_is_usable(info) && (!p || (now_us >= p->avoid_until_us && now_us >= p->cut_until_us));
+	if (!bh__member_is_usable(info))
+		return false;
+	return !p || (now_us >= p->avoid_until_us && now_us >= p->cut_until_us &&
+				  (with_lost || now_us >= p->lost_until_us));
 }
 
 /* Returns what it costs to use a peer: the requests in progress there, as it told last and as this node sends
@@ -109,12 +126,18 @@
 	p->in_use -= p->in_use > 0;
 }
 
-/* Records that a peer refused to send a request on, or could not be reached. */
+/* Records that a peer refused to send a request on. */
 void bh__relay_peers_note_refused(BH__RelayPeers *r, uint64_t node_id, uint64_t now_us)
 {
 	add_peer_(r, node_id)->avoid_until_us = now_us + AVOID_US_;
 }
 
+/* Records that a peer could not be reached. */
+void bh__relay_peers_note_lost(BH__RelayPeers *r, uint64_t node_id, uint64_t now_us)
+{
+	add_peer_(r, node_id)->lost_until_us = now_us + AVOID_US_;
+}
+
 /* Records what a node has told about its own links. */
 void bh__relay_peers_set_cut(BH__RelayPeers *r, uint64_t node_id, bool is_cut, uint64_t now_us)
 {
--- a/src/test_libbayhoist/test_links.c
+++ b/src/test_libbayhoist/test_links.c
@@ -326,6 +326,28 @@
 	member_fleet_delete(f);
 }
 
+/* A peer that could not be reached once is used after the others, but rather than none: of three nodes one
+ * has its links, and one slow hop to it must not leave the others without a way. */
+static void a_peer_that_was_lost_is_the_last_one_(void **state)
+{
+	MemberFleet *f = member_fleet_new(3);
+	BH__RelayPeers *r = bh__relay_peers_new(1);
+	const BH__Members *m = f->node[0].members;
+	uint64_t second = f->node[1].id;
+	uint64_t third = f->node[2].id;
+
+	(void)state;
+	bh__relay_peers_note_lost(r, second, 0);
+	assert_int_equal(bh__relay_peers_pick(r, m, NULL, 0, 500 * MS), third);
+	bh__relay_peers_set_cut(r, third, true, 0);
+	assert_int_equal(bh__relay_peers_pick(r, m, NULL, 0, 500 * MS), second);
+	assert_int_equal(bh__relay_peers_pick(r, m, &second, 1, 500 * MS), 0);
+	bh__relay_peers_note_refused(r, second, 0);
+	assert_int_equal(bh__relay_peers_pick(r, m, NULL, 0, 500 * MS), 0);
+	bh__relay_peers_delete(r);
+	member_fleet_delete(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {cmocka_unit_test(a_cut_needs_two_bad_paths_since_the_last_connection_),
@@ -334,6 +356,7 @@
 									   cmocka_unit_test(bad_paths_are_looked_at_again_),
 									   cmocka_unit_test(patience_follows_connect_times_),
 									   cmocka_unit_test(peers_that_refused_are_left_alone_),
+									   cmocka_unit_test(a_peer_that_was_lost_is_the_last_one_),
 									   cmocka_unit_test(an_idle_node_serves_its_first_request_),
 									   cmocka_unit_test(cut_nodes_serve_through_peers_),
 									   cmocka_unit_test(ways_compared_),
