config: Malformed changes are refused, and a change under way is not called undone

A change request without "resources", or with an element that is no object, reached json-c calls that abort; the shape is now checked before anything else, with field and cause. A deadline or a stop while the compare-and-swap was under way was told as "nothing was changed", though it could still take effect; it is told as unknown.

--- a/include/bayhoist/catalog.h
+++ b/include/bayhoist/catalog.h
@@ -24,6 +24,7 @@
 const GPtrArray *bh__catalog_get_all(const BH__Catalog *c, BH__Kind kind);
 const BH__Policy *bh__catalog_get_policy(const BH__Catalog *c);
 bool bh__catalog_is_leaving(const BH__Catalog *c, const BH__Endpoint *e);
+bool bh__catalog_check_change(struct json_object *change, GError **error);
 bool bh__catalog_apply(BH__Catalog *c, struct json_object *change, GError **error);
 bool bh__catalog_check_references(const BH__Catalog *c, GError **error);
 char *bh__catalog_write_chunk(const BH__Catalog *c, unsigned chunk);
--- a/src/libbayhoist/catalog.c
+++ b/src/libbayhoist/catalog.c
@@ -13,6 +13,7 @@
 
 static void free_resource_(gpointer r);
 static gint compare_name_(gconstpointer a, gconstpointer b);
+static bool check_item_fields_(struct json_object *item, GError **error);
 static bool apply_item_(BH__Catalog *c, struct json_object *item, GError **error);
 static const char *get_string_(struct json_object *object, const char *name);
 static bool check_generation_(const BH__Resource *old, struct json_object *item, GError **error);
@@ -105,10 +106,9 @@
 	return e->leaving || (hall && hall->as.hall.draining);
 }
 
-/* Applies {"resources": [{"kind", "name", "spec" | "delete", "if_generation"}]} as one change. Returns false
- * and sets an error if the change is invalid or conflicts with a newer generation. The catalog may then be
- * partly changed, so callers apply changes to a copy. */
-bool bh__catalog_apply(BH__Catalog *c, struct json_object *change, GError **error)
+/* Checks that a change has the form {"resources": [{"kind": "...", "name": "...", ...}]}. Returns false and
+ * sets an error otherwise. What the fields mean is checked by bh__catalog_apply(). */
+bool bh__catalog_check_change(struct json_object *change, GError **error)
 {
 	struct json_object *items = NULL;
 
@@ -119,6 +119,47 @@
 					"field \"resources\": must be a list of resources");
 		return false;
 	}
+	for (size_t i = 0; i < json_object_array_length(items); i++) {
+		struct json_object *item = json_object_array_get_idx(items, i);
+		if (!check_item_fields_(item, error)) {
+			g_prefix_error(error, "resource %u: ", (unsigned)i);
+			return false;
+		}
+	}
+	return true;
+}
+
+/* Checks that an element of a change is an object that has a kind and a name. Returns false and sets an error
+ * otherwise. */
+static bool check_item_fields_(struct json_object *item, GError **error)
+{
+	static const char *const Required[] = {"kind", "name"};
+
+	if (!json_object_is_type(item, json_type_object)) {
+		g_set_error(error, BH__CATALOG_ERROR, BH__CATALOG_ERROR_INVALID,
+					"field \"resources\": must be a list of objects");
+		return false;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(Required); i++) {
+		if (get_string_(item, Required[i]))
+			continue;
+		g_set_error(error, BH__CATALOG_ERROR, BH__CATALOG_ERROR_INVALID, "field \"%s\": required but absent",
+					Required[i]);
+		return false;
+	}
+	return true;
+}
+
+/* Applies {"resources": [{"kind", "name", "spec" | "delete", "if_generation"}]} as one change. Returns false
+ * and sets an error if the change is invalid or conflicts with a newer generation. The catalog may then be
+ * partly changed, so callers apply changes to a copy. */
+bool bh__catalog_apply(BH__Catalog *c, struct json_object *change, GError **error)
+{
+	struct json_object *items;
+
+	if (!bh__catalog_check_change(change, error))
+		return false;
+	items = json_object_object_get(change, "resources");
 	for (size_t i = 0; i < json_object_array_length(items); i++) {
 		if (!apply_item_(c, json_object_array_get_idx(items, i), error)) {
 			g_prefix_error(error, "resource %u: ", (unsigned)i);
@@ -161,14 +202,9 @@
 			return false;
 		}
 	}
-	if (!kind_name || !bh__kind_parse(kind_name, &kind)) {
+	if (!bh__kind_parse(kind_name, &kind)) {
 		g_set_error(error, BH__CATALOG_ERROR, BH__CATALOG_ERROR_INVALID,
-					"field \"kind\": unknown kind \"%s\"", kind_name ? kind_name : "");
-		return false;
-	}
-	if (!name) {
-		g_set_error(error, BH__CATALOG_ERROR, BH__CATALOG_ERROR_INVALID,
-					"field \"name\": required but absent");
+					"field \"kind\": unknown kind \"%s\"", kind_name);
 		return false;
 	}
 	old = find_index_(c, kind, bh__hash_name(name));
@@ -299,13 +335,15 @@
 }
 
 /* Replaces the resources of one chunk with those in `text`. Returns false if the text is malformed or a spec
- * is invalid; the chunk may then be partly read. `error` is set unless an item lacks its name or spec. */
+ * is invalid, and sets an error; the chunk may then be partly read. */
 bool bh__catalog_read_chunk(BH__Catalog *c, unsigned chunk, const char *text, size_t len, GError **error)
 {
 	BH__Kind kind = (BH__Kind)(chunk / BH__CHUNKS_PER_KIND);
 	struct json_object *items = bh__json_parse(text, len, error);
-	bool ok = items != NULL;
+	bool ok = items && json_object_is_type(items, json_type_array);
 
+	if (items && !ok)
+		g_set_error(error, BH__CATALOG_ERROR, BH__CATALOG_ERROR_INVALID, "chunk %u: must be a list", chunk);
 	for (int i = (int)c->kinds[kind]->len - 1; ok && i >= 0; i--)
 		if (get_chunk_index_(g_ptr_array_index(c->kinds[kind], i)) == chunk)
 			remove_resource_(c, kind, i);
@@ -314,11 +352,17 @@
 		struct json_object *generation = NULL;
 		struct json_object *spec = NULL;
 		const char *name = get_string_(item, "name");
-		BH__Resource *r = NULL;
+		BH__Resource *r;
 
 		json_object_object_get_ex(item, "generation", &generation);
-		if (name && json_object_object_get_ex(item, "spec", &spec))
-			r = bh__resource_new(kind, name, spec, error);
+		ok = name && json_object_object_get_ex(item, "spec", &spec);
+		if (!ok) {
+			g_set_error(error, BH__CATALOG_ERROR, BH__CATALOG_ERROR_INVALID,
+						"chunk %u, resource %u: field \"%s\": required but absent", chunk, (unsigned)i,
+						name ? "spec" : "name");
+			break;
+		}
+		r = bh__resource_new(kind, name, spec, error);
 		ok = r != NULL;
 		if (!ok)
 			break;
--- a/src/libbayhoist/config.c
+++ b/src/libbayhoist/config.c
@@ -96,6 +96,7 @@
 static void finish_fetch_(BH__Config *c, uint64_t now_us);
 static void fetch_delete_(Fetch_ *f);
 static bool install_(BH__Config *c, Head_ *head, const char *text, char *const chunks[], GError **error);
+static bool apply_may_take_effect_(const Apply_ *a);
 static void apply_resume_(Apply_ *a, uint64_t now_us);
 static void apply_read_(Apply_ *a, uint64_t now_us);
 static void on_apply_head_(void *owner, const BH__StoreReply *reply, uint64_t now_us);
@@ -137,8 +138,7 @@
 	bh__store_cancel_callbacks(c->store, c);
 	while (c->applies->len) {
 		Apply_ *a = g_ptr_array_index(c->applies, 0);
-		bh__store_cancel_callbacks(c->store, a);
-		apply_finish_(a, a->swap_unanswered ? BH__APPLY_UNKNOWN : BH__APPLY_STORE_DOWN,
+		apply_finish_(a, apply_may_take_effect_(a) ? BH__APPLY_UNKNOWN : BH__APPLY_STORE_DOWN,
 					  "the node is shutting down");
 	}
 	g_ptr_array_unref(c->applies);
@@ -431,7 +431,7 @@
 
 /* Starts a change of the form {"resources": [...]}. The operator chooses a unique `change_id`; a retry with
  * the same id does not apply the change twice while the head lists it. `author` names who makes it. `done` is
- * called exactly once: from within this function if the text is malformed JSON, at the first tick after
+ * called exactly once: from within this function if the text is malformed, at the first tick after
  * `deadline_us` at the latest otherwise, or when the configuration is deleted. */
 void bh__config_apply(BH__Config *c, const char *change, size_t len, const char *change_id,
 					  const char *author, uint64_t deadline_us, BH__ApplyDone done, void *ctx,
@@ -449,7 +449,7 @@
 	a->ctx = ctx;
 	a->change = bh__json_parse(change, len, &error);
 	g_ptr_array_add(c->applies, a);
-	if (!a->change) {
+	if (!a->change || !bh__catalog_check_change(a->change, &error)) {
 		apply_finish_(a, BH__APPLY_INVALID, error->message);
 		g_error_free(error);
 		return;
@@ -465,15 +465,22 @@
 		Apply_ *a = g_ptr_array_index(c->applies, i);
 		if (now_us < a->deadline_us)
 			continue;
-		bh__store_cancel_callbacks(c->store, a);
-		apply_finish_(a, a->swap_unanswered ? BH__APPLY_UNKNOWN : BH__APPLY_STORE_DOWN,
-					  a->swap_unanswered ? "the store did not reply; retry with the same change id"
-										 : "the store could not be reached; nothing was changed");
+		if (apply_may_take_effect_(a))
+			apply_finish_(a, BH__APPLY_UNKNOWN, "the store did not reply; retry with the same change id");
+		else
+			apply_finish_(a, BH__APPLY_STORE_DOWN, "the store could not be reached; nothing was changed");
 	}
 	if (c->applies->len)
 		apply_resume_(g_ptr_array_index(c->applies, 0), now_us);
 }
 
+/* Returns true if the head may be replaced after the change has ended: a compare-and-swap is under way, or
+ * one got no reply. */
+static bool apply_may_take_effect_(const Apply_ *a)
+{
+	return a->swap_unanswered || (a->step == APPLY_SWAP_ && a->pending_replies);
+}
+
 /* Reads the head for a change whose pause is over, that has not started or that waited for a fetch. */
 static void apply_resume_(Apply_ *a, uint64_t now_us)
 {
