Paths between halls: a belief with evidence from many nodes, and what uses it

A hall that hears nothing, or a pair of halls between which connections fail one way, was found out by each request and each node for itself: connections timed out, engines of the hall were granted again and again, nodes were declared dead, schedulers stood where they could not be heard.

Endpoints without a way are not used, requests take a peer of a hall that reaches both at once, duties go to halls that all reach, and no node is suspected or declared dead for a path.

--- a/include/bayhoist/members.h
+++ b/include/bayhoist/members.h
@@ -25,6 +25,9 @@
 void bh__members_process_unreachable(BH__Members *m, uint64_t node_id, uint64_t now_us);
 void bh__members_set_self(BH__Members *m, bool leaving, uint64_t config_revision, uint32_t load);
 void bh__members_set_quarantine(BH__Members *m, uint64_t hash);
+void bh__members_set_paths(BH__Members *m, BH__HallPaths *paths);
+const BH__HallPaths *bh__members_get_paths(const BH__Members *m);
+void bh__members_process_paths(BH__Members *m);
 void bh__members_announce(BH__Members *m);
 void bh__members_broadcast(BH__Members *m, BH__Message *msg);
 void bh__members_forward(BH__Members *m, const BH__Message *msg);
@@ -35,6 +38,8 @@
 const BH__MemberInfo *bh__members_get(const BH__Members *m, unsigned index);
 uint64_t bh__members_get_version(const BH__Members *m);
 bool bh__member_is_usable(const BH__MemberInfo *info);
+void bh__members_tell_halls(const BH__Members *m, BH__HallPaths *paths);
+bool bh__members_is_connected(const BH__Members *m, const BH__MemberInfo *info);
 uint64_t bh__members_pick(const BH__Members *m, uint64_t key, const char *hall);
 uint64_t bh__members_pick_except(const BH__Members *m, uint64_t key, const char *hall, const uint64_t *except,
 								 unsigned except_count);
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -6,13 +6,14 @@
 #include <glib.h>
 #include "bayhoist/catalog.h"
 #include "bayhoist/endpoint_signal.h"
+#include "bayhoist/hall_paths.h"
 #include "bayhoist/hash.h"
 #include "bayhoist/packed_text.h"
 #include "bayhoist/quarantine.h"
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 11
+#define BH__MESSAGE_VERSION 12
 #define BH__MESSAGE_UPDATES_MAX 8 /* member records piggybacked on a ping or its ack */
 #define BH__MEMBER_PARTITIONS 64  /* partitions of the member table, by the highest bits of the node id */
 /* Number of broadcast trees that each update is sent along. An unresponsive node that is not yet known to be
@@ -54,6 +55,7 @@
 	BH__MESSAGE_PERMIT_ASK,
 	BH__MESSAGE_PERMIT,
 	BH__MESSAGE_LINKS,
+	BH__MESSAGE_HALL_PATHS,
 	/* These go over a connection of their own, which carries one request through a peer. */
 	BH__MESSAGE_RELAY_OPEN,
 	BH__MESSAGE_RELAY_REPLY,
@@ -347,6 +349,11 @@
 			uint64_t node_id;
 			bool is_cut;
 		} links;
+		/* Broadcast by a node that reports a path to another hall as lost, and again while it is. */
+		struct {
+			BH__MessageRange range;
+			BH__PathReport report;
+		} hall_paths;
 		/* Asks a peer to connect to an endpoint and to pass bytes both ways. */
 		struct {
 			uint64_t endpoint_id;
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -83,6 +83,7 @@
 	BH__EndpointSignals signals;
 	uint64_t gone_at_us;        /* when the endpoint counts as gone; 0: it is listed */
 	bool is_hall_draining;      /* whether its hall is draining */
+	bool is_out_of_reach;       /* whether this node has no way to its hall; not sent to other nodes */
 	BH__EndpointRate rate;      /* enforced here if this node is the home node of the endpoint and no node
 								   schedules its service */
 	uint64_t no_grant_until_us; /* its home node grants no request until then; 0: grants are possible */
--- a/include/bayhoist/relay_peers.h
+++ b/include/bayhoist/relay_peers.h
@@ -11,6 +11,8 @@
 
 BH__RelayPeers *bh__relay_peers_new(uint32_t seed);
 void bh__relay_peers_delete(BH__RelayPeers *r);
+uint64_t bh__relay_peers_pick_for(BH__RelayPeers *r, const BH__Members *m, const char *hall,
+								  const uint64_t *except, unsigned except_count, uint64_t now_us);
 uint64_t bh__relay_peers_pick(BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
 							  unsigned except_count, uint64_t now_us);
 void bh__relay_peers_note_begin(BH__RelayPeers *r, uint64_t node_id);
--- /dev/null
+++ b/src/bayhoist-gate/hall_paths.c
@@ -0,0 +1,364 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Binds the library's belief about the paths between halls (hall_paths.h) to the gateway: connections to
+ * nodes of a hall as probes, reports to all nodes, and what follows for the endpoints of a hall without a
+ * way. */
+#include "hall_paths.h"
+
+#include <string.h>
+#include "channel.h"
+#include "clock.h"
+#include "links.h"
+#include "log.h"
+
+#define PROBES_MAX 16 /* at the same time */
+/* Bounds of the time for which a probe may be pending: several round trips, and less than the kernel takes to
+ * send a lost packet again. */
+#define PROBE_MIN_US (60 * BH__MS_US)
+#define PROBE_MAX_US (200 * BH__MS_US)
+
+/* A connection to a node or an endpoint that is closed at once. */
+typedef struct {
+	HallPaths *paths;
+	Channel *channel;
+	char hall[BH__NAME_LEN];
+	uint64_t target;
+} Probe;
+
+struct HallPaths {
+	Gate *gate;
+	BH__HallPaths *state;
+	GHashTable *probes; /* set of Probe */
+	GHashTable *known;  /* hall -> state that was last logged */
+	uint64_t version;   /* of `state`, as applied */
+	uint64_t registry_version;
+	uint64_t lost_total; /* paths that were lost since the start */
+	uint64_t probes_total;
+	GRand *rand;
+};
+
+static void make_probes_(HallPaths *p);
+static bool find_target_(const HallPaths *p, const char *hall, uint64_t *target, const char **address);
+static bool draw_node_(const HallPaths *p, const char *hall, BH__MemberState worst, uint64_t *target,
+					   const char **address);
+static bool draw_endpoint_(const HallPaths *p, const char *hall, uint64_t *target, const char **address);
+static void on_open_(void *ctx, Channel *c);
+static void on_data_(void *ctx, Channel *c, struct evbuffer *data);
+static void on_end_(void *ctx, Channel *c, ChannelEnd end);
+static void finish_(Probe *probe, bool reached);
+static void send_reports_(HallPaths *p, uint64_t now_us);
+static void process_change_(HallPaths *p, uint64_t now_us);
+static void log_change_(HallPaths *p, const BH__PathInfo *info, uint64_t now_us);
+static void apply_to_endpoints_(HallPaths *p, uint64_t now_us);
+static const char *get_hall_(const HallPaths *p, uint64_t endpoint_id);
+
+static const ChannelCallbacks Callbacks_ = {.on_open = on_open_, .on_data = on_data_, .on_end = on_end_};
+
+/* The cluster must have been started; membership uses the belief from then on. */
+HallPaths *hall_paths_new(Gate *g)
+{
+	HallPaths *p = g_new0(HallPaths, 1);
+	BH__Members *members = cluster_get_mutable_members(g->cluster);
+	const BH__MemberInfo *self = bh__members_get_self(members);
+
+	p->gate = g;
+	p->state = bh__hall_paths_new(self->hall, self->node_id);
+	p->probes = g_hash_table_new(g_direct_hash, g_direct_equal);
+	p->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p->rand = g_rand_new_with_seed((guint32)g->boot_id);
+	bh__members_set_paths(members, p->state);
+	return p;
+}
+
+/* Ends all probes and frees `p`, which may be NULL. */
+void hall_paths_delete(HallPaths *p)
+{
+	GList *all;
+
+	if (!p)
+		return;
+	if (p->gate->cluster)
+		bh__members_set_paths(cluster_get_mutable_members(p->gate->cluster), NULL);
+	all = g_hash_table_get_keys(p->probes);
+	for (GList *it = all; it; it = it->next) {
+		Probe *probe = it->data;
+		probe->channel->ops->close(probe->channel);
+		g_free(probe);
+	}
+	g_list_free(all);
+	g_hash_table_unref(p->probes);
+	g_hash_table_unref(p->known);
+	g_rand_free(p->rand);
+	bh__hall_paths_delete(p->state);
+	g_free(p);
+}
+
+const BH__HallPaths *hall_paths_get(const HallPaths *p)
+{
+	return p->state;
+}
+
+/* Returns the hall of an endpoint; empty: it is not registered. */
+static const char *get_hall_(const HallPaths *p, uint64_t endpoint_id)
+{
+	const BH__RegisteredEndpoint *e = bh__registry_find(p->gate->registry, endpoint_id);
+
+	return e ? e->entry.hall : "";
+}
+
+/* Records that a connection to an endpoint takes longer than connections usually do, or got no answer. */
+void hall_paths_note_failed(HallPaths *p, uint64_t endpoint_id)
+{
+	bh__hall_paths_note_failed(p->state, get_hall_(p, endpoint_id), endpoint_id, clock_now_us());
+	make_probes_(p);
+}
+
+/* Records that an endpoint has answered a new connection, if only by refusing it. */
+void hall_paths_note_reached(HallPaths *p, uint64_t endpoint_id)
+{
+	bh__hall_paths_note_reached(p->state, get_hall_(p, endpoint_id), endpoint_id, clock_now_us());
+}
+
+/* Returns the state of the path to an endpoint's hall. */
+BH__PathState hall_paths_get_state(const HallPaths *p, uint64_t endpoint_id)
+{
+	return bh__hall_paths_get(p->state, get_hall_(p, endpoint_id));
+}
+
+/* Returns true unless neither this node nor a peer can connect to an endpoint's hall. */
+bool hall_paths_has_way(const HallPaths *p, uint64_t endpoint_id)
+{
+	return bh__hall_paths_has_way(p->state, get_hall_(p, endpoint_id));
+}
+
+/* Makes the probes that are due. */
+static void make_probes_(HallPaths *p)
+{
+	uint64_t patience_us = CLAMP(2 * links_get_patience_us(p->gate->links), PROBE_MIN_US, PROBE_MAX_US);
+	const char *hall;
+
+	while (g_hash_table_size(p->probes) < PROBES_MAX &&
+		   (hall = bh__hall_paths_take_probe(p->state, clock_now_us()))) {
+		Probe *probe;
+		const char *address;
+		uint64_t target;
+		if (!find_target_(p, hall, &target, &address))
+			continue;
+		probe = g_new0(Probe, 1);
+		probe->paths = p;
+		probe->target = target;
+		g_strlcpy(probe->hall, hall, sizeof probe->hall);
+		probe->channel = direct_channel_new(p->gate, address, patience_us, &Callbacks_, probe);
+		g_hash_table_add(p->probes, probe);
+		p->probes_total++;
+	}
+}
+
+/* Draws a target in a hall: a node that is not dead, or an endpoint if there is none, or a node that was
+ * taken for dead, which may be back with the path. */
+static bool find_target_(const HallPaths *p, const char *hall, uint64_t *target, const char **address)
+{
+	return draw_node_(p, hall, BH__MEMBER_SUSPECT, target, address) ||
+		   draw_endpoint_(p, hall, target, address) || draw_node_(p, hall, BH__MEMBER_DEAD, target, address);
+}
+
+/* Draws a node of a hall whose state is no worse than `worst`. */
+static bool draw_node_(const HallPaths *p, const char *hall, BH__MemberState worst, uint64_t *target,
+					   const char **address)
+{
+	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	unsigned count = bh__members_get_count(m);
+	unsigned start = (unsigned)g_rand_int_range(p->rand, 0, (gint32)count);
+
+	for (unsigned i = 0; i < count; i++) {
+		unsigned index = (start + i) % count;
+		const BH__MemberInfo *info = bh__members_get(m, index);
+		if (!index || info->state > worst || strcmp(info->hall, hall) != 0)
+			continue;
+		*target = info->node_id;
+		*address = info->peer_address;
+		return true;
+	}
+	return false;
+}
+
+static bool draw_endpoint_(const HallPaths *p, const char *hall, uint64_t *target, const char **address)
+{
+	const BH__Registry *r = p->gate->registry;
+	unsigned count = bh__registry_get_count(r);
+	unsigned start = count ? (unsigned)g_rand_int_range(p->rand, 0, (gint32)count) : 0;
+
+	for (unsigned i = 0; i < count; i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(r, (start + i) % count);
+		if (strcmp(e->entry.hall, hall) != 0)
+			continue;
+		*target = e->endpoint_id;
+		*address = e->entry.address;
+		return true;
+	}
+	return false;
+}
+
+static void on_open_(void *ctx, Channel *c)
+{
+	Probe *probe = ctx;
+
+	c->ops->close(c);
+	finish_(probe, true);
+}
+
+static void on_data_(void *ctx, Channel *c, struct evbuffer *data)
+{
+	(void)ctx;
+	(void)c;
+	evbuffer_drain(data, evbuffer_get_length(data));
+}
+
+/* A connection that is refused has crossed the path both ways. */
+static void on_end_(void *ctx, Channel *c, ChannelEnd end)
+{
+	(void)c;
+	finish_(ctx, end == CHANNEL_REFUSED);
+}
+
+static void finish_(Probe *probe, bool reached)
+{
+	HallPaths *p = probe->paths;
+	uint64_t now_us = clock_now_us();
+
+	g_hash_table_remove(p->probes, probe);
+	if (reached)
+		bh__hall_paths_note_reached(p->state, probe->hall, probe->target, now_us);
+	else
+		bh__hall_paths_note_failed(p->state, probe->hall, probe->target, now_us);
+	g_free(probe);
+	send_reports_(p, now_us);
+	process_change_(p, now_us);
+}
+
+/* Broadcasts the reports that are due. */
+static void send_reports_(HallPaths *p, uint64_t now_us)
+{
+	BH__Members *members = cluster_get_mutable_members(p->gate->cluster);
+	BH__Message m = {.type = BH__MESSAGE_HALL_PATHS};
+
+	while (bh__hall_paths_take_report(p->state, now_us, &m.as.hall_paths.report))
+		bh__members_broadcast(members, &m);
+}
+
+/* Takes a report of another node and passes it on. Returns false if the message is another one; then it still
+ * shows that its sender's hall is heard. */
+bool hall_paths_process_message(HallPaths *p, const BH__Message *m)
+{
+	BH__Members *members = cluster_get_mutable_members(p->gate->cluster);
+	const BH__MemberInfo *from = bh__members_find(members, m->from_node);
+	uint64_t now_us = clock_now_us();
+
+	if (from)
+		bh__hall_paths_note_heard(p->state, from->hall, now_us);
+	if (m->type != BH__MESSAGE_HALL_PATHS)
+		return false;
+	bh__hall_paths_process_report(p->state, &m->as.hall_paths.report, now_us);
+	bh__members_forward(members, m);
+	process_change_(p, now_us);
+	return true;
+}
+
+void hall_paths_process_tick(HallPaths *p, uint64_t now_us)
+{
+	bh__members_tell_halls(cluster_get_members(p->gate->cluster), p->state);
+	bh__hall_paths_process_tick(p->state, now_us);
+	make_probes_(p);
+	send_reports_(p, now_us);
+	process_change_(p, now_us);
+	if (p->registry_version != bh__registry_get_version(p->gate->registry))
+		apply_to_endpoints_(p, now_us);
+}
+
+/* Applies a change of the belief: duties are chosen anew, and endpoints without a way are not used. */
+static void process_change_(HallPaths *p, uint64_t now_us)
+{
+	if (p->version == bh__hall_paths_get_version(p->state))
+		return;
+	p->version = bh__hall_paths_get_version(p->state);
+	for (unsigned i = 0; i < bh__hall_paths_get_count(p->state); i++) {
+		BH__PathInfo info;
+		bh__hall_paths_get_info(p->state, i, &info);
+		log_change_(p, &info, now_us);
+	}
+	bh__members_process_paths(cluster_get_mutable_members(p->gate->cluster));
+	apply_to_endpoints_(p, now_us);
+}
+
+/* Logs the loss and the return of a path. */
+static void log_change_(HallPaths *p, const BH__PathInfo *info, uint64_t now_us)
+{
+	bool was_lost = GPOINTER_TO_INT(g_hash_table_lookup(p->known, info->hall));
+	bool is_lost = info->state == BH__PATH_LOST;
+
+	if (was_lost == is_lost)
+		return;
+	g_hash_table_replace(p->known, g_strdup(info->hall), GINT_TO_POINTER(is_lost));
+	p->lost_total += is_lost;
+	log_event("path",
+			  "what=%s hall=%s since_ms=%" G_GUINT64_FORMAT
+			  " heard=%s failed_targets=%u reporters=%u detour=%s serves=%s",
+			  is_lost ? "lost" : "back", info->hall, (now_us - MIN(now_us, info->since_us)) / BH__MS_US,
+			  info->direction == BH__PATH_DIRECTION_HEARD ? "yes" : "no", info->failures, info->reporters,
+			  info->has_detour ? "yes" : "no", bh__hall_paths_may_serve(p->state, info->hall) ? "yes" : "no");
+}
+
+/* Marks the endpoints to which there is no way, so that nothing is planned or sent there. */
+static void apply_to_endpoints_(HallPaths *p, uint64_t now_us)
+{
+	BH__Registry *r = p->gate->registry;
+	bool changed = false;
+
+	for (unsigned i = 0; i < bh__registry_get_count(r); i++) {
+		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
+		bool has_way = bh__hall_paths_has_way(p->state, e->entry.hall);
+		changed |= e->is_out_of_reach == has_way;
+		e->is_out_of_reach = !has_way;
+	}
+	p->registry_version = bh__registry_get_version(r);
+	if (changed)
+		cluster_apply_registry(p->gate->cluster, now_us);
+}
+
+/* Writes the paths as metrics. */
+void hall_paths_write_status(const HallPaths *p, struct evbuffer *out)
+{
+	for (unsigned i = 0; i < bh__hall_paths_get_count(p->state); i++) {
+		BH__PathInfo info;
+		bh__hall_paths_get_info(p->state, i, &info);
+		evbuffer_add_printf(out, "bayhoist_path_lost{hall=\"%s\"} %d\n", info.hall,
+							info.state == BH__PATH_LOST);
+	}
+	evbuffer_add_printf(out,
+						"bayhoist_paths_lost_total %" G_GUINT64_FORMAT
+						"\nbayhoist_path_probes_total %" G_GUINT64_FORMAT "\n",
+						p->lost_total, p->probes_total);
+}
+
+/* Returns the paths to the other halls as a JSON array for operators. The caller frees it. */
+struct json_object *hall_paths_describe(const HallPaths *p)
+{
+	struct json_object *all = json_object_new_array();
+	uint64_t now_us = clock_now_us();
+
+	for (unsigned i = 0; i < bh__hall_paths_get_count(p->state); i++) {
+		struct json_object *o = json_object_new_object();
+		BH__PathInfo info;
+		bh__hall_paths_get_info(p->state, i, &info);
+		json_object_object_add(o, "hall", json_object_new_string(info.hall));
+		json_object_object_add(o, "path", json_object_new_string(BH__PathStateString[info.state]));
+		json_object_object_add(o, "heard", json_object_new_string(BH__PathDirectionString[info.direction]));
+		json_object_object_add(
+			o, "since_ms",
+			json_object_new_int64(info.since_us ? (int64_t)((now_us - info.since_us) / BH__MS_US) : 0));
+		json_object_object_add(o, "failed_targets", json_object_new_int64(info.failures));
+		json_object_object_add(o, "reporters", json_object_new_int64(info.reporters));
+		json_object_object_add(o, "detour", json_object_new_string(info.has_detour ? "yes" : "no"));
+		json_object_array_add(all, o);
+	}
+	return all;
+}
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -5,6 +5,7 @@
 
 #include "bayhoist/relay_peers.h"
 #include "clock.h"
+#include "hall_paths.h"
 #include "link_probe.h"
 #include "log.h"
 #include "relay_server.h"
@@ -30,6 +31,7 @@
 	Gate *gate;
 	BH__LinkState *state;
 	BH__RelayPeers *peers;
+	HallPaths *paths;                         /* between the halls */
 	GHashTable *probes;                       /* LinkProbe by endpoint id */
 	GArray *reports;                          /* Report: they wait for a probe */
 	BH__LinksState known;                     /* state that was last logged and announced */
@@ -52,6 +54,7 @@
 	l->gate = g;
 	l->state = bh__link_state_new(clock_now_us());
 	l->peers = bh__relay_peers_new((uint32_t)g->boot_id);
+	l->paths = hall_paths_new(g);
 	l->reports = g_array_new(FALSE, FALSE, sizeof(Report));
 	l->probes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	return l;
@@ -70,6 +73,7 @@
 		link_probe_delete(probe);
 	g_hash_table_unref(l->probes);
 	g_array_unref(l->reports);
+	hall_paths_delete(l->paths);
 	bh__relay_peers_delete(l->peers);
 	bh__link_state_delete(l->state);
 	g_free(l);
@@ -78,7 +82,14 @@
 /* Returns how a request gets to an endpoint. */
 BH__LinkRoute links_choose(const Links *l, uint64_t endpoint_id)
 {
-	return bh__link_state_choose(l->state, endpoint_id);
+	return links_has_lost_path(l, endpoint_id) ? BH__LINK_ROUTE_PEER
+											   : bh__link_state_choose(l->state, endpoint_id);
+}
+
+/* Returns true while no connection from this node's hall to that of an endpoint can be set up. */
+bool links_has_lost_path(const Links *l, uint64_t endpoint_id)
+{
+	return hall_paths_get_state(l->paths, endpoint_id) == BH__PATH_LOST;
 }
 
 /* Returns for how long a connection may be pending before a peer is asked too. */
@@ -108,15 +119,17 @@
 }
 
 /* Returns true if what failed at an endpoint, in a dispatch that began at `since_us`, is to be put down to
- * this node's links. */
+ * this node's links or to the path to the endpoint's hall. */
 bool links_is_own_fault(const Links *l, uint64_t endpoint_id, uint64_t since_us)
 {
-	return bh__link_state_is_own_fault(l->state, endpoint_id, since_us);
+	return hall_paths_get_state(l->paths, endpoint_id) != BH__PATH_OPEN ||
+		   bh__link_state_is_own_fault(l->state, endpoint_id, since_us);
 }
 
-/* Records how long it took this node to connect to some endpoint. */
-void links_note_connect_time(Links *l, uint64_t took_us)
+/* Records how long it took this node to connect to an endpoint. */
+void links_note_connected(Links *l, uint64_t endpoint_id, uint64_t took_us)
 {
+	hall_paths_note_reached(l->paths, endpoint_id);
 	bh__link_state_note_connect_time(l->state, took_us);
 }
 
@@ -127,9 +140,22 @@
 	process_change_(l);
 }
 
-/* Records that this node could not connect to an endpoint. */
-void links_note_failed(Links *l, uint64_t endpoint_id)
+/* Records that connecting to an endpoint takes longer than usual. */
+void links_note_slow(Links *l, uint64_t endpoint_id)
 {
+	hall_paths_note_failed(l->paths, endpoint_id);
+}
+
+/* Records that this node could not connect to an endpoint. A refusal has come from there, so the path to its
+ * hall works. What a lost path prevents says nothing of this node's own links. */
+void links_note_failed(Links *l, uint64_t endpoint_id, bool was_refused)
+{
+	if (was_refused)
+		hall_paths_note_reached(l->paths, endpoint_id);
+	else
+		hall_paths_note_failed(l->paths, endpoint_id);
+	if (links_has_lost_path(l, endpoint_id))
+		return;
 	bh__link_state_note_failed(l->state, endpoint_id, clock_now_us());
 	process_change_(l);
 }
@@ -146,10 +172,12 @@
 	start_probe_(l, endpoint_id, true);
 }
 
-/* Returns true if a failure of this node's at an endpoint says little of the endpoint. */
+/* Returns true if a failure of this node's at an endpoint says little of the endpoint: this node's links or
+ * the path to the endpoint's hall may be at fault. */
 bool links_is_doubtful(const Links *l, uint64_t endpoint_id)
 {
-	return bh__link_state_is_doubtful(l->state, endpoint_id);
+	return hall_paths_get_state(l->paths, endpoint_id) != BH__PATH_OPEN ||
+		   bh__link_state_is_doubtful(l->state, endpoint_id);
 }
 
 /* Handles a connection of this node's that broke before the answer was whole. Whether that is reported to the
@@ -158,6 +186,8 @@
 {
 	Report report = {.endpoint_id = endpoint_id};
 
+	if (links_has_lost_path(l, endpoint_id))
+		return;
 	g_strlcpy(report.service, service, sizeof report.service);
 	start_probe_(l, endpoint_id, true);
 	if (g_hash_table_contains(l->probes, &endpoint_id))
@@ -183,14 +213,18 @@
 	uint64_t now_us = clock_now_us();
 
 	g_hash_table_remove(l->probes, &endpoint_id);
-	if (own == LINK_PROBE_CONNECTED)
+	if (own == LINK_PROBE_CONNECTED) {
+		hall_paths_note_reached(l->paths, endpoint_id);
 		bh__link_state_note_reached(l->state, endpoint_id, now_us, now_us);
-	else
-		bh__link_state_note_failed(l->state, endpoint_id, now_us);
-	process_change_(l);
+		process_change_(l);
+	}
+	else {
+		links_note_failed(l, endpoint_id, own == LINK_PROBE_REFUSED);
+	}
 	send_reports_(l, endpoint_id,
-				  peer != LINK_PROBE_REFUSED && peer != LINK_PROBE_SILENT &&
-					  bh__link_state_choose(l->state, endpoint_id) == BH__LINK_ROUTE_PEER);
+				  hall_paths_get_state(l->paths, endpoint_id) != BH__PATH_OPEN ||
+					  (peer != LINK_PROBE_REFUSED && peer != LINK_PROBE_SILENT &&
+					   bh__link_state_choose(l->state, endpoint_id) == BH__LINK_ROUTE_PEER));
 }
 
 /* Reports the broken connections to an endpoint that has been looked at, unless this node's links are at
@@ -207,12 +241,16 @@
 	}
 }
 
-/* Returns the peer to ask next, or NULL if there is none. */
-const BH__MemberInfo *links_pick_peer(Links *l, const uint64_t *except, unsigned except_count)
+/* Returns the peer to ask next for an endpoint, one whose hall has a path to the endpoint's and to this
+ * node's, or NULL if there is none. */
+const BH__MemberInfo *links_pick_peer(Links *l, uint64_t endpoint_id, const uint64_t *except,
+									  unsigned except_count)
 {
 	const BH__Members *m = cluster_get_members(l->gate->cluster);
+	const BH__RegisteredEndpoint *e = bh__registry_find(l->gate->registry, endpoint_id);
 
-	return bh__members_find(m, bh__relay_peers_pick(l->peers, m, except, except_count, clock_now_us()));
+	return bh__members_find(m, bh__relay_peers_pick_for(l->peers, m, e ? e->entry.hall : NULL, except,
+														except_count, clock_now_us()));
 }
 
 /* Returns the name of a node, or "unknown" if it is no member any more. */
@@ -336,6 +374,8 @@
  * one. */
 bool links_process_message(Links *l, const BH__Message *m)
 {
+	if (hall_paths_process_message(l->paths, m))
+		return true;
 	if (m->type != BH__MESSAGE_LINKS)
 		return false;
 	bh__relay_peers_set_cut(l->peers, m->as.links.node_id, m->as.links.is_cut, clock_now_us());
@@ -349,6 +389,7 @@
 {
 	uint64_t endpoint_id;
 
+	hall_paths_process_tick(l->paths, now_us);
 	if (l->known == BH__LINKS_CUT && now_us >= l->announced_us + ANNOUNCE_PERIOD_US)
 		announce_(l, now_us);
 	process_change_(l);
@@ -383,6 +424,7 @@
 	for (int i = 0; i < BH__RELAY_RESULT_COUNT; i++)
 		evbuffer_add_printf(out, "bayhoist_relay_replies_total{result=\"%s\"} %" G_GUINT64_FORMAT "\n",
 							BH__RelayResultString[i], l->results[i]);
+	hall_paths_write_status(l->paths, out);
 }
 
 /* Returns the state of this node's links, what it rests on, and the peers in use, as JSON for operators. The
@@ -420,5 +462,6 @@
 	json_object_object_add(root, "requests_of_peers",
 						   json_object_new_int64(relay_server_get_count(l->gate->relay_server)));
 	json_object_object_add(root, "peers", peers);
+	json_object_object_add(root, "paths", hall_paths_describe(l->paths));
 	return root;
 }
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -51,7 +51,7 @@
 static void on_data_(void *ctx, Channel *c, struct evbuffer *data);
 static void on_channel_end_(void *ctx, Channel *c, ChannelEnd end);
 static void on_used_end_(Outbound *o, ChannelEnd end);
-static void on_direct_failed_(Outbound *o);
+static void on_direct_failed_(Outbound *o, ChannelEnd end);
 static void on_relay_failed_(Outbound *o, ChannelEnd end);
 static void on_timer_(evutil_socket_t fd, short what, void *arg);
 static void finish_(Outbound *o, OutboundEnd end);
@@ -131,8 +131,10 @@
 {
 	if (o->lost_hop)
 		return true;
-	if (o->peer_failed || o->is_relayed)
+	if (o->is_relayed)
 		return false;
+	if (o->peer_failed)
+		return links_has_lost_path(o->gate->links, o->endpoint_id);
 	return links_is_own_fault(o->gate->links, o->endpoint_id, o->began_us);
 }
 
@@ -151,7 +153,7 @@
 	evtimer_del(o->timer);
 	o->opened_us = clock_now_us();
 	if (c == o->direct)
-		links_note_connect_time(o->gate->links, o->opened_us - o->direct_began_us);
+		links_note_connected(o->gate->links, o->endpoint_id, o->opened_us - o->direct_began_us);
 	o->used = c;
 	o->is_relayed = c == o->relay;
 	drop_other_(o);
@@ -209,7 +211,7 @@
 	else if (is_relay)
 		on_relay_failed_(o, end);
 	else
-		on_direct_failed_(o);
+		on_direct_failed_(o, end);
 }
 
 /* Ends the request with the channel that it was sent over. */
@@ -224,20 +226,21 @@
 }
 
 /* Goes on through a peer after this node's connection has failed. */
-static void on_direct_failed_(Outbound *o)
+static void on_direct_failed_(Outbound *o, ChannelEnd end)
 {
-	links_note_failed(o->gate->links, o->endpoint_id);
+	links_note_failed(o->gate->links, o->endpoint_id, end == CHANNEL_REFUSED);
 	if (!o->relay_tried)
 		open_relay_(o);
 	else if (!o->relay)
 		finish_(o, OUTBOUND_UNREACHABLE);
 }
 
-/* Goes on with a connection of this node's after no peer could connect. */
+/* Goes on with a connection of this node's after no peer could connect, unless the path to the endpoint's
+ * hall is known to be lost: the request is sent elsewhere at once. */
 static void on_relay_failed_(Outbound *o, ChannelEnd end)
 {
 	o->peer_failed = end == CHANNEL_REFUSED || end == CHANNEL_SILENT;
-	if (!o->direct_tried)
+	if (!o->direct_tried && !links_has_lost_path(o->gate->links, o->endpoint_id))
 		open_direct_(o);
 	else if (!o->direct)
 		finish_(o, OUTBOUND_UNREACHABLE);
@@ -246,9 +249,12 @@
 /* Asks a peer too. */
 static void on_timer_(evutil_socket_t fd, short what, void *arg)
 {
+	Outbound *o = arg;
+
 	(void)fd;
 	(void)what;
-	open_relay_(arg);
+	links_note_slow(o->gate->links, o->endpoint_id);
+	open_relay_(o);
 }
 
 /* Closes the request and calls on_end with the result. Does nothing if it is closed. */
--- a/src/bayhoist-gate/relay_channel.c
+++ b/src/bayhoist-gate/relay_channel.c
@@ -77,7 +77,7 @@
 	const BH__MemberInfo *info = NULL;
 
 	if (r->asked_count < PEERS_MAX && left_us > 0)
-		info = links_pick_peer(r->gate->links, r->asked, r->asked_count);
+		info = links_pick_peer(r->gate->links, r->endpoint_id, r->asked, r->asked_count);
 	if (!info) {
 		set_timer_(r, 0);
 		return;
@@ -205,7 +205,8 @@
 		end_(r, CHANNEL_NO_PEER);
 		return;
 	}
-	if (r->asked_count == PEERS_MAX || !links_pick_peer(r->gate->links, r->asked, r->asked_count)) {
+	if (r->asked_count == PEERS_MAX ||
+		!links_pick_peer(r->gate->links, r->endpoint_id, r->asked, r->asked_count)) {
 		set_timer_(r, r->give_up_us - now_us);
 		return;
 	}
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -134,6 +134,8 @@
 		return BH__RELAY_NODE_FULL;
 	if (!e || !bh__registered_endpoint_accepts_requests(e, clock_now_us()))
 		return BH__RELAY_ENDPOINT_UNUSABLE;
+	if (links_has_lost_path(g->links, e->endpoint_id))
+		return BH__RELAY_NODE_DOUBTFUL;
 	return BH__RELAY_OPENED;
 }
 
@@ -181,7 +183,7 @@
 	y->is_open = true;
 	y->server->opened++;
 	y->incarnation = bh__registry_note_start(g->registry, y->endpoint_id);
-	links_note_connect_time(g->links, clock_now_us() - y->began_us);
+	links_note_connected(g->links, y->endpoint_id, clock_now_us() - y->began_us);
 	log_event("relay", "what=opened request=%s from=%s endpoint=%s", y->request_id,
 			  links_get_name(g->links, y->from_node), links_get_endpoint(g->links, y->endpoint_id));
 	reply_(y->server, y->stream, BH__RELAY_OPENED);
@@ -252,7 +254,7 @@
 	BH__RelayResult result = end == CHANNEL_REFUSED ? BH__RELAY_ENDPOINT_REFUSED : BH__RELAY_ENDPOINT_SILENT;
 
 	y->server->refused++;
-	links_note_failed(links, y->endpoint_id);
+	links_note_failed(links, y->endpoint_id, end == CHANNEL_REFUSED);
 	if (links_is_doubtful(links, y->endpoint_id))
 		result = BH__RELAY_NODE_DOUBTFUL;
 	reply_(y->server, y->stream, result);
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -61,6 +61,7 @@
 	GPtrArray *seeds;        /* char *: peer addresses to join by */
 	GArray *indirect_probes; /* IndirectProbe_: not acknowledged yet */
 	GRand *rand;
+	BH__HallPaths *paths;     /* between the halls, kept by the owner; NULL: not watched */
 	uint64_t version;         /* incremented by each change that can affect bh__members_pick() */
 	uint64_t quarantine_hash; /* sent in pings and acks */
 	uint64_t last_sequence;   /* sequence number of the last ping sent; 0: none */
@@ -108,12 +109,13 @@
 static void ping_suspect_(BH__Members *m, Entry_ *e, uint64_t now_us);
 static void broadcast_member_(BH__Members *m, const BH__MemberInfo *info, unsigned trees);
 static bool is_alive_(const void *members, uint64_t node_id);
+static bool is_excused_(const BH__Members *m, const Entry_ *e);
 static void broadcast_on_trees_(BH__Members *m, BH__Message *msg, unsigned trees);
 static void forward_to_range_(BH__Members *m, const BH__Message *msg);
 static void on_member_update_(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 static void set_state_(BH__Members *m, Entry_ *e, BH__MemberState state, uint64_t now_us);
 static void resend_suspicion_(BH__Members *m, uint64_t node_id);
-static void on_ack_(BH__Members *m, const BH__Message *msg);
+static void on_ack_(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 static void on_ping_req_(BH__Members *m, const BH__Message *msg, uint64_t now_us);
 static bool is_in_parts_(uint64_t partitions, uint64_t node_id);
 static void send_table_parts_(BH__Members *m, const char *address, uint64_t partitions);
@@ -328,11 +330,13 @@
 
 	if (e && !m->indirect_requested && now_us >= m->probe_sent_us + DIRECT_PROBE_WAIT_US_) {
 		m->indirect_requested = true;
+		if (m->paths)
+			bh__hall_paths_note_failed(m->paths, e->info.hall, e->info.node_id, now_us);
 		request_indirect_probes_(m, e);
 	}
 	if (now_us < m->probe_sent_us + PROBE_PERIOD_US_)
 		return;
-	if (e && e->info.state == BH__MEMBER_ALIVE) {
+	if (e && e->info.state == BH__MEMBER_ALIVE && !is_excused_(m, e)) {
 		suspect_(m, e, now_us);
 		broadcast_member_(m, &e->info, BH__MESSAGE_UPDATE_TREES);
 		e->sends_left = SENDS_AFTER_BROADCAST_;
@@ -462,6 +466,8 @@
 {
 	for (guint i = m->entries->len; i-- > 0;) {
 		Entry_ *e = g_ptr_array_index(m->entries, i);
+		if (e->info.state == BH__MEMBER_SUSPECT && is_excused_(m, e))
+			e->state_since_us = now_us; /* it has the whole time once the path is back */
 		if (e->info.state == BH__MEMBER_SUSPECT && now_us >= e->state_since_us + SUSPICION_US_) {
 			set_state_(m, e, BH__MEMBER_DEAD, now_us);
 			e->sends_left = SENDS_AFTER_BROADCAST_; /* other nodes declare it dead by their own time-out */
@@ -512,12 +518,19 @@
 	}
 }
 
-/* Returns whether a node is alive; the callback of BH__Ring. */
+/* Returns whether a node is alive and can be sent to; the callback of BH__Ring. */
 static bool is_alive_(const void *members, uint64_t node_id)
 {
-	const Entry_ *e = g_hash_table_lookup(((const BH__Members *)members)->by_id, &node_id);
+	const BH__Members *m = members;
+	const Entry_ *e = g_hash_table_lookup(m->by_id, &node_id);
+
+	return e->info.state == BH__MEMBER_ALIVE && bh__members_is_connected(m, &e->info);
+}
 
-	return e->info.state == BH__MEMBER_ALIVE;
+/* Returns whether the silence of a node is put down to the path to its hall. */
+static bool is_excused_(const BH__Members *m, const Entry_ *e)
+{
+	return m->paths && bh__hall_paths_excuses(m->paths, e->info.hall);
 }
 
 /* Sends a message to one node of each subrange of the message's ring range, with that subrange as its new
@@ -680,7 +693,7 @@
 		for (unsigned i = 0; i < msg->as.ping.update_count; i++)
 			merge_(m, &msg->as.ping.update[i], get_send_count_(m), now_us);
 		if (msg->type == BH__MESSAGE_ACK) {
-			on_ack_(m, msg);
+			on_ack_(m, msg, now_us);
 			return true;
 		}
 		resend_suspicion_(m, msg->from_node);
@@ -739,10 +752,13 @@
 }
 
 /* Ends this node's own probe, or sends an ack to the node that requested the indirect probe. */
-static void on_ack_(BH__Members *m, const BH__Message *msg)
+static void on_ack_(BH__Members *m, const BH__Message *msg, uint64_t now_us)
 {
 	uint64_t sequence = msg->as.ping.sequence;
 
+	/* An answer by way of another node is no round trip. */
+	if (sequence == m->probe_sequence && m->paths && msg->from_node == m->probe_node)
+		bh__hall_paths_note_reached(m->paths, msg->as.ping.self.hall, msg->from_node, now_us);
 	if (sequence == m->probe_sequence)
 		m->probe_node = 0;
 	for (guint i = 0; i < m->indirect_probes->len; i++) {
@@ -833,7 +849,7 @@
 {
 	Entry_ *e = g_hash_table_lookup(m->by_id, &node_id);
 
-	if (!e || e->info.state != BH__MEMBER_ALIVE)
+	if (!e || e->info.state != BH__MEMBER_ALIVE || is_excused_(m, e))
 		return;
 	if (!is_unconfirmed_(e) || now_us >= e->state_since_us + UNCONFIRMED_MAX_WAIT_US_)
 		suspect_(m, e, now_us);
@@ -853,6 +869,25 @@
 	self->load = load;
 }
 
+/* Sets the belief about paths between halls, to which probes contribute and by which nodes are chosen; it
+ * must outlive `m`. */
+void bh__members_set_paths(BH__Members *m, BH__HallPaths *paths)
+{
+	m->paths = paths;
+	m->version++;
+}
+
+const BH__HallPaths *bh__members_get_paths(const BH__Members *m)
+{
+	return m->paths;
+}
+
+/* Notes that the belief about paths has changed, so that other nodes may be chosen. */
+void bh__members_process_paths(BH__Members *m)
+{
+	m->version++;
+}
+
 /* Sets the hash of this node's quarantine entries, which pings and acks carry. Nodes whose hashes differ
  * exchange their entries. */
 void bh__members_set_quarantine(BH__Members *m, uint64_t hash)
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -15,11 +15,11 @@
 #define MSGPACK_ARRAY16_ 0xdc
 
 const char *const BH__MessageTypeString[] = {
-	"ping",       "ack",         "ping-req",   "join",        "members",    "ask",      "grant",
-	"refuse",     "release",     "progress",   "withdraw",    "hold",       "orphan",   "config-news",
-	"config-ask", "config-data", "quota-ask",  "quota-grant", "queued",     "look-ask", "look",
-	"pass",       "reader",      "suspect",    "quarantine",  "news",       "signals",  "permit-ask",
-	"permit",     "links",       "relay-open", "relay-reply", "relay-data", "relay-end"};
+	"ping",       "ack",         "ping-req",   "join",        "members",     "ask",        "grant",
+	"refuse",     "release",     "progress",   "withdraw",    "hold",        "orphan",     "config-news",
+	"config-ask", "config-data", "quota-ask",  "quota-grant", "queued",      "look-ask",   "look",
+	"pass",       "reader",      "suspect",    "quarantine",  "news",        "signals",    "permit-ask",
+	"permit",     "links",       "hall-paths", "relay-open",  "relay-reply", "relay-data", "relay-end"};
 const char *const BH__MemberStateString[] = {"alive", "suspect", "dead"};
 const char *const BH__RelayResultString[] = {
 	"opened",        "endpoint-refused", "endpoint-silent", "endpoint-unusable",
@@ -69,6 +69,7 @@
 static void signal_update_(Codec_ *c, BH__SignalUpdate *n);
 static void permit_ask_(Codec_ *c, BH__Message *m);
 static void permit_(Codec_ *c, BH__Message *m);
+static void hall_paths_(Codec_ *c, BH__Message *m);
 static void body_(Codec_ *c, BH__Message *m);
 static bool is_container_(uint8_t lead);
 
@@ -505,6 +506,19 @@
 	u64_(c, &m->as.permit.wait_us);
 }
 
+static void hall_paths_(Codec_ *c, BH__Message *m)
+{
+	BH__PathReport *r = &m->as.hall_paths.report;
+
+	range_(c, &m->as.range);
+	u64_(c, &r->node_id);
+	string_(c, r->from, sizeof r->from);
+	string_(c, r->to, sizeof r->to);
+	flag_(c, &r->is_lost);
+	flag_(c, &r->is_heard);
+	u32_(c, &r->hall_nodes);
+}
+
 /* Packs or takes the fields that belong to the message's type. */
 static void body_(Codec_ *c, BH__Message *m)
 {
@@ -608,6 +622,9 @@
 		u64_(c, &m->as.links.node_id);
 		flag_(c, &m->as.links.is_cut);
 		break;
+	case BH__MESSAGE_HALL_PATHS:
+		hall_paths_(c, m);
+		break;
 	case BH__MESSAGE_RELAY_OPEN:
 		u64_(c, &m->as.relay_open.endpoint_id);
 		u64_(c, &m->as.relay_open.time_us);
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -501,11 +501,11 @@
 	return !e->entry.draining && (!e->gone_at_us || now_us < e->gone_at_us);
 }
 
-/* Returns true if nodes may send new requests to an endpoint: it is present, not leaving, and its hall is not
- * draining. */
+/* Returns true if nodes may send new requests to an endpoint: it is present, not leaving, its hall is not
+ * draining, and there is a way to it. */
 bool bh__registered_endpoint_is_usable(const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
-	return !e->is_hall_draining && bh__registered_endpoint_is_active(e, now_us);
+	return !e->is_hall_draining && !e->is_out_of_reach && bh__registered_endpoint_is_active(e, now_us);
 }
 
 /* Returns true if this node may send new requests to an endpoint: it is usable and has not asked this node
--- a/src/libbayhoist/relay_peers.c
+++ b/src/libbayhoist/relay_peers.c
@@ -28,6 +28,7 @@
 static Peer_ *add_peer_(BH__RelayPeers *r, uint64_t node_id);
 static bool is_candidate_(const BH__RelayPeers *r, const BH__MemberInfo *info, const uint64_t *except,
 						  unsigned except_count, uint64_t now_us);
+static bool may_carry_(const BH__Members *m, const BH__MemberInfo *info, const char *hall);
 static double cost_(const BH__RelayPeers *r, const BH__MemberInfo *info, const BH__MemberInfo *self);
 
 BH__RelayPeers *bh__relay_peers_new(uint32_t seed)
@@ -48,10 +49,17 @@
 	g_free(r);
 }
 
-/* Returns the id of the peer to use next, or 0 if there is none. `except` lists peers that this request has
- * tried. */
+/* Returns the id of the peer to use next for an endpoint in any hall, see bh__relay_peers_pick_for(). */
 uint64_t bh__relay_peers_pick(BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
 							  unsigned except_count, uint64_t now_us)
+{
+	return bh__relay_peers_pick_for(r, m, NULL, except, except_count, now_us);
+}
+
+/* Returns the id of the peer to use next, or 0 if there is none. `hall`: that of the endpoint, to which the
+ * peer's hall must have a path; NULL: any. `except` lists peers that this request has tried. */
+uint64_t bh__relay_peers_pick_for(BH__RelayPeers *r, const BH__Members *m, const char *hall,
+								  const uint64_t *except, unsigned except_count, uint64_t now_us)
 {
 	const BH__MemberInfo *self = bh__members_get_self(m);
 	const BH__MemberInfo *best = NULL;
@@ -59,7 +67,8 @@
 	uint64_t node_id;
 
 	for (unsigned i = 1; i < bh__members_get_count(m); i++)
-		if (is_candidate_(r, bh__members_get(m, i), except, except_count, now_us))
+		if (is_candidate_(r, bh__members_get(m, i), except, except_count, now_us) &&
+			may_carry_(m, bh__members_get(m, i), hall))
 			g_ptr_array_add(all, (gpointer)bh__members_get(m, i));
 	for (unsigned drawn = 0; drawn < DRAWN_ && all->len; drawn++) {
 		const BH__MemberInfo *info =
@@ -84,6 +93,15 @@
 	return bh__member_is_usable(info) && (!p || (now_us >= p->avoid_until_us && now_us >= p->cut_until_us));
 }
 
+/* Returns true if the paths between the halls let a peer connect to an endpoint in `hall` for this node. */
+static bool may_carry_(const BH__Members *m, const BH__MemberInfo *info, const char *hall)
+{
+	const BH__HallPaths *paths = bh__members_get_paths(m);
+
+	return !paths ||
+		   (hall ? bh__hall_paths_may_carry(paths, info->hall, hall) : bh__members_is_connected(m, info));
+}
+
 /* Returns what it costs to use a peer: the requests in progress there, as it told last and as this node sends
  * them, against its capacity, and the way to it. */
 static double cost_(const BH__RelayPeers *r, const BH__MemberInfo *info, const BH__MemberInfo *self)
--- a/src/libbayhoist/takeover.c
+++ b/src/libbayhoist/takeover.c
@@ -55,7 +55,8 @@
 		return true;
 	for (unsigned i = 1; i < bh__members_get_count(members); i++) {
 		const BH__MemberInfo *info = bh__members_get(members, i);
-		if (bh__member_is_usable(info) && !has_reported_(t, info->node_id))
+		if (bh__member_is_usable(info) && bh__members_is_connected(members, info) &&
+			!has_reported_(t, info->node_id))
 			return false;
 	}
 	return true;
