--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -157,8 +157,6 @@
 static void members_changed_(BH__MembersPort *port, const BH__MemberInfo *info, BH__MemberState old)
 {
 	Cluster *c = (Cluster *)port;
-	GHashTableIter it;
-	gpointer value;
 
 	if (++c->member_changes <= MEMBER_LINES_MAX)
 		log_event("member", "node=%s state=%s was=%s leaving=%s node_boot=%" G_GINT64_MODIFIER "x",
@@ -166,11 +164,19 @@
 				  info->leaving ? "yes" : "no", info->boot_id);
 	if (bh__member_is_usable(info))
 		signals_notify_node(c->signals, info->node_id);
-	if (info->state != BH__MEMBER_DEAD || old == BH__MEMBER_DEAD)
-		return;
+	if (info->state == BH__MEMBER_DEAD && old != BH__MEMBER_DEAD)
+		cluster_process_node_gone(c, info->node_id);
+}
+
+/* Frees, in all planners, what a node holds that is dead or out of reach. */
+void cluster_process_node_gone(Cluster *c, uint64_t node_id)
+{
+	GHashTableIter it;
+	gpointer value;
+
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		bh__planner_process_node_gone(((Service *)value)->planner, info->node_id, clock_now_us());
+		bh__planner_process_node_gone(((Service *)value)->planner, node_id, clock_now_us());
 }
 
 /* Processes a message from another node. Ignores one that names this node as its sender. */
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -243,6 +243,7 @@
 /* engine_failures.c */
 void cluster_report_failure(Cluster *c, const char *service, uint64_t endpoint_id);
 void cluster_withdraw_failures(Cluster *c, uint64_t node_id);
+void cluster_process_node_gone(Cluster *c, uint64_t node_id);
 
 /* signals.c */
 
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -11,6 +11,9 @@
 #include "log.h"
 
 #define PROBES_MAX 16 /* at the same time */
+/* What the nodes of a hall without a way hold of engines is freed after this time, as that of dead nodes is.
+ */
+#define GONE_US (2 * BH__SECOND_US)
 /* Bounds of the time for which a probe may be pending: several round trips, and less than the kernel takes to
  * send a lost packet again. */
 #define PROBE_MIN_US (60 * BH__MS_US)
@@ -24,11 +27,14 @@
 	uint64_t target;
 } Probe;
 
+/* What has been done about a hall. */
+typedef enum { KNOWN_OPEN, KNOWN_LOST, KNOWN_GONE } Known;
+
 struct HallPaths {
 	Gate *gate;
 	BH__HallPaths *state;
 	GHashTable *probes; /* set of Probe */
-	GHashTable *known;  /* hall -> state that was last logged */
+	GHashTable *known;  /* hall -> Known */
 	uint64_t version;   /* of `state`, as applied */
 	uint64_t registry_version;
 	uint64_t lost_total; /* paths that were lost since the start */
@@ -47,7 +53,9 @@
 static void finish_(Probe *probe, bool reached);
 static void send_reports_(HallPaths *p, uint64_t now_us);
 static void process_change_(HallPaths *p, uint64_t now_us);
-static void log_change_(HallPaths *p, const BH__PathInfo *info, uint64_t now_us);
+static void note_change_(HallPaths *p, const BH__PathInfo *info, uint64_t now_us);
+static void withdraw_failures_(HallPaths *p, const char *hall);
+static void free_grants_(HallPaths *p, uint64_t now_us);
 static void apply_to_endpoints_(HallPaths *p, uint64_t now_us);
 static const char *get_hall_(const HallPaths *p, uint64_t endpoint_id);
 
@@ -270,6 +278,7 @@
 	make_probes_(p);
 	send_reports_(p, now_us);
 	process_change_(p, now_us);
+	free_grants_(p, now_us);
 	if (p->registry_version != bh__registry_get_version(p->gate->registry))
 		apply_to_endpoints_(p, now_us);
 }
@@ -283,21 +292,22 @@
 	for (unsigned i = 0; i < bh__hall_paths_get_count(p->state); i++) {
 		BH__PathInfo info;
 		bh__hall_paths_get_info(p->state, i, &info);
-		log_change_(p, &info, now_us);
+		note_change_(p, &info, now_us);
 	}
 	bh__members_process_paths(cluster_get_mutable_members(p->gate->cluster));
 	apply_to_endpoints_(p, now_us);
 }
 
-/* Logs the loss and the return of a path. */
-static void log_change_(HallPaths *p, const BH__PathInfo *info, uint64_t now_us)
+/* Logs the loss and the return of a path. What nodes on its two sides reported of engines meanwhile is taken
+ * back. */
+static void note_change_(HallPaths *p, const BH__PathInfo *info, uint64_t now_us)
 {
-	bool was_lost = GPOINTER_TO_INT(g_hash_table_lookup(p->known, info->hall));
+	bool was_lost = GPOINTER_TO_INT(g_hash_table_lookup(p->known, info->hall)) != KNOWN_OPEN;
 	bool is_lost = info->state == BH__PATH_LOST;
 
 	if (was_lost == is_lost)
 		return;
-	g_hash_table_replace(p->known, g_strdup(info->hall), GINT_TO_POINTER(is_lost));
+	g_hash_table_replace(p->known, g_strdup(info->hall), GINT_TO_POINTER(is_lost ? KNOWN_LOST : KNOWN_OPEN));
 	p->lost_total += is_lost;
 	log_event("path",
 			  "what=%s hall=%s since_ms=%" G_GUINT64_FORMAT
@@ -305,6 +315,39 @@
 			  is_lost ? "lost" : "back", info->hall, (now_us - MIN(now_us, info->since_us)) / BH__MS_US,
 			  info->direction == BH__PATH_DIRECTION_HEARD ? "yes" : "no", info->failures, info->reporters,
 			  info->has_detour ? "yes" : "no", bh__hall_paths_may_serve(p->state, info->hall) ? "yes" : "no");
+	withdraw_failures_(p, info->hall);
+}
+
+static void withdraw_failures_(HallPaths *p, const char *hall)
+{
+	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__MemberInfo *self = bh__members_get_self(m);
+
+	bh__registry_withdraw_failures(p->gate->registry);
+	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
+		const BH__MemberInfo *info = bh__members_get(m, i);
+		if (!strcmp(info->hall, hall) || !strcmp(info->hall, self->hall))
+			cluster_withdraw_failures(p->gate->cluster, info->node_id);
+	}
+}
+
+/* Frees what nodes hold whose hall has had no way for a while. They aren't declared dead, but may not tell
+ * when their requests end. */
+static void free_grants_(HallPaths *p, uint64_t now_us)
+{
+	const BH__Members *m = cluster_get_members(p->gate->cluster);
+
+	for (unsigned i = 0; i < bh__hall_paths_get_count(p->state); i++) {
+		BH__PathInfo info;
+		bh__hall_paths_get_info(p->state, i, &info);
+		if (GPOINTER_TO_INT(g_hash_table_lookup(p->known, info.hall)) != KNOWN_LOST || info.has_detour ||
+			now_us < info.since_us + GONE_US)
+			continue;
+		g_hash_table_replace(p->known, g_strdup(info.hall), GINT_TO_POINTER(KNOWN_GONE));
+		for (unsigned j = 1; j < bh__members_get_count(m); j++)
+			if (!strcmp(bh__members_get(m, j)->hall, info.hall))
+				cluster_process_node_gone(p->gate->cluster, bh__members_get(m, j)->node_id);
+	}
 }
 
 /* Marks the endpoints to which there is no way, so that nothing is planned or sent there. */
@@ -315,7 +358,8 @@
 
 	for (unsigned i = 0; i < bh__registry_get_count(r); i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		bool has_way = bh__hall_paths_has_way(p->state, e->entry.hall);
+		bool has_way = bh__hall_paths_has_way(p->state, e->entry.hall) &&
+					   bh__hall_paths_is_together(p->state, e->entry.hall);
 		changed |= e->is_out_of_reach == has_way;
 		e->is_out_of_reach = !has_way;
 	}
--- a/src/libbayhoist/hall_paths.c
+++ b/src/libbayhoist/hall_paths.c
@@ -16,8 +16,12 @@
 #define REPORTERS_MIN_ 2u
 /* Nodes of a hall that go on reporting and probing; the others rely on them. */
 #define REPORTERS_KEPT_ 4u
+/* From a conclusion to resigning. Nobody withdraws the report of a node that has resigned, so it would keep
+ * up the belief of a cut that was shorter. */
+#define RESIGN_US_ BH__SECOND_US
 #define REPORT_PERIOD_US_ (500 * BH__MS_US)
-#define REPORT_VALID_US_ (4 * REPORT_PERIOD_US_) /* three announcements may be lost */
+#define REPORT_VALID_US_ (3 * REPORT_PERIOD_US_) /* two announcements may be lost */
+#define WITHDRAWALS_ 2u /* announcements that a path is back, the second for who missed the first */
 #define REPORTS_MAX_ 4096u
 #define PROBE_PERIOD_US_ (250 * BH__MS_US)
 #define FIRST_PROBES_ 3u /* at once, when a path becomes doubtful */
@@ -26,6 +30,9 @@
 #define HOLD_MIN_US_ (300 * BH__MS_US)
 #define HOLD_MAX_US_ (2400 * BH__MS_US)
 #define FLAP_US_ (5 * BH__SECOND_US)
+/* Paths that return count for duties, and for the planning of endpoints, once none has changed for this time:
+ * those of one hall return one after the other, and each step would move duties. */
+#define SETTLE_US_ BH__SECOND_US
 #define RETURN_TARGETS_ 2u /* targets in a row that must be reached before a path is back */
 
 const char *const BH__PathStateString[] = {"open", "doubtful", "lost"};
@@ -37,6 +44,7 @@
 	BH__PathState known;           /* state at the last update */
 	uint64_t since_us;             /* when it began */
 	bool may_serve;                /* see bh__hall_paths_may_serve() */
+	bool is_together;              /* see bh__hall_paths_is_together() */
 	uint32_t nodes;                /* usable nodes in it */
 	uint64_t target[TARGETS_MAX_]; /* distinct targets without a round trip since the last one with */
 	unsigned target_count;
@@ -53,7 +61,7 @@
 	unsigned probes_due;       /* probes to be made at once */
 	uint64_t next_probe_us;
 	uint64_t next_report_us; /* 0: a report is due at once */
-	bool withdrawal_due;
+	unsigned withdrawals_due;
 } Hall_;
 
 typedef struct {
@@ -70,8 +78,12 @@
 	Hall_ *own;
 	GPtrArray *halls; /* Hall_, the own one first */
 	GArray *reports;  /* Report_ */
-	bool is_whole;    /* no path is known to be lost */
-	uint64_t version; /* grows with each change of a state */
+	bool is_whole;    /* no path is known to be lost, and none has just returned */
+	/* by pairs of indexes in `halls`: paths that are lost, and those that count as such for duties */
+	bool is_lost[BH__PATH_HALLS_MAX][BH__PATH_HALLS_MAX];
+	bool is_held[BH__PATH_HALLS_MAX][BH__PATH_HALLS_MAX];
+	uint64_t changed_us; /* when a path was last lost or returned */
+	uint64_t version;    /* grows with each change of a state */
 };
 
 static Hall_ *find_(const BH__HallPaths *h, const char *name);
@@ -91,6 +103,7 @@
 static bool is_edge_lost_(const BH__HallPaths *h, const Hall_ *a, const Hall_ *b);
 static BH__PathState state_(const BH__HallPaths *h, const Hall_ *hall);
 static void update_(BH__HallPaths *h, uint64_t now_us);
+static bool hold_paths_(BH__HallPaths *h, uint64_t now_us);
 static void choose_serving_(BH__HallPaths *h);
 static bool has_nodes_(const BH__HallPaths *h, guint index);
 static bool find_detour_(const BH__HallPaths *h, const Hall_ *to);
@@ -137,6 +150,7 @@
 	hall = g_new0(Hall_, 1);
 	g_strlcpy(hall->name, name, sizeof hall->name);
 	hall->may_serve = true;
+	hall->is_together = true;
 	hall->hold_us = HOLD_MIN_US_;
 	g_ptr_array_add(h->halls, hall);
 	return hall;
@@ -158,9 +172,11 @@
 	add_target_(hall, target);
 	if (!hall->first_failed_us) {
 		hall->first_failed_us = now_us;
-		hall->probes_due = FIRST_PROBES_;
-		hall->next_probe_us = now_us + PROBE_PERIOD_US_;
-		h->own->probes_due = 1;
+		if (!is_edge_lost_(h, h->own, hall)) {
+			hall->probes_due = FIRST_PROBES_;
+			hall->next_probe_us = now_us + PROBE_PERIOD_US_;
+			h->own->probes_due = 1;
+		}
 	}
 	conclude_(h, hall, now_us);
 	update_(h, now_us);
@@ -244,7 +260,7 @@
 						? MIN(2 * hall->hold_us, HOLD_MAX_US_)
 						: HOLD_MIN_US_;
 	hall->next_report_us = 0;
-	hall->withdrawal_due = false;
+	hall->withdrawals_due = 0;
 }
 
 /* Takes back this node's own conclusion. */
@@ -252,7 +268,8 @@
 {
 	hall->is_lost = false;
 	hall->returned_us = now_us;
-	hall->withdrawal_due = true;
+	hall->withdrawals_due = WITHDRAWALS_;
+	hall->next_report_us = 0;
 	drop_report_(h, h->own_node, h->own, hall);
 }
 
@@ -329,7 +346,8 @@
 			g_array_remove_index_fast(h->reports, i);
 	for (guint i = 1; i < h->halls->len; i++) {
 		Hall_ *hall = g_ptr_array_index(h->halls, i);
-		if (hall->is_lost && count_reports_(h, h->own, hall, h->own_node) >= REPORTERS_KEPT_) {
+		if (hall->is_lost && now_us >= hall->concluded_us + RESIGN_US_ &&
+			count_reports_(h, h->own, hall, h->own_node) >= REPORTERS_KEPT_) {
 			hall->is_lost = false;
 			clear_evidence_(hall);
 		}
@@ -364,10 +382,9 @@
 {
 	for (guint i = 1; i < h->halls->len; i++) {
 		Hall_ *hall = g_ptr_array_index(h->halls, i);
-		bool is_due = hall->is_lost && now_us >= hall->next_report_us;
-		if (!is_due && !hall->withdrawal_due)
+		if ((!hall->is_lost && !hall->withdrawals_due) || now_us < hall->next_report_us)
 			continue;
-		hall->withdrawal_due = false;
+		hall->withdrawals_due -= hall->withdrawals_due > 0;
 		hall->next_report_us = now_us + REPORT_PERIOD_US_;
 		out->node_id = h->own_node;
 		g_strlcpy(out->from, h->own->name, sizeof out->from);
@@ -425,7 +442,8 @@
 /* Notes changes of the states, and who may serve all. */
 static void update_(BH__HallPaths *h, uint64_t now_us)
 {
-	bool is_whole = !h->reports->len;
+	bool any_held = !h->is_whole && hold_paths_(h, now_us);
+	bool is_whole = !h->reports->len && !any_held;
 
 	for (guint i = 1; i < h->halls->len; i++) {
 		Hall_ *hall = g_ptr_array_index(h->halls, i);
@@ -445,15 +463,43 @@
 	}
 	if (is_whole && h->is_whole)
 		return;
+	if (h->is_whole)
+		hold_paths_(h, now_us);
 	h->is_whole = is_whole;
 	choose_serving_(h);
 }
 
+/* Notes which paths are lost, and which count as lost for duties: those that are, at once, and those that
+ * were until all have settled. Returns true if there is any. */
+static bool hold_paths_(BH__HallPaths *h, uint64_t now_us)
+{
+	bool any = false;
+
+	for (guint i = 0; i < h->halls->len; i++) {
+		for (guint j = 0; j < h->halls->len; j++) {
+			bool is_lost = is_edge_lost_(h, g_ptr_array_index(h->halls, i), g_ptr_array_index(h->halls, j));
+			if (is_lost != h->is_lost[i][j])
+				h->changed_us = now_us;
+			h->is_lost[i][j] = is_lost;
+			h->is_held[i][j] |= is_lost;
+		}
+	}
+	for (guint i = 0; i < h->halls->len; i++) {
+		for (guint j = 0; j < h->halls->len; j++) {
+			if (now_us >= h->changed_us + SETTLE_US_)
+				h->is_held[i][j] = h->is_lost[i][j];
+			any |= h->is_held[i][j];
+		}
+	}
+	return any;
+}
+
 /* Chooses the halls whose nodes may have duties for others: of those that this node's hall reaches, directly
  * or over others, the ones with paths to the most of these. All that reach each other choose the same. */
 static void choose_serving_(BH__HallPaths *h)
 {
 	bool in[BH__PATH_HALLS_MAX] = {true};
+	bool beside[BH__PATH_HALLS_MAX] = {false}; /* reached from those, but without nodes */
 	unsigned paths[BH__PATH_HALLS_MAX] = {0};
 	unsigned most = 0;
 
@@ -461,22 +507,24 @@
 		grew = false;
 		for (guint i = 0; i < h->halls->len; i++)
 			for (guint j = 0; j < h->halls->len; j++)
-				if (in[i] && !in[j] && has_nodes_(h, j) &&
-					!is_edge_lost_(h, g_ptr_array_index(h->halls, i), g_ptr_array_index(h->halls, j)))
+				if (in[i] && !in[j] && !h->is_held[i][j] && has_nodes_(h, j))
 					grew = in[j] = true;
 	}
 	for (guint i = 0; i < h->halls->len; i++) {
-		for (guint j = 0; j < h->halls->len; j++)
-			paths[i] += in[i] && in[j] &&
-						!is_edge_lost_(h, g_ptr_array_index(h->halls, i), g_ptr_array_index(h->halls, j));
+		for (guint j = 0; j < h->halls->len; j++) {
+			paths[i] += in[i] && in[j] && !h->is_held[i][j];
+			beside[i] |= in[j] && !h->is_held[i][j];
+		}
 		most = MAX(most, paths[i]);
 	}
 	for (guint i = 0; i < h->halls->len; i++) {
 		Hall_ *hall = g_ptr_array_index(h->halls, i);
 		bool may_serve = in[i] && paths[i] == most;
-		if (may_serve != hall->may_serve)
+		bool is_together = in[i] || beside[i];
+		if (may_serve != hall->may_serve || is_together != hall->is_together)
 			h->version++;
 		hall->may_serve = may_serve;
+		hall->is_together = is_together;
 	}
 }
 
@@ -545,18 +593,13 @@
 	return !hall || hall->may_serve;
 }
 
-/* Returns true if the silence of a hall's nodes is the fault of a path and not of theirs: it is lost, and the
- * hall is heard since, or reached by another one, or no other hall at all is reached any more. */
-bool bh__hall_paths_excuses(const BH__HallPaths *h, const char *name)
+/* Returns true if this node's hall and another one plan endpoints together: there is a way between them, and
+ * there has been for a while. Until then either plans its own, so that none is planned twice. */
+bool bh__hall_paths_is_together(const BH__HallPaths *h, const char *name)
 {
 	const Hall_ *hall = h->is_whole ? NULL : find_(h, name);
-	unsigned lost = 0;
 
-	if (!hall || hall == h->own || state_(h, hall) != BH__PATH_LOST)
-		return false;
-	for (guint i = 1; i < h->halls->len; i++)
-		lost += state_(h, g_ptr_array_index(h->halls, i)) == BH__PATH_LOST;
-	return is_heard_(h, hall) || find_detour_(h, hall) || (lost > 1 && lost + 1 == h->halls->len);
+	return !hall || hall->is_together;
 }
 
 /* Returns true if messages from a hall came in after the path to it was lost, here or at another node of this
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -527,10 +527,11 @@
 	return e->info.state == BH__MEMBER_ALIVE && bh__members_is_connected(m, &e->info);
 }
 
-/* Returns whether the silence of a node is put down to the path to its hall. */
+/* Returns whether the silence of a node is put down to the path to its hall: it is not usable here, but not
+ * declared dead, which other halls would learn and its own would after the cut. */
 static bool is_excused_(const BH__Members *m, const Entry_ *e)
 {
-	return m->paths && bh__hall_paths_excuses(m->paths, e->info.hall);
+	return !bh__members_is_connected(m, &e->info);
 }
 
 /* Sends a message to one node of each subrange of the message's ring range, with that subrange as its new
--- a/src/test_libbayhoist/member_fleet.c
+++ b/src/test_libbayhoist/member_fleet.c
@@ -7,12 +7,14 @@
 #include "bayhoist/hash.h"
 
 #define TICK_MS 100
+#define HALLS 5
 
 /* A message in transit. */
 typedef struct {
-	unsigned to; /* index of the receiving node */
-	char *data;  /* encoded message, owned */
-	size_t len;  /* of `data`, in bytes */
+	unsigned from; /* index of the sending node */
+	unsigned to;   /* index of the receiving node */
+	char *data;    /* encoded message, owned */
+	size_t len;    /* of `data`, in bytes */
 } PendingMessage;
 
 /* Queues a message and counts it. */
@@ -21,6 +23,7 @@
 	MemberNode *n = (MemberNode *)port;
 	PendingMessage *p = g_new0(PendingMessage, 1);
 
+	p->from = (unsigned)(n - n->fleet->node);
 	p->to = GPOINTER_TO_UINT(g_hash_table_lookup(n->fleet->by_address, address)) - 1;
 	p->data = bh__message_encode(m, &p->len);
 	n->sent++;
@@ -48,15 +51,22 @@
 	BH__MemberInfo info = {.boot_id = 5};
 
 	snprintf(info.name, sizeof info.name, "front-hall-%u", i);
-	snprintf(info.hall, sizeof info.hall, "hall-%u", i % 5);
-	snprintf(info.peer_address, sizeof info.peer_address, "10.%u.%u.%u:7340", i % 5, i / 250, i % 250);
-	snprintf(info.caller_address, sizeof info.caller_address, "10.%u.%u.%u:8227", i % 5, i / 250, i % 250);
+	snprintf(info.hall, sizeof info.hall, "hall-%u", i % HALLS);
+	snprintf(info.peer_address, sizeof info.peer_address, "10.%u.%u.%u:7340", i % HALLS, i / 250, i % 250);
+	snprintf(info.caller_address, sizeof info.caller_address, "10.%u.%u.%u:8227", i % HALLS, i / 250,
+			 i % 250);
 	info.node_id = bh__hash_name(info.name);
 	return info;
 }
 
-/* Returns a fleet in which all nodes know all others. */
+/* Returns a fleet in five halls in which all nodes know all others. */
 MemberFleet *member_fleet_new(unsigned count)
+{
+	return member_fleet_new_in_halls(count, HALLS);
+}
+
+/* Returns a fleet in `halls` halls, "hall-0" and so on, to which the nodes belong in turn. */
+MemberFleet *member_fleet_new_in_halls(unsigned count, unsigned halls)
 {
 	MemberFleet *f = g_new0(MemberFleet, 1);
 	BH__MemberInfo *all = g_new0(BH__MemberInfo, count);
@@ -66,8 +76,10 @@
 	f->now_us = BH__SECOND_US;
 	f->node = g_new0(MemberNode, count);
 	f->by_address = g_hash_table_new(g_str_hash, g_str_equal);
-	for (unsigned i = 0; i < count; i++)
+	for (unsigned i = 0; i < count; i++) {
 		all[i] = member_fleet_make_info(i);
+		snprintf(all[i].hall, sizeof all[i].hall, "hall-%u", i % halls);
+	}
 	for (unsigned i = 0; i < count; i++) {
 		MemberNode *n = &f->node[i];
 		n->port = (BH__MembersPort){.send = send_, .changed = changed_};
@@ -102,7 +114,8 @@
 	while ((p = g_queue_pop_head(&f->pending))) {
 		MemberNode *n = &f->node[p->to];
 		BH__Message m;
-		if (!n->unresponsive && bh__message_decode(&m, p->data, p->len, NULL)) {
+		bool passes = !n->unresponsive && (!f->passes || f->passes(f, p->from, p->to));
+		if (passes && bh__message_decode(&m, p->data, p->len, NULL)) {
 			if (!bh__members_process_message(n->members, &m, f->now_us) && f->on_message)
 				f->on_message(n, &m);
 			bh__message_finish(&m);
--- a/src/test_libbayhoist/member_fleet.h
+++ b/src/test_libbayhoist/member_fleet.h
@@ -26,6 +26,9 @@
 	unsigned count;
 	/* called for messages that do not belong to membership; NULL: they are dropped */
 	void (*on_message)(MemberNode *n, const BH__Message *m);
+	/* whether a message passes from one node to another, by index; NULL: all do */
+	bool (*passes)(const MemberFleet *f, unsigned from, unsigned to);
+	void *user;                                  /* owned by the test */
 	GHashTable *by_address;                      /* peer address -> index of the node + 1 */
 	GQueue pending;                              /* PendingMessage *: not delivered yet */
 	uint64_t bytes;                              /* sent by all nodes since the counts were reset */
@@ -37,6 +40,7 @@
 
 BH__MemberInfo member_fleet_make_info(unsigned i);
 MemberFleet *member_fleet_new(unsigned count);
+MemberFleet *member_fleet_new_in_halls(unsigned count, unsigned halls);
 void member_fleet_delete(MemberFleet *f);
 void member_fleet_send(MemberNode *n, uint64_t node_id, BH__Message *m);
 void member_fleet_deliver_pending(MemberFleet *f);
