--- a/src/libbayhoist/relay_peers.c
+++ b/src/libbayhoist/relay_peers.c
@@ -21,16 +21,24 @@
 	uint64_t cut_until_us;   /* it has told that it has lost its own links */
 } Peer_;
 
+/* Which peers may carry a request. */
+typedef struct {
+	const char *hall;       /* that of the endpoint; NULL: any */
+	const uint64_t *except; /* peers that the request has tried */
+	unsigned except_count;
+	bool with_lost; /* also those that could not be reached lately */
+	uint64_t now_us;
+} Wanted_;
+
 struct BH__RelayPeers {
 	GHashTable *peers; /* Peer_ by node id */
 	GRand *rand;
 };
 
 static Peer_ *add_peer_(BH__RelayPeers *r, uint64_t node_id);
-static void list_candidates_(const BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
-							 unsigned except_count, bool with_lost, uint64_t now_us, GPtrArray *out);
-static bool is_candidate_(const BH__RelayPeers *r, const BH__MemberInfo *info, const uint64_t *except,
-						  unsigned except_count, bool with_lost, uint64_t now_us);
+static void list_candidates_(const BH__RelayPeers *r, const BH__Members *m, const Wanted_ *w, GPtrArray *out);
+static bool is_candidate_(const BH__RelayPeers *r, const BH__MemberInfo *info, const Wanted_ *w);
+static bool may_carry_(const BH__Members *m, const BH__MemberInfo *info, const char *hall);
 static double cost_(const BH__RelayPeers *r, const BH__MemberInfo *info, const BH__MemberInfo *self);
 
 BH__RelayPeers *bh__relay_peers_new(uint32_t seed)
@@ -51,20 +59,30 @@
 	g_free(r);
 }
 
-/* Returns the id of the peer to use next, or 0 if there is none. `except` lists peers that this request has
- * tried. A peer that could not be reached is used if there is no other: where one node in three has its
- * links, a single slow hop would otherwise leave the other two without any way for AVOID_US_. */
+/* Returns the id of the peer to use next for an endpoint in any hall, see bh__relay_peers_pick_for(). */
 uint64_t bh__relay_peers_pick(BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
 							  unsigned except_count, uint64_t now_us)
 {
+	return bh__relay_peers_pick_for(r, m, NULL, except, except_count, now_us);
+}
+
+/* Returns the id of the peer to use next, or 0 if there is none. `hall`: that of the endpoint, to which the
+ * peer's hall must have a path; NULL: any. `except` lists peers that this request has tried. A peer that
+ * could not be reached is used if there is no other: where one node in three has its links, a single slow hop
+ * would otherwise leave the other two without any way for AVOID_US_. */
+uint64_t bh__relay_peers_pick_for(BH__RelayPeers *r, const BH__Members *m, const char *hall,
+								  const uint64_t *except, unsigned except_count, uint64_t now_us)
+{
+	Wanted_ wanted = {.hall = hall, .except = except, .except_count = except_count, .now_us = now_us};
 	const BH__MemberInfo *self = bh__members_get_self(m);
 	const BH__MemberInfo *best = NULL;
 	GPtrArray *all = g_ptr_array_new();
 	uint64_t node_id;
 
-	list_candidates_(r, m, except, except_count, false, now_us, all);
+	list_candidates_(r, m, &wanted, all);
+	wanted.with_lost = true;
 	if (!all->len)
-		list_candidates_(r, m, except, except_count, true, now_us, all);
+		list_candidates_(r, m, &wanted, all);
 	for (unsigned drawn = 0; drawn < DRAWN_ && all->len; drawn++) {
 		const BH__MemberInfo *info =
 			g_ptr_array_remove_index_fast(all, (guint)g_rand_int_range(r->rand, 0, (gint32)all->len));
@@ -76,29 +94,37 @@
 	return node_id;
 }
 
-/* Appends the peers through which a request may go to `out` (BH__MemberInfo), those that could not be reached
- * lately only `with_lost`. */
-static void list_candidates_(const BH__RelayPeers *r, const BH__Members *m, const uint64_t *except,
-							 unsigned except_count, bool with_lost, uint64_t now_us, GPtrArray *out)
+/* Appends the peers through which a request may go to `out` (BH__MemberInfo). */
+static void list_candidates_(const BH__RelayPeers *r, const BH__Members *m, const Wanted_ *w, GPtrArray *out)
 {
-	for (unsigned i = 1; i < bh__members_get_count(m); i++)
-		if (is_candidate_(r, bh__members_get(m, i), except, except_count, with_lost, now_us))
-			g_ptr_array_add(out, (gpointer)bh__members_get(m, i));
+	for (unsigned i = 1; i < bh__members_get_count(m); i++) {
+		const BH__MemberInfo *info = bh__members_get(m, i);
+		if (is_candidate_(r, info, w) && may_carry_(m, info, w->hall))
+			g_ptr_array_add(out, (gpointer)info);
+	}
 }
 
-/* Returns true if a request may go through a node. */
-static bool is_candidate_(const BH__RelayPeers *r, const BH__MemberInfo *info, const uint64_t *except,
-						  unsigned except_count, bool with_lost, uint64_t now_us)
+/* Returns true if a request may go through a node, by what is known of that node itself. */
+static bool is_candidate_(const BH__RelayPeers *r, const BH__MemberInfo *info, const Wanted_ *w)
 {
 	const Peer_ *p = g_hash_table_lookup(r->peers, &info->node_id);
 
-	for (unsigned i = 0; i < except_count; i++)
-		if (except[i] == info->node_id)
+	for (unsigned i = 0; i < w->except_count; i++)
+		if (w->except[i] == info->node_id)
 			return false;
 	if (!bh__member_is_usable(info))
 		return false;
-	return !p || (now_us >= p->avoid_until_us && now_us >= p->cut_until_us &&
-				  (with_lost || now_us >= p->lost_until_us));
+	return !p || (w->now_us >= p->avoid_until_us && w->now_us >= p->cut_until_us &&
+				  (w->with_lost || w->now_us >= p->lost_until_us));
+}
+
+/* Returns true if the paths between the halls let a peer connect to an endpoint in `hall` for this node. */
+static bool may_carry_(const BH__Members *m, const BH__MemberInfo *info, const char *hall)
+{
+	const BH__HallPaths *paths = bh__members_get_paths(m);
+
+	return !paths ||
+		   (hall ? bh__hall_paths_may_carry(paths, info->hall, hall) : bh__members_is_connected(m, info));
 }
 
 /* Returns what it costs to use a peer: the requests in progress there, as it told last and as this node sends
