gate: The last endpoints of a service serve on while the bounds allow it

Cause: where the last endpoints of a service leave, vanish or stand in a hall that drains, all its requests were refused from the first moment, though such endpoints serve on for seconds and the platform names for how long requests may still arrive.

Change: bh__registry_may_send() lets one of them be used while no other is usable, until the settings' bound, counted from the start of the latest platform read without the change, less the time a request takes to arrive. Nothing is used whose age is unknown. New setting hall_drain_ms; log event last-endpoint, metric, last_use_ms.

--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -55,6 +55,8 @@
 	bool draining;
 	BH__StoreVersion changed; /* store version at which the drain was last written or taken back */
 	uint64_t since_us; /* when this node received the latest change of `draining`; not sent to other nodes */
+	uint64_t drained_after_us; /* the drain was written after this time; 0: unknown; not sent to other nodes
+								*/
 	uint64_t ends_at_us; /* when the drain ends unless it is written again; 0: it has no end; not sent to
 							other nodes */
 	BH__StoreVersion ends_version; /* store version without the drain; not sent to other nodes */
@@ -81,13 +83,15 @@
 	BH__EndpointHistory history;
 	BH__StoreVersion merged_version; /* store version with which the last visible change was merged */
 	BH__EndpointSignals signals;
-	uint64_t gone_at_us;        /* when the endpoint counts as gone; 0: it is listed */
-	bool is_hall_draining;      /* whether its hall is draining */
-	BH__EndpointRate rate;      /* enforced here if this node is the home node of the endpoint and no node
-								   schedules its service */
-	uint64_t no_grant_until_us; /* its home node grants no request until then; 0: grants are possible */
-	uint64_t incarnation;       /* number of this incarnation, unique within the registry */
-	uint32_t in_flight;         /* requests that this node currently has at the endpoint */
+	uint64_t gone_at_us;            /* when the endpoint counts as gone; 0: it is listed */
+	uint64_t left_after_us;         /* it began to leave, or its entry went, after this time; 0: unknown */
+	bool is_hall_draining;          /* whether its hall is draining */
+	uint64_t hall_drained_after_us; /* the drain of its hall was written after this time; 0: unknown */
+	BH__EndpointRate rate;          /* enforced here if this node is the home node of the endpoint and no node
+									   schedules its service */
+	uint64_t no_grant_until_us;     /* its home node grants no request until then; 0: grants are possible */
+	uint64_t incarnation;           /* number of this incarnation, unique within the registry */
+	uint32_t in_flight;             /* requests that this node currently has at the endpoint */
 	uint32_t reported; /* running and waiting requests of all nodes, as last reported by the endpoint */
 	uint64_t reported_us;
 	uint64_t ejected_until_us;
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -5,6 +5,7 @@
 #include "call_internal.h"
 
 #include <string.h>
+#include "bayhoist/last_endpoints.h"
 #include "bayhoist/hash.h"
 #include "clock.h"
 #include "crashes.h"
@@ -554,7 +555,7 @@
 {
 	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, endpoint_id);
 
-	return e && bh__registered_endpoint_accepts_requests(e, clock_now_us());
+	return e && bh__registry_may_send(c->gate->registry, e, clock_now_us());
 }
 
 /* Dispatches to the granted engines, or first reserves memory on the helpers that need it. Returns the grant
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -42,6 +42,7 @@
 	uint64_t requests;                              /* requests received */
 	uint64_t outcomes[CALL_OUTCOME_COUNT];          /* requests ended, by outcome */
 	uint64_t dispatches;                            /* requests sent to endpoints */
+	uint64_t last_endpoint_dispatches;              /* those sent to one of the last endpoints of a service */
 	uint64_t dispatch_ends[BH__DISPATCH_END_COUNT]; /* dispatches ended, by result */
 	uint64_t repeats;                               /* decisions to dispatch a request again */
 	uint64_t resumes;                               /* decisions to dispatch again that resume a stream */
@@ -78,8 +79,9 @@
 	BH__Routing *routing;        /* configuration in use; NULL: none yet */
 	char *routing_text;          /* text that `routing` was decoded from */
 	uint64_t routing_read_us;    /* start of the last platform read that showed `routing` to be the newest */
-	uint64_t no_routing_read_us; /* start of the last platform read that showed that there is none yet */
-	BH__Registry *registry;      /* registered endpoints */
+	uint64_t last_endpoint_logged_us;
+	uint64_t no_routing_read_us;    /* start of the last platform read that showed that there is none yet */
+	BH__Registry *registry;         /* registered endpoints */
 	BH__StartupState startup_state; /* state loaded since the start */
 	bool startup_complete; /* the startup state is complete, and calls that waited for it have begun */
 	uint64_t registry_version_applied;   /* registry version that the planners have applied */
@@ -257,6 +259,7 @@
 	const char *request_id; /* for the log */
 } AnswerOrigin;
 
+const char *signals_get_state(const BH__RegisteredEndpoint *e, uint64_t now_us);
 void signals_note_answer(Gate *g, const AnswerOrigin *o, const AnswerMeta *m);
 void signals_note_unknown(Gate *g, const char *header);
 void signals_write_status(const Gate *g, struct evbuffer *out);
@@ -277,6 +280,11 @@
 void halls_write_status(const Gate *g, struct evbuffer *out);
 struct json_object *halls_describe(const Gate *g);
 
+/* last_endpoints.c */
+void last_endpoints_apply_settings(Gate *g);
+void last_endpoints_note_dispatch(Gate *g, const BH__RegisteredEndpoint *e, uint64_t now_us);
+void last_endpoints_write_status(const Gate *g, struct evbuffer *out);
+
 /* web.c */
 bool web_start(Gate *g);
 void web_stop(Gate *g);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sysexits.h>
 #include "bayhoist/hash.h"
+#include "bayhoist/last_endpoints.h"
 #include "clock.h"
 #include "crashes.h"
 #include "links.h"
@@ -99,6 +100,7 @@
 	g->base = event_base_new();
 	g->port = &PlatformGatePort;
 	g->registry = bh__registry_new((uint32_t)g->boot_id);
+	last_endpoints_apply_settings(g);
 	g->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->route_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->calls = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -218,6 +220,7 @@
 {
 	if (platform_read_us > g->routing_read_us)
 		g->routing_read_us = platform_read_us;
+	bh__last_endpoints_note_halls_read(g->registry, g->routing_read_us);
 	if (g->routing && g->routing_read_us)
 		bh__startup_state_note_configuration(&g->startup_state, clock_now_us());
 	calls_process_startup_state(g);
@@ -363,6 +366,7 @@
 	g->settings.max_connections = s.max_connections;
 	g->settings.stop_grace_ms = s.stop_grace_ms;
 	g->settings.endpoint_drain_ms = s.endpoint_drain_ms;
+	g->settings.hall_drain_ms = s.hall_drain_ms;
 	g->settings.configuration_ms = s.configuration_ms;
 	g->settings.key_trust_ms = s.key_trust_ms;
 	g->settings.memory_hold_max_ms = s.memory_hold_max_ms;
@@ -370,6 +374,7 @@
 	g->settings.repeat_share = s.repeat_share;
 	g->settings.repeat_extra = s.repeat_extra;
 	platform_sync_apply_settings(g->platform_sync);
+	last_endpoints_apply_settings(g);
 	gate_settings_finish(&s);
 	log_event("reload", "what=done");
 }
--- a/src/bayhoist-gate/settings.c
+++ b/src/bayhoist-gate/settings.c
@@ -23,6 +23,7 @@
 	BH__U64_FIELD(GateSettings, max_connections, false, 16, 1000000),
 	BH__U64_FIELD(GateSettings, stop_grace_ms, false, 100, 3600000),
 	BH__U64_FIELD(GateSettings, endpoint_drain_ms, false, 100, 3600000),
+	BH__U64_FIELD(GateSettings, hall_drain_ms, false, 0, 3600000),
 	BH__U64_FIELD(GateSettings, configuration_ms, false, 100, 3600000),
 	BH__U64_FIELD(GateSettings, key_trust_ms, false, 0, 3600000),
 	BH__U64_FIELD(GateSettings, memory_hold_max_ms, false, 100, 3600000),
--- a/src/bayhoist-gate/settings.h
+++ b/src/bayhoist-gate/settings.h
@@ -25,7 +25,9 @@
 	uint64_t max_connections;              /* maximum number of caller connections */
 	uint64_t stop_grace_ms;                /* time within which a planned stop must end */
 	uint64_t endpoint_drain_ms;            /* time after which a leaving endpoint receives no new requests */
-	uint64_t configuration_ms;             /* time within which a new configuration takes effect */
+	uint64_t hall_drain_ms;       /* time after which the last endpoints in a draining hall receive no
+									 new requests; 0: none receive any */
+	uint64_t configuration_ms;    /* time within which a new configuration takes effect */
 	uint64_t key_trust_ms;        /* time that keys stay valid after a configuration read; 0: no limit */
 	uint64_t memory_hold_max_ms;  /* maximum time that engines keep memory reserved */
 	uint64_t directory_ttl_max_s; /* maximum time that callers cache a directory answer */
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -6,6 +6,7 @@
 
 #include <json-c/json.h>
 #include <string.h>
+#include "bayhoist/last_endpoints.h"
 #include "clock.h"
 #include "cluster_internal.h"
 #include "log.h"
@@ -188,7 +189,7 @@
 
 /* Returns the state of an endpoint for new requests of this node: "used" if it is listed and accepts them,
  * "leaving", "drained" if its data hall drains, or "gone" if its entry has been removed. */
-static const char *state_(const BH__RegisteredEndpoint *e, uint64_t now_us)
+const char *signals_get_state(const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
 	if (e->entry.draining)
 		return "leaving";
@@ -204,14 +205,17 @@
 }
 
 /* Returns a JSON description of an endpoint. Durations are in ms and the limit is in requests per second. */
-static struct json_object *describe_endpoint_(const BH__RegisteredEndpoint *e, uint64_t now_us)
+static struct json_object *describe_endpoint_(const Gate *g, const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
 	struct json_object *o = json_object_new_object();
 
 	json_object_object_add(o, "id", json_object_new_string(e->entry.id));
 	json_object_object_add(o, "service", json_object_new_string(e->entry.service));
 	json_object_object_add(o, "hall", json_object_new_string(e->entry.hall));
-	json_object_object_add(o, "state", json_object_new_string(state_(e, now_us)));
+	json_object_object_add(o, "state", json_object_new_string(signals_get_state(e, now_us)));
+	json_object_object_add(
+		o, "last_use_ms",
+		json_object_new_int64(left_ms_(bh__last_endpoints_get_until_us(g->registry, e), now_us)));
 	json_object_object_add(o, "backoff_ms",
 						   json_object_new_int64(left_ms_(e->signals.backoff_until_us, now_us)));
 	json_object_object_add(o, "overloaded_ms",
@@ -232,7 +236,7 @@
 	uint64_t now_us = clock_now_us();
 
 	for (unsigned i = 0; i < bh__registry_get_count(g->registry); i++)
-		json_object_array_add(list, describe_endpoint_(bh__registry_get(g->registry, i), now_us));
+		json_object_array_add(list, describe_endpoint_(g, bh__registry_get(g->registry, i), now_us));
 	json_object_object_add(root, "endpoints", list);
 	return root;
 }
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -4,6 +4,7 @@
 #include "registry_internal.h"
 
 #include <string.h>
+#include "bayhoist/last_endpoints.h"
 
 /* Ejection time of an endpoint after repeated failures; doubles with each further failure. */
 #define EJECTION_FIRST_US_ (200 * BH__MS_US)
@@ -46,10 +47,11 @@
 }
 
 /* Returns the endpoint with the lowest cost for a service without a planner, chosen at random among equals,
- * or NULL. Ejected endpoints are used only if there is no other. Endpoints in `tried` are used only with
- * `again`, and only if no other endpoint is left, because an endpoint that failed a request may serve it the
- * next time. Without this, when only one of three endpoints was left and it failed some requests, 9 of 94
- * lookups ended with its first failure. */
+ * or NULL. Ejected endpoints are used only if there is no other, and the last endpoints of a service
+ * (last_endpoints.h) only if it has no usable one. Endpoints in `tried` are used only with `again`, and only
+ * if no other endpoint is left, because an endpoint that failed a request may serve it the next time. Without
+ * this, when only one of three endpoints was left and it failed some requests, 9 of 94 lookups ended with its
+ * first failure. */
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us)
@@ -62,7 +64,7 @@
 		BH__RegisteredEndpoint *e = bh__registry_get(r, (start + i) % r->table->len);
 		bool was_tried = is_tried_(tried, tried_count, e->endpoint_id);
 		double cost;
-		if (strcmp(e->entry.service, service) != 0 || !bh__registered_endpoint_accepts_requests(e, now_us) ||
+		if (strcmp(e->entry.service, service) != 0 || !bh__registry_may_send(r, e, now_us) ||
 			now_us < e->no_grant_until_us || (was_tried && !again))
 			continue;
 		cost = cost_(e, hall, now_us) + (now_us < e->ejected_until_us ? EJECTED_COST_ : 0) +
--- a/src/libbayhoist/include/private/registry_internal.h
+++ b/src/libbayhoist/include/private/registry_internal.h
@@ -33,11 +33,23 @@
 	BH__StoreVersion evicted_merged_version; /* latest store version of a merge of an evicted departure */
 	GArray *halls;                           /* BH__HallDrain */
 	uint64_t halls_version;
+	uint64_t endpoint_drain_us; /* see last_endpoints.c */
+	uint64_t hall_drain_us;
+	uint64_t entries_as_of_us; /* start of the latest platform read whose entries are merged; 0: none */
+	uint64_t halls_as_of_us;   /* start of the latest platform read whose halls are merged; 0: none */
+	bool is_era_known;
+	uint64_t latest_era;         /* latest era in which something was read */
+	uint64_t ages_known_from_us; /* reads begun earlier say nothing about when a change was written */
 };
 
 BH__StoreVersion bh__registry_get_written_version(const BH__Registry *r, BH__StoreVersion p);
 
+/* last_endpoints.c */
+void bh__last_endpoints_note_era(BH__Registry *r, uint64_t era);
+uint64_t bh__last_endpoints_get_written_after_us(const BH__Registry *r, uint64_t as_of_us);
+
 /* registry_halls.c */
+void bh__registry_apply_hall(const BH__Registry *r, BH__RegisteredEndpoint *e);
 void bh__registry_process_halls(BH__Registry *r, uint64_t now_us);
 
 #endif
--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include "bayhoist/answer_time.h"
 #include "bayhoist/hash.h"
+#include "bayhoist/last_endpoints.h"
 #include "bayhoist/read_schedule.h"
 #include "bayhoist/sync_source.h"
 
@@ -202,6 +203,7 @@
 static void note_as_of_(BH__PlatformSync *s, uint64_t platform_read_us)
 {
 	s->as_of_us = MAX(s->as_of_us, platform_read_us);
+	bh__last_endpoints_note_entries_read(s->registry, s->as_of_us);
 }
 
 /* Records that this node's own endpoints read, sent at `sent_us` with a time-out of `timeout_us`, has failed.
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -9,6 +9,7 @@
 
 #include <string.h>
 #include "bayhoist/hash.h"
+#include "bayhoist/last_endpoints.h"
 
 /* Maximum number of departed endpoints whose history is kept: more than the number that leave during a
  * release of the largest fleet. */
@@ -84,6 +85,7 @@
  * had them. */
 void bh__registry_set_store_version(BH__Registry *r, BH__StoreVersion store_version)
 {
+	bh__last_endpoints_note_era(r, store_version.era);
 	r->store_version = bh__store_version_max(r->store_version, store_version);
 }
 
@@ -96,6 +98,7 @@
 {
 	bool is_new = !r->era_count || start.era > r->era[0].start.era;
 
+	bh__last_endpoints_note_era(r, start.era);
 	if (bh__store_version_is_zero(r->store_version) || !start.revision ||
 		start.era < bh__registry_get_era_start(r).era)
 		return;
@@ -243,6 +246,7 @@
 	BH__EndpointEntry was = e->entry;
 	uint64_t was_gone_at_us = e->gone_at_us;
 	bool is_new = !was.id[0];
+	bool was_leaving = is_new || was.draining || was_gone_at_us;
 
 	merge_past_(&e->history, update);
 	if (is_new || (entry && is_entry_later_(&before, update)))
@@ -254,6 +258,10 @@
 		e->gone_at_us = MAX(gone_at_us, 1);
 	else if (!bh__store_version_compare(update->gone, e->history.gone))
 		e->gone_at_us = MIN(e->gone_at_us, MAX(gone_at_us, 1));
+	if (!e->entry.draining && !e->gone_at_us)
+		e->left_after_us = 0;
+	else if (!was_leaving)
+		e->left_after_us = bh__last_endpoints_get_written_after_us(r, r->entries_as_of_us);
 	if (!is_new && was_gone_at_us == e->gone_at_us && was.draining == e->entry.draining &&
 		was.born_ms == e->entry.born_ms && !strcmp(was.address, e->entry.address) &&
 		!differs_in_cold_(r, &was, &e->entry)) {
@@ -348,7 +356,7 @@
 	bool restarted = !e->entry.id[0] || entry->born_ms > e->entry.born_ms;
 
 	e->entry = *entry;
-	e->is_hall_draining = bh__registry_is_hall_draining(r, entry->hall);
+	bh__registry_apply_hall(r, e);
 	if (!restarted)
 		return;
 	e->incarnation = ++r->incarnation_count;
@@ -381,13 +389,14 @@
 	d->history = *history;
 }
 
-/* Removes endpoints that count as gone, and ends expired hall drains. */
+/* Removes endpoints that count as gone and are not used as the last ones of their service, and ends expired
+ * hall drains. */
 void bh__registry_process_tick(BH__Registry *r, uint64_t now_us)
 {
 	r->now_us = now_us;
 	for (guint i = r->table->len; i-- > 0;) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
-		if (e->gone_at_us && now_us >= e->gone_at_us)
+		if (e->gone_at_us && now_us >= e->gone_at_us && !bh__last_endpoints_is_used(r, e, now_us))
 			remove_departed_(r, e);
 	}
 	bh__registry_process_halls(r, now_us);
--- a/src/libbayhoist/registry_halls.c
+++ b/src/libbayhoist/registry_halls.c
@@ -12,7 +12,7 @@
 static void evict_oldest_(BH__Registry *r);
 static void set_draining_(BH__Registry *r, BH__HallDrain *d, bool draining, BH__StoreVersion changed,
 						  uint64_t now_us);
-static void apply_to_endpoints_(BH__Registry *r, const char *name, bool draining);
+static void apply_to_endpoints_(BH__Registry *r, const char *name);
 
 static BH__HallDrain *find_(const BH__Registry *r, const char *name)
 {
@@ -40,6 +40,7 @@
 static void evict_oldest_(BH__Registry *r)
 {
 	guint oldest = 0;
+	BH__HallDrain evicted;
 
 	for (guint i = 1; i < r->halls->len; i++) {
 		const BH__HallDrain *a = &g_array_index(r->halls, BH__HallDrain, i);
@@ -47,8 +48,9 @@
 		if (a->draining != b->draining ? b->draining : bh__store_version_is_after(b->changed, a->changed))
 			oldest = i;
 	}
-	apply_to_endpoints_(r, g_array_index(r->halls, BH__HallDrain, oldest).name, false);
+	evicted = g_array_index(r->halls, BH__HallDrain, oldest);
 	g_array_remove_index(r->halls, oldest);
+	apply_to_endpoints_(r, evicted.name);
 }
 
 /* Merges a change of a hall's drain state written at version `changed` of the store's history. Returns true
@@ -58,6 +60,7 @@
 {
 	BH__HallDrain *d = find_(r, name);
 
+	bh__last_endpoints_note_era(r, changed.era);
 	if (d && !bh__store_version_is_after(changed, d->changed))
 		return false;
 	set_draining_(r, d ? d : add_(r, name), draining, changed, now_us);
@@ -84,25 +87,36 @@
 	if (was_draining == draining)
 		return;
 	d->since_us = now_us;
-	apply_to_endpoints_(r, d->name, draining);
+	d->drained_after_us = bh__last_endpoints_get_written_after_us(r, r->halls_as_of_us);
+	apply_to_endpoints_(r, d->name);
 }
 
 /* Applies the drain state of a hall to its endpoints. */
-static void apply_to_endpoints_(BH__Registry *r, const char *name, bool draining)
+static void apply_to_endpoints_(BH__Registry *r, const char *name)
 {
 	for (guint i = 0; i < r->table->len; i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
 		if (!strcmp(e->entry.hall, name))
-			e->is_hall_draining = draining;
+			bh__registry_apply_hall(r, e);
 	}
 	r->version++;
 }
 
+/* Applies the drain state of its hall to an endpoint. */
+void bh__registry_apply_hall(const BH__Registry *r, BH__RegisteredEndpoint *e)
+{
+	const BH__HallDrain *d = find_(r, e->entry.hall);
+
+	e->is_hall_draining = d && d->draining;
+	e->hall_drained_after_us = e->is_hall_draining ? d->drained_after_us : 0;
+}
+
 /* Ends the drain of each hall that is missing in `names` (char *), the complete set of draining halls as of a
  * store version, unless a later change is known. After a store rollback, drains written since the backup are
  * missing until operators write them again, so they continue for BH__OUTAGE_GRACE_US. */
 void bh__registry_retain_halls(BH__Registry *r, GHashTable *names, BH__StoreVersion as_of, uint64_t now_us)
 {
+	bh__last_endpoints_note_era(r, as_of.era);
 	for (guint i = 0; i < r->halls->len; i++) {
 		BH__HallDrain *d = &g_array_index(r->halls, BH__HallDrain, i);
 		if (!d->draining || g_hash_table_contains(names, d->name) ||
