gate: A long prompt repeats its ask to a silent scheduler instead of being placed blindly

Cause: after 40 ms without an answer, also to one lost message, a node placed the prompt by itself. Change: the ask is repeated for a tenth of the prompt's first-event target; short prompts are placed after 40 ms as before. The handling of a silent scheduler moves from call.c to call_silence.c.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -5,6 +5,7 @@
 #include "call_internal.h"
 
 #include <string.h>
+#include "bayhoist/ask_silence.h"
 #include "bayhoist/hash.h"
 #include "clock.h"
 #include "crashes.h"
@@ -12,8 +13,6 @@
 #include "log.h"
 
 /* A request whose scheduler has not answered within this time is placed by this node itself. */
-#define SCHEDULER_MAX_WAIT_MS 40
-#define QUEUED_REPEAT_MS 200 /* interval at which a queued request repeats its ask */
 /* A permit for a rate-limited endpoint is valid for this time, so that a request counted in one second isn't
  * sent in another. */
 #define PERMIT_VALID_MS 500
@@ -62,9 +61,6 @@
 static void dispatch_(Call *c, uint64_t endpoint_id);
 static void ask_(Call *c);
 static void fill_ask_(Call *c);
-static void fill_backoffs_(Call *c);
-static void ask_again_(Call *c, uint64_t now_us);
-static const char *scheduler_name_(const Call *c);
 static void use_grant_(Call *c);
 static uint64_t find_unusable_(const Call *c);
 static void return_grant_(Call *c, uint64_t unusable_endpoint);
@@ -446,6 +442,7 @@
 	c->state = CALL_ASKING;
 	c->queued = false;
 	c->asked_us = clock_now_us();
+	c->silent_since_us = c->asked_us;
 	call_set_timer(c, c->asked_us);
 	cluster_ask(c->gate->cluster, c);
 }
@@ -469,25 +466,7 @@
 	a->priority_level = c->owner && c->owner->has_priority ? c->owner->priority : c->rule->priority;
 	for (unsigned i = 0; i < c->retry.tried_count && a->avoid_count < BH__AVOID_MAX; i++)
 		a->avoid[a->avoid_count++] = c->retry.tried[i];
-	fill_backoffs_(c);
-}
-
-/* Lists in the ask the engines from which this node backs off. Called whenever the ask is sent. */
-static void fill_backoffs_(Call *c)
-{
-	BH__Ask *a = &c->admission.ask;
-
-	a->backoff_count = (uint8_t)bh__registry_list_backoffs(c->gate->registry, c->service->name,
-														   clock_now_us(), a->backoff, BH__BACKOFF_MAX);
-}
-
-/* Sends the current ask again, with the current list of backoffs. */
-static void ask_again_(Call *c, uint64_t now_us)
-{
-	c->asked_us = now_us;
-	call_set_timer(c, now_us);
-	fill_backoffs_(c);
-	cluster_resend_ask(c->gate->cluster, c);
+	call_fill_backoffs(c);
 }
 
 /* Returns the call's admission state, which schedulers.c and limits.c change. */
@@ -496,20 +475,11 @@
 	return &c->admission;
 }
 
-/* Returns the name of the node that was asked, or "unknown" if it is no member any more. */
-static const char *scheduler_name_(const Call *c)
-{
-	const BH__MemberInfo *info =
-		bh__members_find(cluster_get_members(c->gate->cluster), c->admission.asked_node);
-
-	return info ? info->name : "unknown";
-}
-
 /* Processes the scheduler's notice that the ask is queued: restarts the timer and logs the first notice. */
 void call_on_queued(Call *c)
 {
 	if (!c->queued_logged)
-		log_event("queued", "request=%s scheduler=%s", c->request->meta.request_id, scheduler_name_(c));
+		log_event("queued", "request=%s scheduler=%s", c->request->meta.request_id, call_scheduler_name(c));
 	c->queued_logged = true;
 	c->queued = true;
 	c->asked_us = clock_now_us();
@@ -532,7 +502,7 @@
 	if (reason == BH__REASON_NO_ENDPOINT)
 		retry_after_ms = MAX(retry_after_ms, retry_no_endpoint_ms_(c));
 	log_event("refuse", "request=%s cause=%s scheduler=%s retry_after_ms=%" G_GUINT64_FORMAT,
-			  c->request->meta.request_id, BH__ReasonString[reason], scheduler_name_(c), retry_after_ms);
+			  c->request->meta.request_id, BH__ReasonString[reason], call_scheduler_name(c), retry_after_ms);
 	if (reason == BH__REASON_NODE_LEAVING)
 		ask_(c);
 	else
@@ -771,10 +741,9 @@
 	if (c->state == CALL_SUSPECTED)
 		due_us = MIN(due_us, c->suspected_us + EVALUATION_MAX_MS * BH__MS_US);
 	if (c->state == CALL_PERMIT)
-		due_us = MIN(due_us, c->send_at_us ? c->send_at_us : c->asked_us + SCHEDULER_MAX_WAIT_MS * BH__MS_US);
+		due_us = MIN(due_us, c->send_at_us ? c->send_at_us : c->asked_us + BH__ASK_ANSWER_US);
 	if (c->state == CALL_ASKING)
-		due_us =
-			MIN(due_us, c->asked_us + (c->queued ? QUEUED_REPEAT_MS : SCHEDULER_MAX_WAIT_MS) * BH__MS_US);
+		due_us = MIN(due_us, call_get_ask_due_us(c));
 	due_us = due_us > now_us ? due_us - now_us : 0;
 	tv.tv_sec = (time_t)(due_us / BH__SECOND_US);
 	tv.tv_usec = (suseconds_t)(due_us % BH__SECOND_US);
@@ -808,10 +777,9 @@
 	else if (c->state == CALL_PERMIT && c->send_at_us && now_us >= c->send_at_us) {
 		use_permit_(c);
 	}
-	else if (c->state == CALL_PERMIT && !c->send_at_us &&
-			 now_us >= c->asked_us + SCHEDULER_MAX_WAIT_MS * BH__MS_US) {
+	else if (c->state == CALL_PERMIT && !c->send_at_us && now_us >= c->asked_us + BH__ASK_ANSWER_US) {
 		log_event("limit", "what=unanswered request=%s home=%s", c->request->meta.request_id,
-				  scheduler_name_(c));
+				  call_scheduler_name(c));
 		cluster_drop_ask(c->gate->cluster, c);
 		call_on_permit(c, false, RETRY_SOON_MS * BH__MS_US);
 	}
@@ -824,24 +792,8 @@
 		c->received_us = now_us; /* no further dispatch is allowed: waits on for this endpoint */
 		call_set_timer(c, now_us);
 	}
-	else if (c->state == CALL_ASKING && c->queued && now_us >= c->asked_us + QUEUED_REPEAT_MS * BH__MS_US) {
-		c->queued = false;
-		ask_again_(c, now_us);
-	}
-	else if (c->state == CALL_ASKING && !c->queued &&
-			 now_us >= c->asked_us + SCHEDULER_MAX_WAIT_MS * BH__MS_US &&
-			 cluster_awaits(c->gate->cluster, c->admission.asked_node)) {
-		ask_again_(c, now_us);
-	}
-	else if (c->state == CALL_ASKING && !c->queued &&
-			 now_us >= c->asked_us + SCHEDULER_MAX_WAIT_MS * BH__MS_US) {
-		c->gate->counters.local_grants++;
-		log_event("alone", "request=%s scheduler=%s waited_ms=%" G_GUINT64_FORMAT,
-				  c->request->meta.request_id, scheduler_name_(c), (now_us - c->asked_us) / BH__MS_US);
-		c->asked_us = now_us;
-		call_set_timer(c, now_us);
-		fill_backoffs_(c);
-		cluster_ask_locally(c->gate->cluster, c);
+	else if (c->state == CALL_ASKING && now_us >= call_get_ask_due_us(c)) {
+		call_process_silence(c, now_us);
 	}
 	else {
 		call_set_timer(c, now_us);
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -33,6 +33,7 @@
 	bool queued_logged;        /* the queueing has been logged */
 	unsigned unused_grants;    /* number of grants returned unused */
 	uint64_t asked_us;         /* when the last ask was sent, or the last sign of the scheduler received */
+	uint64_t silent_since_us;  /* when the first ask was sent that the scheduler has not answered */
 	uint64_t permit_endpoint;  /* endpoint that a permit is asked for */
 	uint64_t send_at_us;       /* when the permit allows the dispatch; 0: no permit yet */
 	uint64_t suspected_us;     /* when CALL_SUSPECTED began */
@@ -70,6 +71,12 @@
 bool call_abandon_unsendable(Call *c);
 uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us);
 
+/* call_silence.c */
+const char *call_scheduler_name(const Call *c);
+void call_fill_backoffs(Call *c);
+uint64_t call_get_ask_due_us(const Call *c);
+void call_process_silence(Call *c, uint64_t now_us);
+
 /* dispatch.c */
 void dispatch_start(Call *c, uint64_t endpoint_id);
 void dispatch_end(Call *c, BH__DispatchEnd end);
--- /dev/null
+++ b/src/libbayhoist/ask_silence.c
@@ -0,0 +1,17 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* A node that places a prompt by itself does not know what other nodes run on the engines. A short prompt
+ * disturbs one engine at most. A long one is spread over many engines, and its parts lengthen iterations of
+ * all of them beyond what their streams may pause. Its first-event target leaves time to repeat the ask
+ * instead: a lost message or a short stall of the scheduler then costs the prompt a part of its own slack and
+ * other callers nothing. */
+#include "bayhoist/ask_silence.h"
+
+/* Share of the first-event target that may pass in silence. The rest suffices to prefill the prompt once a
+ * scheduler answers, or on the node's own decision. */
+#define SILENCE_TARGET_SHARE_ 0.1
+
+/* Returns the time in microseconds after which a node may place a prompt whose scheduler is silent. */
+uint64_t bh__ask_get_max_silence_us(const BH__Ask *ask)
+{
+	return MAX(BH__ASK_ANSWER_US, (uint64_t)((double)ask->first_event_us * SILENCE_TARGET_SHARE_));
+}
