planner: Tight prompts go where they are in time, and parts that may share an iteration add up

Cause: (1) a tight prompt was tried on the first engines in filling order only. If these would start it too late it waited, though others were free. (2) Parts planned for two iterations met in one where the planner only predicts when an iteration begins, so that prefill took longer than predicted. (4) The number of streams for which an engine is set aside was a constant, above the slots of many engines. Change: (1) find_tight_parts_() looks at the end of the prefill on each engine, first with a third of the target to spare. (2) the clock names the parts of the current iteration that may be read in the next one; they count against the pauses of tight streams. (3) loose engines are sorted first. (4) the division is decided in prefill_set.c, by the slots of the model.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,9 @@
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
+# the model engines are the benches'
+$B/test_prefill_set: $B/src/bench/pass_engine.o
+
 # tests of the binding, and the stand-in that it is played against
 $B/test_decode: $B/test/platform/test_decode.o $B/platform/decode.o $B/platform/headers.o $B/platform/http_client.o \
 		$B/libshare.a $B/libbayhoist.a
--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -53,6 +53,14 @@
 	uint64_t ejected_until_us; /* when the ejection after failures ends; in the past if there is none */
 } BH__PlannerEngine;
 
+/* How a planner's engines are divided between tight streams and long prompts. */
+typedef struct {
+	unsigned engines;   /* engines that may be granted requests */
+	unsigned set_aside; /* engines set aside for tight streams; the others read long prompts */
+	unsigned reading;   /* engines that prefill for other engines */
+	unsigned tight;     /* tight requests, running and waiting */
+} BH__PlannerDivision;
+
 BH__Planner *bh__planner_new(BH__PlannerPort *port, uint64_t pool_id, uint64_t boot_id);
 void bh__planner_delete(BH__Planner *p);
 uint64_t bh__planner_get_id(const BH__Planner *p);
@@ -85,5 +93,7 @@
 unsigned bh__planner_count_ejected(const BH__Planner *p, uint64_t now_us);
 void bh__planner_get_engine(const BH__Planner *p, unsigned index, BH__PlannerEngine *out);
 const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p);
+void bh__planner_get_division(const BH__Planner *p, BH__PlannerDivision *out);
+bool bh__planner_take_division_change(BH__Planner *p, uint64_t now_us);
 
 #endif
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -61,6 +61,9 @@
 void cluster_drain_inbox(Cluster *c);
 void cluster_schedule_waiting_tick(Cluster *c);
 
+/* cluster_status.c */
+void cluster_log_division(const Service *s, uint64_t now_us);
+
 /* schedulers.c */
 Service *schedulers_find(const Cluster *c, uint64_t pool_id);
 bool schedulers_has_service(const Cluster *c, const char *service);
--- a/src/bayhoist-gate/cluster_status.c
+++ b/src/bayhoist-gate/cluster_status.c
@@ -3,6 +3,7 @@
  */
 #include "clock.h"
 #include "cluster_internal.h"
+#include "log.h"
 
 static void write_planner_(const Service *s, struct evbuffer *out);
 static void write_engine_(const Service *s, const BH__PlannerEngine *e, uint64_t now_us,
@@ -32,10 +33,50 @@
 		write_planner_(service, out);
 }
 
+/* Logs how the engines of a service are divided, if that has changed much and this node schedules it. */
+void cluster_log_division(const Service *s, uint64_t now_us)
+{
+	BH__PlannerDivision d;
+
+	if (!s->scheduling_since_us || !bh__planner_take_division_change(s->planner, now_us))
+		return;
+	bh__planner_get_division(s->planner, &d);
+	log_event("prefill", "service=%s engines=%u set_aside=%u reading=%u tight=%u", s->service, d.engines,
+			  d.set_aside, d.reading, d.tight);
+}
+
+/* Returns how the engines of each service are divided between tight streams and long prompts, as this node
+ * sees it. */
+struct json_object *cluster_describe_division(const Cluster *c)
+{
+	struct json_object *root = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	GHashTableIter it;
+	gpointer service;
+
+	g_hash_table_iter_init(&it, c->services);
+	while (g_hash_table_iter_next(&it, NULL, &service)) {
+		const Service *s = service;
+		struct json_object *o = json_object_new_object();
+		BH__PlannerDivision d;
+		bh__planner_get_division(s->planner, &d);
+		json_object_object_add(o, "service", json_object_new_string(s->service));
+		json_object_object_add(o, "schedules", json_object_new_boolean(s->scheduling_since_us > 0));
+		json_object_object_add(o, "engines", json_object_new_int64(d.engines));
+		json_object_object_add(o, "set_aside", json_object_new_int64(d.set_aside));
+		json_object_object_add(o, "reading", json_object_new_int64(d.reading));
+		json_object_object_add(o, "tight", json_object_new_int64(d.tight));
+		json_object_array_add(list, o);
+	}
+	json_object_object_add(root, "services", list);
+	return root;
+}
+
 /* Writes the counters of a service's planner and the state of its engines. */
 static void write_planner_(const Service *s, struct evbuffer *out)
 {
 	const BH__PlannerCounters *k = bh__planner_get_counters(s->planner);
+	BH__PlannerDivision d;
 	uint64_t now_us = clock_now_us();
 	const struct {
 		const char *what;
@@ -46,6 +87,14 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
 		evbuffer_add_printf(out, "bayhoist_planner{service=\"%s\",what=\"%s\"} %" G_GUINT64_FORMAT "\n",
 							s->service, counts[i].what, counts[i].value);
+	bh__planner_get_division(s->planner, &d);
+	evbuffer_add_printf(out,
+						"bayhoist_prefill{service=\"%s\",what=\"engines\"} %u\n"
+						"bayhoist_prefill{service=\"%s\",what=\"set_aside\"} %u\n"
+						"bayhoist_prefill{service=\"%s\",what=\"reading\"} %u\n"
+						"bayhoist_prefill{service=\"%s\",what=\"tight\"} %u\n",
+						s->service, d.engines, s->service, d.set_aside, s->service, d.reading, s->service,
+						d.tight);
 	for (unsigned i = 0; i < bh__planner_get_engine_count(s->planner); i++) {
 		BH__PlannerEngine e;
 		bh__planner_get_engine(s->planner, i, &e);
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -29,6 +29,7 @@
 		"                       have the endpoints of a data hall receive nothing new, or take that back\n"
 		"  where                show which addresses a caller is told to use\n"
 		"  links\n"
+		"  prefill              show which engines long prompts are read on, as a gateway sees it\n"
 		"  suspects [FINGERPRINT [release]]\n"
 		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
 		"                       control address, and --key for a release the key that the nodes share\n"
@@ -154,6 +155,8 @@
 		return ctl_halls(o, arguments + 1);
 	if (!strcmp(command, "links"))
 		return ctl_links(o, arguments + 1);
+	if (!strcmp(command, "prefill"))
+		return ctl_prefill(o, arguments + 1);
 	if (!strcmp(command, "suspects"))
 		return ctl_suspects(o, arguments + 1);
 	if (!strcmp(command, "timeline"))
--- a/src/libbayhoist/include/private/iteration_clock.h
+++ b/src/libbayhoist/include/private/iteration_clock.h
@@ -30,6 +30,7 @@
 	GArray *prefilled; /* BH__PrefillPart whose prefill is estimated to have ended in recent iterations */
 	unsigned iteration_part_count; /* the first elements of `parts`, prefilled in the current iteration */
 	uint64_t iteration_start_us;   /* start of the current iteration */
+	bool start_observed;           /* that start was observed, not predicted */
 	uint64_t iteration_end_us; /* predicted end of the current iteration; 0: no streams, so no iterations */
 	unsigned streams;          /* running streams */
 	uint64_t context_tokens;   /* context of all streams together */
@@ -41,6 +42,7 @@
 void bh__iteration_clock_clear(BH__IterationClock *c);
 void bh__iteration_clock_advance(BH__IterationClock *c, const BH__EngineModel *m, uint64_t now_us);
 double bh__iteration_clock_get_backlog_ms(const BH__IterationClock *c);
+double bh__iteration_clock_get_uncertain_ms(const BH__IterationClock *c, uint64_t now_us);
 double bh__iteration_clock_get_iteration_left_ms(const BH__IterationClock *c, uint64_t now_us);
 double bh__iteration_clock_predict_next_iteration_ms(const BH__IterationClock *c, const BH__EngineModel *m,
 													 double extra_ms);
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -13,6 +13,10 @@
  * routes. */
 #define BH__LATE_UTILITY_LOSS 0.75
 
+/* Slots of an engine that are kept free for resumed streams and prediction errors while others have free
+ * ones. */
+#define BH__SPARE_SLOTS 1
+
 /* A granted request. */
 typedef struct {
 	BH__Grant grant;
@@ -29,6 +33,7 @@
 	uint64_t endpoint_id;
 	uint64_t incarnation; /* incarnation of the endpoint, as counted by the registry */
 	bool leaving;
+	bool set_aside;                      /* for tight streams, of which it may have none yet */
 	BH__Ejection ejection;               /* no grants for a while, because of failures */
 	uint64_t requested_backoff_until_us; /* end of the backoff that the engine has requested from some node */
 	BH__EndpointRate rate;               /* limits on the requests that the engine may be granted */
@@ -55,6 +60,7 @@
 double bh__placement_utility(uint64_t prompt_tokens);
 bool bh__placement_is_tight(uint64_t event_gap_us);
 bool bh__iteration_engine_is_usable(const BH__IterationEngine *e, uint64_t now_us);
+bool bh__iteration_engine_is_overdue(const BH__IterationEngine *e, uint64_t now_us);
 bool bh__ask_backs_off_from(const BH__Ask *ask, uint64_t endpoint_id);
 
 #endif
--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -5,7 +5,7 @@
 #define BAYHOIST_PRIVATE_PLANNER_INTERNAL_H
 
 #include "bayhoist/planner.h"
-#include "placement.h"
+#include "prefill_set.h"
 
 typedef struct {
 	BH__Ask ask;
@@ -26,9 +26,12 @@
 	GHashTable *by_ask;   /* the elements of `by_grant` by ask id */
 	GPtrArray *waiting;   /* BH__WaitingAsk, the smallest prompt first */
 	BH__PlannerCounters counters;
-	double long_work_ms;   /* recent prefill work of long prompts on one engine, decaying exponentially */
-	uint64_t long_work_us; /* time at which long_work_ms was last updated */
-	bool placing_waiting;  /* bh__planner_place_waiting() is running */
+	BH__PrefillSet prefill_set;
+	unsigned told_set_aside;   /* engines set aside when operators were last told */
+	uint64_t division_told_us; /* time at which they were; 0: never */
+	double long_work_ms;       /* recent prefill work of long prompts on one engine, decaying exponentially */
+	uint64_t long_work_us;     /* time at which long_work_ms was last updated */
+	bool placing_waiting;      /* bh__planner_place_waiting() is running */
 };
 
 /* planner.c */
@@ -39,4 +42,7 @@
 void bh__planner_place_waiting(BH__Planner *p, uint64_t now_us);
 void bh__planner_drop_asks(BH__Planner *p, uint64_t node_id);
 
+/* planner_prefill.c */
+void bh__planner_decide_division(BH__Planner *p, uint64_t now_us);
+
 #endif
--- a/src/libbayhoist/iteration_clock.c
+++ b/src/libbayhoist/iteration_clock.c
@@ -31,7 +31,7 @@
 #define ITERATION_EXTRA_MS_ 50.0
 
 static void prefill_steps_(BH__IterationClock *c, double ms);
-static void begin_iteration_(BH__IterationClock *c, const BH__EngineModel *m, uint64_t now_us);
+static void begin_iteration_(BH__IterationClock *c, const BH__EngineModel *m, bool observed, uint64_t now_us);
 static void end_iteration_(BH__IterationClock *c);
 static void mark_prefilled_(BH__IterationClock *c, unsigned count);
 static void remove_prefilled_(BH__IterationClock *c, uint64_t grant_id);
@@ -80,7 +80,7 @@
 	}
 	for (unsigned i = 0; c->iteration_end_us <= now_us && i < ITERATIONS_PER_ADVANCE_MAX_; i++) {
 		end_iteration_(c);
-		begin_iteration_(c, m, c->iteration_end_us);
+		begin_iteration_(c, m, false, c->iteration_end_us);
 	}
 }
 
@@ -116,8 +116,9 @@
 	return -1;
 }
 
-/* Begins an iteration at `now_us` that prefills all parts that have reached the engine by then. */
-static void begin_iteration_(BH__IterationClock *c, const BH__EngineModel *m, uint64_t now_us)
+/* Begins an iteration at `now_us`, a time that was `observed` or predicted, that prefills all parts that have
+ * reached the engine by then. */
+static void begin_iteration_(BH__IterationClock *c, const BH__EngineModel *m, bool observed, uint64_t now_us)
 {
 	double ms = bh__engine_model_iteration_ms(m, c->streams, c->context_tokens);
 
@@ -128,6 +129,7 @@
 		ms += p->left_ms;
 	}
 	c->iteration_start_us = now_us;
+	c->start_observed = observed;
 	c->iteration_end_us = now_us + (uint64_t)(c->slowdown * 1000 * ms) + 1;
 }
 
@@ -185,7 +187,7 @@
 		   part_(c, (int)prefilled_count)->added_us + DELIVERY_US_ <= start_us)
 		prefilled_count++;
 	mark_prefilled_(c, prefilled_count);
-	begin_iteration_(c, m, now_us);
+	begin_iteration_(c, m, true, now_us);
 }
 
 /* Returns the longest duration in ms that a recent iteration can have had with the work granted for it. */
@@ -210,6 +212,25 @@
 	return ms;
 }
 
+/* Returns the prefill time in ms, at slowdown factor 1, of those parts of the current iteration that may in
+ * truth share the next one with what is added now: the engine may have begun the iteration earlier than
+ * estimated, before they reached it, or it may begin it later, when the new part has reached it as well.
+ * Without counting them, parts planned for two iterations meet in one, which then exceeds its limit. */
+double bh__iteration_clock_get_uncertain_ms(const BH__IterationClock *c, uint64_t now_us)
+{
+	uint64_t predicted_us = c->iteration_end_us - MIN(c->iteration_end_us, c->iteration_start_us);
+	uint64_t error_us = c->start_observed ? DELIVERY_US_ : predicted_us / 2;
+	bool may_begin_later = now_us < c->iteration_start_us + error_us;
+	double ms = 0;
+
+	for (guint i = 0; i < c->iteration_part_count; i++) {
+		const BH__PrefillPart *p = part_(c, (int)i);
+		if (may_begin_later || p->added_us + DELIVERY_US_ + error_us > c->iteration_start_us)
+			ms += p->left_ms;
+	}
+	return ms;
+}
+
 /* Returns the time in ms until the predicted end of the current iteration; 0 also if there is none. */
 double bh__iteration_clock_get_iteration_left_ms(const BH__IterationClock *c, uint64_t now_us)
 {
@@ -399,7 +420,7 @@
 		return;
 	if (i >= 0)
 		end_iteration_(c); /* the engine is ahead of the estimate */
-	begin_iteration_(c, m, now_us);
+	begin_iteration_(c, m, true, now_us);
 }
 
 /* Adds a stream, whose answer begins at `now_us`. The first stream starts the iterations. */
@@ -409,7 +430,7 @@
 	c->streams++;
 	c->context_tokens += context_tokens;
 	if (c->streams == 1)
-		begin_iteration_(c, m, now_us);
+		begin_iteration_(c, m, true, now_us);
 }
 
 /* Removes a stream. Iterations end with the last one. */
--- /dev/null
+++ b/src/libbayhoist/iteration_engine.c
@@ -0,0 +1,28 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What a planner may do with one engine, by its state. */
+#include "placement.h"
+
+/* An answer that has not started this long after its predicted start shows that its engine is stalled or in a
+ * longer iteration than predicted. This is half of the shortest event gap among the users' streams. */
+#define OVERDUE_US_ (100 * BH__MS_US)
+
+/* Returns true if an engine may be granted a request: it is not leaving, not ejected, and within its rate
+ * limits. */
+bool bh__iteration_engine_is_usable(const BH__IterationEngine *e, uint64_t now_us)
+{
+	return !e->leaving && now_us >= e->ejection.until_us && bh__endpoint_rate_admits(&e->rate, now_us);
+}
+
+/* Returns true if an answer from this engine is overdue and no other answer has started there since it was
+ * due. Prompts with helpers do not count, because any of the engines may be the cause. */
+bool bh__iteration_engine_is_overdue(const BH__IterationEngine *e, uint64_t now_us)
+{
+	for (guint i = 0; i < e->primaries->len; i++) {
+		const BH__PlacedRequest *r = g_ptr_array_index(e->primaries, i);
+		uint64_t due_us = r->granted_us + r->grant.expected_us;
+		if (!r->grant.has_first_event && r->grant.member_count == 1 && now_us > due_us + OVERDUE_US_ &&
+			e->last_stream_started_us < due_us)
+			return true;
+	}
+	return false;
+}
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -19,24 +19,18 @@
 /* Margins for the network and for prediction errors: of the event gap, and of the time to the first event. */
 #define GAP_MARGIN_MS_ 25.0
 #define FIRST_EVENT_MARGIN_MS_ 35.0
+/* Share of the time to the first event that tight prompts are given to spare where engines allow it. */
+#define SPARE_TARGET_SHARE_ 0.33
 /* Limit on an iteration of an engine without streams, where a stream may start at any time. */
 #define LOOSE_LIMIT_MS_ ((double)BH__MAX_ITERATION_MS)
 #define TIGHT_GAP_US_ (300 * BH__MS_US) /* streams with an event gap up to this are tight */
 #define TIGHT_LIMIT_MS_ 180.0           /* limit on an iteration of an engine reserved for tight streams */
 #define TIGHT_HEADROOM_MS_ 40.0         /* part of such an iteration that is kept free for tight prompts */
-#define TIGHT_STREAMS_PER_ENGINE_ 14    /* approximate number of tight streams on one engine */
-#define SPARE_TIGHT_STREAMS_ 3          /* additional tight streams for which engines are reserved */
 #define TIGHT_PARTS_MAX_ 4              /* maximum number of parts of a tight prompt */
 #define PART_MIN_TOKENS_ 1000           /* smaller parts do not justify a helper */
-/* Slots of an engine that are kept free for resumed streams and prediction errors while others have free
- * ones, and the additional slots that late requests leave to other requests. */
-#define RESERVED_SLOTS_ 1
-#define LATE_RESERVED_SLOTS_ 3
+#define LATE_SPARE_SLOTS_ 3 /* slots beyond BH__SPARE_SLOTS that late requests leave to other requests */
 /* Fewer parts are preferred if their prefill time is below this share of the time with more parts. */
 #define FEWER_PARTS_TIME_RATIO_ 0.85
-/* An answer that has not started this long after its predicted start shows that its engine is stalled or in a
- * longer iteration than predicted. This is half of the shortest event gap among the users' streams. */
-#define OVERDUE_US_ (100 * BH__MS_US)
 #define KV_FILL_ 0.94 /* share of an engine's memory that is granted */
 
 typedef struct {
@@ -56,19 +50,22 @@
 } Candidate_;
 
 static bool contains_(const uint64_t *list, unsigned count, uint64_t endpoint_id);
-static bool is_overdue_(const BH__IterationEngine *e, uint64_t now_us);
 static unsigned list_candidates_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask,
 								 uint64_t now_us, Candidate_ *out);
 static void init_candidate_(const BH__EngineModel *m, BH__IterationEngine *e, uint64_t now_us, Candidate_ *c);
-static void reserve_for_tight_(Candidate_ *c, unsigned count);
 static double first_gap_used_ms_(const Candidate_ *c, const BH__PlacedRequest *r, uint64_t now_us);
 static double gap_limit_ms_(uint64_t event_gap_us);
 static double part_headroom_ms_(const Candidate_ *c);
 static int compare_for_tight_(const void *a, const void *b);
 static int compare_for_long_(const void *a, const void *b);
+static int compare_for_loose_(const void *a, const void *b);
 static int compare_for_cost_(const void *a, const void *b);
 static bool find_tight_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
 						uint64_t now_us, BH__Placement *out);
+static bool find_tight_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count, unsigned parts,
+							  const BH__Ask *ask, double within_ms, uint64_t now_us, BH__Placement *out);
+static double prefill_end_ms_(const BH__EngineModel *m, const Candidate_ *c, double part_ms, bool for_helper,
+							  uint64_t now_us);
 static bool find_long_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
 					   double idle_prefill_ms, uint64_t now_us, BH__Placement *out);
 static unsigned choose_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count,
@@ -94,13 +91,6 @@
 	return event_gap_us && event_gap_us <= TIGHT_GAP_US_;
 }
 
-/* Returns true if an engine may be granted a request: it is not leaving, not ejected, and within its rate
- * limits. */
-bool bh__iteration_engine_is_usable(const BH__IterationEngine *e, uint64_t now_us)
-{
-	return !e->leaving && now_us >= e->ejection.until_us && bh__endpoint_rate_admits(&e->rate, now_us);
-}
-
 static bool contains_(const uint64_t *list, unsigned count, uint64_t endpoint_id)
 {
 	for (unsigned i = 0; i < count; i++)
@@ -115,20 +105,6 @@
 	return contains_(ask->backoff, ask->backoff_count, endpoint_id);
 }
 
-/* Returns true if an answer from this engine is overdue and no other answer has started there since it was
- * due. Prompts with helpers do not count, because any of the engines may be the cause. */
-static bool is_overdue_(const BH__IterationEngine *e, uint64_t now_us)
-{
-	for (guint i = 0; i < e->primaries->len; i++) {
-		const BH__PlacedRequest *r = g_ptr_array_index(e->primaries, i);
-		uint64_t due_us = r->granted_us + r->grant.expected_us;
-		if (!r->grant.has_first_event && r->grant.member_count == 1 && now_us > due_us + OVERDUE_US_ &&
-			e->last_stream_started_us < due_us)
-			return true;
-	}
-	return false;
-}
-
 /* Fills `out` with the usable engines and returns their number. Engines that requested a backoff from the
  * asking node are left out. Engines that the ask avoids or where answers are overdue are listed only if there
  * are no others. */
@@ -141,45 +117,17 @@
 		for (guint i = 0; i < engines->len; i++) {
 			BH__IterationEngine *e = g_ptr_array_index(engines, i);
 			if (!bh__iteration_engine_is_usable(e, now_us) || bh__ask_backs_off_from(ask, e->endpoint_id) ||
-				(avoid &&
-				 (contains_(ask->avoid, ask->avoid_count, e->endpoint_id) || is_overdue_(e, now_us))))
+				(avoid && (contains_(ask->avoid, ask->avoid_count, e->endpoint_id) ||
+						   bh__iteration_engine_is_overdue(e, now_us))))
 				continue;
 			bh__iteration_clock_advance(&e->clock, m, now_us);
 			out[count].order = i;
 			init_candidate_(m, e, now_us, &out[count++]);
 		}
 	}
-	reserve_for_tight_(out, count);
 	return count;
 }
 
-/* Reserves engines for tight streams: as many as the current tight streams need plus a spare, so that the
- * next tight stream finds an engine that is not in the middle of a long iteration. Engines with tight streams
- * are reserved first, then the first ones in the list. */
-static void reserve_for_tight_(Candidate_ *c, unsigned count)
-{
-	unsigned streams = 0;
-	unsigned wanted;
-
-	for (unsigned i = 0; i < count; i++) {
-		streams += c[i].tight;
-		c[i].reserved = c[i].tight > 0;
-	}
-	wanted = MIN((streams + SPARE_TIGHT_STREAMS_ + TIGHT_STREAMS_PER_ENGINE_ - 1) / TIGHT_STREAMS_PER_ENGINE_,
-				 count / 2);
-	for (unsigned i = 0; i < count; i++)
-		wanted -= c[i].reserved && wanted > 0;
-	for (unsigned i = 0; i < count && wanted > 0; i++) {
-		if (c[i].reserved)
-			continue;
-		c[i].reserved = true;
-		wanted--;
-	}
-	for (unsigned i = 0; i < count; i++)
-		if (c[i].reserved)
-			c[i].limit_ms = MIN(c[i].limit_ms, (double)TIGHT_LIMIT_MS_);
-}
-
 /* Initializes a candidate from the state of an engine. For an engine without streams, all of the waiting
  * prefill counts towards its next iteration, because all of it may still be left when the next stream starts.
  */
@@ -189,7 +137,6 @@
 
 	c->engine = e;
 	c->tight = 0;
-	c->reserved = false;
 	c->delay_cost = 0;
 	c->limit_ms = LOOSE_LIMIT_MS_;
 	c->next_iteration_ms = bh__iteration_clock_predict_next_iteration_ms(&e->clock, m, 0);
@@ -210,6 +157,11 @@
 		if (c->next_iteration_ms <= limit_ms)
 			c->delay_cost += r->answer_utility * BH__LATE_UTILITY_LOSS;
 	}
+	c->reserved = e->set_aside || c->tight > 0;
+	if (c->tight)
+		c->limit_ms -= bh__iteration_clock_get_uncertain_ms(&e->clock, now_us) * e->clock.slowdown;
+	if (c->reserved)
+		c->limit_ms = MIN(c->limit_ms, (double)TIGHT_LIMIT_MS_);
 }
 
 /* Returns how much of a stream's first pause falls before the next iteration of its primary engine, in
@@ -281,34 +233,56 @@
 }
 
 /* Places a tight prompt on one engine if that engine stays within its limit, otherwise on at most
- * TIGHT_PARTS_MAX_ engines. */
+ * TIGHT_PARTS_MAX_ engines. Engines that prefill it with time to spare are preferred to a later start on
+ * engines that are fuller. */
 static bool find_tight_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
 						uint64_t now_us, BH__Placement *out)
 {
-	double own_limit_ms = gap_limit_ms_(ask->event_gap_us);
+	unsigned max_parts = MIN(max_parts_(ask, count), TIGHT_PARTS_MAX_);
+	double target_ms = (double)ask->first_event_us / 1000;
+	double within_ms[] = {target_ms * (1 - SPARE_TARGET_SHARE_), target_ms - FIRST_EVENT_MARGIN_MS_};
 
 	qsort(c, count, sizeof *c, compare_for_tight_);
-	for (unsigned parts = 1; parts <= MIN(max_parts_(ask, count), TIGHT_PARTS_MAX_); parts++) {
-		double part_ms = bh__engine_model_prefill_ms(m, ask->prompt_tokens, parts);
-		Candidate_ chosen[TIGHT_PARTS_MAX_];
-		unsigned n = 0;
-		for (unsigned i = 0; i < count && n < parts; i++) {
-			double limit_ms = MIN(c[i].limit_ms, own_limit_ms);
-			bool fits = c[i].next_iteration_ms + part_ms * c[i].engine->clock.slowdown <= limit_ms &&
-						part_ms <= c[i].overtake_headroom_ms;
-			bool has_slot =
-				n > 0 ? c[i].helper_slots_free > 0
-					  : c[i].slots_free > RESERVED_SLOTS_ + (ask->first_event_us ? 0 : LATE_RESERVED_SLOTS_);
-			if (fits && has_slot)
-				chosen[n++] = c[i];
-		}
-		if (n == parts && build_placement_(m, chosen, n, parts, ask, now_us, out) &&
-			meets_target_(ask, out, now_us))
-			return true;
-	}
+	for (unsigned i = ask->first_event_us ? 0 : 1; i < G_N_ELEMENTS(within_ms); i++)
+		for (unsigned parts = 1; parts <= max_parts; parts++)
+			if (find_tight_parts_(m, c, count, parts, ask, ask->first_event_us ? within_ms[i] : G_MAXDOUBLE,
+								  now_us, out))
+				return true;
 	return false;
 }
 
+/* Places a tight prompt on the first `parts` engines that stay within their limits and end the prefill within
+ * `within_ms`. Returns false if there are fewer. */
+static bool find_tight_parts_(const BH__EngineModel *m, const Candidate_ *c, unsigned count, unsigned parts,
+							  const BH__Ask *ask, double within_ms, uint64_t now_us, BH__Placement *out)
+{
+	double part_ms = bh__engine_model_prefill_ms(m, ask->prompt_tokens, parts);
+	unsigned spare_slots = BH__SPARE_SLOTS + (ask->first_event_us ? 0 : LATE_SPARE_SLOTS_);
+	Candidate_ chosen[TIGHT_PARTS_MAX_];
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < count && n < parts; i++) {
+		double limit_ms = MIN(c[i].limit_ms, gap_limit_ms_(ask->event_gap_us));
+		bool has_slot = n > 0 ? c[i].helper_slots_free > 0 : c[i].slots_free > spare_slots;
+		if (!has_slot || part_ms > c[i].overtake_headroom_ms ||
+			c[i].next_iteration_ms + part_ms * c[i].engine->clock.slowdown > limit_ms ||
+			prefill_end_ms_(m, &c[i], part_ms, n > 0, now_us) > within_ms)
+			continue;
+		chosen[n++] = c[i];
+	}
+	return n == parts && build_placement_(m, chosen, n, parts, ask, now_us, out);
+}
+
+/* Returns the milliseconds until an engine would have prefilled a part. */
+static double prefill_end_ms_(const BH__EngineModel *m, const Candidate_ *c, double part_ms, bool for_helper,
+							  uint64_t now_us)
+{
+	return (double)(bh__iteration_clock_predict_prefill_end(&c->engine->clock, m, part_ms, for_helper,
+															now_us) -
+					now_us) /
+		   1000;
+}
+
 /* Orders engines with free helper slots first, then engines that are not reserved for tight streams, then by
  * decreasing headroom. */
 static int compare_for_long_(const void *a, const void *b)
@@ -325,6 +299,15 @@
 	return p > q ? -1 : p < q ? 1 : 0;
 }
 
+/* Orders engines that are not reserved for tight streams first, and otherwise like compare_for_long_(). */
+static int compare_for_loose_(const void *a, const void *b)
+{
+	const Candidate_ *x = a;
+	const Candidate_ *y = b;
+
+	return x->reserved != y->reserved ? (x->reserved ? 1 : -1) : compare_for_long_(a, b);
+}
+
 /* Places a prompt that is not tight. Engines that are not reserved for tight streams are tried first; then
  * all engines, where reserved engines keep TIGHT_HEADROOM_MS_ for tight prompts. See bh__placement_find() for
  * `idle_prefill_ms`. */
@@ -334,7 +317,7 @@
 	unsigned loose = 0;
 	unsigned parts;
 
-	qsort(c, count, sizeof *c, compare_for_long_);
+	qsort(c, count, sizeof *c, compare_for_loose_);
 	while (loose < count && !c[loose].reserved)
 		loose++;
 	if (idle_prefill_ms > 0)
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -137,6 +137,7 @@
 	}
 	remaining.deadline_us = ask->deadline_us - waited_us;
 	remaining.first_event_us = late || waited_us >= target_us ? 0 : target_us - waited_us;
+	bh__planner_decide_division(p, now_us);
 	found =
 		bh__placement_find(&p->model, p->engines, &remaining,
 						   late ? idle_prefill_ms_(p, &remaining, now_us) : 0, now_us, &placement) ||
