--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -5,7 +5,7 @@
 #define BAYHOIST_PRIVATE_PLANNER_INTERNAL_H
 
 #include "bayhoist/planner.h"
-#include "placement.h"
+#include "start_rules.h"
 
 typedef struct {
 	BH__Ask ask;
@@ -26,9 +26,8 @@
 	GHashTable *by_ask;   /* the elements of `by_grant` by ask id */
 	GPtrArray *waiting;   /* BH__WaitingAsk, the smallest prompt first */
 	BH__PlannerCounters counters;
-	double long_work_ms;   /* recent prefill work of long prompts on one engine, decaying exponentially */
-	uint64_t long_work_us; /* time at which long_work_ms was last updated */
-	bool placing_waiting;  /* bh__planner_place_waiting() is running */
+	BH__LongWork long_work;
+	bool placing_waiting; /* bh__planner_place_waiting() is running */
 };
 
 /* planner.c */
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -1,66 +1,26 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* The queue of asks waiting for engines: the order in which they are placed, when an ask may delay running
  * streams, and when it is refused. The choice of engines is in placement.c. */
-#include <math.h>
 #include <string.h>
 #include "planner_internal.h"
 
-/* A request first waits for a placement that makes no running stream late. After this share of its
- * first-event target it may make streams late whose utility is lower than its own. */
-#define DELAY_WAIT_SHARE_TIGHT_ 0.05
-#define DELAY_WAIT_SHARE_ 0.6
-#define DELAY_LEAD_MS_ 400 /* time for the running iterations to end and for the longer ones that follow */
-/* Callers abandon a request whose stream has not started after the longest of: the floor, these multiples of
- * the first-event target and of the event gap. A request that can no longer be in time waits behind all
- * others for MAX_WAIT_SHARE_ of that time, but no longer than MAX_WAIT_DEADLINE_SHARE_ of its deadline. */
-#define MAX_WAIT_FLOOR_US_ (2 * BH__SECOND_US)
-#define MAX_WAIT_TARGETS_ 4
-#define MAX_WAIT_GAPS_ 8
-#define MAX_WAIT_SHARE_ 0.75
-#define MAX_WAIT_DEADLINE_SHARE_ 0.45
 /* Share of the first-event target by which a prompt should be prefilled, as long as only other requests would
  * delay it. The rest is a margin for prediction errors. */
 #define DUE_SHARE_ 0.8
-#define DEFAULT_FIRST_EVENT_US_ BH__SECOND_US
-/* A late long prompt may occupy engines that generate no answer for LATE_PREFILL_SHARE_ of the time that its
- * caller still waits; the rest is for the answer. This applies only while recent long prompts that could be
- * in time, averaged over LONG_WORK_DECAY_US_, used less than LONG_WORK_MAX_SHARE_ of the engines. The rule
- * reduced the utility of requests refused a second time from 0.0133 to 0.0117 of the total (96 days of the
- * users' mix). */
-#define LONG_WORK_DECAY_US_ (3.0 * BH__SECOND_US)
-#define LONG_WORK_MAX_SHARE_ 0.3
-#define LATE_PREFILL_SHARE_ 0.33
 #define PLACEMENTS_PER_ROUND_ 12 /* waiting asks tried in one round */
 #define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
 
-static uint64_t first_event_target_us_(const BH__Ask *ask);
 static BH__WaitingAsk *find_waiting_(const BH__Planner *p, uint64_t ask_id);
 static void enqueue_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
 static uint64_t rate_limit_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static uint64_t ejection_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
-static void note_long_work_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
-static double idle_prefill_ms_(const BH__Planner *p, const BH__Ask *remaining, uint64_t now_us);
-static bool may_delay_others_(const BH__Planner *p, const BH__Ask *ask, uint64_t waited_us);
-static bool find_delaying_(BH__Planner *p, const BH__Ask *remaining, uint64_t now_us,
-						   BH__Placement *placement);
-static bool may_delay_others_late_(const BH__Ask *ask, uint64_t waited_us);
-static bool find_delaying_late_(BH__Planner *p, const BH__Ask *remaining, uint64_t now_us,
-								BH__Placement *placement);
-static uint64_t max_wait_us_(const BH__Ask *ask);
-static bool is_late_(const BH__Planner *p, const BH__WaitingAsk *w, uint64_t now_us);
 static void place_some_(BH__Planner *p, bool late, uint64_t now_us);
 static uint64_t soonest_free_us_(const BH__Planner *p);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
 
-/* Returns the time in microseconds from the arrival of an ask after which its first event is late. */
-static uint64_t first_event_target_us_(const BH__Ask *ask)
-{
-	return ask->first_event_us ? ask->first_event_us : DEFAULT_FIRST_EVENT_US_;
-}
-
 /* Returns the waiting ask with this id, or NULL if there is none. */
 static BH__WaitingAsk *find_waiting_(const BH__Planner *p, uint64_t ask_id)
 {
@@ -90,7 +50,7 @@
 		return;
 	}
 	if (ask->first_event_us > 1)
-		note_long_work_(p, ask, now_us);
+		bh__long_work_note(&p->long_work, &p->model, ask, now_us);
 	if (try_place_(p, ask, false, now_us, now_us))
 		return;
 	enqueue_(p, ask, now_us);
@@ -126,24 +86,15 @@
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us)
 {
 	BH__Placement placement;
-	BH__Ask remaining = *ask; /* the ask with the times that remain at `now_us` */
 	uint64_t waited_us = now_us - arrived_us;
-	uint64_t target_us = first_event_target_us_(ask);
-	bool found;
+	uint64_t target_us = bh__start_rules_first_event_target_us(ask);
 
 	if (waited_us >= ask->deadline_us) {
 		refuse_(p, ask, BH__REASON_DEADLINE, now_us);
 		return true;
 	}
-	remaining.deadline_us = ask->deadline_us - waited_us;
-	remaining.first_event_us = late || waited_us >= target_us ? 0 : target_us - waited_us;
-	found =
-		bh__placement_find(&p->model, p->engines, &remaining,
-						   late ? idle_prefill_ms_(p, &remaining, now_us) : 0, now_us, &placement) ||
-		(late ? may_delay_others_late_(ask, waited_us) &&
-					find_delaying_late_(p, &remaining, now_us, &placement)
-			  : may_delay_others_(p, ask, waited_us) && find_delaying_(p, &remaining, now_us, &placement));
-	if (found) {
+	if (bh__start_rules_find(&p->model, p->engines, &p->long_work, ask, late, waited_us, now_us,
+							 &placement)) {
 		p->counters.late += placement.prefill_end_us > arrived_us + target_us;
 		bh__planner_grant(p, ask, &placement, arrived_us + (uint64_t)((double)target_us * DUE_SHARE_),
 						  arrived_us + target_us, now_us);
@@ -152,7 +103,7 @@
 	if (!has_engine_(p, ask))
 		refuse_(p, ask, BH__REASON_NO_ENDPOINT, now_us);
 	else if (waited_us + MAX(rate_limit_wait_us_(p, ask, now_us), ejection_wait_us_(p, ask, now_us)) >=
-			 max_wait_us_(ask))
+			 bh__start_rules_max_wait_us(ask))
 		refuse_(p, ask, BH__REASON_OVERLOAD, now_us);
 	else
 		return false;
@@ -212,82 +163,6 @@
 	return min_us != UINT64_MAX && min_us > now_us ? min_us - now_us : 0;
 }
 
-/* Adds a new ask to the recent work of long prompts, which need many engines. Prompts of tight streams are
- * not added. */
-static void note_long_work_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
-{
-	p->long_work_ms *= exp(-(double)(now_us - p->long_work_us) / LONG_WORK_DECAY_US_);
-	p->long_work_us = now_us;
-	if (!bh__placement_is_tight(ask->event_gap_us))
-		p->long_work_ms += bh__engine_model_prefill_ms(&p->model, ask->prompt_tokens, 1);
-}
-
-/* Returns how many milliseconds the prompt of a late request may be prefilled on an engine that generates no
- * other answer; 0 while long prompts that can be in time need the engines. */
-static double idle_prefill_ms_(const BH__Planner *p, const BH__Ask *remaining, uint64_t now_us)
-{
-	double work_ms = p->long_work_ms * exp(-(double)(now_us - p->long_work_us) / LONG_WORK_DECAY_US_);
-	double engines_ms = LONG_WORK_DECAY_US_ / 1000 * p->engines->len;
-
-	return work_ms < engines_ms * LONG_WORK_MAX_SHARE_
-			   ? (double)remaining->deadline_us / 1000 * LATE_PREFILL_SHARE_
-			   : 0;
-}
-
-/* Returns true if a request has waited long enough that its placement may make running streams late. The
- * longer the prefill of the prompt takes, the sooner this is the case. */
-static bool may_delay_others_(const BH__Planner *p, const BH__Ask *ask, uint64_t waited_us)
-{
-	bool tight = bh__placement_is_tight(ask->event_gap_us);
-	double prefill_ms = bh__engine_model_prefill_ms(&p->model, ask->prompt_tokens, BH__GRANT_MEMBERS_MAX);
-	double target_us = (double)first_event_target_us_(ask);
-	double latest_us = tight ? target_us : target_us - (prefill_ms + DELAY_LEAD_MS_) * 1000;
-
-	return (double)waited_us >=
-		   MIN(latest_us, target_us * (tight ? DELAY_WAIT_SHARE_TIGHT_ : DELAY_WAIT_SHARE_));
-}
-
-/* Finds a placement with which the request is in time and the delay cost is lower than the utility gained by
- * being in time. */
-static bool find_delaying_(BH__Planner *p, const BH__Ask *remaining, uint64_t now_us,
-						   BH__Placement *placement)
-{
-	double gain = bh__placement_utility(remaining->prompt_tokens) * BH__LATE_UTILITY_LOSS;
-
-	return bh__placement_find_min_cost(&p->model, p->engines, remaining, now_us, placement) &&
-		   placement->prefill_end_us <= now_us + remaining->first_event_us && placement->delay_cost < gain;
-}
-
-/* Returns true if the placement of a late request may make running streams late: if its stream is tight and
- * it has waited for half of its maximum wait. Other late requests may not delay streams, because engine time
- * has more utility for requests that are in time: allowing it for late prompts of all lengths cost 0.03 of
- * the total utility (96 days of the users' mix). */
-static bool may_delay_others_late_(const BH__Ask *ask, uint64_t waited_us)
-{
-	return bh__placement_is_tight(ask->event_gap_us) && waited_us * 2 >= max_wait_us_(ask);
-}
-
-/* Finds a placement for a late request whose delay cost is lower than the utility that a late answer still
- * has. */
-static bool find_delaying_late_(BH__Planner *p, const BH__Ask *remaining, uint64_t now_us,
-								BH__Placement *placement)
-{
-	double gain = bh__placement_utility(remaining->prompt_tokens) * (1 - BH__LATE_UTILITY_LOSS);
-
-	return bh__placement_find_min_cost(&p->model, p->engines, remaining, now_us, placement) &&
-		   placement->delay_cost < gain;
-}
-
-/* Returns the maximum wait of a late request for a placement, in microseconds. */
-static uint64_t max_wait_us_(const BH__Ask *ask)
-{
-	uint64_t us = MAX(MAX_WAIT_FLOOR_US_, MAX(first_event_target_us_(ask) * MAX_WAIT_TARGETS_,
-											  ask->event_gap_us * MAX_WAIT_GAPS_));
-
-	return MIN((uint64_t)((double)us * MAX_WAIT_SHARE_),
-			   (uint64_t)((double)ask->deadline_us * MAX_WAIT_DEADLINE_SHARE_));
-}
-
 /* Returns the earliest known time at which an engine that is not leaving may accept a request, or UINT64_MAX
  * if there is no such engine. */
 static uint64_t soonest_free_us_(const BH__Planner *p)
@@ -341,7 +216,7 @@
 
 	while (i < p->waiting->len && tried < PLACEMENTS_PER_ROUND_) {
 		BH__WaitingAsk w = *(BH__WaitingAsk *)g_ptr_array_index(p->waiting, i);
-		if (is_late_(p, &w, now_us) != late) {
+		if (bh__start_rules_is_late(&p->model, &w.ask, now_us - w.arrived_us) != late) {
 			i++;
 			continue;
 		}
@@ -353,15 +228,6 @@
 	}
 }
 
-/* Returns true if the first event can no longer be in time, even if the prompt is split over the maximum
- * number of engines. */
-static bool is_late_(const BH__Planner *p, const BH__WaitingAsk *w, uint64_t now_us)
-{
-	double min_ms = bh__engine_model_prefill_ms(&p->model, w->ask.prompt_tokens, BH__GRANT_MEMBERS_MAX);
-
-	return now_us + (uint64_t)(min_ms * 1000) >= w->arrived_us + first_event_target_us_(&w->ask);
-}
-
 /* Grants or refuses waiting asks as time passes. The caller calls this often while bh__planner_is_waiting()
  * returns true. */
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us)
