--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -18,6 +18,18 @@
 
 typedef struct BH__Planner BH__Planner;
 
+/* What happens to the booked start of a long prompt. */
+typedef enum {
+	BH__BOOKING_BOOKED,
+	BH__BOOKING_MOVED,     /* the start is now forecast for another time */
+	BH__BOOKING_KEPT,      /* started at the time that was booked first */
+	BH__BOOKING_MISSED,    /* started at another time */
+	BH__BOOKING_WITHDRAWN, /* refused, since there is no start in time */
+	BH__BOOKING_RETURNED   /* a caller that was refused has come back */
+} BH__BookingEvent;
+
+extern const char *const BH__BookingEventString[];
+
 typedef struct BH__PlannerPort {
 	void (*grant)(struct BH__PlannerPort *port, const BH__Grant *grant);
 	void (*refuse)(struct BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason,
@@ -29,6 +41,10 @@
 	/* An engine may be slower than its model. The receiver requests the engine's report and passes the
 	 * slowdown factor in it to bh__planner_process_slowdown(). */
 	void (*inspect)(struct BH__PlannerPort *port, uint64_t endpoint_id);
+	/* A booked start has changed. `start_in_us`: time until the start, or until the caller's return if it is
+	 * refused; `waited_us`: time since the ask arrived. May be NULL. */
+	void (*booking)(struct BH__PlannerPort *port, const BH__Ask *ask, BH__BookingEvent event,
+					uint64_t start_in_us, uint64_t waited_us);
 } BH__PlannerPort;
 
 typedef struct {
@@ -40,6 +56,16 @@
 	uint64_t ejections; /* times that a failure ejected an engine */
 } BH__PlannerCounters;
 
+/* Booked starts of long prompts. */
+typedef struct {
+	uint64_t booked;
+	uint64_t moved;
+	uint64_t kept;
+	uint64_t missed;
+	uint64_t withdrawn;
+	uint64_t returned;
+} BH__BookingCounters;
+
 /* The planner's view of one engine. */
 typedef struct {
 	uint64_t endpoint_id;
@@ -85,5 +111,7 @@
 unsigned bh__planner_count_ejected(const BH__Planner *p, uint64_t now_us);
 void bh__planner_get_engine(const BH__Planner *p, unsigned index, BH__PlannerEngine *out);
 const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p);
+const BH__BookingCounters *bh__planner_get_booking_counters(const BH__Planner *p);
+unsigned bh__planner_count_bookings(const BH__Planner *p);
 
 #endif
--- a/src/bayhoist-gate/cluster_status.c
+++ b/src/bayhoist-gate/cluster_status.c
@@ -36,12 +36,24 @@
 static void write_planner_(const Service *s, struct evbuffer *out)
 {
 	const BH__PlannerCounters *k = bh__planner_get_counters(s->planner);
+	const BH__BookingCounters *b = bh__planner_get_booking_counters(s->planner);
 	uint64_t now_us = clock_now_us();
 	const struct {
 		const char *what;
 		uint64_t value;
-	} counts[] = {{"grants", k->grants},     {"helped", k->helped}, {"queued", k->queued},
-				  {"refusals", k->refusals}, {"late", k->late},     {"ejections", k->ejections}};
+	} counts[] = {{"grants", k->grants},
+				  {"helped", k->helped},
+				  {"queued", k->queued},
+				  {"refusals", k->refusals},
+				  {"late", k->late},
+				  {"ejections", k->ejections},
+				  {"bookings", bh__planner_count_bookings(s->planner)},
+				  {"booked", b->booked},
+				  {"booking_moved", b->moved},
+				  {"booking_kept", b->kept},
+				  {"booking_missed", b->missed},
+				  {"booking_withdrawn", b->withdrawn},
+				  {"booking_returned", b->returned}};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(counts); i++)
 		evbuffer_add_printf(out, "bayhoist_planner{service=\"%s\",what=\"%s\"} %" G_GUINT64_FORMAT "\n",
--- a/src/bayhoist-gate/planner_port.c
+++ b/src/bayhoist-gate/planner_port.c
@@ -11,6 +11,8 @@
 static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g);
 static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id);
 static void on_slowdown_(void *inspection, double slowdown);
+static void on_booking_(BH__PlannerPort *port, const BH__Ask *ask, BH__BookingEvent event,
+						uint64_t start_in_us, uint64_t waited_us);
 
 /* Fills in the callbacks of a planner's port. The port must be the first member of a Service. */
 void schedulers_set_port(BH__PlannerPort *port)
@@ -19,7 +21,8 @@
 							  .refuse = on_refuse_,
 							  .queued = on_queued_,
 							  .abandoned = on_abandoned_,
-							  .inspect = on_inspect_};
+							  .inspect = on_inspect_,
+							  .booking = on_booking_};
 }
 
 /* Notifies the node that sent an ask that the ask is queued here. */
@@ -108,3 +111,14 @@
 	}
 	g_free(i);
 }
+
+/* Logs a change to the booked start of a long prompt. */
+static void on_booking_(BH__PlannerPort *port, const BH__Ask *ask, BH__BookingEvent event,
+						uint64_t start_in_us, uint64_t waited_us)
+{
+	log_event("booking",
+			  "what=%s service=%s ask=%016" G_GINT64_MODIFIER "x prompt_tokens=%" G_GUINT64_FORMAT
+			  " start_in_ms=%" G_GUINT64_FORMAT " waited_ms=%" G_GUINT64_FORMAT,
+			  BH__BookingEventString[event], ((const Service *)port)->service, ask->ask_id,
+			  ask->prompt_tokens, start_in_us / BH__MS_US, waited_us / BH__MS_US);
+}
--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -5,12 +5,7 @@
 #define BAYHOIST_PRIVATE_PLANNER_INTERNAL_H
 
 #include "bayhoist/planner.h"
-#include "start_rules.h"
-
-typedef struct {
-	BH__Ask ask;
-	uint64_t arrived_us;
-} BH__WaitingAsk;
+#include "booking.h"
 
 struct BH__Planner {
 	BH__PlannerPort *port;
@@ -27,6 +22,7 @@
 	GPtrArray *waiting;   /* BH__WaitingAsk, the smallest prompt first */
 	BH__PlannerCounters counters;
 	BH__LongWork long_work;
+	BH__BookingTable *bookings;
 	bool placing_waiting; /* bh__planner_place_waiting() is running */
 };
 
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -29,6 +29,7 @@
 static BH__PlacedRequest *add_grant_(BH__Planner *p, const BH__Grant *g, uint64_t due_us,
 									 uint64_t first_event_target_us, uint64_t now_us);
 static void start_stream_(BH__Planner *p, BH__PlacedRequest *r, uint64_t now_us);
+static bool is_long_(const BH__Planner *p, const BH__PlacedRequest *r);
 static void remove_grant_(BH__Planner *p, BH__PlacedRequest *r, bool prefill_continues, uint64_t now_us);
 static void end_prefill_(BH__Planner *p, BH__PlacedRequest *r, bool completed, uint64_t now_us);
 static void request_report_(BH__Planner *p, BH__IterationEngine *e, uint64_t now_us);
@@ -51,6 +52,7 @@
 	p->by_grant = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	p->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
 	p->waiting = g_ptr_array_new_with_free_func(g_free);
+	p->bookings = bh__booking_table_new();
 	return p;
 }
 
@@ -63,6 +65,7 @@
 	g_ptr_array_unref(p->engines);
 	g_hash_table_unref(p->by_grant);
 	g_ptr_array_unref(p->waiting);
+	bh__booking_table_delete(p->bookings);
 	g_free(p);
 }
 
@@ -137,6 +140,8 @@
 		e = add_engine_(p, endpoint_id, incarnation);
 	if (e->incarnation != incarnation)
 		reset_engine_(p, e, incarnation);
+	if (e->leaving != leaving)
+		bh__booking_table_request_update(p->bookings);
 	e->leaving = leaving;
 	bh__planner_place_waiting(p, now_us);
 }
@@ -212,6 +217,7 @@
 		return;
 	g_hash_table_remove(p->by_id, &endpoint_id);
 	g_ptr_array_remove(p->engines, e);
+	bh__booking_table_request_update(p->bookings);
 	bh__planner_place_waiting(p, now_us);
 }
 
@@ -318,6 +324,16 @@
 		bh__iteration_clock_begin_stream(&e->clock, &p->model, r->tokens, now_us);
 }
 
+/* Returns true if the prompt of a grant is long. */
+static bool is_long_(const BH__Planner *p, const BH__PlacedRequest *r)
+{
+	uint64_t prompt_tokens = 0;
+
+	for (unsigned i = 0; i < r->grant.member_count; i++)
+		prompt_tokens += r->grant.member[i].token_count;
+	return bh__start_rules_is_long(&p->model, prompt_tokens, r->event_gap_us);
+}
+
 /* Removes a grant from the ledger and frees it. With `prefill_continues` its engines go on prefilling the
  * prompt although nobody waits for the answer. */
 static void remove_grant_(BH__Planner *p, BH__PlacedRequest *r, bool prefill_continues, uint64_t now_us)
@@ -336,6 +352,8 @@
 			bh__iteration_clock_end_stream(&e->clock, r->tokens);
 		}
 	}
+	if (r->stream_started_us && is_long_(p, r))
+		bh__booking_table_note_stream(p->bookings, now_us - r->stream_started_us);
 	g_hash_table_remove(p->by_ask, &r->grant.ask_id);
 	g_hash_table_remove(p->by_grant, &r->grant.grant_id);
 }
@@ -448,6 +466,7 @@
 	uint64_t backoff_us = e->requested_backoff_until_us;
 
 	p->counters.ejections++;
+	bh__booking_table_request_update(p->bookings);
 	bh__ejection_add(&e->ejection, node_id, now_us < backoff_us ? backoff_us : 0, now_us);
 }
 
@@ -579,39 +598,3 @@
 	g_ptr_array_unref(list);
 	bh__planner_place_waiting(p, now_us);
 }
-
-unsigned bh__planner_get_engine_count(const BH__Planner *p)
-{
-	return p->engines->len;
-}
-
-/* Copies the planner's view of the engine at `index` to `out`. */
-void bh__planner_get_engine(const BH__Planner *p, unsigned index, BH__PlannerEngine *out)
-{
-	const BH__IterationEngine *e = g_ptr_array_index(p->engines, index);
-
-	*out = (BH__PlannerEngine){.endpoint_id = e->endpoint_id,
-							   .primaries = e->primaries->len,
-							   .streams = e->clock.streams,
-							   .helper_parts = e->helper_parts,
-							   .kv_used_tokens = e->kv_used_tokens,
-							   .prefill_left_ms = bh__iteration_clock_get_backlog_ms(&e->clock),
-							   .slowdown = e->clock.slowdown,
-							   .usable = !e->leaving,
-							   .ejected_until_us = e->ejection.until_us};
-}
-
-/* Returns the number of engines that are ejected after failures. */
-unsigned bh__planner_count_ejected(const BH__Planner *p, uint64_t now_us)
-{
-	unsigned count = 0;
-
-	for (guint i = 0; i < p->engines->len; i++)
-		count += now_us < ((const BH__IterationEngine *)g_ptr_array_index(p->engines, i))->ejection.until_us;
-	return count;
-}
-
-const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p)
-{
-	return &p->counters;
-}
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -10,15 +10,20 @@
 #define PLACEMENTS_PER_ROUND_ 12 /* waiting asks tried in one round */
 #define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
+#define RETURN_SHARE_ 3 /* callers wait for at most one part in this many of their time before they return   \
+						 */
 
 static BH__WaitingAsk *find_waiting_(const BH__Planner *p, uint64_t ask_id);
-static void enqueue_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+static bool books_(const BH__Planner *p, const BH__Ask *ask);
+static void enqueue_(BH__Planner *p, const BH__Ask *ask, bool has_returned, uint64_t now_us);
+static bool comes_before_(const BH__Planner *p, const BH__WaitingAsk *a, const BH__WaitingAsk *b);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
 static uint64_t rate_limit_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static uint64_t ejection_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static void place_some_(BH__Planner *p, bool late, uint64_t now_us);
 static uint64_t soonest_free_us_(const BH__Planner *p);
+static void refuse_without_start_(BH__Planner *p, uint64_t now_us);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
 
 /* Returns the waiting ask with this id, or NULL if there is none. */
@@ -38,6 +43,7 @@
 {
 	BH__PlacedRequest *placed = g_hash_table_lookup(p->by_ask, &ask->ask_id);
 	BH__WaitingAsk *waiting = find_waiting_(p, ask->ask_id);
+	bool has_returned;
 
 	if (placed) {
 		p->port->grant(p->port, &placed->grant);
@@ -51,27 +57,44 @@
 	}
 	if (ask->first_event_us > 1)
 		bh__long_work_note(&p->long_work, &p->model, ask, now_us);
+	has_returned = books_(p, ask) && bh__booking_table_process_return(p->bookings, ask, now_us);
 	if (try_place_(p, ask, false, now_us, now_us))
 		return;
-	enqueue_(p, ask, now_us);
+	enqueue_(p, ask, has_returned, now_us);
 	p->counters.queued++;
 	p->port->queued(p->port, ask);
 }
 
-/* Inserts an ask into the queue behind the asks with prompts of the same length or shorter ones. */
-static void enqueue_(BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
+/* Returns true if an ask gets a booked start: a long prompt, at the scheduler. A local planner doesn't know
+ * what other nodes use of the engines. */
+static bool books_(const BH__Planner *p, const BH__Ask *ask)
+{
+	return !p->order_seed && bh__start_rules_is_long(&p->model, ask->prompt_tokens, ask->event_gap_us);
+}
+
+/* Inserts an ask into the queue. */
+static void enqueue_(BH__Planner *p, const BH__Ask *ask, bool has_returned, uint64_t now_us)
 {
 	BH__WaitingAsk *w = g_new0(BH__WaitingAsk, 1);
 	guint at = 0;
 
 	w->ask = *ask;
 	w->arrived_us = now_us;
-	while (at < p->waiting->len &&
-		   ((BH__WaitingAsk *)g_ptr_array_index(p->waiting, at))->ask.prompt_tokens <= ask->prompt_tokens)
+	w->has_returned = has_returned;
+	while (at < p->waiting->len && !comes_before_(p, w, g_ptr_array_index(p->waiting, at)))
 		at++;
 	g_ptr_array_insert(p->waiting, (gint)at, w);
 }
 
+/* Returns true if `a` is placed before `b`: the shorter prompt, but of long ones that of a caller who has
+ * come back at a booked time. */
+static bool comes_before_(const BH__Planner *p, const BH__WaitingAsk *a, const BH__WaitingAsk *b)
+{
+	if (a->has_returned != b->has_returned && books_(p, &a->ask) && books_(p, &b->ask))
+		return a->has_returned;
+	return a->ask.prompt_tokens < b->ask.prompt_tokens;
+}
+
 /* Removes an ask from the queue, if it is there. */
 void bh__planner_process_withdraw(BH__Planner *p, uint64_t ask_id)
 {
@@ -79,6 +102,7 @@
 
 	if (w)
 		g_ptr_array_remove(p->waiting, w);
+	bh__booking_table_remove(p->bookings, ask_id);
 }
 
 /* Grants or refuses an ask, or returns false if it has to wait. `late` says that the first event can no
@@ -95,6 +119,7 @@
 	}
 	if (bh__start_rules_find(&p->model, p->engines, &p->long_work, ask, late, waited_us, now_us,
 							 &placement)) {
+		bh__booking_table_process_start(p->bookings, ask->ask_id, p->port, now_us);
 		p->counters.late += placement.prefill_end_us > arrived_us + target_us;
 		bh__planner_grant(p, ask, &placement, arrived_us + (uint64_t)((double)target_us * DUE_SHARE_),
 						  arrived_us + target_us, now_us);
@@ -204,6 +229,9 @@
 	p->placing_waiting = true;
 	place_some_(p, false, now_us);
 	place_some_(p, true, now_us);
+	if (!p->order_seed && bh__booking_table_update(p->bookings, &p->model, p->engines, &p->long_work,
+												   p->waiting, p->port, now_us))
+		refuse_without_start_(p, now_us);
 	p->placing_waiting = false;
 }
 
@@ -228,6 +256,26 @@
 	}
 }
 
+/* Refuses the waiting asks that are known to find no place in time, so that their callers can come back when
+ * there may be room. None is refused while the engines have room. */
+static void refuse_without_start_(BH__Planner *p, uint64_t now_us)
+{
+	if (bh__start_rules_has_room(&p->model, p->engines, now_us))
+		return;
+	for (guint i = p->waiting->len; i-- > 0;) {
+		BH__WaitingAsk w = *(BH__WaitingAsk *)g_ptr_array_index(p->waiting, i);
+		uint64_t left_us = w.ask.deadline_us - (now_us - w.arrived_us);
+		uint64_t retry_after_ms = MAX(left_us / RETURN_SHARE_ / BH__MS_US, RETRY_AFTER_MIN_MS_);
+		if (!bh__booking_table_has_no_start(p->bookings, w.ask.ask_id))
+			continue;
+		g_ptr_array_remove_index(p->waiting, i);
+		bh__booking_table_withdraw(p->bookings, w.ask.ask_id, now_us + retry_after_ms * BH__MS_US, p->port,
+								   now_us);
+		p->counters.refusals++;
+		p->port->refuse(p->port, &w.ask, BH__REASON_OVERLOAD, retry_after_ms);
+	}
+}
+
 /* Grants or refuses waiting asks as time passes. The caller calls this often while bh__planner_is_waiting()
  * returns true. */
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us)
--- a/src/libbayhoist/start_rules.c
+++ b/src/libbayhoist/start_rules.c
@@ -65,10 +65,29 @@
 
 /* Returns true if a prompt is long: one engine would take longer for it than the longest iteration, so that
  * its start depends on several engines at a time. */
-bool bh__start_rules_is_long(const BH__EngineModel *m, const BH__Ask *ask)
+bool bh__start_rules_is_long(const BH__EngineModel *m, uint64_t prompt_tokens, uint64_t event_gap_us)
 {
-	return !bh__placement_is_tight(ask->event_gap_us) &&
-		   bh__engine_model_prefill_ms(m, ask->prompt_tokens, 1) > BH__MAX_ITERATION_MS;
+	return !bh__placement_is_tight(event_gap_us) &&
+		   bh__engine_model_prefill_ms(m, prompt_tokens, 1) > BH__MAX_ITERATION_MS;
+}
+
+/* Returns true if the engines have room: under half of the slots of the usable ones are taken, and none of
+ * them has prompts waiting. */
+bool bh__start_rules_has_room(const BH__EngineModel *m, const GPtrArray *engines, uint64_t now_us)
+{
+	uint64_t slots = 0;
+	uint64_t taken = 0;
+
+	for (guint i = 0; i < engines->len; i++) {
+		const BH__IterationEngine *e = g_ptr_array_index(engines, i);
+		if (!bh__iteration_engine_is_usable(e, now_us))
+			continue;
+		if (bh__iteration_clock_get_backlog_ms(&e->clock) > 0)
+			return false;
+		slots += m->slots;
+		taken += e->primaries->len;
+	}
+	return taken * 2 < slots;
 }
 
 /* Adds a new ask to the recent work of long prompts, which need many engines. Prompts of tight streams are
