--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -113,5 +113,6 @@
 const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p);
 const BH__BookingCounters *bh__planner_get_booking_counters(const BH__Planner *p);
 unsigned bh__planner_count_bookings(const BH__Planner *p);
+uint64_t bh__planner_get_booked_start(const BH__Planner *p, uint64_t ask_id);
 
 #endif
--- a/src/libbayhoist/booking.c
+++ b/src/libbayhoist/booking.c
@@ -20,7 +20,7 @@
 #define MISSES_MAX_ 2
 /* Time after which a caller that was expected back does not come any more. */
 #define RETURN_GRACE_US_ (600 * BH__MS_US)
-#define BOOKINGS_MAX_ 64 /* further long prompts wait without a booking */
+#define BOOKINGS_MAX_ 128 /* further long prompts wait without a booking */
 
 const char *const BH__BookingEventString[] = {"booked", "moved", "kept", "missed", "withdrawn", "returned"};
 
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -10,8 +10,9 @@
 #define PLACEMENTS_PER_ROUND_ 12 /* waiting asks tried in one round */
 #define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
-#define RETURN_SHARE_ 3 /* callers wait for at most one part in this many of their time before they return   \
-						 */
+#define RETURN_SHARE_                                                                                        \
+	3 /* callers wait for at most one part in this many of their time before they return                     \
+	   */
 
 static BH__WaitingAsk *find_waiting_(const BH__Planner *p, uint64_t ask_id);
 static bool books_(const BH__Planner *p, const BH__Ask *ask);
@@ -23,6 +24,7 @@
 static uint64_t ejection_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static void place_some_(BH__Planner *p, bool late, uint64_t now_us);
 static uint64_t soonest_free_us_(const BH__Planner *p);
+static void book_(BH__Planner *p, uint64_t now_us);
 static void refuse_without_start_(BH__Planner *p, uint64_t now_us);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
 
@@ -63,6 +65,8 @@
 	enqueue_(p, ask, has_returned, now_us);
 	p->counters.queued++;
 	p->port->queued(p->port, ask);
+	if (books_(p, ask))
+		book_(p, now_us);
 }
 
 /* Returns true if an ask gets a booked start: a long prompt, at the scheduler. A local planner doesn't know
@@ -229,9 +233,7 @@
 	p->placing_waiting = true;
 	place_some_(p, false, now_us);
 	place_some_(p, true, now_us);
-	if (!p->order_seed && bh__booking_table_update(p->bookings, &p->model, p->engines, &p->long_work,
-												   p->waiting, p->port, now_us))
-		refuse_without_start_(p, now_us);
+	book_(p, now_us);
 	p->placing_waiting = false;
 }
 
@@ -256,6 +258,14 @@
 	}
 }
 
+/* Books the starts of the long prompts that wait, or refuses those for which there is none. */
+static void book_(BH__Planner *p, uint64_t now_us)
+{
+	if (!p->order_seed && bh__booking_table_update(p->bookings, &p->model, p->engines, &p->long_work,
+												   p->waiting, p->port, now_us))
+		refuse_without_start_(p, now_us);
+}
+
 /* Refuses the waiting asks that are known to find no place in time, so that their callers can come back when
  * there may be room. None is refused while the engines have room. */
 static void refuse_without_start_(BH__Planner *p, uint64_t now_us)
--- a/src/libbayhoist/planner_status.c
+++ b/src/libbayhoist/planner_status.c
@@ -48,3 +48,9 @@
 {
 	return bh__booking_table_get_count(p->bookings);
 }
+
+/* Returns the time at which a waiting ask is booked to start, or UINT64_MAX if it has no booking. */
+uint64_t bh__planner_get_booked_start(const BH__Planner *p, uint64_t ask_id)
+{
+	return bh__booking_table_get_start(p->bookings, ask_id);
+}
--- a/src/libbayhoist/start_forecast.c
+++ b/src/libbayhoist/start_forecast.c
@@ -30,6 +30,7 @@
 
 static BH__IterationEngine *copy_engine_(const BH__IterationEngine *e);
 static void free_engine_(gpointer engine);
+static uint64_t stream_us_(const BH__StartForecast *f, const BH__PlacedRequest *r, uint64_t prompt_tokens);
 static void add_request_(BH__StartForecast *f, const BH__PlacedRequest *r);
 static void add_event_(BH__StartForecast *f, const Event_ *event);
 static void process_event_(BH__StartForecast *f, const Event_ *event);
@@ -96,15 +97,25 @@
 	g_free(e);
 }
 
+/* Returns the predicted duration of a long prompt's stream: the mean of those that have ended, or, before the
+ * first one has, the time for the longest answer. */
+static uint64_t stream_us_(const BH__StartForecast *f, const BH__PlacedRequest *r, uint64_t prompt_tokens)
+{
+	uint64_t answer_tokens = r->tokens - MIN(r->tokens, prompt_tokens);
+
+	if (f->long_stream_us)
+		return f->long_stream_us;
+	return (uint64_t)((double)answer_tokens * bh__engine_model_step_ms(f->model, 1, r->tokens) * BH__MS_US);
+}
+
 /* Adds the events to come of a request that its engines hold. */
 static void add_request_(BH__StartForecast *f, const BH__PlacedRequest *r)
 {
-	uint64_t first_event_us = r->granted_us + r->grant.expected_us;
+	uint64_t first_event_us =
+		r->stream_started_us ? r->stream_started_us : r->granted_us + r->grant.expected_us;
 	uint64_t prompt_tokens = 0;
 	bool is_long;
 
-	if (r->grant.has_first_event)
-		first_event_us = r->stream_started_us ? r->stream_started_us : f->now_us;
 	for (unsigned i = 0; i < r->grant.member_count; i++)
 		prompt_tokens += r->grant.member[i].token_count;
 	is_long = bh__start_rules_is_long(f->model, prompt_tokens, r->event_gap_us);
@@ -120,7 +131,7 @@
 		if (!r->grant.has_first_event)
 			add_event_(f, &event);
 		event.kind = EVENT_ENDED_;
-		event.at_us = MAX(first_event_us + f->long_stream_us, event.at_us);
+		event.at_us = MAX(first_event_us + stream_us_(f, r, prompt_tokens), event.at_us);
 		if (is_long)
 			add_event_(f, &event);
 	}
--- a/src/libbayhoist/start_rules.c
+++ b/src/libbayhoist/start_rules.c
@@ -71,12 +71,12 @@
 		   bh__engine_model_prefill_ms(m, prompt_tokens, 1) > BH__MAX_ITERATION_MS;
 }
 
-/* Returns true if the engines have room: under half of the slots of the usable ones are taken, and none of
- * them has prompts waiting. */
+/* Returns true if the engines have room: under half of the slots or memory of the usable ones is taken, and
+ * none of them has prompts waiting. */
 bool bh__start_rules_has_room(const BH__EngineModel *m, const GPtrArray *engines, uint64_t now_us)
 {
-	uint64_t slots = 0;
-	uint64_t taken = 0;
+	double taken = 0;
+	unsigned usable = 0;
 
 	for (guint i = 0; i < engines->len; i++) {
 		const BH__IterationEngine *e = g_ptr_array_index(engines, i);
@@ -84,10 +84,10 @@
 			continue;
 		if (bh__iteration_clock_get_backlog_ms(&e->clock) > 0)
 			return false;
-		slots += m->slots;
-		taken += e->primaries->len;
+		usable++;
+		taken += MAX((double)e->primaries->len / m->slots, (double)e->kv_used_tokens / (double)m->kv_tokens);
 	}
-	return taken * 2 < slots;
+	return taken * 2 < usable;
 }
 
 /* Adds a new ask to the recent work of long prompts, which need many engines. Prompts of tight streams are
