--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -21,11 +21,10 @@
 /* What happens to the booked start of a long prompt. */
 typedef enum {
 	BH__BOOKING_BOOKED,
-	BH__BOOKING_MOVED,     /* the start is now forecast for another time */
-	BH__BOOKING_KEPT,      /* started at the time that was booked first */
-	BH__BOOKING_MISSED,    /* started at another time */
-	BH__BOOKING_WITHDRAWN, /* refused, since there is no start in time */
-	BH__BOOKING_RETURNED   /* a caller that was refused has come back */
+	BH__BOOKING_MOVED,    /* the start is now forecast for another time */
+	BH__BOOKING_KEPT,     /* started at the time that was booked first */
+	BH__BOOKING_MISSED,   /* started at another time */
+	BH__BOOKING_WITHDRAWN /* refused, since there is no start in time */
 } BH__BookingEvent;
 
 extern const char *const BH__BookingEventString[];
--- a/src/libbayhoist/booking.c
+++ b/src/libbayhoist/booking.c
@@ -22,7 +22,7 @@
 #define RETURN_GRACE_US_ (600 * BH__MS_US)
 #define BOOKINGS_MAX_ 128 /* further long prompts wait without a booking */
 
-const char *const BH__BookingEventString[] = {"booked", "moved", "kept", "missed", "withdrawn", "returned"};
+const char *const BH__BookingEventString[] = {"booked", "moved", "kept", "missed", "withdrawn"};
 
 /* The booking of one ask. All times are absolute. */
 typedef struct {
