Planner: Accounts that use far more than the others leave them room; bookings are more patient

Accounts: work granted is counted by account; while accounts compete, one that has used more than twice the mean of the others is placed behind them, leaves a quarter of the slots free, and what waits for it is bounded by its share. Without effect until asks carry an account.

Bookings: four forecasts without a start, not two, before a refusal; one after the loss of an engine.

--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -51,8 +51,9 @@
 	uint64_t helped; /* grants with helpers */
 	uint64_t queued; /* asks that had to wait */
 	uint64_t refusals;
-	uint64_t late;      /* grants whose first event was predicted to be late */
-	uint64_t ejections; /* times that a failure ejected an engine */
+	uint64_t late;             /* grants whose first event was predicted to be late */
+	uint64_t account_refusals; /* refusals because of what already waited for the account */
+	uint64_t ejections;        /* times that a failure ejected an engine */
 } BH__PlannerCounters;
 
 /* Booked starts of long prompts. */
--- a/src/bayhoist-gate/cluster_status.c
+++ b/src/bayhoist-gate/cluster_status.c
@@ -47,6 +47,7 @@
 				  {"refusals", k->refusals},
 				  {"late", k->late},
 				  {"ejections", k->ejections},
+				  {"account_refusals", k->account_refusals},
 				  {"bookings", bh__planner_count_bookings(s->planner)},
 				  {"booked", b->booked},
 				  {"booking_moved", b->moved},
--- a/src/libbayhoist/booking.c
+++ b/src/libbayhoist/booking.c
@@ -16,8 +16,8 @@
 #define TOLERANCE_SHARE_ 0.1
 #define TOLERANCE_MARGIN_US_ (50 * BH__MS_US)
 /* Forecasts in a row that find no start before the ask is refused: the streams of short prompts come and go,
- * and a single forecast may fall on a bad moment. */
-#define MISSES_MAX_ 2
+ * and a few forecasts may fall on a bad moment. After the loss of an engine one forecast suffices. */
+#define MISSES_MAX_ 4
 /* Time after which a caller that was expected back does not come any more. */
 #define RETURN_GRACE_US_ (600 * BH__MS_US)
 #define BOOKINGS_MAX_ 128 /* further long prompts wait without a booking */
@@ -56,7 +56,8 @@
 static uint64_t last_start_us_(const Booking_ *b);
 static unsigned place_step_(BH__BookingTable *t, BH__StartForecast *f, const BH__EngineModel *m, bool late,
 							uint64_t at_us);
-static void set_start_(BH__BookingTable *t, Booking_ *b, BH__PlannerPort *port, uint64_t now_us);
+static void set_start_(BH__BookingTable *t, Booking_ *b, bool engines_changed, BH__PlannerPort *port,
+					   uint64_t now_us);
 static bool is_near_(uint64_t a_us, uint64_t b_us, uint64_t booked_us);
 static void tell_(const Booking_ *b, BH__BookingEvent event, BH__PlannerPort *port, uint64_t now_us);
 
@@ -103,6 +104,8 @@
 							  const BH__LongWork *long_work, const GPtrArray *waiting, BH__PlannerPort *port,
 							  uint64_t now_us)
 {
+	bool engines_changed = t->update_requested;
+
 	if (!t->update_requested && t->updated_us && now_us < t->updated_us + UPDATE_PERIOD_US_)
 		return false;
 	remove_ended_(t, waiting, now_us);
@@ -115,7 +118,7 @@
 	for (guint i = 0; i < t->bookings->len; i++) {
 		Booking_ *b = g_ptr_array_index(t->bookings, i);
 		if (!b->is_away)
-			set_start_(t, b, port, now_us);
+			set_start_(t, b, engines_changed, port, now_us);
 	}
 	return true;
 }
@@ -222,10 +225,11 @@
 }
 
 /* Books the start that was forecast, or moves the booking there. */
-static void set_start_(BH__BookingTable *t, Booking_ *b, BH__PlannerPort *port, uint64_t now_us)
+static void set_start_(BH__BookingTable *t, Booking_ *b, bool engines_changed, BH__PlannerPort *port,
+					   uint64_t now_us)
 {
 	if (b->forecast_us == BH__START_NEVER) {
-		b->misses++;
+		b->misses += engines_changed ? MISSES_MAX_ : 1;
 		return;
 	}
 	b->misses = 0;
--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -5,8 +5,13 @@
 #define BAYHOIST_PRIVATE_PLANNER_INTERNAL_H
 
 #include "bayhoist/planner.h"
+#include "account_share.h"
 #include "booking.h"
 
+#define BH__RETRY_AFTER_MIN_MS 150
+/* Callers wait for at most one part in this many of the time that they have left before they return. */
+#define BH__RETURN_SHARE 3
+
 struct BH__Planner {
 	BH__PlannerPort *port;
 	uint64_t pool_id;
@@ -23,6 +28,9 @@
 	BH__PlannerCounters counters;
 	BH__LongWork long_work;
 	BH__BookingTable *bookings;
+	BH__AccountShares *shares;
+	uint64_t
+		contended_us;     /* time at which an ask of an account within its share last had to wait; 0: never */
 	bool placing_waiting; /* bh__planner_place_waiting() is running */
 };
 
@@ -34,4 +42,15 @@
 void bh__planner_place_waiting(BH__Planner *p, uint64_t now_us);
 void bh__planner_drop_asks(BH__Planner *p, uint64_t node_id);
 
+/* planner_bookings.c */
+bool bh__planner_books(const BH__Planner *p, const BH__Ask *ask);
+void bh__planner_book(BH__Planner *p, uint64_t now_us);
+
+/* planner_accounts.c */
+bool bh__planner_is_over_share(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+bool bh__planner_is_contended(const BH__Planner *p, uint64_t now_us);
+bool bh__planner_is_crowded(const BH__Planner *p);
+bool bh__planner_account_is_full(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+void bh__planner_refuse_account(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+
 #endif
--- a/src/libbayhoist/include/private/start_rules.h
+++ b/src/libbayhoist/include/private/start_rules.h
@@ -17,6 +17,7 @@
 bool bh__start_rules_is_late(const BH__EngineModel *m, const BH__Ask *ask, uint64_t waited_us);
 bool bh__start_rules_is_long(const BH__EngineModel *m, uint64_t prompt_tokens, uint64_t event_gap_us);
 void bh__long_work_note(BH__LongWork *l, const BH__EngineModel *m, const BH__Ask *ask, uint64_t now_us);
+double bh__start_rules_work_ms(const BH__EngineModel *m, const BH__Ask *ask);
 bool bh__start_rules_has_room(const BH__EngineModel *m, const GPtrArray *engines, uint64_t now_us);
 bool bh__start_rules_find(const BH__EngineModel *m, GPtrArray *engines, const BH__LongWork *long_work,
 						  const BH__Ask *ask, bool late, uint64_t waited_us, uint64_t now_us,
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -53,6 +53,7 @@
 	p->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
 	p->waiting = g_ptr_array_new_with_free_func(g_free);
 	p->bookings = bh__booking_table_new();
+	p->shares = bh__account_shares_new();
 	return p;
 }
 
@@ -66,6 +67,7 @@
 	g_hash_table_unref(p->by_grant);
 	g_ptr_array_unref(p->waiting);
 	bh__booking_table_delete(p->bookings);
+	bh__account_shares_delete(p->shares);
 	g_free(p);
 }
 
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -8,24 +8,17 @@
  * delay it. The rest is a margin for prediction errors. */
 #define DUE_SHARE_ 0.8
 #define PLACEMENTS_PER_ROUND_ 12 /* waiting asks tried in one round */
-#define RETRY_AFTER_MIN_MS_ 150
 #define RETRY_AFTER_MAX_MS_ 2000
-#define RETURN_SHARE_                                                                                        \
-	3 /* callers wait for at most one part in this many of their time before they return                     \
-	   */
 
 static BH__WaitingAsk *find_waiting_(const BH__Planner *p, uint64_t ask_id);
-static bool books_(const BH__Planner *p, const BH__Ask *ask);
 static void enqueue_(BH__Planner *p, const BH__Ask *ask, bool has_returned, uint64_t now_us);
 static bool comes_before_(const BH__Planner *p, const BH__WaitingAsk *a, const BH__WaitingAsk *b);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
 static uint64_t rate_limit_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static uint64_t ejection_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
-static void place_some_(BH__Planner *p, bool late, uint64_t now_us);
+static void place_some_(BH__Planner *p, bool late, bool over_share, uint64_t now_us);
 static uint64_t soonest_free_us_(const BH__Planner *p);
-static void book_(BH__Planner *p, uint64_t now_us);
-static void refuse_without_start_(BH__Planner *p, uint64_t now_us);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
 
 /* Returns the waiting ask with this id, or NULL if there is none. */
@@ -46,6 +39,7 @@
 	BH__PlacedRequest *placed = g_hash_table_lookup(p->by_ask, &ask->ask_id);
 	BH__WaitingAsk *waiting = find_waiting_(p, ask->ask_id);
 	bool has_returned;
+	bool over_share;
 
 	if (placed) {
 		p->port->grant(p->port, &placed->grant);
@@ -59,21 +53,22 @@
 	}
 	if (ask->first_event_us > 1)
 		bh__long_work_note(&p->long_work, &p->model, ask, now_us);
-	has_returned = books_(p, ask) && bh__booking_table_process_return(p->bookings, ask, now_us);
-	if (try_place_(p, ask, false, now_us, now_us))
+	has_returned = bh__planner_books(p, ask) && bh__booking_table_process_return(p->bookings, ask, now_us);
+	over_share = bh__planner_is_over_share(p, ask, now_us);
+	if (!(over_share && (bh__planner_is_crowded(p) || bh__planner_is_contended(p, now_us))) &&
+		try_place_(p, ask, false, now_us, now_us))
 		return;
+	if (!over_share && bh__placement_is_tight(ask->event_gap_us))
+		p->contended_us = now_us;
+	if (bh__planner_account_is_full(p, ask, now_us)) {
+		bh__planner_refuse_account(p, ask, now_us);
+		return;
+	}
 	enqueue_(p, ask, has_returned, now_us);
 	p->counters.queued++;
 	p->port->queued(p->port, ask);
-	if (books_(p, ask))
-		book_(p, now_us);
-}
-
-/* Returns true if an ask gets a booked start: a long prompt, at the scheduler. A local planner doesn't know
- * what other nodes use of the engines. */
-static bool books_(const BH__Planner *p, const BH__Ask *ask)
-{
-	return !p->order_seed && bh__start_rules_is_long(&p->model, ask->prompt_tokens, ask->event_gap_us);
+	if (bh__planner_books(p, ask))
+		bh__planner_book(p, now_us);
 }
 
 /* Inserts an ask into the queue. */
@@ -94,7 +89,7 @@
  * come back at a booked time. */
 static bool comes_before_(const BH__Planner *p, const BH__WaitingAsk *a, const BH__WaitingAsk *b)
 {
-	if (a->has_returned != b->has_returned && books_(p, &a->ask) && books_(p, &b->ask))
+	if (a->has_returned != b->has_returned && bh__planner_books(p, &a->ask) && bh__planner_books(p, &b->ask))
 		return a->has_returned;
 	return a->ask.prompt_tokens < b->ask.prompt_tokens;
 }
@@ -123,6 +118,8 @@
 	}
 	if (bh__start_rules_find(&p->model, p->engines, &p->long_work, ask, late, waited_us, now_us,
 							 &placement)) {
+		bh__account_shares_note_work(p->shares, ask->account_id, ask->weight,
+									 bh__start_rules_work_ms(&p->model, ask), now_us);
 		bh__booking_table_process_start(p->bookings, ask->ask_id, p->port, now_us);
 		p->counters.late += placement.prefill_end_us > arrived_us + target_us;
 		bh__planner_grant(p, ask, &placement, arrived_us + (uint64_t)((double)target_us * DUE_SHARE_),
@@ -207,8 +204,8 @@
 }
 
 /* Refuses an ask. The suggested retry delay is the time until an engine may be free, limited to the range
- * from RETRY_AFTER_MIN_MS_ to RETRY_AFTER_MAX_MS_, or the known wait for rate limits or ejections if that is
- * longer. */
+ * from BH__RETRY_AFTER_MIN_MS to RETRY_AFTER_MAX_MS_, or the known wait for rate limits or ejections if that
+ * is longer. */
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us)
 {
 	uint64_t soonest_us = soonest_free_us_(p);
@@ -219,7 +216,7 @@
 		retry_after_ms = RETRY_AFTER_MAX_MS_ / 4;
 	else
 		retry_after_ms = soonest_us > now_us ? (soonest_us - now_us) / BH__MS_US : 0;
-	retry_after_ms = CLAMP(retry_after_ms, RETRY_AFTER_MIN_MS_, RETRY_AFTER_MAX_MS_);
+	retry_after_ms = CLAMP(retry_after_ms, BH__RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS_);
 	p->counters.refusals++;
 	p->port->refuse(p->port, ask, reason, MAX(retry_after_ms, wait_us / BH__MS_US));
 }
@@ -231,61 +228,38 @@
 	if (p->placing_waiting) /* the receiver of a grant may call the planner again */
 		return;
 	p->placing_waiting = true;
-	place_some_(p, false, now_us);
-	place_some_(p, true, now_us);
-	book_(p, now_us);
+	for (int over_share = 0; over_share <= 1; over_share++) {
+		place_some_(p, false, over_share, now_us);
+		place_some_(p, true, over_share, now_us);
+	}
+	bh__planner_book(p, now_us);
 	p->placing_waiting = false;
 }
 
-/* Tries to place at most PLACEMENTS_PER_ROUND_ waiting asks, either late ones or those that can be in time.
- */
-static void place_some_(BH__Planner *p, bool late, uint64_t now_us)
+/* Tries to place at most PLACEMENTS_PER_ROUND_ waiting asks, either late ones or those that can be in time,
+ * and either those of accounts that use far more than the others or the rest. */
+static void place_some_(BH__Planner *p, bool late, bool over_share, uint64_t now_us)
 {
 	unsigned tried = 0;
 	guint i = 0;
 
-	while (i < p->waiting->len && tried < PLACEMENTS_PER_ROUND_) {
+	while (i < p->waiting->len && tried < PLACEMENTS_PER_ROUND_ &&
+		   !(over_share && bh__planner_is_crowded(p))) {
 		BH__WaitingAsk w = *(BH__WaitingAsk *)g_ptr_array_index(p->waiting, i);
-		if (bh__start_rules_is_late(&p->model, &w.ask, now_us - w.arrived_us) != late) {
+		if (bh__start_rules_is_late(&p->model, &w.ask, now_us - w.arrived_us) != late ||
+			bh__planner_is_over_share(p, &w.ask, now_us) != over_share) {
 			i++;
 			continue;
 		}
 		tried++;
-		if (try_place_(p, &w.ask, late, w.arrived_us, now_us))
+		if (try_place_(p, &w.ask, late || (over_share && bh__planner_is_contended(p, now_us)), w.arrived_us,
+					   now_us))
 			bh__planner_process_withdraw(p, w.ask.ask_id);
 		else
 			i++;
 	}
 }
 
-/* Books the starts of the long prompts that wait, or refuses those for which there is none. */
-static void book_(BH__Planner *p, uint64_t now_us)
-{
-	if (!p->order_seed && bh__booking_table_update(p->bookings, &p->model, p->engines, &p->long_work,
-												   p->waiting, p->port, now_us))
-		refuse_without_start_(p, now_us);
-}
-
-/* Refuses the waiting asks that are known to find no place in time, so that their callers can come back when
- * there may be room. None is refused while the engines have room. */
-static void refuse_without_start_(BH__Planner *p, uint64_t now_us)
-{
-	if (bh__start_rules_has_room(&p->model, p->engines, now_us))
-		return;
-	for (guint i = p->waiting->len; i-- > 0;) {
-		BH__WaitingAsk w = *(BH__WaitingAsk *)g_ptr_array_index(p->waiting, i);
-		uint64_t left_us = w.ask.deadline_us - (now_us - w.arrived_us);
-		uint64_t retry_after_ms = MAX(left_us / RETURN_SHARE_ / BH__MS_US, RETRY_AFTER_MIN_MS_);
-		if (!bh__booking_table_has_no_start(p->bookings, w.ask.ask_id))
-			continue;
-		g_ptr_array_remove_index(p->waiting, i);
-		bh__booking_table_withdraw(p->bookings, w.ask.ask_id, now_us + retry_after_ms * BH__MS_US, p->port,
-								   now_us);
-		p->counters.refusals++;
-		p->port->refuse(p->port, &w.ask, BH__REASON_OVERLOAD, retry_after_ms);
-	}
-}
-
 /* Grants or refuses waiting asks as time passes. The caller calls this often while bh__planner_is_waiting()
  * returns true. */
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us)
@@ -299,7 +273,7 @@
 	while (p->waiting->len) {
 		BH__Ask ask = ((BH__WaitingAsk *)g_ptr_array_index(p->waiting, 0))->ask;
 		g_ptr_array_remove_index(p->waiting, 0);
-		p->port->refuse(p->port, &ask, reason, RETRY_AFTER_MIN_MS_);
+		p->port->refuse(p->port, &ask, reason, BH__RETRY_AFTER_MIN_MS);
 	}
 }
 
--- a/src/libbayhoist/start_rules.c
+++ b/src/libbayhoist/start_rules.c
@@ -71,6 +71,16 @@
 		   bh__engine_model_prefill_ms(m, prompt_tokens, 1) > BH__MAX_ITERATION_MS;
 }
 
+/* Returns the milliseconds of one engine that an ask uses at most: the prefill of its prompt, and one slot
+ * for its longest answer. */
+double bh__start_rules_work_ms(const BH__EngineModel *m, const BH__Ask *ask)
+{
+	double answer_ms =
+		(double)ask->max_tokens * bh__engine_model_step_ms(m, m->slots, ask->prompt_tokens + ask->max_tokens);
+
+	return bh__engine_model_prefill_ms(m, ask->prompt_tokens, 1) + answer_ms / m->slots;
+}
+
 /* Returns true if the engines have room: under half of the slots or memory of the usable ones is taken, and
  * none of them has prompts waiting. */
 bool bh__start_rules_has_room(const BH__EngineModel *m, const GPtrArray *engines, uint64_t now_us)
