--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -5,12 +5,13 @@
 #define BAYHOIST_PRIVATE_PLANNER_INTERNAL_H
 
 #include "bayhoist/planner.h"
+#include "account_share.h"
+#include "booking.h"
 #include "prefill_set.h"
 
-typedef struct {
-	BH__Ask ask;
-	uint64_t arrived_us;
-} BH__WaitingAsk;
+#define BH__RETRY_AFTER_MIN_MS 150
+/* Callers wait for at most one part in this many of the time that they have left before they return. */
+#define BH__RETURN_SHARE 3
 
 struct BH__Planner {
 	BH__PlannerPort *port;
@@ -29,9 +30,12 @@
 	BH__PrefillSet prefill_set;
 	unsigned told_set_aside;   /* engines set aside when operators were last told */
 	uint64_t division_told_us; /* time at which they were; 0: never */
-	double long_work_ms;       /* recent prefill work of long prompts on one engine, decaying exponentially */
-	uint64_t long_work_us;     /* time at which long_work_ms was last updated */
-	bool placing_waiting;      /* bh__planner_place_waiting() is running */
+	BH__LongWork long_work;
+	BH__BookingTable *bookings;
+	BH__AccountShares *shares;
+	uint64_t
+		contended_us;     /* time at which an ask of an account within its share last had to wait; 0: never */
+	bool placing_waiting; /* bh__planner_place_waiting() is running */
 };
 
 /* planner.c */
@@ -45,4 +49,15 @@
 /* planner_prefill.c */
 void bh__planner_decide_division(BH__Planner *p, uint64_t now_us);
 
+/* planner_bookings.c */
+bool bh__planner_books(const BH__Planner *p, const BH__Ask *ask);
+void bh__planner_book(BH__Planner *p, uint64_t now_us);
+
+/* planner_accounts.c */
+bool bh__planner_is_over_share(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+bool bh__planner_is_contended(const BH__Planner *p, uint64_t now_us);
+bool bh__planner_is_crowded(const BH__Planner *p);
+bool bh__planner_account_is_full(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+void bh__planner_refuse_account(BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
+
 #endif
--- a/src/test_libbayhoist/test_prefill_set.c
+++ b/src/test_libbayhoist/test_prefill_set.c
@@ -274,7 +274,11 @@
 static void open_(Run *run, unsigned engines)
 {
 	run->engines = engines;
-	run->port = (BH__PlannerPort){on_grant_, on_refuse_, on_queued_, on_abandoned_, on_inspect_};
+	run->port = (BH__PlannerPort){.grant = on_grant_,
+								  .refuse = on_refuse_,
+								  .queued = on_queued_,
+								  .abandoned = on_abandoned_,
+								  .inspect = on_inspect_};
 	bh__engine_model_init(&run->model);
 	run->model.slots = 12;
 	run->model.kv_tokens = 344000;
