Starts: A starting node leaves a long list of endpoints to the reader

Cause: where all of 300 nodes before 3,000 endpoints start at once, each reads the whole list (six pages, 1,800 reads and 360 MB before a store of 2,000 reads and 125 MB a second), and meanwhile asks sources that have nothing yet.

Change: before each further page of its list a node asks whether it has to read it itself; if it knows a source, it leaves it to that. A source that is starting too is asked again and counts as nothing, for 3 s after this node's start; one that takes the store to be away says so.

--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -22,6 +22,9 @@
 /* Period of the platform reads of a node that has just started and has no answer yet. It cannot serve
  * requests. */
 #define STARTUP_PERIOD_US_ (150 * BH__MS_US)
+/* Time for which a starting node waits for a source that is starting too. A reader needs it for a list of
+ * tens of pages. */
+#define STARTUP_PATIENCE_US_ (3 * BH__SECOND_US)
 /* Time after which an unanswered read of a reader is sent again, unless the store's answers take longer. */
 #define RESEND_US_ (150 * BH__MS_US)
 /* Expected duration of every answer of the store, since all answers are about as long. */
@@ -71,6 +74,7 @@
 	BH__Registry *registry;
 	BH__SyncSource source;
 	BH__Outage outage;
+	uint64_t started_us;     /* time of the first tick; 0: none yet */
 	uint64_t as_of_us;       /* start time of the platform read whose endpoints the registry holds; 0: none */
 	uint64_t read_failed_us; /* when an own endpoints read last failed; 0: never */
 	uint64_t read_sent_us; /* when the endpoints read in progress was last sent; 0: none is in progress, or it
@@ -130,6 +134,8 @@
 						 GArray *departures, bool *is_complete);
 static void add_halls_(const BH__PlatformSync *s, BH__Message *m);
 static void merge_halls_(BH__PlatformSync *s, const BH__Message *m, uint64_t now_us);
+static bool is_source_starting_(const BH__PlatformSync *s, const BH__Message *m, uint64_t now_us);
+static void ask_source_again_(BH__PlatformSync *s, uint64_t now_us);
 static void apply_configuration_(BH__PlatformSync *s, const BH__Message *m, uint64_t platform_read_us);
 static void merge_facts_(BH__PlatformSync *s, const BH__Message *m, uint64_t platform_read_us,
 						 uint64_t now_us);
@@ -216,6 +222,22 @@
 	bh__platform_sync_process_update(s, now_us);
 }
 
+/* Returns true if this node must read the rest of a long list of endpoints itself. A starting node that knows
+ * a source leaves the rest to the reader, which tells it the complete table: when 300 nodes read a list of
+ * six pages each, they use up what the store answers in a second, and start again at the first page. */
+bool bh__platform_sync_needs_own_list(const BH__PlatformSync *s)
+{
+	return s->as_of_us || s->reader_since_us || !bh__sync_source_asks(&s->source, s->members) ||
+		   bh__sync_source_is_isolated(&s->source) || bh__sync_source_is_platform_unavailable(&s->source);
+}
+
+/* Records that an endpoints read has ended without a result because another node reads the list. */
+void bh__platform_sync_note_list_abandoned(BH__PlatformSync *s)
+{
+	s->read_sent_us = 0;
+	s->endpoints_schedule.sent_us = 0;
+}
+
 /* Returns a share of a time in milliseconds, in microseconds. */
 static uint64_t share_us_(uint64_t ms, double share)
 {
@@ -266,6 +288,8 @@
 /* Reads the platform and asks the source if these are due. Must be called several times a second. */
 void bh__platform_sync_process_tick(BH__PlatformSync *s, uint64_t now_us)
 {
+	if (!s->started_us)
+		s->started_us = now_us;
 	if (s->asked_us && now_us >= s->answer_by_us) {
 		if (s->asks_newer_node)
 			s->asked_us = 0;
@@ -654,7 +678,8 @@
 	m.as.sync.era_start = bh__registry_get_era_start(s->registry);
 	m.as.sync.registry_age_us = now_us - s->as_of_us;
 	m.as.sync.reader = s->remote_reader ? s->remote_reader : bh__members_get_self(s->members)->node_id;
-	m.as.sync.platform_unavailable = is_reader_out_of_sync_(s);
+	m.as.sync.platform_unavailable =
+		is_reader_out_of_sync_(s) || (!s->as_of_us && bh__sync_source_is_platform_unavailable(&s->source));
 	add_records_(s, q, now_us, records, departures, &m.as.sync.is_complete);
 	m.as.sync.count = records->len;
 	m.as.sync.fact = (BH__EndpointRecord *)(void *)records->data;
@@ -706,6 +731,10 @@
 	apply_configuration_(s, m, answered_us - MIN(answered_us, m->as.sync.configuration_age_us));
 	if (s->asks_newer_node)
 		return;
+	if (is_source_starting_(s, m, now_us)) {
+		ask_source_again_(s, now_us);
+		return;
+	}
 	if (m->as.sync.platform_unavailable ||
 		!bh__sync_source_is_fresh_enough(&s->source, m->as.sync.registry_age_us, endpoints_max_age_us_(s),
 										 endpoints_period_us_(s))) {
@@ -715,6 +744,23 @@
 		bh__sync_source_note_useful(&s->source, m->as.sync.reader, now_us);
 		merge_facts_(s, m, registry_read_us, now_us);
 	}
+	ask_source_again_(s, now_us);
+}
+
+/* Returns true if the source has no endpoints yet because it is starting too, and this node can wait for
+ * them. Such a source says nothing about the platform: when all of 300 nodes started at once and counted
+ * these answers as stale, they took the platform for unavailable while the first list was still being read.
+ */
+static bool is_source_starting_(const BH__PlatformSync *s, const BH__Message *m, uint64_t now_us)
+{
+	return !s->as_of_us && !m->as.sync.platform_unavailable &&
+		   bh__store_version_is_zero(m->as.sync.store_version) &&
+		   now_us < s->started_us + STARTUP_PATIENCE_US_;
+}
+
+/* Asks the source, which may have changed meanwhile. */
+static void ask_source_again_(BH__PlatformSync *s, uint64_t now_us)
+{
 	update_source_(s, now_us);
 	if (bh__sync_source_asks(&s->source, s->members))
 		ask_source_(s, now_us);
--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -10,16 +10,20 @@
 #include "null_members.h"
 
 #define STEP_US (5 * BH__MS_US)
-#define TICK_STEPS 20                   /* between a node's looks at membership and time */
-#define MESSAGE_US (3 * BH__MS_US)      /* on its way, at least */
-#define STORE_US (4 * BH__MS_US)        /* for an answer of the store */
-#define LOOK_LIMIT_US (800 * BH__MS_US) /* for which a node waits for it */
+#define TICK_STEPS 20                    /* between a node's looks at membership and time */
+#define MESSAGE_US (3 * BH__MS_US)       /* on its way, at least */
+#define STORE_US (4 * BH__MS_US)         /* for an answer of the store */
+#define LOOK_LIMIT_US (800 * BH__MS_US)  /* for which a node waits for it */
+#define LIST_LIMIT_US (2500 * BH__MS_US) /* the same of a page of the list */
+#define LARGE_LINK 10                    /* times as fast as others is the link of every third node */
 #define BACK_LEAST_US                                                                                        \
 	(200 * BH__MS_US) /* for entries that lapsed, after the store's return, and 1.5 s at most */
 #define CHECK_IN_US (1200 * BH__MS_US)
-#define SUSPECT_US BH__SECOND_US /* until probes have found a node silent, and all know it */
-#define HISTORY 20000            /* changes that the store keeps */
-#define SENDINGS_MAX 5           /* of one look */
+#define SUSPECT_US BH__SECOND_US        /* until probes have found a node silent, and all know it */
+#define HISTORY 20000                   /* changes that the store keeps */
+#define SENDINGS_MAX 5                  /* of one look */
+#define SEEDS_LEAST_US (10 * BH__MS_US) /* until a node that starts alone knows the others */
+#define SEEDS_MOST_US (250 * BH__MS_US)
 
 typedef struct {
 	uint64_t due_us;
@@ -56,6 +60,7 @@
 	Sending sending[SENDINGS_MAX];
 	unsigned count;
 	uint64_t limit_us;
+	unsigned pages; /* of the list that are still to be read; 0: it asks for changes */
 } StoreLook;
 
 typedef struct {
@@ -71,6 +76,8 @@
 	bool is_cut; /* from all other nodes */
 	bool is_cut_from_store;
 	bool watches;
+	uint64_t meets_us;     /* when it learns of the other nodes; 0: it knows them */
+	uint64_t link_free_us; /* when its link has sent what was sent so far */
 	uint64_t suspended_until_us;
 	uint64_t suspect_us;       /* when all others suspect it; 0: they do not, or have been told */
 	uint32_t refutation;       /* times that it has refuted that */
@@ -108,6 +115,8 @@
 	GPtrArray *letters; /* Letter */
 	BH__Message table;  /* of all nodes */
 	unsigned calls;
+	unsigned calls_in_s;    /* within the second that has begun */
+	uint64_t store_free_us; /* when the store's link has sent all answers so far */
 	unsigned revivals;
 	bool probes_tell_nothing;
 };
@@ -127,6 +136,17 @@
 	return n->fleet->now_us >= n->suspended_until_us;
 }
 
+/* Returns the time that a link of `mbps` takes for `bytes`. */
+static uint64_t transfer_us_(uint64_t bytes, unsigned mbps)
+{
+	return mbps ? bytes * 8 / mbps : 0;
+}
+
+static unsigned node_mbps_(const Node *n)
+{
+	return n->fleet->options.node_mbps * (n->index % 3 ? 1 : LARGE_LINK);
+}
+
 static void send_(BH__PlatformSyncPort *port, uint64_t node_id, BH__Message *m)
 {
 	Node *n = node_(port);
@@ -147,25 +167,50 @@
 		return;
 	}
 	l->to = to->index;
-	l->due_us = f->now_us + MESSAGE_US + (uint64_t)g_rand_int_range(f->rand, 0, (gint32)MESSAGE_US);
+	n->link_free_us = MAX(n->link_free_us, f->now_us) + transfer_us_(l->len, node_mbps_(n));
+	l->due_us = n->link_free_us + MESSAGE_US + (uint64_t)g_rand_int_range(f->rand, 0, (gint32)MESSAGE_US);
 	g_ptr_array_add(f->letters, l);
 }
 
+/* Returns true if the store refuses a read, since others have used up what it answers in a second. */
+static bool is_over_rate_(Fleet *f)
+{
+	return f->options.reads_per_s && ++f->calls_in_s > f->options.reads_per_s;
+}
+
+static uint64_t page_bytes_(const Fleet *f)
+{
+	return (uint64_t)MIN(f->options.page, f->options.endpoints) * f->options.entry_bytes;
+}
+
+/* Returns when an answer of `bytes` has come to a node, over the store's link and the node's. */
+static uint64_t answered_us_(Node *n, uint64_t bytes)
+{
+	Fleet *f = n->fleet;
+
+	f->store_free_us = MAX(f->store_free_us, f->now_us) + transfer_us_(bytes, f->options.store_mbps);
+	return f->store_free_us + f->answer_us + transfer_us_(bytes, node_mbps_(n));
+}
+
 /* A sending that the store does not answer ends with the look's time. */
 static void send_look_(Node *n, StoreLook *look)
 {
 	Fleet *f = n->fleet;
 	Sending *s = &look->sending[look->count];
 	uint64_t until_us = (look->count ? look->sending[0].sent_us : f->now_us) + look->limit_us;
+	bool over_rate = is_over_rate_(f);
 
 	f->calls++;
 	look->count++;
 	s->sent_us = f->now_us;
-	s->fails = !n->served || n->is_cut_from_store;
-	if (s->fails && (n->is_cut_from_store || f->away == FLEET_STORE_SILENT))
+	s->fails = !n->served || n->is_cut_from_store || over_rate;
+	if (s->fails && (n->is_cut_from_store || f->away == FLEET_STORE_SILENT) && !over_rate)
 		s->done_us = until_us;
-	else
+	else if (s->fails)
 		s->done_us = MIN(f->now_us + f->answer_us, until_us);
+	else
+		s->done_us = MIN(answered_us_(n, look->pages ? page_bytes_(f) : 0), until_us);
+	s->fails |= !over_rate && s->done_us == until_us;
 }
 
 static void begin_look_(Node *n, int what, uint64_t limit_us)
@@ -175,6 +220,12 @@
 	if (look->count)
 		return;
 	look->limit_us = limit_us;
+	look->pages = 0;
+	if (what == ENDPOINTS && bh__store_version_is_zero(bh__registry_get_store_version(n->registry)) &&
+		n->fleet->options.page) {
+		look->pages = (n->fleet->options.endpoints + n->fleet->options.page - 1) / n->fleet->options.page;
+		look->limit_us = LIST_LIMIT_US;
+	}
 	send_look_(n, look);
 }
 
@@ -193,7 +244,7 @@
 	Node *n = node_(port);
 	StoreLook *look = &n->look[ENDPOINTS];
 
-	if (!look->count || look->count == SENDINGS_MAX)
+	if (!look->count || look->count == SENDINGS_MAX || look->pages)
 		return false;
 	send_look_(n, look);
 	return true;
@@ -317,7 +368,10 @@
 	n->id = self.node_id;
 	n->served = true;
 	n->members = bh__members_new(&NullMembersPort, &self, i);
-	bh__members_process_message(n->members, &f->table, FLEET_START_US);
+	if (f->options.starts_alone)
+		n->meets_us = FLEET_START_US + (uint64_t)g_rand_int_range(f->rand, SEEDS_LEAST_US, SEEDS_MOST_US);
+	else
+		bh__members_process_message(n->members, &f->table, FLEET_START_US);
 	n->registry = bh__registry_new(i);
 	n->looks = bh__platform_sync_new(&n->port, &options, n->members, n->registry);
 	n->stopped = g_new0(bool, f->options.endpoints);
@@ -489,6 +543,15 @@
 		failed += s->fails;
 		if (!s->fails) {
 			look->count = 0;
+			if (look->pages > 1 && !bh__platform_sync_needs_own_list(n->looks)) {
+				bh__platform_sync_note_list_abandoned(n->looks);
+				return;
+			}
+			if (look->pages > 1) {
+				look->pages--;
+				send_look_(n, look);
+				return;
+			}
 			take_look_(n, what, s->sent_us);
 			return;
 		}
@@ -569,6 +632,8 @@
 	uint64_t until_us = f->now_us + us;
 
 	for (; f->now_us < until_us; f->now_us += STEP_US, f->step++) {
+		if ((f->now_us - FLEET_START_US) % BH__SECOND_US == 0)
+			f->calls_in_s = 0;
 		step_store_(f);
 		deliver_(f);
 		for (unsigned i = 0; i < f->options.nodes; i++) {
@@ -576,6 +641,10 @@
 			probe_(f, n);
 			if (!runs_(n))
 				continue;
+			if (n->meets_us && f->now_us >= n->meets_us) {
+				n->meets_us = 0;
+				bh__members_process_message(n->members, &f->table, f->now_us);
+			}
 			for (int what = 0; what < 2; what++)
 				follow_look_(n, what);
 			if ((f->step + i) % TICK_STEPS == 0) {
--- a/src/test_libbayhoist/fleet.h
+++ b/src/test_libbayhoist/fleet.h
@@ -21,6 +21,12 @@
 	unsigned endpoints;
 	unsigned loss_per_mille; /* of messages among nodes */
 	double looks_per_s;      /* of all nodes together while the store is away; 0: FLEET_LOOKS_PER_S */
+	bool starts_alone;    /* each node knows only itself at first, and soon learns of the others from seeds */
+	unsigned page;        /* entries of endpoints in one answer of the store; 0: all */
+	unsigned entry_bytes; /* of an entry in an answer of the store */
+	unsigned reads_per_s; /* that the store answers, of all nodes together; 0: any number */
+	unsigned store_mbps;  /* link of the store, which all answers share; 0: any speed */
+	unsigned node_mbps;   /* link of a node of the smaller kind; of the larger ten times that; 0: any speed */
 	uint32_t seed;
 } FleetOptions;
 
