--- a/src/bayhoistctl/ctl.h
+++ b/src/bayhoistctl/ctl.h
@@ -42,6 +42,7 @@
 int ctl_endpoints(const Options *o, char **arguments);
 int ctl_halls(const Options *o, char **addresses);
 int ctl_links(const Options *o, char **arguments);
+int ctl_paths(const Options *o, char **arguments);
 int ctl_explain(char **arguments);
 struct json_object *ctl_collect_status(const Options *o, int *status);
 
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -29,6 +29,8 @@
 		"                       have the endpoints of a data hall receive nothing new, or take that back\n"
 		"  where                show which addresses a caller is told to use\n"
 		"  links\n"
+		"  paths                show the paths to other data halls as the gateway with control address\n"
+		"                       --node knows them\n"
 		"  suspects [FINGERPRINT [release]]\n"
 		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
 		"                       control address, and --key for a release the key that the nodes share\n"
@@ -154,6 +156,8 @@
 		return ctl_halls(o, arguments + 1);
 	if (!strcmp(command, "links"))
 		return ctl_links(o, arguments + 1);
+	if (!strcmp(command, "paths"))
+		return ctl_paths(o, arguments + 1);
 	if (!strcmp(command, "suspects"))
 		return ctl_suspects(o, arguments + 1);
 	if (!strcmp(command, "timeline"))
