--- a/include/bayhoist/hall_paths.h
+++ b/include/bayhoist/hall_paths.h
@@ -57,7 +57,7 @@
 BH__HallPaths *bh__hall_paths_new(const char *own_hall, uint64_t own_node);
 void bh__hall_paths_delete(BH__HallPaths *h);
 void bh__hall_paths_note_failed(BH__HallPaths *h, const char *hall, uint64_t target, uint64_t now_us);
-void bh__hall_paths_note_reached(BH__HallPaths *h, const char *hall, uint64_t target, uint64_t now_us);
+void bh__hall_paths_note_reached(BH__HallPaths *h, const char *hall, uint64_t now_us);
 void bh__hall_paths_note_heard(BH__HallPaths *h, const char *hall, uint64_t now_us);
 void bh__hall_paths_process_report(BH__HallPaths *h, const BH__PathReport *r, uint64_t now_us);
 void bh__hall_paths_set_nodes(BH__HallPaths *h, const char *hall, uint32_t nodes);
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -50,8 +50,10 @@
 	struct timeval tick = {0, MEMBERS_TICK_MS * 1000};
 	BH__MemberInfo self = {.boot_id = g->boot_id};
 	PeersOptions peers = {.base = g->base,
-						  .address = g->settings.peer_address,
+						  .address = g->settings.peer_listen_address[0] ? g->settings.peer_listen_address
+																		: g->settings.peer_address,
 						  .key = g->settings.peer_key,
+						  .source = g->settings.endpoint_source,
 						  .on_message = on_message_,
 						  .on_unreachable = on_unreachable_,
 						  .on_stream = on_stream_,
--- a/src/bayhoist-gate/direct_channel.c
+++ b/src/bayhoist-gate/direct_channel.c
@@ -7,7 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
-#include "log.h"
+#include "bound_socket.h"
 
 /* Longest time that sent bytes may stay unacknowledged; a sound endpoint may be silent for a second. */
 #define UNACKED_TIMEOUT_MS 3000
@@ -23,7 +23,6 @@
 static void write_(Channel *c, struct evbuffer *data);
 static void pause_(Channel *c, bool paused);
 static void close_(Channel *c);
-static evutil_socket_t bound_socket_(const Gate *g);
 static void on_read_(struct bufferevent *bev, void *arg);
 static void on_written_(struct bufferevent *bev, void *arg);
 static void on_event_(struct bufferevent *bev, short what, void *arg);
@@ -46,8 +45,8 @@
 
 	d->base = (Channel){.ops = &Ops_, .cb = *cb, .ctx = ctx};
 	d->gate = g;
-	d->bev =
-		bufferevent_socket_new(g->base, bound_socket_(g), BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	d->bev = bufferevent_socket_new(g->base, bound_socket_new(g->settings.endpoint_source),
+									BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(d->bev, on_read_, on_written_, on_event_, d);
 	bufferevent_set_timeouts(d->bev, NULL, &timeout);
 	bufferevent_enable(d->bev, EV_READ | EV_WRITE);
@@ -60,28 +59,6 @@
 	return &d->base;
 }
 
-/* Returns a new socket that is bound to the address from which the settings have endpoints connected to, or
- * -1 if they name none or the address can't be used, which is logged. */
-static evutil_socket_t bound_socket_(const Gate *g)
-{
-	struct sockaddr_in sa = {.sin_family = AF_INET};
-	evutil_socket_t fd;
-
-	if (!g->settings.endpoint_source[0])
-		return -1;
-	evutil_inet_pton(AF_INET, g->settings.endpoint_source, &sa.sin_addr);
-	fd = socket(AF_INET, SOCK_STREAM, 0);
-	if (fd >= 0 && bind(fd, (struct sockaddr *)&sa, sizeof sa) == 0) {
-		evutil_make_socket_nonblocking(fd);
-		evutil_make_socket_closeonexec(fd);
-		return fd;
-	}
-	log_error("bind-failed", "address=%s cause=\"%s\"", g->settings.endpoint_source, strerror(errno));
-	if (fd >= 0)
-		evutil_closesocket(fd);
-	return -1;
-}
-
 static void write_(Channel *c, struct evbuffer *data)
 {
 	bufferevent_write_buffer(((DirectChannel *)c)->bev, data);
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -10,7 +10,8 @@
 #include "links.h"
 #include "log.h"
 
-#define PROBES_MAX 16 /* at the same time */
+#define PROBES_MAX 16     /* at the same time */
+#define ENDPOINT_PROBES 3 /* one in so many probes goes to an endpoint */
 /* What the nodes of a hall without a way hold of engines is freed after this time, as that of dead nodes is.
  */
 #define GONE_US (2 * BH__SECOND_US)
@@ -123,7 +124,7 @@
 /* Records that an endpoint has answered a new connection, if only by refusing it. */
 void hall_paths_note_reached(HallPaths *p, uint64_t endpoint_id)
 {
-	bh__hall_paths_note_reached(p->state, get_hall_(p, endpoint_id), endpoint_id, clock_now_us());
+	bh__hall_paths_note_reached(p->state, get_hall_(p, endpoint_id), clock_now_us());
 }
 
 /* Returns the state of the path to an endpoint's hall. */
@@ -161,10 +162,13 @@
 	}
 }
 
-/* Draws a target in a hall: a node that is not dead, or an endpoint if there is none, or a node that was
- * taken for dead, which may be back with the path. */
+/* Draws a target in a hall: a node that is not dead, or an endpoint if there is none and for each third
+ * probe, since a hall may have one node only; or a node that was taken for dead, which may be back with the
+ * path. */
 static bool find_target_(const HallPaths *p, const char *hall, uint64_t *target, const char **address)
 {
+	if (p->probes_total % ENDPOINT_PROBES == 0 && draw_endpoint_(p, hall, target, address))
+		return true;
 	return draw_node_(p, hall, BH__MEMBER_SUSPECT, target, address) ||
 		   draw_endpoint_(p, hall, target, address) || draw_node_(p, hall, BH__MEMBER_DEAD, target, address);
 }
@@ -235,7 +239,7 @@
 
 	g_hash_table_remove(p->probes, probe);
 	if (reached)
-		bh__hall_paths_note_reached(p->state, probe->hall, probe->target, now_us);
+		bh__hall_paths_note_reached(p->state, probe->hall, now_us);
 	else
 		bh__hall_paths_note_failed(p->state, probe->hall, probe->target, now_us);
 	g_free(probe);
--- a/src/bayhoist-gate/settings.c
+++ b/src/bayhoist-gate/settings.c
@@ -20,6 +20,7 @@
 	BH__LIST_FIELD(GateSettings, seeds, 64),
 	BH__STRING_FIELD(GateSettings, store_address, true),
 	BH__STRING_FIELD(GateSettings, endpoint_source, false),
+	BH__STRING_FIELD(GateSettings, peer_listen_address, false),
 	BH__U64_FIELD(GateSettings, max_connections, false, 16, 1000000),
 	BH__U64_FIELD(GateSettings, stop_grace_ms, false, 100, 3600000),
 	BH__U64_FIELD(GateSettings, endpoint_drain_ms, false, 100, 3600000),
@@ -86,6 +87,9 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
 		if (!settings_check_address(all[i].field, all[i].address, error))
 			return false;
+	if (s->peer_listen_address[0] &&
+		!settings_check_address("peer_listen_address", s->peer_listen_address, error))
+		return false;
 	if (s->endpoint_source[0] && evutil_inet_pton(AF_INET, s->endpoint_source, &ip) != 1) {
 		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD,
 					"field \"endpoint_source\": \"%s\" is no IPv4 address", s->endpoint_source);
--- a/src/bayhoist-gate/settings.h
+++ b/src/bayhoist-gate/settings.h
@@ -21,11 +21,14 @@
 	char peer_key[GATE_SECRET_LEN]; /* key that the nodes share; operators use it too */
 	char **seeds;                   /* addresses of other nodes, with any of their ports; NULL-terminated */
 	char store_address[BH__ADDRESS_LEN];
-	char endpoint_source[BH__ADDRESS_LEN]; /* IP from which endpoints are connected to; empty: any */
-	uint64_t max_connections;              /* maximum number of caller connections */
-	uint64_t stop_grace_ms;                /* time within which a planned stop must end */
-	uint64_t endpoint_drain_ms;            /* time after which a leaving endpoint receives no new requests */
-	uint64_t configuration_ms;             /* time within which a new configuration takes effect */
+	char
+		endpoint_source[BH__ADDRESS_LEN]; /* IP from which endpoints and nodes are connected to; empty: any */
+	/* where this node listens for others if they reach it by another address; empty: at peer_address */
+	char peer_listen_address[BH__ADDRESS_LEN];
+	uint64_t max_connections;     /* maximum number of caller connections */
+	uint64_t stop_grace_ms;       /* time within which a planned stop must end */
+	uint64_t endpoint_drain_ms;   /* time after which a leaving endpoint receives no new requests */
+	uint64_t configuration_ms;    /* time within which a new configuration takes effect */
 	uint64_t key_trust_ms;        /* time that keys stay valid after a configuration read; 0: no limit */
 	uint64_t memory_hold_max_ms;  /* maximum time that engines keep memory reserved */
 	uint64_t directory_ttl_max_s; /* maximum time that callers cache a directory answer */
--- a/src/libbayhoist/hall_paths.c
+++ b/src/libbayhoist/hall_paths.c
@@ -33,7 +33,7 @@
 /* Paths that return count for duties, and for the planning of endpoints, once none has changed for this time:
  * those of one hall return one after the other, and each step would move duties. */
 #define SETTLE_US_ BH__SECOND_US
-#define RETURN_TARGETS_ 2u /* targets in a row that must be reached before a path is back */
+#define RETURN_TRIPS_ 2u /* round trips, apart from each other, before a path is back */
 
 const char *const BH__PathStateString[] = {"open", "doubtful", "lost"};
 const char *const BH__PathDirectionString[] = {"none", "heard"};
@@ -56,8 +56,8 @@
 	uint64_t concluded_us;     /* when it was drawn */
 	uint64_t returned_us;      /* when it was last taken back; 0: never */
 	uint64_t hold_us;          /* shortest time for which it holds */
-	uint64_t reached_target;   /* last target reached in a row; 0: none */
-	unsigned reached_in_a_row; /* round trips to changing targets since the last failure */
+	uint64_t counted_us;       /* when a round trip was last counted there */
+	unsigned reached_in_a_row; /* round trips since the last failure, apart from each other */
 	unsigned probes_due;       /* probes to be made at once */
 	uint64_t next_probe_us;
 	uint64_t next_report_us; /* 0: a report is due at once */
@@ -165,7 +165,6 @@
 	if (!hall || hall == h->own)
 		return;
 	hall->reached_in_a_row = 0;
-	hall->reached_target = 0;
 	if (!hall->is_lost && hall->first_failed_us && now_us >= hall->first_failed_us + EVIDENCE_VALID_US_)
 		clear_evidence_(hall);
 	hall->failures++;
@@ -201,7 +200,7 @@
 
 /* Records a round trip to a target in a hall, on something that this node began itself: a connection that was
  * set up or refused, or a probe that was acknowledged. */
-void bh__hall_paths_note_reached(BH__HallPaths *h, const char *name, uint64_t target, uint64_t now_us)
+void bh__hall_paths_note_reached(BH__HallPaths *h, const char *name, uint64_t now_us)
 {
 	Hall_ *hall = add_(h, name);
 
@@ -210,9 +209,11 @@
 	hall->reached_us = now_us;
 	hall->heard_us = now_us;
 	if (hall->is_lost) {
-		hall->reached_in_a_row += hall->reached_target != target;
-		hall->reached_target = target;
-		if (hall->reached_in_a_row < RETURN_TARGETS_ || now_us < hall->concluded_us + hall->hold_us)
+		if (now_us >= hall->counted_us + PROBE_PERIOD_US_ / 2) {
+			hall->reached_in_a_row++;
+			hall->counted_us = now_us;
+		}
+		if (hall->reached_in_a_row < RETURN_TRIPS_ || now_us < hall->concluded_us + hall->hold_us)
 			return;
 		take_back_(h, hall, now_us);
 	}
--- a/src/libbayhoist/members.c
+++ b/src/libbayhoist/members.c
@@ -759,7 +759,7 @@
 
 	/* An answer by way of another node is no round trip. */
 	if (sequence == m->probe_sequence && m->paths && msg->from_node == m->probe_node)
-		bh__hall_paths_note_reached(m->paths, msg->as.ping.self.hall, msg->from_node, now_us);
+		bh__hall_paths_note_reached(m->paths, msg->as.ping.self.hall, now_us);
 	if (sequence == m->probe_sequence)
 		m->probe_node = 0;
 	for (guint i = 0; i < m->indirect_probes->len; i++) {
--- a/src/share/peers.c
+++ b/src/share/peers.c
@@ -11,6 +11,7 @@
 #include <openssl/rand.h>
 #include <stdlib.h>
 #include <string.h>
+#include "bound_socket.h"
 #include "frame.h"
 #include "log.h"
 
@@ -228,8 +229,8 @@
 	memset(&out->session, 0, sizeof out->session);
 	frame_set_key(&out->session, out->peers->options.key);
 	out->ready = false;
-	out->bev =
-		bufferevent_socket_new(out->peers->options.base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	out->bev = bufferevent_socket_new(out->peers->options.base, bound_socket_new(out->peers->options.source),
+									  BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(out->bev, on_out_read_, NULL, on_out_event_, out);
 	bufferevent_set_timeouts(out->bev, &timeout, NULL); /* until the nonce comes */
 	bufferevent_enable(out->bev, EV_READ | EV_WRITE);
--- a/src/share/peers.h
+++ b/src/share/peers.h
@@ -13,6 +13,7 @@
 	struct event_base *base;
 	const char *address; /* IP:port to listen on */
 	const char *key;     /* that all nodes share */
+	const char *source;  /* IP from which nodes are connected to; NULL or empty: any */
 	void (*on_message)(void *ctx, const BH__Message *m);
 	void (*on_unreachable)(void *ctx, const char *address);
 	/* A peer opens a stream with this message; the receiver owns the stream. NULL: streams are refused. */
--- a/src/test_libbayhoist/path_fleet.c
+++ b/src/test_libbayhoist/path_fleet.c
@@ -179,7 +179,7 @@
 		n->probes++;
 		g_strlcpy(p.hall, hall, sizeof p.hall);
 		if (connects_(f, n->hall, to->hall))
-			bh__hall_paths_note_reached(n->paths, hall, p.target, f->members->now_us);
+			bh__hall_paths_note_reached(n->paths, hall, f->members->now_us);
 		else
 			g_array_append_val(f->probes, p);
 		return;
@@ -232,7 +232,7 @@
 	if (!f->ignores_paths && bh__hall_paths_is_lost(n->paths, hall))
 		return relay_(n, endpoint);
 	if (connects_(f, n->hall, endpoint % f->halls) && !f->silent[endpoint]) {
-		bh__hall_paths_note_reached(n->paths, hall, endpoint + 1, f->members->now_us);
+		bh__hall_paths_note_reached(n->paths, hall, f->members->now_us);
 		return true;
 	}
 	bh__hall_paths_note_failed(n->paths, hall, endpoint + 1, f->members->now_us);
