--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -30,6 +30,8 @@
 		"  where                show which addresses a caller is told to use\n"
 		"  links\n"
 		"  prefill              show which engines long prompts are read on, as a gateway sees it\n"
+		"  paths                show the paths to other data halls as the gateway with control address\n"
+		"                       --node knows them\n"
 		"  suspects [FINGERPRINT [release]]\n"
 		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
 		"                       control address, and --key for a release the key that the nodes share\n"
@@ -157,6 +159,8 @@
 		return ctl_links(o, arguments + 1);
 	if (!strcmp(command, "prefill"))
 		return ctl_prefill(o, arguments + 1);
+	if (!strcmp(command, "paths"))
+		return ctl_paths(o, arguments + 1);
 	if (!strcmp(command, "suspects"))
 		return ctl_suspects(o, arguments + 1);
 	if (!strcmp(command, "timeline"))
