--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -66,6 +66,15 @@
 	uint64_t returned;
 } BH__BookingCounters;
 
+/* One booked start. */
+typedef struct {
+	uint64_t ask_id;
+	uint64_t prompt_tokens;
+	uint64_t arrived_us; /* when the ask arrived */
+	uint64_t start_us;   /* booked start, or the caller's return if it is away; UINT64_MAX: none in time */
+	bool is_away;        /* the ask was refused, and its caller is to come back */
+} BH__BookingInfo;
+
 /* The planner's view of one engine. */
 typedef struct {
 	uint64_t endpoint_id;
@@ -113,6 +122,7 @@
 const BH__PlannerCounters *bh__planner_get_counters(const BH__Planner *p);
 const BH__BookingCounters *bh__planner_get_booking_counters(const BH__Planner *p);
 unsigned bh__planner_count_bookings(const BH__Planner *p);
+bool bh__planner_get_booking(const BH__Planner *p, unsigned index, BH__BookingInfo *out);
 uint64_t bh__planner_get_booked_start(const BH__Planner *p, uint64_t ask_id);
 
 #endif
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -277,6 +277,9 @@
 void halls_write_status(const Gate *g, struct evbuffer *out);
 struct json_object *halls_describe(const Gate *g);
 
+/* bookings.c */
+struct json_object *bookings_describe(const Gate *g);
+
 /* web.c */
 bool web_start(Gate *g);
 void web_stop(Gate *g);
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -129,6 +129,10 @@
 		web_reply_json(req, 200, links_describe(g->links));
 		return;
 	}
+	if (!strcmp(web_get_path(req), "/bookings")) {
+		web_reply_json(req, 200, bookings_describe(g));
+		return;
+	}
 	if (!strcmp(web_get_path(req), "/halls")) {
 		web_reply_json(req, 200, halls_describe(g));
 		return;
--- a/src/bayhoistctl/ctl.h
+++ b/src/bayhoistctl/ctl.h
@@ -41,6 +41,7 @@
 int ctl_suspects(const Options *o, char **arguments);
 int ctl_endpoints(const Options *o, char **arguments);
 int ctl_halls(const Options *o, char **addresses);
+int ctl_bookings(const Options *o, char **arguments);
 int ctl_links(const Options *o, char **arguments);
 int ctl_explain(char **arguments);
 struct json_object *ctl_collect_status(const Options *o, int *status);
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -29,6 +29,9 @@
 		"                       have the endpoints of a data hall receive nothing new, or take that back\n"
 		"  where                show which addresses a caller is told to use\n"
 		"  links\n"
+		"  bookings             show the long prompts that wait at the gateway that schedules them, and "
+		"when\n"
+		"                       they are to start; --node is a gateway's control address\n"
 		"  suspects [FINGERPRINT [release]]\n"
 		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
 		"                       control address, and --key for a release the key that the nodes share\n"
@@ -152,6 +155,8 @@
 		return ctl_endpoints(o, arguments + 1);
 	if (!strcmp(command, "halls"))
 		return ctl_halls(o, arguments + 1);
+	if (!strcmp(command, "bookings"))
+		return ctl_bookings(o, arguments + 1);
 	if (!strcmp(command, "links"))
 		return ctl_links(o, arguments + 1);
 	if (!strcmp(command, "suspects"))
--- a/src/libbayhoist/booking.c
+++ b/src/libbayhoist/booking.c
@@ -340,6 +340,22 @@
 	return false;
 }
 
+/* Copies the booking at `index` to `out`. Returns false if there are not as many. */
+bool bh__booking_table_get(const BH__BookingTable *t, unsigned index, BH__BookingInfo *out)
+{
+	const Booking_ *b;
+
+	if (index >= t->bookings->len)
+		return false;
+	b = g_ptr_array_index(t->bookings, index);
+	*out = (BH__BookingInfo){.ask_id = b->ask.ask_id,
+							 .prompt_tokens = b->ask.prompt_tokens,
+							 .arrived_us = b->arrived_us,
+							 .start_us = b->is_away ? b->from_us : b->start_us,
+							 .is_away = b->is_away};
+	return true;
+}
+
 /* Returns the number of booked starts, callers that are away included. */
 unsigned bh__booking_table_get_count(const BH__BookingTable *t)
 {
--- a/src/libbayhoist/include/private/booking.h
+++ b/src/libbayhoist/include/private/booking.h
@@ -38,6 +38,7 @@
 								BH__PlannerPort *port, uint64_t now_us);
 void bh__booking_table_remove(BH__BookingTable *t, uint64_t ask_id);
 bool bh__booking_table_process_return(BH__BookingTable *t, const BH__Ask *ask, uint64_t now_us);
+bool bh__booking_table_get(const BH__BookingTable *t, unsigned index, BH__BookingInfo *out);
 unsigned bh__booking_table_get_count(const BH__BookingTable *t);
 const BH__BookingCounters *bh__booking_table_get_counters(const BH__BookingTable *t);
 
--- a/src/libbayhoist/planner_status.c
+++ b/src/libbayhoist/planner_status.c
@@ -54,3 +54,10 @@
 {
 	return bh__booking_table_get_start(p->bookings, ask_id);
 }
+
+/* Copies the booking at `index` to `out`, in the order in which long prompts are placed. Returns false if
+ * there are not as many. */
+bool bh__planner_get_booking(const BH__Planner *p, unsigned index, BH__BookingInfo *out)
+{
+	return bh__booking_table_get(p->bookings, index, out);
+}
--- a/src/test_libbayhoist/test_booking.c
+++ b/src/test_libbayhoist/test_booking.c
@@ -358,6 +358,7 @@
 {
 	Site *s = full_site_new_(4);
 	Caller *c = add_caller_(s, 600000);
+	BH__BookingInfo info;
 	uint64_t lost_us;
 
 	(void)state;
@@ -372,6 +373,9 @@
 	assert_true(c->asked_us + c->held_us <= lost_us + 500 * MS);
 	assert_true(c->return_us >= s->now_us + BH__SECOND_US);
 	assert_int_equal(bh__planner_count_bookings(s->planner), 1); /* from the time of its return */
+	assert_true(bh__planner_get_booking(s->planner, 0, &info));
+	assert_true(info.is_away && info.start_us == c->return_us);
+	assert_false(bh__planner_get_booking(s->planner, 1, &info));
 	for (uint64_t id = 2; id <= 4; id++)
 		bh__planner_set_endpoint(s->planner, id, 1, false, s->now_us);
 	play_(s, c->return_us - s->now_us + BH__SECOND_US, 0, 0);
