--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -287,6 +287,9 @@
 void last_endpoints_note_dispatch(Gate *g, const BH__RegisteredEndpoint *e, uint64_t now_us);
 void last_endpoints_write_status(const Gate *g, struct evbuffer *out);
 
+/* bookings.c */
+struct json_object *bookings_describe(const Gate *g);
+
 /* web.c */
 bool web_start(Gate *g);
 void web_stop(Gate *g);
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -32,6 +32,9 @@
 		"  prefill              show which engines long prompts are read on, as a gateway sees it\n"
 		"  paths                show the paths to other data halls as the gateway with control address\n"
 		"                       --node knows them\n"
+		"  bookings             show the long prompts that wait at the gateway that schedules them, and "
+		"when\n"
+		"                       they are to start; --node is a gateway's control address\n"
 		"  suspects [FINGERPRINT [release]]\n"
 		"                       show requests that crash endpoints, or let one go; --node is a gateway's\n"
 		"                       control address, and --key for a release the key that the nodes share\n"
@@ -155,6 +158,8 @@
 		return ctl_endpoints(o, arguments + 1);
 	if (!strcmp(command, "halls"))
 		return ctl_halls(o, arguments + 1);
+	if (!strcmp(command, "bookings"))
+		return ctl_bookings(o, arguments + 1);
 	if (!strcmp(command, "links"))
 		return ctl_links(o, arguments + 1);
 	if (!strcmp(command, "prefill"))
