gate: A plain endpoint that one node finds silent is known to all

Cause: requests that end by their time limit or by their caller say nothing of an endpoint, and with few requests a node each node had to learn for itself that one of three endpoints hangs.

Change: nodes report overdue requests to the endpoint's home node, by the ring of signals; two of them declare it silent for all nodes, and whoever hears from it takes that back. It is avoided, and gets no request that may run only once. Nodes return to it one by one. A node whose links or whose way to the hall may be the cause reports nothing.

--- a/include/bayhoist/endpoint_signal.h
+++ b/include/bayhoist/endpoint_signal.h
@@ -10,6 +10,7 @@
 	BH__SIGNAL_LIMIT,   /* requests per second that the endpoint accepts from all nodes together */
 	BH__SIGNAL_LEAVING, /* not 0: the endpoint shuts down and accepts no new requests */
 	BH__SIGNAL_BACKOFF, /* seconds for which the answered node should send no requests */
+	BH__SIGNAL_SILENCE, /* in no answer: nodes that get none tell each other, see bayhoist/silence.h */
 	BH__SIGNAL_KIND_COUNT
 } BH__SignalKind;
 
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -190,9 +190,11 @@
 	BH__SignalKind kind;
 	uint64_t endpoint_id;
 	uint64_t born_ms; /* start time of the incarnation that sent the signal, by the endpoint's clock */
-	bool in_force;    /* limit only: false if the endpoint no longer advertises one */
-	double per_s;     /* limit only: requests per second */
-	/* backoff: time left until it ends; limit: time since the answer that advertised it was read */
+	bool in_force;    /* limit: false if the endpoint no longer advertises one; silence: false if it ended */
+	double per_s;     /* limit: requests per second; silence: duration in seconds for which it is declared */
+	/* backoff: time left until it ends; limit: time since the answer that advertised it was read; silence:
+	 * time since it began or, in a report, since the overdue request was sent; if it ended, since something
+	 * was heard */
 	uint64_t time_us;
 } BH__SignalUpdate;
 
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -9,6 +9,7 @@
 
 #include <glib.h>
 #include "bayhoist/endpoint_rate.h"
+#include "bayhoist/silence.h"
 #include "bayhoist/store_version.h"
 #include "bayhoist/types.h"
 
@@ -95,7 +96,8 @@
 	uint32_t reported; /* running and waiting requests of all nodes, as last reported by the endpoint */
 	uint64_t reported_us;
 	uint64_t ejected_until_us;
-	uint32_t failures;    /* consecutive failures */
+	uint32_t failures; /* consecutive failures */
+	BH__Silence silence;
 	double failure_share; /* exponentially weighted share of failures in recent requests, 0 to 1 */
 } BH__RegisteredEndpoint;
 
@@ -159,6 +161,8 @@
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us);
+BH__RegisteredEndpoint *bh__registry_pick_once(BH__Registry *r, const char *service, const char *hall,
+											   const uint64_t *tried, unsigned tried_count, uint64_t now_us);
 uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id);
 void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, uint64_t incarnation,
 						   BH__EndpointOutcome use, uint64_t now_us);
--- a/include/bayhoist/signal_relay.h
+++ b/include/bayhoist/signal_relay.h
@@ -29,6 +29,9 @@
 									   uint64_t now_us);
 bool bh__signal_relay_receive_limit(BH__SignalRelay *r, BH__RegisteredEndpoint *e,
 									const BH__AdvertisedLimit *limit, uint64_t now_us);
+void bh__signal_relay_report_silence(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t sent_us,
+									 uint64_t now_us);
+void bh__signal_relay_note_heard(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t now_us);
 bool bh__signal_relay_merge(BH__SignalRelay *r, const BH__SignalUpdate *n, uint64_t now_us);
 bool bh__signal_relay_process_message(BH__SignalRelay *r, const BH__Message *m, uint64_t now_us);
 void bh__signal_relay_process_tick(BH__SignalRelay *r, uint64_t now_us);
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -309,8 +309,7 @@
 			ask_(c);
 		return;
 	}
-	e = bh__registry_pick(g->registry, c->service->name, g->settings.hall, c->retry.tried,
-						  c->retry.tried_count, c->retry.may_have_run, now_us);
+	e = silences_pick_endpoint(c, now_us);
 	if (e && bh__endpoint_rate_is_limited(&e->rate, now_us))
 		ask_permit_(c, e);
 	else if (e)
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -41,6 +41,7 @@
 	Outbound *out;             /* connection of the current dispatch; NULL: none */
 	uint64_t endpoint_id;      /* endpoint of the current or last dispatch */
 	uint64_t endpoint_incarnation; /* incarnation of that endpoint, see bh__registry_note_start() */
+	bool silence_reported;         /* that dispatch was reported as overdue */
 	uint64_t sent_us;              /* when the current or last dispatch began */
 	uint32_t pauses;           /* number of gaps between received parts of the current dispatch's answer */
 	uint64_t longest_pause_us; /* longest such gap of all dispatches */
@@ -66,6 +67,10 @@
 uint64_t call_longest_answer_us(const Call *c);
 void call_abandon(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 
+/* silences.c */
+BH__RegisteredEndpoint *silences_pick_endpoint(const Call *c, uint64_t now_us);
+void silences_note_heard(const Call *c);
+
 /* call_refusal.c */
 bool call_abandon_unsendable(Call *c);
 uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us);
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -51,6 +51,7 @@
 	c->received_us = c->sent_us;
 	c->end_known = false;
 	c->is_own_fault = false;
+	c->silence_reported = false;
 	c->is_streaming = false;
 	c->progress_notified = false;
 	c->pauses = 0;
@@ -140,6 +141,7 @@
 	GString *headers = c->head.headers;
 
 	c->received_us = clock_now_us();
+	silences_note_heard(c);
 	c->head = *head;
 	c->head.headers = headers;
 	g_string_assign(headers, head->headers->str);
@@ -187,6 +189,7 @@
 	if (c->retry.answer_begun)
 		note_pause_(c, now_us - c->received_us);
 	c->received_us = now_us;
+	silences_note_heard(c);
 	evbuffer_add(c->body, data, len);
 	if (c->is_streaming) {
 		forward_events_(c);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -39,10 +39,11 @@
 
 /* Counts since the start, and distributions of times in microseconds. */
 typedef struct {
-	uint64_t requests;                              /* requests received */
-	uint64_t outcomes[CALL_OUTCOME_COUNT];          /* requests ended, by outcome */
-	uint64_t dispatches;                            /* requests sent to endpoints */
-	uint64_t last_endpoint_dispatches;              /* those sent to one of the last endpoints of a service */
+	uint64_t requests;                     /* requests received */
+	uint64_t outcomes[CALL_OUTCOME_COUNT]; /* requests ended, by outcome */
+	uint64_t dispatches;                   /* requests sent to endpoints */
+	uint64_t silence_reports;          /* overdue requests that were reported to the endpoint's home node */
+	uint64_t last_endpoint_dispatches; /* those sent to one of the last endpoints of a service */
 	uint64_t dispatch_ends[BH__DISPATCH_END_COUNT]; /* dispatches ended, by result */
 	uint64_t repeats;                               /* decisions to dispatch a request again */
 	uint64_t resumes;                               /* decisions to dispatch again that resume a stream */
@@ -285,6 +286,11 @@
 void last_endpoints_note_dispatch(Gate *g, const BH__RegisteredEndpoint *e, uint64_t now_us);
 void last_endpoints_write_status(const Gate *g, struct evbuffer *out);
 
+/* silences.c */
+void silences_process_tick(Gate *g, uint64_t now_us);
+void silences_log_change(const BH__RegisteredEndpoint *e);
+void silences_write_status(const Gate *g, struct evbuffer *out);
+
 /* web.c */
 bool web_start(Gate *g);
 void web_stop(Gate *g);
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -42,7 +42,8 @@
 			return;
 		g->counters.signals[k] += s->state == BH__SIGNAL_PRESENT;
 		if (s->state != BH__SIGNAL_INVALID) {
-			Handlers_[k](g, e, o, s);
+			if (Handlers_[k])
+				Handlers_[k](g, e, o, s);
 			continue;
 		}
 		g->counters.unreadable_signals[k]++;
@@ -139,6 +140,10 @@
 /* Logs a signal that was merged from another node and applies a limit to the planner. */
 static void relay_merged_(BH__SignalRelayPort *port, BH__SignalKind kind, const BH__RegisteredEndpoint *e)
 {
+	if (kind == BH__SIGNAL_SILENCE) {
+		silences_log_change(e);
+		return;
+	}
 	if (kind != BH__SIGNAL_LIMIT) {
 		log_event("signal", "kind=%s what=told endpoint=%s born_ms=%" G_GUINT64_FORMAT,
 				  BH__SignalKindString[kind], e->entry.id, e->entry.born_ms);
@@ -152,6 +157,7 @@
 /* Runs the periodic work of the signal relay. */
 void signals_process_tick(Signals *s)
 {
+	silences_process_tick(s->cluster->gate, clock_now_us());
 	bh__signal_relay_process_tick(s->relay, clock_now_us());
 }
 
@@ -188,13 +194,16 @@
 }
 
 /* Returns the state of an endpoint for new requests of this node: "used" if it is listed and accepts them,
- * "leaving", "drained" if its data hall drains, or "gone" if its entry has been removed. */
+ * "leaving", "drained" if its data hall drains, "silent" while it is avoided for its silence, or "gone" if
+ * its entry has been removed. */
 const char *signals_get_state(const BH__RegisteredEndpoint *e, uint64_t now_us)
 {
 	if (e->entry.draining)
 		return "leaving";
 	if (e->is_hall_draining)
 		return "drained";
+	if (now_us < e->silence.until_us)
+		return "silent";
 	return bh__registered_endpoint_is_active(e, now_us) ? "used" : "gone";
 }
 
--- /dev/null
+++ b/src/bayhoist-gate/silences.c
@@ -0,0 +1,120 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Silent plain endpoints (bayhoist/silence.h): finds this node's overdue requests, and picks endpoints by
+ * what all nodes know. */
+#include "call_internal.h"
+
+#include <string.h>
+#include "bayhoist/silence.h"
+#include "clock.h"
+#include "cluster_internal.h"
+#include "links.h"
+#include "log.h"
+
+static bool is_overdue_(const Call *c, uint64_t now_us);
+static bool hears_hall_of_(const Gate *g, const BH__RegisteredEndpoint *e, uint64_t since_us);
+static void report_(Call *c, uint64_t now_us);
+
+/* Returns the endpoint of a service without engines that the request is sent to next, or NULL. */
+BH__RegisteredEndpoint *silences_pick_endpoint(const Call *c, uint64_t now_us)
+{
+	BH__Registry *r = c->gate->registry;
+	const char *hall = c->gate->settings.hall;
+
+	if (c->retry.retry_mode == BH__RETRY_MODE_NEVER)
+		return bh__registry_pick_once(r, c->service->name, hall, c->retry.tried, c->retry.tried_count,
+									  now_us);
+	return bh__registry_pick(r, c->service->name, hall, c->retry.tried, c->retry.tried_count,
+							 c->retry.may_have_run, now_us);
+}
+
+/* Records that something was received from a call's endpoint. */
+void silences_note_heard(const Call *c)
+{
+	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
+
+	if (e && e->incarnation == c->endpoint_incarnation)
+		bh__signal_relay_note_heard(c->gate->cluster->signals->relay, e, c->received_us);
+}
+
+/* Reports this node's requests that are overdue. Nothing is reported while this node's links are cut. */
+void silences_process_tick(Gate *g, uint64_t now_us)
+{
+	GHashTableIter it;
+	gpointer call;
+
+	if (links_are_cut(g->links))
+		return;
+	g_hash_table_iter_init(&it, g->calls);
+	while (g_hash_table_iter_next(&it, &call, NULL))
+		if (is_overdue_(call, now_us))
+			report_(call, now_us);
+}
+
+/* Returns true if a plain endpoint has had a request for long, and has sent nothing of its answer. */
+static bool is_overdue_(const Call *c, uint64_t now_us)
+{
+	return c->state == CALL_DISPATCHED && !c->service->is_engine && !c->silence_reported && c->out &&
+		   outbound_is_connected(c->out) && c->received_us == c->sent_us &&
+		   now_us >= c->sent_us + bh__silence_get_overdue_us(call_longest_answer_us(c),
+															 c->rule->target_ms * BH__MS_US);
+}
+
+/* Reports an overdue request, unless the way to its endpoint may be the cause. */
+static void report_(Call *c, uint64_t now_us)
+{
+	Gate *g = c->gate;
+	BH__RegisteredEndpoint *e = bh__registry_find(g->registry, c->endpoint_id);
+
+	if (!e || e->incarnation != c->endpoint_incarnation || links_is_doubtful(g->links, c->endpoint_id) ||
+		!hears_hall_of_(g, e, c->sent_us))
+		return;
+	c->silence_reported = true;
+	g->counters.silence_reports++;
+	bh__signal_relay_report_silence(g->cluster->signals->relay, e, c->sent_us, now_us);
+}
+
+/* Returns true if this node has since heard from another endpoint of the same hall, or from any if there is
+ * no other in that hall: its way there works. */
+static bool hears_hall_of_(const Gate *g, const BH__RegisteredEndpoint *e, uint64_t since_us)
+{
+	bool has_neighbour = false;
+	bool hears_any = false;
+
+	for (unsigned i = 0; i < bh__registry_get_count(g->registry); i++) {
+		const BH__RegisteredEndpoint *other = bh__registry_get(g->registry, i);
+		bool is_neighbour = other != e && !strcmp(other->entry.hall, e->entry.hall);
+		bool is_heard = other != e && other->silence.heard_us > since_us;
+		if (is_neighbour && is_heard)
+			return true;
+		has_neighbour |= is_neighbour;
+		hears_any |= is_heard;
+	}
+	return !has_neighbour && hears_any;
+}
+
+/* Logs that an endpoint has been declared silent, or that its silence has ended. */
+void silences_log_change(const BH__RegisteredEndpoint *e)
+{
+	uint64_t now_us = clock_now_us();
+	bool is_silent = e->silence.since_us != 0;
+
+	log_event("silence",
+			  "what=%s endpoint=%s service=%s since_ms=%" G_GUINT64_FORMAT " for_ms=%" G_GUINT64_FORMAT,
+			  is_silent ? "silent" : "ended", e->entry.id, e->entry.service,
+			  is_silent ? (now_us - e->silence.since_us) / BH__MS_US : 0,
+			  is_silent ? e->silence.hold_us / BH__MS_US : 0);
+}
+
+/* Writes, as metrics, the overdue requests that were reported and the endpoints that are silent now. */
+void silences_write_status(const Gate *g, struct evbuffer *out)
+{
+	uint64_t now_us = clock_now_us();
+
+	evbuffer_add_printf(out, "bayhoist_silence_reports_total %" G_GUINT64_FORMAT "\n",
+						g->counters.silence_reports);
+	for (unsigned i = 0; i < bh__registry_get_count(g->registry); i++) {
+		const BH__RegisteredEndpoint *e = bh__registry_get(g->registry, i);
+		if (now_us < e->silence.until_us)
+			evbuffer_add_printf(out, "bayhoist_endpoint_silent{endpoint=\"%s\"} 1\n", e->entry.id);
+	}
+}
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -233,6 +233,7 @@
 	platform_sync_write_status(g->platform_sync, out);
 	halls_write_status(g, out);
 	last_endpoints_write_status(g, out);
+	silences_write_status(g, out);
 	signals_write_status(g, out);
 	cluster_write_status(g->cluster, out);
 	crashes_write_status(g->crashes, out);
--- a/src/libbayhoist/endpoint_signal.c
+++ b/src/libbayhoist/endpoint_signal.c
@@ -5,7 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
-const char *const BH__SignalKindString[] = {"limit", "leaving", "backoff"};
+const char *const BH__SignalKindString[] = {"limit", "leaving", "backoff", "silence"};
 
 /* Parses the value of a signal header into `s`. A value above `max` is reduced to `max`. If an answer has
  * several headers of one kind, the strictest value counts: the lowest limit, or the highest value of another
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -16,6 +16,7 @@
 #define EJECTED_COST_ 1e3   /* exceeds any load, so ejected endpoints are used only if there is no other */
 #define TRIED_COST_ 1e6     /* exceeds EJECTED_COST_ */
 #define HALL_COST_ 0.4      /* cost of an endpoint in another data hall, in requests in flight */
+#define SILENT_MAX_ 8       /* silent endpoints of a service that a request is kept from */
 #define REPORT_FRESH_US_ (1 * BH__SECOND_US) /* maximum age of a load report that counts */
 
 const char *const BH__EndpointOutcomeString[] = {"served", "refused", "failed", "abandoned"};
@@ -67,7 +68,8 @@
 		if (strcmp(e->entry.service, service) != 0 || !bh__registry_may_send(r, e, now_us) ||
 			now_us < e->no_grant_until_us || (was_tried && !again))
 			continue;
-		cost = cost_(e, hall, now_us) + (now_us < e->ejected_until_us ? EJECTED_COST_ : 0) +
+		cost = cost_(e, hall, now_us) +
+			   (now_us < MAX(e->ejected_until_us, e->silence.until_us) ? EJECTED_COST_ : 0) +
 			   (was_tried ? TRIED_COST_ : 0);
 		if (!best || cost < best_cost) {
 			best = e;
@@ -77,6 +79,26 @@
 	return best;
 }
 
+/* Returns the endpoint for a request that may run only once, like bh__registry_pick(), or NULL. It is not
+ * sent where answers have stopped coming; while that is so everywhere it is not sent at all. */
+BH__RegisteredEndpoint *bh__registry_pick_once(BH__Registry *r, const char *service, const char *hall,
+											   const uint64_t *tried, unsigned tried_count, uint64_t now_us)
+{
+	uint64_t except[BH__TRIED_MAX + SILENT_MAX_];
+	unsigned count = MIN(tried_count, BH__TRIED_MAX);
+	BH__RegisteredEndpoint *e;
+
+	if (count)
+		memcpy(except, tried, count * sizeof *tried);
+	do {
+		e = bh__registry_pick(r, service, hall, except, count, false, now_us);
+		if (!e || now_us >= e->silence.once_until_us)
+			return e;
+		except[count++] = e->endpoint_id;
+	} while (count < G_N_ELEMENTS(except));
+	return NULL;
+}
+
 /* Records that a request is sent to an endpoint. Returns the endpoint's incarnation for
  * bh__registry_note_end(), or 0 if the endpoint is not in the table. */
 uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id)
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -366,6 +366,7 @@
 	e->ejected_until_us = 0;
 	e->failures = 0;
 	e->failure_share = 0;
+	e->silence = (BH__Silence){0};
 	e->signals = (BH__EndpointSignals){0};
 	e->rate = (BH__EndpointRate){0};
 	e->no_grant_until_us = 0;
--- a/src/libbayhoist/signal_relay.c
+++ b/src/libbayhoist/signal_relay.c
@@ -4,6 +4,7 @@
 
 #include <math.h>
 #include <string.h>
+#include "bayhoist/hash.h"
 
 /* Maximum number of broadcasts per tick. It keeps the home node's network link from filling up when all
  * endpoints of a hall begin to leave at once. */
@@ -17,6 +18,7 @@
 /* Relative change of a limit's value above which it is broadcast. Only a node that becomes the home node
  * needs the value, and from the next answer on it uses the value that it receives itself. */
 #define BROADCAST_CHANGE_SHARE_ 0.2
+#define SILENCE_HOLD_MAX_S_ 10.0 /* longest time for which a declaration of another node is taken */
 
 /* Signal to broadcast. The update itself is filled in when it is sent, with the state known at that time. */
 typedef struct {
@@ -42,6 +44,13 @@
 static void queue_(BH__SignalRelay *r, BH__SignalKind kind, uint64_t endpoint_id);
 static void process_new_update_(BH__SignalRelay *r, const BH__SignalUpdate *n, bool for_all);
 static bool merge_limit_(BH__RegisteredEndpoint *e, const BH__SignalUpdate *n, uint64_t now_us);
+static void process_silence_(BH__SignalRelay *r, const BH__SignalUpdate *n, bool for_all, uint64_t now_us);
+static void process_silence_report_(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t sent_us,
+									uint64_t now_us);
+static void process_silence_end_(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t heard_us,
+								 uint64_t now_us);
+static void send_silence_(BH__SignalRelay *r, const BH__RegisteredEndpoint *e, const BH__SignalUpdate *n);
+static double draw_stretch_(const BH__SignalRelay *r, const BH__RegisteredEndpoint *e, uint64_t hold_us);
 static bool fill_message_(const BH__SignalRelay *r, guint *at, uint64_t now_us, BH__Message *m);
 
 /* Returns a new relay, which does not take ownership of its arguments. */
@@ -177,6 +186,11 @@
 	if (kind == BH__SIGNAL_BACKOFF) {
 		n.time_us = e->signals.overloaded_until_us - MIN(now_us, e->signals.overloaded_until_us);
 	}
+	else if (kind == BH__SIGNAL_SILENCE) {
+		n.in_force = true;
+		n.time_us = now_us - MIN(now_us, e->silence.since_us);
+		n.per_s = (double)e->silence.hold_us / BH__SECOND_US;
+	}
 	else if (kind == BH__SIGNAL_LIMIT) {
 		n.in_force = e->signals.advertised.in_force;
 		n.per_s = e->signals.advertised.in_force ? e->signals.advertised.per_s : 0;
@@ -195,7 +209,9 @@
 		return false;
 	for (unsigned i = 0; i < m->as.signals.count; i++) {
 		const BH__SignalUpdate *n = &m->as.signals.item[i];
-		if (bh__signal_relay_merge(r, n, now_us))
+		if (n->kind == BH__SIGNAL_SILENCE)
+			process_silence_(r, n, m->as.signals.for_all, now_us);
+		else if (bh__signal_relay_merge(r, n, now_us))
 			process_new_update_(r, n, m->as.signals.for_all);
 	}
 	bh__members_forward(r->members, m);
@@ -238,6 +254,7 @@
 	case BH__SIGNAL_LIMIT:
 		is_new = is_same_start && merge_limit_(e, n, now_us);
 		break;
+	case BH__SIGNAL_SILENCE: /* see process_silence_() */
 	case BH__SIGNAL_KIND_COUNT:
 		break;
 	}
@@ -246,6 +263,112 @@
 	return is_new;
 }
 
+/* Handles a request of this node that was sent to an endpoint at `sent_us` and is overdue. Must not be called
+ * if this node's own links may be the cause. */
+void bh__signal_relay_report_silence(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t sent_us,
+									 uint64_t now_us)
+{
+	BH__SignalUpdate n = {.kind = BH__SIGNAL_SILENCE,
+						  .endpoint_id = e->endpoint_id,
+						  .born_ms = e->entry.born_ms,
+						  .in_force = true,
+						  .time_us = now_us - MIN(now_us, sent_us)};
+
+	if (is_home_(r, e->entry.service))
+		process_silence_report_(r, e, sent_us, now_us);
+	else if (sent_us > e->silence.heard_us && now_us >= e->silence.until_us)
+		send_silence_(r, e, &n);
+}
+
+/* Handles something that this node has received from an endpoint. If it counts as silent, all nodes are told
+ * that it is not. */
+void bh__signal_relay_note_heard(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t now_us)
+{
+	if (bh__silence_note_heard(&e->silence, now_us))
+		process_silence_end_(r, e, now_us, now_us);
+}
+
+/* Handles an update on an endpoint's silence: on the home node a report of an overdue request or of something
+ * heard, on the others the home node's decision. Whoever has heard from the endpoint since contradicts. */
+static void process_silence_(BH__SignalRelay *r, const BH__SignalUpdate *n, bool for_all, uint64_t now_us)
+{
+	BH__RegisteredEndpoint *e = bh__registry_find(r->registry, n->endpoint_id);
+	uint64_t at_us = now_us - MIN(now_us, n->time_us);
+	uint64_t hold_us = (uint64_t)(MIN(n->per_s, SILENCE_HOLD_MAX_S_) * BH__SECOND_US);
+
+	if (!e || e->entry.born_ms != n->born_ms)
+		return;
+	if (for_all && n->in_force) {
+		process_silence_report_(r, e, at_us, now_us);
+	}
+	else if (for_all) {
+		if (bh__silence_withdraw(&e->silence, at_us))
+			process_silence_end_(r, e, at_us, now_us);
+	}
+	else if (!n->in_force) {
+		if (bh__silence_withdraw(&e->silence, at_us))
+			r->port->merged(r->port, n->kind, e);
+	}
+	else if (e->silence.heard_us > at_us) {
+		if (bh__silence_contradicts(&e->silence, at_us, now_us))
+			process_silence_end_(r, e, e->silence.heard_us, now_us);
+	}
+	else if (bh__silence_declare(&e->silence, at_us, hold_us, draw_stretch_(r, e, hold_us), now_us)) {
+		r->port->merged(r->port, n->kind, e);
+	}
+}
+
+/* Handles a report of an overdue request on the home node, which tells all nodes once that is enough. */
+static void process_silence_report_(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t sent_us,
+									uint64_t now_us)
+{
+	BH__Message m = {.type = BH__MESSAGE_SIGNALS, .as.signals = {.count = 1}};
+	BH__Silence *s = &e->silence;
+
+	if (!bh__silence_add_report(s, sent_us, now_us) ||
+		!bh__silence_declare(s, s->first_sent_us, s->hold_us, draw_stretch_(r, e, s->hold_us), now_us))
+		return;
+	m.as.signals.item[0] = bh__signal_update_make(BH__SIGNAL_SILENCE, e, now_us);
+	bh__members_broadcast(r->members, &m);
+	r->port->merged(r->port, BH__SIGNAL_SILENCE, e);
+}
+
+/* Tells that an endpoint was heard from at `heard_us`: on the home node to all nodes, on others to the home
+ * node. */
+static void process_silence_end_(BH__SignalRelay *r, BH__RegisteredEndpoint *e, uint64_t heard_us,
+								 uint64_t now_us)
+{
+	BH__Message m = {.type = BH__MESSAGE_SIGNALS, .as.signals = {.count = 1}};
+
+	m.as.signals.item[0] = (BH__SignalUpdate){.kind = BH__SIGNAL_SILENCE,
+											  .endpoint_id = e->endpoint_id,
+											  .born_ms = e->entry.born_ms,
+											  .time_us = now_us - MIN(now_us, heard_us)};
+	if (is_home_(r, e->entry.service))
+		bh__members_broadcast(r->members, &m);
+	else
+		send_silence_(r, e, &m.as.signals.item[0]);
+	r->port->merged(r->port, BH__SIGNAL_SILENCE, e);
+}
+
+/* Sends an update on an endpoint's silence to its home node. */
+static void send_silence_(BH__SignalRelay *r, const BH__RegisteredEndpoint *e, const BH__SignalUpdate *n)
+{
+	BH__Message m = {.type = BH__MESSAGE_SIGNALS, .as.signals = {.for_all = true, .count = 1}};
+
+	m.as.signals.item[0] = *n;
+	r->port->send(r->port, r->port->find_home(r->port, e->entry.service), &m);
+}
+
+/* Returns this node's part, from 0 to 1, by which it avoids a silent endpoint for longer than the first node;
+ * another one for each duration. */
+static double draw_stretch_(const BH__SignalRelay *r, const BH__RegisteredEndpoint *e, uint64_t hold_us)
+{
+	uint64_t node_id = bh__members_get_self(r->members)->node_id;
+
+	return (double)(bh__hash_pair(node_id, e->endpoint_id ^ hold_us) >> 32) / (double)G_MAXUINT32;
+}
+
 /* Merges a limit from another node. Returns true if it changes what is known. */
 static bool merge_limit_(BH__RegisteredEndpoint *e, const BH__SignalUpdate *n, uint64_t now_us)
 {
