placement: Tight prompts look for time to spare on engines set aside for them only

Cause: where the engines with tight streams would start a prompt just in time, it took another engine, also one that long prompts could have had. Change: time to spare is looked for on engines that are set aside; other engines are taken if these can't start the prompt in time.

--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -19,7 +19,8 @@
 /* Margins for the network and for prediction errors: of the event gap, and of the time to the first event. */
 #define GAP_MARGIN_MS_ 25.0
 #define FIRST_EVENT_MARGIN_MS_ 35.0
-/* Share of the time to the first event that tight prompts are given to spare where engines allow it. */
+/* Share of the time to the first event that tight prompts are given to spare where reserved engines allow it.
+ */
 #define SPARE_TARGET_SHARE_ 0.33
 /* Limit on an iteration of an engine without streams, where a stream may start at any time. */
 #define LOOSE_LIMIT_MS_ ((double)BH__MAX_ITERATION_MS)
@@ -232,22 +233,25 @@
 	return x->order < y->order ? -1 : 1;
 }
 
-/* Places a tight prompt on one engine if that engine stays within its limit, otherwise on at most
- * TIGHT_PARTS_MAX_ engines. Engines that prefill it with time to spare are preferred to a later start on
- * engines that are fuller. */
+/* Places a tight prompt on at most TIGHT_PARTS_MAX_ engines that stay within their limits: on engines that
+ * are reserved for tight streams if these start it with time to spare, otherwise on the first ones that start
+ * it in time. A longer reach for time to spare would take engines from long prompts. */
 static bool find_tight_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
 						uint64_t now_us, BH__Placement *out)
 {
 	unsigned max_parts = MIN(max_parts_(ask, count), TIGHT_PARTS_MAX_);
-	double target_ms = (double)ask->first_event_us / 1000;
-	double within_ms[] = {target_ms * (1 - SPARE_TARGET_SHARE_), target_ms - FIRST_EVENT_MARGIN_MS_};
+	double target_ms = ask->first_event_us ? (double)ask->first_event_us / 1000 : G_MAXDOUBLE;
+	unsigned reserved = 0;
 
 	qsort(c, count, sizeof *c, compare_for_tight_);
-	for (unsigned i = ask->first_event_us ? 0 : 1; i < G_N_ELEMENTS(within_ms); i++)
-		for (unsigned parts = 1; parts <= max_parts; parts++)
-			if (find_tight_parts_(m, c, count, parts, ask, ask->first_event_us ? within_ms[i] : G_MAXDOUBLE,
-								  now_us, out))
-				return true;
+	while (reserved < count && c[reserved].reserved)
+		reserved++;
+	for (unsigned parts = 1; parts <= max_parts; parts++)
+		if (find_tight_parts_(m, c, reserved, parts, ask, target_ms * (1 - SPARE_TARGET_SHARE_), now_us, out))
+			return true;
+	for (unsigned parts = 1; parts <= max_parts; parts++)
+		if (find_tight_parts_(m, c, count, parts, ask, target_ms - FIRST_EVENT_MARGIN_MS_, now_us, out))
+			return true;
 	return false;
 }
 
