--- a/src/libbayhoist/ask_silence.c
+++ b/src/libbayhoist/ask_silence.c
@@ -6,12 +6,20 @@
  * other callers nothing. */
 #include "bayhoist/ask_silence.h"
 
-/* Share of the first-event target that may pass in silence. The rest suffices to prefill the prompt once a
- * scheduler answers, or on the node's own decision. */
-#define SILENCE_TARGET_SHARE_ 0.1
+#include "placement.h"
 
-/* Returns the time in microseconds after which a node may place a prompt whose scheduler is silent. */
+/* Share of the first-event target that may pass in silence; of the deadline if the target has passed already.
+ * The rest suffices to prefill the prompt once a scheduler answers, or on the node's own decision. */
+#define SILENCE_SHARE_ 0.1
+
+/* Returns the time in microseconds after which a node may place a prompt whose scheduler is silent. Prompts
+ * of tight streams, whose targets are short, are never kept for more than one answer. */
 uint64_t bh__ask_get_max_silence_us(const BH__Ask *ask)
 {
-	return MAX(BH__ASK_ANSWER_US, (uint64_t)((double)ask->first_event_us * SILENCE_TARGET_SHARE_));
+	bool is_late = ask->first_event_us == 1;
+	uint64_t bearing_us = is_late ? ask->deadline_us : ask->first_event_us;
+
+	if (bh__placement_is_tight(ask->event_gap_us))
+		return BH__ASK_ANSWER_US;
+	return MAX(BH__ASK_ANSWER_US, (uint64_t)((double)bearing_us * SILENCE_SHARE_));
 }
--- a/src/test_libbayhoist/test_prefill_set.c
+++ b/src/test_libbayhoist/test_prefill_set.c
@@ -465,6 +465,12 @@
 	ask.first_event_us = 4000 * MS;
 	assert_true(bh__ask_get_max_silence_us(&ask) >= 200 * MS);
 	assert_true(bh__ask_get_max_silence_us(&ask) <= 1000 * MS);
+	ask.first_event_us = 1; /* late already */
+	ask.deadline_us = 8000 * MS;
+	ask.event_gap_us = 1000 * MS;
+	assert_true(bh__ask_get_max_silence_us(&ask) >= 200 * MS);
+	ask.event_gap_us = 250 * MS;
+	assert_int_equal(bh__ask_get_max_silence_us(&ask), BH__ASK_ANSWER_US);
 }
 
 int main(void)
