--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -19,7 +19,8 @@
 /* Margins for the network and for prediction errors: of the event gap, and of the time to the first event. */
 #define GAP_MARGIN_MS_ 25.0
 #define FIRST_EVENT_MARGIN_MS_ 35.0
-/* Share of the time to the first event that tight prompts are given to spare where engines allow it. */
+/* Share of the time to the first event that tight prompts are given to spare where reserved engines allow it.
+ */
 #define SPARE_TARGET_SHARE_ 0.33
 /* Limit on an iteration of an engine without streams, where a stream may start at any time. */
 #define LOOSE_LIMIT_MS_ ((double)BH__MAX_ITERATION_MS)
@@ -38,7 +39,7 @@
 	unsigned order;           /* position in the planner's list of engines */
 	unsigned tight;           /* tight streams, running or granted */
 	bool limited;             /* a rate limit is in force */
-	bool reserved;            /* reserved for tight streams, of which it may have none yet */
+	bool reserved;            /* set aside for tight streams, of which it may have none yet */
 	double limit_ms;          /* limit on the next iteration */
 	double next_iteration_ms; /* next iteration without the new prompt; if idle, the first of a new stream */
 	double overtake_headroom_ms; /* longest part that may overtake the waiting prompts, at slowdown 1 */
@@ -158,7 +159,7 @@
 			c->delay_cost += r->answer_utility * BH__LATE_UTILITY_LOSS;
 	}
 	c->reserved = e->set_aside || c->tight > 0;
-	if (c->tight)
+	if (c->tight) /* two iterations' parts in one would be a pause that is too long */
 		c->limit_ms -= bh__iteration_clock_get_uncertain_ms(&e->clock, now_us) * e->clock.slowdown;
 	if (c->reserved)
 		c->limit_ms = MIN(c->limit_ms, (double)TIGHT_LIMIT_MS_);
@@ -232,22 +233,25 @@
 	return x->order < y->order ? -1 : 1;
 }
 
-/* Places a tight prompt on one engine if that engine stays within its limit, otherwise on at most
- * TIGHT_PARTS_MAX_ engines. Engines that prefill it with time to spare are preferred to a later start on
- * engines that are fuller. */
+/* Places a tight prompt on at most TIGHT_PARTS_MAX_ engines that stay within their limits: on engines that
+ * are reserved for tight streams if these start it with time to spare, otherwise on the first ones that start
+ * it in time. A longer reach for time to spare would take engines from long prompts. */
 static bool find_tight_(const BH__EngineModel *m, Candidate_ *c, unsigned count, const BH__Ask *ask,
 						uint64_t now_us, BH__Placement *out)
 {
 	unsigned max_parts = MIN(max_parts_(ask, count), TIGHT_PARTS_MAX_);
-	double target_ms = (double)ask->first_event_us / 1000;
-	double within_ms[] = {target_ms * (1 - SPARE_TARGET_SHARE_), target_ms - FIRST_EVENT_MARGIN_MS_};
+	double target_ms = ask->first_event_us ? (double)ask->first_event_us / 1000 : G_MAXDOUBLE;
+	unsigned reserved = 0;
 
 	qsort(c, count, sizeof *c, compare_for_tight_);
-	for (unsigned i = ask->first_event_us ? 0 : 1; i < G_N_ELEMENTS(within_ms); i++)
-		for (unsigned parts = 1; parts <= max_parts; parts++)
-			if (find_tight_parts_(m, c, count, parts, ask, ask->first_event_us ? within_ms[i] : G_MAXDOUBLE,
-								  now_us, out))
-				return true;
+	while (reserved < count && c[reserved].reserved)
+		reserved++;
+	for (unsigned parts = 1; parts <= max_parts; parts++)
+		if (find_tight_parts_(m, c, reserved, parts, ask, target_ms * (1 - SPARE_TARGET_SHARE_), now_us, out))
+			return true;
+	for (unsigned parts = 1; parts <= max_parts; parts++)
+		if (find_tight_parts_(m, c, count, parts, ask, target_ms - FIRST_EVENT_MARGIN_MS_, now_us, out))
+			return true;
 	return false;
 }
 
