Planner: What waits for an account over its share is refused in time also while slots are few

While few slots were free such an ask wasn't looked at, so that its longest wait did not end it; and one could be refused for what waits for its account while the engines had room. The test fails without this.

--- a/src/libbayhoist/booking.c
+++ b/src/libbayhoist/booking.c
@@ -4,8 +4,8 @@
 
 #include "start_forecast.h"
 
-/* Interval between two forecasts, unless an engine was lost. A tenth of the time for which the callers of
- * long prompts wait would already be a tenth of an error. */
+/* Interval between two forecasts, unless an engine was lost: short beside the seconds for which the callers
+ * of long prompts wait. */
 #define UPDATE_PERIOD_US_ (200 * BH__MS_US)
 /* Steps of a forecast: a share of the time from its start, but no less than the first one. */
 #define STEP_MIN_US_ (20 * BH__MS_US)
--- a/src/libbayhoist/planner_accounts.c
+++ b/src/libbayhoist/planner_accounts.c
@@ -4,8 +4,8 @@
  * retries count against its own bound, however often they come. */
 #include "planner_internal.h"
 
-#define CONTENTION_US_ BH__SECOND_US
-#define CROWDED_SHARE_ 0.75 /* share of the slots above which few are free */
+#define CONTENTION_US_ BH__SECOND_US /* time for which accounts compete after one had to wait */
+#define CROWDED_SHARE_ 0.75          /* share of the slots above which few are free */
 
 static double account_waiting_ms_(const BH__Planner *p, uint64_t account_id);
 
@@ -55,7 +55,7 @@
 {
 	double share_ms;
 
-	if (!bh__planner_is_over_share(p, ask, now_us))
+	if (!bh__planner_is_over_share(p, ask, now_us) || bh__start_rules_has_room(&p->model, p->engines, now_us))
 		return false;
 	share_ms = bh__account_shares_get_fair_share(p->shares, ask->account_id, now_us) * p->engines->len *
 			   (double)bh__start_rules_max_wait_us(ask) / BH__MS_US;
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -14,6 +14,7 @@
 static void enqueue_(BH__Planner *p, const BH__Ask *ask, bool has_returned, uint64_t now_us);
 static bool comes_before_(const BH__Planner *p, const BH__WaitingAsk *a, const BH__WaitingAsk *b);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
+static bool refuse_if_hopeless_(BH__Planner *p, const BH__Ask *ask, uint64_t waited_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
 static uint64_t rate_limit_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static uint64_t ejection_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
@@ -112,12 +113,8 @@
 	uint64_t waited_us = now_us - arrived_us;
 	uint64_t target_us = bh__start_rules_first_event_target_us(ask);
 
-	if (waited_us >= ask->deadline_us) {
-		refuse_(p, ask, BH__REASON_DEADLINE, now_us);
-		return true;
-	}
-	if (bh__start_rules_find(&p->model, p->engines, &p->long_work, ask, late, waited_us, now_us,
-							 &placement)) {
+	if (waited_us < ask->deadline_us && bh__start_rules_find(&p->model, p->engines, &p->long_work, ask, late,
+															 waited_us, now_us, &placement)) {
 		bh__account_shares_note_work(p->shares, ask->account_id, ask->weight,
 									 bh__start_rules_work_ms(&p->model, ask), now_us);
 		bh__booking_table_process_start(p->bookings, ask->ask_id, p->port, now_us);
@@ -126,7 +123,17 @@
 						  arrived_us + target_us, now_us);
 		return true;
 	}
-	if (!has_engine_(p, ask))
+	return refuse_if_hopeless_(p, ask, waited_us, now_us);
+}
+
+/* Refuses an ask that has waited for `waited_us` and finds no place any more. Returns false if it may wait
+ * on.
+ */
+static bool refuse_if_hopeless_(BH__Planner *p, const BH__Ask *ask, uint64_t waited_us, uint64_t now_us)
+{
+	if (waited_us >= ask->deadline_us)
+		refuse_(p, ask, BH__REASON_DEADLINE, now_us);
+	else if (!has_engine_(p, ask))
 		refuse_(p, ask, BH__REASON_NO_ENDPOINT, now_us);
 	else if (waited_us + MAX(rate_limit_wait_us_(p, ask, now_us), ejection_wait_us_(p, ask, now_us)) >=
 			 bh__start_rules_max_wait_us(ask))
@@ -243,8 +250,7 @@
 	unsigned tried = 0;
 	guint i = 0;
 
-	while (i < p->waiting->len && tried < PLACEMENTS_PER_ROUND_ &&
-		   !(over_share && bh__planner_is_crowded(p))) {
+	while (i < p->waiting->len && tried < PLACEMENTS_PER_ROUND_) {
 		BH__WaitingAsk w = *(BH__WaitingAsk *)g_ptr_array_index(p->waiting, i);
 		if (bh__start_rules_is_late(&p->model, &w.ask, now_us - w.arrived_us) != late ||
 			bh__planner_is_over_share(p, &w.ask, now_us) != over_share) {
@@ -252,8 +258,10 @@
 			continue;
 		}
 		tried++;
-		if (try_place_(p, &w.ask, late || (over_share && bh__planner_is_contended(p, now_us)), w.arrived_us,
-					   now_us))
+		if (over_share && bh__planner_is_crowded(p)
+				? refuse_if_hopeless_(p, &w.ask, now_us - w.arrived_us, now_us)
+				: try_place_(p, &w.ask, late || (over_share && bh__planner_is_contended(p, now_us)),
+							 w.arrived_us, now_us))
 			bh__planner_process_withdraw(p, w.ask.ask_id);
 		else
 			i++;
--- a/src/test_libbayhoist/test_account_share.c
+++ b/src/test_libbayhoist/test_account_share.c
@@ -22,13 +22,15 @@
 #define STREAM_US (2 * BH__SECOND_US)
 /* A twelfth of 18 engines does 24 requests in the 1.5 s for which one may wait. */
 #define WAITING_MAX 40
-#define REPEATS_MAX 20 /* tries of a caller that does not wait */
+#define MAX_WAIT_US (1520 * MS) /* 0.75 of the 2 s that callers wait at least, and two ticks */
+#define REPEATS_MAX 20          /* tries of a caller that does not wait */
 
 typedef struct {
 	BH__Ask ask;
 	uint64_t arrived_us;
 	uint64_t event_us;
 	uint64_t grant_id;
+	uint64_t asked_us; /* of the current try */
 	unsigned tries;
 	bool refused;
 	bool streams;
@@ -44,7 +46,8 @@
 	GHashTable *by_ask;
 	uint64_t now_us;
 	uint64_t last_ask_id;
-	unsigned waiting_max; /* most asks of the large account that waited at a time */
+	uint64_t waited_max_us; /* longest wait of any ask */
+	unsigned waiting_max;   /* most asks of the large account that waited at a time */
 	uint32_t random;
 } Site;
 
@@ -129,6 +132,7 @@
 static void send_ask_(Site *s, Caller *c)
 {
 	c->tries++;
+	c->asked_us = s->now_us;
 	c->refused = false;
 	c->ask.ask_id = ++s->last_ask_id;
 	g_hash_table_insert(s->by_ask, &c->ask.ask_id, c);
@@ -172,6 +176,7 @@
 		}
 		else if (!c->grant_id) {
 			waiting += c->ask.account_id == LARGE;
+			s->waited_max_us = MAX(s->waited_max_us, s->now_us - c->asked_us);
 		}
 		else if (s->now_us >= c->event_us && !c->streams) {
 			c->streams = true;
@@ -254,6 +259,7 @@
 			assert_true(share >= 0.95 * alone_share);
 			/* A new scheduler takes half a second to tell the accounts apart. */
 			assert_true(s->waiting_max <= WAITING_MAX + (scheduler_dies ? Loads_[i] / 2 : 0));
+			assert_true(s->waited_max_us <= MAX_WAIT_US);
 			site_free_(s);
 		}
 	}
