--- a/src/test_libbayhoist/path_fleet.c
+++ b/src/test_libbayhoist/path_fleet.c
@@ -143,6 +143,7 @@
 {
 	uint64_t now_us = n->fleet->members->now_us;
 	BH__Message m = {.type = BH__MESSAGE_HALL_PATHS};
+	uint64_t scheduler;
 	const char *hall;
 
 	bh__members_tell_halls(n->node->members, n->paths);
@@ -159,6 +160,9 @@
 		for (unsigned i = 0; i < n->fleet->halls; i++)
 			n->losses += bh__hall_paths_is_lost(n->paths, name_(i));
 	}
+	scheduler = bh__members_pick(n->node->members, SERVICE_KEY, NULL);
+	n->moves += n->scheduler && n->scheduler != scheduler;
+	n->scheduler = scheduler;
 	for (unsigned i = 1; i < bh__members_get_count(n->node->members); i++) {
 		n->ever_dead += bh__members_get(n->node->members, i)->state == BH__MEMBER_DEAD;
 		n->ever_doubt += bh__members_get(n->node->members, i)->state == BH__MEMBER_SUSPECT;
@@ -271,6 +275,7 @@
 		f->node[i].probes = 0;
 		f->node[i].reports = 0;
 		f->node[i].losses = 0;
+		f->node[i].moves = 0;
 	}
 }
 
--- a/src/test_libbayhoist/path_fleet.h
+++ b/src/test_libbayhoist/path_fleet.h
@@ -21,6 +21,8 @@
 	BH__HallPaths *paths;
 	BH__RelayPeers *peers;
 	uint64_t version;    /* of `paths`, as told to membership */
+	uint64_t scheduler;  /* node that has the duty of the tests */
+	unsigned moves;      /* how often that has changed */
 	unsigned losses;     /* paths that it has seen lost */
 	unsigned for_peer;   /* requests that it sent for peers */
 	unsigned probes;     /* connections that it has made to look */
--- a/src/test_libbayhoist/test_hall_paths.c
+++ b/src/test_libbayhoist/test_hall_paths.c
@@ -59,6 +59,19 @@
 		assert_int_equal(f->node[i].ever_dead, 0);
 }
 
+/* Duties come back in one step, at nearly all nodes: one that hears late may choose a node of its hall for a
+ * moment. */
+static void check_moves_(const PathFleet *f)
+{
+	unsigned more = 0;
+
+	for (unsigned i = 0; i < f->count; i++)
+		more += f->node[i].moves > 1;
+	if (more)
+		print_message("%u of %u nodes saw the duty move more than once\n", more, f->count);
+	assert_true(more * 20 <= f->count);
+}
+
 /* Without a cut nothing is sent, probed or believed. */
 static void at_rest_nothing_is_sent(void **state)
 {
@@ -88,12 +101,13 @@
 			path_fleet_reset_counts(f);
 			path_fleet_run(f, 5000, requests_(f->count));
 			check_aims_(f);
+			path_fleet_reset_counts(f);
 			path_fleet_heal(f);
 			path_fleet_run(f, 1500, requests_(f->count));
-			path_fleet_reset_counts(f);
 			assert_int_equal(path_fleet_count_lost(f), 0);
 			path_fleet_run(f, 2000, requests_(f->count));
 			check_aims_(f);
+			check_moves_(f);
 			check_no_dead_(f);
 			assert_int_equal(path_fleet_count_members(f, BH__MEMBER_SUSPECT), 0);
 			path_fleet_delete(f);
