--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -109,8 +109,9 @@
 	evbuffer_add(out, r->body->data, r->body->len);
 }
 
-/* Lists the grant's helpers, which prefill parts of the prompt, except those that take no work any more.
- * Helpers with reserved memory come first, because their memory is filled in this order. */
+/* Lists the grant's helpers, which prefill parts of the prompt, except those that take no work any more
+ * and those in a hall to which the engine has no path: it would turn the request away for their sake. Helpers
+ * with reserved memory come first, because their memory is filled in this order. */
 static void fill_helpers_(const Call *c, DispatchMeta *meta)
 {
 	const BH__Grant *g = &c->admission.grant;
@@ -121,7 +122,8 @@
 		for (unsigned i = 1; i < g->member_count; i++) {
 			const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, g->member[i].endpoint_id);
 			if ((g->member[i].kv_bytes > 0) != (with_memory == 1) || !e ||
-				!call_endpoint_is_usable(c, e->endpoint_id))
+				!call_endpoint_is_usable(c, e->endpoint_id) ||
+				!links_joins(c->gate->links, g->member[0].endpoint_id, e->endpoint_id))
 				continue;
 			meta->helper[meta->helper_count].address = e->entry.address;
 			meta->helper[meta->helper_count].memory_id =
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -133,6 +133,12 @@
 	return bh__hall_paths_get(p->state, get_hall_(p, endpoint_id));
 }
 
+/* Returns true unless the path between the halls of two endpoints is known to be lost. */
+bool hall_paths_joins(const HallPaths *p, uint64_t endpoint_id, uint64_t other_id)
+{
+	return bh__hall_paths_joins(p->state, get_hall_(p, endpoint_id), get_hall_(p, other_id));
+}
+
 /* Returns true unless neither this node nor a peer can connect to an endpoint's hall. */
 bool hall_paths_has_way(const HallPaths *p, uint64_t endpoint_id)
 {
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -92,6 +92,12 @@
 	return hall_paths_get_state(l->paths, endpoint_id) == BH__PATH_LOST;
 }
 
+/* Returns true unless the path between the halls of two endpoints is known to be lost. */
+bool links_joins(const Links *l, uint64_t endpoint_id, uint64_t other_id)
+{
+	return hall_paths_joins(l->paths, endpoint_id, other_id);
+}
+
 /* Returns for how long a connection may be pending before a peer is asked too. */
 uint64_t links_get_patience_us(const Links *l)
 {
