gate: A node reports few of many overdue requests

Cause: where a service is slow as a whole, each overdue request made a message to the endpoint's home node, and a look at each endpoint. Change: two reports a node, endpoint and tenth of a second; 32 overdue requests are looked at in a tick. Measured: test_silence, 1,000 overdue requests at once: at most 2 messages.

--- a/include/bayhoist/silence.h
+++ b/include/bayhoist/silence.h
@@ -11,6 +11,8 @@
 
 typedef struct {
 	uint64_t heard_us;          /* when this node last received something from the endpoint; 0: never */
+	uint64_t sent_reports_us;   /* when this node last began to count the reports that it sends */
+	uint64_t sent_reports;      /* reports since then */
 	uint64_t contradicted_us;   /* when this node last contradicted a declaration */
 	uint64_t refuted_us;        /* latest time at which some node is known to have heard from it */
 	uint64_t first_sent_us;     /* when the earliest request reported overdue was sent */
@@ -23,6 +25,7 @@
 } BH__Silence;
 
 bool bh__silence_note_heard(BH__Silence *s, uint64_t heard_us);
+bool bh__silence_may_send_report(BH__Silence *s, uint64_t sent_us, uint64_t now_us);
 bool bh__silence_add_report(BH__Silence *s, uint64_t sent_us, uint64_t now_us);
 bool bh__silence_declare(BH__Silence *s, uint64_t since_us, uint64_t hold_us, double stretch,
 						 uint64_t now_us);
--- a/src/bayhoist-gate/silences.c
+++ b/src/bayhoist-gate/silences.c
@@ -10,6 +10,9 @@
 #include "links.h"
 #include "log.h"
 
+#define OVERDUE_PER_TICK_MAX                                                                                 \
+	32 /* overdue requests that are looked at in a tick; one costs a look at each endpoint */
+
 static bool is_overdue_(const Call *c, uint64_t now_us);
 static bool hears_hall_of_(const Gate *g, const BH__RegisteredEndpoint *e, uint64_t since_us);
 static void report_(Call *c, uint64_t now_us);
@@ -41,13 +44,17 @@
 {
 	GHashTableIter it;
 	gpointer call;
+	unsigned overdue = 0;
 
 	if (links_are_cut(g->links))
 		return;
 	g_hash_table_iter_init(&it, g->calls);
-	while (g_hash_table_iter_next(&it, &call, NULL))
-		if (is_overdue_(call, now_us))
-			report_(call, now_us);
+	while (overdue < OVERDUE_PER_TICK_MAX && g_hash_table_iter_next(&it, &call, NULL)) {
+		if (!is_overdue_(call, now_us))
+			continue;
+		overdue++;
+		report_(call, now_us);
+	}
 }
 
 /* Returns true if a plain endpoint has had a request for long, and has sent nothing of its answer. */
--- a/src/libbayhoist/signal_relay.c
+++ b/src/libbayhoist/signal_relay.c
@@ -276,7 +276,7 @@
 
 	if (is_home_(r, e->entry.service))
 		process_silence_report_(r, e, sent_us, now_us);
-	else if (sent_us > e->silence.heard_us && now_us >= e->silence.until_us)
+	else if (bh__silence_may_send_report(&e->silence, sent_us, now_us))
 		send_silence_(r, e, &n);
 }
 
--- a/src/libbayhoist/silence.c
+++ b/src/libbayhoist/silence.c
@@ -5,6 +5,9 @@
 
 /* Time within which a second overdue request confirms the first one. */
 #define REPORTS_WITHIN_US_ (500 * BH__MS_US)
+/* Reports on one endpoint that a node sends in a period: as many as the home node needs. */
+#define REPORTS_MAX_ 2
+#define REPORTS_PERIOD_US_ (100 * BH__MS_US)
 /* Duration of a silence's first declaration. It doubles with each further one. An endpoint that goes on after
  * it was declared silent is thus used again no later than twice the time that it was silent. */
 #define HOLD_FIRST_US_ (400 * BH__MS_US)
@@ -22,6 +25,19 @@
 	return bh__silence_withdraw(s, heard_us);
 }
 
+/* Returns true if this node is to report an overdue request that was sent at `sent_us`, and counts the
+ * report. Where many are overdue at once a few of them say enough. */
+bool bh__silence_may_send_report(BH__Silence *s, uint64_t sent_us, uint64_t now_us)
+{
+	if (sent_us <= s->heard_us || now_us < s->until_us)
+		return false;
+	if (now_us >= s->sent_reports_us + REPORTS_PERIOD_US_) {
+		s->sent_reports_us = now_us;
+		s->sent_reports = 0;
+	}
+	return s->sent_reports++ < REPORTS_MAX_;
+}
+
 /* Records, on the home node, a report of a request that was sent at `sent_us` and is overdue. Returns true if
  * the endpoint is to be declared silent: two requests are overdue, or one that was sent to try an endpoint
  * that was silent. The silence has lasted since `first_sent_us` at least, and the declaration is to last for
--- a/src/test_libbayhoist/test_silence.c
+++ b/src/test_libbayhoist/test_silence.c
@@ -255,11 +255,46 @@
 	}
 }
 
+/* A thousand requests of one node are overdue at once: it sends a few reports. */
+static void many_overdue_requests_make_few_reports_(void **state)
+{
+	MemberFleet *f = fleet_new_(9);
+	Node *n = node_(f, 0);
+	BH__RegisteredEndpoint *e;
+
+	(void)state;
+	if (find_home_(&n->port, "web") == f->node[0].id)
+		n = node_(f, 1);
+	e = bh__registry_find(n->registry, id_(SILENT));
+	for (unsigned i = 0; i < 1000; i++)
+		bh__signal_relay_report_silence(n->relay, e, 1 + i, BH__SECOND_US);
+	assert_in_range(member_fleet_get_busiest(f), 1, 2);
+	fleet_delete_(f);
+}
+
+/* The second try of a request goes to none that was tried, nor to one that is silent while another is left.
+ */
+static void second_tries_are_spread_(void **state)
+{
+	MemberFleet *f = fleet_new_(9);
+	BH__Registry *r = node_(f, 0)->registry;
+	uint64_t tried = id_(0);
+
+	(void)state;
+	f->now_us = BH__SECOND_US;
+	bh__silence_declare(&bh__registry_find(r, id_(SILENT))->silence, 1, BH__SECOND_US, 0, f->now_us);
+	for (unsigned i = 0; i < 100; i++)
+		assert_int_equal(bh__registry_pick(r, "web", "h", &tried, 1, true, f->now_us)->endpoint_id, id_(2));
+	fleet_delete_(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {cmocka_unit_test(a_hanging_endpoint_costs_few_requests_),
 									   cmocka_unit_test(a_short_silence_ends_for_all_),
-									   cmocka_unit_test(long_requests_condemn_nobody_)};
+									   cmocka_unit_test(long_requests_condemn_nobody_),
+									   cmocka_unit_test(many_overdue_requests_make_few_reports_),
+									   cmocka_unit_test(second_tries_are_spread_)};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
