Starts: A starting node without an answer of the store says so after a second

Cause: while a starting source counted as nothing, nodes waited for a reader that the store does not answer.

Change: a starting node whose first read has had no sign of an answer for 1 s tells those that ask it, and asks others itself.

--- a/include/bayhoist/platform_sync.h
+++ b/include/bayhoist/platform_sync.h
@@ -99,7 +99,7 @@
 void bh__platform_sync_note_read_answered(BH__PlatformSync *s, uint64_t sent_us, uint64_t now_us);
 void bh__platform_sync_note_read_failed(BH__PlatformSync *s, uint64_t sent_us, uint64_t timeout_us,
 										uint64_t now_us);
-bool bh__platform_sync_needs_own_list(const BH__PlatformSync *s);
+bool bh__platform_sync_process_list_page(BH__PlatformSync *s, uint64_t now_us);
 void bh__platform_sync_note_list_abandoned(BH__PlatformSync *s);
 BH__PlatformSyncStatus bh__platform_sync_get_status(const BH__PlatformSync *s);
 uint64_t bh__platform_sync_get_as_of_us(const BH__PlatformSync *s);
--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -25,6 +25,8 @@
 /* Time for which a starting node waits for a source that is starting too. A reader needs it for a list of
  * tens of pages. */
 #define STARTUP_PATIENCE_US_ (3 * BH__SECOND_US)
+/* Time after which a starting node that has had no answer of the platform tells the nodes that ask it. */
+#define STARTUP_SILENCE_US_ BH__SECOND_US
 /* Time after which an unanswered read of a reader is sent again, unless the store's answers take longer. */
 #define RESEND_US_ (150 * BH__MS_US)
 /* Expected duration of every answer of the store, since all answers are about as long. */
@@ -75,6 +77,7 @@
 	BH__SyncSource source;
 	BH__Outage outage;
 	uint64_t started_us;     /* time of the first tick; 0: none yet */
+	uint64_t first_read_us;  /* last sign of the first endpoints read: its start or a page; 0: none is open */
 	uint64_t as_of_us;       /* start time of the platform read whose endpoints the registry holds; 0: none */
 	uint64_t read_failed_us; /* when an own endpoints read last failed; 0: never */
 	uint64_t read_sent_us; /* when the endpoints read in progress was last sent; 0: none is in progress, or it
@@ -134,6 +137,7 @@
 						 GArray *departures, bool *is_complete);
 static void add_halls_(const BH__PlatformSync *s, BH__Message *m);
 static void merge_halls_(BH__PlatformSync *s, const BH__Message *m, uint64_t now_us);
+static bool is_unanswered_at_start_(const BH__PlatformSync *s, uint64_t now_us);
 static bool is_source_starting_(const BH__PlatformSync *s, const BH__Message *m, uint64_t now_us);
 static void ask_source_again_(BH__PlatformSync *s, uint64_t now_us);
 static void apply_configuration_(BH__PlatformSync *s, const BH__Message *m, uint64_t platform_read_us);
@@ -216,17 +220,20 @@
 										uint64_t now_us)
 {
 	s->read_sent_us = 0;
+	s->first_read_us = 0;
 	s->read_failed_us = now_us;
 	s->last_read_failed = true;
 	bh__outage_note_read_failed(&s->outage, sent_us, timeout_us, now_us);
 	bh__platform_sync_process_update(s, now_us);
 }
 
-/* Returns true if this node must read the rest of a long list of endpoints itself. A starting node that knows
- * a source leaves the rest to the reader, which tells it the complete table: when 300 nodes read a list of
- * six pages each, they use up what the store answers in a second, and start again at the first page. */
-bool bh__platform_sync_needs_own_list(const BH__PlatformSync *s)
+/* Records that the platform has answered with a page of a long list of endpoints. Returns true if this node
+ * must read the rest of the list itself. A starting node that knows a source leaves the rest to the reader,
+ * which tells it the complete table: when 300 nodes read a list of six pages each, they use up what the store
+ * answers in a second, and start again at the first page. */
+bool bh__platform_sync_process_list_page(BH__PlatformSync *s, uint64_t now_us)
 {
+	s->first_read_us = now_us;
 	return s->as_of_us || s->reader_since_us || !bh__sync_source_asks(&s->source, s->members) ||
 		   bh__sync_source_is_isolated(&s->source) || bh__sync_source_is_platform_unavailable(&s->source);
 }
@@ -235,6 +242,7 @@
 void bh__platform_sync_note_list_abandoned(BH__PlatformSync *s)
 {
 	s->read_sent_us = 0;
+	s->first_read_us = 0;
 	s->endpoints_schedule.sent_us = 0;
 }
 
@@ -414,8 +422,8 @@
 	bool has_failed = is_reader_out_of_sync_(s) && s->read_failed_us >= s->reader_since_us;
 	bool is_old = !is_fresh_(s, now_us) && now_us >= s->reader_since_us + endpoints_max_age_us_(s);
 
-	if (!bh__sync_source_asks(&s->source, s->members) && (has_failed || is_old) &&
-		bh__members_get_count(s->members) > 1)
+	if (!bh__sync_source_asks(&s->source, s->members) &&
+		(has_failed || is_old || is_unanswered_at_start_(s, now_us)) && bh__members_get_count(s->members) > 1)
 		skip_source_(s, true, now_us);
 }
 
@@ -511,6 +519,8 @@
 static void read_endpoints_(BH__PlatformSync *s, uint64_t limit_us, uint64_t now_us)
 {
 	s->remote_reader = 0;
+	if (!s->as_of_us && !s->first_read_us)
+		s->first_read_us = now_us;
 	if (!s->read_sent_us)
 		s->read_sent_us = now_us;
 	s->port->read_endpoints(s->port, limit_us);
@@ -678,8 +688,7 @@
 	m.as.sync.era_start = bh__registry_get_era_start(s->registry);
 	m.as.sync.registry_age_us = now_us - s->as_of_us;
 	m.as.sync.reader = s->remote_reader ? s->remote_reader : bh__members_get_self(s->members)->node_id;
-	m.as.sync.platform_unavailable =
-		is_reader_out_of_sync_(s) || (!s->as_of_us && bh__sync_source_is_platform_unavailable(&s->source));
+	m.as.sync.platform_unavailable = is_reader_out_of_sync_(s) || is_unanswered_at_start_(s, now_us);
 	add_records_(s, q, now_us, records, departures, &m.as.sync.is_complete);
 	m.as.sync.count = records->len;
 	m.as.sync.fact = (BH__EndpointRecord *)(void *)records->data;
@@ -747,6 +756,15 @@
 	ask_source_again_(s, now_us);
 }
 
+/* Returns true if this node has no endpoints yet and can't count on its reads: the platform leaves its first
+ * one without an answer, or several sources are without state. */
+static bool is_unanswered_at_start_(const BH__PlatformSync *s, uint64_t now_us)
+{
+	bool is_silent = s->first_read_us && now_us >= s->first_read_us + STARTUP_SILENCE_US_;
+
+	return !s->as_of_us && (is_silent || bh__sync_source_is_platform_unavailable(&s->source));
+}
+
 /* Returns true if the source has no endpoints yet because it is starting too, and this node can wait for
  * them. Such a source says nothing about the platform: when all of 300 nodes started at once and counted
  * these answers as stale, they took the platform for unavailable while the first list was still being read.
--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "bayhoist/hash.h"
+#include "bayhoist/sync_source.h"
 #include "null_members.h"
 
 #define STEP_US (5 * BH__MS_US)
@@ -543,7 +544,7 @@
 		failed += s->fails;
 		if (!s->fails) {
 			look->count = 0;
-			if (look->pages > 1 && !bh__platform_sync_needs_own_list(n->looks)) {
+			if (look->pages > 1 && !bh__platform_sync_process_list_page(n->looks, n->fleet->now_us)) {
 				bh__platform_sync_note_list_abandoned(n->looks);
 				return;
 			}
@@ -805,6 +806,22 @@
 	return bh__platform_sync_get_as_of_us(f->node[node].looks);
 }
 
+unsigned fleet_find_ranked(const Fleet *f, unsigned rank)
+{
+	BH__MemberInfo self = describe_(f, 0);
+	BH__Members *m = bh__members_new(&NullMembersPort, &self, 0);
+	uint64_t passed[BH__SYNC_SOURCE_SKIPPED_MAX];
+	uint64_t id = 0;
+
+	bh__members_process_message(m, &f->table, f->now_us);
+	for (unsigned i = 0; i <= rank && i < BH__SYNC_SOURCE_SKIPPED_MAX; i++) {
+		id = bh__members_pick_except(m, bh__hash_name("platform-reader"), NULL, passed, i);
+		passed[i] = id;
+	}
+	bh__members_delete(m);
+	return ((const Node *)g_hash_table_lookup(f->by_id, &id))->index;
+}
+
 unsigned fleet_find_reader(const Fleet *f)
 {
 	unsigned best = 0;
--- a/src/test_libbayhoist/fleet.h
+++ b/src/test_libbayhoist/fleet.h
@@ -59,6 +59,8 @@
 void fleet_set_probes(Fleet *f, bool tell); /* whether probes tell the others of suspended nodes; they do */
 void fleet_suspend(Fleet *f, unsigned node, uint64_t us);
 void fleet_cut(Fleet *f, unsigned node, bool from_nodes, bool from_store);
+unsigned fleet_find_ranked(const Fleet *f,
+						   unsigned rank);  /* node of a rank among those that may read for all */
 unsigned fleet_find_reader(const Fleet *f); /* node that has looked last */
 
 /* When what a node knows was looked up; nodes that run, are not cut off, and do not know what the store held
--- a/src/test_libbayhoist/test_starts.c
+++ b/src/test_libbayhoist/test_starts.c
@@ -53,6 +53,75 @@
 	return served_us;
 }
 
+/* Starts 85 nodes while the store does not answer the first `cut` in rank to read for all. Returns as
+ * play_(). */
+static uint64_t play_unanswered_(unsigned cut, uint32_t seed)
+{
+	FleetOptions o = {.nodes = 85,
+					  .halls = 3,
+					  .endpoints = 120,
+					  .starts_alone = true,
+					  .page = 60,
+					  .entry_bytes = ENTRY_BYTES,
+					  .reads_per_s = 2000,
+					  .store_mbps = 1000,
+					  .node_mbps = 20,
+					  .seed = seed};
+	Fleet *f = fleet_new(&o);
+	uint64_t served_us = UINT64_MAX;
+
+	fleet_set_store(f, 1000, FLEET_STORE_SILENT);
+	for (unsigned i = 0; i < cut; i++)
+		fleet_cut(f, fleet_find_ranked(f, i), false, true);
+	while (fleet_now_us(f) < FLEET_START_US + LIMIT_US && served_us == UINT64_MAX) {
+		fleet_run(f, POLL_US);
+		if (!fleet_count_refusing(f))
+			served_us = fleet_now_us(f) - FLEET_START_US;
+	}
+	print_message("85 nodes, the first %u in rank unanswered, seed %u: all serve after %d ms\n", cut, seed,
+				  served_us == UINT64_MAX ? -1 : (int)(served_us / BH__MS_US));
+	fleet_delete(f);
+	return served_us;
+}
+
+/* The store is silent while all start, and answers 3 s later. */
+static void a_store_that_is_away_is_found_when_it_returns_(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 3; seed++) {
+		FleetOptions o = {.nodes = 85,
+						  .halls = 3,
+						  .endpoints = 120,
+						  .starts_alone = true,
+						  .page = 60,
+						  .entry_bytes = ENTRY_BYTES,
+						  .reads_per_s = 2000,
+						  .store_mbps = 1000,
+						  .node_mbps = 20,
+						  .seed = seed};
+		Fleet *f = fleet_new(&o);
+		uint64_t back_us;
+		fleet_set_store(f, 0, FLEET_STORE_SILENT);
+		fleet_run(f, 3 * BH__SECOND_US);
+		fleet_set_store(f, 1000, FLEET_STORE_SILENT);
+		back_us = fleet_now_us(f);
+		while (fleet_count_refusing(f) && fleet_now_us(f) < back_us + LIMIT_US)
+			fleet_run(f, POLL_US);
+		print_message("85 nodes, the store back after 3 s, seed %u: all serve %u ms later\n", seed,
+					  (unsigned)((fleet_now_us(f) - back_us) / BH__MS_US));
+		assert_true(fleet_now_us(f) <= back_us + 2 * BH__SECOND_US);
+		fleet_delete(f);
+	}
+}
+
+static void a_reader_that_the_store_does_not_answer_is_passed_over_(void **state)
+{
+	(void)state;
+	for (uint32_t seed = 1; seed <= 3; seed++)
+		for (unsigned cut = 1; cut <= 4; cut++)
+			assert_true(play_unanswered_(cut, seed) <= 2 * BH__SECOND_US);
+}
+
 static void nine_nodes_serve_at_once_(void **state)
 {
 	(void)state;
@@ -74,9 +143,12 @@
 
 int main(void)
 {
-	const struct CMUnitTest tests[] = {cmocka_unit_test(nine_nodes_serve_at_once_),
-									   cmocka_unit_test(three_hundred_serve_within_two_seconds_),
-									   cmocka_unit_test(a_thousand_serve_within_four_seconds_)};
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_store_that_is_away_is_found_when_it_returns_),
+		cmocka_unit_test(a_reader_that_the_store_does_not_answer_is_passed_over_),
+		cmocka_unit_test(nine_nodes_serve_at_once_),
+		cmocka_unit_test(three_hundred_serve_within_two_seconds_),
+		cmocka_unit_test(a_thousand_serve_within_four_seconds_)};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
