Slow readers: What waits for all callers together is bounded

Cause: an answer's share was the budget by the connections of that moment, so that callers who come one after the other fill shares of a few: with 4,000 callers at 160 MB more than three times the budget.

Change: the bytes that wait in output buffers are counted as they change; an answer that begins while the budget is used up gets 8 KiB.

--- a/include/bayhoist/memory_budget.h
+++ b/include/bayhoist/memory_budget.h
@@ -9,10 +9,12 @@
 
 typedef struct {
 	uint64_t memory_bytes;  /* memory of the VM; 0: unknown, no limits are applied */
+	uint64_t answer_bytes;  /* bytes of answers that wait for their callers */
 	uint64_t request_bytes; /* memory reserved for buffered requests */
 	uint64_t refusals;      /* requests refused because the budget was exhausted */
 } BH__MemoryBudget;
 
+void bh__memory_budget_note_answer(BH__MemoryBudget *b, size_t added, size_t removed);
 size_t bh__memory_budget_get_answer_max(const BH__MemoryBudget *b, unsigned connections, size_t max);
 bool bh__memory_budget_reserve_request(BH__MemoryBudget *b, size_t len);
 void bh__memory_budget_release_request(BH__MemoryBudget *b, size_t len);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -138,7 +138,6 @@
 							 struct evbuffer *body);
 void inbound_answer_begin(Inbound *in, int status, const char *reason, const GString *headers);
 bool inbound_answer_append(Inbound *in, const char *data, size_t len);
-uint64_t inbounds_get_answer_bytes(const Gate *g);
 size_t inbound_get_answer_max(const Gate *g, size_t max);
 void inbound_answer_end(Inbound *in);
 void inbound_abort(Inbound *in);
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -86,6 +86,7 @@
 static void finish_answer_(Inbound *in);
 static void close_when_sent_(Inbound *in);
 static void close_connection_(Inbound *in);
+static void on_output_changed_(struct evbuffer *out, const struct evbuffer_cb_info *info, void *gate);
 static void on_free_(evutil_socket_t fd, short what, void *arg);
 
 static const http_parser_settings Callbacks_ = {.on_message_begin = on_message_begin_,
@@ -139,6 +140,7 @@
 	in->bev = bufferevent_socket_new(g->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(in->bev, on_read_, on_written_, on_event_, in);
 	bufferevent_setwatermark(in->bev, EV_READ, 0, INPUT_HIGH_WATERMARK);
+	evbuffer_add_cb(bufferevent_get_output(in->bev), on_output_changed_, g);
 	bufferevent_enable(in->bev, EV_READ | EV_WRITE);
 	g_hash_table_add(g->inbounds, in);
 	if (g_hash_table_size(g->inbounds) >= g->settings.max_connections)
@@ -146,6 +148,13 @@
 	wait_for_request_(in);
 }
 
+/* Counts the bytes that wait for callers. */
+static void on_output_changed_(struct evbuffer *out, const struct evbuffer_cb_info *info, void *gate)
+{
+	(void)out;
+	bh__memory_budget_note_answer(&((Gate *)gate)->memory_budget, info->n_added, info->n_deleted);
+}
+
 /* Waits for the next request until the idle timeout: 15 s as long as no configuration is loaded. */
 static void wait_for_request_(Inbound *in)
 {
@@ -510,19 +519,6 @@
 	evbuffer_add_printf(out, "\r\n");
 }
 
-/* Returns the number of answer bytes that are buffered for callers, over all connections. */
-uint64_t inbounds_get_answer_bytes(const Gate *g)
-{
-	uint64_t bytes = 0;
-	GHashTableIter it;
-	gpointer in;
-
-	g_hash_table_iter_init(&it, g->inbounds);
-	while (g_hash_table_iter_next(&it, &in, NULL))
-		bytes += evbuffer_get_length(bufferevent_get_output(((Inbound *)in)->bev));
-	return bytes;
-}
-
 /* Returns the maximum number of bytes to buffer of one answer under the memory budget; at most `max`. */
 size_t inbound_get_answer_max(const Gate *g, size_t max)
 {
@@ -673,6 +669,9 @@
 	(void)fd;
 	(void)what;
 	clear_request_(in);
+	evbuffer_remove_cb(bufferevent_get_output(in->bev), on_output_changed_, in->gate);
+	bh__memory_budget_note_answer(&in->gate->memory_budget, 0,
+								  evbuffer_get_length(bufferevent_get_output(in->bev)));
 	bufferevent_free(in->bev);
 	event_free(in->timer);
 	g_string_free(in->name, TRUE);
--- a/src/libbayhoist/memory_budget.c
+++ b/src/libbayhoist/memory_budget.c
@@ -12,16 +12,26 @@
 
 /* Returns how many bytes one answer may buffer for its caller, at most `max`. The budget for answers is
  * divided evenly among the node's `connections`, except that every answer gets at least ANSWER_MIN_ bytes.
- * Returns `max` if the size of the VM's memory is unknown. */
+ * Once the budget is used up, no answer gets more than that: the first of many connections that open one
+ * after the other fill shares of a few, and with 4,000 such connections these came to more than three times
+ * the budget. Returns `max` if the size of the VM's memory is unknown. */
 size_t bh__memory_budget_get_answer_max(const BH__MemoryBudget *b, unsigned connections, size_t max)
 {
-	double share = (double)b->memory_bytes * ANSWERS_SHARE_ / MAX(connections, 1u);
+	double budget = (double)b->memory_bytes * ANSWERS_SHARE_;
+	double share = (double)b->answer_bytes < budget ? budget / MAX(connections, 1u) : 0;
 
 	if (!b->memory_bytes || share >= (double)max)
 		return max;
 	return MAX((size_t)share, (size_t)ANSWER_MIN_);
 }
 
+/* Records that answers which wait for their callers have grown by `added` bytes and shrunk by `removed`. */
+void bh__memory_budget_note_answer(BH__MemoryBudget *b, size_t added, size_t removed)
+{
+	b->answer_bytes += added;
+	b->answer_bytes -= MIN(b->answer_bytes, removed);
+}
+
 /* Reserves `len` bytes for a request. Returns false and counts a refusal if that would exceed the budget for
  * requests; always succeeds if the size of the VM's memory is unknown. */
 bool bh__memory_budget_reserve_request(BH__MemoryBudget *b, size_t len)
--- a/src/test_libbayhoist/test_limits.c
+++ b/src/test_libbayhoist/test_limits.c
@@ -304,10 +304,29 @@
 	assert_true(bh__memory_budget_reserve_request(&unknown, 1000 * 1000 * 1000));
 }
 
+/* 4,000 callers at a VM of 160 MB come one after the other, and none of them reads its answer. All of what is
+ * kept stays within the budget and what every answer may have; it is free again when they have gone. */
+static void callers_that_come_in_turn_share_the_budget_(void **state)
+{
+	const size_t max = 128 * 1024;
+	const size_t least = 8 * 1024;
+	const unsigned callers = 4000;
+	BH__MemoryBudget b = {.memory_bytes = 160 * 1024 * 1024};
+
+	(void)state;
+	for (unsigned i = 1; i <= callers; i++)
+		bh__memory_budget_note_answer(&b, bh__memory_budget_get_answer_max(&b, i, max), 0);
+	assert_true(b.answer_bytes <= b.memory_bytes / 5 + max + callers * least);
+	assert_int_equal(bh__memory_budget_get_answer_max(&b, 1, max), least);
+	bh__memory_budget_note_answer(&b, 0, b.answer_bytes);
+	assert_int_equal(bh__memory_budget_get_answer_max(&b, 1, max), max);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(memory_budget_is_bounded_),
+		cmocka_unit_test(callers_that_come_in_turn_share_the_budget_),
 		cmocka_unit_test(rate_is_met_),
 		cmocka_unit_test(rate_is_met_while_nodes_join_and_leave_),
 		cmocka_unit_test(rate_is_met_during_a_partition_),
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -2,13 +2,13 @@
 /* bh-fake-site: a stand-in for the users' platform, for tests of the gateway: its store and a few endpoints,
  * in one process. Paths of requests name faults: "/break/" closes the first answer midway, "/fail/" answers
  * 500 the first time, "/late-fail/" does so after a while,
- * "/full/" refuses the first time, "/hold/" answers after a second, "/long/" with long pauses, "/crash/"
- * crashes the endpoint that runs it, every time, before its first event, "/crash-late/" after some; the
- * endpoint is back after a while under its id. "/dark/" has the endpoint listen no more and say nothing, and
- * a stranger listen at its address later. An endpoint may name a limit of requests a second in its answers,
- * say there that it leaves, and ask for rest where it refuses. Under /test/ of the store's address a test
- * sets the configuration, drains endpoints and halls, stops the store, lets entries lapse, has the store go
- * back to a copy, and asks what ran. */
+ * "/full/" refuses the first time, "/flood/" answers megabytes, "/hold/" answers after a second, "/long/"
+ * with long pauses, "/crash/" crashes the endpoint that runs it, every time, before its first event,
+ * "/crash-late/" after some; the endpoint is back after a while under its id. "/dark/" has the endpoint
+ * listen no more and say nothing, and a stranger listen at its address later. An endpoint may name a limit of
+ * requests a second in its answers, say there that it leaves, and ask for rest where it refuses. Under /test/
+ * of the store's address a test sets the configuration, drains endpoints and halls, stops the store, lets
+ * entries lapse, has the store go back to a copy, and asks what ran. */
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -24,9 +24,10 @@
 #include "fake_signals.h"
 #include "web.h"
 
-#define EVENTS 10     /* of an engine's answer */
-#define EVENT_MS 30   /* between them */
-#define BREAK_AFTER 4 /* events */
+#define EVENTS 10                     /* of an engine's answer */
+#define EVENT_MS 30                   /* between them */
+#define BREAK_AFTER 4                 /* events */
+#define FLOOD_BYTES (8 * 1024 * 1024) /* more than the kernel keeps for one that does not read */
 #define HOLD_MS 1000
 #define LONG_EVENT_MS 400
 #define ORDER_MS 450
@@ -134,6 +135,7 @@
 static unsigned crash_at_(const char *uri);
 static void note_crasher_(void);
 static void end_stream_(Stream *s);
+static void add_flood_(struct evbuffer *out);
 static void crash_(Replica *r);
 static void on_restart_(evutil_socket_t fd, short what, void *replica);
 static void start_again_(Replica *r);
@@ -919,6 +921,13 @@
 	evhttp_send_reply_start(req, 200, NULL);
 }
 
+static void add_flood_(struct evbuffer *out)
+{
+	static char bytes[FLOOD_BYTES];
+
+	evbuffer_add_reference(out, bytes, sizeof bytes, NULL, NULL);
+}
+
 static void on_stream_time_(evutil_socket_t fd, short what, void *arg)
 {
 	Stream *s = arg;
@@ -948,6 +957,8 @@
 	if (strstr(evhttp_request_get_uri(s->req), "/long/"))
 		tv.tv_usec = LONG_EVENT_MS * 1000;
 	evbuffer_add_printf(out, "id: %u\ndata: piece %u\n\n", s->next, s->next);
+	if (strstr(evhttp_request_get_uri(s->req), "/flood/"))
+		add_flood_(out);
 	evhttp_send_reply_chunk(s->req, out);
 	evbuffer_free(out);
 	if (s->next++ >= s->last) {
