--- a/test/run-all.sh
+++ b/test/run-all.sh
@@ -35,7 +35,7 @@
 run test_prefill_set-aim env TEST_PREFILL_BOUNDS=aim "$B/test_prefill_set" &
 wait
 # these start many processes and are kept apart, so that none waits long for a processor
-for t in tls api slow limits gate alone looks cut-links hall-paths relay silence crashes memory leaving store-era halls last-endpoints one-of-three room cold limit-overrun leaving-told rest stop-all soak soak-gate; do
+for t in tls api slow slow-callers limits gate alone looks cut-links hall-paths relay silence crashes memory leaving store-era halls last-endpoints one-of-three room cold limit-overrun leaving-told rest stop-all soak soak-gate; do
 	run "check-$t" bash "test/check-$t.sh"
 done
 passed=$(wc -l <"$out/.passed")
