registry: A node that has read the whole list tells the whole table to who knew less

A list shows nothing of what left before it, so changes count as complete from its version on, and who knows less gets the whole table. The new case of test_registry fails on the code before.

--- a/src/libbayhoist/include/private/registry_internal.h
+++ b/src/libbayhoist/include/private/registry_internal.h
@@ -26,12 +26,12 @@
 	BH__StoreVersion store_version;  /* store version up to which all changes are merged */
 	BH__EraStart era[BH__ERAS_KEPT]; /* latest first */
 	unsigned era_count;
-	BH__StoreVersion changed;                /* store version with which the last visible change was merged */
-	GHashTable *departed;                    /* endpoint id -> BH__EndpointDeparture */
-	BH__StoreVersion evicted_gone_version;   /* latest store version as of which an endpoint was gone whose
-												departure has been evicted */
-	BH__StoreVersion evicted_merged_version; /* latest store version of a merge of an evicted departure */
-	GArray *halls;                           /* BH__HallDrain */
+	BH__StoreVersion changed;              /* store version with which the last visible change was merged */
+	GHashTable *departed;                  /* endpoint id -> BH__EndpointDeparture */
+	BH__StoreVersion evicted_gone_version; /* latest store version as of which an endpoint was gone whose
+											  departure has been evicted */
+	BH__StoreVersion complete_from;        /* all changes merged after this store version can be listed */
+	GArray *halls;                         /* BH__HallDrain */
 	uint64_t halls_version;
 	uint64_t endpoint_drain_us; /* see last_endpoints.c */
 	uint64_t hall_drain_us;
--- a/src/libbayhoist/registry.c
+++ b/src/libbayhoist/registry.c
@@ -193,6 +193,7 @@
 }
 
 /* Applies a complete list of endpoints as of a version, read from the store or received from another node.
+ * The list does not show what left before, so changes are complete for other nodes only from that version on.
  * Endpoints whose ids (uint64_t) are not in `ids` count as gone as of that version, unless a later write is
  * known. Endpoints already known to be gone do not change. */
 void bh__registry_retain_only(BH__Registry *r, GHashTable *ids, BH__StoreVersion as_of, uint64_t gone_at_us)
@@ -202,6 +203,7 @@
 		if (!e->gone_at_us && !g_hash_table_contains(ids, &e->endpoint_id))
 			bh__registry_remove(r, e->endpoint_id, as_of, gone_at_us, as_of);
 	}
+	r->complete_from = bh__store_version_max(r->complete_from, as_of);
 }
 
 /* Merges an update of an endpoint into its known state. `entry` NULL: the update contains only history.
@@ -440,7 +442,7 @@
 			oldest = d;
 	}
 	r->evicted_gone_version = bh__store_version_max(r->evicted_gone_version, oldest->history.gone);
-	r->evicted_merged_version = bh__store_version_max(r->evicted_merged_version, oldest->merged_version);
+	r->complete_from = bh__store_version_max(r->complete_from, oldest->merged_version);
 	g_hash_table_remove(r->departed, &oldest->endpoint_id);
 }
 
@@ -453,7 +455,7 @@
 	GHashTableIter it;
 	gpointer value;
 
-	if (bh__store_version_is_zero(since) || bh__store_version_is_after(r->evicted_merged_version, since))
+	if (bh__store_version_is_zero(since) || bh__store_version_is_after(r->complete_from, since))
 		return false;
 	for (guint i = 0; i < r->table->len; i++)
 		if (bh__store_version_is_after(bh__registry_get(r, i)->merged_version, since))
--- a/src/test_libbayhoist/test_registry.c
+++ b/src/test_libbayhoist/test_registry.c
@@ -498,9 +498,36 @@
 	bh__registry_delete(r);
 }
 
+/* A node that has read the whole list knows no endpoints that had left before, so it cannot tell their
+ * departure to a node that still lists them: that one needs the whole table. Otherwise a node that starts
+ * right after a departure and is asked by others has them keep an endpoint that is gone. */
+static void a_node_that_has_read_the_list_tells_the_whole_table_(void **state)
+{
+	BH__Registry *started = bh__registry_new(1);
+	GHashTable *ids = g_hash_table_new(g_int64_hash, g_int64_equal);
+	GArray *records = g_array_new(FALSE, FALSE, sizeof(BH__EndpointRecord));
+	GArray *departures = g_array_new(FALSE, FALSE, sizeof(BH__EndpointDeparture));
+	BH__EndpointEntry stays = entry_(1, 7, false);
+	uint64_t id = bh__hash_name(stays.id);
+
+	(void)state;
+	bh__registry_put(started, &stays, version_at_(10), version_at_(20)); /* another one left at 15 */
+	g_hash_table_add(ids, &id);
+	bh__registry_retain_only(started, ids, version_at_(20), NOW_US);
+	bh__registry_set_store_version(started, version_at_(20));
+	assert_false(bh__registry_list_changes(started, version_at_(12), NOW_US, records, departures));
+	assert_true(bh__registry_list_changes(started, version_at_(20), NOW_US, records, departures));
+	assert_int_equal(records->len + departures->len, 0);
+	g_hash_table_unref(ids);
+	g_array_unref(records);
+	g_array_unref(departures);
+	bh__registry_delete(started);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_node_that_has_read_the_list_tells_the_whole_table_),
 		cmocka_unit_test(replayed_changes_have_no_effect_),
 		cmocka_unit_test(delivery_order_does_not_matter_),
 		cmocka_unit_test(any_node_can_continue_reading_),
