planner: The division of engines has one name, and a local planner says that it is one

What is reserved for tight streams was called set, division, set-aside and reserved; the engines that are not reserved prefill long prompts. The decay of recent long work stands once.

--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 
 # the model engines are the benches'
-$B/test_prefill_set: $B/src/bench/pass_engine.o
+$B/test_engine_division: $B/src/bench/pass_engine.o
 
 # tests of the binding, and the stand-in that it is played against
 $B/test_decode: $B/test/platform/test_decode.o $B/platform/decode.o $B/platform/headers.o $B/platform/http_client.o \
--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -90,10 +90,10 @@
 
 /* How a planner's engines are divided between tight streams and long prompts. */
 typedef struct {
-	unsigned engines;   /* engines that may be granted requests */
-	unsigned set_aside; /* engines set aside for tight streams; the others read long prompts */
-	unsigned reading;   /* engines that prefill for other engines */
-	unsigned tight;     /* tight requests, running and waiting */
+	unsigned engines;  /* engines that may be granted requests */
+	unsigned reserved; /* engines reserved for tight streams; the others prefill long prompts */
+	unsigned helping;  /* engines that prefill for other engines */
+	unsigned tight;    /* tight requests, running and waiting */
 } BH__PlannerDivision;
 
 BH__Planner *bh__planner_new(BH__PlannerPort *port, uint64_t pool_id, uint64_t boot_id);
--- a/src/bayhoist-gate/cluster_status.c
+++ b/src/bayhoist-gate/cluster_status.c
@@ -42,7 +42,7 @@
 		return;
 	bh__planner_get_division(s->planner, &d);
 	log_event("prefill", "service=%s engines=%u set_aside=%u reading=%u tight=%u", s->service, d.engines,
-			  d.set_aside, d.reading, d.tight);
+			  d.reserved, d.helping, d.tight);
 }
 
 /* Returns how the engines of each service are divided between tight streams and long prompts, as this node
@@ -63,8 +63,8 @@
 		json_object_object_add(o, "service", json_object_new_string(s->service));
 		json_object_object_add(o, "schedules", json_object_new_boolean(s->scheduling_since_us > 0));
 		json_object_object_add(o, "engines", json_object_new_int64(d.engines));
-		json_object_object_add(o, "set_aside", json_object_new_int64(d.set_aside));
-		json_object_object_add(o, "reading", json_object_new_int64(d.reading));
+		json_object_object_add(o, "set_aside", json_object_new_int64(d.reserved));
+		json_object_object_add(o, "reading", json_object_new_int64(d.helping));
 		json_object_object_add(o, "tight", json_object_new_int64(d.tight));
 		json_object_array_add(list, o);
 	}
@@ -106,7 +106,7 @@
 						"bayhoist_prefill{service=\"%s\",what=\"set_aside\"} %u\n"
 						"bayhoist_prefill{service=\"%s\",what=\"reading\"} %u\n"
 						"bayhoist_prefill{service=\"%s\",what=\"tight\"} %u\n",
-						s->service, d.engines, s->service, d.set_aside, s->service, d.reading, s->service,
+						s->service, d.engines, s->service, d.reserved, s->service, d.helping, s->service,
 						d.tight);
 	for (unsigned i = 0; i < bh__planner_get_engine_count(s->planner); i++) {
 		BH__PlannerEngine e;
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -29,7 +29,7 @@
 		"                       have the endpoints of a data hall receive nothing new, or take that back\n"
 		"  where                show which addresses a caller is told to use\n"
 		"  links\n"
-		"  prefill              show which engines long prompts are read on, as a gateway sees it\n"
+		"  prefill              show how many engines are reserved for tight streams, as a gateway sees it\n"
 		"  paths                show the paths to other data halls as the gateway with control address\n"
 		"                       --node knows them\n"
 		"  bookings             show the long prompts that wait at the gateway that schedules them, and "
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -33,7 +33,7 @@
 	uint64_t endpoint_id;
 	uint64_t incarnation; /* incarnation of the endpoint, as counted by the registry */
 	bool leaving;
-	bool set_aside;                      /* for tight streams, of which it may have none yet */
+	bool reserved;                       /* for tight streams, of which it may have none yet */
 	BH__Ejection ejection;               /* no grants for a while, because of failures */
 	uint64_t requested_backoff_until_us; /* end of the backoff that the engine has requested from some node */
 	BH__EndpointRate rate;               /* limits on the requests that the engine may be granted */
--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -7,7 +7,7 @@
 #include "bayhoist/planner.h"
 #include "account_share.h"
 #include "booking.h"
-#include "prefill_set.h"
+#include "engine_division.h"
 
 #define BH__RETRY_AFTER_MIN_MS 150
 /* Callers wait for at most one part in this many of the time that they have left before they return. */
@@ -19,6 +19,7 @@
 	uint64_t boot_id;    /* hash of the node's boot id and the pool id, from which grant ids are derived */
 	uint64_t next_grant; /* number of grants given so far */
 	uint64_t order_seed; /* determines the order in which engines are filled */
+	bool is_local;       /* it sees only its own node's work, since another node schedules the service */
 	double rate_share;   /* share of the engines' rate limits that this planner enforces */
 	BH__EngineModel model;
 	GPtrArray *engines;   /* BH__IterationEngine, sorted by hash of endpoint id and order_seed */
@@ -27,8 +28,8 @@
 	GHashTable *by_ask;   /* the elements of `by_grant` by ask id */
 	GPtrArray *waiting;   /* BH__WaitingAsk, the smallest prompt first */
 	BH__PlannerCounters counters;
-	BH__PrefillSet prefill_set;
-	unsigned told_set_aside;   /* engines set aside when operators were last told */
+	BH__EngineDivision division;
+	unsigned told_reserved;    /* engines reserved when operators were last told */
 	uint64_t division_told_us; /* time at which they were; 0: never */
 	BH__LongWork long_work;
 	BH__BookingTable *bookings;
@@ -46,8 +47,8 @@
 void bh__planner_place_waiting(BH__Planner *p, uint64_t now_us);
 void bh__planner_drop_asks(BH__Planner *p, uint64_t node_id);
 
-/* planner_prefill.c */
-void bh__planner_decide_division(BH__Planner *p, uint64_t now_us);
+/* planner_division.c */
+void bh__planner_update_division(BH__Planner *p, uint64_t now_us);
 
 /* planner_bookings.c */
 bool bh__planner_books(const BH__Planner *p, const BH__Ask *ask);
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -39,7 +39,7 @@
 	unsigned order;           /* position in the planner's list of engines */
 	unsigned tight;           /* tight streams, running or granted */
 	bool limited;             /* a rate limit is in force */
-	bool reserved;            /* set aside for tight streams, of which it may have none yet */
+	bool reserved;            /* reserved for tight streams, of which it may have none yet */
 	double limit_ms;          /* limit on the next iteration */
 	double next_iteration_ms; /* next iteration without the new prompt; if idle, the first of a new stream */
 	double overtake_headroom_ms; /* longest part that may overtake the waiting prompts, at slowdown 1 */
@@ -158,7 +158,7 @@
 		if (c->next_iteration_ms <= limit_ms)
 			c->delay_cost += r->answer_utility * BH__LATE_UTILITY_LOSS;
 	}
-	c->reserved = e->set_aside || c->tight > 0;
+	c->reserved = e->reserved || c->tight > 0;
 	if (c->tight) /* two iterations' parts in one would be a pause that is too long */
 		c->limit_ms -= bh__iteration_clock_get_uncertain_ms(&e->clock, now_us) * e->clock.slowdown;
 	if (c->reserved)
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -86,6 +86,7 @@
  * independently at the same time do not all fill the same engines. */
 void bh__planner_set_local(BH__Planner *p, bool is_local)
 {
+	p->is_local = is_local;
 	p->order_seed = is_local ? p->boot_id : 0;
 	g_ptr_array_sort_with_data(p->engines, compare_order_, &p->order_seed);
 }
--- a/src/libbayhoist/planner_bookings.c
+++ b/src/libbayhoist/planner_bookings.c
@@ -8,14 +8,14 @@
  * what other nodes use of the engines. */
 bool bh__planner_books(const BH__Planner *p, const BH__Ask *ask)
 {
-	return !p->order_seed && bh__start_rules_is_long(&p->model, ask->prompt_tokens, ask->event_gap_us);
+	return !p->is_local && bh__start_rules_is_long(&p->model, ask->prompt_tokens, ask->event_gap_us);
 }
 
 /* Books the starts of the long prompts that wait, or refuses those for which there is none. */
 void bh__planner_book(BH__Planner *p, uint64_t now_us)
 {
-	if (!p->order_seed && bh__booking_table_update(p->bookings, &p->model, p->engines, &p->long_work,
-												   p->waiting, p->port, now_us))
+	if (!p->is_local && bh__booking_table_update(p->bookings, &p->model, p->engines, &p->long_work,
+												 p->waiting, p->port, now_us))
 		refuse_without_start_(p, now_us);
 }
 
--- a/src/libbayhoist/start_rules.c
+++ b/src/libbayhoist/start_rules.c
@@ -28,6 +28,7 @@
 #define LONG_WORK_MAX_SHARE_ 0.3
 #define LATE_PREFILL_SHARE_ 0.33
 
+static double recent_work_ms_(const BH__LongWork *l, uint64_t now_us);
 static double idle_prefill_ms_(const BH__LongWork *l, unsigned engines, const BH__Ask *remaining,
 							   uint64_t now_us);
 static bool may_delay_others_(const BH__EngineModel *m, const BH__Ask *ask, uint64_t waited_us);
@@ -99,11 +100,17 @@
 	return taken * 2 < usable;
 }
 
+/* Returns the recent work of long prompts as it counts now. */
+static double recent_work_ms_(const BH__LongWork *l, uint64_t now_us)
+{
+	return l->work_ms * exp(-(double)(now_us - l->updated_us) / LONG_WORK_DECAY_US_);
+}
+
 /* Adds a new ask to the recent work of long prompts, which need many engines. Prompts of tight streams are
  * not added. */
 void bh__long_work_note(BH__LongWork *l, const BH__EngineModel *m, const BH__Ask *ask, uint64_t now_us)
 {
-	l->work_ms *= exp(-(double)(now_us - l->updated_us) / LONG_WORK_DECAY_US_);
+	l->work_ms = recent_work_ms_(l, now_us);
 	l->updated_us = now_us;
 	if (!bh__placement_is_tight(ask->event_gap_us))
 		l->work_ms += bh__engine_model_prefill_ms(m, ask->prompt_tokens, 1);
@@ -114,10 +121,9 @@
 static double idle_prefill_ms_(const BH__LongWork *l, unsigned engines, const BH__Ask *remaining,
 							   uint64_t now_us)
 {
-	double work_ms = l->work_ms * exp(-(double)(now_us - l->updated_us) / LONG_WORK_DECAY_US_);
 	double engines_ms = LONG_WORK_DECAY_US_ / 1000 * engines;
 
-	return work_ms < engines_ms * LONG_WORK_MAX_SHARE_
+	return recent_work_ms_(l, now_us) < engines_ms * LONG_WORK_MAX_SHARE_
 			   ? (double)remaining->deadline_us / 1000 * LATE_PREFILL_SHARE_
 			   : 0;
 }
--- a/src/test_libbayhoist/test_prefill_set.c
+++ b/src/test_libbayhoist/test_engine_division.c
@@ -11,7 +11,7 @@
 #include "../bench/pass_engine.h"
 #include "bayhoist/ask_timeout.h"
 #include "bayhoist/planner.h"
-#include "prefill_set.h"
+#include "engine_division.h"
 
 #define MS BH__MS_US
 #define TURN_US (4 * BH__SECOND_US)
@@ -446,15 +446,15 @@
 static void engines_are_set_aside_by_their_slots_(void **state)
 {
 	BH__EngineModel m = {.slots = 12};
-	BH__PrefillSet s = {.tight_count = 100};
+	BH__EngineDivision s = {.tight_count = 100};
 
 	(void)state;
-	assert_true(bh__prefill_set_get_wanted(&s, &m) * (m.slots - 1) >= 100);
-	assert_true(bh__prefill_set_get_wanted(&s, &m) <= 10);
+	assert_true(bh__engine_division_get_wanted(&s, &m) * (m.slots - 1) >= 100);
+	assert_true(bh__engine_division_get_wanted(&s, &m) <= 10);
 	m.slots = 24;
-	assert_true(bh__prefill_set_get_wanted(&s, &m) <= 5);
+	assert_true(bh__engine_division_get_wanted(&s, &m) <= 5);
 	m.slots = 1;
-	assert_true(bh__prefill_set_get_wanted(&s, &m) >= 100);
+	assert_true(bh__engine_division_get_wanted(&s, &m) >= 100);
 }
 
 /* A prompt waits for a silent scheduler as long as its own target allows, and at least for one answer. */
