Starts: A starting source counts as nothing only where the store has not failed this node

Cause: nodes whose own first read the store had refused waited for sources without state too.

Change: a starting node asks a source without state again only if it has left a long list to the reader, or its own first read has not failed.

--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -76,7 +76,8 @@
 	BH__Registry *registry;
 	BH__SyncSource source;
 	BH__Outage outage;
-	uint64_t started_us;     /* time of the first tick; 0: none yet */
+	bool has_left_list;  /* the platform has answered the start of a long list; the reader reads the rest */
+	uint64_t started_us; /* time of the first tick; 0: none yet */
 	uint64_t first_read_us;  /* last sign of the first endpoints read: its start or a page; 0: none is open */
 	uint64_t as_of_us;       /* start time of the platform read whose endpoints the registry holds; 0: none */
 	uint64_t read_failed_us; /* when an own endpoints read last failed; 0: never */
@@ -243,6 +244,7 @@
 {
 	s->read_sent_us = 0;
 	s->first_read_us = 0;
+	s->has_left_list = true;
 	s->endpoints_schedule.sent_us = 0;
 }
 
@@ -765,13 +767,14 @@
 	return !s->as_of_us && (is_silent || bh__sync_source_is_platform_unavailable(&s->source));
 }
 
-/* Returns true if the source has no endpoints yet because it is starting too, and this node can wait for
- * them. Such a source says nothing about the platform: when all of 300 nodes started at once and counted
+/* Returns true if the source has no endpoints yet because it is starting too, and this node waits for them,
+ * since the platform has answered it with the start of a long list or has not failed its first read.
+ * Such a source says nothing about the platform: when all of 300 nodes started at once and counted
  * these answers as stale, they took the platform for unavailable while the first list was still being read.
  */
 static bool is_source_starting_(const BH__PlatformSync *s, const BH__Message *m, uint64_t now_us)
 {
-	return !s->as_of_us && !m->as.sync.platform_unavailable &&
+	return (s->has_left_list || s->first_read_us) && !s->as_of_us && !m->as.sync.platform_unavailable &&
 		   bh__store_version_is_zero(m->as.sync.store_version) &&
 		   now_us < s->started_us + STARTUP_PATIENCE_US_;
 }
