--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -771,8 +771,7 @@
 
 /* Returns true if the source has no endpoints yet because it is starting too, and this node waits for them,
  * since the platform has answered it with the start of a long list or has not failed its first read.
- * Such a source says nothing about the platform: it may still be
- * reading its first list. */
+ * Such a source says nothing about the platform: it may still be reading its first list. */
 static bool is_source_starting_(const BH__PlatformSync *s, const BH__Message *m, uint64_t now_us)
 {
 	return (s->has_left_list || s->first_read_us) && !s->as_of_us && !m->as.sync.platform_unavailable &&
