booking: one rule for the order of the queue

Cause: the order in which waiting prompts are placed stood twice, in the planner's queue and in the table of bookings, so that a change of one would have booked starts in an order in which they are not served. A booking also repeated three fields of the waiting ask. Change: bh__waiting_ask_comes_before() serves both; a booking holds its BH__WaitingAsk. The order is the same: only long prompts are booked, and the queue of a planner is emptied before it turns local.

--- a/src/libbayhoist/booking.c
+++ b/src/libbayhoist/booking.c
@@ -26,15 +26,13 @@
 
 /* The booking of one ask. All times are absolute. */
 typedef struct {
-	BH__Ask ask;
-	uint64_t arrived_us;
+	BH__WaitingAsk waiting;
 	uint64_t from_us;     /* when it may start at the earliest: later than now if the caller is away */
 	uint64_t booked_us;   /* time of the first booking; 0: none yet */
 	uint64_t first_us;    /* the start that was booked first */
 	uint64_t start_us;    /* the start that is booked now, or BH__START_NEVER */
 	uint64_t forecast_us; /* result of the latest forecast */
 	unsigned misses;      /* forecasts in a row that found no start */
-	bool has_returned;    /* its caller has come back at a booked time */
 	bool is_away;         /* refused; its caller is expected back at `from_us` */
 } Booking_;
 
@@ -50,7 +48,7 @@
 static void remove_ended_(BH__BookingTable *t, const GPtrArray *waiting, uint64_t now_us);
 static bool is_waiting_(const GPtrArray *waiting, uint64_t ask_id);
 static void add_missing_(BH__BookingTable *t, const BH__EngineModel *m, const GPtrArray *waiting);
-static void insert_(BH__BookingTable *t, const BH__WaitingAsk *w);
+static void insert_(BH__BookingTable *t, const BH__EngineModel *m, const BH__WaitingAsk *w);
 static void forecast_(BH__BookingTable *t, const BH__EngineModel *m, const GPtrArray *engines,
 					  const BH__LongWork *long_work, uint64_t now_us);
 static uint64_t last_start_us_(const Booking_ *b);
@@ -80,7 +78,7 @@
 {
 	for (guint i = 0; i < t->bookings->len; i++) {
 		Booking_ *b = g_ptr_array_index(t->bookings, i);
-		if (b->ask.ask_id == ask_id)
+		if (b->waiting.ask.ask_id == ask_id)
 			return b;
 	}
 	return NULL;
@@ -128,7 +126,8 @@
 {
 	for (guint i = t->bookings->len; i-- > 0;) {
 		const Booking_ *b = g_ptr_array_index(t->bookings, i);
-		if (b->is_away ? now_us > b->from_us + RETURN_GRACE_US_ : !is_waiting_(waiting, b->ask.ask_id))
+		if (b->is_away ? now_us > b->from_us + RETURN_GRACE_US_
+					   : !is_waiting_(waiting, b->waiting.ask.ask_id))
 			g_ptr_array_remove_index(t->bookings, i);
 	}
 }
@@ -147,30 +146,35 @@
 	for (guint i = 0; i < waiting->len && t->bookings->len < BOOKINGS_MAX_; i++) {
 		const BH__WaitingAsk *w = g_ptr_array_index(waiting, i);
 		if (bh__start_rules_is_long(m, w->ask.prompt_tokens, w->ask.event_gap_us) && !find_(t, w->ask.ask_id))
-			insert_(t, w);
+			insert_(t, m, w);
 	}
 }
 
-/* Inserts a booking in the order in which the queue is served: returned callers, then the smallest prompts.
- */
-static void insert_(BH__BookingTable *t, const BH__WaitingAsk *w)
+/* Inserts a booking in the order in which the queue is served. */
+static void insert_(BH__BookingTable *t, const BH__EngineModel *m, const BH__WaitingAsk *w)
 {
 	Booking_ *b = g_new0(Booking_, 1);
 	guint at = 0;
 
-	b->ask = w->ask;
-	b->arrived_us = w->arrived_us;
-	b->has_returned = w->has_returned;
+	b->waiting = *w;
 	b->start_us = BH__START_NEVER;
-	for (; at < t->bookings->len; at++) {
-		const Booking_ *other = g_ptr_array_index(t->bookings, at);
-		if (other->has_returned != b->has_returned ? b->has_returned
-												   : other->ask.prompt_tokens > b->ask.prompt_tokens)
-			break;
-	}
+	while (at < t->bookings->len &&
+		   !bh__waiting_ask_comes_before(w, &((Booking_ *)g_ptr_array_index(t->bookings, at))->waiting, m))
+		at++;
 	g_ptr_array_insert(t->bookings, (gint)at, b);
 }
 
+/* Returns true if `a` is placed before `b`: the shorter prompt, but of long ones that of a caller who has
+ * come back at a booked time. */
+bool bh__waiting_ask_comes_before(const BH__WaitingAsk *a, const BH__WaitingAsk *b, const BH__EngineModel *m)
+{
+	if (a->has_returned != b->has_returned &&
+		bh__start_rules_is_long(m, a->ask.prompt_tokens, a->ask.event_gap_us) &&
+		bh__start_rules_is_long(m, b->ask.prompt_tokens, b->ask.event_gap_us))
+		return a->has_returned;
+	return a->ask.prompt_tokens < b->ask.prompt_tokens;
+}
+
 /* Forecasts the start of each booking. */
 static void forecast_(BH__BookingTable *t, const BH__EngineModel *m, const GPtrArray *engines,
 					  const BH__LongWork *long_work, uint64_t now_us)
@@ -196,9 +200,9 @@
 /* Returns the latest time at which a prompt may start before its caller is refused. */
 static uint64_t last_start_us_(const Booking_ *b)
 {
-	uint64_t max_wait_us = bh__start_rules_max_wait_us(&b->ask);
+	uint64_t max_wait_us = bh__start_rules_max_wait_us(&b->waiting.ask);
 
-	return b->is_away ? b->from_us + max_wait_us / 2 : b->arrived_us + max_wait_us;
+	return b->is_away ? b->from_us + max_wait_us / 2 : b->waiting.arrived_us + max_wait_us;
 }
 
 /* Places the bookings that can start at `at_us`, either late ones or those that can be in time. Returns their
@@ -212,9 +216,9 @@
 	for (guint i = 0; i < t->bookings->len && failed < FAILURES_PER_STEP_; i++) {
 		Booking_ *b = g_ptr_array_index(t->bookings, i);
 		if (b->forecast_us != BH__START_NEVER || at_us < b->from_us || at_us > last_start_us_(b) ||
-			bh__start_rules_is_late(m, &b->ask, at_us - b->arrived_us) != late)
+			bh__start_rules_is_late(m, &b->waiting.ask, at_us - b->waiting.arrived_us) != late)
 			continue;
-		if (!bh__start_forecast_place(f, &b->ask, b->arrived_us)) {
+		if (!bh__start_forecast_place(f, &b->waiting.ask, b->waiting.arrived_us)) {
 			failed++;
 			continue;
 		}
@@ -261,9 +265,9 @@
 	uint64_t start_us = b->is_away ? b->from_us : b->start_us;
 
 	if (port->booking)
-		port->booking(port, &b->ask, event,
+		port->booking(port, &b->waiting.ask, event,
 					  start_us == BH__START_NEVER ? 0 : start_us - MIN(now_us, start_us),
-					  now_us - b->arrived_us);
+					  now_us - b->waiting.arrived_us);
 }
 
 /* Returns true if an ask is known to find no place within the time that its caller waits. */
@@ -332,8 +336,9 @@
 		const Booking_ *b = g_ptr_array_index(t->bookings, i);
 		bool is_due =
 			b->is_away && now_us + RETURN_GRACE_US_ >= b->from_us && now_us <= b->from_us + RETURN_GRACE_US_;
-		if (!is_due || ask->account_id != b->ask.account_id || ask->prompt_tokens != b->ask.prompt_tokens ||
-			ask->max_tokens != b->ask.max_tokens)
+		if (!is_due || ask->account_id != b->waiting.ask.account_id ||
+			ask->prompt_tokens != b->waiting.ask.prompt_tokens ||
+			ask->max_tokens != b->waiting.ask.max_tokens)
 			continue;
 		t->counters.returned++;
 		g_ptr_array_remove_index(t->bookings, i);
@@ -350,9 +355,9 @@
 	if (index >= t->bookings->len)
 		return false;
 	b = g_ptr_array_index(t->bookings, index);
-	*out = (BH__BookingInfo){.ask_id = b->ask.ask_id,
-							 .prompt_tokens = b->ask.prompt_tokens,
-							 .arrived_us = b->arrived_us,
+	*out = (BH__BookingInfo){.ask_id = b->waiting.ask.ask_id,
+							 .prompt_tokens = b->waiting.ask.prompt_tokens,
+							 .arrived_us = b->waiting.arrived_us,
 							 .start_us = b->is_away ? b->from_us : b->start_us,
 							 .is_away = b->is_away};
 	return true;
--- a/src/libbayhoist/include/private/booking.h
+++ b/src/libbayhoist/include/private/booking.h
@@ -21,6 +21,8 @@
 	bool has_returned; /* its caller has come back at a booked time */
 } BH__WaitingAsk;
 
+bool bh__waiting_ask_comes_before(const BH__WaitingAsk *a, const BH__WaitingAsk *b, const BH__EngineModel *m);
+
 typedef struct BH__BookingTable BH__BookingTable;
 
 BH__BookingTable *bh__booking_table_new(void);
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -12,7 +12,6 @@
 
 static BH__WaitingAsk *find_waiting_(const BH__Planner *p, uint64_t ask_id);
 static void enqueue_(BH__Planner *p, const BH__Ask *ask, bool has_returned, uint64_t now_us);
-static bool comes_before_(const BH__Planner *p, const BH__WaitingAsk *a, const BH__WaitingAsk *b);
 static bool try_place_(BH__Planner *p, const BH__Ask *ask, bool late, uint64_t arrived_us, uint64_t now_us);
 static bool refuse_if_hopeless_(BH__Planner *p, const BH__Ask *ask, uint64_t waited_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
@@ -81,20 +80,12 @@
 	w->ask = *ask;
 	w->arrived_us = now_us;
 	w->has_returned = has_returned;
-	while (at < p->waiting->len && !comes_before_(p, w, g_ptr_array_index(p->waiting, at)))
+	while (at < p->waiting->len &&
+		   !bh__waiting_ask_comes_before(w, g_ptr_array_index(p->waiting, at), &p->model))
 		at++;
 	g_ptr_array_insert(p->waiting, (gint)at, w);
 }
 
-/* Returns true if `a` is placed before `b`: the shorter prompt, but of long ones that of a caller who has
- * come back at a booked time. */
-static bool comes_before_(const BH__Planner *p, const BH__WaitingAsk *a, const BH__WaitingAsk *b)
-{
-	if (a->has_returned != b->has_returned && bh__planner_books(p, &a->ask) && bh__planner_books(p, &b->ask))
-		return a->has_returned;
-	return a->ask.prompt_tokens < b->ask.prompt_tokens;
-}
-
 /* Removes an ask from the queue, if it is there. */
 void bh__planner_process_withdraw(BH__Planner *p, uint64_t ask_id)
 {
