placement: one sum for the length of a grant's prompt

Cause: the parts of a grant's prompt were added up in three places, twice in the planner and once in the forecast of starts. Change: bh__grant_get_prompt_tokens(), called by all three. planner.c has six lines fewer.

--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -57,6 +57,7 @@
 						double idle_prefill_ms, uint64_t now_us, BH__Placement *out);
 bool bh__placement_find_min_cost(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask,
 								 uint64_t now_us, BH__Placement *out);
+uint64_t bh__grant_get_prompt_tokens(const BH__Grant *g);
 double bh__placement_utility(uint64_t prompt_tokens);
 bool bh__placement_is_tight(uint64_t event_gap_us);
 bool bh__iteration_engine_is_usable(const BH__IterationEngine *e, uint64_t now_us);
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -79,6 +79,16 @@
 static bool split_memory_(const Candidate_ *c, unsigned parts, uint64_t need_tokens, BH__Placement *out);
 static bool meets_target_(const BH__Ask *ask, const BH__Placement *p, uint64_t now_us);
 
+/* Returns the length of a grant's prompt, all of its parts together. */
+uint64_t bh__grant_get_prompt_tokens(const BH__Grant *g)
+{
+	uint64_t tokens = 0;
+
+	for (unsigned i = 0; i < g->member_count; i++)
+		tokens += g->member[i].token_count;
+	return tokens;
+}
+
 /* Returns the utility of an answer in time to a prompt of `prompt_tokens` tokens. The unit is arbitrary; the
  * utility of an answer to an empty prompt is 1. */
 double bh__placement_utility(uint64_t prompt_tokens)
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -277,11 +277,9 @@
 									 uint64_t first_event_target_us, uint64_t now_us)
 {
 	BH__PlacedRequest *r = g_new0(BH__PlacedRequest, 1);
-	uint64_t prompt_tokens = 0;
+	uint64_t prompt_tokens = bh__grant_get_prompt_tokens(g);
 	double part_ms;
 
-	for (unsigned i = 0; i < g->member_count; i++)
-		prompt_tokens += g->member[i].token_count;
 	part_ms = bh__engine_model_prefill_ms(&p->model, prompt_tokens, g->member_count) * prefill_left_share_(g);
 	r->grant = *g;
 	r->grant.age_us = 0;
@@ -330,11 +328,7 @@
 /* Returns true if the prompt of a grant is long. */
 static bool is_long_(const BH__Planner *p, const BH__PlacedRequest *r)
 {
-	uint64_t prompt_tokens = 0;
-
-	for (unsigned i = 0; i < r->grant.member_count; i++)
-		prompt_tokens += r->grant.member[i].token_count;
-	return bh__start_rules_is_long(&p->model, prompt_tokens, r->event_gap_us);
+	return bh__start_rules_is_long(&p->model, bh__grant_get_prompt_tokens(&r->grant), r->event_gap_us);
 }
 
 /* Removes a grant from the ledger and frees it. With `prefill_continues` its engines go on prefilling the
--- a/src/libbayhoist/start_forecast.c
+++ b/src/libbayhoist/start_forecast.c
@@ -113,12 +113,9 @@
 {
 	uint64_t first_event_us =
 		r->stream_started_us ? r->stream_started_us : r->granted_us + r->grant.expected_us;
-	uint64_t prompt_tokens = 0;
-	bool is_long;
+	uint64_t prompt_tokens = bh__grant_get_prompt_tokens(&r->grant);
+	bool is_long = bh__start_rules_is_long(f->model, prompt_tokens, r->event_gap_us);
 
-	for (unsigned i = 0; i < r->grant.member_count; i++)
-		prompt_tokens += r->grant.member[i].token_count;
-	is_long = bh__start_rules_is_long(f->model, prompt_tokens, r->event_gap_us);
 	for (unsigned i = 0; i < r->grant.member_count; i++) {
 		Event_ event = {.engine = g_hash_table_lookup(f->by_id, &r->grant.member[i].endpoint_id),
 						.request = r,
