gate: halls are counted when the membership changes, not at each tick

Cause: each tick built a hash table over all nodes to count the usable ones of each hall, though the numbers change only with the membership: at 360 nodes work for nothing at most ticks. Change: the count is made when the version of the membership has changed. It is raised by each change of a node's state or departure, on which alone a node's usability depends. The time saved was not measured.

--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -38,6 +38,7 @@
 	GHashTable *known;  /* hall -> Known */
 	uint64_t version;   /* of `state`, as applied */
 	uint64_t registry_version;
+	uint64_t members_version;
 	uint64_t lost_total; /* paths that were lost since the start */
 	uint64_t probes_total;
 	GRand *rand;
@@ -53,6 +54,7 @@
 static void on_end_(void *ctx, Channel *c, ChannelEnd end);
 static void finish_(Probe *probe, bool reached);
 static void send_reports_(HallPaths *p, uint64_t now_us);
+static void tell_halls_(HallPaths *p);
 static void process_change_(HallPaths *p, uint64_t now_us);
 static void note_change_(HallPaths *p, const BH__PathInfo *info, uint64_t now_us);
 static void withdraw_failures_(HallPaths *p, const char *hall);
@@ -281,9 +283,20 @@
 	return true;
 }
 
+/* Counts the usable nodes of each hall anew if the membership has changed. */
+static void tell_halls_(HallPaths *p)
+{
+	const BH__Members *m = cluster_get_members(p->gate->cluster);
+
+	if (p->members_version == bh__members_get_version(m))
+		return;
+	p->members_version = bh__members_get_version(m);
+	bh__members_tell_halls(m, p->state);
+}
+
 void hall_paths_process_tick(HallPaths *p, uint64_t now_us)
 {
-	bh__members_tell_halls(cluster_get_members(p->gate->cluster), p->state);
+	tell_halls_(p);
 	bh__hall_paths_process_tick(p->state, now_us);
 	make_probes_(p);
 	send_reports_(p, now_us);
