test: the share of first tries is counted in gate.sh

Cause: share() and at_least() stood in check-cut-links.sh and, with a wait before, in check-hall-paths.sh. That wait was dead: load() returns only when its callers have ended. Change: both stand in gate.sh. Aims and checks are as they were.

--- a/test/check-cut-links.sh
+++ b/test/check-cut-links.sh
@@ -10,17 +10,6 @@
 start_three_gates
 AIM=95 # in 100 first tries, from a second after the cut began
 
-share() { # FIRST GATEWAY...: of the requests of load() from one on that these gateways took, how many in 100 were served
-	local i total=0 served=0
-	for i in $(seq "$1" "$sent"); do
-		case " ${*:2} " in *" $((i % 3 + 1)) "*) ;; *) continue ;; esac
-		total=$((total + 2))
-		[ "$(status_of a $i)" = 200 ] && served=$((served + 1))
-		[ "$(status_of f $i)" = 200 ] && served=$((served + 1))
-	done
-	echo $((served * 100 / total))
-}
-at_least() { is "$1: $2 of 100, of which $3 are wanted" "$(($2 >= $3))" 1; }
 scheduler() { grep -h 'event=scheduler service=llm' "$RUN/gate1.log" | tail -n 1 | sed 's/.*node=gate\([0-9]\).*/\1/'; }
 
 load 2
--- a/test/check-hall-paths.sh
+++ b/test/check-hall-paths.sh
@@ -11,22 +11,6 @@
 settings_in_halls() { # N: as settings(), in a hall of its own, and reached by the others through the proxy
 	settings "$1" | sed "s/\"hall\":\"h1\"/\"hall\":\"h$1\"/;s/\"peer_address\":\"[^\"]*\"/\"peer_address\":\"$(address $((80 + $1)))\",\"peer_listen_address\":\"$(node "$1" 4)\"/;s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$(address 81)\",\"$(address 82)\",\"$(address 83)\"]/"
 }
-answered() { # FIRST: all requests of load() from one on have ended
-	local i
-	for i in $(seq "$1" "$sent"); do [ -s "$RUN/status.a$i" ] && [ -s "$RUN/status.f$i" ] || return 1; done
-}
-share() { # FIRST GATEWAY...: of the requests of load() from one on that these gateways took, how many in 100 were served
-	local i total=0 served=0
-	wait_for 30 answered "$1"
-	for i in $(seq "$1" "$sent"); do
-		case " ${*:2} " in *" $((i % 3 + 1)) "*) ;; *) continue ;; esac
-		total=$((total + 2))
-		[ "$(status_of a $i)" = 200 ] && served=$((served + 1))
-		[ "$(status_of f $i)" = 200 ] && served=$((served + 1))
-	done
-	echo $((served * 100 / total))
-}
-at_least() { is "$1: $2 of 100, of which $3 are wanted" "$(($2 >= $3))" 1; }
 in_hall() { case $1 in 1) echo "n1 e1 p1" ;; 2) echo "n2 e2" ;; 3) echo "n3 e3 p2" ;; esac; }
 set_path() { # MODE FROM TO: connections from one hall to another
 	local l
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -107,3 +107,14 @@
 	local i
 	for i in $(seq "$2" "$sent"); do status_of "$1" $i; done | sort | uniq -c | tr -s ' '
 }
+share() { # FIRST GATEWAY...: of the requests of load() from one on that these gateways took, how many in 100 were served
+	local i total=0 served=0
+	for i in $(seq "$1" "$sent"); do
+		case " ${*:2} " in *" $((i % 3 + 1)) "*) ;; *) continue ;; esac
+		total=$((total + 2))
+		[ "$(status_of a $i)" = 200 ] && served=$((served + 1))
+		[ "$(status_of f $i)" = 200 ] && served=$((served + 1))
+	done
+	echo $((served * 100 / total))
+}
+at_least() { is "$1: $2 of 100, of which $3 are wanted" "$(($2 >= $3))" 1; }
