test: one port without callbacks and one sample engine

Cause: four tests of the planner each had the callbacks of its port that do nothing, and two the same model of an engine. Change: NullPlannerPort, beside NullMembersPort, of which a test sets what it observes; sample_engine_init(). test_account_share keeps its own model, whose iterations cost the same at any load. Assertions are unchanged.

--- a/src/test_libbayhoist/test_account_share.c
+++ b/src/test_libbayhoist/test_account_share.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include "account_share.h"
 #include "bayhoist/planner.h"
+#include "null_planner_port.h"
 
 #define MS BH__MS_US
 #define TICK_US (10 * MS)
@@ -70,18 +71,6 @@
 	c->refused = true;
 }
 
-static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
-{
-	(void)port;
-	(void)ask;
-}
-
-static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
-{
-	(void)port;
-	(void)endpoint_id;
-}
-
 /* Gives the site a planner of the run `boot_id` that knows the engines and nothing else. */
 static void start_planner_(Site *s, uint64_t boot_id)
 {
@@ -103,8 +92,9 @@
 	m.step_ms = 1.3;
 	m.prefill_tokens_per_ms = 154;
 	m.per_megapair_ms = 0.16;
-	s->port = (BH__PlannerPort){
-		.grant = on_grant_, .refuse = on_refuse_, .queued = on_queued_, .inspect = on_inspect_};
+	s->port = NullPlannerPort;
+	s->port.grant = on_grant_;
+	s->port.refuse = on_refuse_;
 	s->model = m;
 	s->now_us = BH__SECOND_US;
 	start_planner_(s, 4);
--- a/src/test_libbayhoist/test_booking.c
+++ b/src/test_libbayhoist/test_booking.c
@@ -9,6 +9,8 @@
 #include <cmocka.h>
 #include <string.h>
 #include "bayhoist/planner.h"
+#include "null_planner_port.h"
+#include "sample_engine.h"
 
 #define MS BH__MS_US
 #define TICK_US (10 * MS)
@@ -103,24 +105,6 @@
 	c->return_us = s->now_us + MIN(retry_after_ms * MS, left_us / 3);
 }
 
-static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
-{
-	(void)port;
-	(void)ask;
-}
-
-static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g)
-{
-	(void)port;
-	(void)g;
-}
-
-static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
-{
-	(void)port;
-	(void)endpoint_id;
-}
-
 /* Gives the site a planner of the run `boot_id` that knows the engines and nothing else. */
 static void start_planner_(Site *s, uint64_t boot_id)
 {
@@ -135,20 +119,10 @@
 {
 	Site *s = g_new0(Site, 1);
 
-	s->port = (BH__PlannerPort){.grant = on_grant_,
-								.refuse = on_refuse_,
-								.queued = on_queued_,
-								.abandoned = on_abandoned_,
-								.inspect = on_inspect_};
-	bh__engine_model_init(&s->model);
-	s->model.slots = 12;
-	s->model.kv_tokens = 344000;
-	s->model.steps_per_iteration = 38;
-	s->model.step_ms = 1.3;
-	s->model.per_stream_ms = 0.001;
-	s->model.per_kilotoken_ms = 0.002;
-	s->model.prefill_tokens_per_ms = 154;
-	s->model.per_megapair_ms = 0.16;
+	s->port = NullPlannerPort;
+	s->port.grant = on_grant_;
+	s->port.refuse = on_refuse_;
+	sample_engine_init(&s->model);
 	s->engines = MAX((unsigned)(nodes * PER_ENGINE_NODES), 18);
 	s->callers = g_ptr_array_new_with_free_func(g_free);
 	s->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/src/test_libbayhoist/test_cold.c
+++ b/src/test_libbayhoist/test_cold.c
@@ -12,6 +12,7 @@
 #include "bayhoist/hash.h"
 #include "bayhoist/planner.h"
 #include "bayhoist/registry.h"
+#include "null_planner_port.h"
 
 #define COLD_RATE_PER_S 26.0 /* requests per second that a cold endpoint bears */
 #define OVERLOAD_FACTOR 1.5  /* an endpoint fails at this factor of the rate in any second */
@@ -139,32 +140,6 @@
 	(void)g;
 }
 
-static void on_refuse_(BH__PlannerPort *port, const BH__Ask *ask, BH__Reason reason, uint64_t retry_after_ms)
-{
-	(void)port;
-	(void)ask;
-	(void)reason;
-	(void)retry_after_ms;
-}
-
-static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
-{
-	(void)port;
-	(void)ask;
-}
-
-static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g)
-{
-	(void)port;
-	(void)g;
-}
-
-static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
-{
-	(void)port;
-	(void)endpoint_id;
-}
-
 /* Creates the planner of one node. Engines answer at once, so no other limit applies. `share` is the share of
  * the rate that the node grants; 0: the node does not schedule the service. */
 static Scheduler *scheduler_new_(GArray *arrivals, uint64_t boot_id, double share)
@@ -177,11 +152,8 @@
 	bh__engine_model_init(&m);
 	m.slots = 1000;
 	m.kv_tokens = 100 * 1000 * 1000;
-	s->port = (BH__PlannerPort){.grant = on_grant_,
-								.refuse = on_refuse_,
-								.queued = on_queued_,
-								.abandoned = on_abandoned_,
-								.inspect = on_inspect_};
+	s->port = NullPlannerPort;
+	s->port.grant = on_grant_;
 	s->arrivals = arrivals;
 	s->now_us = NOW_US;
 	s->planner = bh__planner_new(&s->port, 3, boot_id);
--- a/src/test_libbayhoist/test_engine_division.c
+++ b/src/test_libbayhoist/test_engine_division.c
@@ -12,6 +12,8 @@
 #include "bayhoist/ask_timeout.h"
 #include "bayhoist/planner.h"
 #include "engine_division.h"
+#include "null_planner_port.h"
+#include "sample_engine.h"
 
 #define MS BH__MS_US
 #define TURN_US (4 * BH__SECOND_US)
@@ -85,18 +87,6 @@
 	((Request *)g_ptr_array_index(((Run *)port)->requests, ask->ask_id - 1))->refused = true;
 }
 
-static void on_queued_(BH__PlannerPort *port, const BH__Ask *ask)
-{
-	(void)port;
-	(void)ask;
-}
-
-static void on_abandoned_(BH__PlannerPort *port, const BH__Grant *g)
-{
-	(void)port;
-	(void)g;
-}
-
 static void on_inspect_(BH__PlannerPort *port, uint64_t endpoint_id)
 {
 	bh__planner_process_slowdown(((Run *)port)->planner, endpoint_id, 1, ((Run *)port)->now_us);
@@ -269,20 +259,11 @@
 static void open_(Run *run, unsigned engines)
 {
 	run->engines = engines;
-	run->port = (BH__PlannerPort){.grant = on_grant_,
-								  .refuse = on_refuse_,
-								  .queued = on_queued_,
-								  .abandoned = on_abandoned_,
-								  .inspect = on_inspect_};
-	bh__engine_model_init(&run->model);
-	run->model.slots = 12;
-	run->model.kv_tokens = 344000;
-	run->model.steps_per_iteration = 38;
-	run->model.step_ms = 1.3;
-	run->model.per_stream_ms = 0.001;
-	run->model.per_kilotoken_ms = 0.002;
-	run->model.prefill_tokens_per_ms = 154;
-	run->model.per_megapair_ms = 0.16;
+	run->port = NullPlannerPort;
+	run->port.grant = on_grant_;
+	run->port.refuse = on_refuse_;
+	run->port.inspect = on_inspect_;
+	sample_engine_init(&run->model);
 	run->fleet = pass_fleet_new(&run->model, engines, on_first_, on_done_, run);
 	run->requests = g_ptr_array_new_with_free_func(g_free);
 	new_planner_(run);
