test: the set-up of starts and of a swap under way stands once

Cause: test_starts had the options of its 85 nodes twice, test_config the steps to a compare-and-swap under way twice. Change: fleet_new_85_() and begin_swap_(), of which both users now also check that the store is first read.

--- a/src/test_libbayhoist/test_config.c
+++ b/src/test_libbayhoist/test_config.c
@@ -66,6 +66,17 @@
 	bh__store_process_reply(store, &reply, 0);
 }
 
+/* Applies a good change and answers the calls before its compare-and-swap, which stays unanswered. */
+static void begin_swap_(BH__Config *c, BH__Store *store, const StubStore *s, Told *t)
+{
+	apply_(c, GOOD_CHANGE, t);
+	assert_int_equal(s->op, BH__STORE_GET);
+	answer_(store, s, BH__STORE_NOT_FOUND);
+	while (s->op == BH__STORE_PUT)
+		answer_(store, s, BH__STORE_OK);
+	assert_int_equal(s->op, BH__STORE_CAS);
+}
+
 static void malformed_changes_are_refused_before_the_store_is_asked_(void **state)
 {
 	static const char *const Changes[] = {"{}",
@@ -102,12 +113,7 @@
 	Told t;
 
 	(void)state;
-	apply_(c, GOOD_CHANGE, &t);
-	assert_int_equal(stub.op, BH__STORE_GET);
-	answer_(store, &stub, BH__STORE_NOT_FOUND);
-	while (stub.op == BH__STORE_PUT)
-		answer_(store, &stub, BH__STORE_OK);
-	assert_int_equal(stub.op, BH__STORE_CAS);
+	begin_swap_(c, store, &stub, &t);
 	bh__config_process_tick(c, DEADLINE_US);
 	assert_int_equal(t.count, 1);
 	assert_int_equal(t.status, BH__APPLY_UNKNOWN);
@@ -124,11 +130,7 @@
 	Told t;
 
 	(void)state;
-	apply_(c, GOOD_CHANGE, &t);
-	answer_(store, &stub, BH__STORE_NOT_FOUND);
-	while (stub.op == BH__STORE_PUT)
-		answer_(store, &stub, BH__STORE_OK);
-	assert_int_equal(stub.op, BH__STORE_CAS);
+	begin_swap_(c, store, &stub, &t);
 	bh__config_delete(c);
 	assert_int_equal(t.count, 1);
 	assert_int_equal(t.status, BH__APPLY_UNKNOWN);
--- a/src/test_libbayhoist/test_starts.c
+++ b/src/test_libbayhoist/test_starts.c
@@ -53,21 +53,26 @@
 	return served_us;
 }
 
+/* Returns 85 nodes in three halls that are about to start. */
+static Fleet *fleet_new_85_(uint32_t seed)
+{
+	return fleet_new(&(FleetOptions){.nodes = 85,
+									 .halls = 3,
+									 .endpoints = 120,
+									 .starts_alone = true,
+									 .page = 60,
+									 .entry_bytes = ENTRY_BYTES,
+									 .reads_per_s = 2000,
+									 .store_mbps = 1000,
+									 .node_mbps = 20,
+									 .seed = seed});
+}
+
 /* Starts 85 nodes while the store does not answer the first `cut` in rank to read for all. Returns as
  * play_(). */
 static uint64_t play_unanswered_(unsigned cut, uint32_t seed)
 {
-	FleetOptions o = {.nodes = 85,
-					  .halls = 3,
-					  .endpoints = 120,
-					  .starts_alone = true,
-					  .page = 60,
-					  .entry_bytes = ENTRY_BYTES,
-					  .reads_per_s = 2000,
-					  .store_mbps = 1000,
-					  .node_mbps = 20,
-					  .seed = seed};
-	Fleet *f = fleet_new(&o);
+	Fleet *f = fleet_new_85_(seed);
 	uint64_t served_us = UINT64_MAX;
 
 	fleet_set_store(f, 1000, FLEET_STORE_SILENT);
@@ -89,17 +94,7 @@
 {
 	(void)state;
 	for (uint32_t seed = 1; seed <= 3; seed++) {
-		FleetOptions o = {.nodes = 85,
-						  .halls = 3,
-						  .endpoints = 120,
-						  .starts_alone = true,
-						  .page = 60,
-						  .entry_bytes = ENTRY_BYTES,
-						  .reads_per_s = 2000,
-						  .store_mbps = 1000,
-						  .node_mbps = 20,
-						  .seed = seed};
-		Fleet *f = fleet_new(&o);
+		Fleet *f = fleet_new_85_(seed);
 		uint64_t back_us;
 		fleet_set_store(f, 0, FLEET_STORE_SILENT);
 		fleet_run(f, 3 * BH__SECOND_US);
