gate: the views for operators stand in one table

Cause: each of the six views had its own branch with the same three lines, and three of their functions took something else than the others. Change: a table of paths and functions, which all take the gate.

--- a/src/bayhoist-gate/cluster_status.c
+++ b/src/bayhoist-gate/cluster_status.c
@@ -47,14 +47,14 @@
 
 /* Returns how the engines of each service are divided between tight streams and long prompts, as this node
  * sees it. */
-struct json_object *cluster_describe_division(const Cluster *c)
+struct json_object *cluster_describe_division(const Gate *g)
 {
 	struct json_object *root = json_object_new_object();
 	struct json_object *list = json_object_new_array();
 	GHashTableIter it;
 	gpointer service;
 
-	g_hash_table_iter_init(&it, c->services);
+	g_hash_table_iter_init(&it, g->cluster->services);
 	while (g_hash_table_iter_next(&it, NULL, &service)) {
 		const Service *s = service;
 		struct json_object *o = json_object_new_object();
--- a/src/bayhoist-gate/crashes.c
+++ b/src/bayhoist-gate/crashes.c
@@ -320,8 +320,9 @@
 
 /* Returns this node's view of suspected and quarantined requests as JSON, for operators. The caller frees it
  * with json_object_put(). */
-struct json_object *crashes_describe(const Crashes *c)
+struct json_object *crashes_describe(const Gate *g)
 {
+	const Crashes *c = g->crashes;
 	struct json_object *root = json_object_new_object();
 	struct json_object *list = json_object_new_array();
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
--- a/src/bayhoist-gate/crashes.h
+++ b/src/bayhoist-gate/crashes.h
@@ -22,6 +22,6 @@
 bool crashes_release(Crashes *c, const BH__Fingerprint *f);
 void crashes_process_tick(Crashes *c, uint64_t now_us);
 void crashes_write_status(const Crashes *c, struct evbuffer *out);
-struct json_object *crashes_describe(const Crashes *c);
+struct json_object *crashes_describe(const Gate *g);
 
 #endif
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -239,7 +239,7 @@
 void cluster_notify_iteration(Cluster *c, Call *call, uint64_t iteration_us);
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint);
 void cluster_write_status(const Cluster *c, struct evbuffer *out);
-struct json_object *cluster_describe_division(const Cluster *c);
+struct json_object *cluster_describe_division(const Gate *g);
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
 
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -435,9 +435,10 @@
 
 /* Returns the state of this node's links, what it rests on, and the peers in use, as JSON for operators. The
  * caller frees it with json_object_put(). */
-struct json_object *links_describe(const Links *l)
+struct json_object *links_describe(const Gate *g)
 {
-	const BH__Members *m = cluster_get_members(l->gate->cluster);
+	const Links *l = g->links;
+	const BH__Members *m = cluster_get_members(g->cluster);
 	uint64_t now_us = clock_now_us();
 	struct json_object *root = json_object_new_object();
 	struct json_object *peers = json_object_new_array();
@@ -466,7 +467,7 @@
 		json_object_array_add(peers, o);
 	}
 	json_object_object_add(root, "requests_of_peers",
-						   json_object_new_int64(relay_server_get_count(l->gate->relay_server)));
+						   json_object_new_int64(relay_server_get_count(g->relay_server)));
 	json_object_object_add(root, "peers", peers);
 	json_object_object_add(root, "paths", hall_paths_describe(l->paths));
 	return root;
--- a/src/bayhoist-gate/links.h
+++ b/src/bayhoist-gate/links.h
@@ -39,6 +39,6 @@
 bool links_process_message(Links *l, const BH__Message *m);
 void links_process_tick(Links *l, uint64_t now_us);
 void links_write_status(const Links *l, struct evbuffer *out);
-struct json_object *links_describe(const Links *l);
+struct json_object *links_describe(const Gate *g);
 
 #endif
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -29,6 +29,14 @@
 static void write_histogram_(struct evbuffer *out, const char *name, const char *label,
 							 const BH__Histogram *h);
 
+/* What operators can read at the control address, as JSON. */
+static const struct {
+	const char *path;
+	struct json_object *(*describe)(const Gate *g);
+} Views_[] = {{"/quarantine", crashes_describe}, {"/endpoints", signals_describe},
+			  {"/links", links_describe},        {"/prefill", cluster_describe_division},
+			  {"/bookings", bookings_describe},  {"/halls", halls_describe}};
+
 static const char *const OutcomeString_[CALL_OUTCOME_COUNT] = {"served", "refused", "failed", "caller-gone"};
 
 /* Starts to listen on the directory, readiness and control addresses. Returns false if one of them can't be
@@ -117,29 +125,11 @@
 	Gate *g = arg;
 	struct evbuffer *out;
 
-	if (!strcmp(web_get_path(req), "/quarantine")) {
-		web_reply_json(req, 200, crashes_describe(g->crashes));
-		return;
-	}
-	if (!strcmp(web_get_path(req), "/endpoints")) {
-		web_reply_json(req, 200, signals_describe(g));
-		return;
-	}
-	if (!strcmp(web_get_path(req), "/links")) {
-		web_reply_json(req, 200, links_describe(g->links));
-		return;
-	}
-	if (!strcmp(web_get_path(req), "/prefill")) {
-		web_reply_json(req, 200, cluster_describe_division(g->cluster));
-		return;
-	}
-	if (!strcmp(web_get_path(req), "/bookings")) {
-		web_reply_json(req, 200, bookings_describe(g));
-		return;
-	}
-	if (!strcmp(web_get_path(req), "/halls")) {
-		web_reply_json(req, 200, halls_describe(g));
-		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(Views_); i++) {
+		if (!strcmp(web_get_path(req), Views_[i].path)) {
+			web_reply_json(req, 200, Views_[i].describe(g));
+			return;
+		}
 	}
 	if (!strcmp(web_get_path(req), "/quarantine/release")) {
 		release_request_(g, req);
@@ -170,7 +160,7 @@
 	else if (!crashes_release(g->crashes, &f))
 		web_reply_error(req, 404, NULL, "not-found", "this request is neither suspected nor held");
 	else
-		web_reply_json(req, 200, crashes_describe(g->crashes));
+		web_reply_json(req, 200, crashes_describe(g));
 	g_free(text);
 }
 
