registry: the last endpoints are looked at only if no other can be picked

Cause: while a hall drains, each pick searched the table once for each of its endpoints, to learn whether the service had a usable one: work in the path of every lookup for as long as the hall may be used. Change: a pick first looks at those that accept requests, and at the last ones only if there is none. The same endpoint is picked: while one accepts requests no last one is used. Measured, with 870 endpoints of ten services, a hall of ten draining, 20,000 picks of the last service: 55 us a pick before, 4.8 us after; 5.7 us without a drain.

--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -22,7 +22,19 @@
 const char *const BH__EndpointOutcomeString[] = {"served", "refused", "failed", "abandoned"};
 
 static bool is_tried_(const uint64_t *tried, unsigned count, uint64_t endpoint_id);
+/* What an endpoint is picked for; see bh__registry_pick(). */
+typedef struct {
+	const char *service;
+	const char *hall;
+	const uint64_t *tried;
+	unsigned tried_count;
+	bool again;
+	guint start; /* index in the table of the first endpoint to look at */
+} Search_;
+
 static double cost_(const BH__RegisteredEndpoint *e, const char *hall, uint64_t now_us);
+static BH__RegisteredEndpoint *find_cheapest_(const BH__Registry *r, const Search_ *s, bool with_last,
+											  uint64_t now_us);
 
 static bool is_tried_(const uint64_t *tried, unsigned count, uint64_t endpoint_id)
 {
@@ -54,19 +66,37 @@
 BH__RegisteredEndpoint *bh__registry_pick(BH__Registry *r, const char *service, const char *hall,
 										  const uint64_t *tried, unsigned tried_count, bool again,
 										  uint64_t now_us)
+{
+	Search_ s = {
+		.service = service, .hall = hall, .tried = tried, .tried_count = tried_count, .again = again};
+	BH__RegisteredEndpoint *best;
+
+	if (r->table->len)
+		s.start = (guint)g_rand_int_range(r->rand, 0, (gint32)r->table->len);
+	/* Whether a service has a usable endpoint is asked for each of the last ones: only if it may have none.
+	 */
+	best = find_cheapest_(r, &s, false, now_us);
+	return best ? best : find_cheapest_(r, &s, true, now_us);
+}
+
+/* Returns the endpoint with the lowest cost among those that accept requests, or `with_last` also among the
+ * last ones of the service. */
+static BH__RegisteredEndpoint *find_cheapest_(const BH__Registry *r, const Search_ *s, bool with_last,
+											  uint64_t now_us)
 {
 	BH__RegisteredEndpoint *best = NULL;
 	double best_cost = 0;
-	guint start = r->table->len ? (guint)g_rand_int_range(r->rand, 0, (gint32)r->table->len) : 0;
 
 	for (guint i = 0; i < r->table->len; i++) {
-		BH__RegisteredEndpoint *e = bh__registry_get(r, (start + i) % r->table->len);
-		bool was_tried = is_tried_(tried, tried_count, e->endpoint_id);
+		BH__RegisteredEndpoint *e = bh__registry_get(r, (s->start + i) % r->table->len);
+		bool was_tried = is_tried_(s->tried, s->tried_count, e->endpoint_id);
 		double cost;
-		if (strcmp(e->entry.service, service) != 0 || !bh__registry_may_send(r, e, now_us) ||
-			now_us < e->no_grant_until_us || (was_tried && !again))
+		if (strcmp(e->entry.service, s->service) != 0 || now_us < e->no_grant_until_us ||
+			(was_tried && !s->again) ||
+			!(with_last ? bh__registry_may_send(r, e, now_us)
+						: bh__registered_endpoint_accepts_requests(e, now_us)))
 			continue;
-		cost = cost_(e, hall, now_us) +
+		cost = cost_(e, s->hall, now_us) +
 			   (now_us < MAX(e->ejected_until_us, e->silence.until_us) ? EJECTED_COST_ : 0) +
 			   (was_tried ? TRIED_COST_ : 0);
 		if (!best || cost < best_cost) {
