--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -73,8 +73,7 @@
 
 	if (r->table->len)
 		s.start = (guint)g_rand_int_range(r->rand, 0, (gint32)r->table->len);
-	/* Whether a service has a usable endpoint is asked for each of the last ones: only if it may have none.
-	 */
+	/* For each of the last endpoints the whole table is searched for a usable one of the service. */
 	best = find_cheapest_(r, &s, false, now_us);
 	return best ? best : find_cheapest_(r, &s, true, now_us);
 }
