test: check-silence: the proxy ends a silence of exactly a second

Cause: the silence was ended by calls of the script, nine for three engines. Each takes 10 to 60 ms, so that the silence lasted for 1.1 to 1.5 s, and what was seen of it depended on the machine. TCP sends again 1.6 s after the first lost packet, so that these are different cases. Change: the proxy's mode "dark" takes a time. The check is as before.

--- a/test/check-silence.sh
+++ b/test/check-silence.sh
@@ -7,12 +7,11 @@
 start_site_behind_proxy
 FAILED=0
 start_three_gates
-SILENCE_S=1
-silence() { # ENDPOINT...: no packet of any gateway passes
+SILENCE_MS=1000
+silence() { # ENDPOINT...: no packet of any gateway passes; the proxy ends it, since calls from here take longer on a busy machine
 	local l n
-	for l in "$@"; do for n in 1 2 3; do set_link "${l#i-}" dark 0 "127.0.0.$((10 + n))"; done; done
-	sleep $SILENCE_S
-	for l in "$@"; do set_link "${l#i-}" pass; done
+	for l in "$@"; do for n in 1 2 3; do set_link "${l#i-}" dark $SILENCE_MS "127.0.0.$((10 + n))"; done; done
+	sleep 1.2
 }
 load 2
 round=0
--- a/test/platform/fault_proxy.c
+++ b/test/platform/fault_proxy.c
@@ -3,12 +3,16 @@
  *
  * usage: bh-fault-proxy --control IP:PORT --link NAME=LISTEN,TO...
  * GET /set?link=NAME&mode=MODE[&ms=N][&from=IP] on the control address sets a link's mode, for the
- * connections of all callers, or only for those from an address: pass    bytes go through as they come delay
- * they go through N ms later silent  nothing goes through, and nobody is told; what waits goes on when the
- * mode changes in      the same from callers only; the other way is open out     the same towards callers
- * only lost    connections that are open, and new ones, carry nothing any more, also when the mode has
- * changed reset   open connections are reset, and new ones as they come refuse  open connections live on, new
- * ones are reset as they come */
+ * connections of all callers, or only for those from an address:
+ * - pass: bytes go through as they come;
+ * - delay: they go through N ms later;
+ * - silent: nothing goes through, and nobody is told; what waits goes on when the mode changes;
+ * - in: the same from callers only; the other way is open;
+ * - out: the same towards callers only;
+ * - lost: connections that are open, and new ones, carry nothing any more, also when the mode has changed;
+ * - reset: open connections are reset, and new ones as they come;
+ * - refuse: open connections live on, new ones are reset as they come;
+ * - dark: the kernel drops the packets of callers, for N ms if given, and then passes them. */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -45,20 +49,23 @@
 static const char *const ModeString_[MODE_COUNT] = {"pass", "delay", "silent", "in",  "out",
 													"lost", "reset", "refuse", "dark"};
 
+typedef struct Link Link;
+
 typedef struct {
+	Link *link;
 	char ip[IP_LEN]; /* of callers; empty: any that has no mode of its own */
 	Mode mode;
 	unsigned delay_ms;
 } Source;
 
-typedef struct {
+struct Link {
 	char *name;
 	char *to;
 	evutil_socket_t listening;
 	Source source[SOURCES_MAX]; /* the first is for any caller */
 	unsigned sources;
 	GHashTable *pairs; /* set of Pair */
-} Link;
+};
 
 typedef struct Pair Pair;
 
@@ -101,6 +108,7 @@
 static void on_control_(struct evhttp_request *req, void *arg);
 static bool set_mode_(const char *name, const char *mode, const char *ms, const char *from);
 static Source *add_source_(Link *l, const char *ip);
+static void end_dark_(evutil_socket_t fd, short what, void *arg);
 static void apply_mode_(Link *l);
 static void drop_new_(const Link *l);
 static void drop_open_(const Pair *p, bool dark);
@@ -318,7 +326,12 @@
 			return false;
 		source->mode = (Mode)m;
 		source->delay_ms = ms ? (unsigned)strtoul(ms, NULL, 10) : 0;
+		source->link = l;
 		apply_mode_(l);
+		if (source->mode == MODE_DARK && source->delay_ms) {
+			struct timeval tv = {source->delay_ms / 1000, (suseconds_t)(source->delay_ms % 1000) * 1000};
+			event_base_once(Base_, -1, EV_TIMEOUT, end_dark_, source, &tv);
+		}
 		return true;
 	}
 	return false;
@@ -337,6 +350,19 @@
 	return &l->source[l->sources++];
 }
 
+/* Ends the mode MODE_DARK of a link that was given a time. */
+static void end_dark_(evutil_socket_t fd, short what, void *arg)
+{
+	Source *source = arg;
+
+	(void)fd;
+	(void)what;
+	if (source->mode != MODE_DARK)
+		return;
+	source->mode = MODE_PASS;
+	apply_mode_(source->link);
+}
+
 /* Lets what waits on a link's connections go on, or resets them, as their modes are now. */
 static void apply_mode_(Link *l)
 {
