test: cold endpoints are used up to their rate while requests wait

Cause: it was said that at most three quarters of what cold endpoints bear are used while requests wait; no test counted that. Change: test_cold asks for nine tenths, of a scheduler and of the home of a plain endpoint. It passes on the code as it stands. check-cold makes as many calls in its last step as its bound asks for, however slow the caller is.

--- a/src/test_libbayhoist/test_cold.c
+++ b/src/test_libbayhoist/test_cold.c
@@ -229,6 +229,50 @@
 	}
 }
 
+/* While requests wait, nine tenths of what a cold engine bears are used: a scheduler that stays gets four
+ * times as many asks as it may grant, each of which waits for at most 0.3 s. */
+static void waiting_requests_use_the_cold_rate_(void **state)
+{
+	GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	Scheduler *s = scheduler_new_(arrivals, 1, 1);
+
+	(void)state;
+	for (uint64_t us = NOW_US; us < NOW_US + COLD_US; us += STEP_US) {
+		guint previous_count = arrivals->len;
+		s->now_us = us;
+		bh__planner_process_tick(s->planner, us);
+		for (guint i = previous_count; i < arrivals->len; i++)
+			bh__planner_process_progress(s->planner, 0, us);
+		ask_(s, us);
+	}
+	print_message("%u grants in 6 s, at most %u in a second\n", arrivals->len, max_per_second_(arrivals));
+	assert_true(max_per_second_(arrivals) <= COLD_RATE_PER_S * OVERLOAD_FACTOR + OVERLOAD_BURST);
+	assert_true(arrivals->len >= COLD_RATE_PER_S * COLD_US / BH__SECOND_US * 0.9);
+	bh__planner_delete(s->planner);
+	g_free(s);
+	g_array_unref(arrivals);
+}
+
+/* The same for a plain endpoint, whose home reserves: of four callers that come for each place one waits. */
+static void reserved_requests_use_the_cold_rate_(void **state)
+{
+	BH__EndpointRate r = {0};
+	GArray *arrivals = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	(void)state;
+	bh__endpoint_rate_set_rate_share(&r, 1, NOW_US);
+	bh__endpoint_rate_set_limit(&r, BH__LIMIT_COLD, COLD_RATE_PER_S, NOW_US + COLD_US, NOW_US);
+	for (uint64_t us = NOW_US; us < NOW_US + COLD_US; us += STEP_US) {
+		uint64_t wait_us;
+		if (bh__endpoint_rate_reserve(&r, 100 * BH__MS_US, us, &wait_us) && us + wait_us < NOW_US + COLD_US)
+			record_arrival_(arrivals, us + wait_us);
+	}
+	print_message("%u permits in 6 s, at most %u in a second\n", arrivals->len, max_per_second_(arrivals));
+	assert_true(max_per_second_(arrivals) <= COLD_RATE_PER_S * OVERLOAD_FACTOR + OVERLOAD_BURST);
+	assert_true(arrivals->len >= COLD_RATE_PER_S * COLD_US / BH__SECOND_US * 0.9);
+	g_array_unref(arrivals);
+}
+
 /* Returns the number of endpoint changes that the registry lists since a revision. */
 static unsigned count_changes_(const BH__Registry *r, uint64_t since)
 {
@@ -299,6 +343,8 @@
 		cmocka_unit_test(cold_endpoint_is_not_overloaded_),
 		cmocka_unit_test(endpoint_cold_again_is_not_overloaded_),
 		cmocka_unit_test(takeover_does_not_overload_cold_endpoint_),
+		cmocka_unit_test(waiting_requests_use_the_cold_rate_),
+		cmocka_unit_test(reserved_requests_use_the_cold_rate_),
 		cmocka_unit_test(becoming_cold_is_a_change_),
 		cmocka_unit_test(becoming_warm_early_is_a_change_),
 	};
--- a/test/check-cold.sh
+++ b/test/check-cold.sh
@@ -13,9 +13,9 @@
 config 2 key1 | sed "s/{\"name\":\"llm\",/&\"cold-per-s\":$COLD_PER_S,/; s/{\"name\":\"web\"}/{\"name\":\"web\",\"cold-per-s\":$COLD_PER_S}/" >"$RUN/config"
 tell config -d "@$RUN/config"
 sleep 1
-load_one() { # SECONDS N: lookups and prompts at one gateway, twenty a second of each
+load_one() { # SECONDS N [LEAST]: lookups and prompts at one gateway, twenty a second of each, and so many at least
 	local until=$(($(date +%s%N) + $1 * 1000000000)) i=0
-	while [ "$(date +%s%N)" -lt $until ]; do
+	while [ "$(date +%s%N)" -lt $until ] || [ $i -lt "${3:-0}" ]; do
 		i=$((i + 1))
 		call "$2" /free/x "f$2-$i-$until" -o /dev/null >>"$RUN/statuses" &
 		ask "$2" /ask/x "a$2-$i-$until" -o /dev/null >>"$RUN/statuses" &
@@ -70,7 +70,7 @@
 sleep 1
 before="$(arrivals $engine) $(arrivals $plain)"
 : >"$RUN/statuses"
-(load_one 3 1) # one engine does not bear what three gateways bring
+(load_one 3 1 $((3 * MOST + 1))) # one engine does not bear what three gateways bring
 set -- $before
 is "warm again, they are used as before" "$(($(arrivals $engine) - $1 > 3 * MOST)) $(($(arrivals $plain) - $2 > 3 * MOST))" "1 1"
 is "and serve all" "$(grep -o '...' "$RUN/statuses" | sort -u)" 200
