gate: the membership stands beside the parts that use it

Change: the gateway's state holds it; the two functions that returned it are gone. Behaviour is unchanged.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -203,7 +203,7 @@
  * them have no third try. */
 static uint64_t retry_no_configuration_ms_(const Gate *g, uint64_t now_us)
 {
-	const BH__Members *m = cluster_get_members(g->cluster);
+	const BH__Members *m = g->members;
 	uint64_t unknown_ms = (now_us - MAX(g->routing_read_us, g->started_us)) / BH__MS_US;
 
 	for (unsigned i = 1; i < bh__members_get_count(m); i++) {
--- a/src/bayhoist-gate/call_ask.c
+++ b/src/bayhoist-gate/call_ask.c
@@ -15,8 +15,7 @@
 /* Returns the name of the node that was asked, or "unknown" if it is no member any more. */
 const char *call_scheduler_name(const Call *c)
 {
-	const BH__MemberInfo *info =
-		bh__members_find(cluster_get_members(c->gate->cluster), c->admission.asked_node);
+	const BH__MemberInfo *info = bh__members_find(c->gate->members, c->admission.asked_node);
 
 	return info ? info->name : "unknown";
 }
--- a/src/bayhoist-gate/call_refusal.c
+++ b/src/bayhoist-gate/call_refusal.c
@@ -76,7 +76,7 @@
  * node, otherwise the time until this one has exited. */
 uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us)
 {
-	const BH__Members *m = cluster_get_members(g->cluster);
+	const BH__Members *m = g->members;
 
 	for (unsigned i = 1; i < bh__members_get_count(m); i++)
 		if (bh__member_is_usable(bh__members_get(m, i)))
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -70,6 +70,7 @@
 	g_strlcpy(self.caller_address, g->settings.caller_address, sizeof self.caller_address);
 	self.capacity = capacity_(&g->settings);
 	c->members = bh__members_new(&c->port, &self, (uint32_t)g->boot_id);
+	g->members = c->members;
 	c->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, schedulers_free_service);
 	c->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->home_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -125,17 +126,6 @@
 	return bh__members_await(c->members, node_id, clock_now_us());
 }
 
-const BH__Members *cluster_get_members(const Cluster *c)
-{
-	return c->members;
-}
-
-/* Returns the membership for modules that attach data to its probes and therefore modify it. */
-BH__Members *cluster_get_mutable_members(Cluster *c)
-{
-	return c->members;
-}
-
 /* Returns the number of nodes that accept callers, this node included. It is at least 1. */
 unsigned cluster_count_nodes(const Cluster *c)
 {
--- a/src/bayhoist-gate/crashes.c
+++ b/src/bayhoist-gate/crashes.c
@@ -48,7 +48,7 @@
 	c->port = (BH__CrashPort){
 		.send = on_send_, .find_endpoint = on_find_endpoint_, .probe = on_probe_, .changed = on_changed_};
 	c->gate = g;
-	c->watch = bh__crash_watch_new(&c->port, cluster_get_mutable_members(g->cluster));
+	c->watch = bh__crash_watch_new(&c->port, g->members);
 	c->probes = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	c->unrecorded = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
 	c->timer = evtimer_new(g->base, on_timer_, c);
@@ -263,7 +263,7 @@
  * One node, chosen by fingerprint, writes each entry again. */
 void crashes_process_restore(Crashes *c)
 {
-	const BH__Members *m = cluster_get_members(c->gate->cluster);
+	const BH__Members *m = c->gate->members;
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(BH__QuarantineEntry));
 
 	bh__quarantine_list(bh__crash_watch_get_quarantine(c->watch), true, all);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -73,6 +73,7 @@
 	struct event_base *base;
 	void *binding;               /* state of the platform's binding */
 	Cluster *cluster;            /* membership, schedulers and messages between nodes */
+	BH__Members *members;        /* the cluster's membership */
 	PlatformSync *platform_sync; /* how this node shares the platform's state with other nodes */
 	Crashes *crashes;            /* crash reports and quarantine */
 	Links *links;                /* this node's own links to the endpoints */
@@ -228,8 +229,6 @@
 void cluster_apply_routing(Cluster *c, uint64_t now_us);
 void cluster_apply_registry(Cluster *c, uint64_t now_us);
 void cluster_apply_era(Cluster *c);
-const BH__Members *cluster_get_members(const Cluster *c);
-BH__Members *cluster_get_mutable_members(Cluster *c);
 unsigned cluster_count_nodes(const Cluster *c);
 void cluster_ask(Cluster *c, Call *call);
 void cluster_resend_ask(Cluster *c, Call *call);
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -68,7 +68,7 @@
 HallPaths *hall_paths_new(Gate *g)
 {
 	HallPaths *p = g_new0(HallPaths, 1);
-	BH__Members *members = cluster_get_mutable_members(g->cluster);
+	BH__Members *members = g->members;
 	const BH__MemberInfo *self = bh__members_get_self(members);
 
 	p->gate = g;
@@ -87,8 +87,8 @@
 
 	if (!p)
 		return;
-	if (p->gate->cluster)
-		bh__members_set_paths(cluster_get_mutable_members(p->gate->cluster), NULL);
+	if (p->gate->members)
+		bh__members_set_paths(p->gate->members, NULL);
 	all = g_hash_table_get_keys(p->probes);
 	for (GList *it = all; it; it = it->next) {
 		Probe *probe = it->data;
@@ -185,7 +185,7 @@
 static bool draw_node_(const HallPaths *p, const char *hall, BH__MemberState worst, uint64_t *target,
 					   const char **address)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 	unsigned count = bh__members_get_count(m);
 	unsigned start = (unsigned)g_rand_int_range(p->rand, 0, (gint32)count);
 
@@ -258,7 +258,7 @@
 /* Broadcasts the reports that are due. */
 static void send_reports_(HallPaths *p, uint64_t now_us)
 {
-	BH__Members *members = cluster_get_mutable_members(p->gate->cluster);
+	BH__Members *members = p->gate->members;
 	BH__Message m = {.type = BH__MESSAGE_HALL_PATHS};
 
 	while (bh__hall_paths_take_report(p->state, now_us, &m.as.hall_paths.report))
@@ -269,7 +269,7 @@
  * shows that its sender's hall is heard. */
 bool hall_paths_process_message(HallPaths *p, const BH__Message *m)
 {
-	BH__Members *members = cluster_get_mutable_members(p->gate->cluster);
+	BH__Members *members = p->gate->members;
 	const BH__MemberInfo *from = bh__members_find(members, m->from_node);
 	uint64_t now_us = clock_now_us();
 
@@ -286,7 +286,7 @@
 /* Counts the usable nodes of each hall anew if the membership has changed. */
 static void tell_halls_(HallPaths *p)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 
 	if (p->members_version == bh__members_get_version(m))
 		return;
@@ -317,7 +317,7 @@
 		bh__hall_paths_get_info(p->state, i, &info);
 		note_change_(p, &info, now_us);
 	}
-	bh__members_process_paths(cluster_get_mutable_members(p->gate->cluster));
+	bh__members_process_paths(p->gate->members);
 	apply_to_endpoints_(p, now_us);
 }
 
@@ -343,7 +343,7 @@
 
 static void withdraw_failures_(HallPaths *p, const char *hall)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 	const BH__MemberInfo *self = bh__members_get_self(m);
 
 	bh__registry_withdraw_failures(p->gate->registry);
@@ -358,7 +358,7 @@
  * when their requests end. */
 static void free_grants_(HallPaths *p, uint64_t now_us)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 
 	for (unsigned i = 0; i < bh__hall_paths_get_count(p->state); i++) {
 		BH__PathInfo info;
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -111,8 +111,7 @@
 	uint64_t now_us = clock_now_us();
 	BH__LinkEvidence e;
 
-	if (!links_are_cut(l) ||
-		bh__relay_peers_pick(l->peers, cluster_get_members(l->gate->cluster), NULL, 0, now_us))
+	if (!links_are_cut(l) || bh__relay_peers_pick(l->peers, l->gate->members, NULL, 0, now_us))
 		return 0;
 	bh__link_state_get_evidence(l->state, &e);
 	return CLAMP((now_us - MIN(now_us, e.since_us)) / BH__MS_US, RETRY_CUT_MIN_MS, RETRY_CUT_MAX_MS);
@@ -252,7 +251,7 @@
 const BH__MemberInfo *links_pick_peer(Links *l, uint64_t endpoint_id, const uint64_t *except,
 									  unsigned except_count)
 {
-	const BH__Members *m = cluster_get_members(l->gate->cluster);
+	const BH__Members *m = l->gate->members;
 	const BH__RegisteredEndpoint *e = bh__registry_find(l->gate->registry, endpoint_id);
 
 	return bh__members_find(m, bh__relay_peers_pick_for(l->peers, m, e ? e->entry.hall : NULL, except,
@@ -262,7 +261,7 @@
 /* Returns the name of a node, or "unknown" if it is no member any more. */
 const char *links_get_name(const Links *l, uint64_t node_id)
 {
-	const BH__MemberInfo *info = bh__members_find(cluster_get_members(l->gate->cluster), node_id);
+	const BH__MemberInfo *info = bh__members_find(l->gate->members, node_id);
 
 	return info ? info->name : "unknown";
 }
@@ -278,7 +277,7 @@
 /* Sets this node as the sender of a message that goes over a stream. */
 void links_fill_sender(const Links *l, BH__Message *m)
 {
-	const BH__MemberInfo *self = bh__members_get_self(cluster_get_members(l->gate->cluster));
+	const BH__MemberInfo *self = bh__members_get_self(l->gate->members);
 
 	m->from_node = self->node_id;
 	m->from_boot = self->boot_id;
@@ -287,7 +286,7 @@
 /* Sends the bytes in `data`, which are drained, over a stream, with this node as the sender. */
 void links_send_bytes(const Links *l, PeerStream *s, struct evbuffer *data)
 {
-	const BH__MemberInfo *self = bh__members_get_self(cluster_get_members(l->gate->cluster));
+	const BH__MemberInfo *self = bh__members_get_self(l->gate->members);
 
 	peer_stream_send_bytes(s, self->node_id, self->boot_id, data);
 }
@@ -358,7 +357,7 @@
 /* Takes back, on this node, what it has reported of endpoints. */
 static void withdraw_(Links *l)
 {
-	const BH__Members *m = cluster_get_members(l->gate->cluster);
+	const BH__Members *m = l->gate->members;
 
 	bh__registry_withdraw_failures(l->gate->registry);
 	cluster_withdraw_failures(l->gate->cluster, bh__members_get_self(m)->node_id);
@@ -367,7 +366,7 @@
 /* Tells all nodes whether this node's links are cut. */
 static void announce_(Links *l, uint64_t now_us)
 {
-	BH__Members *members = cluster_get_mutable_members(l->gate->cluster);
+	BH__Members *members = l->gate->members;
 	BH__Message m = {.type = BH__MESSAGE_LINKS};
 
 	l->announced_us = now_us;
@@ -386,7 +385,7 @@
 		return false;
 	bh__relay_peers_set_cut(l->peers, m->as.links.node_id, m->as.links.is_cut, clock_now_us());
 	cluster_withdraw_failures(l->gate->cluster, m->as.links.node_id);
-	bh__members_forward(cluster_get_mutable_members(l->gate->cluster), m);
+	bh__members_forward(l->gate->members, m);
 	return true;
 }
 
@@ -438,7 +437,7 @@
 struct json_object *links_describe(const Gate *g)
 {
 	const Links *l = g->links;
-	const BH__Members *m = cluster_get_members(g->cluster);
+	const BH__Members *m = g->members;
 	uint64_t now_us = clock_now_us();
 	struct json_object *root = json_object_new_object();
 	struct json_object *peers = json_object_new_array();
--- a/src/bayhoist-gate/platform_sync.c
+++ b/src/bayhoist-gate/platform_sync.c
@@ -55,7 +55,7 @@
 
 	p->port = Port_;
 	p->gate = g;
-	p->sync = bh__platform_sync_new(&p->port, &options, cluster_get_members(g->cluster), g->registry);
+	p->sync = bh__platform_sync_new(&p->port, &options, g->members, g->registry);
 	return p;
 }
 
@@ -155,10 +155,10 @@
 static void report_event_(BH__PlatformSyncPort *port, BH__PlatformSyncEvent event, uint64_t node_id)
 {
 	const Gate *g = gate_(port);
-	const BH__MemberInfo *info = bh__members_find(cluster_get_members(g->cluster), node_id);
+	const BH__MemberInfo *info = bh__members_find(g->members, node_id);
 
 	log_event("looks", "what=%s node=%s nodes=%u", BH__PlatformSyncEventString[event], info ? info->name : "",
-			  bh__members_get_count(cluster_get_members(g->cluster)));
+			  bh__members_get_count(g->members));
 }
 
 /* Writes, as metrics, the age and the store version of this node's endpoint table, for how long it has been
@@ -166,7 +166,7 @@
 void platform_sync_write_status(const PlatformSync *p, struct evbuffer *out)
 {
 	BH__PlatformSyncStatus s = bh__platform_sync_get_status(p->sync);
-	const BH__MemberInfo *info = bh__members_find(cluster_get_members(p->gate->cluster), s.source_node);
+	const BH__MemberInfo *info = bh__members_find(p->gate->members, s.source_node);
 	uint64_t now_us = clock_now_us();
 	const struct {
 		const char *name;
@@ -189,7 +189,7 @@
 static void report_received_(BH__PlatformSyncPort *port, const BH__Message *m, unsigned old_count)
 {
 	const Gate *g = gate_(port);
-	const BH__MemberInfo *info = bh__members_find(cluster_get_members(g->cluster), m->from_node);
+	const BH__MemberInfo *info = bh__members_find(g->members, m->from_node);
 	GString *names = g_string_new(NULL);
 	uint64_t now_us = clock_now_us();
 	char store_version[BH__STORE_VERSION_TEXT_LEN];
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -101,7 +101,7 @@
  * NULL. */
 unsigned web_list_caller_addresses(Gate *g, const char *hall, const char *out[], unsigned max)
 {
-	const BH__Members *m = cluster_get_members(g->cluster);
+	const BH__Members *m = g->members;
 	unsigned count = 0;
 
 	for (int only_hall = 1; only_hall >= 0; only_hall--) {
