gate: how an endpoint is reached is a layer of its own

Cause: links, paths of halls and relays called the schedulers, the signals and the cluster, which call them, and so all 26 files that take part in a request depended on each other. Change: outbound.c, its channels, answer_parser.c, links.c, link_probe.c, hall_paths.c and relay_server.c tell those above through a port of six callbacks (reach.h), which reach_port.c implements and main.c sets. What a scheduler logs of its engines stands in engine_log.c, which calls nothing. Log lines, metrics and views are unchanged.

--- a/src/bayhoist-gate/answer_parser.c
+++ b/src/bayhoist-gate/answer_parser.c
@@ -4,6 +4,7 @@
 
 #include <http_parser.h>
 #include <string.h>
+#include "reach.h"
 
 #define HEAD_MAX (32 * 1024) /* bytes of an answer before its body, interim answers included */
 
@@ -175,7 +176,7 @@
 		a->head.is_event_stream = true;
 	use = drop ? HEADER_DROP : a->gate->port->read_answer_header(&a->head.meta, a->name->str, a->value->str);
 	if (use == HEADER_UNKNOWN)
-		signals_note_unknown(a->gate, a->name->str);
+		a->gate->reach_port->unknown_header(a->gate->reach_port, a->name->str);
 	if (use != HEADER_DROP)
 		g_string_append_printf(a->head.headers, "%s: %s\r\n", a->name->str, a->value->str);
 	g_string_truncate(a->name, 0);
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -229,7 +229,7 @@
 		if (now_us >= ((Service *)value)->next_hold_us)
 			schedulers_send_holds(c, value, now_us);
 		schedulers_record_duty(value, now_us);
-		cluster_log_division(value, now_us);
+		engine_log_division(value, now_us);
 	}
 	cluster_drain_inbox(c);
 	cluster_schedule_waiting_tick(c);
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -59,10 +59,12 @@
 
 /* cluster.c */
 void cluster_drain_inbox(Cluster *c);
+void cluster_process_node_gone(Cluster *c, uint64_t node_id);
 void cluster_schedule_waiting_tick(Cluster *c);
 
-/* cluster_status.c */
-void cluster_log_division(const Service *s, uint64_t now_us);
+/* engine_log.c */
+void engine_log_failure(const Cluster *c, const Service *s, const BH__Message *m, uint64_t now_us);
+void engine_log_division(const Service *s, uint64_t now_us);
 
 /* schedulers.c */
 Service *schedulers_find(const Cluster *c, uint64_t pool_id);
@@ -80,9 +82,6 @@
 void schedulers_process_refusal(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us);
 
-/* engine_failures.c */
-void engine_failures_log(const Cluster *c, const Service *s, const BH__Message *m, uint64_t now_us);
-
 /* signals.c */
 Signals *signals_new(Cluster *c);
 void signals_delete(Signals *s);
--- a/src/bayhoist-gate/cluster_status.c
+++ b/src/bayhoist-gate/cluster_status.c
@@ -3,7 +3,6 @@
  */
 #include "clock.h"
 #include "cluster_internal.h"
-#include "log.h"
 
 static void write_planner_(const Service *s, struct evbuffer *out);
 static void write_engine_(const Service *s, const BH__PlannerEngine *e, uint64_t now_us,
@@ -33,18 +32,6 @@
 		write_planner_(service, out);
 }
 
-/* Logs how the engines of a service are divided, if that has changed much and this node schedules it. */
-void cluster_log_division(const Service *s, uint64_t now_us)
-{
-	BH__PlannerDivision d;
-
-	if (!s->scheduling_since_us || !bh__planner_take_division_change(s->planner, now_us))
-		return;
-	bh__planner_get_division(s->planner, &d);
-	log_event("prefill", "service=%s engines=%u set_aside=%u reading=%u tight=%u", s->service, d.engines,
-			  d.reserved, d.helping, d.tight);
-}
-
 /* Returns how the engines of each service are divided between tight streams and long prompts, as this node
  * sees it. */
 struct json_object *cluster_describe_division(const Gate *g)
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -31,6 +31,7 @@
 typedef struct Cluster Cluster;
 typedef struct PlatformSync PlatformSync;
 typedef struct Crashes Crashes;
+typedef struct ReachPort ReachPort;
 typedef struct Links Links;
 typedef struct RelayServer RelayServer;
 
@@ -76,6 +77,7 @@
 	BH__Members *members;        /* the cluster's membership */
 	PlatformSync *platform_sync; /* how this node shares the platform's state with other nodes */
 	Crashes *crashes;            /* crash reports and quarantine */
+	ReachPort *reach_port;       /* what links and relays tell of endpoints, see reach.h */
 	Links *links;                /* this node's own links to the endpoints */
 	RelayServer *relay_server;   /* requests that peers send through this node */
 	BH__Routing *routing;        /* configuration in use; NULL: none yet */
@@ -242,10 +244,9 @@
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
 
-/* engine_failures.c */
-void cluster_report_failure(Cluster *c, const char *service, uint64_t endpoint_id);
-void cluster_withdraw_failures(Cluster *c, uint64_t node_id);
-void cluster_process_node_gone(Cluster *c, uint64_t node_id);
+/* reach_port.c */
+ReachPort *reach_port_new(Gate *g);
+void reach_port_delete(ReachPort *port);
 
 /* signals.c */
 
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "links.h"
 #include "log.h"
+#include "reach.h"
 
 #define PROBES_MAX 16     /* at the same time */
 #define ENDPOINT_PROBES 3 /* one in so many probes goes to an endpoint */
@@ -350,7 +351,7 @@
 	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
 		const BH__MemberInfo *info = bh__members_get(m, i);
 		if (!strcmp(info->hall, hall) || !strcmp(info->hall, self->hall))
-			cluster_withdraw_failures(p->gate->cluster, info->node_id);
+			p->gate->reach_port->withdraw(p->gate->reach_port, info->node_id);
 	}
 }
 
@@ -369,7 +370,7 @@
 		g_hash_table_replace(p->known, g_strdup(info.hall), GINT_TO_POINTER(KNOWN_GONE));
 		for (unsigned j = 1; j < bh__members_get_count(m); j++)
 			if (!strcmp(bh__members_get(m, j)->hall, info.hall))
-				cluster_process_node_gone(p->gate->cluster, bh__members_get(m, j)->node_id);
+				p->gate->reach_port->node_gone(p->gate->reach_port, bh__members_get(m, j)->node_id);
 	}
 }
 
@@ -388,7 +389,7 @@
 	}
 	p->registry_version = bh__registry_get_version(r);
 	if (changed)
-		cluster_apply_registry(p->gate->cluster, now_us);
+		p->gate->reach_port->changed(p->gate->reach_port, now_us);
 }
 
 /* Writes the paths as metrics. */
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -8,6 +8,7 @@
 #include "hall_paths.h"
 #include "link_probe.h"
 #include "log.h"
+#include "reach.h"
 #include "relay_server.h"
 
 /* A cut is announced again after this time, for nodes that missed it or have just started. */
@@ -198,7 +199,7 @@
 	if (g_hash_table_contains(l->probes, &endpoint_id))
 		g_array_append_val(l->reports, report);
 	else
-		cluster_report_failure(l->gate->cluster, service, endpoint_id);
+		l->gate->reach_port->failed(l->gate->reach_port, service, endpoint_id);
 }
 
 static void start_probe_(Links *l, uint64_t endpoint_id, bool with_peer)
@@ -242,7 +243,7 @@
 			continue;
 		g_array_remove_index_fast(l->reports, i);
 		if (!is_own_fault)
-			cluster_report_failure(l->gate->cluster, report.service, endpoint_id);
+			l->gate->reach_port->failed(l->gate->reach_port, report.service, endpoint_id);
 	}
 }
 
@@ -360,7 +361,7 @@
 	const BH__Members *m = l->gate->members;
 
 	bh__registry_withdraw_failures(l->gate->registry);
-	cluster_withdraw_failures(l->gate->cluster, bh__members_get_self(m)->node_id);
+	l->gate->reach_port->withdraw(l->gate->reach_port, bh__members_get_self(m)->node_id);
 }
 
 /* Tells all nodes whether this node's links are cut. */
@@ -384,7 +385,7 @@
 	if (m->type != BH__MESSAGE_LINKS)
 		return false;
 	bh__relay_peers_set_cut(l->peers, m->as.links.node_id, m->as.links.is_cut, clock_now_us());
-	cluster_withdraw_failures(l->gate->cluster, m->as.links.node_id);
+	l->gate->reach_port->withdraw(l->gate->reach_port, m->as.links.node_id);
 	bh__members_forward(l->gate->members, m);
 	return true;
 }
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -109,6 +109,7 @@
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
 	started = cluster_start(g);
 	g->platform_sync = platform_sync_new(g);
+	g->reach_port = reach_port_new(g);
 	g->links = links_new(g);
 	g->relay_server = relay_server_new(g);
 	g->crashes = crashes_new(g);
@@ -393,6 +394,7 @@
 	relay_server_delete(g->relay_server);
 	crashes_delete(g->crashes);
 	links_delete(g->links);
+	reach_port_delete(g->reach_port);
 	cluster_free(g->cluster);
 	platform_sync_delete(g->platform_sync);
 	event_base_loop(g->base, EVLOOP_NONBLOCK); /* runs the deferred frees of closed connections */
--- /dev/null
+++ b/src/bayhoist-gate/reach_port.c
@@ -0,0 +1,100 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What the cooperation of the nodes does about that which the layer below tells of endpoints and of the ways
+ * to them (reach.h). */
+#include "reach.h"
+
+#include "clock.h"
+#include "cluster_internal.h"
+
+typedef struct {
+	ReachPort port; /* first member: callbacks cast it to the enclosing structure */
+	Gate *gate;
+} GateReach;
+
+static void on_failed_(ReachPort *port, const char *service, uint64_t endpoint_id);
+static void on_withdraw_(ReachPort *port, uint64_t node_id);
+static void on_node_gone_(ReachPort *port, uint64_t node_id);
+static void on_changed_(ReachPort *port, uint64_t now_us);
+static void on_answered_(ReachPort *port, const AnswerOrigin *o, const AnswerMeta *m);
+static void on_unknown_header_(ReachPort *port, const char *header);
+
+static const ReachPort Port_ = {.failed = on_failed_,
+								.withdraw = on_withdraw_,
+								.node_gone = on_node_gone_,
+								.changed = on_changed_,
+								.answered = on_answered_,
+								.unknown_header = on_unknown_header_};
+
+/* Returns the port; the cluster must have been started. */
+ReachPort *reach_port_new(Gate *g)
+{
+	GateReach *b = g_new0(GateReach, 1);
+
+	b->port = Port_;
+	b->gate = g;
+	return &b->port;
+}
+
+/* Frees a port, which may be NULL. */
+void reach_port_delete(ReachPort *port)
+{
+	g_free(port);
+}
+
+static Cluster *cluster_(ReachPort *port)
+{
+	return ((GateReach *)port)->gate->cluster;
+}
+
+/* Reports a failure of an engine to this node's own planner and to the scheduler. */
+static void on_failed_(ReachPort *port, const char *service, uint64_t endpoint_id)
+{
+	Cluster *c = cluster_(port);
+	const Service *s = g_hash_table_lookup(c->services, service);
+	uint64_t self = bh__members_get_self(c->members)->node_id;
+	BH__Message m = {.type = BH__MESSAGE_RELEASE};
+
+	if (!s)
+		return;
+	m.as.release.pool_id = bh__planner_get_id(s->planner);
+	m.as.release.kind = BH__RELEASE_FAILED;
+	m.as.release.failed_endpoint = endpoint_id;
+	cluster_send(c, self, &m);
+	if (s->scheduler != self)
+		cluster_send(c, s->scheduler, &m);
+	cluster_drain_inbox(c);
+}
+
+/* Takes back, in all planners, the failures that a node has reported. */
+static void on_withdraw_(ReachPort *port, uint64_t node_id)
+{
+	Cluster *c = cluster_(port);
+	GHashTableIter it;
+	gpointer service;
+
+	g_hash_table_iter_init(&it, c->services);
+	while (g_hash_table_iter_next(&it, NULL, &service))
+		bh__planner_withdraw_failures(((Service *)service)->planner, node_id, clock_now_us());
+	cluster_drain_inbox(c);
+}
+
+static void on_node_gone_(ReachPort *port, uint64_t node_id)
+{
+	cluster_process_node_gone(cluster_(port), node_id);
+}
+
+/* Has the planners use the endpoints to which there is a way, and no others. */
+static void on_changed_(ReachPort *port, uint64_t now_us)
+{
+	cluster_apply_registry(cluster_(port), now_us);
+}
+
+static void on_answered_(ReachPort *port, const AnswerOrigin *o, const AnswerMeta *m)
+{
+	signals_note_answer(((GateReach *)port)->gate, o, m);
+}
+
+static void on_unknown_header_(ReachPort *port, const char *header)
+{
+	signals_note_unknown(((GateReach *)port)->gate, header);
+}
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -486,7 +486,7 @@
 										now_us);
 		bh__planner_process_release(s->planner, m->as.release.grant_id, m->as.release.kind,
 									m->as.release.failed_endpoint, now_us);
-		engine_failures_log(c, s, m, now_us);
+		engine_log_failure(c, s, m, now_us);
 	}
 	else if (m->type == BH__MESSAGE_ITERATION)
 		bh__planner_process_iteration(s->planner, m->as.release.grant_id, m->as.release.iteration_us, now_us);
