gate: main.c is called by nobody

Cause: the state that the parts share (configuration, endpoints, duties, readiness) stood in main.c, so that start, signals and the servers for operators belonged to the circle of files that call each other. Change: that state is gate.c; main.c keeps start, reload and stop.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -108,7 +108,7 @@
 	uint64_t stop_at_us;              /* when the node exits at the latest; valid if it is leaving */
 };
 
-/* main.c */
+/* gate.c */
 bool gate_is_ready(const Gate *g, uint64_t now_us);
 bool gate_has_endpoints(const Gate *g);
 bool gate_trusts_keys(const Gate *g, uint64_t now_us);
