gate: what operators are told of endpoints stands apart from their signals

Cause: last_endpoints.c, which calls enter, called signals.c for the word that names an endpoint's state, and so joined the circle of files. Change: that word and the view /endpoints are endpoints.c; the functions moved as they were.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -261,11 +261,13 @@
 	const char *request_id; /* for the log */
 } AnswerOrigin;
 
-const char *signals_get_state(const BH__RegisteredEndpoint *e, uint64_t now_us);
 void signals_note_answer(Gate *g, const AnswerOrigin *o, const AnswerMeta *m);
 void signals_note_unknown(Gate *g, const char *header);
 void signals_write_status(const Gate *g, struct evbuffer *out);
-struct json_object *signals_describe(const Gate *g);
+
+/* endpoints.c */
+const char *endpoints_get_state(const BH__RegisteredEndpoint *e, uint64_t now_us);
+struct json_object *endpoints_describe(const Gate *g);
 
 /* limits.c */
 void cluster_ask_permit(Cluster *c, Call *call, const BH__RegisteredEndpoint *e, uint64_t max_wait_us);
--- a/src/bayhoist-gate/last_endpoints.c
+++ b/src/bayhoist-gate/last_endpoints.c
@@ -30,7 +30,7 @@
 	until_us = bh__last_endpoints_get_until_us(g->registry, e);
 	log_event("last-endpoint",
 			  "service=%s endpoint=%s state=%s left_ms=%" G_GUINT64_FORMAT " sendings=%" G_GUINT64_FORMAT,
-			  e->entry.service, e->entry.id, signals_get_state(e, now_us),
+			  e->entry.service, e->entry.id, endpoints_get_state(e, now_us),
 			  (until_us - MIN(until_us, now_us)) / BH__MS_US, g->counters.last_endpoint_dispatches);
 }
 
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -33,7 +33,7 @@
 static const struct {
 	const char *path;
 	struct json_object *(*describe)(const Gate *g);
-} Views_[] = {{"/quarantine", crashes_describe}, {"/endpoints", signals_describe},
+} Views_[] = {{"/quarantine", crashes_describe}, {"/endpoints", endpoints_describe},
 			  {"/links", links_describe},        {"/prefill", cluster_describe_division},
 			  {"/bookings", bookings_describe},  {"/halls", halls_describe}};
 
