call: the times of a route are a file of their own

Cause: silences.c, which calls enter to pick an endpoint, called call.c for the time that an answer rarely exceeds.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -32,12 +32,7 @@
  * these bounds. */
 #define RETRY_DRAIN_MIN_MS 1000
 #define RETRY_DRAIN_MAX_MS 10000
-#define BYTES_PER_TOKEN 4          /* estimate for a prompt whose token count the caller doesn't give */
-#define DEFAULT_ANSWER_TOKENS 1000 /* longest answer assumed if the caller gives no maximum */
-/* A token takes up to this many decode steps while the engine prefills other prompts. */
-#define GENERATE_FACTOR 2
-#define ESTIMATE_FACTOR 2         /* an answer is up to this many times as long as the caller estimates */
-#define ESTIMATE_EXTRA_TOKENS 200 /* and up to this many tokens longer in addition */
+#define BYTES_PER_TOKEN 4 /* estimate for a prompt whose token count the caller doesn't give */
 
 static const char *const StateString_[] = {"starting", "asking",    "reserving",
 										   "permit",   "suspected", "sending"};
@@ -47,11 +42,6 @@
 static BH__Fingerprint fingerprint_(const Call *c);
 static uint64_t retry_no_configuration_ms_(const Gate *g, uint64_t now_us);
 static uint64_t retry_no_endpoint_ms_(const Call *c);
-static RouteTimes *route_times_(const Call *c);
-static BH__AnswerTime *answer_time_(const Call *c);
-static uint64_t answer_tokens_(const Call *c);
-static double generate_ms_(const Call *c);
-static uint64_t expected_answer_us_(const Call *c);
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message);
 static void find_endpoint_(Call *c);
 static void abandon_no_endpoint_(Call *c);
@@ -168,7 +158,7 @@
 		time_us = r->meta.time_left_us;
 	bh__retry_state_init(&c->retry, c->rule, r->arrived_us + time_us);
 	if (r->meta.time_left_us)
-		c->waited_before_us = bh__caller_time_record(&route_times_(c)->caller, r->meta.time_left_us);
+		c->waited_before_us = call_record_caller_time(c);
 	c->fingerprint = fingerprint_(c);
 	bh__fingerprint_write(&c->fingerprint, fingerprint);
 	log_event(
@@ -229,50 +219,6 @@
 	return CLAMP((now_us - since_us) / BH__MS_US, RETRY_DRAIN_MIN_MS, RETRY_DRAIN_MAX_MS);
 }
 
-/* Returns the observed times of the request's route; creates the record for a new route. */
-static RouteTimes *route_times_(const Call *c)
-{
-	GHashTable *all = c->gate->route_times;
-	RouteTimes *t = g_hash_table_lookup(all, c->rule->name);
-
-	if (t)
-		return t;
-	t = g_new0(RouteTimes, 1);
-	bh__caller_time_init(&t->caller, c->rule->timeout_ms * BH__MS_US);
-	g_hash_table_insert(all, g_strdup(c->rule->name), t);
-	return t;
-}
-
-/* Returns the observed times from dispatch to end of answers, for the request's route and size of prompt. */
-static BH__AnswerTime *answer_time_(const Call *c)
-{
-	return &route_times_(c)->answer[bh__size_class(c->request->meta.prompt_tokens)];
-}
-
-/* Returns an upper bound of the answer's length in tokens, by the caller's maximum and estimate. */
-static uint64_t answer_tokens_(const Call *c)
-{
-	const RequestMeta *m = &c->request->meta;
-	uint64_t max_tokens = m->max_tokens ? m->max_tokens : DEFAULT_ANSWER_TOKENS;
-
-	return m->likely_tokens ? MIN(max_tokens, m->likely_tokens * ESTIMATE_FACTOR + ESTIMATE_EXTRA_TOKENS)
-							: max_tokens;
-}
-
-/* Returns how long an idle engine takes to generate an answer of answer_tokens_() tokens, in milliseconds; 0
- * for other endpoints. */
-static double generate_ms_(const Call *c)
-{
-	return c->service->is_engine ? (double)answer_tokens_(c) * c->service->engine.step_ms : 0;
-}
-
-/* Returns the expected time from dispatch to the end of the answer, in microseconds: the time to the
- * first-token target plus the time to generate the answer. At least 1. */
-static uint64_t expected_answer_us_(const Call *c)
-{
-	return (uint64_t)MAX(((double)c->rule->target_ms + generate_ms_(c)) * BH__MS_US, 1);
-}
-
 /* Refuses a request that has not run with an answer of the gateway's own, and frees the call.
  * `retry_after_ms` 0: no retry is suggested. */
 static void refuse_(Call *c, int status, uint64_t retry_after_ms, const char *code, const char *message)
@@ -388,19 +334,6 @@
 		dispatch_start(c, endpoint_id);
 }
 
-/* Returns a time from dispatch to end, in microseconds, that the answer rarely exceeds: by the answers that
- * this node has observed, or, if there are none, by the time after which an endpoint counts as unresponsive
- * plus the time that its engine takes for as many tokens as the caller allows. */
-uint64_t call_longest_answer_us(const Call *c)
-{
-	uint64_t seen_us = bh__answer_time_get_upper_bound_us(answer_time_(c), expected_answer_us_(c));
-
-	if (seen_us)
-		return seen_us;
-	return bh__response_max_wait_us(c->rule, c->service->is_engine, false) +
-		   (uint64_t)(generate_ms_(c) * GENERATE_FACTOR) * BH__MS_US;
-}
-
 /* Ends the calls of a request that has just been quarantined, except those whose answer has begun. Closing a
  * connection spares an endpoint that has not begun to run the request a crash, since endpoints drop a request
  * whose connection is closed. */
@@ -458,7 +391,7 @@
 
 	memset(a, 0, sizeof *a);
 	a->prompt_tokens = m->prompt_tokens ? m->prompt_tokens : c->request->body->len / BYTES_PER_TOKEN + 1;
-	a->max_tokens = answer_tokens_(c);
+	a->max_tokens = call_get_answer_tokens(c);
 	a->deadline_us = c->retry.deadline_us - now_us;
 	a->first_event_us = target_us - before_us > now_us ? target_us - before_us - now_us : 1;
 	a->event_gap_us = c->rule->event_gap_ms * BH__MS_US;
@@ -691,7 +624,7 @@
 	g->counters.outcomes[outcome]++;
 	if (outcome == CALL_SERVED) {
 		bh__histogram_add(&g->counters.whole, now_us - c->request->arrived_us);
-		bh__answer_time_record(answer_time_(c), now_us - c->sent_us, expected_answer_us_(c));
+		call_record_answer_time(c, now_us - c->sent_us);
 	}
 	log_event("end",
 			  "request=%s route=%s outcome=%s status=%d state=%s sendings=%u may_have_run=%s "
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -1,5 +1,5 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
-/* The state of one caller's request, shared by call.c and dispatch.c. */
+/* The state of one caller's request, shared by the files of calls. */
 #ifndef BAYHOIST_CALL_INTERNAL_H
 #define BAYHOIST_CALL_INTERNAL_H
 
@@ -64,9 +64,13 @@
 bool call_endpoint_is_usable(const Call *c, uint64_t endpoint_id);
 void call_act(Call *c, BH__NextAction next);
 void call_set_timer(Call *c, uint64_t now_us);
+void call_abandon(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 
+/* call_times.c */
+uint64_t call_record_caller_time(const Call *c);
+void call_record_answer_time(const Call *c, uint64_t took_us);
+uint64_t call_get_answer_tokens(const Call *c);
 uint64_t call_longest_answer_us(const Call *c);
-void call_abandon(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
 
 /* silences.c */
 BH__RegisteredEndpoint *silences_pick_endpoint(const Call *c, uint64_t now_us);
