gate: the decisions of platform sync stand beside the parts that use them

Cause: cluster.c and gate.c called platform_sync.c only for an object of the library that they use by itself then, as with the membership. Change: the gateway's state holds it; the function that returned it is gone.

--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -215,7 +215,7 @@
 	set_ready_(c, gate_is_ready(c->gate, now_us));
 	bh__members_process_tick(c->members, now_us);
 	log_members_(c);
-	bh__platform_sync_process_tick(platform_sync_get(c->gate->platform_sync), now_us);
+	bh__platform_sync_process_tick(c->gate->sync, now_us);
 	gate_note_registry(c->gate, 0);
 	crashes_process_tick(c->gate->crashes, now_us);
 	links_process_tick(c->gate->links, now_us);
@@ -367,13 +367,13 @@
 		schedulers_process_hold(c, m, now_us);
 		break;
 	case BH__MESSAGE_SYNC_ASK:
-		bh__platform_sync_process_ask(platform_sync_get(c->gate->platform_sync), m, now_us);
+		bh__platform_sync_process_ask(c->gate->sync, m, now_us);
 		break;
 	case BH__MESSAGE_SYNC:
-		bh__platform_sync_process_answer(platform_sync_get(c->gate->platform_sync), m, now_us);
+		bh__platform_sync_process_answer(c->gate->sync, m, now_us);
 		break;
 	case BH__MESSAGE_READER:
-		bh__platform_sync_process_reader(platform_sync_get(c->gate->platform_sync), m, now_us);
+		bh__platform_sync_process_reader(c->gate->sync, m, now_us);
 		break;
 	default:
 		break;
--- a/src/bayhoist-gate/gate.c
+++ b/src/bayhoist-gate/gate.c
@@ -48,7 +48,7 @@
 		cluster_apply_routing(g->cluster, clock_now_us());
 	}
 	gate_note_platform_read(g, platform_read_us);
-	bh__platform_sync_process_update(platform_sync_get(g->platform_sync), clock_now_us());
+	bh__platform_sync_process_update(g->sync, clock_now_us());
 }
 
 /* Records that the platform read begun at `platform_read_us` has found no configuration: operators have not
@@ -117,9 +117,8 @@
 void gate_note_registry(Gate *g, uint64_t platform_read_us)
 {
 	if (platform_read_us)
-		bh__platform_sync_note_read_answered(platform_sync_get(g->platform_sync), platform_read_us,
-											 clock_now_us());
-	if (bh__platform_sync_get_as_of_us(platform_sync_get(g->platform_sync)))
+		bh__platform_sync_note_read_answered(g->sync, platform_read_us, clock_now_us());
+	if (bh__platform_sync_get_as_of_us(g->sync))
 		bh__startup_state_note_endpoints(&g->startup_state, clock_now_us());
 	bh__registry_process_tick(g->registry, clock_now_us());
 	process_era_(g);
@@ -129,7 +128,7 @@
 		cluster_apply_registry(g->cluster, clock_now_us());
 		crashes_apply_registry(g->crashes, clock_now_us());
 	}
-	bh__platform_sync_process_update(platform_sync_get(g->platform_sync), clock_now_us());
+	bh__platform_sync_process_update(g->sync, clock_now_us());
 	calls_process_startup_state(g);
 }
 
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -76,6 +76,7 @@
 	Cluster *cluster;            /* membership, schedulers and messages between nodes */
 	BH__Members *members;        /* the cluster's membership */
 	PlatformSync *platform_sync; /* how this node shares the platform's state with other nodes */
+	BH__PlatformSync *sync;      /* its decisions */
 	Crashes *crashes;            /* crash reports and quarantine */
 	ReachPort *reach_port;       /* what links and relays tell of endpoints, see reach.h */
 	Links *links;                /* this node's own links to the endpoints */
@@ -275,7 +276,6 @@
 /* platform_sync.c */
 PlatformSync *platform_sync_new(Gate *g);
 void platform_sync_delete(PlatformSync *p);
-BH__PlatformSync *platform_sync_get(const PlatformSync *p);
 void platform_sync_apply_settings(PlatformSync *p);
 void platform_sync_write_status(const PlatformSync *p, struct evbuffer *out);
 
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -116,7 +116,7 @@
 	}
 	add_seeds_(g);
 	cluster_join(g->cluster);
-	bh__platform_sync_process_tick(platform_sync_get(g->platform_sync), g->started_us);
+	bh__platform_sync_process_tick(g->sync, g->started_us);
 	g->port->read_duties(g);
 	register_event_(g, evsignal_new(g->base, SIGTERM, on_terminate_, g), NULL);
 	register_event_(g, evsignal_new(g->base, SIGINT, on_terminate_, g), NULL);
--- a/src/bayhoist-gate/platform_sync.c
+++ b/src/bayhoist-gate/platform_sync.c
@@ -56,6 +56,7 @@
 	p->port = Port_;
 	p->gate = g;
 	p->sync = bh__platform_sync_new(&p->port, &options, g->members, g->registry);
+	g->sync = p->sync;
 	return p;
 }
 
@@ -67,11 +68,6 @@
 	g_free(p);
 }
 
-BH__PlatformSync *platform_sync_get(const PlatformSync *p)
-{
-	return p->sync;
-}
-
 /* Applies changed settings of the gateway. */
 void platform_sync_apply_settings(PlatformSync *p)
 {
