gate: limits and rest that endpoints ask for belong to the layer below

Cause: signals.c, through which every answer goes, called the cluster, the schedulers and the gateway's state, and silences.c reached through the cluster for its messages. Change: signals.c is of the layer that reaches endpoints; relay_server.c and answer_parser.c call it directly, and the port asks those above for the home of a service, for whether it is scheduled, and to send. The line that tells of a silence moved from silences.c as it was. Two functions of hall_paths.c that nobody called are gone. Order of the tick, log lines, metrics and views are unchanged. The string literals of the gateway are the same as before.

--- a/src/bayhoist-gate/answer_parser.c
+++ b/src/bayhoist-gate/answer_parser.c
@@ -4,7 +4,6 @@
 
 #include <http_parser.h>
 #include <string.h>
-#include "reach.h"
 
 #define HEAD_MAX (32 * 1024) /* bytes of an answer before its body, interim answers included */
 
@@ -176,7 +175,7 @@
 		a->head.is_event_stream = true;
 	use = drop ? HEADER_DROP : a->gate->port->read_answer_header(&a->head.meta, a->name->str, a->value->str);
 	if (use == HEADER_UNKNOWN)
-		a->gate->reach_port->unknown_header(a->gate->reach_port, a->name->str);
+		signals_note_unknown(a->gate, a->name->str);
 	if (use != HEADER_DROP)
 		g_string_append_printf(a->head.headers, "%s: %s\r\n", a->name->str, a->value->str);
 	g_string_truncate(a->name, 0);
--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -76,7 +76,7 @@
 	c->home_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&c->inbox);
 	g_queue_init(&c->deferred);
-	c->signals = signals_new(c);
+	g->signals = signals_new(g);
 	c->tick = event_new(g->base, -1, EV_PERSIST, on_tick_, c);
 	c->waiting_tick = evtimer_new(g->base, on_waiting_tick_, c);
 	event_add(c->tick, &tick);
@@ -97,7 +97,7 @@
 	g_hash_table_unref(c->by_ask);
 	g_hash_table_unref(c->services);
 	g_hash_table_unref(c->home_since);
-	signals_delete(c->signals);
+	signals_delete(c->gate->signals);
 	bh__members_delete(c->members);
 	g_free(c);
 }
@@ -155,7 +155,7 @@
 				  info->name, BH__MemberStateString[info->state], BH__MemberStateString[old],
 				  info->leaving ? "yes" : "no", info->boot_id);
 	if (bh__member_is_usable(info))
-		signals_notify_node(c->signals, info->node_id);
+		signals_notify_node(c->gate->signals, info->node_id);
 	if (info->state == BH__MEMBER_DEAD && old != BH__MEMBER_DEAD)
 		cluster_process_node_gone(c, info->node_id);
 }
@@ -223,7 +223,8 @@
 	schedulers_apply_cold_rates(c, now_us);
 	schedulers_apply_rate_shares(c, now_us);
 	limits_apply_membership(c, now_us);
-	signals_process_tick(c->signals);
+	silences_process_tick(c->gate, clock_now_us());
+	signals_process_tick(c->gate->signals);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		if (now_us >= ((Service *)value)->next_hold_us)
@@ -335,7 +336,7 @@
 	schedulers_process_contact(c, m->from_node);
 	if (crashes_process_message(c->gate->crashes, m, now_us) || links_process_message(c->gate->links, m))
 		return;
-	if (signals_process_message(c->signals, m) || limits_process_message(c, m, now_us))
+	if (signals_process_message(c->gate->signals, m) || limits_process_message(c, m, now_us))
 		return;
 	if (bh__members_process_message(c->members, m, now_us)) {
 		schedulers_apply_membership(c, now_us);
--- a/src/bayhoist-gate/cluster_internal.h
+++ b/src/bayhoist-gate/cluster_internal.h
@@ -4,7 +4,6 @@
 #ifndef BAYHOIST_CLUSTER_INTERNAL_H
 #define BAYHOIST_CLUSTER_INTERNAL_H
 
-#include "bayhoist/signal_relay.h"
 #include "bayhoist/response_monitor.h"
 #include "bayhoist/takeover.h"
 #include "gate.h"
@@ -27,13 +26,6 @@
 	BH__ResponseMonitor scheduler_monitor; /* detects a scheduler that leaves asks unanswered */
 } Service;
 
-/* The relay of endpoint signals to and from other nodes. */
-typedef struct {
-	BH__SignalRelayPort port; /* first member: callbacks cast it to the enclosing structure */
-	Cluster *cluster;
-	BH__SignalRelay *relay;
-} Signals;
-
 struct Cluster {
 	BH__MembersPort port; /* first member: callbacks cast it to the enclosing structure */
 	Gate *gate;
@@ -43,7 +35,6 @@
 	GHashTable *by_ask;   /* Call by ask id */
 	GQueue inbox;         /* BH__Message from this node to itself */
 	GQueue deferred;      /* DeferredAsk: asks that wait until this node may answer them */
-	Signals *signals;
 	/* Services without a scheduler whose home is this node, by name. The value is the time (uint64_t, in us)
 	 * since which this node has been the home. */
 	GHashTable *home_since;
@@ -82,13 +73,6 @@
 void schedulers_process_refusal(Cluster *c, uint64_t ask_id, BH__Reason reason, uint64_t retry_after_ms);
 void schedulers_process_release(Cluster *c, const BH__Message *m, uint64_t now_us);
 
-/* signals.c */
-Signals *signals_new(Cluster *c);
-void signals_delete(Signals *s);
-void signals_process_tick(Signals *s);
-bool signals_process_message(Signals *s, const BH__Message *m);
-void signals_notify_node(Signals *s, uint64_t node_id);
-
 /* limits.c */
 uint64_t limits_find_home(const Cluster *c, const char *service);
 double limits_get_rate_share(const Cluster *c, uint64_t since_us, uint64_t now_us);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -21,6 +21,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/memory_budget.h"
 #include "bayhoist/routing.h"
+#include "bayhoist/signal_relay.h"
 #include "peers.h"
 #include "port.h"
 #include "settings.h"
@@ -33,6 +34,7 @@
 typedef struct Crashes Crashes;
 typedef struct ReachPort ReachPort;
 typedef struct Links Links;
+typedef struct Signals Signals;
 typedef struct RelayServer RelayServer;
 
 /* How a request ended, for the counters. */
@@ -72,17 +74,19 @@
 	const GatePort *port;
 	GateSettings settings;
 	struct event_base *base;
-	void *binding;               /* state of the platform's binding */
-	Cluster *cluster;            /* membership, schedulers and messages between nodes */
-	BH__Members *members;        /* the cluster's membership */
-	PlatformSync *platform_sync; /* how this node shares the platform's state with other nodes */
-	BH__PlatformSync *sync;      /* its decisions */
-	Crashes *crashes;            /* crash reports and quarantine */
-	ReachPort *reach_port;       /* what links and relays tell of endpoints, see reach.h */
-	Links *links;                /* this node's own links to the endpoints */
-	RelayServer *relay_server;   /* requests that peers send through this node */
-	BH__Routing *routing;        /* configuration in use; NULL: none yet */
-	char *routing_text;          /* text that `routing` was decoded from */
+	void *binding;                 /* state of the platform's binding */
+	Cluster *cluster;              /* membership, schedulers and messages between nodes */
+	BH__Members *members;          /* the cluster's membership */
+	PlatformSync *platform_sync;   /* how this node shares the platform's state with other nodes */
+	BH__PlatformSync *sync;        /* its decisions */
+	Crashes *crashes;              /* crash reports and quarantine */
+	ReachPort *reach_port;         /* what the layer that reaches endpoints needs of those above */
+	Signals *signals;              /* what endpoints say in their answers */
+	BH__SignalRelay *signal_relay; /* its messages to and from other nodes */
+	Links *links;                  /* this node's own links to the endpoints */
+	RelayServer *relay_server;     /* requests that peers send through this node */
+	BH__Routing *routing;          /* configuration in use; NULL: none yet */
+	char *routing_text;            /* text that `routing` was decoded from */
 	uint64_t routing_read_us;    /* start of the last platform read that showed `routing` to be the newest */
 	uint64_t no_routing_read_us; /* start of the last platform read that showed that there is none yet */
 	BH__Registry *registry;      /* registered endpoints */
@@ -262,6 +266,11 @@
 	const char *request_id; /* for the log */
 } AnswerOrigin;
 
+Signals *signals_new(Gate *g);
+void signals_delete(Signals *s);
+void signals_process_tick(Signals *s);
+bool signals_process_message(Signals *s, const BH__Message *m);
+void signals_notify_node(Signals *s, uint64_t node_id);
 void signals_note_answer(Gate *g, const AnswerOrigin *o, const AnswerMeta *m);
 void signals_note_unknown(Gate *g, const char *header);
 void signals_write_status(const Gate *g, struct evbuffer *out);
@@ -294,7 +303,6 @@
 
 /* silences.c */
 void silences_process_tick(Gate *g, uint64_t now_us);
-void silences_log_change(const BH__RegisteredEndpoint *e);
 void silences_write_status(const Gate *g, struct evbuffer *out);
 
 /* web.c */
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -104,11 +104,6 @@
 	g_free(p);
 }
 
-const BH__HallPaths *hall_paths_get(const HallPaths *p)
-{
-	return p->state;
-}
-
 /* Returns the hall of an endpoint; empty: it is not registered. */
 static const char *get_hall_(const HallPaths *p, uint64_t endpoint_id)
 {
@@ -142,12 +137,6 @@
 	return bh__hall_paths_has_path(p->state, get_hall_(p, endpoint_id), get_hall_(p, other_id));
 }
 
-/* Returns true unless neither this node nor a peer can connect to an endpoint's hall. */
-bool hall_paths_has_way(const HallPaths *p, uint64_t endpoint_id)
-{
-	return bh__hall_paths_is_reachable(p->state, get_hall_(p, endpoint_id));
-}
-
 /* Makes the probes that are due. */
 static void make_probes_(HallPaths *p)
 {
@@ -389,7 +378,7 @@
 	}
 	p->registry_version = bh__registry_get_version(r);
 	if (changed)
-		p->gate->reach_port->changed(p->gate->reach_port, now_us);
+		p->gate->reach_port->paths_changed(p->gate->reach_port, now_us);
 }
 
 /* Writes the paths as metrics. */
--- a/src/bayhoist-gate/hall_paths.h
+++ b/src/bayhoist-gate/hall_paths.h
@@ -12,12 +12,10 @@
 
 HallPaths *hall_paths_new(Gate *g);
 void hall_paths_delete(HallPaths *p);
-const BH__HallPaths *hall_paths_get(const HallPaths *p);
 void hall_paths_note_failed(HallPaths *p, uint64_t endpoint_id);
 void hall_paths_note_reached(HallPaths *p, uint64_t endpoint_id);
 BH__PathState hall_paths_get_state(const HallPaths *p, uint64_t endpoint_id);
 bool hall_paths_joins(const HallPaths *p, uint64_t endpoint_id, uint64_t other_id);
-bool hall_paths_has_way(const HallPaths *p, uint64_t endpoint_id);
 bool hall_paths_process_message(HallPaths *p, const BH__Message *m);
 void hall_paths_process_tick(HallPaths *p, uint64_t now_us);
 void hall_paths_write_status(const HallPaths *p, struct evbuffer *out);
--- a/src/bayhoist-gate/limits.c
+++ b/src/bayhoist-gate/limits.c
@@ -106,7 +106,7 @@
 	BH__Message out = {.type = BH__MESSAGE_PERMIT};
 
 	if (update->in_force)
-		bh__signal_relay_merge(c->signals->relay, update, now_us);
+		bh__signal_relay_merge(c->gate->signal_relay, update, now_us);
 	out.as.permit.ask_id = m->as.permit_ask.ask_id;
 	if (e) {
 		bh__endpoint_rate_set_rate_share(&e->rate, home_rate_share_(c, e->entry.service, now_us), now_us);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -103,9 +103,9 @@
 	g->inbounds = g_hash_table_new(g_direct_hash, g_direct_equal);
 	g->unknown_headers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->own_events = g_ptr_array_new_with_free_func((GDestroyNotify)event_free);
+	g->reach_port = reach_port_new(g);
 	started = cluster_start(g);
 	g->platform_sync = platform_sync_new(g);
-	g->reach_port = reach_port_new(g);
 	g->links = links_new(g);
 	g->relay_server = relay_server_new(g);
 	g->crashes = crashes_new(g);
@@ -240,10 +240,10 @@
 	relay_server_delete(g->relay_server);
 	crashes_delete(g->crashes);
 	links_delete(g->links);
-	reach_port_delete(g->reach_port);
 	cluster_free(g->cluster);
 	platform_sync_delete(g->platform_sync);
 	event_base_loop(g->base, EVLOOP_NONBLOCK); /* runs the deferred frees of closed connections */
+	reach_port_delete(g->reach_port);
 	g_ptr_array_unref(g->own_events);
 	event_base_free(g->base);
 	bh__routing_unref(g->routing);
--- a/src/bayhoist-gate/reach.h
+++ b/src/bayhoist-gate/reach.h
@@ -1,8 +1,9 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* The layer that knows how an endpoint is reached from here: outbound.c with its channels, answer_parser.c,
- * links.c, link_probe.c, hall_paths.c and relay_server.c. Calls and the cooperation of the nodes stand above
- * it and call it. It calls nothing of theirs: what it has to tell them goes through this port, so that it can
- * be read, and changed, by itself. */
+ * links.c, link_probe.c, hall_paths.c, relay_server.c, and signals.c for the limits and the rest that
+ * endpoints ask for. Calls and the cooperation of the nodes stand above it and call it. It calls nothing of
+ * theirs: what it has to tell or ask them goes through this port, so that it can be read, and changed, by
+ * itself. */
 #ifndef BAYHOIST_GATE_REACH_H
 #define BAYHOIST_GATE_REACH_H
 
@@ -16,11 +17,17 @@
 	/* a node is out of reach for so long that what it holds of engines is to be freed */
 	void (*node_gone)(ReachPort *port, uint64_t node_id);
 	/* the set of endpoints to which there is a way has changed */
-	void (*changed)(ReachPort *port, uint64_t now_us);
-	/* an endpoint has answered a request of a peer, and signals stand in the head of its answer */
-	void (*answered)(ReachPort *port, const AnswerOrigin *o, const AnswerMeta *m);
-	/* an answer has a header that is not known here */
-	void (*unknown_header)(ReachPort *port, const char *header);
+	void (*paths_changed)(ReachPort *port, uint64_t now_us);
+	/* endpoints may have changed in the registry, by what they or other nodes say */
+	void (*endpoints_changed)(ReachPort *port);
+	/* the rate limit that an endpoint names has changed */
+	void (*limited)(ReachPort *port, const BH__RegisteredEndpoint *e);
+	/* sends a message to a node, which may be this one */
+	void (*send)(ReachPort *port, uint64_t node_id, BH__Message *m);
+	/* returns the home node of a service, which decides for all how its endpoints are used */
+	uint64_t (*find_home)(ReachPort *port, const char *service);
+	/* returns true if the endpoints of a service are granted by a scheduler */
+	bool (*has_scheduler)(ReachPort *port, const char *service);
 };
 
 #endif
--- a/src/bayhoist-gate/reach_port.c
+++ b/src/bayhoist-gate/reach_port.c
@@ -1,6 +1,6 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* What the cooperation of the nodes does about that which the layer below tells of endpoints and of the ways
- * to them (reach.h). */
+ * to them, and how it answers that layer (reach.h). */
 #include "reach.h"
 
 #include "clock.h"
@@ -14,18 +14,24 @@
 static void on_failed_(ReachPort *port, const char *service, uint64_t endpoint_id);
 static void on_withdraw_(ReachPort *port, uint64_t node_id);
 static void on_node_gone_(ReachPort *port, uint64_t node_id);
-static void on_changed_(ReachPort *port, uint64_t now_us);
-static void on_answered_(ReachPort *port, const AnswerOrigin *o, const AnswerMeta *m);
-static void on_unknown_header_(ReachPort *port, const char *header);
+static void on_paths_changed_(ReachPort *port, uint64_t now_us);
+static void on_endpoints_changed_(ReachPort *port);
+static void on_limited_(ReachPort *port, const BH__RegisteredEndpoint *e);
+static void send_(ReachPort *port, uint64_t node_id, BH__Message *m);
+static uint64_t find_home_(ReachPort *port, const char *service);
+static bool has_scheduler_(ReachPort *port, const char *service);
 
 static const ReachPort Port_ = {.failed = on_failed_,
 								.withdraw = on_withdraw_,
 								.node_gone = on_node_gone_,
-								.changed = on_changed_,
-								.answered = on_answered_,
-								.unknown_header = on_unknown_header_};
-
-/* Returns the port; the cluster must have been started. */
+								.paths_changed = on_paths_changed_,
+								.endpoints_changed = on_endpoints_changed_,
+								.limited = on_limited_,
+								.send = send_,
+								.find_home = find_home_,
+								.has_scheduler = has_scheduler_};
+
+/* Returns the port. It is used once the cluster has been started. */
 ReachPort *reach_port_new(Gate *g)
 {
 	GateReach *b = g_new0(GateReach, 1);
@@ -84,17 +90,32 @@
 }
 
 /* Has the planners use the endpoints to which there is a way, and no others. */
-static void on_changed_(ReachPort *port, uint64_t now_us)
+static void on_paths_changed_(ReachPort *port, uint64_t now_us)
 {
 	cluster_apply_registry(cluster_(port), now_us);
 }
 
-static void on_answered_(ReachPort *port, const AnswerOrigin *o, const AnswerMeta *m)
+static void on_endpoints_changed_(ReachPort *port)
+{
+	gate_note_registry(((GateReach *)port)->gate, 0);
+}
+
+static void on_limited_(ReachPort *port, const BH__RegisteredEndpoint *e)
+{
+	schedulers_apply_limits(cluster_(port), e);
+}
+
+static void send_(ReachPort *port, uint64_t node_id, BH__Message *m)
+{
+	cluster_send(cluster_(port), node_id, m);
+}
+
+static uint64_t find_home_(ReachPort *port, const char *service)
 {
-	signals_note_answer(((GateReach *)port)->gate, o, m);
+	return limits_find_home(cluster_(port), service);
 }
 
-static void on_unknown_header_(ReachPort *port, const char *header)
+static bool has_scheduler_(ReachPort *port, const char *service)
 {
-	signals_note_unknown(((GateReach *)port)->gate, header);
+	return schedulers_has_service(cluster_(port), service);
 }
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -10,7 +10,6 @@
 #include "clock.h"
 #include "links.h"
 #include "log.h"
-#include "reach.h"
 
 #define QUEUED_MAX (128 * 1024) /* bytes that wait for the peer before reading from the endpoint pauses */
 /* Requests of peers at the same time, as a share of the connections that callers may open. */
@@ -245,7 +244,7 @@
 	if (head->meta.has_load)
 		bh__registry_note_load(g->registry, y->endpoint_id, head->meta.running, head->meta.waiting, now_us);
 	if (!g->port->status_says_not_run(head->status))
-		g->reach_port->answered(g->reach_port, &origin, &head->meta);
+		signals_note_answer(g, &origin, &head->meta);
 }
 
 /* Tells the peer that the endpoint could not be connected to. The fault may be that of this node's links. */
--- a/src/bayhoist-gate/signals.c
+++ b/src/bayhoist-gate/signals.c
@@ -2,17 +2,22 @@
 /* Processes the signals that endpoints send in the headers of their answers (bayhoist/endpoint_signal.h). All
  * answers come through this file, whatever the request. A new kind of signal needs a row in the adapter's
  * table and one in Handlers_. */
-#include "gate.h"
+#include "reach.h"
 
 #include <string.h>
 #include "clock.h"
-#include "cluster_internal.h"
 #include "log.h"
 
 #define STATUS_REFUSED 503     /* HTTP status of an answer that rejects the request before it runs */
 #define UNKNOWN_HEADERS_MAX 32 /* unknown header names that have a counter each; others are ignored */
 #define HEADER_NAME_MAX 60     /* bytes kept of an unknown header name */
 
+struct Signals {
+	BH__SignalRelayPort port; /* first member: callbacks cast it to the enclosing structure */
+	Gate *gate;
+	BH__SignalRelay *relay; /* to and from other nodes */
+};
+
 /* Processes a readable or absent signal of an answer from endpoint `e`. */
 typedef void SignalHandler(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s);
 
@@ -23,6 +28,7 @@
 static void relay_send_(BH__SignalRelayPort *port, uint64_t node_id, BH__Message *m);
 static uint64_t relay_find_home_(BH__SignalRelayPort *port, const char *service);
 static void relay_merged_(BH__SignalRelayPort *port, BH__SignalKind kind, const BH__RegisteredEndpoint *e);
+static void log_silence_(const BH__RegisteredEndpoint *e);
 static void apply_changes_(Gate *g);
 
 /* Handlers of the signals in answers; NULL: BH__SIGNAL_SILENCE, which no answer carries. */
@@ -61,9 +67,9 @@
 	if (!received.in_force && !o->is_served)
 		return;
 	received.received_us = received.in_force ? o->received_us : o->sent_us;
-	if (!bh__signal_relay_receive_limit(g->cluster->signals->relay, e, &received, clock_now_us()))
+	if (!bh__signal_relay_receive_limit(g->signal_relay, e, &received, clock_now_us()))
 		return;
-	schedulers_apply_limits(g->cluster, e);
+	g->reach_port->limited(g->reach_port, e);
 	g->counters.limit_changes++;
 	log_event("limit", "what=%s endpoint=%s per_s=%.3f was=%.3f request=%s",
 			  e->signals.advertised.in_force ? "named" : "ended", e->entry.id,
@@ -75,7 +81,7 @@
 static void process_leaving_(Gate *g, BH__RegisteredEndpoint *e, const AnswerOrigin *o, const BH__Signal *s)
 {
 	if (s->state != BH__SIGNAL_PRESENT || s->value <= 0 ||
-		!bh__signal_relay_receive_leaving(g->cluster->signals->relay, e, clock_now_us()))
+		!bh__signal_relay_receive_leaving(g->signal_relay, e, clock_now_us()))
 		return;
 	log_event("signal", "kind=leaving what=heard endpoint=%s born_ms=%" G_GUINT64_FORMAT " request=%s",
 			  e->entry.id, e->entry.born_ms, o->request_id);
@@ -98,25 +104,26 @@
 			  "kind=backoff what=heard endpoint=%s for_ms=%.0f was_ms=%" G_GUINT64_FORMAT " request=%s",
 			  e->entry.id, s->value * 1000, (old_until_us - o->received_us) / BH__MS_US, o->request_id);
 	/* A scheduler receives the backoff with the release of the grant. */
-	if (!schedulers_has_service(g->cluster, e->entry.service))
-		bh__signal_relay_receive_overload(g->cluster->signals->relay, e, until_us, clock_now_us());
+	if (!g->reach_port->has_scheduler(g->reach_port, e->entry.service))
+		bh__signal_relay_receive_overload(g->signal_relay, e, until_us, clock_now_us());
 }
 
 /* Applies changed endpoint states to the planners before anything else is granted. */
 static void apply_changes_(Gate *g)
 {
-	gate_note_registry(g, 0);
+	g->reach_port->endpoints_changed(g->reach_port);
 }
 
 /* Creates the relay of signals to and from other nodes. Membership must have been started. */
-Signals *signals_new(Cluster *c)
+Signals *signals_new(Gate *g)
 {
 	Signals *s = g_new0(Signals, 1);
 
 	s->port =
 		(BH__SignalRelayPort){.send = relay_send_, .find_home = relay_find_home_, .merged = relay_merged_};
-	s->cluster = c;
-	s->relay = bh__signal_relay_new(&s->port, c->members, c->gate->registry);
+	s->gate = g;
+	s->relay = bh__signal_relay_new(&s->port, g->members, g->registry);
+	g->signal_relay = s->relay;
 	return s;
 }
 
@@ -128,19 +135,25 @@
 
 static void relay_send_(BH__SignalRelayPort *port, uint64_t node_id, BH__Message *m)
 {
-	cluster_send(((Signals *)port)->cluster, node_id, m);
+	ReachPort *reach = ((Signals *)port)->gate->reach_port;
+
+	reach->send(reach, node_id, m);
 }
 
 static uint64_t relay_find_home_(BH__SignalRelayPort *port, const char *service)
 {
-	return limits_find_home(((Signals *)port)->cluster, service);
+	ReachPort *reach = ((Signals *)port)->gate->reach_port;
+
+	return reach->find_home(reach, service);
 }
 
 /* Logs a signal that was merged from another node and applies a limit to the planner. */
 static void relay_merged_(BH__SignalRelayPort *port, BH__SignalKind kind, const BH__RegisteredEndpoint *e)
 {
+	ReachPort *reach = ((Signals *)port)->gate->reach_port;
+
 	if (kind == BH__SIGNAL_SILENCE) {
-		silences_log_change(e);
+		log_silence_(e);
 		return;
 	}
 	if (kind != BH__SIGNAL_LIMIT) {
@@ -148,15 +161,27 @@
 				  BH__SignalKindString[kind], e->entry.id, e->entry.born_ms);
 		return;
 	}
-	schedulers_apply_limits(((Signals *)port)->cluster, e);
+	reach->limited(reach, e);
 	log_event("limit", "what=told endpoint=%s per_s=%.3f", e->entry.id,
 			  e->signals.advertised.in_force ? e->signals.advertised.per_s : -1.0);
 }
 
+/* Logs that an endpoint has been declared silent, or that its silence has ended. */
+static void log_silence_(const BH__RegisteredEndpoint *e)
+{
+	uint64_t now_us = clock_now_us();
+	bool is_silent = e->silence.since_us != 0;
+
+	log_event("silence",
+			  "what=%s endpoint=%s service=%s since_ms=%" G_GUINT64_FORMAT " for_ms=%" G_GUINT64_FORMAT,
+			  is_silent ? "silent" : "ended", e->entry.id, e->entry.service,
+			  is_silent ? (now_us - e->silence.since_us) / BH__MS_US : 0,
+			  is_silent ? e->silence.hold_us / BH__MS_US : 0);
+}
+
 /* Runs the periodic work of the signal relay. */
 void signals_process_tick(Signals *s)
 {
-	silences_process_tick(s->cluster->gate, clock_now_us());
 	bh__signal_relay_process_tick(s->relay, clock_now_us());
 }
 
@@ -165,7 +190,7 @@
 {
 	if (!bh__signal_relay_process_message(s->relay, m, clock_now_us()))
 		return false;
-	apply_changes_(s->cluster->gate);
+	apply_changes_(s->gate);
 	return true;
 }
 
--- a/src/bayhoist-gate/silences.c
+++ b/src/bayhoist-gate/silences.c
@@ -6,9 +6,7 @@
 #include <string.h>
 #include "bayhoist/silence.h"
 #include "clock.h"
-#include "cluster_internal.h"
 #include "links.h"
-#include "log.h"
 
 /* Maximum number of overdue requests reported in a tick. */
 #define REPORTS_PER_TICK_MAX 32
@@ -36,7 +34,7 @@
 	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
 
 	if (e && e->incarnation == c->endpoint_incarnation)
-		bh__signal_relay_note_heard(c->gate->cluster->signals->relay, e, c->received_us);
+		bh__signal_relay_note_heard(c->gate->signal_relay, e, c->received_us);
 }
 
 /* Reports this node's requests that are overdue. Nothing is reported while this node's links are cut. */
@@ -75,7 +73,7 @@
 		return false;
 	c->silence_reported = true;
 	g->counters.silence_reports++;
-	bh__signal_relay_report_silence(g->cluster->signals->relay, e, c->sent_us, now_us);
+	bh__signal_relay_report_silence(g->signal_relay, e, c->sent_us, now_us);
 	return true;
 }
 
@@ -98,19 +96,6 @@
 	return !has_neighbour && hears_any;
 }
 
-/* Logs that an endpoint has been declared silent, or that its silence has ended. */
-void silences_log_change(const BH__RegisteredEndpoint *e)
-{
-	uint64_t now_us = clock_now_us();
-	bool is_silent = e->silence.since_us != 0;
-
-	log_event("silence",
-			  "what=%s endpoint=%s service=%s since_ms=%" G_GUINT64_FORMAT " for_ms=%" G_GUINT64_FORMAT,
-			  is_silent ? "silent" : "ended", e->entry.id, e->entry.service,
-			  is_silent ? (now_us - e->silence.since_us) / BH__MS_US : 0,
-			  is_silent ? e->silence.hold_us / BH__MS_US : 0);
-}
-
 /* Writes, as metrics, the overdue requests that were reported and the endpoints that are silent now. */
 void silences_write_status(const Gate *g, struct evbuffer *out)
 {
