--- a/src/bayhoist-gate/cluster.c
+++ b/src/bayhoist-gate/cluster.c
@@ -70,12 +70,13 @@
 	g_strlcpy(self.caller_address, g->settings.caller_address, sizeof self.caller_address);
 	self.capacity = capacity_(&g->settings);
 	c->members = bh__members_new(&c->port, &self, (uint32_t)g->boot_id);
+	g->members = c->members;
 	c->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, schedulers_free_service);
 	c->by_ask = g_hash_table_new(g_int64_hash, g_int64_equal);
 	c->home_since = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&c->inbox);
 	g_queue_init(&c->deferred);
-	c->signals = signals_new(c);
+	g->signals = signals_new(g);
 	c->tick = event_new(g->base, -1, EV_PERSIST, on_tick_, c);
 	c->waiting_tick = evtimer_new(g->base, on_waiting_tick_, c);
 	event_add(c->tick, &tick);
@@ -96,7 +97,7 @@
 	g_hash_table_unref(c->by_ask);
 	g_hash_table_unref(c->services);
 	g_hash_table_unref(c->home_since);
-	signals_delete(c->signals);
+	signals_delete(c->gate->signals);
 	bh__members_delete(c->members);
 	g_free(c);
 }
@@ -125,17 +126,6 @@
 	return bh__members_await(c->members, node_id, clock_now_us());
 }
 
-const BH__Members *cluster_get_members(const Cluster *c)
-{
-	return c->members;
-}
-
-/* Returns the membership for modules that attach data to its probes and therefore modify it. */
-BH__Members *cluster_get_mutable_members(Cluster *c)
-{
-	return c->members;
-}
-
 /* Returns the number of nodes that accept callers, this node included. It is at least 1. */
 unsigned cluster_count_nodes(const Cluster *c)
 {
@@ -165,7 +155,7 @@
 				  info->name, BH__MemberStateString[info->state], BH__MemberStateString[old],
 				  info->leaving ? "yes" : "no", info->boot_id);
 	if (bh__member_is_usable(info))
-		signals_notify_node(c->signals, info->node_id);
+		signals_notify_node(c->gate->signals, info->node_id);
 	if (info->state == BH__MEMBER_DEAD && old != BH__MEMBER_DEAD)
 		cluster_process_node_gone(c, info->node_id);
 }
@@ -225,7 +215,7 @@
 	set_ready_(c, gate_is_ready(c->gate, now_us));
 	bh__members_process_tick(c->members, now_us);
 	log_members_(c);
-	bh__platform_sync_process_tick(platform_sync_get(c->gate->platform_sync), now_us);
+	bh__platform_sync_process_tick(c->gate->sync, now_us);
 	gate_note_registry(c->gate, 0);
 	crashes_process_tick(c->gate->crashes, now_us);
 	links_process_tick(c->gate->links, now_us);
@@ -233,13 +223,14 @@
 	schedulers_apply_cold_rates(c, now_us);
 	schedulers_apply_rate_shares(c, now_us);
 	limits_apply_membership(c, now_us);
-	signals_process_tick(c->signals);
+	silences_process_tick(c->gate, clock_now_us());
+	signals_process_tick(c->gate->signals);
 	g_hash_table_iter_init(&it, c->services);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		if (now_us >= ((Service *)value)->next_hold_us)
 			schedulers_send_holds(c, value, now_us);
 		schedulers_record_duty(value, now_us);
-		cluster_log_division(value, now_us);
+		engine_log_division(value, now_us);
 	}
 	cluster_drain_inbox(c);
 	cluster_schedule_waiting_tick(c);
@@ -345,7 +336,7 @@
 	schedulers_process_contact(c, m->from_node);
 	if (crashes_process_message(c->gate->crashes, m, now_us) || links_process_message(c->gate->links, m))
 		return;
-	if (signals_process_message(c->signals, m) || limits_process_message(c, m, now_us))
+	if (signals_process_message(c->gate->signals, m) || limits_process_message(c, m, now_us))
 		return;
 	if (bh__members_process_message(c->members, m, now_us)) {
 		schedulers_apply_membership(c, now_us);
@@ -377,13 +368,13 @@
 		schedulers_process_hold(c, m, now_us);
 		break;
 	case BH__MESSAGE_SYNC_ASK:
-		bh__platform_sync_process_ask(platform_sync_get(c->gate->platform_sync), m, now_us);
+		bh__platform_sync_process_ask(c->gate->sync, m, now_us);
 		break;
 	case BH__MESSAGE_SYNC:
-		bh__platform_sync_process_answer(platform_sync_get(c->gate->platform_sync), m, now_us);
+		bh__platform_sync_process_answer(c->gate->sync, m, now_us);
 		break;
 	case BH__MESSAGE_READER:
-		bh__platform_sync_process_reader(platform_sync_get(c->gate->platform_sync), m, now_us);
+		bh__platform_sync_process_reader(c->gate->sync, m, now_us);
 		break;
 	default:
 		break;
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -21,6 +21,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/memory_budget.h"
 #include "bayhoist/routing.h"
+#include "bayhoist/signal_relay.h"
 #include "peers.h"
 #include "port.h"
 #include "settings.h"
@@ -31,7 +32,9 @@
 typedef struct Cluster Cluster;
 typedef struct PlatformSync PlatformSync;
 typedef struct Crashes Crashes;
+typedef struct ReachPort ReachPort;
 typedef struct Links Links;
+typedef struct Signals Signals;
 typedef struct RelayServer RelayServer;
 
 /* How a request ended, for the counters. */
@@ -71,14 +74,19 @@
 	const GatePort *port;
 	GateSettings settings;
 	struct event_base *base;
-	void *binding;               /* state of the platform's binding */
-	Cluster *cluster;            /* membership, schedulers and messages between nodes */
-	PlatformSync *platform_sync; /* how this node shares the platform's state with other nodes */
-	Crashes *crashes;            /* crash reports and quarantine */
-	Links *links;                /* this node's own links to the endpoints */
-	RelayServer *relay_server;   /* requests that peers send through this node */
-	BH__Routing *routing;        /* configuration in use; NULL: none yet */
-	char *routing_text;          /* text that `routing` was decoded from */
+	void *binding;                 /* state of the platform's binding */
+	Cluster *cluster;              /* membership, schedulers and messages between nodes */
+	BH__Members *members;          /* the cluster's membership */
+	PlatformSync *platform_sync;   /* how this node shares the platform's state with other nodes */
+	BH__PlatformSync *sync;        /* its decisions */
+	Crashes *crashes;              /* crash reports and quarantine */
+	ReachPort *reach_port;         /* what the layer that reaches endpoints needs of those above */
+	Signals *signals;              /* what endpoints say in their answers */
+	BH__SignalRelay *signal_relay; /* its messages to and from other nodes */
+	Links *links;                  /* this node's own links to the endpoints */
+	RelayServer *relay_server;     /* requests that peers send through this node */
+	BH__Routing *routing;          /* configuration in use; NULL: none yet */
+	char *routing_text;            /* text that `routing` was decoded from */
 	uint64_t routing_read_us;    /* start of the last platform read that showed `routing` to be the newest */
 	uint64_t no_routing_read_us; /* start of the last platform read that showed that there is none yet */
 	BH__Registry *registry;      /* registered endpoints */
@@ -105,7 +113,7 @@
 	uint64_t stop_at_us;              /* when the node exits at the latest; valid if it is leaving */
 };
 
-/* main.c */
+/* gate.c */
 bool gate_is_ready(const Gate *g, uint64_t now_us);
 bool gate_has_endpoints(const Gate *g);
 bool gate_trusts_keys(const Gate *g, uint64_t now_us);
@@ -228,8 +236,6 @@
 void cluster_apply_routing(Cluster *c, uint64_t now_us);
 void cluster_apply_registry(Cluster *c, uint64_t now_us);
 void cluster_apply_era(Cluster *c);
-const BH__Members *cluster_get_members(const Cluster *c);
-BH__Members *cluster_get_mutable_members(Cluster *c);
 unsigned cluster_count_nodes(const Cluster *c);
 void cluster_ask(Cluster *c, Call *call);
 void cluster_resend_ask(Cluster *c, Call *call);
@@ -243,10 +249,9 @@
 
 void cluster_send(Cluster *c, uint64_t node_id, BH__Message *m);
 
-/* engine_failures.c */
-void cluster_report_failure(Cluster *c, const char *service, uint64_t endpoint_id);
-void cluster_withdraw_failures(Cluster *c, uint64_t node_id);
-void cluster_process_node_gone(Cluster *c, uint64_t node_id);
+/* reach_port.c */
+ReachPort *reach_port_new(Gate *g);
+void reach_port_delete(ReachPort *port);
 
 /* signals.c */
 
@@ -261,11 +266,18 @@
 	const char *request_id; /* for the log */
 } AnswerOrigin;
 
-const char *signals_get_state(const BH__RegisteredEndpoint *e, uint64_t now_us);
+Signals *signals_new(Gate *g);
+void signals_delete(Signals *s);
+void signals_process_tick(Signals *s);
+bool signals_process_message(Signals *s, const BH__Message *m);
+void signals_notify_node(Signals *s, uint64_t node_id);
 void signals_note_answer(Gate *g, const AnswerOrigin *o, const AnswerMeta *m);
 void signals_note_unknown(Gate *g, const char *header);
 void signals_write_status(const Gate *g, struct evbuffer *out);
-struct json_object *signals_describe(const Gate *g);
+
+/* endpoints.c */
+const char *endpoints_get_state(const BH__RegisteredEndpoint *e, uint64_t now_us);
+struct json_object *endpoints_describe(const Gate *g);
 
 /* limits.c */
 void cluster_ask_permit(Cluster *c, Call *call, const BH__RegisteredEndpoint *e, uint64_t max_wait_us);
@@ -273,7 +285,6 @@
 /* platform_sync.c */
 PlatformSync *platform_sync_new(Gate *g);
 void platform_sync_delete(PlatformSync *p);
-BH__PlatformSync *platform_sync_get(const PlatformSync *p);
 void platform_sync_apply_settings(PlatformSync *p);
 void platform_sync_write_status(const PlatformSync *p, struct evbuffer *out);
 
@@ -292,7 +303,6 @@
 
 /* silences.c */
 void silences_process_tick(Gate *g, uint64_t now_us);
-void silences_log_change(const BH__RegisteredEndpoint *e);
 void silences_write_status(const Gate *g, struct evbuffer *out);
 
 /* web.c */
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "links.h"
 #include "log.h"
+#include "reach.h"
 
 #define PROBES_MAX 16     /* at the same time */
 #define ENDPOINT_PROBES 3 /* one in so many probes goes to an endpoint */
@@ -68,7 +69,7 @@
 HallPaths *hall_paths_new(Gate *g)
 {
 	HallPaths *p = g_new0(HallPaths, 1);
-	BH__Members *members = cluster_get_mutable_members(g->cluster);
+	BH__Members *members = g->members;
 	const BH__MemberInfo *self = bh__members_get_self(members);
 
 	p->gate = g;
@@ -87,8 +88,8 @@
 
 	if (!p)
 		return;
-	if (p->gate->cluster)
-		bh__members_set_paths(cluster_get_mutable_members(p->gate->cluster), NULL);
+	if (p->gate->members)
+		bh__members_set_paths(p->gate->members, NULL);
 	all = g_hash_table_get_keys(p->probes);
 	for (GList *it = all; it; it = it->next) {
 		Probe *probe = it->data;
@@ -103,11 +104,6 @@
 	g_free(p);
 }
 
-const BH__HallPaths *hall_paths_get(const HallPaths *p)
-{
-	return p->state;
-}
-
 /* Returns the hall of an endpoint; empty: it is not registered. */
 static const char *get_hall_(const HallPaths *p, uint64_t endpoint_id)
 {
@@ -141,12 +137,6 @@
 	return bh__hall_paths_has_path(p->state, get_hall_(p, endpoint_id), get_hall_(p, other_id));
 }
 
-/* Returns true unless neither this node nor a peer can connect to an endpoint's hall. */
-bool hall_paths_has_way(const HallPaths *p, uint64_t endpoint_id)
-{
-	return bh__hall_paths_is_reachable(p->state, get_hall_(p, endpoint_id));
-}
-
 /* Makes the probes that are due. */
 static void make_probes_(HallPaths *p)
 {
@@ -185,7 +175,7 @@
 static bool draw_node_(const HallPaths *p, const char *hall, BH__MemberState worst, uint64_t *target,
 					   const char **address)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 	unsigned count = bh__members_get_count(m);
 	unsigned start = (unsigned)g_rand_int_range(p->rand, 0, (gint32)count);
 
@@ -258,7 +248,7 @@
 /* Broadcasts the reports that are due. */
 static void send_reports_(HallPaths *p, uint64_t now_us)
 {
-	BH__Members *members = cluster_get_mutable_members(p->gate->cluster);
+	BH__Members *members = p->gate->members;
 	BH__Message m = {.type = BH__MESSAGE_HALL_PATHS};
 
 	while (bh__hall_paths_take_report(p->state, now_us, &m.as.hall_paths.report))
@@ -269,7 +259,7 @@
  * shows that its sender's hall is heard. */
 bool hall_paths_process_message(HallPaths *p, const BH__Message *m)
 {
-	BH__Members *members = cluster_get_mutable_members(p->gate->cluster);
+	BH__Members *members = p->gate->members;
 	const BH__MemberInfo *from = bh__members_find(members, m->from_node);
 	uint64_t now_us = clock_now_us();
 
@@ -286,7 +276,7 @@
 /* Counts the usable nodes of each hall anew if the membership has changed. */
 static void tell_halls_(HallPaths *p)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 
 	if (p->members_version == bh__members_get_version(m))
 		return;
@@ -317,7 +307,7 @@
 		bh__hall_paths_get_info(p->state, i, &info);
 		note_change_(p, &info, now_us);
 	}
-	bh__members_process_paths(cluster_get_mutable_members(p->gate->cluster));
+	bh__members_process_paths(p->gate->members);
 	apply_to_endpoints_(p, now_us);
 }
 
@@ -343,14 +333,14 @@
 
 static void withdraw_failures_(HallPaths *p, const char *hall)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 	const BH__MemberInfo *self = bh__members_get_self(m);
 
 	bh__registry_withdraw_failures(p->gate->registry);
 	for (unsigned i = 0; i < bh__members_get_count(m); i++) {
 		const BH__MemberInfo *info = bh__members_get(m, i);
 		if (!strcmp(info->hall, hall) || !strcmp(info->hall, self->hall))
-			cluster_withdraw_failures(p->gate->cluster, info->node_id);
+			p->gate->reach_port->withdraw(p->gate->reach_port, info->node_id);
 	}
 }
 
@@ -358,7 +348,7 @@
  * when their requests end. */
 static void free_grants_(HallPaths *p, uint64_t now_us)
 {
-	const BH__Members *m = cluster_get_members(p->gate->cluster);
+	const BH__Members *m = p->gate->members;
 
 	for (unsigned i = 0; i < bh__hall_paths_get_count(p->state); i++) {
 		BH__PathInfo info;
@@ -369,7 +359,7 @@
 		g_hash_table_replace(p->known, g_strdup(info.hall), GINT_TO_POINTER(KNOWN_GONE));
 		for (unsigned j = 1; j < bh__members_get_count(m); j++)
 			if (!strcmp(bh__members_get(m, j)->hall, info.hall))
-				cluster_process_node_gone(p->gate->cluster, bh__members_get(m, j)->node_id);
+				p->gate->reach_port->node_gone(p->gate->reach_port, bh__members_get(m, j)->node_id);
 	}
 }
 
@@ -388,7 +378,7 @@
 	}
 	p->registry_version = bh__registry_get_version(r);
 	if (changed)
-		cluster_apply_registry(p->gate->cluster, now_us);
+		p->gate->reach_port->paths_changed(p->gate->reach_port, now_us);
 }
 
 /* Writes the paths as metrics. */
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -33,7 +33,7 @@
 static const struct {
 	const char *path;
 	struct json_object *(*describe)(const Gate *g);
-} Views_[] = {{"/quarantine", crashes_describe}, {"/endpoints", signals_describe},
+} Views_[] = {{"/quarantine", crashes_describe}, {"/endpoints", endpoints_describe},
 			  {"/links", links_describe},        {"/prefill", cluster_describe_division},
 			  {"/bookings", bookings_describe},  {"/halls", halls_describe}};
 
@@ -101,7 +101,7 @@
  * NULL. */
 unsigned web_list_caller_addresses(Gate *g, const char *hall, const char *out[], unsigned max)
 {
-	const BH__Members *m = cluster_get_members(g->cluster);
+	const BH__Members *m = g->members;
 	unsigned count = 0;
 
 	for (int only_hall = 1; only_hall >= 0; only_hall--) {
