test: check-relay waits until a request has its peer

Cause: the script looked for the peer after a fixed time, and went on without one where it took longer. Change: it waits for the line that names the peer, for 2 s.

--- a/test/check-relay.sh
+++ b/test/check-relay.sh
@@ -10,7 +10,10 @@
 start_three_gates
 ids() { grep '^id:' "$RUN/body" | tr -d 'id: ' | tr '\n' ' '; }
 links() { "$B/bayhoistctl" --node "$(node "$1" 3)" links | head -n 1 | cut -d' ' -f2; }
-through() { grep "what=through request=$1 " "$RUN/gate1.log" | tail -n 1 | sed 's/.* peer=gate\([0-9]\) .*/\1/'; } # REQUEST: its peer
+through() { # REQUEST: its peer, as soon as it has one
+	wait_for 2 grep -q "what=through request=$1 " "$RUN/gate1.log"
+	grep "what=through request=$1 " "$RUN/gate1.log" | tail -n 1 | sed 's/.* peer=gate\([0-9]\) .*/\1/'
+}
 ended() { grep -q "what=ended request=$1 " "$RUN"/gate[123].log; }
 learn() { # FACE: requests to both services, until the node must know
 	local i
