gate: all that waits is within a fifth of the memory; a caller that does not read begins no further request

Cause: the budget of answers was divided by the connections of the moment, so answers that began while there were few filled it, and all later ones came on top with 8 KiB and a read of 16 KiB each; answers that are buffered until they are complete, and what relays hold for peers, were not counted. A caller that sent request after request without reading had their answers gather without a bound, and all requests that one read had brought were served in one turn of the event loop. Change: the least that each of the most answers may have is set aside, at most half of the budget; the rest is shared as before. A read from an endpoint is part of the share. Buffered answers and relays are counted. The next request of a connection begins when its output is below its mark, one a turn; 4 KiB are read ahead, shown as bayhoist_read_ahead_bytes.

--- a/Makefile
+++ b/Makefile
@@ -67,9 +67,12 @@
 $B/bh-fault-proxy: $B/test/platform/fault_proxy.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$B/bh-slow-callers: $B/test/platform/slow_callers.o $B/libshare.a $B/libbayhoist.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $B/test/platform/test_decode.o: CPPFLAGS += -Isrc/bayhoist-gate -Iplatform
 
-check: all $(TESTS:%=$B/%) $B/test_decode $B/bh-fake-site $B/bh-fault-proxy
+check: all $(TESTS:%=$B/%) $B/test_decode $B/bh-fake-site $B/bh-fault-proxy $B/bh-slow-callers
 	@B=$B sh test/run-all.sh $(TESTS) test_decode
 
 demo:
--- a/include/bayhoist/memory_budget.h
+++ b/include/bayhoist/memory_budget.h
@@ -9,7 +9,8 @@
 
 typedef struct {
 	uint64_t memory_bytes;  /* memory of the VM; 0: unknown, no limits are applied */
-	uint64_t answer_bytes;  /* bytes of answers that wait for their callers */
+	unsigned answers_max;   /* answers that may wait at the same time; 0: unknown */
+	uint64_t answer_bytes;  /* bytes of answers that wait: for their callers, their ends, or peers */
 	uint64_t request_bytes; /* memory reserved for buffered requests */
 	uint64_t refusals;      /* requests refused because the budget was exhausted */
 } BH__MemoryBudget;
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -83,6 +83,7 @@
 	c->in = in;
 	c->request = inbound_get_request(in);
 	c->body = evbuffer_new();
+	answer_buffer_count(g, c->body);
 	c->timer = evtimer_new(g->base, on_timer_, c);
 	c->head.headers = g_string_new(NULL);
 	g_hash_table_add(g->calls, c);
@@ -702,6 +703,7 @@
 			  c->routing ? bh__routing_get_version(c->routing) : 0);
 	g_hash_table_remove(g->calls, c);
 	event_free(c->timer);
+	answer_buffer_stop_counting(g, c->body);
 	evbuffer_free(c->body);
 	g_string_free(c->head.headers, TRUE);
 	bh__routing_unref(c->routing);
--- a/src/bayhoist-gate/direct_channel.c
+++ b/src/bayhoist-gate/direct_channel.c
@@ -49,6 +49,7 @@
 									BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
 	bufferevent_setcb(d->bev, on_read_, on_written_, on_event_, d);
 	bufferevent_set_timeouts(d->bev, NULL, &timeout);
+	bufferevent_set_max_single_read(d->bev, inbound_get_read_max(g));
 	bufferevent_enable(d->bev, EV_READ | EV_WRITE);
 	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&sa, &len) != 0)
 		memset(&sa, 0, sizeof sa); /* the connection attempt fails, which the event loop reports */
@@ -76,6 +77,7 @@
 {
 	DirectChannel *d = arg;
 
+	bufferevent_set_max_single_read(bev, inbound_get_read_max(d->gate));
 	d->base.cb.on_data(d->base.ctx, &d->base, bufferevent_get_input(bev));
 }
 
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -93,6 +93,7 @@
 	GHashTable *unknown_headers;     /* uint64_t counts of answers with a header unknown here, by its name */
 	GHashTable *inbounds;            /* set of open Inbound */
 	BH__MemoryBudget memory_budget;  /* memory budget for buffered requests and answers */
+	uint64_t read_ahead_bytes;       /* bytes read from callers and not yet parsed */
 	struct evconnlistener *listener; /* for callers */
 	struct evhttp *web[3];           /* directory, readiness, control */
 	GPtrArray *own_events;           /* timers and signal handlers of main.c */
@@ -142,6 +143,10 @@
 void inbound_answer_begin(Inbound *in, int status, const char *reason, const GString *headers);
 bool inbound_answer_append(Inbound *in, const char *data, size_t len);
 size_t inbound_get_answer_max(const Gate *g, size_t max);
+size_t inbound_get_read_max(const Gate *g);
+void inbounds_apply_settings(Gate *g);
+void answer_buffer_count(Gate *g, struct evbuffer *buffer);
+void answer_buffer_stop_counting(Gate *g, struct evbuffer *buffer);
 void inbound_answer_end(Inbound *in);
 void inbound_abort(Inbound *in);
 
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -16,11 +16,14 @@
 #include <sys/socket.h>
 #include "clock.h"
 #include "log.h"
+#include "relay_server.h"
 
 /* Bytes buffered for a slow caller before the gateway stops reading from the endpoint. */
 #define OUTPUT_HIGH_WATERMARK (128 * 1024)
-/* Bytes of later requests read ahead while a request is in progress. */
-#define INPUT_HIGH_WATERMARK (64 * 1024)
+#define READ_MAX (16 * 1024) /* bytes of one read from a caller or an endpoint */
+/* Bytes of one read of a request's head, and of later requests that are read ahead while a request is in
+ * progress. A caller whose disconnect is to be noticed sends no more. */
+#define READ_AHEAD_MAX (4 * 1024)
 #define LINGER_MS 1000          /* time a caller has to close the connection after the last answer */
 #define UNACKED_TIMEOUT_MS 5000 /* longest time that sent bytes may stay unacknowledged */
 #define LISTEN_BACKLOG 512
@@ -86,7 +89,9 @@
 static void finish_answer_(Inbound *in);
 static void close_when_sent_(Inbound *in);
 static void close_connection_(Inbound *in);
-static void on_output_changed_(struct evbuffer *out, const struct evbuffer_cb_info *info, void *gate);
+static void on_answer_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate);
+static void on_input_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate);
+static bool is_caught_up_(const Inbound *in);
 static void on_free_(evutil_socket_t fd, short what, void *arg);
 
 static const http_parser_settings Callbacks_ = {.on_message_begin = on_message_begin_,
@@ -139,8 +144,8 @@
 	in->parser.data = in;
 	in->bev = bufferevent_socket_new(g->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(in->bev, on_read_, on_written_, on_event_, in);
-	bufferevent_setwatermark(in->bev, EV_READ, 0, INPUT_HIGH_WATERMARK);
-	evbuffer_add_cb(bufferevent_get_output(in->bev), on_output_changed_, g);
+	answer_buffer_count(g, bufferevent_get_output(in->bev));
+	evbuffer_add_cb(bufferevent_get_input(in->bev), on_input_changed_, g);
 	bufferevent_enable(in->bev, EV_READ | EV_WRITE);
 	g_hash_table_add(g->inbounds, in);
 	if (g_hash_table_size(g->inbounds) >= g->settings.max_connections)
@@ -148,19 +153,52 @@
 	wait_for_request_(in);
 }
 
-/* Counts the bytes that wait for callers. */
-static void on_output_changed_(struct evbuffer *out, const struct evbuffer_cb_info *info, void *gate)
+/* Tells the memory budget how many answers there may be. */
+void inbounds_apply_settings(Gate *g)
 {
-	(void)out;
+	uint64_t all = g->settings.max_connections + relay_server_get_max(g);
+
+	g->memory_budget.answers_max = (unsigned)MIN(all, G_MAXUINT);
+}
+
+/* Counts what `buffer` holds as bytes of answers that wait, from now on. */
+void answer_buffer_count(Gate *g, struct evbuffer *buffer)
+{
+	bh__memory_budget_note_answer(&g->memory_budget, evbuffer_get_length(buffer), 0);
+	evbuffer_add_cb(buffer, on_answer_changed_, g);
+}
+
+/* Counts a buffer no more, which is to be done before it is freed. */
+void answer_buffer_stop_counting(Gate *g, struct evbuffer *buffer)
+{
+	evbuffer_remove_cb(buffer, on_answer_changed_, g);
+	bh__memory_budget_note_answer(&g->memory_budget, 0, evbuffer_get_length(buffer));
+}
+
+static void on_answer_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate)
+{
+	(void)buffer;
 	bh__memory_budget_note_answer(&((Gate *)gate)->memory_budget, info->n_added, info->n_deleted);
 }
 
+/* Counts what has been read from callers and not been parsed. */
+static void on_input_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate)
+{
+	Gate *g = gate;
+
+	(void)buffer;
+	g->read_ahead_bytes += info->n_added;
+	g->read_ahead_bytes -= info->n_deleted;
+}
+
 /* Waits for the next request until the idle timeout: 15 s as long as no configuration is loaded. */
 static void wait_for_request_(Inbound *in)
 {
 	uint64_t idle_ms = in->gate->routing ? bh__routing_get_limits(in->gate->routing)->idle_timeout_ms : 15000;
 
 	in->state = READING;
+	bufferevent_set_max_single_read(in->bev, READ_AHEAD_MAX);
+	bufferevent_setwatermark(in->bev, EV_READ, 0, READ_MAX);
 	set_timer_(in, idle_ms);
 }
 
@@ -179,16 +217,27 @@
 	process_input_(arg);
 }
 
-/* Parses buffered input until a request is complete, then starts its call. Input that arrives on a closing
- * connection is discarded. */
+/* Returns true if the next request of a connection may begin: a caller that sends requests without reading
+ * their answers would have these gather without a bound. */
+static bool is_caught_up_(const Inbound *in)
+{
+	return evbuffer_get_length(bufferevent_get_output(in->bev)) <
+		   inbound_get_answer_max(in->gate, OUTPUT_HIGH_WATERMARK);
+}
+
+/* Parses buffered input until a request is complete, then starts its call. A next one that is buffered
+ * already waits for its turn in the event loop, so that many of one caller do not hold up all others. Input
+ * that arrives on a closing connection is discarded. */
 static void process_input_(Inbound *in)
 {
-	while (!in->is_closed && in->state == READING &&
+	while (!in->is_closed && in->state == READING && is_caught_up_(in) &&
 		   evbuffer_get_length(bufferevent_get_input(in->bev)) > 0) {
 		if (!parse_input_(in))
 			return;
-		if (in->is_complete)
+		if (in->is_complete) {
 			start_call_(in);
+			break;
+		}
 	}
 	if (!in->is_closed && in->state == CLOSING)
 		evbuffer_drain(bufferevent_get_input(in->bev), evbuffer_get_length(bufferevent_get_input(in->bev)));
@@ -336,6 +385,8 @@
 		return -1;
 	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX && !reserve_memory_(in, p->content_length))
 		return -1;
+	if (p->flags & F_CHUNKED || p->content_length != UINT64_MAX)
+		bufferevent_set_max_single_read(in->bev, inbound_get_read_max(in->gate));
 	if (find_header_(in, "expect", NULL))
 		bufferevent_write(in->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	return 0;
@@ -443,6 +494,7 @@
 {
 	in->state = BUSY;
 	in->has_bytes = false;
+	bufferevent_setwatermark(in->bev, EV_READ, 0, READ_AHEAD_MAX);
 	event_del(in->timer);
 	if (in->error_status) {
 		answer_error_(in);
@@ -519,10 +571,20 @@
 	evbuffer_add_printf(out, "\r\n");
 }
 
-/* Returns the maximum number of bytes to buffer of one answer under the memory budget; at most `max`. */
+/* Returns the number of buffered bytes of one answer at which reading it pauses: one more read fits under the
+ * memory budget then, and under `max`. */
 size_t inbound_get_answer_max(const Gate *g, size_t max)
 {
-	return bh__memory_budget_get_answer_max(&g->memory_budget, g_hash_table_size(g->inbounds), max);
+	size_t all = bh__memory_budget_get_answer_max(&g->memory_budget, g_hash_table_size(g->inbounds), max);
+
+	return all - MIN((size_t)READ_MAX, all / 2);
+}
+
+/* Returns the maximum number of bytes of one read, which is what inbound_get_answer_max() leaves room for. */
+size_t inbound_get_read_max(const Gate *g)
+{
+	return bh__memory_budget_get_answer_max(&g->memory_budget, g_hash_table_size(g->inbounds), 2 * READ_MAX) /
+		   2;
 }
 
 /* Sends the next part of an answer. Returns false if the output buffer is above its high watermark, so that
@@ -598,7 +660,8 @@
 		on_written_(in->bev, in);
 }
 
-/* Handles an empty output buffer: shuts down a closing connection, or lets the call send more. */
+/* Handles an empty output buffer: shuts down a closing connection, lets the call send more, or begins the
+ * next request. */
 static void on_written_(struct bufferevent *bev, void *arg)
 {
 	Inbound *in = arg;
@@ -608,6 +671,8 @@
 		shutdown(bufferevent_getfd(in->bev), SHUT_WR);
 	else if (in->call)
 		call_on_drained(in->call);
+	else if (in->state == READING)
+		process_input_(in);
 }
 
 /* Handles a disconnect or an error of the connection; its call is notified. */
@@ -669,9 +734,9 @@
 	(void)fd;
 	(void)what;
 	clear_request_(in);
-	evbuffer_remove_cb(bufferevent_get_output(in->bev), on_output_changed_, in->gate);
-	bh__memory_budget_note_answer(&in->gate->memory_budget, 0,
-								  evbuffer_get_length(bufferevent_get_output(in->bev)));
+	answer_buffer_stop_counting(in->gate, bufferevent_get_output(in->bev));
+	evbuffer_remove_cb(bufferevent_get_input(in->bev), on_input_changed_, in->gate);
+	in->gate->read_ahead_bytes -= evbuffer_get_length(bufferevent_get_input(in->bev));
 	bufferevent_free(in->bev);
 	event_free(in->timer);
 	g_string_free(in->name, TRUE);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -97,6 +97,7 @@
 	log_set_buffered(true);
 	log_set_limit(LOG_LINES_PER_S);
 	g->memory_budget.memory_bytes = g->settings.memory_mb * MB;
+	inbounds_apply_settings(g);
 	g->base = event_base_new();
 	g->port = &PlatformGatePort;
 	g->registry = bh__registry_new((uint32_t)g->boot_id);
@@ -364,6 +365,7 @@
 	if (strcmp(s.name, g->settings.name) != 0 || strcmp(s.caller_address, g->settings.caller_address) != 0)
 		log_error("reload", "what=partial cause=\"name and addresses can only be changed by a restart\"");
 	g->settings.max_connections = s.max_connections;
+	inbounds_apply_settings(g);
 	g->settings.stop_grace_ms = s.stop_grace_ms;
 	g->settings.endpoint_drain_ms = s.endpoint_drain_ms;
 	g->settings.hall_drain_ms = s.hall_drain_ms;
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -11,7 +11,8 @@
 #include "links.h"
 #include "log.h"
 
-#define QUEUED_MAX (128 * 1024) /* bytes that wait for the peer before reading from the endpoint pauses */
+/* Bytes that wait for the peer before reading from the endpoint pauses; fewer under the memory budget. */
+#define QUEUED_MAX (128 * 1024)
 /* Requests of peers at the same time, as a share of the connections that callers may open. */
 #define RELAYS_SHARE 8
 #define PATIENCE_MAX_US (400 * BH__MS_US) /* for connecting, whatever the peer asks for */
@@ -92,6 +93,12 @@
 	return g_hash_table_size(r->relays);
 }
 
+/* Returns the number of requests of peers that may go through this node at the same time. */
+uint64_t relay_server_get_max(const Gate *g)
+{
+	return g->settings.max_connections / RELAYS_SHARE;
+}
+
 /* Begins to connect to the endpoint that a peer names, or says why not. Takes over the stream. */
 void relay_server_accept(RelayServer *r, PeerStream *s, const BH__Message *open)
 {
@@ -108,6 +115,7 @@
 	y->began_us = clock_now_us();
 	g_strlcpy(y->request_id, open->as.relay_open.request_id, sizeof y->request_id);
 	peer_stream_set_callbacks(s, &StreamCallbacks_, y);
+	answer_buffer_count(r->gate, peer_stream_get_output(s));
 	g_hash_table_add(r->relays, y);
 	if (result != BH__RELAY_OPENED) {
 		r->refused++;
@@ -130,7 +138,7 @@
 		return BH__RELAY_NODE_LEAVING;
 	if (links_are_cut(g->links))
 		return BH__RELAY_NODE_CUT;
-	if (g_hash_table_size(r->relays) >= g->settings.max_connections / RELAYS_SHARE)
+	if (g_hash_table_size(r->relays) >= relay_server_get_max(g))
 		return BH__RELAY_NODE_FULL;
 	if (!e || !bh__registered_endpoint_accepts_requests(e, clock_now_us()))
 		return BH__RELAY_ENDPOINT_UNUSABLE;
@@ -198,7 +206,9 @@
 		read_head_(y, data);
 	y->bytes_out += evbuffer_get_length(data);
 	links_send_bytes(y->server->gate->links, y->stream, data);
-	if (peer_stream_get_queued(y->stream) > QUEUED_MAX && !y->is_paused) {
+	if (evbuffer_get_length(peer_stream_get_output(y->stream)) >=
+			inbound_get_answer_max(y->server->gate, QUEUED_MAX) &&
+		!y->is_paused) {
 		y->is_paused = true;
 		c->ops->pause(c, true);
 	}
@@ -285,6 +295,7 @@
 {
 	Relay *y = ctx;
 
+	answer_buffer_stop_counting(y->server->gate, peer_stream_get_output(y->stream));
 	y->stream = NULL;
 	delete_(y);
 }
@@ -310,8 +321,10 @@
 		links_verify(g->links, y->endpoint_id);
 	if (y->channel)
 		y->channel->ops->close(y->channel);
-	if (y->stream)
+	if (y->stream) {
+		answer_buffer_stop_counting(g, peer_stream_get_output(y->stream));
 		peer_stream_close(y->stream);
+	}
 	if (y->parser)
 		answer_parser_delete(y->parser);
 	g_free(y);
--- a/src/bayhoist-gate/relay_server.h
+++ b/src/bayhoist-gate/relay_server.h
@@ -10,6 +10,7 @@
 void relay_server_delete(RelayServer *r);
 void relay_server_accept(RelayServer *r, PeerStream *s, const BH__Message *open);
 unsigned relay_server_get_count(const RelayServer *r);
+uint64_t relay_server_get_max(const Gate *g);
 void relay_server_write_status(const RelayServer *r, struct evbuffer *out);
 
 #endif
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -200,6 +200,7 @@
 				   {"limit_changes_total", counters->limit_changes},
 				   {"request_bytes", g->memory_budget.request_bytes},
 				   {"answer_bytes", g->memory_budget.answer_bytes},
+				   {"read_ahead_bytes", g->read_ahead_bytes},
 				   {"no_room_total", g->memory_budget.refusals},
 				   {"calls", g_hash_table_size(g->calls)},
 				   {"connections", g_hash_table_size(g->inbounds)},
--- a/src/libbayhoist/memory_budget.c
+++ b/src/libbayhoist/memory_budget.c
@@ -8,21 +8,34 @@
  * tables take a third of the memory of the smallest VMs. */
 #define ANSWERS_SHARE_ 0.2
 #define REQUESTS_SHARE_ 0.15
-#define ANSWER_MIN_ (8 * 1024) /* bytes that any answer may buffer: enough for a few events */
+/* Bytes that any answer may buffer: enough for a few events, and for one where there are many answers. */
+#define ANSWER_MIN_ (8 * 1024)
+#define ANSWER_MIN_OF_MANY_ (4 * 1024)
+#define MIN_SHARE_ 0.5 /* of the budget for answers that is set aside for these */
 
-/* Returns how many bytes one answer may buffer for its caller, at most `max`. The budget for answers is
- * divided evenly among the node's `connections`, except that every answer gets at least ANSWER_MIN_ bytes.
- * Once the budget is used up, no answer gets more than that, since connections that opened
- * earlier, while there were few, may have filled larger shares. Returns `max` if the size of the VM's memory
- * is unknown. */
+static double get_answer_min_(const BH__MemoryBudget *b);
+
+/* Returns how many bytes any answer may buffer, however many there are. */
+static double get_answer_min_(const BH__MemoryBudget *b)
+{
+	double aside = (double)b->memory_bytes * ANSWERS_SHARE_ * MIN_SHARE_;
+
+	return CLAMP(aside / MAX(b->answers_max, 1u), ANSWER_MIN_OF_MANY_, ANSWER_MIN_);
+}
+
+/* Returns how many bytes one answer may buffer, at most `max`. Of the budget for answers, what the least of
+ * `answers_max` answers takes is set aside, since answers that began while there were few may have filled
+ * larger shares by the time that there are many. The rest, as long as it lasts, is divided evenly among the
+ * node's `connections`. Returns `max` if the size of the VM's memory is unknown. */
 size_t bh__memory_budget_get_answer_max(const BH__MemoryBudget *b, unsigned connections, size_t max)
 {
+	double least = get_answer_min_(b);
 	double budget = (double)b->memory_bytes * ANSWERS_SHARE_;
-	double share = (double)b->answer_bytes < budget ? budget / MAX(connections, 1u) : 0;
+	double rest = budget - (double)b->answer_bytes - MIN(least * b->answers_max, budget * MIN_SHARE_);
 
-	if (!b->memory_bytes || share >= (double)max)
+	if (!b->memory_bytes)
 		return max;
-	return MAX((size_t)share, (size_t)ANSWER_MIN_);
+	return MIN(max, (size_t)MAX(rest / MAX(connections, 1u), least));
 }
 
 /* Records that answers which wait for their callers have grown by `added` bytes and shrunk by `removed`. */
--- a/src/share/peer_stream.c
+++ b/src/share/peer_stream.c
@@ -132,10 +132,11 @@
 	}
 }
 
-/* Returns the number of bytes that have been sent and not yet been passed to the kernel. */
-size_t peer_stream_get_queued(const PeerStream *s)
+/* Returns the bytes that have been sent and not yet been passed to the kernel. They are the stream's, until
+ * the event loop frees it. */
+struct evbuffer *peer_stream_get_output(const PeerStream *s)
 {
-	return evbuffer_get_length(bufferevent_get_output(s->bev));
+	return bufferevent_get_output(s->bev);
 }
 
 /* Pauses or resumes reading. */
--- a/src/share/peer_stream.h
+++ b/src/share/peer_stream.h
@@ -26,7 +26,7 @@
 void peer_stream_set_callbacks(PeerStream *s, const PeerStreamCallbacks *cb, void *ctx);
 void peer_stream_send(PeerStream *s, const BH__Message *m);
 void peer_stream_send_bytes(PeerStream *s, uint64_t node_id, uint64_t boot_id, struct evbuffer *data);
-size_t peer_stream_get_queued(const PeerStream *s);
+struct evbuffer *peer_stream_get_output(const PeerStream *s);
 void peer_stream_pause(PeerStream *s, bool paused);
 void peer_stream_close(PeerStream *s);
 
--- a/src/test_libbayhoist/test_limits.c
+++ b/src/test_libbayhoist/test_limits.c
@@ -322,11 +322,31 @@
 	assert_int_equal(bh__memory_budget_get_answer_max(&b, 1, max), max);
 }
 
+/* The same where the node knows how many answers there may be: all of what is kept stays within a fifth of
+ * the memory, whether the callers come in turn or fill their shares at once, and a few get large shares. */
+static void answers_stay_within_their_share_(void **state)
+{
+	const size_t max = 128 * 1024;
+	const unsigned callers = 4000;
+
+	(void)state;
+	for (unsigned known = 0; known < 2; known++) {
+		BH__MemoryBudget b = {.memory_bytes = 160 * 1024 * 1024, .answers_max = callers};
+		assert_int_equal(bh__memory_budget_get_answer_max(&b, 10, max), max);
+		for (unsigned i = 1; i <= callers; i++)
+			bh__memory_budget_note_answer(&b, bh__memory_budget_get_answer_max(&b, known ? callers : i, max),
+										  0);
+		assert_true(b.answer_bytes <= b.memory_bytes / 5);
+		assert_true(bh__memory_budget_get_answer_max(&b, callers, max) >= 4 * 1024);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(memory_budget_is_bounded_),
 		cmocka_unit_test(callers_that_come_in_turn_share_the_budget_),
+		cmocka_unit_test(answers_stay_within_their_share_),
 		cmocka_unit_test(rate_is_met_),
 		cmocka_unit_test(rate_is_met_while_nodes_join_and_leave_),
 		cmocka_unit_test(rate_is_met_during_a_partition_),
