gate: an endpoint that cuts an answer which stayed unread is not held to have failed

Cause: a stream whose caller reads at a crawl is no longer read from its engine; an engine that cuts it then counted as failed once the caller had caught up, and was reported as such to the scheduler, which ejects engines for that. Change: a cut after reading was paused for 200 ms or more says nothing of the endpoint. It is still reported to the crash watch, which goes by a look at the endpoint. bh-fake-site has "/cut/".

--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -56,6 +56,8 @@
 	bool progress_notified; /* the answer of the current dispatch has begun, and the scheduler was notified */
 	BH__EventStream events; /* parser state of the event stream */
 	bool paused;            /* reading from the endpoint is paused until the caller has caught up */
+	uint64_t paused_us;     /* when that pause began */
+	bool was_unread;        /* the current dispatch's answer was paused for at least UNREAD_MS */
 	bool crash_reported;    /* a dispatch that an endpoint broke off was reported to crashes.c */
 	struct event *timer;
 };
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -14,6 +14,8 @@
 /* A gap in an answer is reported to the scheduler if it lasts at least this many engine iterations without
  * prefill. */
 #define LONG_ITERATION_FACTOR 2.0
+/* An answer that stayed unread for so long may be cut by its endpoint, which need not keep it. */
+#define UNREAD_MS 200
 #define CAUSE_MAX 100 /* bytes of a refusal's body that are logged at most */
 
 static void log_dispatch_(const Call *c, const BH__RegisteredEndpoint *e);
@@ -52,6 +54,7 @@
 	c->end_known = false;
 	c->is_own_fault = false;
 	c->silence_reported = false;
+	c->was_unread = false;
 	c->is_streaming = false;
 	c->progress_notified = false;
 	c->pauses = 0;
@@ -288,6 +291,7 @@
 		dispatch_begin_answer(c);
 	if (!inbound_answer_append(c->in, data, len) && !c->paused) {
 		c->paused = true;
+		c->paused_us = clock_now_us();
 		outbound_pause(c->out, true);
 	}
 }
@@ -339,7 +343,8 @@
 		at_fault = find_at_fault_(c);
 	report_crash_(c, end, at_fault);
 	if (is_unexplained_(c, end)) {
-		links_report_broken(g->links, c->service->name, at_fault);
+		if (!c->was_unread)
+			links_report_broken(g->links, c->service->name, at_fault);
 		at_fault = BH__NO_ENDPOINT;
 	}
 	memory_hold_delete(c->memory);
@@ -355,16 +360,17 @@
 	call_act(c, next);
 }
 
-/* Returns what the end of a dispatch says of its endpoint: nothing if this node ended it, or if the way to
- * the endpoint is at fault. */
+/* Returns what the end of a dispatch says of its endpoint: nothing if this node ended it, if the way to the
+ * endpoint is at fault, or if the caller did not read the answer. */
 static BH__EndpointOutcome outcome_(const Call *c, BH__DispatchEnd end)
 {
 	if (end == BH__DISPATCH_ANSWERED)
 		return BH__ENDPOINT_OUTCOME_SERVED;
 	if (end == BH__DISPATCH_REFUSED)
 		return BH__ENDPOINT_OUTCOME_REFUSED;
-	return end == BH__DISPATCH_STOPPED || c->is_own_fault ? BH__ENDPOINT_OUTCOME_ABANDONED
-														  : BH__ENDPOINT_OUTCOME_FAILED;
+	return end == BH__DISPATCH_STOPPED || c->is_own_fault || (end == BH__DISPATCH_BROKEN && c->was_unread)
+			   ? BH__ENDPOINT_OUTCOME_ABANDONED
+			   : BH__ENDPOINT_OUTCOME_FAILED;
 }
 
 /* Returns true if a dispatch broke off and it is open whether the endpoint or this node's links are at fault.
@@ -429,5 +435,6 @@
 		return;
 	c->paused = false;
 	c->received_us = clock_now_us();
+	c->was_unread |= c->received_us >= c->paused_us + UNREAD_MS * BH__MS_US;
 	outbound_pause(c->out, false);
 }
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -2,14 +2,16 @@
 /* bh-fake-site: a stand-in for the users' platform, for tests of the gateway: its store and a few endpoints,
  * in one process. Paths of requests name faults: "/break/" closes the first answer midway, "/fail/" answers
  * 500 the first time, "/late-fail/" does so after a while,
- * "/full/" refuses the first time, "/flood/" answers megabytes, "/hold/" answers after a second, "/long/"
- * with long pauses, "/crash/" crashes the endpoint that runs it, every time, before its first event,
+ * "/full/" refuses the first time, "/flood/" answers megabytes, "/cut/" a stream that is cut if it stays
+ * unread, "/hold/" answers after a second, "/long/" with long pauses, "/crash/" crashes the endpoint that
+ * runs it, every time, before its first event,
  * "/crash-late/" after some; the endpoint is back after a while under its id. "/dark/" has the endpoint
  * listen no more and say nothing, and a stranger listen at its address later. An endpoint may name a limit of
  * requests a second in its answers, say there that it leaves, and ask for rest where it refuses. Under /test/
  * of the store's address a test sets the configuration, drains endpoints and halls, stops the store, lets
  * entries lapse, has the store go back to a copy, and asks what ran. */
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -20,6 +22,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include "clock.h"
 #include "fake_signals.h"
 #include "web.h"
@@ -29,6 +32,11 @@
 #define BREAK_AFTER 4                 /* events */
 #define FLOOD_BYTES (8 * 1024 * 1024) /* more than the kernel keeps for one that does not read */
 #define HOLD_MS 1000
+#define CUT_EVENTS 500 /* of a stream that is cut if it stays unread */
+#define CUT_EVENT_BYTES (16 * 1024)
+#define CUT_EVENT_MS 10
+#define CUT_UNREAD_MS 500
+#define CUT_KERNEL_BYTES (32 * 1024) /* that may wait in the kernel */
 #define LONG_EVENT_MS 400
 #define ORDER_MS 450
 #define LATE_FAIL_MS 1500
@@ -87,6 +95,7 @@
 	unsigned next;
 	unsigned last;
 	bool breaks;
+	uint64_t read_us;  /* of a stream that is cut: when all that was written had been taken; 0: any other */
 	unsigned crash_at; /* event before which its endpoint crashes; 0: it does not */
 	struct event *timer;
 } Stream;
@@ -110,6 +119,7 @@
 static GHashTable *Runs_; /* counts by request id */
 static char *LastHeaders_;
 static GList *Streams_;      /* Stream */
+static unsigned Cuts_;       /* of streams that stayed unread */
 static unsigned Crashes_;    /* of endpoints, by requests */
 static uint64_t ThirdCrash_; /* when that was, in microseconds */
 static unsigned Reserves_;   /* orders to set memory aside */
@@ -136,6 +146,7 @@
 static void note_crasher_(void);
 static void end_stream_(Stream *s);
 static void add_flood_(struct evbuffer *out);
+static bool cut_unread_(Stream *s, struct evhttp_connection *conn);
 static void crash_(Replica *r);
 static void on_restart_(evutil_socket_t fd, short what, void *replica);
 static void start_again_(Replica *r);
@@ -623,6 +634,9 @@
 	else if (!strcmp(what, "calls")) {
 		evbuffer_add_printf(out, "%u\n", StoreCalls_);
 	}
+	else if (!strcmp(what, "cuts")) {
+		evbuffer_add_printf(out, "%u\n", Cuts_);
+	}
 	else if (!strcmp(what, "crashes")) {
 		evbuffer_add_printf(out, "%u\n", Crashes_);
 	}
@@ -914,6 +928,13 @@
 	s->next = after ? (unsigned)strtoul(after, NULL, 10) + 1 : 1;
 	s->last = streams ? EVENTS : 1;
 	s->breaks = breaks;
+	if (strstr(evhttp_request_get_uri(req), "/cut/")) {
+		int bytes = CUT_KERNEL_BYTES;
+		setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(req))),
+				   SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+		s->last = CUT_EVENTS;
+		s->read_us = clock_now_us();
+	}
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
 					  streams ? "text/event-stream" : "text/plain");
 	s->timer = evtimer_new(Base_, on_stream_time_, s);
@@ -928,6 +949,24 @@
 	evbuffer_add_reference(out, bytes, sizeof bytes, NULL, NULL);
 }
 
+/* Resets the connection of a stream that has stayed unread for too long, and returns true then. */
+static bool cut_unread_(Stream *s, struct evhttp_connection *conn)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	uint64_t now_us = clock_now_us();
+
+	if (!evbuffer_get_length(bufferevent_get_output(bev)))
+		s->read_us = now_us;
+	if (now_us < s->read_us + CUT_UNREAD_MS * 1000)
+		return false;
+	Cuts_++;
+	setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+	end_stream_(s);
+	evhttp_connection_free(conn);
+	return true;
+}
+
 static void on_stream_time_(evutil_socket_t fd, short what, void *arg)
 {
 	Stream *s = arg;
@@ -943,6 +982,10 @@
 		evbuffer_free(out);
 		return;
 	}
+	if (s->read_us && cut_unread_(s, conn)) {
+		evbuffer_free(out);
+		return;
+	}
 	if (s->breaks && (s->next > BREAK_AFTER || s->last == 1)) {
 		end_stream_(s);
 		evbuffer_free(out);
@@ -956,7 +999,10 @@
 	}
 	if (strstr(evhttp_request_get_uri(s->req), "/long/"))
 		tv.tv_usec = LONG_EVENT_MS * 1000;
-	evbuffer_add_printf(out, "id: %u\ndata: piece %u\n\n", s->next, s->next);
+	if (s->read_us)
+		tv.tv_usec = CUT_EVENT_MS * 1000;
+	evbuffer_add_printf(out, "id: %u\ndata: piece %*u\n\n", s->next, s->read_us ? CUT_EVENT_BYTES : 0,
+						s->next);
 	if (strstr(evhttp_request_get_uri(s->req), "/flood/"))
 		add_flood_(out);
 	evhttp_send_reply_chunk(s->req, out);
