--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -11,6 +11,10 @@
 
 /* Bytes of an answer that are buffered at most; a longer one is forwarded before it is complete. */
 #define BUFFERED_MAX (256 * 1024)
+/* Bytes of one event of a stream, which is kept until it is whole: as many as of any answer, or fewer under
+ * the memory budget, but no fewer than are enough for the text of a long answer. */
+#define EVENT_MAX BUFFERED_MAX
+#define EVENT_MAX_OF_MANY (64 * 1024)
 /* A gap in an answer is reported to the scheduler if it lasts at least this many engine iterations without
  * prefill. */
 #define LONG_ITERATION_FACTOR 2.0
@@ -261,7 +265,8 @@
 	return c->head.status >= 500 ? BH__DISPATCH_FAILED : BH__DISPATCH_ANSWERED;
 }
 
-/* Forwards the complete events in the buffer, except those that the caller already has. */
+/* Forwards the complete events in the buffer, except those that the caller already has. An event that grows
+ * too large ends the dispatch, which may free the call. */
 static void forward_events_(Call *c)
 {
 	size_t len = evbuffer_get_length(c->body);
@@ -277,6 +282,12 @@
 		done += event_len;
 	}
 	evbuffer_drain(c->body, done);
+	if (len - done > MAX(inbound_get_answer_max(c->gate, EVENT_MAX), (size_t)EVENT_MAX_OF_MANY)) {
+		log_event("answer", "what=event-too-large request=%s bytes=%zu", c->request->meta.request_id,
+				  len - done);
+		dispatch_end(c, BH__DISPATCH_BROKEN);
+		return;
+	}
 	call_set_timer(c, c->received_us);
 }
 
--- a/test/check-slow-thousands.sh
+++ b/test/check-slow-thousands.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Two thousand callers of a gateway on a VM of 160 MB, half of which never read answers of megabytes while the others read at a crawl,
-# and then hundreds that send request after request without reading an answer: what the gateway keeps stays within its shares and the process within the
-# VM's memory, nobody else's answer is late, and all connections are freed.
+# then hundreds that send request after request without reading an answer, then engines whose events do not end: what the gateway keeps
+# stays within its shares and the process within the VM's memory, nobody else's answer is late, and all connections are freed.
 set -u
 . test/cluster.sh
 begin_run
@@ -32,8 +32,9 @@
 	local until=$(($(date +%s%N) + $1 * 1000000000)) bytes
 	while [ "$(date +%s%N)" -lt $until ]; do
 		answers=$((answers + 1))
-		[ "$(call 1 /free/x "other$answers" -m 1)" = 200 ] || late=$((late + 1))
-		curl -s -m 3 "http://$(node 1 3)/metrics" >"$RUN/metrics" || late=$((late + 1))
+		answer=$(call 1 /free/x "other$answers" -m 1 -w '%{http_code} %{time_total}')
+		[ "${answer% *}" = 200 ] || { late=$((late + 1)); echo "other$answers: $answer s"; }
+		curl -s -m 3 "http://$(node 1 3)/metrics" >"$RUN/metrics" || { late=$((late + 1)); echo "no metrics within 3 s"; }
 		bytes=$(metric answer_bytes)
 		[ "${bytes:-0}" -gt $most_answer ] && most_answer=$bytes
 		bytes=$(metric request_bytes)
@@ -68,5 +69,11 @@
 judge "requests sent ahead"
 signal ahead TERM
 wait_for 15 gone || is "all is freed" "$(metric answer_bytes) bytes, $(metric calls) calls, $(endpoint_connections) connections" none
+# Events that do not end: an engine's answer is one of megabytes.
+start endless "$B/bh-slow-callers" "$(node 1 0)" 40 /ask/flood/x key1 2000
+watch 4
+judge "endless events"
+signal endless TERM
+wait_for 15 gone || is "all is freed" "$(metric answer_bytes) bytes, $(metric calls) calls, $(endpoint_connections) connections" none
 is "the gateway lives" "$(call 1 /free/x last)" 200
 exit $FAILED
