--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -11,9 +11,15 @@
 
 /* Bytes of an answer that are buffered at most; a longer one is forwarded before it is complete. */
 #define BUFFERED_MAX (256 * 1024)
+/* Bytes of one event of a stream, which is kept until it is whole: as many as of any answer, or fewer under
+ * the memory budget, but no fewer than are enough for the text of a long answer. */
+#define EVENT_MAX BUFFERED_MAX
+#define EVENT_MAX_OF_MANY (64 * 1024)
 /* A gap in an answer is reported to the scheduler if it lasts at least this many engine iterations without
  * prefill. */
 #define LONG_ITERATION_FACTOR 2.0
+/* An answer that stayed unread for so long may be cut by its endpoint, which need not keep it. */
+#define UNREAD_MS 200
 #define CAUSE_MAX 100 /* bytes of a refusal's body that are logged at most */
 
 static void log_dispatch_(const Call *c, const BH__RegisteredEndpoint *e);
@@ -52,6 +58,7 @@
 	c->end_known = false;
 	c->is_own_fault = false;
 	c->silence_reported = false;
+	c->was_unread = false;
 	c->is_streaming = false;
 	c->progress_notified = false;
 	c->pauses = 0;
@@ -258,7 +265,8 @@
 	return c->head.status >= 500 ? BH__DISPATCH_FAILED : BH__DISPATCH_ANSWERED;
 }
 
-/* Forwards the complete events in the buffer, except those that the caller already has. */
+/* Forwards the complete events in the buffer, except those that the caller already has. An event that grows
+ * too large ends the dispatch, which may free the call. */
 static void forward_events_(Call *c)
 {
 	size_t len = evbuffer_get_length(c->body);
@@ -274,6 +282,12 @@
 		done += event_len;
 	}
 	evbuffer_drain(c->body, done);
+	if (len - done > MAX(inbound_get_answer_max(c->gate, EVENT_MAX), (size_t)EVENT_MAX_OF_MANY)) {
+		log_event("answer", "what=event-too-large request=%s bytes=%zu", c->request->meta.request_id,
+				  len - done);
+		dispatch_end(c, BH__DISPATCH_BROKEN);
+		return;
+	}
 	call_set_timer(c, c->received_us);
 }
 
@@ -288,6 +302,7 @@
 		dispatch_begin_answer(c);
 	if (!inbound_answer_append(c->in, data, len) && !c->paused) {
 		c->paused = true;
+		c->paused_us = clock_now_us();
 		outbound_pause(c->out, true);
 	}
 }
@@ -339,7 +354,8 @@
 		at_fault = find_at_fault_(c);
 	report_crash_(c, end, at_fault);
 	if (is_unexplained_(c, end)) {
-		links_report_broken(g->links, c->service->name, at_fault);
+		if (!c->was_unread)
+			links_report_broken(g->links, c->service->name, at_fault);
 		at_fault = BH__NO_ENDPOINT;
 	}
 	memory_hold_delete(c->memory);
@@ -355,16 +371,17 @@
 	call_act(c, next);
 }
 
-/* Returns what the end of a dispatch says of its endpoint: nothing if this node ended it, or if the way to
- * the endpoint is at fault. */
+/* Returns what the end of a dispatch says of its endpoint: nothing if this node ended it, if the way to the
+ * endpoint is at fault, or if the caller did not read the answer. */
 static BH__EndpointOutcome outcome_(const Call *c, BH__DispatchEnd end)
 {
 	if (end == BH__DISPATCH_ANSWERED)
 		return BH__ENDPOINT_OUTCOME_SERVED;
 	if (end == BH__DISPATCH_REFUSED)
 		return BH__ENDPOINT_OUTCOME_REFUSED;
-	return end == BH__DISPATCH_STOPPED || c->is_own_fault ? BH__ENDPOINT_OUTCOME_ABANDONED
-														  : BH__ENDPOINT_OUTCOME_FAILED;
+	return end == BH__DISPATCH_STOPPED || c->is_own_fault || (end == BH__DISPATCH_BROKEN && c->was_unread)
+			   ? BH__ENDPOINT_OUTCOME_ABANDONED
+			   : BH__ENDPOINT_OUTCOME_FAILED;
 }
 
 /* Returns true if a dispatch broke off and it is open whether the endpoint or this node's links are at fault.
@@ -429,5 +446,6 @@
 		return;
 	c->paused = false;
 	c->received_us = clock_now_us();
+	c->was_unread |= c->received_us >= c->paused_us + UNREAD_MS * BH__MS_US;
 	outbound_pause(c->out, false);
 }
