test: an endpoint of the stand-in can hang, and answer megabytes in events

Cause: the soak of the gateways is to meet an endpoint whose process takes requests and answers none, and callers that read slowly; what they have read can be judged only if each part of it is known. /flood/ is one line of zeros. Change: hang and go-on of an endpoint, under which answers stop where they are and new ones don't begin; /bulk/ answers forty events of 256 KiB each.

--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -2,12 +2,14 @@
 /* bh-fake-site: a stand-in for the users' platform, for tests of the gateway: its store and a few endpoints,
  * in one process. Paths of requests name faults: "/break/" closes the first answer midway, "/fail/" answers
  * 500 the first time, "/late-fail/" does so after a while,
- * "/full/" refuses the first time, "/flood/" answers megabytes, "/hold/" answers after a second, "/long/"
+ * "/full/" refuses the first time, "/flood/" answers megabytes, "/bulk/" as many in many events, "/hold/"
+ * answers after a second, "/long/"
  * with long pauses, "/crash/" crashes the endpoint that runs it, every time, before its first event,
  * "/crash-late/" after some; the endpoint is back after a while under its id. "/dark/" has the endpoint
  * listen no more and say nothing, and a stranger listen at its address later. An endpoint may name a limit of
  * requests a second in its answers, say there that it leaves, and ask for rest where it refuses. Under /test/
- * of the store's address a test sets the configuration, drains endpoints and halls, stops the store, lets
+ * of the store's address a test sets the configuration, drains endpoints and halls, has an endpoint take
+ * requests and answer none until it goes on, stops the store, lets
  * entries lapse, has the store go back to a copy, and asks what ran. */
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -28,6 +30,8 @@
 #define EVENT_MS 30                   /* between them */
 #define BREAK_AFTER 4                 /* events */
 #define FLOOD_BYTES (8 * 1024 * 1024) /* more than the kernel keeps for one that does not read */
+#define BULK_EVENTS 40                /* of a "/bulk/" answer */
+#define BULK_BYTES (256 * 1024)       /* of a line in each */
 #define HOLD_MS 1000
 #define LONG_EVENT_MS 400
 #define ORDER_MS 450
@@ -62,6 +66,7 @@
 	bool is_engine;
 	bool draining;
 	bool gone;
+	bool hangs;          /* takes requests and answers none, until it goes on */
 	struct evhttp *http; /* NULL: it has crashed */
 	unsigned arrivals;
 	uint64_t born_ms; /* time of day of its start */
@@ -87,6 +92,7 @@
 	unsigned next;
 	unsigned last;
 	bool breaks;
+	bool begun;        /* its head has been sent */
 	unsigned crash_at; /* event before which its endpoint crashes; 0: it does not */
 	struct event *timer;
 } Stream;
@@ -136,6 +142,7 @@
 static void note_crasher_(void);
 static void end_stream_(Stream *s);
 static void add_flood_(struct evbuffer *out);
+static void add_bulk_(struct evbuffer *out);
 static void crash_(Replica *r);
 static void on_restart_(evutil_socket_t fd, short what, void *replica);
 static void start_again_(Replica *r);
@@ -680,6 +687,8 @@
 		}
 		if (!strcmp(what, "start-again"))
 			start_again_(r);
+		if (!strcmp(what, "hang") || !strcmp(what, "go-on"))
+			r->hangs = what[0] == 'h';
 		r->draining |= !strcmp(what, "drain");
 		if (!strcmp(what, "back")) {
 			r->gone = false;
@@ -787,7 +796,7 @@
 		evhttp_send_reply(req, 503, NULL, NULL);
 		return;
 	}
-	if (strstr(uri, "/full/") && !runs) {
+	if (strstr(uri, "/full/") && !runs && !r->hangs) {
 		g_hash_table_replace(Runs_, g_strdup(id), GUINT_TO_POINTER(1u << 16)); /* refused, not run */
 		evhttp_add_header(evhttp_request_get_output_headers(req), "X-Not-Executed", "1");
 		evhttp_send_reply(req, 503, NULL, NULL);
@@ -809,7 +818,7 @@
 		event_base_once(Base_, -1, EV_TIMEOUT, on_fail_time_, req, &late);
 		return;
 	}
-	if (strstr(uri, "/fail/") && !runs)
+	if (strstr(uri, "/fail/") && !runs && !r->hangs)
 		evhttp_send_reply(req, 500, NULL, NULL);
 	else
 		begin_stream_(req, r, strstr(uri, "/break/") && !runs);
@@ -913,12 +922,16 @@
 	Streams_ = g_list_prepend(Streams_, s);
 	s->next = after ? (unsigned)strtoul(after, NULL, 10) + 1 : 1;
 	s->last = streams ? EVENTS : 1;
+	if (strstr(evhttp_request_get_uri(req), "/bulk/"))
+		s->last = BULK_EVENTS;
 	s->breaks = breaks;
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
 					  streams ? "text/event-stream" : "text/plain");
 	s->timer = evtimer_new(Base_, on_stream_time_, s);
 	evtimer_add(s->timer, &tv);
-	evhttp_send_reply_start(req, 200, NULL);
+	s->begun = !r->hangs;
+	if (s->begun)
+		evhttp_send_reply_start(req, 200, NULL);
 }
 
 static void add_flood_(struct evbuffer *out)
@@ -928,6 +941,17 @@
 	evbuffer_add_reference(out, bytes, sizeof bytes, NULL, NULL);
 }
 
+static void add_bulk_(struct evbuffer *out)
+{
+	static char line[BULK_BYTES] = "data: ";
+
+	if (!line[sizeof line - 1]) {
+		memset(line + strlen(line), 'x', sizeof line - strlen(line));
+		line[sizeof line - 1] = '\n';
+	}
+	evbuffer_add_reference(out, line, sizeof line, NULL, NULL);
+}
+
 static void on_stream_time_(evutil_socket_t fd, short what, void *arg)
 {
 	Stream *s = arg;
@@ -943,6 +967,14 @@
 		evbuffer_free(out);
 		return;
 	}
+	if (s->replica->hangs) {
+		evtimer_add(s->timer, &tv);
+		evbuffer_free(out);
+		return;
+	}
+	if (!s->begun)
+		evhttp_send_reply_start(s->req, 200, NULL);
+	s->begun = true;
 	if (s->breaks && (s->next > BREAK_AFTER || s->last == 1)) {
 		end_stream_(s);
 		evbuffer_free(out);
@@ -956,7 +988,10 @@
 	}
 	if (strstr(evhttp_request_get_uri(s->req), "/long/"))
 		tv.tv_usec = LONG_EVENT_MS * 1000;
-	evbuffer_add_printf(out, "id: %u\ndata: piece %u\n\n", s->next, s->next);
+	evbuffer_add_printf(out, "id: %u\ndata: piece %u\n", s->next, s->next);
+	if (strstr(evhttp_request_get_uri(s->req), "/bulk/"))
+		add_bulk_(out);
+	evbuffer_add(out, "\n", 1);
 	if (strstr(evhttp_request_get_uri(s->req), "/flood/"))
 		add_flood_(out);
 	evhttp_send_reply_chunk(s->req, out);
