test: the gateways' soak has deaf halls, hanging endpoints and slow readers

Cause: none of these met kills, restarts and changes at the same time. And a seed did not fix what was drawn: pick() ran in a shell of its own, which draws without the seed, and each fault that was meant to last for 1.x s lasted for 10.x s, longer than the seed itself. Change: PATHS, HANGS and READERS, each drawn from the seed. What readers got is compared with the answer's bytes, and others are to be served within two seconds beside them. pick() sets a variable; a fault lasts for 0.x, 1.x, 3.x or 10.x s.

--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -9,6 +9,11 @@
 #     copies, while an endpoint leaves and returns; one that has left gets nothing in the end;
 #   - with CUTS=1, one to three gateways at a time lose their own links to all endpoints or to those of one service, for a
 #     part of a second up to four, some of them by turns;
+#   - with PATHS=1, gateways and endpoints stand in three halls, and connections between two halls, or between one and both others,
+#     can't be set up in one direction or both, for half a second to six, some of them on and off;
+#   - with HANGS=1, one endpoint at a time takes requests and answers none, for half a second to six; then it goes on with them;
+#   - with READERS=1, callers read long answers at a crawl or not at all and hold their connections until their gateway's process
+#     has gone; what they have read is a clean beginning, and others are served within two seconds while they hang on;
 #   - afterwards every gateway serves within ten seconds, and none has ended by itself.
 # usage: soak-gate.sh FIRST_SEED [SEEDS [SECONDS]]; SAVE=PREFIX keeps the logs of a seed that fails.
 set -u
@@ -23,8 +28,8 @@
 	while [ ! -e "$RUN/over" ]; do
 		n=$((n + 1))
 		id=c$1-$n
-		kind=$(pick once free ask ask)
-		fault=$(pick "" "" "" break/ fail/ full/)
+		pick kind once free ask ask
+		pick fault "" "" "" break/ fail/ full/
 		path="/$kind/$fault$id"
 		status=$(curl -s -m 12 -o "$RUN/body.$1" -D "$RUN/head.$1" -w '%{http_code}' "http://$(node $((RANDOM % 3 + 1)) 0)$path" \
 			-H 'Host: a.example' -H "X-Attempt-Id: $id" -H 'X-Time-Budget-Ms: 5000' -H 'X-Api-Key: key1' \
@@ -35,64 +40,106 @@
 		sleep 0.0$((RANDOM % 9 + 1))
 	done
 }
-culprit() { # the same request under new ids, at any gateway, until $RUN/over is there
-	local n=0
-	RANDOM=$((seed * 100 + 99))
-	while [ ! -e "$RUN/over" ]; do
-		n=$((n + 1))
-		curl -s -m 12 -o /dev/null -w '%{http_code}\n' "http://$(node $((RANDOM % 3 + 1)) 0)/ask/crash/x" -H 'Host: a.example' \
-			-H "X-Attempt-Id: q$n" -H 'X-Time-Budget-Ms: 5000' -H 'X-Api-Key: key1' -H 'X-Token-Usage: 3000,100' -d crash >>"$RUN/culprit"
-		sleep 0.$((RANDOM % 3 + 1))
-	done
+series() { # COMMAND NUMBER: one after the other, drawn by numbers of its own, until $RUN/over is there
+	local sent=0 copied=
+	RANDOM=$((seed * 100 + $2))
+	while [ ! -e "$RUN/over" ]; do $1; done
+	wait
 }
-history() { # outages, copies, and an endpoint that leaves and returns, until $RUN/over is there
-	local copied=
-	RANDOM=$((seed * 100 + 98))
-	while [ ! -e "$RUN/over" ]; do
-		case $(pick outage outage copy back leave return) in
-		outage)
-			tell down
-			sleep $((RANDOM % 6)).5
-			[ $((RANDOM % 2)) = 0 ] && tell lapse
-			tell up
-			;;
-		copy)
-			tell copy
-			copied=1
-			;;
-		back)
-			[ -n "$copied" ] || continue
-			tell down
-			sleep 0.3
-			tell go-back
-			tell up
-			copied=
-			;;
-		leave) tell 'gone?id=i-p1' ;;
-		return) tell 'back?id=i-p1' ;;
-		esac
+culprit() { # the same request under new ids, at any gateway
+	sent=$((sent + 1))
+	curl -s -m 12 -o /dev/null -w '%{http_code}\n' "http://$(node $((RANDOM % 3 + 1)) 0)/ask/crash/x" -H 'Host: a.example' \
+		-H "X-Attempt-Id: q$sent" -H 'X-Time-Budget-Ms: 5000' -H 'X-Api-Key: key1' -H 'X-Token-Usage: 3000,100' -d crash >>"$RUN/culprit"
+	sleep 0.$((RANDOM % 3 + 1))
+}
+history() { # outages, copies, and an endpoint that leaves and returns
+	local what
+	pick what outage outage copy back leave return
+	case $what in
+	outage)
+		tell down
+		sleep $((RANDOM % 6)).5
+		[ $((RANDOM % 2)) = 0 ] && tell lapse
+		tell up
+		;;
+	copy)
+		tell copy
+		copied=1
+		;;
+	back)
+		[ -n "$copied" ] || return
+		tell down
+		sleep 0.3
+		tell go-back
+		tell up
+		copied=
+		;;
+	leave) tell 'gone?id=i-p1' ;;
+	return) tell 'back?id=i-p1' ;;
+	esac
+	sleep 0.$((RANDOM % 9 + 1))
+}
+cuts() { # gateways lose their own links to endpoints
+	local face cut
+	pick face reset refuse dark
+	pick cut 1 2 3 "1 2" "2 3" "1 3" "1 2 3"
+	pick ENDPOINT_LINKS "e1 e2 e3 p1 p2" "e1 e2 e3 p1 p2" "e1 e2 e3" "p1 p2" "e1 p1"
+	on_and_off 4 1 cut_endpoints $face $cut
+}
+on_and_off() { # SECONDS LEAST_TENTHS COMMAND MODE ARGUMENT...: a cut, or four shorter ones; its end is the mode "pass"
+	local times
+	pick times 1 1 1 4
+	echo "$* links $ENDPOINT_LINKS times $times" >>"$RUN/faults"
+	while [ $times -gt 0 ]; do
+		"${@:3}"
+		sleep $((RANDOM % $1 / times)).$((RANDOM % (10 - $2) + $2))
+		$3 pass "${@:5}"
+		times=$((times - 1))
 		sleep 0.$((RANDOM % 9 + 1))
 	done
 }
-cuts() { # gateways lose their own links to endpoints, until $RUN/over is there
-	local face cut times
-	RANDOM=$((seed * 100 + 97))
-	while [ ! -e "$RUN/over" ]; do
-		face=$(pick reset refuse dark)
-		cut=$(pick 1 2 3 "1 2" "2 3" "1 3" "1 2 3")
-		ENDPOINT_LINKS=$(pick "e1 e2 e3 p1 p2" "e1 e2 e3 p1 p2" "e1 e2 e3" "p1 p2" "e1 p1")
-		times=$(pick 1 1 1 4)
-		echo "cut $face gates $cut links $ENDPOINT_LINKS times $times" >>"$RUN/faults"
-		while [ $times -gt 0 ]; do
-			cut_endpoints $face $cut
-			sleep $((RANDOM % 4 / times)).$((RANDOM % 9 + 1))
-			cut_endpoints pass $cut
-			times=$((times - 1))
-			sleep 0.$((RANDOM % 9 + 1))
-		done
-	done
+pick() { # NAME WORD...: sets a variable to one of the words; in this shell, since one of its own would draw without the seed
+	local to=$1
+	shift $((RANDOM % ($# - 1) + 1))
+	printf -v "$to" %s "$1"
+}
+settings_in_halls() { # N: as settings(), in a hall of its own, and reached by the others through the proxy
+	settings "$1" | sed "s/\"hall\":\"h1\"/\"hall\":\"h$1\"/;s/\"peer_address\":\"[^\"]*\"/\"peer_address\":\"$(address $((80 + $1)))\",\"peer_listen_address\":\"$(node "$1" 4)\"/;s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$(address 81)\",\"$(address 82)\",\"$(address 83)\"]/"
+}
+set_paths() { # MODE PATH...: connections from one hall to another, "13" being from the first to the third
+	local path l in_hall=("" "n1 e1 p1" "n2 e2" "n3 e3 p2")
+	for path in "${@:2}"; do for l in ${in_hall[${path:1}]}; do set_link $l "$1" 0 "127.0.0.$((10 + ${path:0:1}))"; done; done
+}
+paths() { # halls hear nothing of each other
+	local cut
+	pick cut 13 21 "12 21" "13 31" "23 32" "13 23" "21 31" "13 31 23 32" "12 21 13 31" "12 21 23 32"
+	on_and_off 6 5 set_paths dark $cut
+}
+hangs() { # one endpoint answers nothing: its process, or what it says or is told waits on the way
+	local link face
+	pick link e1 e2 e3 p1 p2
+	pick face hang hang out silent
+	echo "hangs $link $face" >>"$RUN/faults"
+	[ $face = hang ] && tell "hang?id=i-$link" || set_link $link $face
+	sleep $((RANDOM % 6)).$((RANDOM % 5 + 5))
+	[ $face = hang ] && tell "go-on?id=i-$link" || set_link $link pass
+	sleep 0.$((RANDOM % 9 + 1))
+}
+hang_on() { # ID GATEWAY KIND BYTES_PER_S: a caller that reads a long answer so fast, until its gateway's process has gone
+	curl -s -N --limit-rate "$4" -o "$RUN/read.$1" -D "$RUN/read-head.$1" "http://$(node "$2" 0)/$3/bulk/$1" -H 'Host: a.example' \
+		-H "X-Attempt-Id: $1" -H 'X-Time-Budget-Ms: 9000' -H 'X-Api-Key: key1' -H 'X-Token-Usage: 3000,100' & # a body would be sent as slowly
+	tail --pid="$(pid_of "gate$2")" -s 0.2 -f /dev/null
+	kill %1 2>/dev/null
+	wait
+}
+readers() { # one more
+	local kind rate
+	sent=$((sent + 1))
+	pick kind free ask
+	pick rate 1 1 50k 1M
+	hang_on r$sent $((RANDOM % 3 + 1)) $kind $rate &
+	sleep $((RANDOM % 2)).$((RANDOM % 9 + 1))
 }
-pick() { shift $((RANDOM % $#)); echo "$1"; }
 is_alive() { kill -0 "$(pid_of "gate$1")" 2>/dev/null; }
 renew() { # N: kills what is left of a gateway and starts it again
 	local tries=100
@@ -102,9 +149,11 @@
 	start_gate "$1"
 }
 one_fault() { # with what ends it later on, in the background, so that faults overlap
-	local n=$((RANDOM % 3 + 1)) later=0.$((RANDOM % 9 + 1))
-	local kind=$(pick kill stop pause reload store config link link link)
-	echo "$kind gate$n $later" >>"$RUN/faults"
+	local n=$((RANDOM % 3 + 1)) later=0.$((RANDOM % 9 + 1)) long kind link mode
+	pick long 0 1 3 10
+	long=$long.$((RANDOM % 9 + 1))
+	pick kind kill stop pause reload store config link link link
+	echo "$kind gate$n $later $long" >>"$RUN/faults"
 	case $kind in
 	kill) renew $n ;;
 	stop)
@@ -114,18 +163,19 @@
 		;;
 	pause)
 		signal gate$n STOP
-		(sleep 1$later; signal gate$n CONT) &
+		(sleep $long; signal gate$n CONT) &
 		;;
 	reload) signal gate$n HUP ;;
 	link)
-		link=$(pick $LINKS) mode=$(pick delay silent in out reset)
-		echo "link $link $mode 1$later" >>"$RUN/faults"
+		pick link $LINKS
+		pick mode delay silent in out reset
+		echo "link $link $mode $long" >>"$RUN/faults"
 		set_link $link $mode $((RANDOM % 400 + 20))
-		(sleep 1$later; set_link $link pass) &
+		(sleep $long; set_link $link pass) &
 		;;
 	store)
 		tell down
-		(sleep 1$later; tell up) &
+		(sleep $long; tell up) &
 		;;
 	config)
 		version=$((version + 1))
@@ -154,6 +204,26 @@
 		done
 	done
 }
+judge_others() { # slow readers hang on at every gateway, and others are served
+	local n
+	for n in 1 2 3; do
+		hang_on late$n $n ask 1 & hang_on slow$n $n free 50k &
+	done
+	sleep 0.5
+	for n in 1 2 3 1 2 3 1 2 3 1 2 3; do
+		[ "$(call $n /free/x o$RANDOM -m 2) $(ask $n /ask/x o$RANDOM -m 2)" = "200 200" ] || violation "gate$n does not serve beside slow readers"
+	done
+}
+judge_readers() { # all gateways have been killed, and so their readers have ended
+	local n id pad=$(head -c 262137 /dev/zero | tr '\0' x)
+	for n in $(seq 40); do printf 'id: %s\ndata: piece %s\ndata: %s\n\n' $n $n $pad; done >"$RUN/bulk"
+	for n in "$RUN"/read.*; do
+		id=${n##*/read.}
+		grep -q '^HTTP/1.1 200' "$RUN/read-head.$id" || continue
+		cmp -s -n "$(stat -c %s "$n")" "$n" "$RUN/bulk" || violation "id=$id has read what is no beginning of its answer"
+	done
+	echo "readers=$(ls "$RUN"/read-head.* | wc -l) bytes_read=$(cat "$RUN"/read.* | wc -c)"
+}
 judge_history() { # the end of it: an endpoint leaves in peace, and gets nothing more
 	local before n
 	tell up
@@ -180,11 +250,16 @@
 	[ "$(tell crashes)" = "$before" ] || violation "endpoints still crash"
 }
 one_seed() {
-	local until n
+	local until n more=
 	RANDOM=$seed
 	version=1
-	start_site_behind_proxy
-	for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; start_gate $n; done
+	if [ -n "${PATHS:-}" ]; then
+		for n in 1 2 3; do MORE_LINKS="${MORE_LINKS:-} --link n$n=$(address $((80 + n))),$(node $n 4)"; done
+		LINKS="$LINKS n1 n2 n3"
+		more="--hall i-e1=h1 --hall i-e2=h2 --hall i-e3=h3 --hall i-p1=h1 --hall i-p2=h3"
+	fi
+	start_site_behind_proxy $more
+	for n in 1 2 3; do settings${PATHS:+_in_halls} $n >"$RUN/gate$n.json"; start_gate $n; done
 	config 1 key1 >"$RUN/config"
 	wait_for 5 tell config -d "@$RUN/config"
 	for n in 1 2 3; do wait_for 10 ready $n 200; done
@@ -193,18 +268,11 @@
 		caller "$n" &
 		callers="$callers $!"
 	done
-	if [ -n "${CULPRITS:-}" ]; then
-		culprit &
+	for n in ${CULPRITS:+culprit,99} ${HISTORY:+history,98} ${CUTS:+cuts,97} ${PATHS:+paths,96} ${HANGS:+hangs,95}; do
+		series ${n/,/ } &
 		callers="$callers $!"
-	fi
-	if [ -n "${HISTORY:-}" ]; then
-		history &
-		callers="$callers $!"
-	fi
-	if [ -n "${CUTS:-}" ]; then
-		cuts &
-		callers="$callers $!"
-	fi
+	done
+	[ -z "${READERS:-}" ] || series readers 94 & # its callers stay when the others have ended
 	until=$((SECONDS + seconds))
 	while [ $SECONDS -lt $until ]; do
 		one_fault
@@ -216,20 +284,23 @@
 	for n in 1 2 3; do signal gate$n CONT; done
 	touch "$RUN/over"
 	wait $callers
-	for link in $LINKS; do set_link $link pass; done
+	for link in $LINKS; do set_link $link pass; tell "go-on?id=i-$link"; done
 	for n in 1 2 3; do wait_for 10 ready $n 200 || violation "gate$n is not ready"; done
 	judge
 	[ -z "${CULPRITS:-}" ] || judge_culprit
 	[ -z "${HISTORY:-}" ] || judge_history
+	[ -z "${READERS:-}" ] || judge_others
 }
 violations=0
 for seed in $(seq "$first" $((first + seeds - 1))); do
 	before=$violations
 	begin_run
+	MORE_LINKS=
 	. test/gate.sh
 	one_seed
 	CRASHED=$(tell crashes)
 	stop_all
+	[ -z "${READERS:-}" ] || judge_readers
 	echo "seed=$seed crashes=$CRASHED calls=$(cat "$RUN"/calls.* | wc -l) served=$(cat "$RUN"/calls.* | grep -c ' 200 ') faults=$(wc -l <"$RUN/faults") violations=$((violations - before))"
 	[ $violations = $before ] || [ -z "${SAVE:-}" ] || cp -r "$RUN" "$SAVE.$seed"
 	rm -rf "$RUN"
