test: the gateways' soak judges refusals by what gateways send

Cause: "refused as not run, and ran" could never be found. The judge looked for the header by which endpoints say so; a gateway tells its callers by a time to come back. Of all calls before, none counted as refused. Change: a call counts as refused where its answer has that time.

--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -35,7 +35,7 @@
 			-H 'Host: a.example' -H "X-Attempt-Id: $id" -H 'X-Time-Budget-Ms: 5000' -H 'X-Api-Key: key1' \
 			-H 'X-Token-Usage: 3000,100' -d 'a prompt')
 		events=$(grep '^id:' "$RUN/body.$1" 2>/dev/null | tr -d 'id: \r' | tr '\n' ,)
-		echo "$kind $id $status ${events:-none} $(grep -ci '^x-not-executed' "$RUN/head.$1" 2>/dev/null)" >>"$RUN/calls.$1"
+		echo "$kind $id $status ${events:-none} $(grep -ci '^retry-after: ' "$RUN/head.$1" 2>/dev/null)" >>"$RUN/calls.$1"
 		rm -f "$RUN/body.$1" "$RUN/head.$1"
 		sleep 0.0$((RANDOM % 9 + 1))
 	done
