--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -203,7 +203,7 @@
 	if (c->is_streaming) {
 		forward_events_(c);
 	}
-	else if (evbuffer_get_length(c->body) > inbound_get_answer_max(c->gate, BUFFERED_MAX) ||
+	else if (evbuffer_get_length(c->body) > answer_buffer_get_max(c->gate, BUFFERED_MAX) ||
 			 c->retry.answer_begun) {
 		size_t n = evbuffer_get_length(c->body);
 		forward_(c, (const char *)evbuffer_pullup(c->body, -1), n);
@@ -282,7 +282,7 @@
 		done += event_len;
 	}
 	evbuffer_drain(c->body, done);
-	if (len - done > MAX(inbound_get_answer_max(c->gate, EVENT_MAX), (size_t)EVENT_MAX_OF_MANY)) {
+	if (len - done > MAX(answer_buffer_get_max(c->gate, EVENT_MAX), (size_t)EVENT_MAX_OF_MANY)) {
 		log_event("answer", "what=event-too-large request=%s bytes=%zu", c->request->meta.request_id,
 				  len - done);
 		dispatch_end(c, BH__DISPATCH_BROKEN);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -150,14 +150,18 @@
 							 struct evbuffer *body);
 void inbound_answer_begin(Inbound *in, int status, const char *reason, const GString *headers);
 bool inbound_answer_append(Inbound *in, const char *data, size_t len);
-size_t inbound_get_answer_max(const Gate *g, size_t max);
-size_t inbound_get_read_max(const Gate *g);
 void inbounds_apply_settings(Gate *g);
-void answer_buffer_count(Gate *g, struct evbuffer *buffer);
-void answer_buffer_stop_counting(Gate *g, struct evbuffer *buffer);
 void inbound_answer_end(Inbound *in);
 void inbound_abort(Inbound *in);
 
+/* answer_buffer.c */
+#define ANSWER_BUFFER_READ_MAX (16 * 1024) /* bytes of one read from a caller or an endpoint */
+
+void answer_buffer_count(Gate *g, struct evbuffer *buffer);
+void answer_buffer_stop_counting(Gate *g, struct evbuffer *buffer);
+size_t answer_buffer_get_max(const Gate *g, size_t max);
+size_t answer_buffer_get_read_max(const Gate *g);
+
 /* outbound.c */
 /* How a connection to an endpoint ended. */
 typedef enum {
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -20,7 +20,6 @@
 
 /* Bytes buffered for a slow caller before the gateway stops reading from the endpoint. */
 #define OUTPUT_HIGH_WATERMARK (128 * 1024)
-#define READ_MAX (16 * 1024) /* bytes of one read from a caller or an endpoint */
 /* Bytes of one read of a request's head, and of later requests that are read ahead while a request is in
  * progress. A caller whose disconnect is to be noticed sends no more. */
 #define READ_AHEAD_MAX (4 * 1024)
@@ -89,7 +88,6 @@
 static void finish_answer_(Inbound *in);
 static void close_when_sent_(Inbound *in);
 static void close_connection_(Inbound *in);
-static void on_answer_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate);
 static void on_input_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate);
 static bool is_caught_up_(const Inbound *in);
 static void on_free_(evutil_socket_t fd, short what, void *arg);
@@ -161,26 +159,6 @@
 	g->memory_budget.answers_max = (unsigned)MIN(all, G_MAXUINT);
 }
 
-/* Counts what `buffer` holds as bytes of answers that wait, from now on. */
-void answer_buffer_count(Gate *g, struct evbuffer *buffer)
-{
-	bh__memory_budget_note_answer(&g->memory_budget, evbuffer_get_length(buffer), 0);
-	evbuffer_add_cb(buffer, on_answer_changed_, g);
-}
-
-/* Counts a buffer no more, which is to be done before it is freed. */
-void answer_buffer_stop_counting(Gate *g, struct evbuffer *buffer)
-{
-	evbuffer_remove_cb(buffer, on_answer_changed_, g);
-	bh__memory_budget_note_answer(&g->memory_budget, 0, evbuffer_get_length(buffer));
-}
-
-static void on_answer_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate)
-{
-	(void)buffer;
-	bh__memory_budget_note_answer(&((Gate *)gate)->memory_budget, info->n_added, info->n_deleted);
-}
-
 /* Counts what has been read from callers and not been parsed. */
 static void on_input_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate)
 {
@@ -198,7 +176,7 @@
 
 	in->state = READING;
 	bufferevent_set_max_single_read(in->bev, READ_AHEAD_MAX);
-	bufferevent_setwatermark(in->bev, EV_READ, 0, READ_MAX);
+	bufferevent_setwatermark(in->bev, EV_READ, 0, ANSWER_BUFFER_READ_MAX);
 	set_timer_(in, idle_ms);
 }
 
@@ -222,7 +200,7 @@
 static bool is_caught_up_(const Inbound *in)
 {
 	return evbuffer_get_length(bufferevent_get_output(in->bev)) <
-		   inbound_get_answer_max(in->gate, OUTPUT_HIGH_WATERMARK);
+		   answer_buffer_get_max(in->gate, OUTPUT_HIGH_WATERMARK);
 }
 
 /* Parses buffered input until a request is complete, then starts its call. A next one that is buffered
@@ -386,7 +364,7 @@
 	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX && !reserve_memory_(in, p->content_length))
 		return -1;
 	if (p->flags & F_CHUNKED || p->content_length != UINT64_MAX)
-		bufferevent_set_max_single_read(in->bev, inbound_get_read_max(in->gate));
+		bufferevent_set_max_single_read(in->bev, answer_buffer_get_read_max(in->gate));
 	if (find_header_(in, "expect", NULL))
 		bufferevent_write(in->bev, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	return 0;
@@ -571,22 +549,6 @@
 	evbuffer_add_printf(out, "\r\n");
 }
 
-/* Returns the number of buffered bytes of one answer at which reading it pauses: one more read fits under the
- * memory budget then, and under `max`. */
-size_t inbound_get_answer_max(const Gate *g, size_t max)
-{
-	size_t all = bh__memory_budget_get_answer_max(&g->memory_budget, g_hash_table_size(g->inbounds), max);
-
-	return all - MIN((size_t)READ_MAX, all / 2);
-}
-
-/* Returns the maximum number of bytes of one read, which is what inbound_get_answer_max() leaves room for. */
-size_t inbound_get_read_max(const Gate *g)
-{
-	return bh__memory_budget_get_answer_max(&g->memory_budget, g_hash_table_size(g->inbounds), 2 * READ_MAX) /
-		   2;
-}
-
 /* Sends the next part of an answer. Returns false if the output buffer is above its high watermark, so that
  * the gateway should pause reading from the endpoint. */
 bool inbound_answer_append(Inbound *in, const char *data, size_t len)
@@ -600,7 +562,7 @@
 	evbuffer_add(out, data, len);
 	if (in->chunked)
 		evbuffer_add(out, "\r\n", 2);
-	return evbuffer_get_length(out) < inbound_get_answer_max(in->gate, OUTPUT_HIGH_WATERMARK);
+	return evbuffer_get_length(out) < answer_buffer_get_max(in->gate, OUTPUT_HIGH_WATERMARK);
 }
 
 /* Ends an answer that is complete. */
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -207,7 +207,7 @@
 	y->bytes_out += evbuffer_get_length(data);
 	links_send_bytes(y->server->gate->links, y->stream, data);
 	if (evbuffer_get_length(peer_stream_get_output(y->stream)) >=
-			inbound_get_answer_max(y->server->gate, QUEUED_MAX) &&
+			answer_buffer_get_max(y->server->gate, QUEUED_MAX) &&
 		!y->is_paused) {
 		y->is_paused = true;
 		c->ops->pause(c, true);
--- a/test/check-layers.sh
+++ b/test/check-layers.sh
@@ -3,7 +3,7 @@
 # By the symbols of the objects in $B: the largest circle stays small, and the layer that reaches endpoints calls nothing above it (reach.h).
 set -u
 BOUND=14 # files
-LAYER="answer_parser direct_channel hall_paths link_probe links outbound relay_channel relay_server signals"
+LAYER="answer_buffer answer_parser direct_channel hall_paths link_probe links outbound relay_channel relay_server signals"
 
 objects=()
 for source in src/bayhoist-gate/*.c; do
