--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -321,9 +321,6 @@
 			bool is_complete; /* `fact` lists all existing endpoints, not only the changed ones */
 			uint32_t count;
 			BH__EndpointRecord *fact;
-			/* in a message that is to be sent: the encoded form of `fact`, whose `count` entries it replaces;
-			 * NULL: none */
-			const GByteArray *encoded_facts;
 			uint32_t gone_count;
 			BH__EndpointDeparture *gone;
 			uint32_t hall_count; /* halls that the sender knows to be draining or to have been drained */
@@ -385,7 +382,6 @@
 } BH__Message;
 
 /* Encodes `m`. Returns a buffer that the caller releases with free(), and stores its length in `len`. */
-GByteArray *bh__message_encode_records(const BH__EndpointRecord *record, uint32_t count);
 char *bh__message_encode(const BH__Message *m, size_t *len);
 /* Decodes one message into `m`, which the caller releases with bh__message_finish(), also after a failure.
  * Returns false and sets `error` if the message is malformed. */
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -59,7 +59,6 @@
 static void endpoint_(Codec_ *c, BH__EndpointEntry *e);
 static void store_version_(Codec_ *c, BH__StoreVersion *p);
 static void past_(Codec_ *c, BH__EndpointHistory *p);
-static void record_(Codec_ *c, BH__EndpointRecord *r);
 static void sync_(Codec_ *c, BH__Message *m);
 static void fingerprint_(Codec_ *c, BH__Fingerprint *f);
 static void suspect_(Codec_ *c, BH__Message *m);
@@ -388,14 +387,6 @@
 	u64_(c, &p->drained_born_ms);
 }
 
-static void record_(Codec_ *c, BH__EndpointRecord *r)
-{
-	endpoint_(c, &r->entry);
-	past_(c, &r->history);
-	u64_(c, &r->gone_in_us);
-	u64_(c, &r->cold_in_us);
-}
-
 static void sync_(Codec_ *c, BH__Message *m)
 {
 	u64_(c, &m->as.sync.asked_us);
@@ -410,12 +401,12 @@
 	flag_(c, &m->as.sync.platform_unavailable);
 	flag_(c, &m->as.sync.is_complete);
 	m->as.sync.fact = list_(c, &m->as.sync.count, m->as.sync.fact, sizeof *m->as.sync.fact);
-	if (is_packing_(c) && m->as.sync.encoded_facts)
-		msgpack_sbuffer_write(c->packer->data, (const char *)m->as.sync.encoded_facts->data,
-							  m->as.sync.encoded_facts->len);
-	else
-		for (uint32_t i = 0; i < m->as.sync.count && !c->failed; i++)
-			record_(c, &m->as.sync.fact[i]);
+	for (uint32_t i = 0; i < m->as.sync.count && !c->failed; i++) {
+		endpoint_(c, &m->as.sync.fact[i].entry);
+		past_(c, &m->as.sync.fact[i].history);
+		u64_(c, &m->as.sync.fact[i].gone_in_us);
+		u64_(c, &m->as.sync.fact[i].cold_in_us);
+	}
 	m->as.sync.gone = list_(c, &m->as.sync.gone_count, m->as.sync.gone, sizeof *m->as.sync.gone);
 	for (uint32_t i = 0; i < m->as.sync.gone_count && !c->failed; i++) {
 		u64_(c, &m->as.sync.gone[i].endpoint_id);
@@ -657,23 +648,6 @@
 	}
 }
 
-/* Encodes the records of endpoints once for several sync messages. The caller frees the result. */
-GByteArray *bh__message_encode_records(const BH__EndpointRecord *record, uint32_t count)
-{
-	msgpack_sbuffer buffer;
-	msgpack_packer packer;
-	Codec_ c = {.packer = &packer};
-	GByteArray *bytes = g_byte_array_new();
-
-	msgpack_sbuffer_init(&buffer);
-	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	for (uint32_t i = 0; i < count; i++)
-		record_(&c, (BH__EndpointRecord *)&record[i]);
-	g_byte_array_append(bytes, (const guint8 *)buffer.data, (guint)buffer.size);
-	msgpack_sbuffer_destroy(&buffer);
-	return bytes;
-}
-
 /* Encodes `m`. The values follow one another without an enclosing array, so their number need not be known in
  * advance; the decoder reads to the end of the data. */
 char *bh__message_encode(const BH__Message *m, size_t *len)
--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -55,19 +55,6 @@
  * themselves take part of that time. */
 #define YOUNGER_MIN_US_ (50 * BH__MS_US)
 
-/* Time for which the encoded complete table is sent. The times in it count from its making, so that a node
- * takes an endpoint for cold by this much too long. */
-#define TABLE_KEPT_US_ (100 * BH__MS_US)
-
-/* The complete table of endpoints, encoded once for all askers. */
-typedef struct {
-	GByteArray *encoded;            /* NULL: none */
-	uint32_t count;                 /* endpoints in it */
-	uint64_t made_us;               /* when it was made */
-	uint64_t registry_version;      /* version of the registry that it shows */
-	BH__StoreVersion store_version; /* of the same */
-} Table_;
-
 /* A request that is held until there is an update. Times are in microseconds. */
 typedef struct {
 	uint64_t node;                  /* node that asks */
@@ -112,8 +99,7 @@
 	uint64_t rejected_version; /* of an invalid configuration that was received; 0: none */
 	BH__PackedText packed;     /* the configuration in the form in which it is sent on */
 	uint64_t packed_version;   /* version of the packed configuration; 0: none */
-	Table_ table;
-	GArray *held; /* HeldRequest_ */
+	GArray *held;              /* HeldRequest_ */
 };
 
 const char *const BH__PlatformSyncEventString[] = {"ask",          "read",          "found-stale",
@@ -149,15 +135,10 @@
 static bool has_update_(const BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us);
 static void answer_request_(BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us);
 static const BH__PackedText *packed_configuration_(BH__PlatformSync *s, uint64_t version);
-static void add_records_(BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us, GArray *records,
-						 GArray *departures, BH__Message *m);
-static void add_table_(BH__PlatformSync *s, uint64_t now_us, GArray *records, BH__Message *m);
-static bool is_table_current_(const BH__PlatformSync *s, uint64_t now_us);
-static void drop_table_(BH__PlatformSync *s);
+static void add_records_(const BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us, GArray *records,
+						 GArray *departures, bool *is_complete);
 static void add_halls_(const BH__PlatformSync *s, BH__Message *m);
 static void merge_halls_(BH__PlatformSync *s, const BH__Message *m, uint64_t now_us);
-static void take_late_answer_(BH__PlatformSync *s, const BH__Message *m, uint64_t registry_read_us,
-							  uint64_t now_us);
 static bool is_unanswered_at_start_(const BH__PlatformSync *s, uint64_t now_us);
 static bool is_source_starting_(const BH__PlatformSync *s, const BH__Message *m, uint64_t now_us);
 static void ask_source_again_(BH__PlatformSync *s, uint64_t now_us);
@@ -186,7 +167,6 @@
 	if (!s)
 		return;
 	bh__packed_text_clear(&s->packed);
-	drop_table_(s);
 	g_array_unref(s->held);
 	g_free(s);
 }
@@ -328,8 +308,6 @@
 		else
 			skip_source_(s, false, now_us);
 	}
-	if (!is_table_current_(s, now_us))
-		drop_table_(s);
 	take_over_(s, now_us);
 	update_source_(s, now_us);
 	end_search_(s, now_us);
@@ -715,7 +693,8 @@
 	m.as.sync.registry_age_us = now_us - s->as_of_us;
 	m.as.sync.reader = s->remote_reader ? s->remote_reader : bh__members_get_self(s->members)->node_id;
 	m.as.sync.platform_unavailable = is_reader_out_of_sync_(s) || is_unanswered_at_start_(s, now_us);
-	add_records_(s, q, now_us, records, departures, &m);
+	add_records_(s, q, now_us, records, departures, &m.as.sync.is_complete);
+	m.as.sync.count = records->len;
 	m.as.sync.fact = (BH__EndpointRecord *)(void *)records->data;
 	m.as.sync.gone_count = departures->len;
 	m.as.sync.gone = (BH__EndpointDeparture *)(void *)departures->data;
@@ -735,67 +714,20 @@
 	return &s->packed;
 }
 
-/* Adds the changes of endpoints that the asker lacks, or the complete table if the changes since the asker's
- * version are no longer known. A node without endpoints adds nothing. */
-static void add_records_(BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us, GArray *records,
-						 GArray *departures, BH__Message *m)
+/* Adds the changes of endpoints that the asker lacks, or the complete table, with `*is_complete` set, if the
+ * changes since the asker's version are no longer known. A node without endpoints adds nothing. */
+static void add_records_(const BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us, GArray *records,
+						 GArray *departures, bool *is_complete)
 {
 	const BH__Registry *r = s->registry;
 
-	if (bh__store_version_is_zero(bh__registry_get_store_version(r)))
+	*is_complete = false;
+	if (bh__store_version_is_zero(bh__registry_get_store_version(r)) ||
+		bh__registry_list_changes(r, q->store_version, now_us, records, departures))
 		return;
-	if (bh__registry_list_changes(r, q->store_version, now_us, records, departures))
-		m->as.sync.count = records->len;
-	else
-		add_table_(s, now_us, records, m);
-}
-
-/* Adds the complete table. It is encoded once for a while: when 300 nodes start at once, a source tells 3,000
- * endpoints to each of 132 nodes, and encoding them for each took a small VM seconds. A table with endpoints
- * that are about to be gone is not kept, because that time must be exact. */
-static void add_table_(BH__PlatformSync *s, uint64_t now_us, GArray *records, BH__Message *m)
-{
-	const BH__Registry *r = s->registry;
-	bool may_keep = true;
-
-	m->as.sync.is_complete = true;
-	if (!is_table_current_(s, now_us)) {
-		drop_table_(s);
-		for (unsigned i = 0; i < bh__registry_get_count(r); i++) {
-			bh__registry_add_record(r, i, now_us, records);
-			may_keep &= !g_array_index(records, BH__EndpointRecord, i).gone_in_us;
-		}
-		m->as.sync.count = records->len;
-		if (!may_keep)
-			return;
-		s->table = (Table_){.encoded = bh__message_encode_records(
-								(const BH__EndpointRecord *)(void *)records->data, records->len),
-							.count = records->len,
-							.made_us = now_us,
-							.registry_version = bh__registry_get_version(r),
-							.store_version = bh__registry_get_store_version(r)};
-	}
-	m->as.sync.count = s->table.count;
-	m->as.sync.encoded_facts = s->table.encoded;
-}
-
-/* Returns true if the encoded table shows the registry as it is, and was made recently. */
-static bool is_table_current_(const BH__PlatformSync *s, uint64_t now_us)
-{
-	BH__StoreVersion now = bh__registry_get_store_version(s->registry);
-	const Table_ *t = &s->table;
-
-	return t->encoded && now_us < t->made_us + TABLE_KEPT_US_ &&
-		   t->registry_version == bh__registry_get_version(s->registry) &&
-		   !bh__store_version_is_after(now, t->store_version) &&
-		   !bh__store_version_is_after(t->store_version, now);
-}
-
-static void drop_table_(BH__PlatformSync *s)
-{
-	if (s->table.encoded)
-		g_byte_array_unref(s->table.encoded);
-	memset(&s->table, 0, sizeof s->table);
+	*is_complete = true;
+	for (unsigned i = 0; i < bh__registry_get_count(r); i++)
+		bh__registry_add_record(r, i, now_us, records);
 }
 
 /* Handles the answer of a source. The ages in it count back from the send time of the request plus the time
@@ -805,10 +737,8 @@
 	uint64_t answered_us = MIN(m->as.sync.asked_us + m->as.sync.hold_time_us, now_us);
 	uint64_t registry_read_us = answered_us - MIN(answered_us, m->as.sync.registry_age_us);
 
-	if (!s->asked_us || m->as.sync.asked_us != s->asked_us) {
-		take_late_answer_(s, m, registry_read_us, now_us);
+	if (!s->asked_us || m->as.sync.asked_us != s->asked_us)
 		return;
-	}
 	s->asked_us = 0;
 	merge_halls_(s, m, now_us);
 	apply_configuration_(s, m, answered_us - MIN(answered_us, m->as.sync.configuration_age_us));
@@ -830,18 +760,6 @@
 	ask_source_again_(s, now_us);
 }
 
-/* Handles an answer that comes after its time-out. A node without endpoints takes those in it: when all nodes
- * start at once, a source takes long for the complete table of hundreds of askers. An answer to what an
- * earlier process on this VM asked is not taken. */
-static void take_late_answer_(BH__PlatformSync *s, const BH__Message *m, uint64_t registry_read_us,
-							  uint64_t now_us)
-{
-	if (s->as_of_us || m->as.sync.asked_us < s->started_us || m->as.sync.platform_unavailable ||
-		m->as.sync.registry_age_us >= endpoints_max_age_us_(s))
-		return;
-	merge_facts_(s, m, registry_read_us, now_us);
-}
-
 /* Returns true if this node has no endpoints yet and can't count on its reads: the platform leaves its first
  * one without an answer, or several sources are without state. */
 static bool is_unanswered_at_start_(const BH__PlatformSync *s, uint64_t now_us)
--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -23,7 +23,6 @@
 #define SUSPECT_US BH__SECOND_US        /* until probes have found a node silent, and all know it */
 #define HISTORY 20000                   /* changes that the store keeps */
 #define SENDINGS_MAX 5                  /* of one look */
-#define ENCODED_SHARE 6                 /* of the work on an endpoint's record: it is only copied */
 #define SEEDS_LEAST_US (10 * BH__MS_US) /* until a node that starts alone knows the others */
 #define SEEDS_MOST_US (250 * BH__MS_US)
 
@@ -78,10 +77,8 @@
 	bool is_cut; /* from all other nodes */
 	bool is_cut_from_store;
 	bool watches;
-	uint64_t meets_us;      /* when it learns of the other nodes; 0: it knows them */
-	uint64_t link_free_us;  /* when its link has sent what was sent so far */
-	uint64_t busy_until_us; /* until when it works on messages */
-	unsigned tick_step;     /* step of its next look at membership and time */
+	uint64_t meets_us;     /* when it learns of the other nodes; 0: it knows them */
+	uint64_t link_free_us; /* when its link has sent what was sent so far */
 	uint64_t suspended_until_us;
 	uint64_t suspect_us;       /* when all others suspect it; 0: they do not, or have been told */
 	uint32_t refutation;       /* times that it has refuted that */
@@ -151,19 +148,6 @@
 	return n->fleet->options.node_mbps * (n->index % 3 ? 1 : LARGE_LINK);
 }
 
-/* Has a node work on a message and the endpoints in it. Those that were encoded before are only copied. */
-static void work_on_(Node *n, const BH__Message *m)
-{
-	const FleetOptions *o = &n->fleet->options;
-	unsigned records = m->type == BH__MESSAGE_SYNC ? m->as.sync.count : 0;
-
-	if (records && !m->as.sync.fact)
-		records /= ENCODED_SHARE;
-
-	n->busy_until_us =
-		MAX(n->busy_until_us, n->fleet->now_us) + o->message_us + (uint64_t)records * o->record_us;
-}
-
 static void send_(BH__PlatformSyncPort *port, uint64_t node_id, BH__Message *m)
 {
 	Node *n = node_(port);
@@ -184,9 +168,7 @@
 		return;
 	}
 	l->to = to->index;
-	work_on_(n, m);
-	n->link_free_us =
-		MAX(n->link_free_us, MAX(n->busy_until_us, f->now_us)) + transfer_us_(l->len, node_mbps_(n));
+	n->link_free_us = MAX(n->link_free_us, f->now_us) + transfer_us_(l->len, node_mbps_(n));
 	l->due_us = n->link_free_us + MESSAGE_US + (uint64_t)g_rand_int_range(f->rand, 0, (gint32)MESSAGE_US);
 	g_ptr_array_add(f->letters, l);
 }
@@ -394,7 +376,6 @@
 	n->registry = bh__registry_new(i);
 	n->looks = bh__platform_sync_new(&n->port, &options, n->members, n->registry);
 	n->stopped = g_new0(bool, f->options.endpoints);
-	n->tick_step = (TICK_STEPS - i % TICK_STEPS) % TICK_STEPS;
 	g_hash_table_insert(f->by_id, &n->id, n);
 }
 
@@ -605,13 +586,12 @@
 		Letter *l = g_ptr_array_index(f->letters, i);
 		Node *n = &f->node[l->to];
 		BH__Message m;
-		if (l->due_us > f->now_us || !runs_(n) || n->busy_until_us > f->now_us) {
+		if (l->due_us > f->now_us || !runs_(n)) {
 			i++;
 			continue;
 		}
 		g_ptr_array_remove_index(f->letters, i);
 		if (bh__message_decode(&m, l->data, l->len, NULL)) {
-			work_on_(n, &m);
 			if (m.type == BH__MESSAGE_SYNC_ASK)
 				bh__platform_sync_process_ask(n->looks, &m, f->now_us);
 			else if (m.type == BH__MESSAGE_SYNC)
@@ -660,7 +640,7 @@
 		for (unsigned i = 0; i < f->options.nodes; i++) {
 			Node *n = &f->node[i];
 			probe_(f, n);
-			if (!runs_(n) || n->busy_until_us > f->now_us)
+			if (!runs_(n))
 				continue;
 			if (n->meets_us && f->now_us >= n->meets_us) {
 				n->meets_us = 0;
@@ -668,8 +648,7 @@
 			}
 			for (int what = 0; what < 2; what++)
 				follow_look_(n, what);
-			if (f->step >= n->tick_step) {
-				n->tick_step = f->step + TICK_STEPS;
+			if ((f->step + i) % TICK_STEPS == 0) {
 				follow_registry_(n);
 				bh__platform_sync_process_tick(n->looks, f->now_us);
 				bh__platform_sync_process_update(n->looks, f->now_us);
--- a/src/test_libbayhoist/fleet.h
+++ b/src/test_libbayhoist/fleet.h
@@ -27,8 +27,6 @@
 	unsigned reads_per_s; /* that the store answers, of all nodes together; 0: any number */
 	unsigned store_mbps;  /* link of the store, which all answers share; 0: any speed */
 	unsigned node_mbps;   /* link of a node of the smaller kind; of the larger ten times that; 0: any speed */
-	unsigned message_us;  /* that a node is busy with a message among nodes, at either end; 0: none */
-	unsigned record_us;   /* the same for each endpoint in it; while busy it does nothing else */
 	uint32_t seed;
 } FleetOptions;
 
