retry: an engine is waited for until a path that lost packets for a second is heard again

TCP repeats the first lost packet after 0.2, 0.4, 0.8 and 1.6 s; an engine was given up after 1.5 s (longest iteration and 0.2 s).

--- a/src/libbayhoist/retry_state.c
+++ b/src/libbayhoist/retry_state.c
@@ -17,9 +17,13 @@
 #define FIRST_EVENT_WAIT_EXTRA_MS_ 500
 #define EVENT_GAP_WAIT_FACTOR_ 4
 #define MIN_WAIT_MS_ 900
-/* An engine does not count as unresponsive before its longest possible iteration, plus a network allowance,
- * is over. Otherwise one long iteration would cause every stream of the engine to be retried. */
-#define MIN_ENGINE_WAIT_MS_ (BH__MAX_ITERATION_MS + 200)
+/* When a sender is heard again whose packets were lost for a second: TCP repeats the first of them 0.2, 0.4,
+ * 0.8 and 1.6 s after it was sent. */
+#define HEARD_AFTER_1S_MS_ 1600
+/* An engine does not count as unresponsive before its longest possible iteration is over, nor before a path
+ * that lost all packets for a second is heard again, plus a network allowance. Otherwise one long iteration,
+ * or one such second, would cause every stream of the engine to be retried. */
+#define MIN_ENGINE_WAIT_MS_ (MAX(BH__MAX_ITERATION_MS, HEARD_AFTER_1S_MS_) + 100)
 /* Fraction of the allowed retries that is used, because a node that restarts begins with a full budget again.
  */
 #define BUDGET_SHARE_USED_ 0.7
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -333,6 +333,20 @@
 					 900 * BH__MS_US); /* plain services have no passes */
 }
 
+/* A path that loses all packets for a second breaks no stream off. The sender repeats the first lost packet
+ * after 0.2 s and each time after twice as long, of which the last is 1.6 s after it was sent. */
+static void a_second_without_packets_is_no_silence_(void **state)
+{
+	BH__RouteRule page = {.target_ms = 300, .event_gap_ms = 200};
+	uint64_t repeat_us = 200 * BH__MS_US;
+
+	(void)state;
+	while (repeat_us < BH__SECOND_US)
+		repeat_us *= 2;
+	assert_true(bh__response_max_wait_us(&page, true, true) > repeat_us);
+	assert_true(bh__response_max_wait_us(&page, true, false) > repeat_us);
+}
+
 /* A node is told what changed after the place up to which it knows all, and which endpoints went; one that
  * knows nothing, or comes from too far back for that, is told all. */
 static void changes_are_told_since_a_place_(void **state)
@@ -603,6 +617,7 @@
 		cmocka_unit_test(sends_again_only_what_may_),
 		cmocka_unit_test(may_have_run_is_not_forgotten_),
 		cmocka_unit_test(a_long_pass_is_no_silence_),
+		cmocka_unit_test(a_second_without_packets_is_no_silence_),
 		cmocka_unit_test(changes_are_told_since_a_place_),
 		cmocka_unit_test(looks_are_rarer_only_while_the_store_is_away_),
 		cmocka_unit_test(a_node_left_alone_has_a_change_in_time_),
