--- a/test/check-hall-paths.sh
+++ b/test/check-hall-paths.sh
@@ -8,21 +8,15 @@
 FAILED=0
 AIM=97     # in 100 first tries, from a second after the cut began, in halls that hear
 AIM_CUT=90 # in the hall that hears nothing
-settings_in_halls() { # N: as settings(), in a hall of its own, and reached by the others through the proxy
-	settings "$1" | sed "s/\"hall\":\"h1\"/\"hall\":\"h$1\"/;s/\"peer_address\":\"[^\"]*\"/\"peer_address\":\"$(address $((80 + $1)))\",\"peer_listen_address\":\"$(node "$1" 4)\"/;s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$(address 81)\",\"$(address 82)\",\"$(address 83)\"]/"
-}
-in_hall() { case $1 in 1) echo "n1 e1 p1" ;; 2) echo "n2 e2" ;; 3) echo "n3 e3 p2" ;; esac; }
 set_path() { # MODE FROM TO: connections from one hall to another
 	local l
-	for l in $(in_hall "$3"); do set_link $l "$1" 0 "127.0.0.$((10 + $2))"; done
+	for l in $(links_into "$3"); do set_link $l "$1" 0 "127.0.0.$((10 + $2))"; done
 }
 set_pair() { set_path "$1" "$2" "$3"; set_path "$1" "$3" "$2"; } # neither can connect to the other, whichever direction is dead
 lost() { "$B/bayhoistctl" --node "$(node "$1" 3)" paths | grep -c 'path lost'; }
 scheduler() { grep -h 'event=scheduler service=llm' "$RUN/gate$1.log" | tail -n 1 | sed 's/.*node=gate\([0-9]\).*/\1/'; }
 
-more="--hall i-e1=h1 --hall i-e2=h2 --hall i-e3=h3 --hall i-p1=h1 --hall i-p2=h3"
-for n in 1 2 3; do MORE_LINKS="${MORE_LINKS:-} --link n$n=$(address $((80 + n))),$(node $n 4)"; done
-start_site_behind_proxy $more
+start_site_in_halls
 for n in 1 2 3; do settings_in_halls $n >"$RUN/gate$n.json"; start_gate $n; done
 config 1 key1 >"$RUN/config"
 tell config -d "@$RUN/config"
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -23,6 +23,13 @@
 	wait_for 30 tell calls
 	BEHIND_PROXY=1
 }
+# The same in three halls, a gateway in each (settings_in_halls), which the others reach through the proxy too.
+start_site_in_halls() {
+	local n
+	for n in 1 2 3; do MORE_LINKS="${MORE_LINKS:-} --link n$n=$(address $((80 + n))),$(node $n 4)"; done
+	start_site_behind_proxy --hall i-e1=h1 --hall i-e2=h2 --hall i-e3=h3 --hall i-p1=h1 --hall i-p2=h3
+}
+links_into() { case $1 in 1) echo "n1 e1 p1" ;; 2) echo "n2 e2" ;; 3) echo "n3 e3 p2" ;; esac; } # HALL
 set_link() { # LINK MODE [MS [FROM]]
 	curl -s -m 3 "http://$(address 70)/set?link=$1&mode=$2&ms=${3:-0}&from=${4:-}"
 }
@@ -42,6 +49,9 @@
 	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":%s} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" \
 		"$([ -z "${BEHIND_PROXY:-}" ] && echo "$STORE" || address $((40 + $1)))" "${KEY_TRUST_MS:-3000}"
 }
+settings_in_halls() { # N: as settings(), for start_site_in_halls
+	settings "$1" | sed "s/\"hall\":\"h1\"/\"hall\":\"h$1\"/;s/\"peer_address\":\"[^\"]*\"/\"peer_address\":\"$(address $((80 + $1)))\",\"peer_listen_address\":\"$(node "$1" 4)\"/;s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$(address 81)\",\"$(address 82)\",\"$(address 83)\"]/"
+}
 config() { # VERSION KEY
 	cat <<JSON
 {"version":$1,"routes":[
--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -103,12 +103,9 @@
 	shift $((RANDOM % ($# - 1) + 1))
 	printf -v "$to" %s "$1"
 }
-settings_in_halls() { # N: as settings(), in a hall of its own, and reached by the others through the proxy
-	settings "$1" | sed "s/\"hall\":\"h1\"/\"hall\":\"h$1\"/;s/\"peer_address\":\"[^\"]*\"/\"peer_address\":\"$(address $((80 + $1)))\",\"peer_listen_address\":\"$(node "$1" 4)\"/;s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$(address 81)\",\"$(address 82)\",\"$(address 83)\"]/"
-}
 set_paths() { # MODE PATH...: connections from one hall to another, "13" being from the first to the third
-	local path l in_hall=("" "n1 e1 p1" "n2 e2" "n3 e3 p2")
-	for path in "${@:2}"; do for l in ${in_hall[${path:1}]}; do set_link $l "$1" 0 "127.0.0.$((10 + ${path:0:1}))"; done; done
+	local path l
+	for path in "${@:2}"; do for l in $(links_into ${path:1}); do set_link $l "$1" 0 "127.0.0.$((10 + ${path:0:1}))"; done; done
 }
 paths() { # halls hear nothing of each other
 	local cut
@@ -250,15 +247,15 @@
 	[ "$(tell crashes)" = "$before" ] || violation "endpoints still crash"
 }
 one_seed() {
-	local until n more=
+	local until n
 	RANDOM=$seed
 	version=1
 	if [ -n "${PATHS:-}" ]; then
-		for n in 1 2 3; do MORE_LINKS="${MORE_LINKS:-} --link n$n=$(address $((80 + n))),$(node $n 4)"; done
 		LINKS="$LINKS n1 n2 n3"
-		more="--hall i-e1=h1 --hall i-e2=h2 --hall i-e3=h3 --hall i-p1=h1 --hall i-p2=h3"
+		start_site_in_halls
+	else
+		start_site_behind_proxy
 	fi
-	start_site_behind_proxy $more
 	for n in 1 2 3; do settings${PATHS:+_in_halls} $n >"$RUN/gate$n.json"; start_gate $n; done
 	config 1 key1 >"$RUN/config"
 	wait_for 5 tell config -d "@$RUN/config"
