Review: the body of a 500 gets into a stream that is resumed

Tried: 14 replicas, of which two crash twice and two others fail two fifths of their requests with 500, and 600 streams on a route with three attempts.

--- a/review/standin/replica.c
+++ b/review/standin/replica.c
@@ -2,7 +2,9 @@
 /* A stand-in for replicas, as the users' PROTOCOL.md describes them: they keep their entries in the store,
  * run requests that expect them, and sign their answers. One process holds one or several of them.
  *
- * usage: review-replica STORE RECORD ID=IP:PORT,SERVICE,ZONE...
+ * usage: review-replica [--fail-share PERCENT] STORE RECORD ID=IP:PORT,SERVICE,ZONE...
+ *
+ * --fail-share: so many requests in 100 get 500 with a short body, while all else is well (a fault).
  *
  * SIGUSR1: all of this process say that they are draining. SIGTERM: the process ends at once, as a replica
  * does some time after that.
@@ -12,8 +14,6 @@
  *   work=MS     time until the answer begins
  *   events=N    a stream of N events, gap=MS apart, with ids from 1, or after Last-Event-Id
  *   nolength=1  the stream has neither a length nor chunks, and ends with its channel
- *   break=K     a run from the start is broken off within the event after the Kth (a fault)
- *   fail=1      the first run that resumes the stream answers 500 with a body (a fault)
  */
 #include "common.h"
 
@@ -21,7 +21,6 @@
 
 #define HEARTBEAT_MS 400
 #define REPLICAS_MAX 16
-#define ATTEMPTS_MAX 4096
 #define SLOTS 16
 
 typedef struct {
@@ -46,8 +45,8 @@
 static volatile sig_atomic_t Draining_;
 static int Running_;
 static uint64_t BornMs_;
-static char Resumed_[ATTEMPTS_MAX][96]; /* attempt ids that a replica was asked to resume */
-static unsigned ResumedCount_;
+static long FailShare_; /* in 100 */
+static long Requests_;
 
 static void record(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
@@ -162,25 +161,12 @@
 	return NULL;
 }
 
-/* Returns true the first time that a replica is asked to resume this attempt. */
-static bool is_first_resume(const char *attempt)
-{
-	bool first = true;
-
-	pthread_mutex_lock(&Lock_);
-	for (unsigned i = 0; i < ResumedCount_ && first; i++)
-		first = strcmp(Resumed_[i], attempt) != 0;
-	if (first && ResumedCount_ < ATTEMPTS_MAX)
-		snprintf(Resumed_[ResumedCount_++], sizeof Resumed_[0], "%s", attempt);
-	pthread_mutex_unlock(&Lock_);
-	return first;
-}
-
-static void reset(int fd)
+/* Returns true for FailShare_ of 100 requests, spread evenly. */
+static bool fails(void)
 {
-	struct linger hard = {1, 0};
+	long n = __atomic_add_fetch(&Requests_, 1, __ATOMIC_SEQ_CST);
 
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+	return n * FailShare_ / 100 != (n - 1) * FailShare_ / 100;
 }
 
 /* Returns true if the client of a channel has closed it: most replicas drop a request then. */
@@ -244,7 +230,6 @@
 {
 	long last = get_word(path, "events", 10);
 	long gap_ms = get_word(path, "gap", 30);
-	long break_after = after ? 0 : get_word(path, "break", 0);
 	bool no_length = get_word(path, "nolength", 0);
 	char head[1024];
 	char common[512];
@@ -262,19 +247,12 @@
 			return false;
 		}
 		snprintf(event, sizeof event, "id: %ld\ndata: piece %ld of %s\n\n", i, i, attempt);
-		if (break_after && i > break_after)
-			event[strlen(event) / 2] = '\0';
 		if (no_length)
 			snprintf(chunk, sizeof chunk, "%s", event);
 		else
 			snprintf(chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen(event), event);
 		if (!send_all(c->fd, chunk, strlen(chunk)))
 			return false;
-		if (break_after && i > break_after) {
-			record("broke-off attempt=%s replica=%s within=%ld", attempt, c->replica->id, i);
-			reset(c->fd);
-			return false;
-		}
 		sleep_ms((uint64_t)gap_ms);
 	}
 	if (!no_length && !send_all(c->fd, "0\r\n\r\n", 5))
@@ -333,8 +311,8 @@
 	record("run attempt=%s replica=%s method=%s path=%s after=%ld", attempt, c->replica->id, method, path, after);
 	__atomic_add_fetch(&Running_, 1, __ATOMIC_SEQ_CST);
 	sleep_ms((uint64_t)get_word(path, "work", 0));
-	if (after && get_word(path, "fail", 0) && is_first_resume(attempt))
-		again = answer_failure(c, attempt, "the replica could not go on with this stream\n\n");
+	if (fails())
+		again = answer_failure(c, attempt, "{\"error\":\"out of memory\"}\n");
 	else if (get_word(path, "bytes", -1) >= 0)
 		again = answer_plain(c, attempt, get_word(path, "bytes", 0));
 	else
@@ -387,8 +365,16 @@
 
 int main(int argc, char **argv)
 {
+	while (argc > 2 && !strncmp(argv[1], "--", 2)) {
+		if (!strcmp(argv[1], "--fail-share"))
+			FailShare_ = atol(argv[2]);
+		argc -= 2;
+		argv += 2;
+	}
 	if (argc < 4) {
-		fputs("usage: review-replica STORE RECORD ID=IP:PORT,SERVICE,ZONE...\n", stderr);
+		fputs("usage: review-replica [--fail-share PERCENT] STORE RECORD "
+			  "ID=IP:PORT,SERVICE,ZONE...\n",
+			  stderr);
 		return 2;
 	}
 	signal(SIGPIPE, SIG_IGN);
