--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -8,7 +8,7 @@
  *   --repeat N      so many requests, each on a channel of its own (1)
  *   --first PATH    before the request, sends one for this path, with the id ID.first, on the same channel and
  *                   reads its whole answer: the channel is a kept one then
- *   --rate N        bytes a second at which the answer is read (as fast as it comes)
+ *   --stall MS      time for which the client reads nothing after it has sent the request
  *   --mss N         largest segment that it takes (as the system has it), such as 1448 on Ethernet
  *   --limit MS      time limit, from the first byte sent (10000)
  *
@@ -93,6 +93,7 @@
 	size_t room;
 
 	if (!a->head_len) {
+		size_t before = a->head_used;
 		room = sizeof a->head - 1 - a->head_used;
 		memcpy(a->head + a->head_used, data, len < room ? len : room);
 		a->head_used += len < room ? len : room;
@@ -101,8 +102,9 @@
 		if (!end)
 			return;
 		a->head_len = (size_t)(end + 4 - a->head);
-		len = a->head_used - a->head_len;
-		data = a->head + a->head_len;
+		data += a->head_len - before;
+		len -= a->head_len - before;
+		a->head[a->head_len] = '\0';
 		a->length = get_header(a->head, "Content-Length", value, sizeof value) ? atol(value) : -1;
 		a->chunked = get_header(a->head, "Transfer-Encoding", value, sizeof value) && strstr(value, "chunked");
 		a->complete = a->length == 0;
@@ -121,8 +123,8 @@
 	const char *headers[HEADERS_MAX];
 	unsigned header_count;
 	const char *body;
-	long rate; /* 0: as fast as the answer comes */
-	int mss;   /* 0: as the system has it */
+	uint64_t stall_ms;
+	int mss; /* 0: as the system has it */
 	uint64_t limit_ms;
 } Options;
 
@@ -158,8 +160,6 @@
 	char text[HEAD_MAX];
 	char buffer[READ_MAX];
 	uint64_t begun_ms = now_ms();
-	uint64_t read_ms = begun_ms;
-	double allowed = 0;
 	int len = snprintf(text, sizeof text, "%s %s HTTP/1.1\r\n", o->method, path);
 
 	for (unsigned i = 0; i < o->header_count; i++)
@@ -171,26 +171,15 @@
 	len += snprintf(text + len, sizeof text - (size_t)len, "\r\n%s", o->body);
 	if (!send_all(fd, text, (size_t)len))
 		return "reset";
+	sleep_ms(o->stall_ms);
 	while (!a->complete) {
 		struct pollfd p = {.fd = fd, .events = POLLIN};
-		size_t most = sizeof buffer;
 		ssize_t n;
 		if (now_ms() >= begun_ms + o->limit_ms)
 			return "time-limit";
-		if (o->rate) {
-			sleep_ms(TICK_MS);
-			allowed += (double)o->rate * (double)(now_ms() - read_ms) / 1000;
-			read_ms = now_ms();
-			if (allowed > (double)o->rate / 4)
-				allowed = (double)o->rate / 4;
-			if (allowed < (double)most)
-				most = (size_t)allowed;
-			if (!most)
-				continue;
-		}
 		if (poll(&p, 1, TICK_MS) <= 0)
 			continue;
-		n = recv(fd, buffer, most, 0);
+		n = recv(fd, buffer, sizeof buffer, 0);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0)
@@ -199,7 +188,6 @@
 			a->complete = a->head_len && !a->chunked && a->length < 0;
 			return "closed";
 		}
-		allowed -= (double)n;
 		take(a, buffer, (size_t)n);
 	}
 	return "whole";
@@ -271,8 +259,8 @@
 			repeat = atol(argv[i + 1]);
 		else if (!strcmp(argv[i], "--first"))
 			first = argv[i + 1];
-		else if (!strcmp(argv[i], "--rate"))
-			o.rate = atol(argv[i + 1]);
+		else if (!strcmp(argv[i], "--stall"))
+			o.stall_ms = strtoull(argv[i + 1], NULL, 10);
 		else if (!strcmp(argv[i], "--mss"))
 			o.mss = atoi(argv[i + 1]);
 		else if (!strcmp(argv[i], "--limit"))
