gate, explain: what each dispatch gave to the caller is logged

Nothing said whose bytes the caller got.

Change: "sent" names the first and last event of the dispatch and the bytes that went to the caller; explain prints a line of that for each dispatch.

--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -53,6 +53,8 @@
 	OutboundHead head;         /* head of the answer; `headers` is a copy that the call owns */
 	struct evbuffer *body;     /* answer buffered until it is complete, or the incomplete event of a stream */
 	bool is_streaming;         /* the answer is a stream, forwarded event by event */
+	uint64_t forwarded_bytes;  /* bytes of the current dispatch's answer that went to the caller */
+	char first_id[BH__EVENT_ID_LEN]; /* id of the first event that the current dispatch gave; empty: none */
 	bool progress_notified; /* the answer of the current dispatch has begun, and the scheduler was notified */
 	BH__EventStream events; /* parser state of the event stream */
 	bool paused;            /* reading from the endpoint is paused until the caller has caught up */
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -63,6 +63,8 @@
 	c->silence_reported = false;
 	c->unread_until_us = 0;
 	c->is_streaming = false;
+	c->forwarded_bytes = 0;
+	c->first_id[0] = '\0';
 	c->progress_notified = false;
 	c->pauses = 0;
 	evbuffer_drain(c->body, evbuffer_get_length(c->body));
@@ -283,8 +285,11 @@
 
 	while ((state = bh__event_stream_parse(&c->events, data + done, len - done, &event_len)) !=
 		   BH__EVENT_INCOMPLETE) {
-		if (state == BH__EVENT_RELAY)
+		if (state == BH__EVENT_RELAY) {
+			if (!c->first_id[0])
+				g_strlcpy(c->first_id, c->events.last_id, sizeof c->first_id);
 			forward_(c, data + done, event_len);
+		}
 		done += event_len;
 	}
 	evbuffer_drain(c->body, done);
@@ -307,6 +312,7 @@
 	if (!c->progress_notified && c->service->is_engine)
 		notify_progress_(c);
 	c->progress_notified = true;
+	c->forwarded_bytes += len;
 	if (!c->retry.answer_begun)
 		dispatch_begin_answer(c);
 	if (!inbound_answer_append(c->in, data, len) && !c->paused) {
@@ -455,11 +461,13 @@
 	}
 	log_event("sent",
 			  "request=%s endpoint=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
-			  " next=%s at_fault=%s begun=%s events=%" G_GUINT64_FORMAT " cause=\"%s\"",
+			  " next=%s at_fault=%s begun=%s events=%" G_GUINT64_FORMAT " first_event=%s last_event=%s"
+			  " forwarded_bytes=%" G_GUINT64_FORMAT " cause=\"%s\"",
 			  c->request->meta.request_id, e ? e->entry.id : "gone", BH__DispatchEndString[end],
 			  end == BH__DISPATCH_UNREACHABLE ? 0 : c->head.status, c->retry.dispatches,
 			  (now_us - c->sent_us) / BH__MS_US, BH__NextActionString[next], c->head.meta.at_fault,
-			  c->progress_notified ? "yes" : "no", c->events.events, cause);
+			  c->progress_notified ? "yes" : "no", c->events.events, c->first_id,
+			  c->first_id[0] ? c->events.last_id : "", c->forwarded_bytes, cause);
 }
 
 /* Resumes reading from the endpoint once the caller has taken the data that was queued for it. */
--- a/src/bayhoistctl/explain.c
+++ b/src/bayhoistctl/explain.c
@@ -46,6 +46,7 @@
 static gint compare_(gconstpointer a, gconstpointer b);
 static void free_line_(gpointer line);
 static int print_(const char *id, GPtrArray *lines);
+static void print_dispatch_(const char *text);
 static bool is_belief_(const char *text);
 static bool is_in_force_(const Line *l, uint64_t at_us);
 
@@ -185,6 +186,11 @@
 			printf("%c %s\n", l->own ? '*' : ' ', l->text);
 		g_free(process);
 	}
+	for (guint i = 0; i < lines->len; i++) {
+		const Line *l = g_ptr_array_index(lines, i);
+		if (l->own && strstr(l->text, "event=sent "))
+			print_dispatch_(l->text);
+	}
 	printf("outcome: %s\n",
 		   outcome ? outcome : "none in these logs: the node was lost, or the request still runs");
 	for (size_t i = 0; outcome && i < G_N_ELEMENTS(Meanings_); i++)
@@ -194,3 +200,29 @@
 	g_free(outcome);
 	return EX_OK;
 }
+
+/* Prints, of one dispatch that has ended, its endpoint, how it ended, and what the caller got of it. */
+static void print_dispatch_(const char *text)
+{
+	char *endpoint = ctl_log_value(text, "endpoint");
+	char *end = ctl_log_value(text, "end");
+	char *status = ctl_log_value(text, "status");
+	char *first = ctl_log_value(text, "first_event");
+	char *last = ctl_log_value(text, "last_event");
+	char *bytes = ctl_log_value(text, "forwarded_bytes");
+	bool has_events = first && first[0] && last;
+
+	printf("dispatch to %s: %s, status %s, ", endpoint ? endpoint : "?", end ? end : "?",
+		   status ? status : "?");
+	if (has_events)
+		printf("events %s to %s, ", first, last);
+	else
+		printf("no numbered events, ");
+	printf("%s bytes to the caller\n", bytes ? bytes : "?");
+	g_free(endpoint);
+	g_free(end);
+	g_free(status);
+	g_free(first);
+	g_free(last);
+	g_free(bytes);
+}
--- a/test/check-explain.sh
+++ b/test/check-explain.sh
@@ -26,6 +26,14 @@
 time_us=78000000 process=vm3 hall=h boot=1 seq=4 level=info event=take request=r3 route=ask age_ms=100
 time_us=78000000 process=vm3 hall=h boot=1 seq=5 level=info event=end request=r3 outcome=no-endpoint state=asking
 LOG
+cat >"$RUN/d.log" <<'LOG'
+time_us=1000000 process=vm1 hall=h boot=1 seq=1 level=info event=sent request=r4 endpoint=i-1 end=broken status=200 sendings=1 took_ms=9 next=resume at_fault= begun=yes events=3 first_event=1 last_event=3 forwarded_bytes=60 cause=""
+time_us=2000000 process=vm1 hall=h boot=1 seq=2 level=info event=sent request=r4 endpoint=i-2 end=failed status=500 sendings=2 took_ms=1 next=break-off at_fault= begun=no events=3 first_event= last_event= forwarded_bytes=0 cause=""
+time_us=2000000 process=vm1 hall=h boot=1 seq=3 level=info event=end request=r4 outcome=broken-off state=sending
+LOG
+out=$("$B/bayhoistctl" explain r4 "$RUN/d.log")
+is "each dispatch is named with its status and what it gave" "$(grep '^dispatch' <<<"$out" | tr '\n' ';')" \
+	"dispatch to i-1: broken, status 200, events 1 to 3, 60 bytes to the caller;dispatch to i-2: failed, status 500, no numbered events, 0 bytes to the caller;"
 out=$("$B/bayhoistctl" explain r3 "$RUN/c.log")
 is "an endpoint that leaves and one that rests are named, however long ago they said so" "$(grep -o 'endpoint=i-.' <<<"$out" | tr '\n' ' ')" "endpoint=i-1 endpoint=i-2 "
 out=$("$B/bayhoistctl" explain r1 "$RUN/b.log" "$RUN/a.log")
