gate: only a stream continues a stream that has begun

Cause: "is an answer under way?" was asked of the request (answer_begun), where the question was whether the answer of this dispatch is the one under way. A body that is no stream is passed on at once when a plain answer has outgrown its buffer; after a resumption that was true of every answer of a later dispatch. From the same cause an answer below 500 (404, 429, 302, 204, 206, 200 with a coding) ended the stream as whole, after four of ten events; and the body of the 500 counted as the beginning of an answer in the evidence on what crashes engines.

Change: the library's answer_assembly decides by a typed verdict what becomes of each answer; once an answer has begun, anything but a 200 event stream that is proven and not coded ends its dispatch by its head: as run, against the endpoint, in the retry budget, in the log with its status and first bytes. The endpoint is left at once. An answer is a stream by its media type, not by its route alone; HEAD has none.

Why it works: there is one place that lets bytes through, and it knows which dispatch's answer has begun.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 		$B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
-$B/bh-fake-site: $B/test/platform/fake_site.o $B/test/platform/fake_signals.o $B/libshare.a $B/libbayhoist.a
+$B/bh-fake-site: $B/test/platform/fake_site.o $B/test/platform/fake_answers.o $B/test/platform/fake_signals.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $B/bh-fault-proxy: $B/test/platform/fault_proxy.o $B/libshare.a $B/libbayhoist.a
--- a/src/bayhoist-gate/answer_parser.c
+++ b/src/bayhoist-gate/answer_parser.c
@@ -173,6 +173,9 @@
 	if (!g_ascii_strcasecmp(a->name->str, "content-type") &&
 		!g_ascii_strncasecmp(a->value->str, "text/event-stream", 17))
 		a->head.is_event_stream = true;
+	if (!g_ascii_strcasecmp(a->name->str, "content-encoding") &&
+		g_ascii_strcasecmp(a->value->str, "identity") != 0)
+		a->head.is_encoded = true;
 	use = drop ? HEADER_DROP : a->gate->port->read_answer_header(&a->head.meta, a->name->str, a->value->str);
 	if (use == HEADER_UNKNOWN)
 		signals_note_unknown(a->gate, a->name->str);
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -156,6 +156,7 @@
 	if (r->meta.time_left_us && (!time_us || r->meta.time_left_us < time_us))
 		time_us = r->meta.time_left_us;
 	bh__retry_state_init(&c->retry, c->rule, r->arrived_us + time_us);
+	bh__answer_assembly_init(&c->answer, c->rule->streams && strcmp(r->method, "HEAD") != 0);
 	if (r->meta.time_left_us)
 		c->waited_before_us = call_record_caller_time(c);
 	call_set_subjects(c);
@@ -514,12 +515,7 @@
 
 	switch (next) {
 	case BH__NEXT_ACTION_DONE:
-		if (c->is_streaming && !c->retry.answer_begun)
-			dispatch_begin_answer(c);
-		if (c->retry.answer_begun)
-			inbound_answer_end(c->in);
-		else
-			inbound_answer_complete(c->in, c->head.status, c->head.reason, c->head.headers, c->body);
+		dispatch_complete_answer(c);
 		finish_(c, CALL_SERVED, "served");
 		break;
 	case BH__NEXT_ACTION_PASS_THROUGH:
@@ -626,8 +622,8 @@
 	if (c->state != CALL_DISPATCHED || c->paused || c->rule->retry_mode == BH__RETRY_MODE_NEVER ||
 		c->end_known)
 		return UINT64_MAX;
-	return c->received_us +
-		   bh__response_max_wait_us(c->rule, c->service->is_engine, c->events.events && c->is_streaming);
+	return c->received_us + bh__response_max_wait_us(c->rule, c->service->is_engine,
+													 c->answer.events.events && call_is_streaming(c));
 }
 
 /* Returns until when a request waits for the startup state: as long as a read of it is in progress and the
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -52,11 +52,8 @@
 	bool is_own_fault;         /* the last dispatch failed on the way to its endpoint */
 	OutboundHead head;         /* head of the answer; `headers` is a copy that the call owns */
 	struct evbuffer *body;     /* answer buffered until it is complete, or the incomplete event of a stream */
-	bool is_streaming;         /* the answer is a stream, forwarded event by event */
-	uint64_t forwarded_bytes;  /* bytes of the current dispatch's answer that went to the caller */
-	char first_id[BH__EVENT_ID_LEN]; /* id of the first event that the current dispatch gave; empty: none */
+	BH__AnswerAssembly answer; /* what the caller has of its answer, and what may go on it */
 	bool progress_notified; /* the answer of the current dispatch has begun, and the scheduler was notified */
-	BH__EventStream events; /* parser state of the event stream */
 	bool paused;            /* reading from the endpoint is paused until the caller has caught up */
 	uint64_t paused_us;     /* when that pause began */
 	uint64_t unread_until_us; /* a cut until then is of an answer that stayed unread; 0: none */
@@ -96,8 +93,9 @@
 void call_process_ask_due(Call *c, uint64_t now_us);
 
 /* dispatch.c */
+bool call_is_streaming(const Call *c);
 void dispatch_start(Call *c, uint64_t endpoint_id);
 void dispatch_end(Call *c, BH__DispatchEnd end);
-void dispatch_begin_answer(Call *c);
+void dispatch_complete_answer(Call *c);
 
 #endif
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -31,16 +31,17 @@
 static void on_body_(void *ctx, const char *data, size_t len);
 static void note_signals_(const Call *c);
 static void note_pause_(Call *c, uint64_t pause_us);
-static void on_end_(void *ctx, OutboundEnd end, bool is_own_fault);
+static void on_end_(void *ctx, BH__TransferEnd end, bool is_own_fault);
 static BH__EndpointOutcome outcome_(const Call *c, BH__DispatchEnd end, uint64_t now_us);
 static bool was_cut_unread_(const Call *c, BH__DispatchEnd end, uint64_t now_us);
 static bool is_unexplained_(const Call *c, BH__DispatchEnd end);
 static void report_crash_(Call *c, BH__DispatchEnd end, uint64_t at_fault);
-static BH__DispatchEnd classify_head_(const Call *c, bool *end_known);
-static BH__DispatchEnd classify_end_(const Call *c, OutboundEnd end);
+static void decide_(Call *c);
+static bool is_own_(const Call *c);
 static void forward_events_(Call *c);
 static void forward_(Call *c, const char *data, size_t len);
 static void notify_progress_(Call *c);
+static void begin_answer_(Call *c);
 static uint64_t find_at_fault_(const Call *c);
 static void log_dispatch_end_(const Call *c, BH__DispatchEnd end, BH__NextAction next, uint64_t now_us);
 
@@ -62,9 +63,7 @@
 	c->is_own_fault = false;
 	c->silence_reported = false;
 	c->unread_until_us = 0;
-	c->is_streaming = false;
-	c->forwarded_bytes = 0;
-	c->first_id[0] = '\0';
+	bh__answer_assembly_process_dispatch(&c->answer);
 	c->progress_notified = false;
 	c->pauses = 0;
 	evbuffer_drain(c->body, evbuffer_get_length(c->body));
@@ -94,7 +93,7 @@
 			  " sendings=%u after=%s left_ms=%" G_GUINT64_FORMAT " expected_ms=%" G_GUINT64_FORMAT
 			  " limit_per_s=%.3f helpers=%s",
 			  c->request->meta.request_id, e->entry.id, c->service->name, c->request->meta.prompt_tokens,
-			  c->retry.dispatches, c->events.last_id, (c->retry.deadline_us - c->sent_us) / BH__MS_US,
+			  c->retry.dispatches, c->answer.events.last_id, (c->retry.deadline_us - c->sent_us) / BH__MS_US,
 			  g->grant_id ? g->expected_us / BH__MS_US : 0,
 			  e->signals.advertised.in_force ? e->signals.advertised.per_s : -1.0, helpers->str);
 	g_string_free(helpers, TRUE);
@@ -109,7 +108,8 @@
 					!strcmp(r->method, "PATCH");
 	DispatchMeta meta = {.endpoint = e->entry.id,
 						 .account = c->owner ? c->owner->name : NULL,
-						 .last_event_id = c->events.last_id[0] ? c->events.last_id : r->meta.last_event_id,
+						 .last_event_id =
+							 c->answer.events.last_id[0] ? c->answer.events.last_id : r->meta.last_event_id,
 						 .time_left_us = c->retry.deadline_us - c->sent_us,
 						 .urgency = -1};
 
@@ -147,8 +147,8 @@
 	}
 }
 
-/* Processes the head of an answer: classifies it, takes the endpoint's load and signals, and decides whether
- * the answer is forwarded as a stream. */
+/* Processes the head of an answer: takes the endpoint's load and signals, and decides what becomes of the
+ * answer. The endpoint is left at once if the head has decided the dispatch's end. */
 static void on_head_(void *ctx, const OutboundHead *head)
 {
 	Call *c = ctx;
@@ -162,9 +162,10 @@
 	if (head->meta.has_load)
 		bh__registry_note_load(c->gate->registry, c->endpoint_id, head->meta.running, head->meta.waiting,
 							   c->received_us);
-	c->known_end = classify_head_(c, &c->end_known);
+	decide_(c);
 	note_signals_(c);
-	c->is_streaming = !c->end_known && c->rule->streams && head->status / 100 == 2;
+	if (c->end_known)
+		outbound_end_after_read(c->out);
 	call_set_timer(c, c->received_us);
 }
 
@@ -179,7 +180,7 @@
 						   .sent_us = c->sent_us,
 						   .received_us = c->received_us,
 						   .status = c->head.status,
-						   .is_served = !c->end_known && m->mac[0],
+						   .is_served = !m->not_run && m->mac[0],
 						   .request_id = c->request->meta.request_id};
 
 	if (!is_foreign && !c->gate->port->status_says_not_run(c->head.status))
@@ -205,11 +206,11 @@
 	c->received_us = now_us;
 	silences_note_heard(c);
 	evbuffer_add(c->body, data, len);
-	if (c->is_streaming) {
+	if (call_is_streaming(c)) {
 		forward_events_(c);
 	}
 	else if (evbuffer_get_length(c->body) > answer_buffer_get_max(c->gate, BUFFERED_MAX) ||
-			 c->retry.answer_begun) {
+			 c->answer.begun == BH__ANSWER_BODY_PLAIN) {
 		size_t n = evbuffer_get_length(c->body);
 		forward_(c, (const char *)evbuffer_pullup(c->body, -1), n);
 		evbuffer_drain(c->body, n);
@@ -225,52 +226,53 @@
 	bool is_iteration = c->pauses++ > 0 || c->admission.grant.member_count < 2;
 
 	c->longest_pause_us = MAX(c->longest_pause_us, pause_us);
-	if (is_iteration && c->is_streaming && c->service->is_engine &&
+	if (is_iteration && call_is_streaming(c) && c->service->is_engine &&
 		(double)pause_us / 1000 >= iteration_ms * LONG_ITERATION_FACTOR)
 		cluster_notify_iteration(c->gate->cluster, c, pause_us);
 }
 
 /* Ends the dispatch when its connection has ended. The end that the head has decided takes precedence. */
-static void on_end_(void *ctx, OutboundEnd end, bool is_own_fault)
+static void on_end_(void *ctx, BH__TransferEnd end, bool is_own_fault)
 {
 	Call *c = ctx;
 
 	c->out = NULL;
 	c->is_own_fault = is_own_fault;
-	dispatch_end(c, c->end_known ? c->known_end : classify_end_(c, end));
+	dispatch_end(c, c->end_known ? c->known_end
+								 : bh__answer_assembly_get_end(&c->answer, end, c->head.status,
+															   evbuffer_get_length(c->body)));
 }
 
-/* Classifies a dispatch by the head of its answer: refused, or broken if the answer belongs to another
- * request or has no proof that an endpoint gave it. Sets `*end_known` to false if the head alone doesn't
- * decide; the result is meaningless then. */
-static BH__DispatchEnd classify_head_(const Call *c, bool *end_known)
+/* Has the library decide what becomes of the answer, by its head. */
+static void decide_(Call *c)
 {
 	const AnswerMeta *m = &c->head.meta;
-	bool is_own_request = !m->request_id[0] || !strcmp(m->request_id, c->request->meta.request_id);
-
-	*end_known = true;
-	if (m->not_run || c->gate->port->status_says_not_run(c->head.status))
-		return BH__DISPATCH_REFUSED;
-	if (!is_own_request || (c->head.status / 100 == 2 && (!m->mac[0] || !m->request_id[0]))) {
+	BH__AnswerHead head = {.status = c->head.status,
+						   .not_run = m->not_run || c->gate->port->status_says_not_run(c->head.status),
+						   .is_own = is_own_(c),
+						   .is_proven = m->mac[0] && m->request_id[0],
+						   .is_event_stream = c->head.is_event_stream,
+						   .is_encoded = c->head.is_encoded};
+	BH__HeadVerdict verdict = bh__answer_assembly_process_head(&c->answer, &head);
+
+	c->end_known = verdict.body == BH__ANSWER_BODY_UNUSED;
+	c->known_end = verdict.end;
+	if (c->end_known && verdict.end == BH__DISPATCH_BROKEN)
 		c->gate->counters.bad_answers++;
-		return BH__DISPATCH_BROKEN;
-	}
-	*end_known = false;
-	return BH__DISPATCH_BROKEN;
 }
 
-/* Classifies a dispatch whose head did not decide its end, by the end of its connection and by the status. A
- * stream that ends within an event is broken, and so is one without any whose end only its
- * connection tells. */
-static BH__DispatchEnd classify_end_(const Call *c, OutboundEnd end)
+/* Returns true unless the answer names another request. */
+static bool is_own_(const Call *c)
+{
+	const char *id = c->head.meta.request_id;
+
+	return !id[0] || !strcmp(id, c->request->meta.request_id);
+}
+
+/* Returns true if the current dispatch's answer is a stream that is forwarded event by event. */
+bool call_is_streaming(const Call *c)
 {
-	if (end == OUTBOUND_UNREACHABLE)
-		return BH__DISPATCH_UNREACHABLE;
-	if (end == OUTBOUND_BROKEN || (c->is_streaming && evbuffer_get_length(c->body) > 0))
-		return BH__DISPATCH_BROKEN;
-	if (end == OUTBOUND_CLOSED && c->is_streaming && !c->events.events)
-		return BH__DISPATCH_BROKEN;
-	return c->head.status >= 500 ? BH__DISPATCH_FAILED : BH__DISPATCH_ANSWERED;
+	return c->answer.body == BH__ANSWER_BODY_EVENTS;
 }
 
 /* Forwards the complete events in the buffer, except those that the caller already has. An event that grows
@@ -283,13 +285,10 @@
 	size_t event_len;
 	BH__EventState state;
 
-	while ((state = bh__event_stream_parse(&c->events, data + done, len - done, &event_len)) !=
+	while ((state = bh__answer_assembly_process_event(&c->answer, data + done, len - done, &event_len)) !=
 		   BH__EVENT_INCOMPLETE) {
-		if (state == BH__EVENT_RELAY) {
-			if (!c->first_id[0])
-				g_strlcpy(c->first_id, c->events.last_id, sizeof c->first_id);
+		if (state == BH__EVENT_RELAY)
 			forward_(c, data + done, event_len);
-		}
 		done += event_len;
 	}
 	evbuffer_drain(c->body, done);
@@ -312,9 +311,9 @@
 	if (!c->progress_notified && c->service->is_engine)
 		notify_progress_(c);
 	c->progress_notified = true;
-	c->forwarded_bytes += len;
 	if (!c->retry.answer_begun)
-		dispatch_begin_answer(c);
+		begin_answer_(c);
+	bh__answer_assembly_note_forwarded(&c->answer, len);
 	if (!inbound_answer_append(c->in, data, len) && !c->paused) {
 		c->paused = true;
 		c->paused_us = clock_now_us();
@@ -334,10 +333,11 @@
 }
 
 /* Sends the head of the answer to the caller; from then on the request can't be answered otherwise. */
-void dispatch_begin_answer(Call *c)
+static void begin_answer_(Call *c)
 {
 	uint64_t wait_us = c->received_us - c->request->arrived_us;
 
+	bh__answer_assembly_note_forwarded(&c->answer, 0);
 	c->retry.answer_begun = true;
 	c->retry.may_have_run = true;
 	if (c->service->is_engine) {
@@ -347,6 +347,17 @@
 	inbound_answer_begin(c->in, c->head.status, c->head.reason, c->head.headers);
 }
 
+/* Ends the caller's answer with that of the current dispatch, which is complete. */
+void dispatch_complete_answer(Call *c)
+{
+	if (call_is_streaming(c) && !c->retry.answer_begun)
+		begin_answer_(c);
+	if (c->retry.answer_begun)
+		inbound_answer_end(c->in);
+	else
+		inbound_answer_complete(c->in, c->head.status, c->head.reason, c->head.headers, c->body);
+}
+
 /* Ends the current dispatch with the given result: cancels its connection if it is still open, releases its
  * grant and memory, and takes the next action. May free the call. */
 void dispatch_end(Call *c, BH__DispatchEnd end)
@@ -448,13 +459,15 @@
 	return e ? e->endpoint_id : c->endpoint_id;
 }
 
-/* Logs the end of a dispatch and the next action; for a refusal with the first bytes of its body. */
+/* Logs the end of a dispatch and the next action; for a refusal or a failure with the first bytes of its
+ * body. */
 static void log_dispatch_end_(const Call *c, BH__DispatchEnd end, BH__NextAction next, uint64_t now_us)
 {
 	const BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
+	const BH__AnswerAssembly *a = &c->answer;
 	char cause[CAUSE_MAX + 1] = "";
 
-	if (end == BH__DISPATCH_REFUSED) {
+	if (end == BH__DISPATCH_REFUSED || end == BH__DISPATCH_FAILED) {
 		ev_ssize_t n = evbuffer_copyout(c->body, cause, CAUSE_MAX);
 		cause[MAX(n, 0)] = '\0';
 		g_strdelimit(cause, "\"\\\r\n", ' ');
@@ -466,8 +479,8 @@
 			  c->request->meta.request_id, e ? e->entry.id : "gone", BH__DispatchEndString[end],
 			  end == BH__DISPATCH_UNREACHABLE ? 0 : c->head.status, c->retry.dispatches,
 			  (now_us - c->sent_us) / BH__MS_US, BH__NextActionString[next], c->head.meta.at_fault,
-			  c->progress_notified ? "yes" : "no", c->events.events, c->first_id,
-			  c->first_id[0] ? c->events.last_id : "", c->forwarded_bytes, cause);
+			  c->progress_notified ? "yes" : "no", a->events.events, a->first_id,
+			  a->first_id[0] ? a->events.last_id : "", a->dispatch_bytes, cause);
 }
 
 /* Resumes reading from the endpoint once the caller has taken the data that was queued for it. */
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -9,6 +9,7 @@
 #include <event2/http.h>
 #include <event2/listener.h>
 #include <glib.h>
+#include "bayhoist/answer_assembly.h"
 #include "bayhoist/answer_time.h"
 #include "bayhoist/caller_time.h"
 #include "bayhoist/retry_state.h"
@@ -163,14 +164,6 @@
 size_t answer_buffer_get_read_max(const Gate *g);
 
 /* outbound.c */
-/* How a connection to an endpoint ended. */
-typedef enum {
-	OUTBOUND_DONE,        /* the answer is complete */
-	OUTBOUND_CLOSED,      /* the same, but the end of its connection alone says so */
-	OUTBOUND_UNREACHABLE, /* no connection could be set up */
-	OUTBOUND_BROKEN       /* the connection broke, or the answer was invalid */
-} OutboundEnd;
-
 /* The head of an endpoint's answer. */
 typedef struct {
 	int status;      /* HTTP status */
@@ -178,6 +171,7 @@
 	AnswerMeta meta;
 	GString *headers; /* "name: value" lines that are passed through unchanged */
 	bool is_event_stream;
+	bool is_encoded; /* a content coding has been applied to the body */
 } OutboundHead;
 
 /* Receivers of an answer: of its head, of each part of its body, and of the connection's end. on_end() is
@@ -186,12 +180,13 @@
 	void (*on_head)(void *ctx, const OutboundHead *head);
 	void (*on_body)(void *ctx, const char *data, size_t len);
 	/* `is_own_fault`: what failed is the way to the endpoint, which says nothing of the endpoint */
-	void (*on_end)(void *ctx, OutboundEnd end, bool is_own_fault);
+	void (*on_end)(void *ctx, BH__TransferEnd end, bool is_own_fault);
 } OutboundCallbacks;
 
 Outbound *outbound_start(Gate *g, const BH__RegisteredEndpoint *e, struct evbuffer *request,
 						 const char *request_id, const OutboundCallbacks *cb, void *ctx);
 void outbound_cancel(Outbound *o);
+void outbound_end_after_read(Outbound *o);
 void outbound_pause(Outbound *o, bool paused);
 bool outbound_is_connected(const Outbound *o);
 bool outbound_is_own_fault(const Outbound *o);
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -37,6 +37,7 @@
 	bool is_relayed;     /* the request was sent through a peer */
 	bool lost_hop;       /* the way to that peer broke */
 	bool answer_started; /* a part of the answer has been received */
+	bool is_decided;     /* no more of the answer is wanted than has been received */
 	uint64_t began_us;
 	uint64_t direct_began_us; /* when this node's connection was begun */
 	uint64_t opened_us;       /* when the channel in use opened */
@@ -58,7 +59,7 @@
 static void on_direct_failed_(Outbound *o, ChannelEnd end);
 static void on_relay_failed_(Outbound *o, ChannelEnd end);
 static void on_timer_(evutil_socket_t fd, short what, void *arg);
-static void finish_(Outbound *o, OutboundEnd end);
+static void finish_(Outbound *o, BH__TransferEnd end);
 static void close_(Outbound *o);
 static void on_free_(evutil_socket_t fd, short what, void *arg);
 
@@ -193,10 +194,10 @@
 		links_note_reached(o->gate->links, o->endpoint_id, o->opened_us);
 	o->answer_started = true;
 	status = answer_parser_read(o->parser, data);
-	if (status == ANSWER_COMPLETE)
-		finish_(o, OUTBOUND_DONE);
+	if (status == ANSWER_COMPLETE || (status == ANSWER_INCOMPLETE && o->is_decided))
+		finish_(o, BH__TRANSFER_COMPLETE);
 	else if (status == ANSWER_BAD)
-		finish_(o, OUTBOUND_BROKEN);
+		finish_(o, BH__TRANSFER_BROKEN);
 }
 
 /* Handles the end of a channel: of the one in use, or of one that could not be opened. */
@@ -226,7 +227,7 @@
 	if (end == CHANNEL_CLOSED && answer_parser_finish(o->parser) == ANSWER_COMPLETE)
 		probe_end_(o);
 	else
-		finish_(o, OUTBOUND_BROKEN);
+		finish_(o, BH__TRANSFER_BROKEN);
 }
 
 /* Looks whether the endpoint lives, before an answer without a length counts as complete: a process that dies
@@ -238,7 +239,7 @@
 	if (e && bh__registered_endpoint_is_active(e, clock_now_us()))
 		o->end_probe = link_probe_new(o->gate, e, true, on_end_probed_, o);
 	else
-		finish_(o, OUTBOUND_CLOSED);
+		finish_(o, BH__TRANSFER_CLOSED);
 }
 
 /* Ends the request by what was found. An endpoint that is merely silent may have answered before. */
@@ -248,8 +249,8 @@
 
 	(void)endpoint_id;
 	o->end_probe = NULL;
-	finish_(o,
-			link_probe_weigh(o->gate, own, peer) == BH__CRASH_CONFIRMED ? OUTBOUND_BROKEN : OUTBOUND_CLOSED);
+	finish_(o, link_probe_weigh(o->gate, own, peer) == BH__CRASH_CONFIRMED ? BH__TRANSFER_BROKEN
+																		   : BH__TRANSFER_CLOSED);
 }
 
 /* Goes on through a peer after this node's connection has failed. */
@@ -259,7 +260,7 @@
 	if (!o->relay_tried)
 		open_relay_(o);
 	else if (!o->relay)
-		finish_(o, OUTBOUND_UNREACHABLE);
+		finish_(o, BH__TRANSFER_UNREACHABLE);
 }
 
 /* Goes on with a connection of this node's after no peer could connect, unless the path to the endpoint's
@@ -270,7 +271,7 @@
 	if (!o->direct_tried && !links_has_lost_path(o->gate->links, o->endpoint_id))
 		open_direct_(o);
 	else if (!o->direct)
-		finish_(o, OUTBOUND_UNREACHABLE);
+		finish_(o, BH__TRANSFER_UNREACHABLE);
 }
 
 /* Asks a peer too. */
@@ -284,8 +285,15 @@
 	open_relay_(o);
 }
 
+/* Has an answer end with what has been received of it. For its callbacks: on_end() runs once that is parsed,
+ * so that an endpoint whose answer is decided by its head is left at once. */
+void outbound_end_after_read(Outbound *o)
+{
+	o->is_decided = true;
+}
+
 /* Closes the request and calls on_end with the result. Does nothing if it is closed. */
-static void finish_(Outbound *o, OutboundEnd end)
+static void finish_(Outbound *o, BH__TransferEnd end)
 {
 	OutboundCallbacks cb = o->cb;
 	void *ctx = o->ctx;
--- /dev/null
+++ b/src/libbayhoist/answer_assembly.c
@@ -0,0 +1,97 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* The caller of a resumed stream sees one answer that several endpoints gave. Once it has the head of an
+ * answer, only what continues that answer may follow: any other answer of a later dispatch, a failure above
+ * all, ends its dispatch by its head, and nothing of it reaches the caller. */
+#include "bayhoist/answer_assembly.h"
+
+#include <string.h>
+
+#define STATUS_OK_ 200
+
+const char *const BH__AnswerBodyString[] = {"unused", "events", "plain", "failure"};
+
+static bool is_stream_(const BH__AnswerAssembly *a, const BH__AnswerHead *head);
+
+/* Initializes the answer of a new request. `streams`: the request's route answers in event streams, and its
+ * method allows a body. */
+void bh__answer_assembly_init(BH__AnswerAssembly *a, bool streams)
+{
+	memset(a, 0, sizeof *a);
+	a->streams = streams;
+}
+
+/* Prepares for the answer of the next dispatch. What the caller has been sent is kept. */
+void bh__answer_assembly_process_dispatch(BH__AnswerAssembly *a)
+{
+	a->body = BH__ANSWER_BODY_UNUSED;
+	a->dispatch_events = 0;
+	a->first_id[0] = '\0';
+	a->dispatch_bytes = 0;
+}
+
+/* Decides what becomes of the answer of the current dispatch. Without a proof that an endpoint gave it, a
+ * success is no answer. */
+BH__HeadVerdict bh__answer_assembly_process_head(BH__AnswerAssembly *a, const BH__AnswerHead *head)
+{
+	BH__HeadVerdict verdict = {.body = BH__ANSWER_BODY_UNUSED};
+	bool is_success = head->status / 100 == 2;
+
+	if (head->not_run)
+		verdict.end = BH__DISPATCH_REFUSED;
+	else if (!head->is_own || (is_success && !head->is_proven))
+		verdict.end = BH__DISPATCH_BROKEN;
+	else if (is_stream_(a, head))
+		verdict.body = BH__ANSWER_BODY_EVENTS;
+	else if (a->begun != BH__ANSWER_BODY_UNUSED)
+		verdict.end = BH__DISPATCH_FAILED;
+	else
+		verdict.body = head->status >= 500 ? BH__ANSWER_BODY_FAILURE : BH__ANSWER_BODY_PLAIN;
+	a->body = verdict.body;
+	return verdict;
+}
+
+/* Returns true if the answer is a stream whose events can be told apart. */
+static bool is_stream_(const BH__AnswerAssembly *a, const BH__AnswerHead *head)
+{
+	return a->streams && head->status == STATUS_OK_ && head->is_event_stream && !head->is_encoded;
+}
+
+/* Decides what becomes of the event at the start of `data`, see bh__event_stream_parse(). */
+BH__EventState bh__answer_assembly_process_event(BH__AnswerAssembly *a, const char *data, size_t len,
+												 size_t *event_len)
+{
+	BH__EventState state = bh__event_stream_parse(&a->events, data, len, event_len);
+
+	if (state != BH__EVENT_RELAY)
+		return state;
+	if (!a->first_id[0])
+		memcpy(a->first_id, a->events.last_id, sizeof a->first_id);
+	a->dispatch_events++;
+	return state;
+}
+
+/* Records that `len` bytes of the current dispatch's answer went to the caller. The first ones, which may be
+ * none, begin the answer. */
+void bh__answer_assembly_note_forwarded(BH__AnswerAssembly *a, size_t len)
+{
+	if (a->begun == BH__ANSWER_BODY_UNUSED)
+		a->begun = a->body;
+	a->dispatch_bytes += len;
+}
+
+/* Returns how a dispatch has ended whose head did not decide that. `status` is that of its answer, and
+ * `buffered` the number of bytes of it that were not forwarded. A stream that ends within an event is broken,
+ * and so is one without any whose end only its connection tells. */
+BH__DispatchEnd bh__answer_assembly_get_end(const BH__AnswerAssembly *a, BH__TransferEnd end, int status,
+											size_t buffered)
+{
+	bool is_stream = a->body == BH__ANSWER_BODY_EVENTS;
+
+	if (end == BH__TRANSFER_UNREACHABLE)
+		return BH__DISPATCH_UNREACHABLE;
+	if (end == BH__TRANSFER_BROKEN || (is_stream && buffered > 0))
+		return BH__DISPATCH_BROKEN;
+	if (end == BH__TRANSFER_CLOSED && is_stream && !a->events.events)
+		return BH__DISPATCH_BROKEN;
+	return status >= 500 ? BH__DISPATCH_FAILED : BH__DISPATCH_ANSWERED;
+}
--- /dev/null
+++ b/src/test_libbayhoist/test_answer_assembly.c
@@ -0,0 +1,173 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* What may go on an answer that has begun: every head and beginning that a dispatch can give, by the number
+ * of the dispatch. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+#include <string.h>
+#include "bayhoist/answer_assembly.h"
+
+#define ATTEMPTS_MAX 3
+#define DEADLINE_US (10 * BH__SECOND_US)
+
+/* The path of one resumable request: its answer, its retries, and what its caller got. */
+typedef struct {
+	BH__AnswerAssembly answer;
+	BH__RetryState retry;
+	BH__ServiceRetryBudget budget;
+	char got[512]; /* bytes that went to the caller */
+} Play;
+
+static const BH__AnswerHead Stream_ = {
+	.status = 200, .is_own = true, .is_proven = true, .is_event_stream = true};
+
+static Play play_new_(uint32_t max_attempts)
+{
+	BH__RouteRule rule = {.retry_mode = BH__RETRY_MODE_RESUME, .max_attempts = max_attempts, .streams = true};
+	Play p = {0};
+
+	bh__answer_assembly_init(&p.answer, true);
+	bh__retry_state_init(&p.retry, &rule, DEADLINE_US);
+	bh__service_retry_budget_init(&p.budget, 0.2, 100);
+	return p;
+}
+
+/* Plays one dispatch as the gateway does: its head, its bytes, and how its transfer ended. Returns the next
+ * action. */
+static BH__NextAction dispatch_(Play *p, const BH__AnswerHead *head, const char *bytes,
+								BH__TransferEnd transfer)
+{
+	BH__HeadVerdict verdict;
+	size_t len = strlen(bytes);
+	size_t at = 0;
+	size_t event_len;
+	BH__EventState state;
+	BH__DispatchEnd end;
+
+	bh__answer_assembly_process_dispatch(&p->answer);
+	verdict = bh__answer_assembly_process_head(&p->answer, head);
+	end = verdict.end;
+	if (verdict.body == BH__ANSWER_BODY_EVENTS) {
+		while ((state = bh__answer_assembly_process_event(&p->answer, bytes + at, len - at, &event_len)) !=
+			   BH__EVENT_INCOMPLETE) {
+			if (state == BH__EVENT_RELAY) {
+				strncat(p->got, bytes + at, event_len);
+				bh__answer_assembly_note_forwarded(&p->answer, event_len);
+				p->retry.answer_begun = true;
+			}
+			at += event_len;
+		}
+	}
+	if (verdict.body != BH__ANSWER_BODY_UNUSED)
+		end = bh__answer_assembly_get_end(&p->answer, transfer, head->status, len - at);
+	return bh__retry_state_process_end(&p->retry, end, &p->budget, 0);
+}
+
+/* A dispatch that gives the next event and breaks off. */
+static BH__NextAction break_off_(Play *p, unsigned id)
+{
+	char event[32];
+
+	g_snprintf(event, sizeof event, "id: %u\ndata: x\n\n", id);
+	return dispatch_(p, &Stream_, event, BH__TRANSFER_BROKEN);
+}
+
+/* Every head that is no continuation of a stream. */
+static const struct {
+	const char *what;
+	BH__AnswerHead head;
+} Heads_[] = {
+	{"200 of another media type", {.status = 200, .is_own = true, .is_proven = true}},
+	{"200 with a content coding",
+	 {.status = 200, .is_own = true, .is_proven = true, .is_event_stream = true, .is_encoded = true}},
+	{"200 without a proof", {.status = 200, .is_own = true, .is_event_stream = true}},
+	{"200 to another request", {.status = 200, .is_proven = true, .is_event_stream = true}},
+	{"204", {.status = 204, .is_own = true, .is_proven = true}},
+	{"206", {.status = 206, .is_own = true, .is_proven = true, .is_event_stream = true}},
+	{"302", {.status = 302, .is_own = true, .is_proven = true}},
+	{"400", {.status = 400, .is_own = true, .is_proven = true}},
+	{"404", {.status = 404, .is_own = true}},
+	{"408", {.status = 408, .is_own = true, .is_proven = true}},
+	{"421", {.status = 421, .is_own = true, .is_proven = true}},
+	{"429", {.status = 429, .is_own = true, .is_proven = true}},
+	{"500", {.status = 500, .is_own = true, .is_proven = true}},
+	{"500 as a stream", {.status = 500, .is_own = true, .is_proven = true, .is_event_stream = true}},
+	{"500 without a proof", {.status = 500, .is_own = true}},
+	{"500 to another request", {.status = 500, .is_proven = true}},
+	{"503", {.status = 503, .is_own = true, .is_proven = true}},
+	{"504", {.status = 504, .is_own = true, .is_proven = true}},
+};
+
+/* Guards against the body of a failure, or of any other answer, between the events of a resumed stream. */
+static void only_a_stream_continues_a_stream_(void **state)
+{
+	static const BH__TransferEnd Transfers[] = {BH__TRANSFER_COMPLETE, BH__TRANSFER_CLOSED,
+												BH__TRANSFER_BROKEN};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Heads_) * 2 * G_N_ELEMENTS(Transfers); i++) {
+		BH__AnswerHead head = Heads_[i / 2 / G_N_ELEMENTS(Transfers)].head;
+		BH__TransferEnd transfer = Transfers[i % G_N_ELEMENTS(Transfers)];
+
+		head.not_run = i / G_N_ELEMENTS(Transfers) % 2;
+		for (unsigned attempt = 2; attempt <= ATTEMPTS_MAX; attempt++) {
+			Play p = play_new_(ATTEMPTS_MAX);
+			char before[sizeof p.got];
+
+			for (unsigned n = 1; n < attempt; n++)
+				assert_int_equal(break_off_(&p, n), BH__NEXT_ACTION_RESUME);
+			strcpy(before, p.got);
+			assert_int_equal(dispatch_(&p, &head, "id: 9\ndata: foreign\n\nforeign", transfer),
+							 attempt < ATTEMPTS_MAX ? BH__NEXT_ACTION_RESUME : BH__NEXT_ACTION_BREAK_OFF);
+			assert_string_equal(p.got, before);
+			assert_true(p.retry.may_have_run);
+		}
+	}
+}
+
+/* The first dispatch's answer is the caller's, whatever it is, unless it is no answer to the request. */
+static void the_first_answer_is_handed_on_(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Heads_); i++) {
+		const BH__AnswerHead *head = &Heads_[i].head;
+		BH__AnswerAssembly a;
+		BH__HeadVerdict verdict;
+		bool is_none = !head->is_own || (head->status / 100 == 2 && !head->is_proven);
+
+		bh__answer_assembly_init(&a, true);
+		bh__answer_assembly_process_dispatch(&a);
+		verdict = bh__answer_assembly_process_head(&a, head);
+		assert_int_equal(verdict.body, is_none               ? BH__ANSWER_BODY_UNUSED
+									   : head->status >= 500 ? BH__ANSWER_BODY_FAILURE
+															 : BH__ANSWER_BODY_PLAIN);
+		assert_true(!is_none || verdict.end == BH__DISPATCH_BROKEN);
+	}
+}
+
+/* A stream that is resumed twice, with a refusal between, is whole. */
+static void a_resumed_stream_is_whole_(void **state)
+{
+	BH__AnswerHead refusal = {.status = 503, .is_own = true, .not_run = true};
+	Play p = play_new_(ATTEMPTS_MAX);
+
+	(void)state;
+	assert_int_equal(break_off_(&p, 1), BH__NEXT_ACTION_RESUME);
+	assert_int_equal(dispatch_(&p, &refusal, "full", BH__TRANSFER_COMPLETE), BH__NEXT_ACTION_RESUME);
+	assert_int_equal(dispatch_(&p, &Stream_, "id: 2\ndata: x\n\n", BH__TRANSFER_COMPLETE),
+					 BH__NEXT_ACTION_DONE);
+	assert_string_equal(p.got, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(only_a_stream_continues_a_stream_),
+		cmocka_unit_test(the_first_answer_is_handed_on_),
+		cmocka_unit_test(a_resumed_stream_is_whole_),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/check-resumed.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# A stream is resumed at an engine that answers with something else. Guards against bytes of that answer, the body of a 500
+# first of all, between the events of the caller's stream.
+set -u
+. test/cluster.sh
+begin_run
+. test/gate.sh
+FAILED=0
+ATTEMPTS=${ATTEMPTS:-3}
+engines=
+for n in $(seq 4 10); do engines="$engines --engine i-e$n=$(address $((100 + n)))"; done
+start_site $engines
+config() { # as in gate.sh, with more attempts and a budget for them
+	cat <<JSON
+{"version":$1,"routes":[
+{"name":"ask","host":"a.example","path-prefix":"/ask/","route-kind":"streaming","timeout-ms":8000,"target-latency-ms":300,"service":"llm","max-attempts":$ATTEMPTS,"resumable":true,"gap_aim_ms":200}],
+"services":[{"name":"llm","engine-kind":{"slots":16,"kv-tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}}],
+"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+"tenants":[{"name":"acct","api-keys":["$2"]}]}
+JSON
+}
+start_three_gates() { # as in gate.sh, with a budget that all these retries fit in
+	local n
+	for n in 1 2 3; do settings $n | sed 's/"stop_grace_ms"/"repeat_extra":1000,&/' >"$RUN/gate$n.json"; start_gate $n; done
+	config 1 key1 >"$RUN/config"
+	tell config -d "@$RUN/config"
+	for n in 1 2 3; do wait_for 10 ready $n 200 || is "gateway $n gets ready" no yes; done
+	sleep 1.5
+}
+start_three_gates
+ids() { grep '^id:' "$RUN/body" | tr -d 'id: \r' | tr '\n' ' '; }
+foreign() { grep -vcE '^(id: [0-9]+|data: piece +[0-9]+|)$' "$RUN/body"; } # lines that are none of the events
+n=0
+# Each of these comes second, after an engine that broke off behind four events.
+for kind in ${KINDS:-500 500-chunked 500-bare 503 not-run 504 429 404 302 204 206 text coded unsigned}; do
+	n=$((n + 1))
+	status=$(ask $((n % 3 + 1)) "/ask/break/then=next-$kind/x" "k$n" -D "$RUN/head")
+	ended=$?
+	wait_for 2 grep -q "event=end request=k$n " "$RUN"/gate1.log "$RUN"/gate2.log "$RUN"/gate3.log
+	if [ "$ATTEMPTS" = 3 ]; then
+		is "$kind: the stream comes whole from a third engine" "$status $ended $(ids)" "200 0 1 2 3 4 5 6 7 8 9 10 "
+		is "$kind: from three engines" "$(cat "$RUN"/gate?.log | grep -c "event=sent request=k$n ")" 3
+	else
+		is "$kind: the stream is broken off, so that the caller can tell" "$status $((ended != 0)) $(ids)" "200 1 1 2 3 4 "
+	fi
+	is "$kind: no foreign byte in it" "$(foreign)" 0
+	is "$kind: with the head of the first engine" "$(grep -ci '^x-replica-signature: ' "$RUN/head")$(grep -c '^HTTP' "$RUN/head")" 11
+	is "$kind: the second dispatch gave nothing" \
+		"$("$B/bayhoistctl" explain "k$n" "$RUN"/gate?.log | grep '^dispatch' | sed -n 2p | grep -c 'no numbered events, 0 bytes')" 1
+done
+is "a caller over HTTP/1.0 gets it whole" "$(ask 1 /ask/break/then=next-500/x h0 --http1.0) $(ids)$(foreign)" \
+	"$([ "$ATTEMPTS" = 3 ] && echo '200 1 2 3 4 5 6 7 8 9 10 0' || echo '200 1 2 3 4 0')"
+[ "$ATTEMPTS" != 3 ] || ATTEMPTS=2 bash "$0" || FAILED=1
+exit $FAILED
--- /dev/null
+++ b/test/platform/fake_answers.c
@@ -0,0 +1,153 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+/* Answers that an engine in trouble may give, written to its connection byte for byte: evhttp would put them
+ * right. Each is a head, a beginning, and bytes that are repeated until the other side closes, fast or one by
+ * one, if it has no end. */
+#include "fake_answers.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http_struct.h>
+#include <glib.h>
+#include <string.h>
+#include "web.h"
+
+#define FILL_MS 5               /* between looks at how much of an endless answer was taken */
+#define FILL_BYTES (256 * 1024) /* kept ready of an endless answer */
+#define DRIP_MS 1000            /* between the bytes of a slow one */
+#define OK_ "HTTP/1.1 200 OK\r\n"
+#define STREAM_ "Content-Type: text/event-stream\r\n"
+#define CHUNKED_ "Transfer-Encoding: chunked\r\n"
+#define CLOSE_ "Connection: close\r\n"
+
+/* One kind of answer. In `head` and `body` "%u" stands for the id of the event that is due. */
+typedef struct {
+	const char *kind;
+	const char *status; /* status line */
+	bool is_signed;     /* with the request's id and a proof */
+	const char *head;   /* further headers and the end of the head; NULL: the head has none */
+	const char *body;
+	const char *repeated; /* without an end; NULL: the connection is closed after the body */
+} Kind;
+
+static const Kind Kinds_[] = {
+	{"next-500", "HTTP/1.1 500 Broken\r\n", true, "Content-Length: 26\r\n\r\n", "failed: this is no stream\n",
+	 NULL},
+	{"next-500-chunked", "HTTP/1.1 500 Broken\r\n", true, CHUNKED_ "\r\n", "8\r\nfailed:\n\r\n0\r\n\r\n",
+	 NULL},
+	{"next-500-bare", "HTTP/1.1 500 Broken\r\n", true, CLOSE_ "\r\n", "failed", NULL},
+	{"next-503", "HTTP/1.1 503 Busy\r\n", true, "Content-Length: 5\r\n\r\n", "busy\n", NULL},
+	{"next-not-run", "HTTP/1.1 503 Busy\r\n", true, "X-Not-Executed: 1\r\nContent-Length: 5\r\n\r\n",
+	 "busy\n", NULL},
+	{"next-504", "HTTP/1.1 504 Late\r\n", true, "Content-Length: 5\r\n\r\n", "late\n", NULL},
+	{"next-429", "HTTP/1.1 429 Slow\r\n", true, "Content-Length: 5\r\n\r\n", "slow\n", NULL},
+	{"next-404", "HTTP/1.1 404 None\r\n", true, "Content-Length: 5\r\n\r\n", "none\n", NULL},
+	{"next-302", "HTTP/1.1 302 Moved\r\n", true, "Location: /x\r\nContent-Length: 0\r\n\r\n", "", NULL},
+	{"next-204", "HTTP/1.1 204 Nothing\r\n", true, "\r\n", "", NULL},
+	{"next-206", "HTTP/1.1 206 Some\r\n", true, STREAM_ CLOSE_ "\r\n", "id: %u\ndata: some\n\n", NULL},
+	{"next-text", OK_, true, "Content-Type: text/plain\r\nContent-Length: 5\r\n\r\n", "text\n", NULL},
+	{"next-coded", OK_, true, STREAM_ "Content-Encoding: x-other\r\n" CLOSE_ "\r\n",
+	 "id: %u\ndata: coded\n\n", NULL},
+	{"next-unsigned", OK_, false, STREAM_ CLOSE_ "\r\n", "id: %u\ndata: unsigned\n\n", NULL},
+	{NULL, NULL, false, NULL, NULL, NULL},
+};
+
+/* An answer under way. */
+typedef struct {
+	struct evhttp_connection *conn;
+	struct event *timer;
+	const char *repeated;
+	size_t len; /* of `repeated` */
+	bool is_slow;
+	size_t next; /* byte of a slow one that is due */
+} Answer;
+
+static const Kind *find_(const char *kind);
+static void add_text_(struct evbuffer *out, const char *text, unsigned id);
+static void on_time_(evutil_socket_t fd, short what, void *arg);
+static void on_closed_(struct evhttp_connection *conn, void *arg);
+
+/* Gives the answer of a kind, to a request whose caller has all events up to `after`. A kind that begins with
+ * "slow-" is the same, byte by byte. Returns false if there is none of this name. */
+bool fake_answers_start(struct event_base *base, struct evhttp_request *req, const char *kind, unsigned after)
+{
+	bool is_slow = g_str_has_prefix(kind, "slow-");
+	const Kind *k = find_(is_slow ? kind + strlen("slow-") : kind);
+	const char *id = web_get_header(req, "X-Attempt-Id");
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	struct evbuffer *out = bufferevent_get_output(bev);
+	struct timeval tv = {0, FILL_MS * 1000};
+	Answer *a;
+
+	if (!k)
+		return false;
+	evbuffer_add_printf(out, "%s", k->status);
+	if (k->is_signed)
+		evbuffer_add_printf(out, "X-Attempt-Id: %s\r\nX-Replica-Signature: stand-in\r\n", id ? id : "");
+	if (k->head)
+		add_text_(out, k->head, after + 1);
+	add_text_(out, k->body, after + 1);
+	bufferevent_enable(bev, EV_WRITE); /* evhttp does so with an answer of its own */
+	a = g_new0(Answer, 1);
+	a->conn = conn;
+	a->repeated = k->repeated;
+	a->len = k->repeated ? strlen(k->repeated) : 0;
+	a->is_slow = is_slow;
+	a->timer = evtimer_new(base, on_time_, a);
+	evhttp_connection_set_closecb(conn, on_closed_, a);
+	evtimer_add(a->timer, &tv);
+	return true;
+}
+
+static const Kind *find_(const char *kind)
+{
+	for (const Kind *k = Kinds_; k->kind; k++)
+		if (!strcmp(k->kind, kind))
+			return k;
+	return NULL;
+}
+
+static void add_text_(struct evbuffer *out, const char *text, unsigned id)
+{
+	char **parts = g_strsplit(text, "%u", -1);
+	char number[16];
+	char *whole;
+
+	g_snprintf(number, sizeof number, "%u", id);
+	whole = g_strjoinv(number, parts);
+	evbuffer_add(out, whole, strlen(whole));
+	g_free(whole);
+	g_strfreev(parts);
+}
+
+/* Writes on, or ends an answer that has been taken. */
+static void on_time_(evutil_socket_t fd, short what, void *arg)
+{
+	Answer *a = arg;
+	struct evbuffer *out = bufferevent_get_output(evhttp_connection_get_bufferevent(a->conn));
+	struct timeval tv = {0, FILL_MS * 1000};
+
+	(void)fd;
+	(void)what;
+	if (!a->repeated && !evbuffer_get_length(out)) {
+		evhttp_connection_free(a->conn); /* which calls on_closed_() */
+		return;
+	}
+	if (a->repeated && a->is_slow) {
+		evbuffer_add(out, a->repeated + a->next, 1);
+		a->next = (a->next + 1) % a->len;
+		tv = (struct timeval){DRIP_MS / 1000, DRIP_MS % 1000 * 1000};
+	}
+	while (a->repeated && !a->is_slow && evbuffer_get_length(out) < FILL_BYTES)
+		evbuffer_add(out, a->repeated, a->len);
+	evtimer_add(a->timer, &tv);
+}
+
+static void on_closed_(struct evhttp_connection *conn, void *arg)
+{
+	Answer *a = arg;
+
+	evhttp_connection_set_closecb(conn, NULL, NULL);
+	event_free(a->timer);
+	g_free(a);
+}
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -6,6 +6,7 @@
  * stream that is cut if it stays unread, "/hold/" answers after a second, "/long/" with long pauses,
  * "/no-length/" neither with a length nor in chunks, "/die/" crashes the endpoint that runs it first, before
  * its first event, "/die-late/" after some,
+ * "/answer=KIND/" gives an answer of fake_answers.c, "/then=KIND/" the second time,
  * "/crash/" crashes the endpoint that runs it, every time, before its first event,
  * "/crash-late/" after some, and so does a part of a prompt, but the last, whose id begins with "dead",
  * before the first event; the endpoint is back after a while under its id. "/dark/" has the endpoint listen
@@ -29,6 +30,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include "clock.h"
+#include "fake_answers.h"
 #include "fake_signals.h"
 #include "web.h"
 
@@ -160,6 +162,7 @@
 static void crash_(Replica *r);
 static void on_restart_(evutil_socket_t fd, short what, void *replica);
 static void start_again_(Replica *r);
+static bool start_odd_(struct evhttp_request *req, const char *uri, unsigned runs);
 static void on_fail_time_(evutil_socket_t fd, short what, void *req);
 static void keep_socket_(struct evhttp_bound_socket *socket, void *out);
 static void on_reuse_time_(evutil_socket_t fd, short what, void *replica);
@@ -835,12 +838,34 @@
 		event_base_once(Base_, -1, EV_TIMEOUT, on_fail_time_, req, &late);
 		return;
 	}
+	if (!r->hangs && start_odd_(req, uri, runs & 0xffff))
+		return;
 	if (strstr(uri, "/fail/") && !runs && !r->hangs)
 		evhttp_send_reply(req, 500, NULL, NULL);
 	else
 		begin_stream_(req, r, strstr(uri, "/break/") && !runs, !runs);
 }
 
+/* Gives the answer that a path names for a request that has run so often. Returns false if it names none. */
+static bool start_odd_(struct evhttp_request *req, const char *uri, unsigned runs)
+{
+	static const char *const Words[] = {"/answer=", "/then="}; /* by number of runs */
+	const char *after = web_get_header(req, "Last-Event-Id");
+	const char *from = runs < G_N_ELEMENTS(Words) ? strstr(uri, Words[runs]) : NULL;
+	char *kind;
+	bool started;
+
+	if (!from)
+		return false;
+	from += strlen(Words[runs]);
+	kind = g_strndup(from, strcspn(from, "/"));
+	started = fake_answers_start(Base_, req, kind, after ? (unsigned)strtoul(after, NULL, 10) : 0);
+	if (!started)
+		fprintf(stderr, "no answer of the kind %s\n", kind);
+	g_free(kind);
+	return started;
+}
+
 static void on_fail_time_(evutil_socket_t fd, short what, void *req)
 {
 	(void)fd;
