gate: only events that go on after the caller's last one continue a stream

Cause: what may follow was judged by the answer's form alone. Ids were compared so that repeats were dropped, which joins two runs where an engine began anew; the events of all dispatches counted where the question was whether this one had given any; and whether another engine can continue at all was not asked.

Change: at the seam the first event must have an id after the last one, no id of an event before it, the next number if ids have been numbered one by one, and only fields and comments as its lines. Otherwise the dispatch has failed: resumed elsewhere, or broken off. Comments are no events: they do not begin an answer and have a bound. An answer is continued only if it is a stream whose last event has an id. A failure is never forwarded in part; one that outgrows its buffer is no answer. An id with control characters is none, as it would go into a header.

--- a/include/bayhoist/answer_assembly.h
+++ b/include/bayhoist/answer_assembly.h
@@ -43,6 +43,7 @@
 	BH__TRANSFER_BROKEN       /* the connection broke, or what was received is no answer */
 } BH__TransferEnd;
 
+/* The answer of one request. */
 typedef struct {
 	bool streams;             /* answers to the request are event streams */
 	BH__AnswerBody begun;     /* body of the answer whose head the caller has; BH__ANSWER_BODY_UNUSED: none */
@@ -51,6 +52,7 @@
 	uint64_t dispatch_events; /* those that the current dispatch gave */
 	char first_id[BH__EVENT_ID_LEN]; /* id of the first of them; empty: none */
 	uint64_t dispatch_bytes;         /* bytes that the current dispatch gave */
+	size_t comment_bytes;            /* of comments since its last event */
 } BH__AnswerAssembly;
 
 void bh__answer_assembly_init(BH__AnswerAssembly *a, bool streams);
@@ -58,6 +60,7 @@
 BH__HeadVerdict bh__answer_assembly_process_head(BH__AnswerAssembly *a, const BH__AnswerHead *head);
 BH__EventState bh__answer_assembly_process_event(BH__AnswerAssembly *a, const char *data, size_t len,
 												 size_t *event_len);
+bool bh__answer_assembly_can_resume(const BH__AnswerAssembly *a);
 void bh__answer_assembly_note_forwarded(BH__AnswerAssembly *a, size_t len);
 BH__DispatchEnd bh__answer_assembly_get_end(const BH__AnswerAssembly *a, BH__TransferEnd end, int status,
 											size_t buffered);
--- a/include/bayhoist/retry_state.h
+++ b/include/bayhoist/retry_state.h
@@ -60,6 +60,7 @@
 	uint32_t unreachable;  /* dispatches that found no connection */
 	bool may_have_run;     /* an endpoint may have run the request */
 	bool answer_begun;     /* the caller has received the head of an answer */
+	bool not_resumable;    /* no other dispatch can continue that answer */
 	unsigned tried_count;
 	uint64_t tried[BH__TRIED_MAX]; /* endpoints not to be used again */
 } BH__RetryState;
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -37,8 +37,11 @@
 static bool is_unexplained_(const Call *c, BH__DispatchEnd end);
 static void report_crash_(Call *c, BH__DispatchEnd end, uint64_t at_fault);
 static void decide_(Call *c);
+static void decide_end_(Call *c, BH__DispatchEnd end);
 static bool is_own_(const Call *c);
+static void forward_plain_(Call *c);
 static void forward_events_(Call *c);
+static void check_event_size_(Call *c, size_t len);
 static void forward_(Call *c, const char *data, size_t len);
 static void notify_progress_(Call *c);
 static void begin_answer_(Call *c);
@@ -164,8 +167,6 @@
 							   c->received_us);
 	decide_(c);
 	note_signals_(c);
-	if (c->end_known)
-		outbound_end_after_read(c->out);
 	call_set_timer(c, c->received_us);
 }
 
@@ -209,11 +210,26 @@
 	if (call_is_streaming(c)) {
 		forward_events_(c);
 	}
-	else if (evbuffer_get_length(c->body) > answer_buffer_get_max(c->gate, BUFFERED_MAX) ||
-			 c->answer.begun == BH__ANSWER_BODY_PLAIN) {
-		size_t n = evbuffer_get_length(c->body);
-		forward_(c, (const char *)evbuffer_pullup(c->body, -1), n);
-		evbuffer_drain(c->body, n);
+	else {
+		forward_plain_(c);
+	}
+}
+
+/* Forwards what has come of a plain answer if it has outgrown its buffer. A failure may be followed by
+ * another dispatch until it is complete, so nothing of it is forwarded; one that outgrows the buffer is no
+ * answer. */
+static void forward_plain_(Call *c)
+{
+	size_t len = evbuffer_get_length(c->body);
+	bool is_outgrown = len > answer_buffer_get_max(c->gate, BUFFERED_MAX);
+
+	if (is_outgrown && c->answer.body == BH__ANSWER_BODY_FAILURE) {
+		log_event("answer", "what=failure-too-large request=%s bytes=%zu", c->request->meta.request_id, len);
+		decide_end_(c, BH__DISPATCH_BROKEN);
+	}
+	else if (is_outgrown || c->answer.begun == BH__ANSWER_BODY_PLAIN) {
+		forward_(c, (const char *)evbuffer_pullup(c->body, -1), len);
+		evbuffer_drain(c->body, len);
 	}
 }
 
@@ -237,7 +253,7 @@
 	Call *c = ctx;
 
 	c->out = NULL;
-	c->is_own_fault = is_own_fault;
+	c->is_own_fault |= is_own_fault;
 	dispatch_end(c, c->end_known ? c->known_end
 								 : bh__answer_assembly_get_end(&c->answer, end, c->head.status,
 															   evbuffer_get_length(c->body)));
@@ -255,12 +271,23 @@
 						   .is_encoded = c->head.is_encoded};
 	BH__HeadVerdict verdict = bh__answer_assembly_process_head(&c->answer, &head);
 
-	c->end_known = verdict.body == BH__ANSWER_BODY_UNUSED;
-	c->known_end = verdict.end;
-	if (c->end_known && verdict.end == BH__DISPATCH_BROKEN)
+	if (verdict.body != BH__ANSWER_BODY_UNUSED)
+		return;
+	decide_end_(c, verdict.end);
+	if (verdict.end == BH__DISPATCH_BROKEN)
 		c->gate->counters.bad_answers++;
 }
 
+/* Decides how the dispatch ends, whatever else its answer brings. The endpoint is left as soon as what has
+ * been received is parsed; only the first bytes of that are kept, for the log. */
+static void decide_end_(Call *c, BH__DispatchEnd end)
+{
+	c->end_known = true;
+	c->known_end = end;
+	evbuffer_drain(c->body, evbuffer_get_length(c->body));
+	outbound_end_after_read(c->out);
+}
+
 /* Returns true unless the answer names another request. */
 static bool is_own_(const Call *c)
 {
@@ -275,8 +302,8 @@
 	return c->answer.body == BH__ANSWER_BODY_EVENTS;
 }
 
-/* Forwards the complete events in the buffer, except those that the caller already has. An event that grows
- * too large ends the dispatch, which may free the call. */
+/* Forwards the complete events in the buffer that go on with the caller's stream. An event that does not, or
+ * that grows too large, decides the dispatch's end. */
 static void forward_events_(Call *c)
 {
 	size_t len = evbuffer_get_length(c->body);
@@ -287,21 +314,31 @@
 
 	while ((state = bh__answer_assembly_process_event(&c->answer, data + done, len - done, &event_len)) !=
 		   BH__EVENT_INCOMPLETE) {
-		if (state == BH__EVENT_RELAY)
+		if (state == BH__EVENT_FOREIGN) {
+			log_event("answer", "what=foreign-event request=%s after=%s", c->request->meta.request_id,
+					  c->answer.events.last_id);
+			decide_end_(c, BH__DISPATCH_FAILED);
+			return;
+		}
+		if (state != BH__EVENT_DUPLICATE)
 			forward_(c, data + done, event_len);
 		done += event_len;
 	}
 	evbuffer_drain(c->body, done);
-	if (len - done > MAX(answer_buffer_get_max(c->gate, EVENT_MAX), (size_t)EVENT_MAX_LEAST)) {
-		log_event("answer", "what=event-too-large request=%s bytes=%zu", c->request->meta.request_id,
-				  len - done);
-		c->is_own_fault = true; /* the bound is this node's */
-		dispatch_end(c, BH__DISPATCH_BROKEN);
-		return;
-	}
+	check_event_size_(c, len - done);
 	call_set_timer(c, c->received_us);
 }
 
+/* Has an event of which `len` bytes have come without its end break the dispatch if it is too large. */
+static void check_event_size_(Call *c, size_t len)
+{
+	if (len <= MAX(answer_buffer_get_max(c->gate, EVENT_MAX), (size_t)EVENT_MAX_LEAST))
+		return;
+	log_event("answer", "what=event-too-large request=%s bytes=%zu", c->request->meta.request_id, len);
+	c->is_own_fault = true; /* the bound is this node's */
+	decide_end_(c, BH__DISPATCH_BROKEN);
+}
+
 /* Forwards answer data to the caller, beginning the answer if necessary. Pauses reading from the endpoint if
  * the caller's connection can't take more. */
 static void forward_(Call *c, const char *data, size_t len)
@@ -314,6 +351,7 @@
 	if (!c->retry.answer_begun)
 		begin_answer_(c);
 	bh__answer_assembly_note_forwarded(&c->answer, len);
+	c->retry.not_resumable = !bh__answer_assembly_can_resume(&c->answer);
 	if (!inbound_answer_append(c->in, data, len) && !c->paused) {
 		c->paused = true;
 		c->paused_us = clock_now_us();
--- a/src/libbayhoist/answer_assembly.c
+++ b/src/libbayhoist/answer_assembly.c
@@ -7,10 +7,13 @@
 #include <string.h>
 
 #define STATUS_OK_ 200
+#define COMMENTS_MAX_ (64 * 1024) /* bytes of comments between two events */
 
 const char *const BH__AnswerBodyString[] = {"unused", "events", "plain", "failure"};
 
 static bool is_stream_(const BH__AnswerAssembly *a, const BH__AnswerHead *head);
+static BH__EventState process_comment_(BH__AnswerAssembly *a, size_t len, bool resumes);
+static void note_event_(BH__AnswerAssembly *a, const BH__EventText *e);
 
 /* Initializes the answer of a new request. `streams`: the request's route answers in event streams, and its
  * method allows a body. */
@@ -27,6 +30,7 @@
 	a->dispatch_events = 0;
 	a->first_id[0] = '\0';
 	a->dispatch_bytes = 0;
+	a->comment_bytes = 0;
 }
 
 /* Decides what becomes of the answer of the current dispatch. Without a proof that an endpoint gave it, a
@@ -56,18 +60,58 @@
 	return a->streams && head->status == STATUS_OK_ && head->is_event_stream && !head->is_encoded;
 }
 
-/* Decides what becomes of the event at the start of `data`, see bh__event_stream_parse(). */
+/* Decides what becomes of the event at the start of `data`, see bh__event_stream_parse(). The first event of
+ * a dispatch that resumes must go on after the last one that the caller has; comments ahead of it are
+ * dropped, since the caller's stream is under way. Comments ahead of the first event of all wait for it: an
+ * endpoint that sends nothing else has not begun to answer. */
 BH__EventState bh__answer_assembly_process_event(BH__AnswerAssembly *a, const char *data, size_t len,
 												 size_t *event_len)
 {
-	BH__EventState state = bh__event_stream_parse(&a->events, data, len, event_len);
+	bool is_first = a->dispatch_events == 0;
+	bool resumes = is_first && a->begun != BH__ANSWER_BODY_UNUSED;
+	size_t comments = 0;
+	BH__EventText e;
+	BH__EventState state;
 
-	if (state != BH__EVENT_RELAY)
-		return state;
+	bh__event_text_read(&e, data, len);
+	while (is_first && !resumes && e.len && !e.has_fields) {
+		comments += e.len;
+		bh__event_text_read(&e, data + comments, len - comments);
+	}
+	*event_len = e.len ? comments + e.len : 0;
+	if (resumes && e.len && e.has_fields && !bh__event_stream_is_continued_by(&a->events, &e))
+		return BH__EVENT_FOREIGN;
+	state = bh__event_stream_process(&a->events, &e);
+	if (state == BH__EVENT_COMMENT)
+		return process_comment_(a, e.len, resumes);
+	if (state == BH__EVENT_RELAY)
+		note_event_(a, &e);
+	return state;
+}
+
+/* Decides what becomes of comments of `len` bytes. Comments without an end are no stream. */
+static BH__EventState process_comment_(BH__AnswerAssembly *a, size_t len, bool resumes)
+{
+	a->comment_bytes += len;
+	if (a->comment_bytes > COMMENTS_MAX_)
+		return BH__EVENT_FOREIGN;
+	return resumes ? BH__EVENT_DUPLICATE : BH__EVENT_COMMENT;
+}
+
+/* Records an event of the current dispatch that goes to the caller. */
+static void note_event_(BH__AnswerAssembly *a, const BH__EventText *e)
+{
 	if (!a->first_id[0])
-		memcpy(a->first_id, a->events.last_id, sizeof a->first_id);
+		memcpy(a->first_id, e->id, sizeof a->first_id);
 	a->dispatch_events++;
-	return state;
+	a->comment_bytes = 0;
+}
+
+/* Returns true if another dispatch can continue the answer that the caller has: only a stream can be
+ * continued, and only one whose last event has an id. */
+bool bh__answer_assembly_can_resume(const BH__AnswerAssembly *a)
+{
+	return a->begun == BH__ANSWER_BODY_EVENTS && bh__event_stream_can_resume(&a->events);
 }
 
 /* Records that `len` bytes of the current dispatch's answer went to the caller. The first ones, which may be
@@ -81,7 +125,7 @@
 
 /* Returns how a dispatch has ended whose head did not decide that. `status` is that of its answer, and
  * `buffered` the number of bytes of it that were not forwarded. A stream that ends within an event is broken,
- * and so is one without any whose end only its connection tells. */
+ * and so is one without any event of this dispatch whose end only its connection tells. */
 BH__DispatchEnd bh__answer_assembly_get_end(const BH__AnswerAssembly *a, BH__TransferEnd end, int status,
 											size_t buffered)
 {
@@ -91,7 +135,7 @@
 		return BH__DISPATCH_UNREACHABLE;
 	if (end == BH__TRANSFER_BROKEN || (is_stream && buffered > 0))
 		return BH__DISPATCH_BROKEN;
-	if (end == BH__TRANSFER_CLOSED && is_stream && !a->events.events)
+	if (end == BH__TRANSFER_CLOSED && is_stream && !a->dispatch_events)
 		return BH__DISPATCH_BROKEN;
 	return status >= 500 ? BH__DISPATCH_FAILED : BH__DISPATCH_ANSWERED;
 }
--- a/src/libbayhoist/retry_state.c
+++ b/src/libbayhoist/retry_state.c
@@ -103,7 +103,8 @@
 bool bh__retry_state_may_dispatch_again(const BH__RetryState *state, uint64_t now_us)
 {
 	bool may_run_again = !state->may_have_run || state->retry_mode != BH__RETRY_MODE_NEVER;
-	bool can_continue = !state->answer_begun || state->retry_mode == BH__RETRY_MODE_RESUME;
+	bool can_continue =
+		!state->answer_begun || (state->retry_mode == BH__RETRY_MODE_RESUME && !state->not_resumable);
 
 	return may_run_again && can_continue && state->dispatches < state->max_attempts &&
 		   state->unreachable <= UNREACHABLE_MAX_ && now_us + MIN_TIME_LEFT_US_ < state->deadline_us;
--- a/src/test_libbayhoist/test_answer_assembly.c
+++ b/src/test_libbayhoist/test_answer_assembly.c
@@ -52,10 +52,13 @@
 	if (verdict.body == BH__ANSWER_BODY_EVENTS) {
 		while ((state = bh__answer_assembly_process_event(&p->answer, bytes + at, len - at, &event_len)) !=
 			   BH__EVENT_INCOMPLETE) {
+			if (state == BH__EVENT_FOREIGN)
+				return bh__retry_state_process_end(&p->retry, BH__DISPATCH_FAILED, &p->budget, 0);
 			if (state == BH__EVENT_RELAY) {
 				strncat(p->got, bytes + at, event_len);
 				bh__answer_assembly_note_forwarded(&p->answer, event_len);
 				p->retry.answer_begun = true;
+				p->retry.not_resumable = !bh__answer_assembly_can_resume(&p->answer);
 			}
 			at += event_len;
 		}
@@ -147,6 +150,133 @@
 	}
 }
 
+/* Every beginning of a stream that does not go on after event 3, in a dispatch that was to. */
+static const struct {
+	const char *what;
+	const char *bytes;
+	BH__TransferEnd transfer;
+	const char *got; /* what of it goes to the caller */
+} Beginnings_[] = {
+	{"begins anew", "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n",
+	 BH__TRANSFER_COMPLETE, ""},
+	{"repeats the last event", "id: 3\ndata: c\n\nid: 4\ndata: d\n\n", BH__TRANSFER_COMPLETE, ""},
+	{"skips one", "id: 5\ndata: e\n\n", BH__TRANSFER_COMPLETE, ""},
+	{"has no ids", "data: d\n\n", BH__TRANSFER_COMPLETE, ""},
+	{"has an id that is no number", "id: d\ndata: d\n\n", BH__TRANSFER_COMPLETE, ""},
+	{"ends within the event", "id: 4\nda", BH__TRANSFER_CLOSED, ""},
+	{"ends before the blank line", "id: 4\ndata: d\n", BH__TRANSFER_COMPLETE, ""},
+	{"has a text first", "failed\nid: 4\ndata: d\n\n", BH__TRANSFER_COMPLETE, ""},
+	{"has an object first", "{\"error\":1}\nid: 4\ndata: d\n\n", BH__TRANSFER_COMPLETE, ""},
+	{"closes without an event", "", BH__TRANSFER_CLOSED, ""},
+	{"closes after a comment", ": c\n\n", BH__TRANSFER_CLOSED, ""},
+	{"breaks off at once", "", BH__TRANSFER_BROKEN, ""},
+	{"goes on and ends within the next event", "id: 4\ndata: d\n\nid: 5\nda", BH__TRANSFER_CLOSED,
+	 "id: 4\ndata: d\n\n"},
+};
+
+/* Guards against events of another run, a gap, or half an event at the seam of a resumed stream. */
+static void only_what_goes_on_continues_a_stream_(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Beginnings_); i++) {
+		for (uint32_t max_attempts = 2; max_attempts <= ATTEMPTS_MAX; max_attempts++) {
+			Play p = play_new_(max_attempts);
+			char wanted[sizeof p.got];
+
+			assert_int_equal(dispatch_(&p, &Stream_,
+									   "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\nha",
+									   BH__TRANSFER_BROKEN),
+							 BH__NEXT_ACTION_RESUME);
+			g_snprintf(wanted, sizeof wanted, "%s%s", p.got, Beginnings_[i].got);
+			assert_int_equal(dispatch_(&p, &Stream_, Beginnings_[i].bytes, Beginnings_[i].transfer),
+							 max_attempts > 2 ? BH__NEXT_ACTION_RESUME : BH__NEXT_ACTION_BREAK_OFF);
+			assert_string_equal(p.got, wanted);
+		}
+	}
+}
+
+/* What goes on is taken, also after a comment, with fields that this library does not know, with gaps where
+ * ids have had gaps before, and where nothing was left to send. */
+static void what_goes_on_is_taken_(void **state)
+{
+	static const struct {
+		const char *before;
+		const char *bytes;
+	} Table[] = {
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"},
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "versions: 7\r\nid: 3\r\ndata: c\r\n\r\n"},
+		{"id: 46\ndata: a\n\nid: 92\ndata: b\n\n", "id: 95\ndata: c\n\n"},
+		{"id: a\ndata: a\n\nid: b\ndata: b\n\n", "id: c\ndata: c\n\n"},
+		{"id: 7\ndata: a\n\n", "id: 9\ndata: c\n\n"},
+		{"id: 1\ndata: a\n\n", ""},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Table); i++) {
+		Play p = play_new_(2);
+		char wanted[sizeof p.got];
+
+		g_snprintf(wanted, sizeof wanted, "%s%s", Table[i].before, Table[i].bytes);
+		assert_int_equal(dispatch_(&p, &Stream_, Table[i].before, BH__TRANSFER_BROKEN),
+						 BH__NEXT_ACTION_RESUME);
+		assert_int_equal(dispatch_(&p, &Stream_, Table[i].bytes, BH__TRANSFER_COMPLETE),
+						 BH__NEXT_ACTION_DONE);
+		assert_string_equal(p.got, wanted);
+	}
+}
+
+/* Where no event tells after which to go on, an answer that breaks off is not continued. */
+static void what_has_no_ids_is_not_continued_(void **state)
+{
+	static const char *const Texts[] = {"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n",
+										"id: 1\x01x\ndata: a\n\n"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Texts); i++) {
+		Play p = play_new_(ATTEMPTS_MAX);
+		assert_int_equal(dispatch_(&p, &Stream_, Texts[i], BH__TRANSFER_BROKEN), BH__NEXT_ACTION_BREAK_OFF);
+	}
+}
+
+/* Nothing is put behind a plain answer of which the caller has a part. */
+static void a_plain_answer_is_not_continued_(void **state)
+{
+	BH__AnswerHead plain = {.status = 200, .is_own = true, .is_proven = true};
+	Play p = play_new_(ATTEMPTS_MAX);
+
+	(void)state;
+	bh__answer_assembly_process_dispatch(&p.answer);
+	assert_int_equal(bh__answer_assembly_process_head(&p.answer, &plain).body, BH__ANSWER_BODY_PLAIN);
+	bh__answer_assembly_note_forwarded(&p.answer, 300000);
+	p.retry.answer_begun = true;
+	p.retry.not_resumable = !bh__answer_assembly_can_resume(&p.answer);
+	assert_int_equal(bh__retry_state_process_end(&p.retry, BH__DISPATCH_BROKEN, &p.budget, 0),
+					 BH__NEXT_ACTION_BREAK_OFF);
+}
+
+/* Comments are no events: they do not begin an answer, and have a bound. */
+static void comments_are_no_answer_(void **state)
+{
+	static const char Comment[] = ": still at work\n\n";
+	BH__AnswerAssembly a;
+	size_t len;
+	unsigned taken = 0;
+
+	(void)state;
+	bh__answer_assembly_init(&a, true);
+	bh__answer_assembly_process_dispatch(&a);
+	bh__answer_assembly_process_head(&a, &Stream_);
+	assert_int_equal(bh__answer_assembly_process_event(&a, Comment, strlen(Comment), &len),
+					 BH__EVENT_INCOMPLETE);
+	assert_int_equal(bh__answer_assembly_process_event(&a, ": x\n\nid: 1\n\n", 12, &len), BH__EVENT_RELAY);
+	assert_int_equal(len, 12);
+	assert_int_equal(a.events.events, 1);
+	while (bh__answer_assembly_process_event(&a, Comment, strlen(Comment), &len) == BH__EVENT_COMMENT)
+		assert_in_range(++taken, 1, 10000);
+	assert_int_equal(a.events.events, 1);
+	assert_true(taken > 1000);
+}
+
 /* A stream that is resumed twice, with a refusal between, is whole. */
 static void a_resumed_stream_is_whole_(void **state)
 {
@@ -167,6 +297,11 @@
 		cmocka_unit_test(only_a_stream_continues_a_stream_),
 		cmocka_unit_test(the_first_answer_is_handed_on_),
 		cmocka_unit_test(a_resumed_stream_is_whole_),
+		cmocka_unit_test(only_what_goes_on_continues_a_stream_),
+		cmocka_unit_test(what_goes_on_is_taken_),
+		cmocka_unit_test(what_has_no_ids_is_not_continued_),
+		cmocka_unit_test(a_plain_answer_is_not_continued_),
+		cmocka_unit_test(comments_are_no_answer_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/test/check-resumed.sh
+++ b/test/check-resumed.sh
@@ -32,7 +32,7 @@
 foreign() { grep -vcE '^(id: [0-9]+|data: piece +[0-9]+|)$' "$RUN/body"; } # lines that are none of the events
 n=0
 # Each of these comes second, after an engine that broke off behind four events.
-for kind in ${KINDS:-500 500-chunked 500-bare 503 not-run 504 429 404 302 204 206 text coded unsigned}; do
+for kind in ${KINDS:-500 500-chunked 500-bare 503 not-run 504 429 404 302 204 206 text coded unsigned anew skip no-id half prefix none comment}; do
 	n=$((n + 1))
 	status=$(ask $((n % 3 + 1)) "/ask/break/then=next-$kind/x" "k$n" -D "$RUN/head")
 	ended=$?
@@ -48,6 +48,14 @@
 	is "$kind: the second dispatch gave nothing" \
 		"$("$B/bayhoistctl" explain "k$n" "$RUN"/gate?.log | grep '^dispatch' | sed -n 2p | grep -c 'no numbered events, 0 bytes')" 1
 done
+# Nothing is put behind an answer that can't be continued.
+status=$(ask 1 /ask/answer=first-no-id/x p1)
+is "a stream without ids is broken off with its engine" "$status $(($? != 0)) $(grep -c . "$RUN/body")" "200 1 1"
+is "and runs once" "$(tell 'runs?id=p1')" 1
+status=$(ask 2 /ask/answer=first-plain/x p2)
+is "so is a plain answer that has outgrown its buffer" "$status $(($? != 0)) $(grep -vc 'plain text' "$RUN/body")" "200 1 0"
+is "and runs once" "$(tell 'runs?id=p2')" 1
+is "a failure that outgrows it is not handed on" "$(ask 3 /ask/answer=first-500-large/x p3) $(ids)$(foreign)" "200 1 2 3 4 5 6 7 8 9 10 0"
 is "a caller over HTTP/1.0 gets it whole" "$(ask 1 /ask/break/then=next-500/x h0 --http1.0) $(ids)$(foreign)" \
 	"$([ "$ATTEMPTS" = 3 ] && echo '200 1 2 3 4 5 6 7 8 9 10 0' || echo '200 1 2 3 4 0')"
 [ "$ATTEMPTS" != 3 ] || ATTEMPTS=2 bash "$0" || FAILED=1
--- a/test/platform/fake_answers.c
+++ b/test/platform/fake_answers.c
@@ -26,29 +26,44 @@
 	bool is_signed;     /* with the request's id and a proof */
 	const char *head;   /* further headers and the end of the head; NULL: the head has none */
 	const char *body;
-	const char *repeated; /* without an end; NULL: the connection is closed after the body */
+	const char *repeated; /* after the body; NULL: the connection is closed then */
+	size_t repeated_max;  /* bytes of that, after which the connection is closed; 0: no end */
 } Kind;
 
 static const Kind Kinds_[] = {
 	{"next-500", "HTTP/1.1 500 Broken\r\n", true, "Content-Length: 26\r\n\r\n", "failed: this is no stream\n",
-	 NULL},
+	 NULL, 0},
 	{"next-500-chunked", "HTTP/1.1 500 Broken\r\n", true, CHUNKED_ "\r\n", "8\r\nfailed:\n\r\n0\r\n\r\n",
-	 NULL},
-	{"next-500-bare", "HTTP/1.1 500 Broken\r\n", true, CLOSE_ "\r\n", "failed", NULL},
-	{"next-503", "HTTP/1.1 503 Busy\r\n", true, "Content-Length: 5\r\n\r\n", "busy\n", NULL},
+	 NULL, 0},
+	{"next-500-bare", "HTTP/1.1 500 Broken\r\n", true, CLOSE_ "\r\n", "failed", NULL, 0},
+	{"next-503", "HTTP/1.1 503 Busy\r\n", true, "Content-Length: 5\r\n\r\n", "busy\n", NULL, 0},
 	{"next-not-run", "HTTP/1.1 503 Busy\r\n", true, "X-Not-Executed: 1\r\nContent-Length: 5\r\n\r\n",
-	 "busy\n", NULL},
-	{"next-504", "HTTP/1.1 504 Late\r\n", true, "Content-Length: 5\r\n\r\n", "late\n", NULL},
-	{"next-429", "HTTP/1.1 429 Slow\r\n", true, "Content-Length: 5\r\n\r\n", "slow\n", NULL},
-	{"next-404", "HTTP/1.1 404 None\r\n", true, "Content-Length: 5\r\n\r\n", "none\n", NULL},
-	{"next-302", "HTTP/1.1 302 Moved\r\n", true, "Location: /x\r\nContent-Length: 0\r\n\r\n", "", NULL},
-	{"next-204", "HTTP/1.1 204 Nothing\r\n", true, "\r\n", "", NULL},
-	{"next-206", "HTTP/1.1 206 Some\r\n", true, STREAM_ CLOSE_ "\r\n", "id: %u\ndata: some\n\n", NULL},
-	{"next-text", OK_, true, "Content-Type: text/plain\r\nContent-Length: 5\r\n\r\n", "text\n", NULL},
+	 "busy\n", NULL, 0},
+	{"next-504", "HTTP/1.1 504 Late\r\n", true, "Content-Length: 5\r\n\r\n", "late\n", NULL, 0},
+	{"next-429", "HTTP/1.1 429 Slow\r\n", true, "Content-Length: 5\r\n\r\n", "slow\n", NULL, 0},
+	{"next-404", "HTTP/1.1 404 None\r\n", true, "Content-Length: 5\r\n\r\n", "none\n", NULL, 0},
+	{"next-302", "HTTP/1.1 302 Moved\r\n", true, "Location: /x\r\nContent-Length: 0\r\n\r\n", "", NULL, 0},
+	{"next-204", "HTTP/1.1 204 Nothing\r\n", true, "\r\n", "", NULL, 0},
+	{"next-206", "HTTP/1.1 206 Some\r\n", true, STREAM_ CLOSE_ "\r\n", "id: %u\ndata: some\n\n", NULL, 0},
+	{"next-text", OK_, true, "Content-Type: text/plain\r\nContent-Length: 5\r\n\r\n", "text\n", NULL, 0},
 	{"next-coded", OK_, true, STREAM_ "Content-Encoding: x-other\r\n" CLOSE_ "\r\n",
-	 "id: %u\ndata: coded\n\n", NULL},
-	{"next-unsigned", OK_, false, STREAM_ CLOSE_ "\r\n", "id: %u\ndata: unsigned\n\n", NULL},
-	{NULL, NULL, false, NULL, NULL, NULL},
+	 "id: %u\ndata: coded\n\n", NULL, 0},
+	{"next-unsigned", OK_, false, STREAM_ CLOSE_ "\r\n", "id: %u\ndata: unsigned\n\n", NULL, 0},
+	{"next-anew", OK_, true, STREAM_ CLOSE_ "\r\n",
+	 "id: 1\ndata: anew 1\n\nid: 2\ndata: anew 2\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n",
+	 NULL, 0},
+	{"next-skip", OK_, true, STREAM_ CLOSE_ "\r\n", "id: 1%u\ndata: skipped\n\n", NULL, 0},
+	{"next-no-id", OK_, true, STREAM_ CLOSE_ "\r\n", "data: without an id\n\n", NULL, 0},
+	{"next-half", OK_, true, STREAM_ CLOSE_ "\r\n", "id: %u\ndata: ha", NULL, 0},
+	{"next-prefix", OK_, true, STREAM_ CLOSE_ "\r\n", "a word first\nid: %u\ndata: x\n\n", NULL, 0},
+	{"next-none", OK_, true, STREAM_ CLOSE_ "\r\n", "", NULL, 0},
+	{"next-comment", OK_, true, STREAM_ CLOSE_ "\r\n", ": a comment\n\n", NULL, 0},
+	{"first-no-id", OK_, true, STREAM_ CHUNKED_ "\r\n", "9\r\ndata: x\n\n\r\n", NULL, 0},
+	{"first-500-large", "HTTP/1.1 500 Broken\r\n", true, CLOSE_ "\r\n", "", "failed: this is no stream\n",
+	 600000},
+	{"first-plain", OK_, true, "Content-Type: text/plain\r\nContent-Length: 1000000\r\n\r\n", "",
+	 "plain text\n", 600000},
+	{.kind = NULL, 0},
 };
 
 /* An answer under way. */
@@ -59,6 +74,7 @@
 	size_t len; /* of `repeated` */
 	bool is_slow;
 	size_t next; /* byte of a slow one that is due */
+	size_t left; /* bytes after which the connection is closed; 0: no end */
 } Answer;
 
 static const Kind *find_(const char *kind);
@@ -93,6 +109,7 @@
 	a->repeated = k->repeated;
 	a->len = k->repeated ? strlen(k->repeated) : 0;
 	a->is_slow = is_slow;
+	a->left = k->repeated_max;
 	a->timer = evtimer_new(base, on_time_, a);
 	evhttp_connection_set_closecb(conn, on_closed_, a);
 	evtimer_add(a->timer, &tv);
@@ -138,8 +155,14 @@
 		a->next = (a->next + 1) % a->len;
 		tv = (struct timeval){DRIP_MS / 1000, DRIP_MS % 1000 * 1000};
 	}
-	while (a->repeated && !a->is_slow && evbuffer_get_length(out) < FILL_BYTES)
+	while (a->repeated && !a->is_slow && evbuffer_get_length(out) < FILL_BYTES) {
 		evbuffer_add(out, a->repeated, a->len);
+		if (!a->left)
+			continue;
+		a->left -= MIN(a->left, a->len);
+		if (!a->left)
+			a->repeated = NULL;
+	}
 	evtimer_add(a->timer, &tv);
 }
 
