test: streams that meet odd answers, and answers without an end, in the soak

ODD=1 sends streams that are resumed at an engine which gives something else, or come to one that sends bytes without an end, beside the soak's faults, and judges what their callers got.

--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -16,6 +16,8 @@
 #   - with HANGS=1, one endpoint at a time takes requests and answers none, for half a second to six; then it goes on with them;
 #   - with READERS=1, callers read long answers at a crawl or not at all and hold their connections until their gateway's process
 #     has gone; what they have read is a clean beginning, and others are served within two seconds while they hang on;
+#   - with ODD=1, a stream is resumed at an engine that gives something else, or comes to one that sends bytes without an end; what
+#     its caller gets holds nothing but events, in order, and all of them if it ends as whole;
 #   - afterwards every gateway serves within ten seconds, and none has ended by itself.
 # usage: soak-gate.sh FIRST_SEED [SEEDS [SECONDS]]; SAVE=PREFIX keeps the logs of a seed that fails.
 set -u
@@ -62,6 +64,18 @@
 	deadly $((RANDOM % 3 + 1)) "p$sent" >>"$RUN/deadly"
 	sleep 0.$((RANDOM % 3 + 1))
 }
+odd() { # kinds of answers are fake_answers.c's
+	local kind status ended events
+	pick kind break/then=next-500 break/then=next-404 break/then=next-anew break/then=next-none break/then=next-half \
+		answer=endless-name answer=endless-event answer=slow-endless-lines answer=stop-endless-headers
+	sent=$((sent + 1))
+	rm -f "$RUN/body.odd"
+	status=$(curl -s -m 12 -o "$RUN/body.odd" -w '%{http_code}' "http://$(node $((RANDOM % 3 + 1)) 0)/ask/$kind/x" -H 'Host: a.example' \
+		-H "X-Attempt-Id: odd$sent" -H 'X-Time-Budget-Ms: 5000' -H 'X-Api-Key: key1' -H 'X-Token-Usage: 3000,100' -d "odd $sent")
+	ended=$?
+	events=$(grep '^id:' "$RUN/body.odd" 2>/dev/null | tr -d 'id: \r' | tr '\n' ,)
+	echo "odd$sent $kind $status $ended ${events:-none} $(grep -vcE '^(id: [0-9]+|data: piece +[0-9]+|)$' "$RUN/body.odd" 2>/dev/null)" >>"$RUN/odd"
+}
 history() { # outages, copies, and an endpoint that leaves and returns
 	local what
 	pick what outage outage copy back leave return
@@ -245,6 +259,16 @@
 	done
 	[ "$(tell 'arrivals?id=i-p1')" = "$before" ] || violation "an endpoint that left gets requests"
 }
+judge_odd() {
+	local id kind status ended events foreign
+	while read -r id kind status ended events foreign; do
+		[ "$status" = 200 ] || continue
+		[ "${foreign:-0}" = 0 ] || violation "id=$id kind=$kind got $foreign foreign lines"
+		[[ 1,2,3,4,5,6,7,8,9,10, = "$events"* || $events = none ]] || violation "id=$id kind=$kind events=$events"
+		[ "$ended" != 0 ] || [ "$events" = 1,2,3,4,5,6,7,8,9,10, ] || violation "id=$id kind=$kind ended as whole with events=$events"
+	done <"$RUN/odd"
+	echo "odd streams: $(wc -l <"$RUN/odd"), whole: $(grep -c ' 200 0 ' "$RUN/odd")"
+}
 judge_culprit() { # what was seen of it amid the faults may be less than three crashes: it is sent some times more
 	local n before
 	for n in 1 2 3 1 2; do
@@ -290,7 +314,7 @@
 		caller "$n" &
 		callers="$callers $!"
 	done
-	for n in ${CULPRITS:+culprit,99} ${PARTS:+deadly_part,93} ${HISTORY:+history,98} ${CUTS:+cuts,97} ${PATHS:+paths,96} ${HANGS:+hangs,95}; do
+	for n in ${CULPRITS:+culprit,99} ${PARTS:+deadly_part,93} ${HISTORY:+history,98} ${CUTS:+cuts,97} ${PATHS:+paths,96} ${HANGS:+hangs,95} ${ODD:+odd,92}; do
 		series ${n/,/ } &
 		callers="$callers $!"
 	done
@@ -309,6 +333,7 @@
 	for link in $LINKS; do set_link $link pass; tell "go-on?id=i-$link"; done
 	for n in 1 2 3; do wait_for 10 ready $n 200 || violation "gate$n is not ready"; done
 	judge
+	[ -z "${ODD:-}" ] || judge_odd
 	[ -z "${CULPRITS:-}" ] || judge_culprit
 	[ -z "${PARTS:-}" ] || judge_parts
 	[ -z "${HISTORY:-}" ] || judge_history
