--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -359,16 +359,13 @@
 	call_set_timer(c, now_us);
 }
 
-/* Has an event of which `len` bytes have come without its end break the dispatch if it is too large. That is
- * its endpoint's fault unless the bound is lower because of this node's memory. */
+/* Has an event of which `len` bytes have come without its end break the dispatch if it is too large. */
 static void check_event_size_(Call *c, size_t len)
 {
-	size_t max = answer_buffer_get_max(c->gate, EVENT_MAX);
-
-	if (len <= MAX(max, (size_t)EVENT_MAX_LEAST))
+	if (len <= MAX(answer_buffer_get_max(c->gate, EVENT_MAX), (size_t)EVENT_MAX_LEAST))
 		return;
 	log_event("answer", "what=event-too-large request=%s bytes=%zu", c->request->meta.request_id, len);
-	c->is_own_fault = max < EVENT_MAX - ANSWER_BUFFER_READ_MAX; /* this node's memory is short */
+	c->is_own_fault = true; /* the bound is this node's */
 	decide_end_(c, BH__DISPATCH_BROKEN);
 }
 
