test: answers of the soak that do not continue a stream are given to resumptions only

The trace: its first engine was silent and gave no byte (end=silent, events none), so the second one's answer, complete and signed, is the first that the caller got, and is the caller's as it is. The check stays; the stand-in gives such an answer only where it is asked to go on after an event (/resumed=KIND/).

--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -6,7 +6,8 @@
  * stream that is cut if it stays unread, "/hold/" answers after a second, "/long/" with long pauses,
  * "/no-length/" neither with a length nor in chunks, "/die/" crashes the endpoint that runs it first, before
  * its first event, "/die-late/" after some,
- * "/answer=KIND/" gives an answer of fake_answers.c, "/then=KIND/" the second time,
+ * "/answer=KIND/" gives an answer of fake_answers.c, "/then=KIND/" the second time, "/resumed=KIND/" the
+ * second time if that is to resume a stream,
  * "/crash/" crashes the endpoint that runs it, every time, before its first event,
  * "/crash-late/" after some, and so does a part of a prompt, but the last, whose id begins with "dead",
  * before the first event; the endpoint is back after a while under its id. "/dark/" has the endpoint listen
@@ -861,15 +862,20 @@
 {
 	static const char *const Words[] = {"/answer=", "/then="}; /* by number of runs */
 	const char *after = web_get_header(req, "Last-Event-Id");
-	const char *from = runs < G_N_ELEMENTS(Words) ? strstr(uri, Words[runs]) : NULL;
+	const char *word = runs < G_N_ELEMENTS(Words) ? Words[runs] : NULL;
+	const char *from = word ? strstr(uri, word) : NULL;
 	char *kind;
 	bool started;
 
 	if (r->odd[0])
 		return fake_answers_start(Base_, req, r->odd, 0);
+	if (!from && runs == 1 && after) {
+		word = "/resumed=";
+		from = strstr(uri, word);
+	}
 	if (!from)
 		return false;
-	from += strlen(Words[runs]);
+	from += strlen(word);
 	kind = g_strndup(from, strcspn(from, "/"));
 	started = fake_answers_start(Base_, req, kind, after ? (unsigned)strtoul(after, NULL, 10) : 0);
 	if (!started)
--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -66,7 +66,7 @@
 }
 odd() { # kinds of answers are fake_answers.c's
 	local kind status ended events
-	pick kind break/then=next-500 break/then=next-404 break/then=next-anew break/then=next-none break/then=next-half \
+	pick kind break/resumed=next-500 break/resumed=next-404 break/resumed=next-anew break/resumed=next-none break/resumed=next-half \
 		answer=endless-name answer=endless-event answer=slow-endless-lines answer=stop-endless-headers
 	sent=$((sent + 1))
 	rm -f "$RUN/body.odd"
