gate: an answer that is not read for now is not late, nor one whose end is probed

By reading, not seen: the time for a head or trailers also ran while the caller had the reading paused, so that a stream whose last chunk was split by a read could be broken off behind a slow caller; and it ran on after the connection had ended and its endpoint was probed, where its callback would ask a peer to connect for a request that had been sent. Both end with the channel or wait for it now.

--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -41,6 +41,7 @@
 	bool is_relayed;     /* the request was sent through a peer */
 	bool lost_hop;       /* the way to that peer broke */
 	bool answer_started; /* a part of the answer has been received */
+	bool is_paused;      /* the answer is not read for now */
 	bool is_limited;     /* the rest of the answer must not be late */
 	bool is_decided;     /* no more of the answer is wanted than has been received */
 	uint64_t began_us;
@@ -157,6 +158,7 @@
 /* Pauses or resumes reading the answer. */
 void outbound_pause(Outbound *o, bool paused)
 {
+	o->is_paused = paused;
 	if (o->used)
 		o->used->ops->pause(o->used, paused);
 }
@@ -247,6 +249,7 @@
 static void on_used_end_(Outbound *o, ChannelEnd end)
 {
 	o->used = NULL;
+	evtimer_del(o->timer);
 	o->lost_hop = end == CHANNEL_LOST;
 	if (end == CHANNEL_CLOSED && answer_parser_finish(o->parser) == ANSWER_COMPLETE)
 		probe_end_(o);
@@ -298,13 +301,17 @@
 		finish_(o, BH__TRANSFER_UNREACHABLE);
 }
 
-/* Asks a peer too, or breaks off an answer whose rest is late. */
+/* Asks a peer too, or breaks off an answer whose rest is late. What is not read can't be late. */
 static void on_timer_(evutil_socket_t fd, short what, void *arg)
 {
 	Outbound *o = arg;
 
 	(void)fd;
 	(void)what;
+	if (o->used && o->is_paused) {
+		set_timer_(o, REST_TIMEOUT_MS * BH__MS_US);
+		return;
+	}
 	if (o->used) {
 		log_event("answer", "what=late request=%s head=%s", o->request_id,
 				  answer_parser_is_in_head(o->parser) ? "no" : "yes");
