--- a/include/bayhoist/answer_assembly.h
+++ b/include/bayhoist/answer_assembly.h
@@ -20,15 +20,12 @@
 
 /* What becomes of the body of an answer. */
 typedef enum {
-	BH__ANSWER_BODY_UNUSED,  /* nothing of it goes to the caller */
-	BH__ANSWER_BODY_EVENTS,  /* it is forwarded event by event */
-	BH__ANSWER_BODY_PLAIN,   /* it is forwarded when it is complete, or has outgrown its buffer */
-	BH__ANSWER_BODY_FAILURE, /* it is forwarded when it is complete, and the request is not retried */
-	BH__ANSWER_BODY_COUNT
+	BH__ANSWER_BODY_UNUSED, /* nothing of it goes to the caller */
+	BH__ANSWER_BODY_EVENTS, /* it is forwarded event by event */
+	BH__ANSWER_BODY_PLAIN,  /* it is forwarded when it is complete, or has outgrown its buffer */
+	BH__ANSWER_BODY_FAILURE /* it is forwarded when it is complete, and the request is not retried */
 } BH__AnswerBody;
 
-extern const char *const BH__AnswerBodyString[];
-
 /* The decision on an answer by its head. */
 typedef struct {
 	BH__AnswerBody body;
--- a/include/bayhoist/event_stream.h
+++ b/include/bayhoist/event_stream.h
@@ -17,7 +17,7 @@
 	char last_id[BH__EVENT_ID_LEN];  /* id of the last one; empty: none */
 	uint64_t events;                 /* number of events relayed so far */
 	uint64_t numbered;               /* those with an id */
-	uint64_t unnumbered_since;       /* those without an id after the last one with an id */
+	bool ends_unnumbered;            /* the last one relayed has none */
 	bool skips;                      /* an id was not the number after the id before it */
 } BH__EventStream;
 
--- a/src/bayhoistd/connect.c
+++ b/src/bayhoistd/connect.c
@@ -3,8 +3,7 @@
 #include "daemon.h"
 
 #include "web.h"
-
-#define HEAD_MAX (32 * 1024) /* bytes of an answer's head, which evhttp takes whole */
+#include "web_call.h"
 
 /* Returns a connection to "IP:port" that is opened with its first request. */
 struct evhttp_connection *connect_open(Daemon *d, const char *address, bool tls)
@@ -16,6 +15,6 @@
 	web_split_address(address, ip, sizeof ip, &port);
 	conn = evhttp_connection_base_bufferevent_new(d->base, NULL, tls ? tls_client_bufferevent(d) : NULL, ip,
 												  port);
-	evhttp_connection_set_max_headers_size(conn, HEAD_MAX);
+	evhttp_connection_set_max_headers_size(conn, WEB_ANSWER_HEAD_MAX);
 	return conn;
 }
--- a/src/libbayhoist/answer_assembly.c
+++ b/src/libbayhoist/answer_assembly.c
@@ -9,11 +9,8 @@
 #define STATUS_OK_ 200
 #define COMMENTS_MAX_ (64 * 1024) /* bytes of comments between two events */
 
-const char *const BH__AnswerBodyString[] = {"unused", "events", "plain", "failure"};
-
 static bool is_stream_(const BH__AnswerAssembly *a, const BH__AnswerHead *head);
-static BH__EventState process_comment_(BH__AnswerAssembly *a, size_t len, bool resumes);
-static void note_event_(BH__AnswerAssembly *a, const BH__EventText *e);
+static BH__EventState process_first_(BH__AnswerAssembly *a, const char *data, size_t len, size_t *event_len);
 
 /* Initializes the answer of a new request. `streams`: the request's route answers in event streams, and its
  * method allows a body. */
@@ -60,51 +57,48 @@
 	return a->streams && head->status == STATUS_OK_ && head->is_event_stream && !head->is_encoded;
 }
 
-/* Decides what becomes of the event at the start of `data`, see bh__event_stream_parse(). The first event of
- * a dispatch that resumes must go on after the last one that the caller has; comments ahead of it are
- * dropped, since the caller's stream is under way. Comments ahead of the first event of all wait for it: an
- * endpoint that sends nothing else has not begun to answer. */
+/* Decides what becomes of the event at the start of `data`, see bh__event_stream_parse(). Comments
+ * between two events have a bound, beyond which the dispatch is no stream; those ahead of the first event of
+ * a dispatch that resumes are dropped. */
 BH__EventState bh__answer_assembly_process_event(BH__AnswerAssembly *a, const char *data, size_t len,
 												 size_t *event_len)
 {
-	bool is_first = a->dispatch_events == 0;
-	bool resumes = is_first && a->begun != BH__ANSWER_BODY_UNUSED;
+	BH__EventState state = a->dispatch_events > 0 ? bh__event_stream_parse(&a->events, data, len, event_len)
+												  : process_first_(a, data, len, event_len);
+
+	if (state == BH__EVENT_COMMENT) {
+		a->comment_bytes += *event_len;
+		if (a->comment_bytes > COMMENTS_MAX_)
+			return BH__EVENT_FOREIGN;
+		return a->dispatch_events > 0 ? BH__EVENT_COMMENT : BH__EVENT_DUPLICATE;
+	}
+	if (state == BH__EVENT_RELAY) {
+		if (!a->first_id[0])
+			memcpy(a->first_id, a->events.last_id, sizeof a->first_id);
+		a->dispatch_events++;
+		a->comment_bytes = 0;
+	}
+	return state;
+}
+
+/* The same for the first event of a dispatch. Where it resumes a stream, the event must go on after the last
+ * one that the caller has. Otherwise comments ahead of it wait for it: an endpoint that sends nothing else
+ * has not begun to answer. */
+static BH__EventState process_first_(BH__AnswerAssembly *a, const char *data, size_t len, size_t *event_len)
+{
+	bool resumes = a->begun != BH__ANSWER_BODY_UNUSED;
 	size_t comments = 0;
 	BH__EventText e;
-	BH__EventState state;
 
 	bh__event_text_read(&e, data, len);
-	while (is_first && !resumes && e.len && !e.has_fields) {
+	while (!resumes && e.len && !e.has_fields) {
 		comments += e.len;
 		bh__event_text_read(&e, data + comments, len - comments);
 	}
 	*event_len = e.len ? comments + e.len : 0;
 	if (resumes && e.len && e.has_fields && !bh__event_stream_is_continued_by(&a->events, &e))
 		return BH__EVENT_FOREIGN;
-	state = bh__event_stream_process(&a->events, &e);
-	if (state == BH__EVENT_COMMENT)
-		return process_comment_(a, e.len, resumes);
-	if (state == BH__EVENT_RELAY)
-		note_event_(a, &e);
-	return state;
-}
-
-/* Decides what becomes of comments of `len` bytes. Comments without an end are no stream. */
-static BH__EventState process_comment_(BH__AnswerAssembly *a, size_t len, bool resumes)
-{
-	a->comment_bytes += len;
-	if (a->comment_bytes > COMMENTS_MAX_)
-		return BH__EVENT_FOREIGN;
-	return resumes ? BH__EVENT_DUPLICATE : BH__EVENT_COMMENT;
-}
-
-/* Records an event of the current dispatch that goes to the caller. */
-static void note_event_(BH__AnswerAssembly *a, const BH__EventText *e)
-{
-	if (!a->first_id[0])
-		memcpy(a->first_id, e->id, sizeof a->first_id);
-	a->dispatch_events++;
-	a->comment_bytes = 0;
+	return bh__event_stream_process(&a->events, &e);
 }
 
 /* Returns true if another dispatch can continue the answer that the caller has: only a stream can be
--- a/src/libbayhoist/event_stream.c
+++ b/src/libbayhoist/event_stream.c
@@ -104,10 +104,9 @@
 	if (e->id[0] && is_duplicate_(s, e->id))
 		return BH__EVENT_DUPLICATE;
 	s->events++;
+	s->ends_unnumbered = !e->id[0];
 	if (e->id[0])
 		note_id_(s, e->id);
-	else
-		s->unnumbered_since++;
 	return BH__EVENT_RELAY;
 }
 
@@ -119,7 +118,6 @@
 	else if (!is_number_(id) || !is_number_(s->last_id) || number_(id) != number_(s->last_id) + 1)
 		s->skips = true;
 	memcpy(s->last_id, id, sizeof s->last_id);
-	s->unnumbered_since = 0;
 }
 
 /* Returns true if `e`, the first event of another endpoint, goes on after the last one that was relayed. That
@@ -139,7 +137,7 @@
 /* Returns true if another endpoint can be told after which event to go on: the last one has an id. */
 bool bh__event_stream_can_resume(const BH__EventStream *s)
 {
-	return s->last_id[0] && !s->unnumbered_since;
+	return s->last_id[0] && !s->ends_unnumbered;
 }
 
 /* Returns true if `text` consists of decimal digits, at least one, and fits 64 bits. */
--- a/src/share/web_call.c
+++ b/src/share/web_call.c
@@ -48,13 +48,14 @@
 	return call->req;
 }
 
-/* Bounds the answer, which evhttp takes whole otherwise, however long it is: its head and its body in bytes,
- * and the whole call in time. A call beyond a bound has no answer. To be called before the start. */
-void web_call_limit(WebCall *call, size_t head_bytes, size_t body_bytes, uint64_t time_ms)
+/* Bounds the answer, which evhttp takes whole otherwise, however long it is: its head by WEB_ANSWER_HEAD_MAX,
+ * its body in bytes, and the whole call in time. A call beyond a bound has no answer. To be called before the
+ * start. */
+void web_call_limit(WebCall *call, size_t body_bytes, uint64_t time_ms)
 {
 	struct timeval tv = {(time_t)(time_ms / 1000), (suseconds_t)(time_ms % 1000 * 1000)};
 
-	evhttp_connection_set_max_headers_size(call->conn, (ev_ssize_t)head_bytes);
+	evhttp_connection_set_max_headers_size(call->conn, WEB_ANSWER_HEAD_MAX);
 	evhttp_connection_set_max_body_size(call->conn, (ev_ssize_t)body_bytes);
 	call->late = evtimer_new(call->base, on_late_, call);
 	evtimer_add(call->late, &tv);
@@ -82,10 +83,10 @@
 	if (evhttp_make_request(call->conn, call->req, method, path) != 0)
 		call->has_failed_at_once = true;
 	call->is_starting = false;
-	if (call->has_failed_at_once)
+	if (call->has_failed_at_once) {
 		stop_timer_(call);
-	if (call->has_failed_at_once)
 		run_from_loop_(call, on_failed_at_once_);
+	}
 }
 
 static int on_head_(struct evhttp_request *req, void *arg)
--- a/src/test_libbayhoist/test_web.c
+++ b/src/test_libbayhoist/test_web.c
@@ -24,7 +24,6 @@
 #define KEPT_MAX_BYTES (CALLS * 100)
 
 /* Bounds of a call to a server that sends without an end; the sockets of both sides hold some megabytes. */
-#define HEAD_MAX (32 * 1024)
 #define BODY_MAX (64 * 1024)
 #define TIME_MAX_MS 300
 #define SENT_MAX (16 * 1024 * 1024)
@@ -183,7 +182,7 @@
 	getsockname(evconnlistener_get_fd(l), (struct sockaddr *)&at, &len);
 	call = web_call_new(base, evhttp_connection_base_new(base, NULL, "127.0.0.1", ntohs(at.sin_port)),
 						on_ended_, e);
-	web_call_limit(call, HEAD_MAX, BODY_MAX, TIME_MAX_MS);
+	web_call_limit(call, BODY_MAX, TIME_MAX_MS);
 	if (x->every_ms)
 		event_add(drip, &every);
 	web_call_start(call, EVHTTP_REQ_GET, "/");
