test: the scripts on resumed streams and endless bytes use gate.sh's gateways

Cause: check-resumed and check-endless, new since, started three gateways and wrote a configuration by copies of gate.sh's functions, for the sake of two fields of the settings and one of the configuration; what is an engine's line stood in three scripts, the ids of events in six, and the option that has AddressSanitizer free at once in three.

Change: MORE_SETTINGS and ASK_ATTEMPTS, event_ids, foreign_lines and free_at_once in gate.sh; check-relay, check-slow-callers, check-slow-thousands and the soak use them too. Checks and bounds are what they were.

--- a/test/check-endless.sh
+++ b/test/check-endless.sh
@@ -8,22 +8,15 @@
 FAILED=0
 CHANNELS=200   # at once
 MEMORY_MAX=16  # MiB that they may cost a gateway of 160
-case "${B##*/}" in *san)
-	# AddressSanitizer keeps what is freed unless it is told not to.
-	export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=0:thread_local_quarantine_size_kb=0"
-	;;
-esac
+free_at_once
 TOLD_MS=2900   # by which a caller is told, of 3 s on the routes of the plain service
 engines=
 for n in $(seq 4 10); do engines="$engines --engine i-e$n=$(address $((100 + n)))"; done
 plain=
 for n in 3 4 5 6; do plain="$plain --plain i-p$n=$(address $((120 + n)))"; done
 start_site $engines $plain
-for n in 1 2 3; do settings $n | sed 's/"stop_grace_ms"/"repeat_extra":1000,"memory_mb":160,&/' >"$RUN/gate$n.json"; start_gate $n; done
-config 1 key1 >"$RUN/config"
-tell config -d "@$RUN/config"
-for n in 1 2 3; do wait_for 10 ready $n 200 || is "gateway $n gets ready" no yes; done
-sleep 1.5
+MORE_SETTINGS='"repeat_extra":1000,"memory_mb":160,'
+start_three_gates
 send() { # N PATH ID [CURL OPTIONS...]: keeps "status milliseconds" and the body
 	curl -s -m 12 -o "$RUN/body.$3" -w '%{http_code} %{time_total}' "http://$(node "$1" 0)$2" -H 'Host: a.example' -H "X-Attempt-Id: $3" \
 		-H 'X-Time-Budget-Ms: 9000' -H "X-Api-Key: $CALLER_KEY" "${@:4}" | awk '{ print $1, int($2 * 1000) }' >"$RUN/status.$3"
@@ -31,8 +24,6 @@
 ask() { send "$1" "$2" "$3" -H 'X-Token-Usage: 3000,100' -d 'a prompt'; }
 status_of() { cut -d' ' -f1 "$RUN/status.$1"; }
 ms_of() { cut -d' ' -f2 "$RUN/status.$1"; }
-ids() { grep '^id:' "$RUN/body.$1" | tr -d 'id: \r' | tr '\n' ' '; }
-lines() { grep -vcE '^(id: [0-9]+|data: piece +[0-9]+|)$' "$RUN/body.$1"; } # that are none of an engine's events
 none_open() { [ "$(tell odd-open)" = 0 ]; }
 WHOLE="1 2 3 4 5 6 7 8 9 10 "
 HEADS="status name value headers interim unsigned not-run"
@@ -58,7 +49,7 @@
 for how in "" slow- stop-; do
 	for kind in $HEADS extension trailers 500 event lines comments; do
 		id=a-$how$kind
-		is "a stream, $how$kind: comes whole from another engine" "$(status_of $id) $(ids $id)$(lines $id)" "200 ${WHOLE}0"
+		is "a stream, $how$kind: comes whole from another engine" "$(status_of $id) $(event_ids "$RUN/body.$id")$(foreign_lines "$RUN/body.$id")" "200 ${WHOLE}0"
 		is "within 4 s: $(ms_of $id) ms" "$(($(ms_of $id) < 4000))" 1
 	done
 done
--- a/test/check-relay.sh
+++ b/test/check-relay.sh
@@ -8,7 +8,7 @@
 start_site_behind_proxy
 FAILED=0
 start_three_gates
-ids() { grep '^id:' "$RUN/body" | tr -d 'id: ' | tr '\n' ' '; }
+ids() { event_ids "$RUN/body"; }
 links() { "$B/bayhoistctl" --node "$(node "$1" 3)" links | head -n 1 | cut -d' ' -f2; }
 through() { # REQUEST: its peer, as soon as it has one
 	wait_for 2 grep -q "what=through request=$1 " "$RUN/gate1.log"
--- a/test/check-resumed.sh
+++ b/test/check-resumed.sh
@@ -10,26 +10,11 @@
 engines=
 for n in $(seq 4 10); do engines="$engines --engine i-e$n=$(address $((100 + n)))"; done
 start_site $engines
-config() { # as in gate.sh, with more attempts and a budget for them
-	cat <<JSON
-{"version":$1,"routes":[
-{"name":"ask","host":"a.example","path-prefix":"/ask/","route-kind":"streaming","timeout-ms":8000,"target-latency-ms":300,"service":"llm","max-attempts":$ATTEMPTS,"resumable":true,"gap_aim_ms":200}],
-"services":[{"name":"llm","engine-kind":{"slots":16,"kv-tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}}],
-"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
-"tenants":[{"name":"acct","api-keys":["$2"]}]}
-JSON
-}
-start_three_gates() { # as in gate.sh, with a budget that all these retries fit in
-	local n
-	for n in 1 2 3; do settings $n | sed 's/"stop_grace_ms"/"repeat_extra":1000,&/' >"$RUN/gate$n.json"; start_gate $n; done
-	config 1 key1 >"$RUN/config"
-	tell config -d "@$RUN/config"
-	for n in 1 2 3; do wait_for 10 ready $n 200 || is "gateway $n gets ready" no yes; done
-	sleep 1.5
-}
+ASK_ATTEMPTS=$ATTEMPTS
+MORE_SETTINGS='"repeat_extra":1000,' # which all these retries fit in
 start_three_gates
-ids() { grep '^id:' "$RUN/body" | tr -d 'id: \r' | tr '\n' ' '; }
-foreign() { grep -vcE '^(id: [0-9]+|data: piece +[0-9]+|)$' "$RUN/body"; } # lines that are none of the events
+ids() { event_ids "$RUN/body"; }
+foreign() { foreign_lines "$RUN/body"; }
 n=0
 # Each of these comes second, after an engine that broke off behind four events.
 for kind in ${KINDS:-500 500-chunked 500-bare 503 not-run 504 429 404 302 204 206 text coded unsigned anew skip no-id half prefix none comment}; do
--- a/test/check-slow-callers.sh
+++ b/test/check-slow-callers.sh
@@ -7,8 +7,7 @@
 . test/gate.sh
 start_site
 FAILED=0
-# AddressSanitizer keeps freed memory, which would count as the process's own.
-export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=0:thread_local_quarantine_size_kb=0"
+free_at_once
 CALLERS=16
 READ_BYTES=16384 # that one read from an endpoint may add to a full buffer
 settings 1 | sed 's/"stop_grace_ms"/"memory_mb":4,"stop_grace_ms"/' >"$RUN/gate1.json"
--- a/test/check-slow-thousands.sh
+++ b/test/check-slow-thousands.sh
@@ -15,7 +15,7 @@
 	# AddressSanitizer takes memory of its own, so that the process's is not judged, and several times the processor time for each caller.
 	MEASURED=0
 	CALLERS=400
-	export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=0:thread_local_quarantine_size_kb=0"
+	free_at_once
 	;;
 esac
 settings 1 | sed "s/\"stop_grace_ms\"/\"memory_mb\":$MEMORY_MB,\"stop_grace_ms\"/" >"$RUN/gate1.json"
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -42,20 +42,20 @@
 node() { # N FIELD: an address of gateway N
 	echo "127.0.0.$((10 + $1)):$((BASE + 20 + $2))"
 }
-settings() { # N
+settings() { # N; MORE_SETTINGS: further fields, each with a comma behind it
 	printf '{"name":"gate%s","hall":"h1","region":"r","caller_address":"%s","readiness_address":"%s",' "$1" "$(node "$1" 0)" "$(node "$1" 1)"
 	printf '"directory_address":"%s","control_address":"%s","peer_address":"%s","peer_key":"k",' "$(node "$1" 2)" "$(node "$1" 3)" "$(node "$1" 4)"
 	[ -z "${BEHIND_PROXY:-}" ] || printf '"endpoint_source":"%s",' "127.0.0.$((10 + $1))"
-	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,"key_trust_ms":%s} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" \
-		"$([ -z "${BEHIND_PROXY:-}" ] && echo "$STORE" || address $((40 + $1)))" "${KEY_TRUST_MS:-3000}"
+	printf '"seeds":["%s","%s"],"store_address":"%s","stop_grace_ms":8000,%s"key_trust_ms":%s} // settings of a test\n' "$(node 1 4)" "$(node 2 4)" \
+		"$([ -z "${BEHIND_PROXY:-}" ] && echo "$STORE" || address $((40 + $1)))" "${MORE_SETTINGS:-}" "${KEY_TRUST_MS:-3000}"
 }
 settings_in_halls() { # N: as settings(), for start_site_in_halls
 	settings "$1" | sed "s/\"hall\":\"h1\"/\"hall\":\"h$1\"/;s/\"peer_address\":\"[^\"]*\"/\"peer_address\":\"$(address $((80 + $1)))\",\"peer_listen_address\":\"$(node "$1" 4)\"/;s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$(address 81)\",\"$(address 82)\",\"$(address 83)\"]/"
 }
-config() { # VERSION KEY
+config() { # VERSION KEY; ASK_ATTEMPTS: most engines for a stream
 	cat <<JSON
 {"version":$1,"routes":[
-{"name":"ask","host":"a.example","path-prefix":"/ask/","route-kind":"streaming","timeout-ms":8000,"target-latency-ms":300,"service":"llm","max-attempts":2,"resumable":true,"gap_aim_ms":200},
+{"name":"ask","host":"a.example","path-prefix":"/ask/","route-kind":"streaming","timeout-ms":8000,"target-latency-ms":300,"service":"llm","max-attempts":${ASK_ATTEMPTS:-2},"resumable":true,"gap_aim_ms":200},
 {"name":"once","host":"a.example","path-prefix":"/once/","route-kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":1},
 {"name":"free","host":"a.example","path-prefix":"/free/","route-kind":"idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":2}],
 "services":[{"name":"llm","engine-kind":{"slots":16,"kv-tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}},{"name":"web"}],
@@ -67,6 +67,9 @@
 	curl -s -m 12 -o "$RUN/body" -w '%{http_code}' "http://$(node "$1" 0)$2" -H 'Host: a.example' -H "X-Attempt-Id: $3" \
 		-H 'X-Time-Budget-Ms: 9000' -H "X-Api-Key: $CALLER_KEY" "${@:4}"
 }
+# Of the body of a stream: the ids of its events, and how many of its lines are none of an engine's.
+event_ids() { grep '^id:' "$1" 2>/dev/null | tr -d 'id: \r' | tr '\n' ' '; }
+foreign_lines() { grep -vcE '^(id: [0-9]+|data: piece +[0-9]+|)$' "$1" 2>/dev/null; }
 ask() { call "$1" "$2" "$3" -H 'X-Token-Usage: 3000,100' -d 'a prompt' "${@:4}"; }
 ready() { [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "http://$(node "$1" 1)/readiness")" = "$2" ]; }
 start_gate() {
@@ -134,4 +137,7 @@
 	done
 	echo $((served * 100 / total))
 }
+free_at_once() { # AddressSanitizer keeps freed memory, which would count as the process's own
+	export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=0:thread_local_quarantine_size_kb=0"
+}
 at_least() { is "$1: $2 of 100, of which $3 are wanted" "$(($2 >= $3))" 1; }
--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -73,8 +73,8 @@
 	status=$(curl -s -m 12 -o "$RUN/body.odd" -w '%{http_code}' "http://$(node $((RANDOM % 3 + 1)) 0)/ask/$kind/x" -H 'Host: a.example' \
 		-H "X-Attempt-Id: odd$sent" -H 'X-Time-Budget-Ms: 5000' -H 'X-Api-Key: key1' -H 'X-Token-Usage: 3000,100' -d "odd $sent")
 	ended=$?
-	events=$(grep '^id:' "$RUN/body.odd" 2>/dev/null | tr -d 'id: \r' | tr '\n' ,)
-	echo "odd$sent $kind $status $ended ${events:-none} $(grep -vcE '^(id: [0-9]+|data: piece +[0-9]+|)$' "$RUN/body.odd" 2>/dev/null)" >>"$RUN/odd"
+	events=$(event_ids "$RUN/body.odd" | tr ' ' ,)
+	echo "odd$sent $kind $status $ended ${events:-none} $(foreign_lines "$RUN/body.odd")" >>"$RUN/odd"
 }
 history() { # outages, copies, and an endpoint that leaves and returns
 	local what
