test: bytes without an end through a peer

Cause: check-endless shows the bounds of a gateway's own connections only; that they hold through a peer, whose node passes bytes on and judges nothing, was said by reading.

Change: check-relay sends a stream whose engine's head has no end, and a call that may run once whose failure has none, through a peer, with both faces of a cut.

--- a/test/check-relay.sh
+++ b/test/check-relay.sh
@@ -15,6 +15,7 @@
 	grep "what=through request=$1 " "$RUN/gate1.log" | tail -n 1 | sed 's/.* peer=gate\([0-9]\) .*/\1/'
 }
 ended() { grep -q "what=ended request=$1 " "$RUN"/gate[123].log; }
+none_open() { [ "$(tell odd-open)" = 0 ]; }
 learn() { # FACE: requests to both services, until the node must know
 	local i
 	for i in 1 2 3 4; do ask 1 /ask/x "learn$1$i" >/dev/null; call 1 /free/x "look$1$i" >/dev/null; done
@@ -44,6 +45,10 @@
 	is "$face: run twice" "$(tell "runs?id=f$face")" 2
 	is "$face: a stream that its engine breaks off goes on" "$(ask 1 /ask/break/x r$face)" 200
 	is "$face: without a gap or a repeat of events" "$(ids)" "1 2 3 4 5 6 7 8 9 10 "
+	is "$face: one whose engine sends a head without an end comes from another" "$(ask 1 /ask/answer=endless-name/x i$face) $(ids)" "200 1 2 3 4 5 6 7 8 9 10 "
+	is "$face: a call whose endpoint sends a failure without an end fails" "$(call 1 /once/answer=endless-500/x j$face -d x)" 502
+	is "$face: and runs once" "$(tell "runs?id=j$face")" 1
+	wait_for 2 none_open || is "$face: no connection to such an endpoint is left at the peer" "$(tell odd-open)" 0
 	is "$face: one that its only endpoint refuses is told when to come back" \
 		"$(call 1 /once/full/x u$face -d x -D "$RUN/head")$(grep -ci '^retry-after: ' "$RUN/head")" 5031
 	is "$face: explain shows the hop" "$("$B/bayhoistctl" explain s$face "$RUN"/gate[123].log | grep -c 'event=relay what=\(through\|opened\)')" 2
