--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -60,7 +60,7 @@
 	CALLERS="${CALLERS:-} $!"
 }
 collect() { # what callers and servers saw, in the order of time
-	wait $CALLERS 2>/dev/null
+	[ -z "${CALLERS:-}" ] || wait $CALLERS 2>/dev/null
 	cat "$RUN"/caller.* "$RUN"/replica*.log >>"$RECORD" 2>/dev/null
 	sort -n -o "$RECORD" "$RECORD"
 }
--- a/review/standin-2/replica.c
+++ b/review/standin-2/replica.c
@@ -8,7 +8,9 @@
  *   /size=N/        a body of N bytes, at once, with a length
  *   /work=MS/       a body of 800 bytes after MS
  *   /events=N/      a stream of N events, 100 ms apart
- *   /surplus-once/  see README in the case that uses it
+ *   /full/          503 with X-Not-Executed: this request is not run
+ *   /surplus/       it is run; a surplus answer to the last /full/ request arrives in the place of its answer,
+ *                   if this server has turned one away since the last such request
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -37,6 +39,7 @@
 } Conn;
 
 static struct event_base *Base;
+static char Refused[128]; /* id of the last /full/ request; empty: none since the last surplus answer */
 static const char *Id;
 
 static long long now_ms(void)
@@ -145,11 +148,25 @@
 		write_head(c, "421 Misdirected", "X-Not-Executed: 1\r\nContent-Length: 0\r\n");
 		return;
 	}
+	if (strstr(c->path, "/full/")) {
+		printf("%lld %s refused id=%s path=%s\n", now_ms(), Id, c->id, c->path);
+		write_head(c, "503 Busy", "X-Not-Executed: 1\r\nContent-Length: 0\r\n");
+		snprintf(Refused, sizeof Refused, "%s", c->id);
+		return;
+	}
 	c->busy = true;
 	c->bytes = 0;
 	printf("%lld %s ran id=%s path=%s\n", now_ms(), Id, c->id, c->path);
 	c->last = 0;
-	if (number(c, "/size=") >= 0) {
+	if (strstr(c->path, "/surplus/") && Refused[0]) {
+		printf("%lld %s surplus answer to id=%s in the place of that to id=%s\n", now_ms(), Id, Refused, c->id);
+		evbuffer_add_printf(bufferevent_get_output(c->bev),
+							"HTTP/1.1 503 Busy\r\nX-Attempt-Id: %s\r\nX-Replica-Signature: %s.%s\r\n"
+							"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+							Refused, Id, Refused);
+		Refused[0] = '\0';
+	}
+	else if (number(c, "/size=") >= 0) {
 		answer_bytes(c, (size_t)number(c, "/size="));
 	}
 	else if (number(c, "/events=") > 0) {
