--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 make -s B=target target/bh-fake-site target/bh-fault-proxy
 mkdir -p target/review-2
 FLAGS=$(pkg-config --cflags --libs libevent)
-for program in replica caller; do
+for program in replica caller load; do
 	cc -std=gnu11 -O2 -Wall -Wextra -o "target/review-2/$program" "review/standin-2/$program.c" $FLAGS
 done
--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -11,25 +11,25 @@
 : >"$RECORD"
 record() { echo "$(($(awk '{ print int($1 * 1000) }' /proc/uptime))) script $*" >>"$RECORD"; }
 cannot_run() { echo "the case couldn't run: $*" | tee -a "$RECORD"; exit 2; }
-for program in "$B/bayhoist-gate" "$B/bh-fake-site" "$OWN/replica" "$OWN/caller"; do
+for program in "$B/bayhoist-gate" "$B/bh-fake-site" "$OWN/replica" "$OWN/caller" "$OWN/load"; do
 	[ -x "$program" ] || cannot_run "$program is not built (see the deploy file and review/build-2.sh)"
 done
 settings() { # N: those of deploy/settings.json.in
 	cat <<JSON
 {"name":"front-$1","hall":"h1","region":"r","caller_address":"$(node "$1" 0)","readiness_address":"$(node "$1" 1)",
 "directory_address":"$(node "$1" 2)","control_address":"$(node "$1" 3)","peer_address":"$(node "$1" 4)","peer_key":"$STORE",
-"seeds":["$(node 1 3)","$(node 2 3)","$(node 3 3)"],"store_address":"$STORE","stop_grace_ms":8000,"endpoint_drain_ms":2000,
-"hall_drain_ms":0,"configuration_ms":2000,"key_trust_ms":5000,"memory_hold_max_ms":20000,"cores":0.25,"memory_mb":260,
+"seeds":["$(node 1 3)","$(node 2 3)","$(node 3 3)"],"store_address":"$STORE","stop_grace_ms":8000,"endpoint_drain_ms":${DRAIN_MS:-2000},
+"hall_drain_ms":${HALL_DRAIN_MS:-0},"configuration_ms":${CONFIGURATION_MS:-2000},"key_trust_ms":5000,"memory_hold_max_ms":20000,"cores":0.25,"memory_mb":260,
 "link_mbps":1000,"store_reads_per_s":2000,"directory_ttl_max_s":5,"repeat_share":0.2,"repeat_extra":106}
 JSON
 }
-# VERSION: the manifest; PLAIN, where it is set, is the service of the plain routes
+# VERSION: the manifest; COLD_PER_S, where it is set, is what a cold server bears
 manifest() {
 	cat <<JSON
 {"version":$1,"routes":[
 {"name":"once","host":"a.example","path-prefix":"/once/","route-kind":"non_idempotent","timeout-ms":10000,"target-latency-ms":300,"priority":1,"service":"web","max-attempts":2,"allow-anonymous":false},
 {"name":"free","host":"a.example","path-prefix":"/free/","route-kind":"idempotent","timeout-ms":10000,"target-latency-ms":300,"priority":1,"service":"web","max-attempts":2,"allow-anonymous":false}],
-"services":[{"name":"web","health-path":"/health","max-connections":110}],
+"services":[{"name":"web","health-path":"/health","max-connections":430${COLD_PER_S:+,\"cold-per-s\":$COLD_PER_S}}],
 "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
 "tenants":[{"name":"acct","api-keys":["key1"],"priority":1}]}
 JSON
@@ -41,13 +41,17 @@
 	local n=$1
 	shift
 	start "replica$n" "$OWN/replica" --listen "$(address "$n")" --id "i-p$n" "$@"
-	put_key "servers/i-p$n" "{\"service\":\"web\",\"address\":\"$(address "$n")\",\"zone\":\"h1\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold-remaining-ms\":0,\"sequence\":1,\"born\":$(date +%s%3N)}"
+	BORN[n]=$(date +%s%3N)
+	write_entry "$n" 0
+}
+write_entry() { # N MS: server N writes its entry, and is cold for so long
+	put_key "servers/i-p$1" "{\"service\":\"web\",\"address\":\"$(address "$1")\",\"zone\":\"h1\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold-remaining-ms\":$2,\"sequence\":1,\"born\":${BORN[$1]}}"
 }
 start_system() { # three gateways and three servers, in touch
 	local n
 	start site "$B/bh-fake-site" --store "$STORE"
 	wait_for 30 tell calls || cannot_run "the store does not answer"
-	for n in 1 2 3; do start_replica $n; done
+	for n in 1 2 3; do start_replica $n ${REPLICA_OPTIONS:-}; done
 	put_key op/config "$(manifest 1)"
 	for n in 1 2 3; do settings $n >"$RUN/gate$n.json"; start_gate $n; done
 	for n in 1 2 3; do wait_for 10 ready $n 200 || cannot_run "gateway $n does not get ready"; done
--- a/review/standin-2/replica.c
+++ b/review/standin-2/replica.c
@@ -3,7 +3,9 @@
  * request at a time on a channel, checks X-Expect-Replica, and writes each event to stdout, with the
  * milliseconds of the steady clock.
  *
- * usage: replica --listen IP:PORT --id ID
+ * usage: replica --listen IP:PORT --id ID [--cold-per-s N --cold-ms MS]
+ * SIGUSR1 has it turn cold for MS. While it is cold it falls over when more than twice N requests arrive in one
+ * second: it resets all channels, refuses new ones for a second, and starts again.
  * The path names the answer:
  *   /size=N/        a body of N bytes, at once, with a length
  *   /work=MS/       a body of 800 bytes after MS
@@ -26,7 +28,10 @@
 #include <sys/socket.h>
 #include <time.h>
 
-typedef struct {
+typedef struct Conn Conn;
+struct Conn {
+	Conn *next_open;
+	Conn *prev_open;
 	struct bufferevent *bev;
 	struct event *timer;
 	char id[128];
@@ -36,11 +41,22 @@
 	unsigned next;
 	unsigned last;
 	size_t bytes;
-} Conn;
+};
+
+#define ARRIVALS_MAX 4096
+#define DOWN_MS 1000
 
 static struct event_base *Base;
 static char Refused[128]; /* id of the last /full/ request; empty: none since the last surplus answer */
 static const char *Id;
+static const char *Address;
+static struct evconnlistener *Listener;
+static Conn *Open;
+static unsigned ColdPerS;
+static long ColdMs;
+static long long ColdUntil;
+static long long Arrivals[ARRIVALS_MAX]; /* times of the latest requests, as a ring */
+static unsigned ArrivalCount;
 
 static long long now_ms(void)
 {
@@ -54,11 +70,62 @@
 {
 	if (c->busy)
 		printf("%lld %s left id=%s\n", now_ms(), Id, c->id);
+	if (c->next_open)
+		c->next_open->prev_open = c->prev_open;
+	*(c->prev_open ? &c->prev_open->next_open : &Open) = c->next_open;
 	event_free(c->timer);
 	bufferevent_free(c->bev);
 	free(c);
 }
 
+static bool start_listening(void);
+
+static void on_restart(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	(void)arg;
+	if (!start_listening())
+		exit(2);
+	printf("%lld %s back\n", now_ms(), Id);
+}
+
+/* Notes a request. Returns false if the server has fallen over by it. */
+static bool note_arrival(void)
+{
+	struct timeval down = {DOWN_MS / 1000, DOWN_MS % 1000 * 1000};
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+	long long now = now_ms();
+	unsigned in_second = 0;
+
+	if (now >= ColdUntil)
+		return true;
+	Arrivals[ArrivalCount++ % ARRIVALS_MAX] = now;
+	for (unsigned i = ArrivalCount; i > 0 && ArrivalCount - i < ARRIVALS_MAX; i--)
+		in_second += Arrivals[(i - 1) % ARRIVALS_MAX] > now - 1000;
+	if (in_second <= 2 * ColdPerS)
+		return true;
+	printf("%lld %s fell over, cold, with %u requests in a second\n", now, Id, in_second);
+	ArrivalCount = 0;
+	evconnlistener_free(Listener);
+	while (Open) {
+		setsockopt(bufferevent_getfd(Open->bev), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+		drop(Open);
+	}
+	event_base_once(Base, -1, EV_TIMEOUT, on_restart, NULL, &down);
+	return false;
+}
+
+static void on_cold(evutil_socket_t fd, short what, void *arg)
+{
+	(void)fd;
+	(void)what;
+	(void)arg;
+	ColdUntil = now_ms() + ColdMs;
+	ArrivalCount = 0;
+	printf("%lld %s cold for_ms=%ld\n", now_ms(), Id, ColdMs);
+}
+
 /* Returns the number after `name` in the path, or -1. */
 static long number(const Conn *c, const char *name)
 {
@@ -136,7 +203,8 @@
 	}
 }
 
-static void begin(Conn *c, const char *head)
+/* Begins to serve a request. Returns false if the server has fallen over by it; `c` is gone then. */
+static bool begin(Conn *c, const char *head)
 {
 	char expected[128];
 	char after[64];
@@ -146,17 +214,19 @@
 	if (header(head, "X-Expect-Replica", expected, sizeof expected) && strcmp(expected, Id) != 0) {
 		printf("%lld %s rejected id=%s path=%s\n", now_ms(), Id, c->id, c->path);
 		write_head(c, "421 Misdirected", "X-Not-Executed: 1\r\nContent-Length: 0\r\n");
-		return;
+		return true;
 	}
 	if (strstr(c->path, "/full/")) {
 		printf("%lld %s refused id=%s path=%s\n", now_ms(), Id, c->id, c->path);
 		write_head(c, "503 Busy", "X-Not-Executed: 1\r\nContent-Length: 0\r\n");
 		snprintf(Refused, sizeof Refused, "%s", c->id);
-		return;
+		return true;
 	}
 	c->busy = true;
 	c->bytes = 0;
 	printf("%lld %s ran id=%s path=%s\n", now_ms(), Id, c->id, c->path);
+	if (!note_arrival())
+		return false;
 	c->last = 0;
 	if (strstr(c->path, "/surplus/") && Refused[0]) {
 		printf("%lld %s surplus answer to id=%s in the place of that to id=%s\n", now_ms(), Id, Refused, c->id);
@@ -179,6 +249,7 @@
 	else {
 		evtimer_add(c->timer, &tv);
 	}
+	return true;
 }
 
 static void on_read(struct bufferevent *bev, void *arg)
@@ -207,7 +278,10 @@
 				 strchr(head, ' ') + 1);
 		header(head, "Content-Length", length, sizeof length);
 		c->body_left = strtoul(length, NULL, 10);
-		begin(c, head);
+		if (!begin(c, head)) {
+			free(head);
+			return;
+		}
 		free(head);
 	}
 }
@@ -229,26 +303,47 @@
 	(void)arg;
 	c->bev = bufferevent_socket_new(Base, fd, BEV_OPT_CLOSE_ON_FREE);
 	c->timer = evtimer_new(Base, on_timer, c);
+	c->next_open = Open;
+	if (Open)
+		Open->prev_open = c;
+	Open = c;
 	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
-int main(int argc, char **argv)
+static bool start_listening(void)
 {
 	struct sockaddr_storage sa;
 	int len = sizeof sa;
 
-	if (argc != 5 || strcmp(argv[1], "--listen") != 0 || strcmp(argv[3], "--id") != 0 ||
-		evutil_parse_sockaddr_port(argv[2], (struct sockaddr *)&sa, &len) != 0) {
-		fprintf(stderr, "usage: replica --listen IP:PORT --id ID\n");
+	if (evutil_parse_sockaddr_port(Address, (struct sockaddr *)&sa, &len) != 0)
+		return false;
+	Listener = evconnlistener_new_bind(Base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 512,
+									   (struct sockaddr *)&sa, len);
+	return Listener != NULL;
+}
+
+int main(int argc, char **argv)
+{
+	for (int i = 1; i + 1 < argc; i += 2) {
+		if (!strcmp(argv[i], "--listen"))
+			Address = argv[i + 1];
+		else if (!strcmp(argv[i], "--id"))
+			Id = argv[i + 1];
+		else if (!strcmp(argv[i], "--cold-per-s"))
+			ColdPerS = (unsigned)atoi(argv[i + 1]);
+		else if (!strcmp(argv[i], "--cold-ms"))
+			ColdMs = atol(argv[i + 1]);
+	}
+	if (!Address || !Id) {
+		fprintf(stderr, "usage: replica --listen IP:PORT --id ID [--cold-per-s N --cold-ms MS]\n");
 		return 2;
 	}
-	Id = argv[4];
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	signal(SIGPIPE, SIG_IGN);
 	Base = event_base_new();
-	if (!evconnlistener_new_bind(Base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
-								 (struct sockaddr *)&sa, len)) {
+	event_add(evsignal_new(Base, SIGUSR1, on_cold, NULL), NULL);
+	if (!start_listening()) {
 		perror("listen");
 		return 2;
 	}
