--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -23,7 +23,7 @@
 "link_mbps":1000,"store_reads_per_s":2000,"directory_ttl_max_s":5,"repeat_share":0.2,"repeat_extra":106}
 JSON
 }
-# VERSION: the manifest; COLD_PER_S, where it is set, is what a cold server bears
+# VERSION: the manifest; COLD_PER_S, where it is set, is what a cold server bears, and TENANTS is a list of its tenants
 manifest() {
 	cat <<JSON
 {"version":$1,"routes":[
@@ -31,7 +31,7 @@
 {"name":"free","host":"a.example","path-prefix":"/free/","route-kind":"idempotent","timeout-ms":10000,"target-latency-ms":300,"priority":1,"service":"web","max-attempts":2,"allow-anonymous":false}],
 "services":[{"name":"web","health-path":"/health","max-connections":430${COLD_PER_S:+,\"cold-per-s\":$COLD_PER_S}}],
 "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
-"tenants":[{"name":"acct","api-keys":["key1"],"priority":1}]}
+"tenants":[${TENANTS:-{\"name\":\"acct\",\"api-keys\":[\"key1\"],\"priority\":1\}}]}
 JSON
 }
 put_key() { # KEY TEXT: a server or an operator writes to the store
