--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -9,6 +9,14 @@
 CASE=$(cd "$(dirname "$0")" && pwd)
 RECORD=$CASE/record.txt
 : >"$RECORD"
+http() ( # ADDRESS METHOD PATH [BODY]: the head and the body of the answer; curl may not be there
+	LC_ALL=C
+	exec 3<>"/dev/tcp/${1%:*}/${1##*:}" || exit 1
+	printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %s\r\n\r\n%s' "$2" "$3" "$1" "${#4}" "${4:-}" >&3
+	timeout 3 cat <&3
+) 2>/dev/null
+tell() { [[ "$(http "$STORE" GET "/test/$1")" == HTTP/1.1\ 200* ]]; }
+ready() { [[ "$(http "$(node "$1" 1)" GET /readiness)" == HTTP/1.1\ $2* ]]; }
 record() { echo "$(($(awk '{ print int($1 * 1000) }' /proc/uptime))) script $*" >>"$RECORD"; }
 cannot_run() { echo "the case couldn't run: $*" | tee -a "$RECORD"; exit 2; }
 for program in "$B/bayhoist-gate" "$B/bh-fake-site" "$OWN/replica" "$OWN/caller" "$OWN/load"; do
@@ -35,7 +43,7 @@
 JSON
 }
 put_key() { # KEY TEXT: a server or an operator writes to the store
-	curl -s -m 3 -o /dev/null "http://$STORE/kv-txn" -d "{\"expected-rev\":[],\"put\":[{\"private-key\":\"$1\",\"value\":\"$(printf %s "$2" | base64 -w0)\",\"lease\":0}],\"remove\":[]}"
+	http "$STORE" POST /kv-txn "{\"expected-rev\":[],\"put\":[{\"private-key\":\"$1\",\"value\":\"$(printf %s "$2" | base64 -w0)\",\"lease\":0}],\"remove\":[]}" >/dev/null || cannot_run "the store does not take $1"
 }
 start_replica() { # N [OPTIONS]: server N of the service "web", which is in the store then
 	local n=$1
