Keys are trusted no longer than their configuration is known to be the newest

Cause: a look at the store that showed any configuration moved the time up to which keys are trusted, also when what it showed had been refused. Evidence: at the gateway that reads for all, configuration_age_ms of version 1 fell back to nothing each 0.7 s behind its own log line that version 2 was refused, and at the others with its word, though they had never seen version 2.

Only a read that showed the version in force or an older one moves the time; a read that showed a newer one which cannot be decoded fixes it, whatever other nodes say. A gateway that starts and refuses the newest one trusts an older one no longer than that. Texts without a version, and other content under the version in force, are refused too; a configuration that another node sent damaged is no longer kept to be sent on.

--- a/include/bayhoist/field.h
+++ b/include/bayhoist/field.h
@@ -43,6 +43,7 @@
 GQuark bh__input_error_quark(void);
 
 struct json_object *bh__json_parse(const char *text, size_t len, GError **error);
+bool bh__json_is_same(const char *a, const char *b);
 bool bh__fields_decode(const BH__Field *fields, size_t count, struct json_object *object, const char *where,
 					   void *out, GError **error);
 unsigned bh__field_find_line(const char *text, const char *message);
--- a/include/bayhoist/platform_sync.h
+++ b/include/bayhoist/platform_sync.h
@@ -30,7 +30,8 @@
 typedef struct {
 	uint64_t version;          /* 0: the node holds none */
 	uint64_t platform_read_us; /* latest read that showed this version to be the newest; 0: none */
-	uint64_t absent_read_us; /* latest read that showed that the platform has no configuration yet; 0: none */
+	uint64_t answered_read_us; /* latest read that was answered, whatever it showed; 0: none */
+	uint64_t refused_version;  /* newer version that this node cannot decode; 0: none is known */
 } BH__PlatformSyncConfiguration;
 
 /* Callbacks to the gateway. */
@@ -56,9 +57,10 @@
 	 * returned. Returns false if it is invalid. */
 	bool (*take_configuration)(struct BH__PlatformSyncPort *port, const char *text,
 							   uint64_t platform_read_us);
-	/* Records that another node's platform read, begun at `platform_read_us`, showed the held configuration
-	 * to be the newest. */
-	void (*confirm_configuration)(struct BH__PlatformSyncPort *port, uint64_t platform_read_us);
+	/* Records that another node's platform read, begun at `platform_read_us`, showed the held `version` to be
+	 * the newest. */
+	void (*confirm_configuration)(struct BH__PlatformSyncPort *port, uint64_t version,
+								  uint64_t platform_read_us);
 	/* Reports that endpoints or hall drain states received from another node are merged into the registry. */
 	void (*merged)(struct BH__PlatformSyncPort *port);
 	/* Logs an event that concerns node `node_id`. */
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -131,7 +131,7 @@
 		log_event("refuse",
 				  "request=%s cause=old-configuration age_ms=%" G_GUINT64_FORMAT
 				  " trust_ms=%" G_GUINT64_FORMAT,
-				  r->meta.request_id, g->routing ? (now_us - g->routing_read_us) / BH__MS_US : 0,
+				  r->meta.request_id, g->routing ? (now_us - g->configuration.newest_read_us) / BH__MS_US : 0,
 				  g->settings.key_trust_ms);
 		refuse_(c, 503, retry_no_configuration_ms_(g, now_us), "no-configuration",
 				"this node does not know the newest configuration");
@@ -172,7 +172,7 @@
 static uint64_t retry_no_configuration_ms_(const Gate *g, uint64_t now_us)
 {
 	const BH__Members *m = g->members;
-	uint64_t unknown_ms = (now_us - MAX(g->routing_read_us, g->started_us)) / BH__MS_US;
+	uint64_t unknown_ms = (now_us - MAX(g->configuration.newest_read_us, g->started_us)) / BH__MS_US;
 
 	for (unsigned i = 1; i < bh__members_get_count(m); i++) {
 		const BH__MemberInfo *info = bh__members_get(m, i);
--- a/src/bayhoist-gate/call_subjects.c
+++ b/src/bayhoist-gate/call_subjects.c
@@ -39,6 +39,6 @@
 		m->request_id, fingerprint, c->rule->name, c->service->name, c->owner ? c->owner->name : "",
 		BH__RetryModeString[c->rule->retry_mode], m->prompt_tokens, time_us / BH__MS_US,
 		c->waited_before_us / BH__MS_US, bh__routing_get_version(c->routing),
-		(now_us - c->gate->routing_read_us) / BH__MS_US, parts->str);
+		(now_us - c->gate->configuration.newest_read_us) / BH__MS_US, parts->str);
 	g_string_free(parts, TRUE);
 }
--- a/src/bayhoist-gate/gate.c
+++ b/src/bayhoist-gate/gate.c
@@ -4,6 +4,7 @@
 #include "gate.h"
 
 #include <string.h>
+#include "bayhoist/field.h"
 #include "bayhoist/last_endpoints.h"
 #include "clock.h"
 #include "crashes.h"
@@ -11,14 +12,16 @@
 
 #define KEY_TRUST_FRACTION 0.92 /* part of key_trust_ms during which keys are trusted without a new read */
 
+static void process_platform_read_(Gate *g, uint64_t platform_read_us);
 static void process_era_(Gate *g);
 
-/* Returns true if the API keys of the configuration may be trusted, because it was read recently enough. */
+/* Returns true if the API keys of the configuration may be trusted, because it was known to be the newest one
+ * recently enough. */
 bool gate_trusts_keys(const Gate *g, uint64_t now_us)
 {
 	uint64_t trust_us = (uint64_t)((double)g->settings.key_trust_ms * KEY_TRUST_FRACTION * BH__MS_US);
 
-	return g->routing && (!trust_us || now_us < g->routing_read_us + trust_us);
+	return bh__configuration_state_is_trusted(&g->configuration, trust_us, now_us);
 }
 
 /* Returns true if this node is ready for callers: it is not shutting down, trusts its keys and knows
@@ -29,36 +32,58 @@
 }
 
 /* Installs a routing that was decoded from `text` and takes ownership of it. `platform_read_us` is the start
- * time of the platform read that returned it. A routing that is not newer than the current one is dropped. */
-void gate_set_routing(Gate *g, BH__Routing *routing, const char *text, uint64_t platform_read_us)
+ * time of the platform read that returned it; 0: the platform told a change. A routing that is not newer than
+ * the current one is dropped. Returns false with an error if the current one has the same version and other
+ * content. */
+bool gate_set_routing(Gate *g, BH__Routing *routing, const char *text, uint64_t platform_read_us,
+					  GError **error)
 {
 	uint64_t version = bh__routing_get_version(routing);
+	uint64_t now_us = clock_now_us();
 
-	if (g->routing && version <= bh__routing_get_version(g->routing)) {
+	if (!bh__configuration_state_is_newer(&g->configuration, version)) {
 		bh__routing_unref(routing);
+		if (version < g->configuration.version || bh__json_is_same(text, g->routing_text))
+			return true;
+		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD,
+					"version %" G_GUINT64_FORMAT " is in force with other content", version);
+		return false;
 	}
-	else {
-		log_event("configuration",
-				  "what=installed version=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT " bytes=%zu", version,
-				  g->routing ? bh__routing_get_version(g->routing) : 0, strlen(text));
-		bh__routing_unref(g->routing);
-		g->routing = routing;
-		g_free(g->routing_text);
-		g->routing_text = g_strdup(text);
-		cluster_apply_routing(g->cluster, clock_now_us());
-	}
-	gate_note_platform_read(g, platform_read_us);
-	bh__platform_sync_process_update(g->sync, clock_now_us());
+	log_event("configuration",
+			  "what=installed version=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT " bytes=%zu", version,
+			  g->configuration.version, strlen(text));
+	bh__routing_unref(g->routing);
+	g->routing = routing;
+	g_free(g->routing_text);
+	g->routing_text = g_strdup(text);
+	cluster_apply_routing(g->cluster, now_us);
+	bh__configuration_state_note_installed(&g->configuration, version, 0, platform_read_us, now_us);
+	configuration_log_change(g);
+	process_platform_read_(g, platform_read_us);
+	bh__platform_sync_process_update(g->sync, now_us);
+	return true;
 }
 
 /* Records that the platform read begun at `platform_read_us` has found no configuration: operators have not
  * written one yet. */
 void gate_note_no_configuration(Gate *g, uint64_t platform_read_us)
 {
-	g->no_routing_read_us = platform_read_us;
+	bh__configuration_state_note_absent(&g->configuration, platform_read_us);
 	gate_note_configuration_failed(g);
 }
 
+/* Records that the platform read begun at `platform_read_us` showed a configuration that cannot be decoded,
+ * with this version; 0: its version cannot be decoded either. The one in force stays, and is trusted no
+ * longer than it was known to be the newest. */
+void gate_note_configuration_refused(Gate *g, uint64_t version, uint64_t platform_read_us)
+{
+	bh__configuration_state_note_refused(&g->configuration, version, platform_read_us, clock_now_us());
+	configuration_log_change(g);
+	bh__last_endpoints_note_halls_read(g->registry, platform_read_us);
+	if (!g->routing)
+		gate_note_configuration_failed(g);
+}
+
 /* Records that a configuration read has begun, which completes or fails within `answer_us`. */
 void gate_note_configuration_requested(Gate *g, uint64_t answer_us)
 {
@@ -73,14 +98,29 @@
 	calls_process_startup_state(g);
 }
 
-/* Records that the installed configuration was the newest one when the platform read at `platform_read_us`
- * began. */
-void gate_note_platform_read(Gate *g, uint64_t platform_read_us)
+/* Records that a platform read of this node, begun at `platform_read_us`, showed the installed configuration
+ * or an older one. */
+void gate_note_configuration_shown(Gate *g, uint64_t platform_read_us)
+{
+	bh__configuration_state_note_shown(&g->configuration, platform_read_us, clock_now_us());
+	configuration_log_change(g);
+	process_platform_read_(g, platform_read_us);
+}
+
+/* Records that another node's platform read, begun at `platform_read_us`, showed this version to be the
+ * newest. */
+void gate_note_configuration_confirmed(Gate *g, uint64_t version, uint64_t platform_read_us)
+{
+	bh__configuration_state_note_confirmed(&g->configuration, version, platform_read_us);
+	process_platform_read_(g, platform_read_us);
+}
+
+/* Handles what follows from a platform read of the configuration and of the halls' states, begun at
+ * `platform_read_us`. */
+static void process_platform_read_(Gate *g, uint64_t platform_read_us)
 {
-	if (platform_read_us > g->routing_read_us)
-		g->routing_read_us = platform_read_us;
-	bh__last_endpoints_note_halls_read(g->registry, g->routing_read_us);
-	if (g->routing && g->routing_read_us)
+	bh__last_endpoints_note_halls_read(g->registry, platform_read_us);
+	if (g->routing && g->configuration.newest_read_us)
 		bh__startup_state_note_configuration(&g->startup_state, clock_now_us());
 	calls_process_startup_state(g);
 }
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -12,6 +12,7 @@
 #include "bayhoist/answer_assembly.h"
 #include "bayhoist/answer_time.h"
 #include "bayhoist/caller_time.h"
+#include "bayhoist/configuration_state.h"
 #include "bayhoist/retry_state.h"
 #include "bayhoist/fingerprint.h"
 #include "bayhoist/histogram.h"
@@ -75,22 +76,22 @@
 	const GatePort *port;
 	GateSettings settings;
 	struct event_base *base;
-	void *binding;                 /* state of the platform's binding */
-	Cluster *cluster;              /* membership, schedulers and messages between nodes */
-	BH__Members *members;          /* of the cluster, which frees it */
-	PlatformSync *platform_sync;   /* how this node shares the platform's state with other nodes */
-	BH__PlatformSync *sync;        /* the library's part of it, which it frees */
-	Crashes *crashes;              /* crash reports and quarantine */
-	ReachPort *reach_port;         /* what the layer that reaches endpoints needs of those above */
-	Signals *signals;              /* what endpoints say in their answers */
-	BH__SignalRelay *signal_relay; /* the library's part of signals, which they free */
-	Links *links;                  /* this node's own links to the endpoints */
-	RelayServer *relay_server;     /* requests that peers send through this node */
-	BH__Routing *routing;          /* configuration in use; NULL: none yet */
-	char *routing_text;            /* text that `routing` was decoded from */
-	uint64_t routing_read_us;    /* start of the last platform read that showed `routing` to be the newest */
-	uint64_t no_routing_read_us; /* start of the last platform read that showed that there is none yet */
-	BH__Registry *registry;      /* registered endpoints */
+	void *binding;                        /* state of the platform's binding */
+	Cluster *cluster;                     /* membership, schedulers and messages between nodes */
+	BH__Members *members;                 /* of the cluster, which frees it */
+	PlatformSync *platform_sync;          /* how this node shares the platform's state with other nodes */
+	BH__PlatformSync *sync;               /* the library's part of it, which it frees */
+	Crashes *crashes;                     /* crash reports and quarantine */
+	ReachPort *reach_port;                /* what the layer that reaches endpoints needs of those above */
+	Signals *signals;                     /* what endpoints say in their answers */
+	BH__SignalRelay *signal_relay;        /* the library's part of signals, which they free */
+	Links *links;                         /* this node's own links to the endpoints */
+	RelayServer *relay_server;            /* requests that peers send through this node */
+	BH__Routing *routing;                 /* configuration in use; NULL: none yet */
+	char *routing_text;                   /* text that `routing` was decoded from */
+	BH__ConfigurationState configuration; /* how new `routing` is known to be */
+	BH__ConfigurationStatus configuration_status_logged;
+	BH__Registry *registry;         /* registered endpoints */
 	BH__StartupState startup_state; /* state loaded since the start */
 	bool startup_complete; /* the startup state is complete, and calls that waited for it have begun */
 	uint64_t registry_version_applied;   /* registry version that the planners have applied */
@@ -119,11 +120,14 @@
 bool gate_is_ready(const Gate *g, uint64_t now_us);
 bool gate_has_endpoints(const Gate *g);
 bool gate_trusts_keys(const Gate *g, uint64_t now_us);
-void gate_set_routing(Gate *g, BH__Routing *routing, const char *text, uint64_t platform_read_us);
+bool gate_set_routing(Gate *g, BH__Routing *routing, const char *text, uint64_t platform_read_us,
+					  GError **error);
 void gate_note_no_configuration(Gate *g, uint64_t platform_read_us);
 void gate_note_configuration_requested(Gate *g, uint64_t answer_us);
 void gate_note_configuration_failed(Gate *g);
-void gate_note_platform_read(Gate *g, uint64_t platform_read_us);
+void gate_note_configuration_shown(Gate *g, uint64_t platform_read_us);
+void gate_note_configuration_confirmed(Gate *g, uint64_t version, uint64_t platform_read_us);
+void gate_note_configuration_refused(Gate *g, uint64_t version, uint64_t platform_read_us);
 void gate_note_registry(Gate *g, uint64_t platform_read_us);
 void gate_add_unconfirmed_node(Gate *g, const char *duty, const BH__MemberInfo *info);
 void gate_note_duties(Gate *g);
@@ -294,6 +298,10 @@
 void platform_sync_apply_settings(PlatformSync *p);
 void platform_sync_write_status(const PlatformSync *p, struct evbuffer *out);
 
+/* configuration_status.c */
+void configuration_log_change(Gate *g);
+void configuration_write_status(const Gate *g, struct evbuffer *out);
+
 /* halls.c */
 void halls_log_changes(Gate *g);
 void halls_write_status(const Gate *g, struct evbuffer *out);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -89,6 +89,7 @@
 	g->boot_id = clock_new_boot_id();
 	g->started_us = clock_now_us();
 	bh__startup_state_init(&g->startup_state, g->started_us);
+	bh__configuration_state_init(&g->configuration, g->started_us);
 	log_init(g->settings.name, g->settings.hall, g->boot_id);
 	log_set_buffered(true);
 	log_set_limit(LOG_LINES_PER_S);
--- a/src/bayhoist-gate/platform_sync.c
+++ b/src/bayhoist-gate/platform_sync.c
@@ -29,7 +29,7 @@
 static BH__PlatformSyncConfiguration get_configuration_(BH__PlatformSyncPort *port);
 static const char *get_configuration_text_(BH__PlatformSyncPort *port);
 static bool take_configuration_(BH__PlatformSyncPort *port, const char *text, uint64_t platform_read_us);
-static void confirm_configuration_(BH__PlatformSyncPort *port, uint64_t platform_read_us);
+static void confirm_configuration_(BH__PlatformSyncPort *port, uint64_t version, uint64_t platform_read_us);
 static void on_merged_(BH__PlatformSyncPort *port);
 static void report_event_(BH__PlatformSyncPort *port, BH__PlatformSyncEvent event, uint64_t node_id);
 static void report_received_(BH__PlatformSyncPort *port, const BH__Message *m, unsigned old_count);
@@ -116,14 +116,14 @@
 	gate_(port)->port->watch_configuration(gate_(port), wanted);
 }
 
-/* Returns the version of the configuration that is in use, 0 if there is none, and when it was last read. */
 static BH__PlatformSyncConfiguration get_configuration_(BH__PlatformSyncPort *port)
 {
-	const Gate *g = gate_(port);
+	const BH__ConfigurationState *c = &gate_(port)->configuration;
 
-	return (BH__PlatformSyncConfiguration){.version = g->routing ? bh__routing_get_version(g->routing) : 0,
-										   .platform_read_us = g->routing_read_us,
-										   .absent_read_us = g->no_routing_read_us};
+	return (BH__PlatformSyncConfiguration){.version = c->version,
+										   .platform_read_us = c->newest_read_us,
+										   .answered_read_us = bh__configuration_state_get_read_us(c),
+										   .refused_version = c->refused_version};
 }
 
 static const char *get_configuration_text_(BH__PlatformSyncPort *port)
@@ -136,9 +136,9 @@
 	return gate_(port)->port->take_configuration(gate_(port), text, platform_read_us);
 }
 
-static void confirm_configuration_(BH__PlatformSyncPort *port, uint64_t platform_read_us)
+static void confirm_configuration_(BH__PlatformSyncPort *port, uint64_t version, uint64_t platform_read_us)
 {
-	gate_note_platform_read(gate_(port), platform_read_us);
+	gate_note_configuration_confirmed(gate_(port), version, platform_read_us);
 }
 
 /* Applies registry changes that were merged from another node. */
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -96,7 +96,8 @@
 	/* Ends all work for the gateway and frees the binding's state. */
 	void (*stop)(Gate *g);
 	/* Reads from the platform. read_configuration() checks that the configuration is the newest, and answers
-	 * by gate_note_platform_read(), or by gate_note_no_configuration() if there is none yet. read_endpoints()
+	 * by gate_note_configuration_shown(), by gate_note_configuration_refused() if it can't be decoded, or by
+	 * gate_note_no_configuration() if there is none yet. read_endpoints()
 	 * reads the registered endpoints and answers by gate_note_registry(). A read that is in progress is not
 	 * begun again. `limit_us`: the longest time that the answer may take; 0: the default. */
 	void (*read_configuration)(Gate *g);
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -180,7 +180,6 @@
 {
 	static const char *const SizeLabel[BH__SIZE_CLASSES] = {"4k", "32k", "100k", "more"};
 	const GateCounters *counters = &g->counters;
-	uint64_t now_us = clock_now_us();
 	GHashTableIter it;
 	gpointer name;
 	gpointer budget;
@@ -205,8 +204,6 @@
 				   {"calls", g_hash_table_size(g->calls)},
 				   {"connections", g_hash_table_size(g->inbounds)},
 				   {"endpoints", bh__registry_get_count(g->registry)},
-				   {"configuration_version", g->routing ? bh__routing_get_version(g->routing) : 0},
-				   {"configuration_age_ms", g->routing ? (now_us - g->routing_read_us) / BH__MS_US : 0},
 				   {"log_lines_left_out_total", log_get_left_out()}};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(metrics); i++)
@@ -229,6 +226,7 @@
 		write_histogram_(out, "first_event_ms", SizeLabel[i], &counters->first_event[i]);
 	write_histogram_(out, "grant_wait_ms", "all", &counters->grant_wait);
 	write_histogram_(out, "whole_ms", "all", &counters->whole);
+	configuration_write_status(g, out);
 	platform_sync_write_status(g->platform_sync, out);
 	halls_write_status(g, out);
 	last_endpoints_write_status(g, out);
--- a/src/libbayhoist/field.c
+++ b/src/libbayhoist/field.c
@@ -54,6 +54,22 @@
 	return value;
 }
 
+/* Returns true if two texts hold the same values, whatever the order of fields and the white space. */
+bool bh__json_is_same(const char *a, const char *b)
+{
+	struct json_object *value[2];
+	bool same;
+
+	if (!strcmp(a, b))
+		return true;
+	value[0] = bh__json_parse(a, strlen(a), NULL);
+	value[1] = bh__json_parse(b, strlen(b), NULL);
+	same = value[0] && value[1] && json_object_equal(value[0], value[1]);
+	json_object_put(value[0]);
+	json_object_put(value[1]);
+	return same;
+}
+
 /* Returns true if the text after `offset` starts, after any whitespace, with a NUL byte or a comment, or if
  * it ends there. */
 static bool is_rest_empty_(const char *text, size_t len, size_t offset)
--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -113,6 +113,7 @@
 static uint64_t endpoints_max_age_us_(const BH__PlatformSync *s);
 static uint64_t endpoints_period_us_(const BH__PlatformSync *s);
 static uint64_t configuration_period_us_(const BH__PlatformSync *s);
+static uint64_t known_version_(const BH__PlatformSync *s);
 static void update_source_(BH__PlatformSync *s, uint64_t now_us);
 static void skip_source_(BH__PlatformSync *s, bool stale, uint64_t now_us);
 static void end_search_(BH__PlatformSync *s, uint64_t now_us);
@@ -406,13 +407,13 @@
 static void read_as_reader_(BH__PlatformSync *s, uint64_t now_us)
 {
 	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
-	bool has_answer = c.version || c.absent_read_us;
+	bool has_answer = c.answered_read_us != 0;
 	bool is_unavailable = s->endpoints_schedule.sent_us && s->as_of_us < s->endpoints_schedule.sent_us;
 	uint64_t configuration_us = has_answer ? configuration_period_us_(s) : STARTUP_PERIOD_US_;
 	uint64_t endpoints_us = s->as_of_us ? endpoints_period_us_(s) : STARTUP_PERIOD_US_;
 
 	if (!is_unavailable && bh__read_schedule_process(&s->configuration_schedule, configuration_us,
-													 c.platform_read_us, true, now_us))
+													 c.answered_read_us, true, now_us))
 		s->port->read_configuration(s->port);
 	if (bh__read_schedule_process(&s->endpoints_schedule, endpoints_us, s->as_of_us, true, now_us))
 		read_endpoints_(s, 0, now_us);
@@ -487,7 +488,7 @@
 	uint64_t max_age_us =
 		bh__read_schedule_get_max_age_us(bound_us, configuration_period_us_(s), has_own_answer_(s));
 
-	return now_us >= MAX(c.platform_read_us, c.absent_read_us) + max_age_us;
+	return now_us >= c.answered_read_us + max_age_us;
 }
 
 /* Reads the endpoints if this node, which is not the reader and has no fresh endpoints, gets no answer from
@@ -514,7 +515,7 @@
 {
 	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
 
-	if (bh__read_schedule_process(&s->configuration_schedule, configuration_period_us_(s), c.platform_read_us,
+	if (bh__read_schedule_process(&s->configuration_schedule, configuration_period_us_(s), c.answered_read_us,
 								  false, now_us))
 		s->port->read_configuration(s->port);
 }
@@ -563,19 +564,25 @@
 	send_request_(s, s->source.node, hold_us, now_us);
 }
 
+/* Returns the latest version that this node knows, whether it can use it or not. */
+static uint64_t known_version_(const BH__PlatformSync *s)
+{
+	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
+
+	return MAX(MAX(c.version, c.refused_version), s->rejected_version);
+}
+
 /* Sends a request to a node, which may hold it for `hold_us`. */
 static void send_request_(BH__PlatformSync *s, uint64_t node, uint64_t hold_us, uint64_t now_us)
 {
 	BH__Message m = {.type = BH__MESSAGE_SYNC_ASK};
-	uint64_t version = s->port->get_configuration(s->port).version;
-
 	s->asked_us = now_us;
 	s->asks_newer_node = node != s->source.node;
 	s->answer_by_us = now_us + hold_us + ANSWER_TIMEOUT_US_;
 	m.as.sync.asked_us = now_us;
 	m.as.sync.hold_time_us = hold_us;
 	m.as.sync.platform_unavailable = bh__sync_source_is_platform_unavailable(&s->source);
-	m.as.sync.configuration_version = MAX(version, s->rejected_version);
+	m.as.sync.configuration_version = known_version_(s);
 	m.as.sync.store_version = bh__registry_get_store_version(s->registry);
 	m.as.sync.era_start = bh__registry_get_era_start(s->registry);
 	m.as.sync.registry_age_us = now_us - s->as_of_us;
@@ -636,7 +643,7 @@
 {
 	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
 
-	if (c.version && q->configuration_version > MAX(c.version, s->rejected_version) && !s->asked_us)
+	if (c.version && q->configuration_version > known_version_(s) && !s->asked_us)
 		send_request_(s, q->node, 0, now_us);
 }
 
@@ -796,17 +803,20 @@
 	char *text;
 
 	if (received_version == version && version)
-		s->port->confirm_configuration(s->port, platform_read_us);
+		s->port->confirm_configuration(s->port, version, platform_read_us);
 	if (!m->as.sync.configuration.len || received_version <= version)
 		return;
 	text = bh__packed_text_decompress(&m->as.sync.configuration);
-	bh__packed_text_copy(&s->packed,
-						 &m->as.sync.configuration); /* nodes that ask this one get it unchanged */
-	s->packed_version = received_version;
 	if (!text)
 		s->port->report_event(s->port, BH__PLATFORM_SYNC_SOURCE_DAMAGED, m->from_node);
-	if (!text || !s->port->take_configuration(s->port, text, platform_read_us))
+	if (text && s->port->take_configuration(s->port, text, platform_read_us)) {
+		bh__packed_text_copy(&s->packed,
+							 &m->as.sync.configuration); /* nodes that ask this one get it unchanged */
+		s->packed_version = received_version;
+	}
+	else {
 		s->rejected_version = received_version;
+	}
 	g_free(text);
 }
 
--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -72,7 +72,7 @@
 	BH__Members *members;
 	BH__Registry *registry;
 	BH__PlatformSync *looks;
-	BH__PlatformSyncConfiguration configuration;
+	BH__ConfigurationState configuration;
 	bool served;
 	bool is_cut; /* from all other nodes */
 	bool is_cut_from_store;
@@ -120,10 +120,13 @@
 	uint64_t store_free_us; /* when the store's link has sent all answers so far */
 	unsigned revivals;
 	bool probes_tell_nothing;
+	bool is_configuration_unreadable; /* what the store holds now */
 };
 
 enum { ENDPOINTS, CONFIGURATION };
 
+#define FLEET_VERSION 1 /* of the configuration that all nodes can decode */
+
 static Node *node_(BH__PlatformSyncPort *port)
 {
 	return (Node *)port;
@@ -258,7 +261,12 @@
 
 static BH__PlatformSyncConfiguration get_configuration_(BH__PlatformSyncPort *port)
 {
-	return node_(port)->configuration;
+	const BH__ConfigurationState *c = &node_(port)->configuration;
+
+	return (BH__PlatformSyncConfiguration){.version = c->version,
+										   .platform_read_us = c->newest_read_us,
+										   .answered_read_us = bh__configuration_state_get_read_us(c),
+										   .refused_version = c->refused_version};
 }
 
 static const char *get_configuration_text_(BH__PlatformSyncPort *port)
@@ -272,16 +280,14 @@
 	Node *n = node_(port);
 
 	(void)text;
-	n->configuration.version = 1;
-	n->configuration.platform_read_us = MAX(n->configuration.platform_read_us, platform_read_us);
+	bh__configuration_state_note_installed(&n->configuration, FLEET_VERSION, 0, platform_read_us,
+										   n->fleet->now_us);
 	return true;
 }
 
-static void confirm_configuration_(BH__PlatformSyncPort *port, uint64_t platform_read_us)
+static void confirm_configuration_(BH__PlatformSyncPort *port, uint64_t version, uint64_t platform_read_us)
 {
-	Node *n = node_(port);
-
-	n->configuration.platform_read_us = MAX(n->configuration.platform_read_us, platform_read_us);
+	bh__configuration_state_note_confirmed(&node_(port)->configuration, version, platform_read_us);
 }
 
 /* Drops endpoints whose time is over, counts those that are used again, and tells those who wait. */
@@ -564,13 +570,25 @@
 		bh__platform_sync_note_read_failed(n->looks, first_us, look->limit_us, now_us);
 }
 
+/* A node has read the configuration: the one that all can decode, or a newer one that none can. */
+static void take_configuration_look_(Node *n, uint64_t sent_us)
+{
+	BH__ConfigurationState *c = &n->configuration;
+
+	if (n->fleet->is_configuration_unreadable)
+		bh__configuration_state_note_refused(c, 0, sent_us, n->fleet->now_us);
+	else if (bh__configuration_state_is_newer(c, FLEET_VERSION))
+		bh__configuration_state_note_installed(c, FLEET_VERSION, 0, sent_us, n->fleet->now_us);
+	else
+		bh__configuration_state_note_shown(c, sent_us, n->fleet->now_us);
+}
+
 /* What the store has answered is known, as of when the look was sent. */
 static void take_look_(Node *n, int what, uint64_t sent_us)
 {
 	n->platform_read_us = n->fleet->now_us;
 	if (what == CONFIGURATION) {
-		n->configuration.version = 1;
-		n->configuration.platform_read_us = MAX(n->configuration.platform_read_us, sent_us);
+		take_configuration_look_(n, sent_us);
 		read_halls_(n);
 		bh__platform_sync_process_update(n->looks, n->fleet->now_us);
 		return;
@@ -846,14 +864,19 @@
 	return count;
 }
 
+void fleet_set_configuration_readable(Fleet *f, bool readable)
+{
+	f->is_configuration_unreadable = !readable;
+}
+
 unsigned fleet_count_refusing(const Fleet *f)
 {
 	unsigned count = 0;
 
 	for (unsigned i = 0; i < f->options.nodes; i++) {
 		const Node *n = &f->node[i];
-		bool serves = n->configuration.version && bh__platform_sync_get_as_of_us(n->looks) &&
-					  f->now_us < n->configuration.platform_read_us + FLEET_TRUST_US;
+		bool serves = bh__platform_sync_get_as_of_us(n->looks) &&
+					  bh__configuration_state_is_trusted(&n->configuration, FLEET_TRUST_US, f->now_us);
 		count += counts_(n) && !serves;
 	}
 	return count;
--- a/src/test_libbayhoist/fleet.h
+++ b/src/test_libbayhoist/fleet.h
@@ -5,6 +5,7 @@
 #ifndef TEST_FLEET_H
 #define TEST_FLEET_H
 
+#include "bayhoist/configuration_state.h"
 #include "bayhoist/platform_sync.h"
 
 #define FLEET_START_US (1000 * BH__SECOND_US)
@@ -56,6 +57,8 @@
 void fleet_leave(Fleet *f, unsigned endpoint); /* its entry goes, for good */
 void fleet_go_back(Fleet *f, uint64_t by_us);  /* the store comes back from a copy that is so old */
 void fleet_drain_hall(Fleet *f, unsigned hall, bool drains); /* as operators write it */
+/* The store holds a configuration that no node can decode, or the one of before again. */
+void fleet_set_configuration_readable(Fleet *f, bool readable);
 void fleet_set_probes(Fleet *f, bool tell); /* whether probes tell the others of suspended nodes; they do */
 void fleet_suspend(Fleet *f, unsigned node, uint64_t us);
 void fleet_cut(Fleet *f, unsigned node, bool from_nodes, bool from_store);
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -36,7 +36,8 @@
 
 static void a_configuration_is_decoded_(void **state)
 {
-	BH__Routing *r = platform_decode_routing(Configuration_, strlen(Configuration_), NULL);
+	uint64_t version;
+	BH__Routing *r = platform_decode_routing(Configuration_, strlen(Configuration_), &version, NULL);
 	const BH__RouteRule *stream;
 	const BH__RouteRule *once;
 	const BH__ServiceSpec *s;
@@ -71,21 +72,30 @@
 		const char *named;
 	} Table[] = {
 		{"", "JSON"},
-		{"{\"routes\":[{\"host\":\"h\"}]}", "name"},
-		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"odd\",\"service\":\"s\"}]}", "route-kind"},
-		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\"}]}", "service"},
-		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\",\"service\":\"s\"}]}", "host"},
-		{"{\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\",\"service\":\"s\",\"host\":\"h\","
+		{"{\"version\":1,\"routes\":[{\"host\":\"h\"}]}", "name"},
+		{"{\"version\":1,\"routes\":[{\"name\":\"r\",\"route-kind\":\"odd\",\"service\":\"s\"}]}",
+		 "route-kind"},
+		{"{\"version\":1,\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\"}]}", "service"},
+		{"{\"version\":1,\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\",\"service\":\"s\"}]}",
+		 "host"},
+		{"{\"version\":1,\"routes\":[{\"name\":\"r\",\"route-kind\":\"idempotent\",\"service\":\"s\","
+		 "\"host\":\"h\","
 		 "\"path-prefix\":\"/\"}]}",
 		 "no service \"s\""},
-		{"{\"services\":[{\"name\":7}]}", "name"},
-		{"{\"tenants\":[{\"api-keys\":[\"k\"]}]}", "name"},
+		{"{\"version\":1,\"services\":[{\"name\":7}]}", "name"},
+		{"{\"version\":1,\"tenants\":[{\"api-keys\":[\"k\"]}]}", "name"},
+		{"[]", "version"},
+		{"{\"routes\":[]}", "version"},
+		{"{\"version\":\"7\"}", "version"},
+		{"{\"version\":-7}", "version"},
+		{"{\"version\":0}", "version"},
 	};
 
 	(void)state;
 	for (size_t i = 0; i < G_N_ELEMENTS(Table); i++) {
 		GError *error = NULL;
-		assert_null(platform_decode_routing(Table[i].text, strlen(Table[i].text), &error));
+		uint64_t version;
+		assert_null(platform_decode_routing(Table[i].text, strlen(Table[i].text), &version, &error));
 		assert_non_null(strstr(error->message, Table[i].named));
 		g_error_free(error);
 	}
@@ -100,11 +110,12 @@
 	for (int i = 0; i < DAMAGES; i++) {
 		char *text = g_strdup(Configuration_);
 		GError *error = NULL;
+		uint64_t version;
 		BH__Routing *r;
 		for (int k = g_rand_int_range(rand, 1, 6); k > 0; k--)
 			text[g_rand_int_range(rand, 0, (gint32)strlen(Configuration_))] =
 				(char)g_rand_int_range(rand, 32, 127);
-		r = platform_decode_routing(text, strlen(Configuration_), &error);
+		r = platform_decode_routing(text, strlen(Configuration_), &version, &error);
 		assert_true((r == NULL) == (error != NULL));
 		bh__routing_unref(r);
 		g_clear_error(&error);
