A key is compared whole

Cause: X-Api-Key was copied into a place of 200 bytes by a copy that cuts. It is a text of its own now, bounded by the request's head.

--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -14,7 +14,6 @@
 #include "bayhoist/types.h"
 
 #define REQUEST_ID_LEN BH__REQUEST_ID_LEN
-#define API_KEY_LEN 200
 #define MAC_LEN 200
 #define GATE_RECORDS_MAX 16 /* quarantine entries in one call of record_quarantine() at most */
 
@@ -23,7 +22,7 @@
 /* What a caller's headers say about its request, apart from those that are passed through unchanged. */
 typedef struct {
 	char request_id[REQUEST_ID_LEN];      /* id that the caller chose for the request; empty: none */
-	char key[API_KEY_LEN];                /* API key; empty: none */
+	char *key;                            /* API key; NULL: none */
 	char last_event_id[BH__EVENT_ID_LEN]; /* event after which a stream resumes; empty: from the start */
 	uint64_t time_left_us;                /* how long the caller will wait; 0: not given */
 	uint64_t prompt_tokens;               /* length of the prompt; 0: not given */
--- a/src/libbayhoist/routing.c
+++ b/src/libbayhoist/routing.c
@@ -285,12 +285,12 @@
 }
 
 /* Decides whether a request may be sent on, and sets its rule and the account of its key, each NULL if there
- * is none. `key`: the API key that it brings; empty: none. */
+ * is none. `key`: the API key that it brings; NULL or empty: none. */
 BH__RoutingVerdict bh__routing_admit(const BH__Routing *r, const char *host, const char *path,
 									 const char *key, const BH__RouteRule **rule, const BH__KeyOwner **owner)
 {
 	*rule = bh__routing_match(r, host, path);
-	*owner = key[0] ? bh__routing_find_owner(r, key) : NULL;
+	*owner = key && key[0] ? bh__routing_find_owner(r, key) : NULL;
 	if (!*rule)
 		return BH__ROUTING_NO_ROUTE;
 	if ((*rule)->is_refused || (*owner && (*owner)->is_refused))
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -417,6 +417,22 @@
 	assert_int_equal(m.max_tokens, 80);
 	assert_int_equal(m.time_left_us, 12 * BH__MS_US);
 	assert_string_equal(m.key, "12");
+	g_free(m.key);
+}
+
+/* A key that is cut is another one, and opens what that one opens. */
+static void a_key_is_read_whole_(void **state)
+{
+	RequestMeta m = {0};
+
+	(void)state;
+	for (size_t len = 198; len <= 16000; len = len < 202 ? len + 1 : len * 3) {
+		char *key = g_strnfill(len, 'k');
+		platform_read_request_header(&m, "X-Api-Key", key);
+		assert_string_equal(m.key, key);
+		g_free(key);
+	}
+	g_free(m.key);
 }
 
 /* The engine at fault is named by its address. */
@@ -646,6 +662,7 @@
 		cmocka_unit_test(an_entry_of_another_writer_names_no_endpoint_),
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
 		cmocka_unit_test(callers_headers_are_sorted_),
+		cmocka_unit_test(a_key_is_read_whole_),
 		cmocka_unit_test(parts_of_a_prompt_are_read_),
 		cmocka_unit_test(answers_heads_are_read_),
 		cmocka_unit_test(signals_of_endpoints_are_read_),
