A request keeps its id whole

Cause: X-Attempt-Id was copied into a place of 80 bytes by a copy that cuts. It is kept as the caller wrote it for endpoints and callers, and what tells requests and their answers apart, here and at peers, is a text of fixed size that differs as the ids do (bh__text_fit()). A proof of an answer was cut likewise and only looked at for being there: it is a flag now.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -517,7 +517,7 @@
 {
 	bool promises = c->head.status == 503 || c->head.status == 429 || c->head.status == 408;
 
-	if (promises && !c->head.meta.mac[0]) {
+	if (promises && !c->head.meta.has_mac) {
 		call_act(c, BH__NEXT_ACTION_FAIL);
 		return;
 	}
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -197,7 +197,7 @@
 						   .sent_us = c->sent_us,
 						   .received_us = c->received_us,
 						   .status = c->head.status,
-						   .is_served = !m->not_run && m->mac[0],
+						   .is_served = !m->not_run && m->has_mac,
 						   .request_id = c->request->meta.request_id};
 
 	if (!is_foreign && !c->gate->port->status_says_not_run(c->head.status))
@@ -292,7 +292,7 @@
 	BH__AnswerHead head = {.status = c->head.status,
 						   .not_run = m->not_run || c->gate->port->status_says_not_run(c->head.status),
 						   .is_own = is_own_(c),
-						   .is_proven = m->mac[0] && m->request_id[0],
+						   .is_proven = m->has_mac && m->request_id[0],
 						   .is_event_stream = c->head.is_event_stream,
 						   .is_encoded = c->head.is_encoded};
 	BH__HeadVerdict verdict = bh__answer_assembly_process_head(&c->answer, &head);
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -285,6 +285,7 @@
 		g_string_free(in->request.headers, TRUE);
 	if (in->request.body)
 		g_byte_array_unref(in->request.body);
+	g_free(in->request.meta.request_id_text);
 	g_free(in->request.meta.key);
 	memset(&in->request, 0, sizeof in->request);
 	in->request.arrived_us = arrived_us;
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -14,15 +14,15 @@
 #include "bayhoist/types.h"
 
 #define REQUEST_ID_LEN BH__REQUEST_ID_LEN
-#define MAC_LEN 200
 #define GATE_RECORDS_MAX 16 /* quarantine entries in one call of record_quarantine() at most */
 
 typedef struct Gate Gate;
 
 /* What a caller's headers say about its request, apart from those that are passed through unchanged. */
 typedef struct {
-	char request_id[REQUEST_ID_LEN];      /* id that the caller chose for the request; empty: none */
-	char *key;                            /* API key; NULL: none */
+	char request_id[REQUEST_ID_LEN]; /* id that the caller chose, as bh__text_fit() writes it; empty: none */
+	char *request_id_text;           /* the same as the caller wrote it; NULL: none */
+	char *key;                       /* API key; NULL: none */
 	char last_event_id[BH__EVENT_ID_LEN]; /* event after which a stream resumes; empty: from the start */
 	uint64_t time_left_us;                /* how long the caller will wait; 0: not given */
 	uint64_t prompt_tokens;               /* length of the prompt; 0: not given */
@@ -47,8 +47,9 @@
 
 /* What an endpoint's headers say, apart from those that are passed through unchanged. */
 typedef struct {
-	char request_id[REQUEST_ID_LEN]; /* id of the request that is answered; empty: none */
-	char mac[MAC_LEN];               /* proof that an endpoint gave the answer; empty: none */
+	char request_id[REQUEST_ID_LEN]; /* id of the request that is answered, as bh__text_fit() writes it;
+										empty: none */
+	bool has_mac;                    /* the answer brings the proof that an endpoint gave it */
 	char at_fault[BH__ADDRESS_LEN];  /* address of the endpoint that caused a refusal; empty: not given */
 	bool not_run;                    /* the endpoint says that it did not run the request */
 	bool has_load;                   /* the next three fields are valid */
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -246,7 +246,7 @@
 						   .sent_us = y->began_us,
 						   .received_us = now_us,
 						   .status = head->status,
-						   .is_served = !head->meta.not_run && head->meta.mac[0],
+						   .is_served = !head->meta.not_run && head->meta.has_mac,
 						   .request_id = y->request_id};
 
 	y->has_head = true;
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -417,9 +417,41 @@
 	assert_int_equal(m.max_tokens, 80);
 	assert_int_equal(m.time_left_us, 12 * BH__MS_US);
 	assert_string_equal(m.key, "12");
+	g_free(m.request_id_text);
 	g_free(m.key);
 }
 
+/* A request whose id is cut runs under the id of another, and their answers are each other's. */
+static void ids_of_requests_are_kept_whole_(void **state)
+{
+	(void)state;
+	for (size_t len = 78; len <= 10000; len = len < 84 ? len + 1 : len * 3) {
+		char *ids[2] = {g_strnfill(len, 'i'), g_strnfill(len, 'i')};
+		RequestMeta m = {0};
+		AnswerMeta own = {0};
+		AnswerMeta other = {0};
+		struct evbuffer *out = evbuffer_new();
+		DispatchMeta s = {.endpoint = "i-1", .urgency = -1};
+		char *line = g_strdup_printf("X-Attempt-Id: %s\r\n", ids[0]);
+		ids[1][len - 1] = 'j';
+		platform_read_request_header(&m, "X-Attempt-Id", ids[0]);
+		platform_read_answer_header(&own, "X-Attempt-Id", ids[0]);
+		platform_read_answer_header(&other, "X-Attempt-Id", ids[1]);
+		assert_string_equal(own.request_id, m.request_id);
+		assert_string_not_equal(other.request_id, m.request_id);
+		platform_write_sending_headers(out, &m, &s);
+		platform_write_own_headers(out, &m, 0);
+		evbuffer_add(out, "", 1);
+		assert_non_null(strstr((char *)evbuffer_pullup(out, -1), line));
+		assert_non_null(strstr(strstr((char *)evbuffer_pullup(out, -1), line) + 1, line));
+		evbuffer_free(out);
+		g_free(line);
+		g_free(m.request_id_text);
+		g_free(ids[0]);
+		g_free(ids[1]);
+	}
+}
+
 /* A key that is cut is another one, and opens what that one opens. */
 static void a_key_is_read_whole_(void **state)
 {
@@ -627,7 +659,7 @@
 static void sendings_name_their_helpers_(void **state)
 {
 	struct evbuffer *out = evbuffer_new();
-	RequestMeta m = {.request_id = "abc"};
+	RequestMeta m = {.request_id_text = "abc"};
 	DispatchMeta s = {.endpoint = "i-1", .account = "t", .time_left_us = 1500 * BH__MS_US, .urgency = -1};
 	char *text;
 
@@ -663,6 +695,7 @@
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(a_key_is_read_whole_),
+		cmocka_unit_test(ids_of_requests_are_kept_whole_),
 		cmocka_unit_test(parts_of_a_prompt_are_read_),
 		cmocka_unit_test(answers_heads_are_read_),
 		cmocka_unit_test(signals_of_endpoints_are_read_),
