A stream resumes from the event that its caller names, whatever the length of its id

What callers saw: of a Last-Event-Id of more than 63 bytes the endpoint got the first 63, and so another event or none to go on after (check-long-values before: "have 777...7 (63), wanted 777...7 (100)").

Cause: the header was copied into a place of 64 bytes by a copy that cuts. It is a text of its own now, bounded by the request's head.

--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -287,6 +287,7 @@
 		g_byte_array_unref(in->request.body);
 	g_free(in->request.meta.request_id_text);
 	g_free(in->request.meta.key);
+	g_free(in->request.meta.last_event_id);
 	memset(&in->request, 0, sizeof in->request);
 	in->request.arrived_us = arrived_us;
 	g_string_truncate(in->name, 0);
--- a/src/bayhoist-gate/port.h
+++ b/src/bayhoist-gate/port.h
@@ -23,12 +23,12 @@
 	char request_id[REQUEST_ID_LEN]; /* id that the caller chose, as bh__text_fit() writes it; empty: none */
 	char *request_id_text;           /* the same as the caller wrote it; NULL: none */
 	char *key;                       /* API key; NULL: none */
-	char last_event_id[BH__EVENT_ID_LEN]; /* event after which a stream resumes; empty: from the start */
-	uint64_t time_left_us;                /* how long the caller will wait; 0: not given */
-	uint64_t prompt_tokens;               /* length of the prompt; 0: not given */
-	uint64_t max_tokens;                  /* longest answer allowed; 0: not given */
-	uint64_t likely_tokens;               /* the caller's estimate of the answer's length; 0: not given */
-	BH__PromptParts shared_parts;         /* parts of the prompt that other requests may hold too */
+	char *last_event_id;             /* event after which a stream resumes; NULL: from the start */
+	uint64_t time_left_us;           /* how long the caller will wait; 0: not given */
+	uint64_t prompt_tokens;          /* length of the prompt; 0: not given */
+	uint64_t max_tokens;             /* longest answer allowed; 0: not given */
+	uint64_t likely_tokens;          /* the caller's estimate of the answer's length; 0: not given */
+	BH__PromptParts shared_parts;    /* parts of the prompt that other requests may hold too */
 } RequestMeta;
 
 /* The data that the gateway puts into the headers of one dispatch. */
--- a/test/check-long-values.sh
+++ b/test/check-long-values.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# A key and a request's id may have any length. One that is cut is another's that begins alike.
+# A key, a request's id and the id of the event that a stream resumes from may have any length. One that is cut is another's
+# that begins alike.
 set -u
 . test/cluster.sh
 begin_run
@@ -33,4 +34,7 @@
 is "an id of 3,000 characters is passed on" "$(call 3 /free/x "$(long 3000 j)") $(header X-Attempt-Id | tr -d '\n' | wc -c)" "200 3000"
 is "a refusal names it" "$(CALLER_KEY=none call 1 /free/x "${ID}4" -D "$RUN/head") $(tr -d '\r' <"$RUN/head" | sed -n 's/^X-Attempt-Id: //p')" "401 ${ID}4"
 
+EVENT=$(long 100 7)
+ask 1 /ask/x e1 -H "Last-Event-Id: $EVENT" >/dev/null
+is "an event's id is passed on whole" "$(header Last-Event-Id)" "$EVENT"
 exit $FAILED
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -419,6 +419,21 @@
 	assert_string_equal(m.key, "12");
 	g_free(m.request_id_text);
 	g_free(m.key);
+	g_free(m.last_event_id);
+}
+
+/* A stream that resumes behind an event whose id is cut begins elsewhere, or anew. */
+static void the_event_to_resume_from_is_kept_whole_(void **state)
+{
+	(void)state;
+	for (size_t len = 62; len <= 10000; len = len < 66 ? len + 1 : len * 3) {
+		char *id = g_strnfill(len, '7');
+		RequestMeta m = {0};
+		platform_read_request_header(&m, "Last-Event-Id", id);
+		assert_string_equal(m.last_event_id, id);
+		g_free(m.last_event_id);
+		g_free(id);
+	}
 }
 
 /* A request whose id is cut runs under the id of another, and their answers are each other's. */
@@ -696,6 +711,7 @@
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(a_key_is_read_whole_),
 		cmocka_unit_test(ids_of_requests_are_kept_whole_),
+		cmocka_unit_test(the_event_to_resume_from_is_kept_whole_),
 		cmocka_unit_test(parts_of_a_prompt_are_read_),
 		cmocka_unit_test(answers_heads_are_read_),
 		cmocka_unit_test(signals_of_endpoints_are_read_),
