--- a/src/bayhoistd/vmlist.c
+++ b/src/bayhoistd/vmlist.c
@@ -3,7 +3,9 @@
 #include "daemon.h"
 
 #include <event2/http_struct.h>
+#include <string.h>
 #include "bayhoist/field.h"
+#include "bayhoist/name.h"
 #include "clock.h"
 #include "web.h"
 #include "web_call.h"
@@ -61,7 +63,8 @@
 	const char *name = json_object_get_string(json_object_object_get(item, "name"));
 	const char *address = json_object_get_string(json_object_object_get(item, "peer_address"));
 
-	g_strlcpy(vm->name, name ? name : "", sizeof vm->name);
-	g_strlcpy(vm->peer_address, address ? address : "", sizeof vm->peer_address);
+	bh__name_fit(vm->name, name ? name : "");
+	if (address && strlen(address) < sizeof vm->peer_address) /* else it is none */
+		memcpy(vm->peer_address, address, strlen(address) + 1);
 	vm->leaving = json_object_get_boolean(json_object_object_get(item, "leaving"));
 }
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -400,6 +400,25 @@
 	assert_true(e.born_ms == 1767886258748);
 }
 
+/* An endpoint whose id is cut is another one, and what it is sent names no endpoint. */
+static void an_endpoint_with_an_id_that_does_not_fit_is_refused_(void **state)
+{
+	static const char Entry[] =
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,\"state\":\"ready\"}";
+	char *id = g_strnfill(BH__NAME_LEN, 'i');
+	GError *error = NULL;
+	BH__EndpointEntry e;
+
+	(void)state;
+	assert_false(platform_decode_endpoint(id, Entry, strlen(Entry), NOW_US, &e, &error));
+	assert_non_null(strstr(error->message, "id"));
+	g_error_free(error);
+	id[BH__NAME_LEN - 1] = '\0';
+	assert_true(platform_decode_endpoint(id, Entry, strlen(Entry), NOW_US, &e, NULL));
+	assert_string_equal(e.id, id);
+	g_free(id);
+}
+
 /* A caller can't set what is ours to set, and its key goes no further. */
 static void callers_headers_are_sorted_(void **state)
 {
@@ -708,6 +727,7 @@
 		cmocka_unit_test(an_endpoint_tells_how_long_it_is_cold_),
 		cmocka_unit_test(an_entry_of_another_writer_names_no_endpoint_),
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
+		cmocka_unit_test(an_endpoint_with_an_id_that_does_not_fit_is_refused_),
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(a_key_is_read_whole_),
 		cmocka_unit_test(ids_of_requests_are_kept_whole_),
--- a/test/run-all.sh
+++ b/test/run-all.sh
@@ -26,7 +26,7 @@
 for t in "$@"; do
 	run "$t" "$B/$t" &
 done
-for t in settings checker words explain layers crash-aim; do
+for t in settings checker words explain layers cuts crash-aim; do
 	run "check-$t" bash "test/check-$t.sh" &
 done
 # what is aimed at, where that is not reached everywhere
