bayhoistctl configuration: what of a configuration is not in force, and why

A log line says it once, at the change, and may be long gone when an operator asks why a new key gets 401. /configuration at the control address keeps the causes for as long as they hold: the state and since when, version and age, each part that can't be decoded, and the cause where the whole can't. check-configuration asks for each (before: the command is unknown).

--- a/src/bayhoist-gate/configuration_status.c
+++ b/src/bayhoist-gate/configuration_status.c
@@ -2,6 +2,7 @@
 /* What operators see of the configuration in force: a log line when its status changes, and metrics. */
 #include "gate.h"
 
+#include <json-c/json.h>
 #include "clock.h"
 #include "log.h"
 
@@ -59,3 +60,28 @@
 	evbuffer_add_printf(out, "bayhoist_configuration_state{state=\"%s\"} 1\n",
 						BH__ConfigurationStatusString[status]);
 }
+
+/* Returns the same for operators as JSON, with the cause of each part that could not be decoded. */
+struct json_object *configuration_describe(const Gate *g)
+{
+	const BH__ConfigurationState *c = &g->configuration;
+	BH__ConfigurationStatus status = bh__configuration_state_get_status(c);
+	struct json_object *root = json_object_new_object();
+	struct json_object *parts = json_object_new_array();
+	uint64_t now_us = clock_now_us();
+
+	json_object_object_add(root, "state", json_object_new_string(BH__ConfigurationStatusString[status]));
+	json_object_object_add(root, "since_ms", json_object_new_uint64((now_us - c->since_us) / BH__MS_US));
+	json_object_object_add(root, "version", json_object_new_uint64(c->version));
+	json_object_object_add(root, "age_ms",
+						   json_object_new_uint64(c->version ? (now_us - c->newest_read_us) / BH__MS_US : 0));
+	if (status == BH__CONFIGURATION_OUTDATED) {
+		json_object_object_add(root, "refused_version", json_object_new_uint64(c->refused_version));
+		json_object_object_add(root, "cause",
+							   json_object_new_string(g->refused_cause ? g->refused_cause : ""));
+	}
+	for (unsigned i = 0; g->routing && i < bh__routing_get_refusal_count(g->routing); i++)
+		json_object_array_add(parts, json_object_new_string(bh__routing_get_refusal(g->routing, i)));
+	json_object_object_add(root, "parts_refused", parts);
+	return root;
+}
--- a/src/bayhoist-gate/gate.c
+++ b/src/bayhoist-gate/gate.c
@@ -75,10 +75,14 @@
 }
 
 /* Records that the platform read begun at `platform_read_us` showed a configuration that cannot be decoded,
- * with this version; 0: its version cannot be decoded either. The one in force stays, and is trusted no
- * longer than it was known to be the newest. */
-void gate_note_configuration_refused(Gate *g, uint64_t version, uint64_t platform_read_us)
+ * with this version; 0: its version cannot be decoded either. `cause`: why not; NULL: as told before. The one
+ * in force stays, and is trusted no longer than it was known to be the newest. */
+void gate_note_configuration_refused(Gate *g, uint64_t version, const char *cause, uint64_t platform_read_us)
 {
+	if (cause) {
+		g_free(g->refused_cause);
+		g->refused_cause = g_strdup(cause);
+	}
 	bh__configuration_state_note_refused(&g->configuration, version, platform_read_us, clock_now_us());
 	configuration_log_change(g);
 	bh__last_endpoints_note_halls_read(g->registry, platform_read_us);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -92,6 +92,7 @@
 	char *routing_text;                   /* text that `routing` was decoded from */
 	BH__ConfigurationState configuration; /* how new `routing` is known to be */
 	BH__ConfigurationStatus configuration_status_logged;
+	char *refused_cause; /* why the newest configuration can't be decoded; valid if it can't; NULL: unknown */
 	BH__Registry *registry;         /* registered endpoints */
 	BH__StartupState startup_state; /* state loaded since the start */
 	bool startup_complete; /* the startup state is complete, and calls that waited for it have begun */
@@ -128,7 +129,7 @@
 void gate_note_configuration_failed(Gate *g);
 void gate_note_configuration_shown(Gate *g, uint64_t platform_read_us);
 void gate_note_configuration_confirmed(Gate *g, uint64_t version, uint64_t platform_read_us);
-void gate_note_configuration_refused(Gate *g, uint64_t version, uint64_t platform_read_us);
+void gate_note_configuration_refused(Gate *g, uint64_t version, const char *cause, uint64_t platform_read_us);
 void gate_note_registry(Gate *g, uint64_t platform_read_us);
 void gate_add_unconfirmed_node(Gate *g, const char *duty, const BH__MemberInfo *info);
 void gate_note_duties(Gate *g);
@@ -303,6 +304,7 @@
 void configuration_log_change(Gate *g);
 void configuration_log_refusals(const Gate *g);
 void configuration_write_status(const Gate *g, struct evbuffer *out);
+struct json_object *configuration_describe(const Gate *g);
 
 /* halls.c */
 void halls_log_changes(Gate *g);
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -251,6 +251,7 @@
 	event_base_free(g->base);
 	bh__routing_unref(g->routing);
 	g_free(g->routing_text);
+	g_free(g->refused_cause);
 	bh__registry_delete(g->registry);
 	g_hash_table_unref(g->budgets);
 	g_hash_table_unref(g->route_times);
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -33,9 +33,10 @@
 static const struct {
 	const char *path;
 	struct json_object *(*describe)(const Gate *g);
-} Views_[] = {{"/quarantine", crash_view_describe}, {"/endpoints", endpoints_describe},
-			  {"/links", links_describe},           {"/prefill", cluster_describe_division},
-			  {"/bookings", bookings_describe},     {"/halls", halls_describe}};
+} Views_[] = {
+	{"/quarantine", crash_view_describe},      {"/endpoints", endpoints_describe}, {"/links", links_describe},
+	{"/prefill", cluster_describe_division},   {"/bookings", bookings_describe},   {"/halls", halls_describe},
+	{"/configuration", configuration_describe}};
 
 static const char *const OutcomeString_[CALL_OUTCOME_COUNT] = {"served", "refused", "failed", "caller-gone"};
 
--- a/src/bayhoistctl/ctl.h
+++ b/src/bayhoistctl/ctl.h
@@ -43,6 +43,7 @@
 int ctl_halls(const Options *o, char **addresses);
 int ctl_bookings(const Options *o, char **arguments);
 int ctl_links(const Options *o, char **arguments);
+int ctl_configuration(const Options *o, char **arguments);
 int ctl_prefill(const Options *o, char **arguments);
 int ctl_paths(const Options *o, char **arguments);
 int ctl_explain(char **arguments);
--- a/src/bayhoistctl/main.c
+++ b/src/bayhoistctl/main.c
@@ -28,6 +28,7 @@
 		"  drain --hall HALL [off]\n"
 		"                       have the endpoints of a data hall receive nothing new, or take that back\n"
 		"  where                show which addresses a caller is told to use\n"
+		"  configuration\n"
 		"  links\n"
 		"  prefill              show how many engines are reserved for tight streams, as a gateway sees it\n"
 		"  paths                show the paths to other data halls as the gateway with control address\n"
@@ -160,6 +161,8 @@
 		return ctl_halls(o, arguments + 1);
 	if (!strcmp(command, "bookings"))
 		return ctl_bookings(o, arguments + 1);
+	if (!strcmp(command, "configuration"))
+		return ctl_configuration(o, arguments + 1);
 	if (!strcmp(command, "links"))
 		return ctl_links(o, arguments + 1);
 	if (!strcmp(command, "prefill"))
--- a/test/check-configuration.sh
+++ b/test/check-configuration.sh
@@ -51,6 +51,7 @@
 	is "$what: a key that came with it is served" "$(answers new$version)" 200200200
 	[ -z "$statuses" ] || is "$what: what it leads to" "$(answers new$version /odd/x)" "$statuses"
 	is "$what: parts left out" "$(metric 1 bayhoist_configuration_parts_refused) $(metric 3 bayhoist_configuration_parts_refused)" "$parts $parts"
+	[ -z "$field" ] || is "$what: the command tells it" "$("$B/bayhoistctl" --node "$(node 2 3)" configuration | grep -c "^not in force: ${field#cause=\"}")" 1
 	[ -z "$field" ] || is "$what: an operator is told what and why, once" "$(logged "what=part-refused version=$version .*$field")" "1 1 1 "
 	version=$((version + 1))
 	put "$(configuration $version '"new'$((version - 1))'"')"
@@ -90,6 +91,7 @@
 put '{"version": 900, "routes": ['
 wait_for 2 all_are outdated # in the time in which one is to be in force
 is "a text that is no JSON: operators see that it is not in force" "$(states)" "outdated outdated outdated "
+is "a text that is no JSON: the command tells why" "$("$B/bayhoistctl" --node "$(node 1 3)" configuration | grep -c "newer one can't be decoded .*malformed JSON")" 1
 sleep $REVOKED_S
 is "a text that is no JSON: no key is trusted any more, which is told as not run" "$(answers key1)" 503503503
 is "a text that is no JSON: no gateway says that it is ready" "$(for n in 1 2 3; do ready $n 503 && echo yes; done | wc -l)" 3
--- a/test/check-halls.sh
+++ b/test/check-halls.sh
@@ -26,12 +26,13 @@
 is "a hall in use gets work" "$([ "$(hall_arrivals)" != "$before" ] && echo yes)" yes
 # each view by the name of what it lists
 view() { curl -s -m 2 -w ' %{http_code}' "http://$(node 1 3)/$1" | grep -oE "^\{ *\"[a-z_]+\"|[0-9]+\$" | tr -d '{ "\n'; }
-is "operators can read each view" "$(for v in quarantine endpoints links prefill bookings halls nothing; do echo "$v $(view $v)"; done)" "quarantine requests200
+is "operators can read each view" "$(for v in quarantine endpoints links prefill bookings halls configuration nothing; do echo "$v $(view $v)"; done)" "quarantine requests200
 endpoints endpoints200
 links links200
 prefill services200
 bookings bookings200
 halls halls200
+configuration state200
 nothing error404"
 
 tell 'drain-hall?id=h2'
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -281,6 +281,10 @@
 				(char)g_rand_int_range(rand, 32, 127);
 		r = platform_decode_routing(text, strlen(Configuration_), &version, &error);
 		assert_true((r == NULL) == (error != NULL));
+		if (r && bh__routing_find_owner(r, "k1")) /* no key is served that the text does not hold */
+			assert_non_null(strstr(text, "\"k1\""));
+		if (r && !strstr(text, "tenants")) /* the field itself is damaged: accounts are not there */
+			assert_false(bh__routing_has_owners(r));
 		bh__routing_unref(r);
 		g_clear_error(&error);
 		g_free(text);
