An answer that ends with its connection is whole only if its endpoint lives, also one that leaves

Cause: whether the endpoint lives was asked of active ones only. One that leaves was believed, and is the likeliest to end with work under way; the kernel closes the connections of a process that ends in the same orderly way. The log had end=answered next=done for these.

Change: each is looked at, by the address that the request went to, known or forgotten. Where nothing listens, the dispatch is broken off and goes the way of any other: resumed, repeated, or failed visibly.

--- a/src/bayhoist-gate/crashes.c
+++ b/src/bayhoist-gate/crashes.c
@@ -176,7 +176,7 @@
 
 	if (!g_hash_table_contains(c->probes, &endpoint_id))
 		g_hash_table_insert(c->probes, g_memdup2(&endpoint_id, sizeof endpoint_id),
-							link_probe_new(c->gate, e, true, on_probed_, c));
+							link_probe_new(c->gate, e->endpoint_id, e->entry.address, true, on_probed_, c));
 }
 
 /* Passes the result of a probe to the crash watch as evidence. */
--- a/src/bayhoist-gate/link_probe.c
+++ b/src/bayhoist-gate/link_probe.c
@@ -36,24 +36,24 @@
 
 static const ChannelCallbacks Callbacks_ = {.on_open = on_open_, .on_data = on_data_, .on_end = on_end_};
 
-/* Begins to look at an endpoint. `done` is called once, from the event loop; the probe is freed afterwards.
- */
-LinkProbe *link_probe_new(Gate *g, const BH__RegisteredEndpoint *e, bool with_peer, LinkProbeDone done,
-						  void *ctx)
+/* Begins to look at an endpoint; a peer looks only if it knows it too. `done` is called once, from the event
+ * loop; the probe is freed afterwards. */
+LinkProbe *link_probe_new(Gate *g, uint64_t endpoint_id, const char *address, bool with_peer,
+						  LinkProbeDone done, void *ctx)
 {
 	LinkProbe *p = g_new0(LinkProbe, 1);
 	uint64_t patience_us = PATIENCE_MS * BH__MS_US;
 
 	p->gate = g;
-	p->endpoint_id = e->endpoint_id;
+	p->endpoint_id = endpoint_id;
 	p->done = done;
 	p->ctx = ctx;
 	p->own.pending = true;
 	p->own.linger = evtimer_new(g->base, on_linger_, p);
-	p->own.channel = direct_channel_new(g, e->entry.address, patience_us, &Callbacks_, p);
+	p->own.channel = direct_channel_new(g, address, patience_us, &Callbacks_, p);
 	if (with_peer) {
 		p->peer.pending = true;
-		p->peer.channel = relay_channel_new(g, e->endpoint_id, "", patience_us, &Callbacks_, p);
+		p->peer.channel = relay_channel_new(g, endpoint_id, "", patience_us, &Callbacks_, p);
 	}
 	return p;
 }
--- a/src/bayhoist-gate/link_probe.h
+++ b/src/bayhoist-gate/link_probe.h
@@ -17,8 +17,8 @@
 
 typedef void (*LinkProbeDone)(void *ctx, uint64_t endpoint_id, LinkProbeResult own, LinkProbeResult peer);
 
-LinkProbe *link_probe_new(Gate *g, const BH__RegisteredEndpoint *e, bool with_peer, LinkProbeDone done,
-						  void *ctx);
+LinkProbe *link_probe_new(Gate *g, uint64_t endpoint_id, const char *address, bool with_peer,
+						  LinkProbeDone done, void *ctx);
 void link_probe_delete(LinkProbe *p);
 BH__CrashEvidence link_probe_weigh(const Gate *g, LinkProbeResult own, LinkProbeResult peer);
 
--- a/src/bayhoist-gate/links.c
+++ b/src/bayhoist-gate/links.c
@@ -209,7 +209,7 @@
 	if (!e || g_hash_table_size(l->probes) >= PROBES_MAX || g_hash_table_contains(l->probes, &endpoint_id))
 		return;
 	g_hash_table_insert(l->probes, g_memdup2(&endpoint_id, sizeof endpoint_id),
-						link_probe_new(l->gate, e, with_peer, on_probed_, l));
+						link_probe_new(l->gate, e->endpoint_id, e->entry.address, with_peer, on_probed_, l));
 }
 
 /* Records what a probe has found. The peer's part has been recorded with its reply. */
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -257,16 +257,14 @@
 		finish_(o, BH__TRANSFER_BROKEN);
 }
 
-/* Looks whether the endpoint lives, before an answer without a length counts as complete: a process that dies
- * ends its connections in the same way. One that leaves may end after its last answer and is believed. */
+/* Looks whether the endpoint lives, before an answer without a length counts as complete: a process that ends
+ * closes its connections in the same way, whether it crashes, is killed, or leaves and does not wait for its
+ * last answers. Its address is not another's yet, as far as anything listens there. */
 static void probe_end_(Outbound *o)
 {
-	const BH__RegisteredEndpoint *e = bh__registry_find(o->gate->registry, o->endpoint_id);
+	bool is_known = bh__registry_find(o->gate->registry, o->endpoint_id) != NULL;
 
-	if (e && bh__registered_endpoint_is_active(e, clock_now_us()))
-		o->end_probe = link_probe_new(o->gate, e, true, on_end_probed_, o);
-	else
-		finish_(o, BH__TRANSFER_CLOSED);
+	o->end_probe = link_probe_new(o->gate, o->endpoint_id, o->address, is_known, on_end_probed_, o);
 }
 
 /* Ends the request by what was found. An endpoint that is merely silent may have answered before. */
--- a/test/check-no-length.sh
+++ b/test/check-no-length.sh
@@ -32,6 +32,33 @@
 is "one that may run only once fails" "$(call 1 /once/no-length/die/x d4)" 502
 is "and is not run again" "$(tell 'runs?id=d4')" 1
 rest
+# the same of an endpoint that leaves: what runs on it is under way when its process ends
+leaving() { # HOW ENDPOINTS ID COMMAND...: the endpoint that gets the request of this id drains, or is gone, before it dies
+	local how=$1 ids=$2 id=$3 e was=
+	for e in $ids; do was="$was $e=$(arrivals $e)"; done
+	shift 3
+	"$@" >"$RUN/status.$id" &
+	for tries in 1 2 3 4 5 6 7 8; do
+		sleep 0.05
+		for e in $ids; do [[ "$was " == *" $e=$(arrivals $e) "* ]] || break 2; done
+	done
+	tell "$how?id=$e"
+	wait $!
+	tell "back?id=$e" # its entry is written anew
+	cat "$RUN/status.$id"
+	sleep 0.5
+}
+ENGINES=$(for n in 1 2 3 4 5 6 7 8 9 10; do echo "i-e$n"; done)
+PLAIN=$(for n in 1 2 3 4 5; do echo "i-p$n"; done)
+for how in drain gone; do
+	is "$how: a stream whose engine leaves and ends between events comes whole from another" \
+		"$(leaving $how "$ENGINES" l1$how ask 1 /ask/no-length/long/die-late/x l1$how) $(event_ids "$RUN/body")" "200 1 2 3 4 5 6 7 8 9 10 "
+	is "$how: one whose engine leaves and lives is whole, and runs once" "$(leaving $how "$ENGINES" l2$how ask 2 /ask/no-length/long/x l2$how) $(event_ids "$RUN/body")$(tell "runs?id=l2$how")" "200 1 2 3 4 5 6 7 8 9 10 1"
+	is "$how: an answer whose endpoint leaves and ends comes from another" "$(leaving $how "$PLAIN" l3$how call 3 /free/no-length/hold/die/x l3$how) $(wc -l <"$RUN/body")" "200 3"
+	is "$how: one that may run only once fails" "$(leaving $how "$PLAIN" l4$how call 1 /once/no-length/hold/die/x l4$how) $(tell "runs?id=l4$how")" "502 1"
+	is "$how: one whose endpoint leaves and lives is whole" "$(leaving $how "$PLAIN" l5$how call 2 /once/no-length/hold/x l5$how) $(wc -l <"$RUN/body")$(tell "runs?id=l5$how")" "200 31"
+	rest
+done
 before=$(tell crashes)
 for i in 1 2 3 4 5 6 7 8; do
 	ask $((i % 3 + 1)) /ask/no-length/x "e$i" -H "X-Prompt-Prefix: aa:40,dead02:900,f$i:9" -d "prompt $i" >"$RUN/status.e$i" &
