An answer that its caller still reads is under way until it has left the gateway

Cause: the second in which a caller may close its side after the last answer ran from when that was written to the gateway's buffer, and the end of the process did not look at buffers. Those cut are the ones whose end fits in our buffer and not in the kernel's.

Change: the second begins when the buffer is empty. Until then a closing connection stays while its caller reads some within the idle timeout, or, where the node stops, until the end of its grace; a node that stops waits for these as for calls. One that is idle ends as before.

Left: stalls of over 5 s, which TCP_USER_TIMEOUT resets.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -150,6 +150,7 @@
 
 bool inbounds_listen(Gate *g);
 void inbounds_free(Gate *g);
+unsigned inbounds_count_unsent(const Gate *g);
 const InboundRequest *inbound_get_request(const Inbound *in);
 void inbound_send_error(Inbound *in, int status, uint64_t retry_after_ms, const char *code,
 						const char *message);
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -25,6 +25,7 @@
  * late.
  */
 #define READ_AHEAD_MAX (4 * 1024)
+#define IDLE_TIMEOUT_MS 15000   /* as long as no configuration is loaded */
 #define LINGER_MS 1000          /* time a caller has to close the connection after the last answer */
 #define UNACKED_TIMEOUT_MS 5000 /* longest time that sent bytes may stay unacknowledged */
 #define LISTEN_BACKLOG 512
@@ -59,6 +60,8 @@
 	bool keep_alive;           /* the connection stays open after the answer */
 	bool chunked;              /* the answer in progress uses chunked transfer coding */
 	bool is_closed;            /* closed; the event loop frees the memory later */
+	size_t unsent_bytes;       /* of a closing connection, when that was last looked at */
+	uint64_t sent_us;          /* when these had last become fewer */
 };
 
 static void on_accept_(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg);
@@ -89,6 +92,8 @@
 static void write_head_(Inbound *in, int status, const char *reason, const GString *headers);
 static void finish_answer_(Inbound *in);
 static void close_when_sent_(Inbound *in);
+static bool is_being_read_(Inbound *in);
+static uint64_t idle_timeout_ms_(const Inbound *in);
 static void close_connection_(Inbound *in);
 static void on_input_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate);
 static bool is_caught_up_(const Inbound *in);
@@ -171,15 +176,19 @@
 	g->read_ahead_bytes -= info->n_deleted;
 }
 
-/* Waits for the next request until the idle timeout: 15 s as long as no configuration is loaded. */
+/* Waits for the next request until the idle timeout. */
 static void wait_for_request_(Inbound *in)
 {
-	uint64_t idle_ms = in->gate->routing ? bh__routing_get_limits(in->gate->routing)->idle_timeout_ms : 15000;
-
 	in->state = READING;
 	bufferevent_set_max_single_read(in->bev, READ_AHEAD_MAX);
 	bufferevent_setwatermark(in->bev, EV_READ, 0, READ_AHEAD_MAX);
-	set_timer_(in, idle_ms);
+	set_timer_(in, idle_timeout_ms_(in));
+}
+
+/* Returns the time after which a connection without traffic is closed. */
+static uint64_t idle_timeout_ms_(const Inbound *in)
+{
+	return in->gate->routing ? bh__routing_get_limits(in->gate->routing)->idle_timeout_ms : IDLE_TIMEOUT_MS;
 }
 
 /* Starts or restarts the timer of the connection, to fire after `ms`. */
@@ -620,15 +629,45 @@
 		bufferevent_trigger(in->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
-/* Shuts the connection down once the output buffer is empty. The caller has LINGER_MS to close its side. */
+/* Shuts the connection down once the output buffer is empty. The caller has LINGER_MS from then on to close
+ * its side. Until then the answer is under way, however slowly it is read. */
 static void close_when_sent_(Inbound *in)
 {
 	in->state = CLOSING;
+	in->unsent_bytes = evbuffer_get_length(bufferevent_get_output(in->bev));
+	in->sent_us = clock_now_us();
 	set_timer_(in, LINGER_MS);
-	if (evbuffer_get_length(bufferevent_get_output(in->bev)) == 0)
+	if (in->unsent_bytes == 0)
 		on_written_(in->bev, in);
 }
 
+/* Returns true if a closing connection has bytes of its answer left that its caller may still read: it has
+ * read some within the idle timeout, or the node stops, which ends the wait. */
+static bool is_being_read_(Inbound *in)
+{
+	size_t unsent = evbuffer_get_length(bufferevent_get_output(in->bev));
+	uint64_t now_us = clock_now_us();
+
+	if (unsent < in->unsent_bytes)
+		in->sent_us = now_us;
+	in->unsent_bytes = unsent;
+	return unsent > 0 &&
+		   (in->gate->leaving_since_us || now_us < in->sent_us + idle_timeout_ms_(in) * BH__MS_US);
+}
+
+/* Returns the number of connections with bytes that have not left this node. */
+unsigned inbounds_count_unsent(const Gate *g)
+{
+	GHashTableIter it;
+	gpointer in;
+	unsigned count = 0;
+
+	g_hash_table_iter_init(&it, g->inbounds);
+	while (g_hash_table_iter_next(&it, &in, NULL))
+		count += evbuffer_get_length(bufferevent_get_output(((Inbound *)in)->bev)) > 0;
+	return count;
+}
+
 /* Handles an empty output buffer: shuts down a closing connection, lets the call send more, or begins the
  * next request. */
 static void on_written_(struct bufferevent *bev, void *arg)
@@ -636,8 +675,10 @@
 	Inbound *in = arg;
 
 	(void)bev;
-	if (in->state == CLOSING)
+	if (in->state == CLOSING) {
 		shutdown(bufferevent_getfd(in->bev), SHUT_WR);
+		set_timer_(in, LINGER_MS);
+	}
 	else if (in->call)
 		call_on_drained(in->call);
 	else if (in->state == READING)
@@ -672,6 +713,9 @@
 		in->state = BUSY;
 		inbound_send_error(in, 408, 0, "request-timeout", "the request's headers were not received in time");
 	}
+	else if (in->state == CLOSING && is_being_read_(in)) {
+		set_timer_(in, LINGER_MS);
+	}
 	else if (in->state != BUSY) {
 		close_connection_(in);
 	}
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -182,14 +182,15 @@
 	const struct timeval flush = {0, STOP_FLUSH_MS * 1000};
 	uint64_t now_us = clock_now_us();
 	bool min_time_over = now_us >= g->leaving_since_us + STOP_MIN_MS * BH__MS_US;
-	unsigned busy = g_hash_table_size(g->calls) + relay_server_get_count(g->relay_server);
+	unsigned unsent = inbounds_count_unsent(g);
+	unsigned busy = g_hash_table_size(g->calls) + relay_server_get_count(g->relay_server) + unsent;
 
 	(void)fd;
 	(void)what;
 	if (g->is_ending || (now_us < g->stop_at_us && !(min_time_over && !busy)))
 		return;
-	log_event("stop", "what=ending calls=%u relays=%u", g_hash_table_size(g->calls),
-			  relay_server_get_count(g->relay_server));
+	log_event("stop", "what=ending calls=%u relays=%u unread=%u", g_hash_table_size(g->calls),
+			  relay_server_get_count(g->relay_server), unsent);
 	g->is_ending = true;
 	g->stop_at_us = now_us; /* new requests are refused from now on */
 	calls_stop(g);
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -2,8 +2,9 @@
 /* bh-fake-site: a stand-in for the users' platform, for tests of the gateway: its store and a few endpoints,
  * in one process. Paths of requests name faults: "/break/" closes the first answer midway, "/fail/" answers
  * 500 the first time, "/late-fail/" does so after a while,
- * "/full/" refuses the first time, "/flood/" answers megabytes, "/bulk/" as many in many events, "/cut/" a
- * stream that is cut if it stays unread, "/hold/" answers after a second, "/long/" with long pauses,
+ * "/full/" refuses the first time, "/flood/" answers megabytes, "/kilobytes=N/" so much, "/bulk/" as many in
+ * many events, "/cut/" a stream that is cut if it stays unread, "/hold/" answers after a second, "/long/"
+ * with long pauses,
  * "/no-length/" neither with a length nor in chunks, "/die/" crashes the endpoint that runs it first, before
  * its first event, "/die-late/" after some,
  * "/answer=KIND/" gives an answer of fake_answers.c, "/then=KIND/" the second time, "/resumed=KIND/" the
@@ -158,7 +159,7 @@
 static unsigned crash_at_(struct evhttp_request *req, bool is_first_run);
 static void note_crasher_(void);
 static void end_stream_(Stream *s);
-static void add_flood_(struct evbuffer *out);
+static void add_flood_(struct evbuffer *out, const char *uri);
 static bool cut_unread_(Stream *s, struct evhttp_connection *conn);
 static void add_bulk_(struct evbuffer *out);
 static void crash_(Replica *r);
@@ -1009,11 +1010,14 @@
 		evhttp_send_reply_start(req, 200, NULL);
 }
 
-static void add_flood_(struct evbuffer *out)
+/* Adds megabytes, or where a path names them ("/kilobytes=N/") so many thousand bytes. */
+static void add_flood_(struct evbuffer *out, const char *uri)
 {
 	static char bytes[FLOOD_BYTES];
+	const char *named = strstr(uri, "/kilobytes=");
+	size_t len = named ? strtoul(named + strlen("/kilobytes="), NULL, 10) * 1000 : sizeof bytes;
 
-	evbuffer_add_reference(out, bytes, sizeof bytes, NULL, NULL);
+	evbuffer_add_reference(out, bytes, MIN(len, sizeof bytes), NULL, NULL);
 }
 
 /* Resets the connection of a stream that has stayed unread for too long, and returns true then. */
@@ -1092,8 +1096,9 @@
 	if (strstr(evhttp_request_get_uri(s->req), "/bulk/"))
 		add_bulk_(out);
 	evbuffer_add(out, "\n", 1);
-	if (strstr(evhttp_request_get_uri(s->req), "/flood/"))
-		add_flood_(out);
+	if (strstr(evhttp_request_get_uri(s->req), "/flood/") ||
+		strstr(evhttp_request_get_uri(s->req), "/kilobytes="))
+		add_flood_(out, evhttp_request_get_uri(s->req));
 	evhttp_send_reply_chunk(s->req, out);
 	evbuffer_free(out);
 	if (s->next++ >= s->last) {
