--- a/include/bayhoist/routing.h
+++ b/include/bayhoist/routing.h
@@ -2,8 +2,8 @@
 /* Routing of HTTP requests: maps host and path to a service, and defines how a request may be retried, which
  * client account owns an API key, and the limits on request size and duration. A BH__Routing is one version
  * of this configuration. It is immutable once sealed, and each request keeps a reference to the version that
- * it started with. A part that could not be decoded keeps its
- * place, so that its requests are refused and reach no other route. */
+ * it started with. A part that could not be decoded keeps its place, so that its requests are refused and
+ * reach no other route. */
 #ifndef BAYHOIST_ROUTING_H
 #define BAYHOIST_ROUTING_H
 
--- a/src/bayhoist-gate/call_refusal.c
+++ b/src/bayhoist-gate/call_refusal.c
@@ -10,8 +10,7 @@
 
 #define CRASHES_MESSAGE                                                                                      \
 	"the request, or a part of its prompt, crashes endpoints; it is not sent to any for now"
-/* Retry-after while no node knows the configuration. Callers wait for at most a third of the time they have
- * left; on the users' routes that is 0.8 to 5 s. */
+/* Retry-after while no node knows the configuration. */
 #define RETRY_OUTAGE_MIN_MS 1000
 #define RETRY_OUTAGE_MAX_MS 3000
 /* Retry-after while a part of the configuration can't be decoded, which operators have to mend: as long as
@@ -71,8 +70,7 @@
 
 /* Returns the retry-after in milliseconds for a node that does not know the newest configuration: short if
  * another node knows one, otherwise as long as the outage has lasted, within bounds, since a long outage
- * tends to go on. In an outage of 0.6 s, callers that are sent away for 200 ms come back into it, and most of
- * them have no third try. */
+ * tends to go on and callers that come back into it have few more tries. */
 static uint64_t retry_no_configuration_ms_(const Gate *g, uint64_t now_us)
 {
 	const BH__Members *m = g->members;
--- a/src/libbayhoist/routing.c
+++ b/src/libbayhoist/routing.c
@@ -114,7 +114,8 @@
 	g_hash_table_insert(r->by_name, service->name, service);
 }
 
-/* Adds a client account with its API keys, a NULL-terminated array of strings. Copies both. */
+/* Adds a client account with its API keys, a NULL-terminated array of strings. Copies both. A key that two
+ * accounts have is the later one's, but a refused account takes none from another. */
 void bh__routing_add_owner(BH__Routing *r, const BH__KeyOwner *owner, char **keys)
 {
 	BH__KeyOwner *copy = g_memdup2(owner, sizeof *owner);
@@ -122,7 +123,8 @@
 	copy->name = g_strdup(owner->name);
 	g_ptr_array_add(r->owners, copy);
 	for (char **key = keys; key && *key; key++)
-		g_hash_table_insert(r->by_key, g_strdup(*key), copy);
+		if (!owner->is_refused || !g_hash_table_contains(r->by_key, *key))
+			g_hash_table_insert(r->by_key, g_strdup(*key), copy);
 }
 
 void bh__routing_set_limits(BH__Routing *r, const BH__RequestLimits *limits)
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -168,6 +168,7 @@
 		{"", "", ",{\"name\":\"a\\r\\nX-Tenant: b\",\"api-keys\":[\"o\"]}", {"tenant 2", "control"}, 1},
 		{"", "", ",{\"name\":\"u\",\"api-keys\":[null,7,\"p\"]}", {"tenant \"u\"", "api-keys"}, 1},
 		{"", "", ",{\"name\":\"u\",\"api-keys\":\"p\"}", {"tenant \"u\"", "api-keys"}, 1},
+		{"", "", ",{\"name\":7,\"api-keys\":[\"k\",\"o\"]}", {"tenant 2", "name"}, 1},
 		{"", "", ",null", {"tenant 2", "name"}, 1},
 	};
 
