test: a sound routing has no refused part

When bh__routing_seal() began to leave wrong rules out it lost its result, and with it two tests lost the assertion that a sound table seals, and the one of a whole configuration that none of it is refused. They assert now that no part is refused, which says as much.

--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -52,6 +52,7 @@
 	add_rule_(r, "long", "a.example", "/x/y/", "s");
 	add_rule_(r, "other", "b.example", "/x/y/", "s");
 	bh__routing_seal(r);
+	assert_int_equal(bh__routing_get_refusal_count(r), 0);
 	assert_string_equal(bh__routing_match(r, "a.example", "/x/y/z?q=1")->name, "long");
 	assert_string_equal(bh__routing_match(r, "A.Example:8080", "/x/z")->name, "short");
 	assert_string_equal(bh__routing_match(r, "b.example", "/x/y/")->name, "other");
@@ -74,6 +75,7 @@
 	rule->target[0].weight = 90;
 	bh__route_rule_add_target(rule, "b", 10);
 	bh__routing_seal(r);
+	assert_int_equal(bh__routing_get_refusal_count(r), 0);
 	for (uint64_t i = 0; i < SPLITS; i++) {
 		uint64_t hash = bh__hash_pair(i, 1);
 		first += !strcmp(bh__route_rule_pick_service(rule, hash), "a");
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -44,6 +44,7 @@
 
 	(void)state;
 	assert_non_null(r);
+	assert_int_equal(bh__routing_get_refusal_count(r), 0);
 	assert_int_equal(bh__routing_get_version(r), 7);
 	stream = bh__routing_match(r, "a.example", "/x/1");
 	assert_int_equal(stream->retry_mode, BH__RETRY_MODE_RESUME);
