platform sync: the port gives the state of the configuration as it is

Since keys are trusted by BH__ConfigurationState, BH__PlatformSyncConfiguration was a copy of four of its fields, filled in alike by the gateway and by the tests' fleet. The port returns the state; the copy and both fillings are gone. No behaviour changes: test_fleet, test_starts, test_source and test_configuration_state pass as before.

--- a/include/bayhoist/platform_sync.h
+++ b/include/bayhoist/platform_sync.h
@@ -5,6 +5,7 @@
 #ifndef BAYHOIST_PLATFORM_SYNC_H
 #define BAYHOIST_PLATFORM_SYNC_H
 
+#include "bayhoist/configuration_state.h"
 #include "bayhoist/members.h"
 #include "bayhoist/message.h"
 #include "bayhoist/outage.h"
@@ -26,14 +27,6 @@
 
 extern const char *const BH__PlatformSyncEventString[]; /* names of the events in the log */
 
-/* The configuration that the node holds. Times are start times of platform reads, in microseconds. */
-typedef struct {
-	uint64_t version;          /* 0: the node holds none */
-	uint64_t platform_read_us; /* latest read that showed this version to be the newest; 0: none */
-	uint64_t answered_read_us; /* latest read that was answered, whatever it showed; 0: none */
-	uint64_t refused_version;  /* newer version that this node cannot decode; 0: none is known */
-} BH__PlatformSyncConfiguration;
-
 /* Callbacks to the gateway. */
 typedef struct BH__PlatformSyncPort {
 	/* Sends a message to a node. */
@@ -49,8 +42,8 @@
 	bool (*resend_endpoints_read)(struct BH__PlatformSyncPort *port);
 	/* Sets whether the platform is to report a change of the configuration at once, without a read. */
 	void (*watch_configuration)(struct BH__PlatformSyncPort *port, bool wanted);
-	/* Returns the configuration that the node holds. */
-	BH__PlatformSyncConfiguration (*get_configuration)(struct BH__PlatformSyncPort *port);
+	/* Returns the state of the configuration that the node holds. */
+	const BH__ConfigurationState *(*get_configuration)(struct BH__PlatformSyncPort *port);
 	/* Returns the text of that configuration. */
 	const char *(*get_configuration_text)(struct BH__PlatformSyncPort *port);
 	/* Applies a configuration received from another node, which a platform read begun at `platform_read_us`
--- a/src/bayhoist-gate/platform_sync.c
+++ b/src/bayhoist-gate/platform_sync.c
@@ -26,7 +26,7 @@
 static void read_endpoints_(BH__PlatformSyncPort *port, uint64_t limit_us);
 static bool resend_endpoints_read_(BH__PlatformSyncPort *port);
 static void watch_configuration_(BH__PlatformSyncPort *port, bool wanted);
-static BH__PlatformSyncConfiguration get_configuration_(BH__PlatformSyncPort *port);
+static const BH__ConfigurationState *get_configuration_(BH__PlatformSyncPort *port);
 static const char *get_configuration_text_(BH__PlatformSyncPort *port);
 static bool take_configuration_(BH__PlatformSyncPort *port, const char *text, uint64_t platform_read_us);
 static void confirm_configuration_(BH__PlatformSyncPort *port, uint64_t version, uint64_t platform_read_us);
@@ -116,14 +116,9 @@
 	gate_(port)->port->watch_configuration(gate_(port), wanted);
 }
 
-static BH__PlatformSyncConfiguration get_configuration_(BH__PlatformSyncPort *port)
+static const BH__ConfigurationState *get_configuration_(BH__PlatformSyncPort *port)
 {
-	const BH__ConfigurationState *c = &gate_(port)->configuration;
-
-	return (BH__PlatformSyncConfiguration){.version = c->version,
-										   .platform_read_us = c->newest_read_us,
-										   .answered_read_us = bh__configuration_state_get_read_us(c),
-										   .refused_version = c->refused_version};
+	return &gate_(port)->configuration;
 }
 
 static const char *get_configuration_text_(BH__PlatformSyncPort *port)
--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -406,14 +406,14 @@
  * read: the endpoints reads are enough to notice that the platform is back. */
 static void read_as_reader_(BH__PlatformSync *s, uint64_t now_us)
 {
-	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
-	bool has_answer = c.answered_read_us != 0;
+	const BH__ConfigurationState *c = s->port->get_configuration(s->port);
+	uint64_t answered_us = bh__configuration_state_get_read_us(c);
 	bool is_unavailable = s->endpoints_schedule.sent_us && s->as_of_us < s->endpoints_schedule.sent_us;
-	uint64_t configuration_us = has_answer ? configuration_period_us_(s) : STARTUP_PERIOD_US_;
+	uint64_t configuration_us = answered_us ? configuration_period_us_(s) : STARTUP_PERIOD_US_;
 	uint64_t endpoints_us = s->as_of_us ? endpoints_period_us_(s) : STARTUP_PERIOD_US_;
 
-	if (!is_unavailable && bh__read_schedule_process(&s->configuration_schedule, configuration_us,
-													 c.answered_read_us, true, now_us))
+	if (!is_unavailable &&
+		bh__read_schedule_process(&s->configuration_schedule, configuration_us, answered_us, true, now_us))
 		s->port->read_configuration(s->port);
 	if (bh__read_schedule_process(&s->endpoints_schedule, endpoints_us, s->as_of_us, true, now_us))
 		read_endpoints_(s, 0, now_us);
@@ -483,12 +483,12 @@
 /* Returns true if the configuration is old enough that a node other than the reader reads it itself. */
 static bool is_configuration_old_(const BH__PlatformSync *s, uint64_t now_us)
 {
-	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
+	const BH__ConfigurationState *c = s->port->get_configuration(s->port);
 	uint64_t bound_us = s->options.configuration_ms * BH__MS_US;
 	uint64_t max_age_us =
 		bh__read_schedule_get_max_age_us(bound_us, configuration_period_us_(s), has_own_answer_(s));
 
-	return now_us >= c.answered_read_us + max_age_us;
+	return now_us >= bh__configuration_state_get_read_us(c) + max_age_us;
 }
 
 /* Reads the endpoints if this node, which is not the reader and has no fresh endpoints, gets no answer from
@@ -513,10 +513,10 @@
  * platform answers reads of the endpoints. */
 static void read_configuration_as_non_reader_(BH__PlatformSync *s, uint64_t now_us)
 {
-	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
+	const BH__ConfigurationState *c = s->port->get_configuration(s->port);
 
-	if (bh__read_schedule_process(&s->configuration_schedule, configuration_period_us_(s), c.answered_read_us,
-								  false, now_us))
+	if (bh__read_schedule_process(&s->configuration_schedule, configuration_period_us_(s),
+								  bh__configuration_state_get_read_us(c), false, now_us))
 		s->port->read_configuration(s->port);
 }
 
@@ -557,7 +557,7 @@
 	uint64_t hold_us = 0;
 
 	if (bh__sync_source_needs_short_hold(&s->source, s->members, now_us) ||
-		!s->port->get_configuration(s->port).version || !s->as_of_us)
+		!s->port->get_configuration(s->port)->version || !s->as_of_us)
 		hold_us = SEARCH_HOLD_US_;
 	else if (!s->source.unresponsive_count && !s->source.stale_count)
 		hold_us = endpoints_period_us_(s) + HOLD_EXTRA_US_;
@@ -567,15 +567,16 @@
 /* Returns the latest version that this node knows, whether it can use it or not. */
 static uint64_t known_version_(const BH__PlatformSync *s)
 {
-	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
+	const BH__ConfigurationState *c = s->port->get_configuration(s->port);
 
-	return MAX(MAX(c.version, c.refused_version), s->rejected_version);
+	return MAX(MAX(c->version, c->refused_version), s->rejected_version);
 }
 
 /* Sends a request to a node, which may hold it for `hold_us`. */
 static void send_request_(BH__PlatformSync *s, uint64_t node, uint64_t hold_us, uint64_t now_us)
 {
 	BH__Message m = {.type = BH__MESSAGE_SYNC_ASK};
+
 	s->asked_us = now_us;
 	s->asks_newer_node = node != s->source.node;
 	s->answer_by_us = now_us + hold_us + ANSWER_TIMEOUT_US_;
@@ -641,9 +642,9 @@
  * a key again that had been revoked before. */
 static void ask_newer_node_(BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us)
 {
-	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
+	const BH__ConfigurationState *c = s->port->get_configuration(s->port);
 
-	if (c.version && q->configuration_version > known_version_(s) && !s->asked_us)
+	if (c->version && q->configuration_version > known_version_(s) && !s->asked_us)
 		send_request_(s, q->node, 0, now_us);
 }
 
@@ -651,12 +652,12 @@
  */
 static bool has_update_(const BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us)
 {
-	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
+	const BH__ConfigurationState *c = s->port->get_configuration(s->port);
 	bool is_older = s->as_of_us <= q->as_of_us;
 	bool differs =
 		bh__store_version_is_after(bh__registry_get_changed_store_version(s->registry), q->store_version);
 
-	if (now_us >= q->answer_by_us || c.version > q->configuration_version)
+	if (now_us >= q->answer_by_us || c->version > q->configuration_version)
 		return true;
 	if (bh__registry_get_halls_version(s->registry) != q->halls_version ||
 		(q->lacks_halls && now_us >= q->received_us + HALLS_DELAY_US_))
@@ -684,17 +685,17 @@
  * lacks them. */
 static void answer_request_(BH__PlatformSync *s, const HeldRequest_ *q, uint64_t now_us)
 {
-	BH__PlatformSyncConfiguration c = s->port->get_configuration(s->port);
+	const BH__ConfigurationState *c = s->port->get_configuration(s->port);
 	BH__Message m = {.type = BH__MESSAGE_SYNC};
 	GArray *records = g_array_new(FALSE, FALSE, sizeof(BH__EndpointRecord));
 	GArray *departures = g_array_new(FALSE, FALSE, sizeof(BH__EndpointDeparture));
 
 	m.as.sync.asked_us = q->asked_us;
 	m.as.sync.hold_time_us = now_us - q->received_us;
-	m.as.sync.configuration_version = c.version;
-	m.as.sync.configuration_age_us = now_us - c.platform_read_us;
+	m.as.sync.configuration_version = c->version;
+	m.as.sync.configuration_age_us = now_us - c->newest_read_us;
 	if (m.as.sync.configuration_version > q->configuration_version)
-		m.as.sync.configuration = *packed_configuration_(s, c.version);
+		m.as.sync.configuration = *packed_configuration_(s, c->version);
 	m.as.sync.store_version = bh__registry_get_store_version(s->registry);
 	m.as.sync.era_start = bh__registry_get_era_start(s->registry);
 	m.as.sync.registry_age_us = now_us - s->as_of_us;
@@ -798,7 +799,7 @@
  * returned. An invalid one is remembered so that it is not requested again. */
 static void apply_configuration_(BH__PlatformSync *s, const BH__Message *m, uint64_t platform_read_us)
 {
-	uint64_t version = s->port->get_configuration(s->port).version;
+	uint64_t version = s->port->get_configuration(s->port)->version;
 	uint64_t received_version = m->as.sync.configuration_version;
 	char *text;
 
--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -259,14 +259,9 @@
 	node_(port)->watches = wanted;
 }
 
-static BH__PlatformSyncConfiguration get_configuration_(BH__PlatformSyncPort *port)
+static const BH__ConfigurationState *get_configuration_(BH__PlatformSyncPort *port)
 {
-	const BH__ConfigurationState *c = &node_(port)->configuration;
-
-	return (BH__PlatformSyncConfiguration){.version = c->version,
-										   .platform_read_us = c->newest_read_us,
-										   .answered_read_us = bh__configuration_state_get_read_us(c),
-										   .refused_version = c->refused_version};
+	return &node_(port)->configuration;
 }
 
 static const char *get_configuration_text_(BH__PlatformSyncPort *port)
