gate: why no dispatch follows, and what was seen of the others when one is overdue

Cause: next=break-off is the same for a retry budget that is used up, for attempts and for time, and nothing tells whether other endpoints were heard while one was given up, so the hypotheses of the incident can't be told apart. Change: retry_state names the obstacle (sent: no_retry=); silent_dispatch of the library collects what the other endpoints of the service did, and an overdue line tells it. What is heard counts from its own time, not from the event before.

--- a/include/bayhoist/retry_state.h
+++ b/include/bayhoist/retry_state.h
@@ -37,6 +37,20 @@
 
 extern const char *const BH__NextActionString[];
 
+/* Why no other dispatch follows one that has ended. */
+typedef enum {
+	BH__NO_RETRY_NONE,      /* another one follows, or none is needed */
+	BH__NO_RETRY_STOPPED,   /* the request is kept from endpoints */
+	BH__NO_RETRY_ONCE,      /* it may have run, and must not run twice */
+	BH__NO_RETRY_BEGUN,     /* the caller has the beginning of an answer that can't be resumed */
+	BH__NO_RETRY_ATTEMPTS,  /* as many dispatches as are allowed have reached an endpoint */
+	BH__NO_RETRY_UNREACHED, /* too many endpoints could not be connected to */
+	BH__NO_RETRY_TIME,      /* too little time is left */
+	BH__NO_RETRY_BUDGET     /* the service's retry budget is used up */
+} BH__NoRetry;
+
+extern const char *const BH__NoRetryString[];
+
 /* Retry budget of one service, shared by all nodes. Each node may use an even part of the burst that the
  * service allows, and earns a fraction of a retry with each of its own requests. */
 typedef struct {
@@ -61,6 +75,7 @@
 	bool may_have_run;     /* an endpoint may have run the request */
 	bool answer_begun;     /* the caller has received the head of an answer */
 	bool not_resumable;    /* no other dispatch can continue that answer */
+	BH__NoRetry no_retry;  /* why the last dispatch that ended is not followed by another */
 	unsigned tried_count;
 	uint64_t tried[BH__TRIED_MAX]; /* endpoints not to be used again */
 } BH__RetryState;
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -51,7 +51,6 @@
 static void retry_(Call *c);
 static void relay_failure_(Call *c);
 static void finish_(Call *c, CallOutcome outcome, const char *reason);
-static uint64_t overdue_us_(const Call *c);
 static uint64_t starting_until_us_(const Call *c);
 static void on_timer_(evutil_socket_t fd, short what, void *arg);
 static void check_time_(Call *c, uint64_t now_us);
@@ -569,17 +568,6 @@
 	g_free(c);
 }
 
-/* Returns when the endpoint counts as unresponsive and the request is sent elsewhere if nothing is received
- * until then; UINT64_MAX: never. */
-static uint64_t overdue_us_(const Call *c)
-{
-	if (c->state != CALL_DISPATCHED || c->paused || c->rule->retry_mode == BH__RETRY_MODE_NEVER ||
-		c->end_known)
-		return UINT64_MAX;
-	return c->received_us + bh__response_max_wait_us(c->rule, c->service->is_engine,
-													 c->answer.events.events && call_is_streaming(c));
-}
-
 /* Returns until when a request waits for the startup state: as long as a read of it is in progress and the
  * caller waits. */
 static uint64_t starting_until_us_(const Call *c)
@@ -593,7 +581,7 @@
 /* Sets the call's timer to the next time at which check_time_() has something to do. */
 void call_set_timer(Call *c, uint64_t now_us)
 {
-	uint64_t due_us = MIN(c->retry.deadline_us, overdue_us_(c));
+	uint64_t due_us = MIN(c->retry.deadline_us, silent_dispatch_get_due_us(c));
 	struct timeval tv;
 
 	if (c->state == CALL_STARTING)
@@ -643,13 +631,13 @@
 		cluster_drop_ask(c->gate->cluster, c);
 		call_on_permit(c, false, RETRY_SOON_MS * BH__MS_US);
 	}
-	else if (now_us >= overdue_us_(c)) {
+	else if (now_us >= silent_dispatch_get_due_us(c)) {
+		silent_dispatch_look(c, now_us);
 		if (bh__retry_state_may_dispatch_again(&c->retry, now_us) &&
 			c->retry.dispatches + 1 < c->retry.max_attempts) {
 			dispatch_end(c, BH__DISPATCH_UNRESPONSIVE);
 			return;
 		}
-		c->received_us = now_us; /* no further dispatch is allowed: waits on for this endpoint */
 		call_set_timer(c, now_us);
 	}
 	else if (c->state == CALL_ASKING && now_us >= call_get_ask_due_us(c)) {
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -47,6 +47,7 @@
 	uint32_t pauses;           /* number of gaps between received parts of the current dispatch's answer */
 	uint64_t longest_pause_us; /* longest such gap of all dispatches */
 	uint64_t received_us;      /* when the endpoint last went on with its answer, or the dispatch began */
+	uint64_t looked_us;        /* when that dispatch was last looked at because it was silent; 0: never */
 	bool end_known;            /* the dispatch's end is known before its connection ends */
 	BH__DispatchEnd known_end; /* that end; valid if `end_known` */
 	bool is_own_fault;         /* the last dispatch failed on the way to its endpoint */
@@ -81,7 +82,11 @@
 
 /* silences.c */
 BH__RegisteredEndpoint *silences_pick_endpoint(const Call *c, uint64_t now_us);
-void silences_note_heard(const Call *c);
+void silences_note_heard(const Call *c, uint64_t now_us);
+
+/* silent_dispatches.c */
+uint64_t silent_dispatch_get_due_us(const Call *c);
+void silent_dispatch_look(Call *c, uint64_t now_us);
 
 /* call_refusal.c */
 bool call_refuse_unrouted(Call *c);
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -64,6 +64,7 @@
 	c->endpoint_id = endpoint_id;
 	c->sent_us = clock_now_us();
 	c->received_us = c->sent_us;
+	c->looked_us = 0;
 	c->end_known = false;
 	c->is_own_fault = false;
 	c->silence_reported = false;
@@ -160,7 +161,7 @@
 	GString *headers = c->head.headers;
 
 	c->received_us = clock_now_us();
-	silences_note_heard(c);
+	silences_note_heard(c, c->received_us);
 	c->head = *head;
 	c->head.headers = headers;
 	g_string_assign(headers, head->headers->str);
@@ -218,7 +219,7 @@
 	}
 	now_us = clock_now_us();
 	memory_hold_note_received(c->memory);
-	silences_note_heard(c);
+	silences_note_heard(c, now_us);
 	evbuffer_add(c->body, data, len);
 	if (call_is_streaming(c) && memchr(data, '\n', len)) {
 		forward_events_(c, now_us);
@@ -540,15 +541,16 @@
 		cause[MAX(n, 0)] = '\0';
 		g_strdelimit(cause, "\"\\\r\n", ' ');
 	}
-	log_event("sent",
-			  "request=%s endpoint=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
-			  " next=%s at_fault=%s begun=%s events=%" G_GUINT64_FORMAT " first_event=%s last_event=%s"
-			  " forwarded_bytes=%" G_GUINT64_FORMAT " cause=\"%s\"",
-			  c->request->meta.request_id, e ? e->entry.id : "gone", BH__DispatchEndString[end],
-			  end == BH__DISPATCH_UNREACHABLE ? 0 : c->head.status, c->retry.dispatches,
-			  (now_us - c->sent_us) / BH__MS_US, BH__NextActionString[next], c->head.meta.at_fault,
-			  c->progress_notified ? "yes" : "no", a->events.events, a->first_id,
-			  a->first_id[0] ? a->events.last_id : "", a->dispatch_bytes, cause);
+	log_event(
+		"sent",
+		"request=%s endpoint=%s end=%s status=%d sendings=%u took_ms=%" G_GUINT64_FORMAT
+		" next=%s no_retry=%s at_fault=%s begun=%s events=%" G_GUINT64_FORMAT " first_event=%s last_event=%s"
+		" forwarded_bytes=%" G_GUINT64_FORMAT " cause=\"%s\"",
+		c->request->meta.request_id, e ? e->entry.id : "gone", BH__DispatchEndString[end],
+		end == BH__DISPATCH_UNREACHABLE ? 0 : c->head.status, c->retry.dispatches,
+		(now_us - c->sent_us) / BH__MS_US, BH__NextActionString[next], BH__NoRetryString[c->retry.no_retry],
+		c->head.meta.at_fault, c->progress_notified ? "yes" : "no", a->events.events, a->first_id,
+		a->first_id[0] ? a->events.last_id : "", a->dispatch_bytes, cause);
 }
 
 /* Resumes reading from the endpoint once the caller has taken the data that was queued for it. */
--- a/src/bayhoist-gate/silences.c
+++ b/src/bayhoist-gate/silences.c
@@ -28,13 +28,13 @@
 							 c->retry.may_have_run, now_us);
 }
 
-/* Records that something was received from a call's endpoint. */
-void silences_note_heard(const Call *c)
+/* Records that something was received from a call's endpoint at `now_us`. */
+void silences_note_heard(const Call *c, uint64_t now_us)
 {
 	BH__RegisteredEndpoint *e = bh__registry_find(c->gate->registry, c->endpoint_id);
 
 	if (e && e->incarnation == c->endpoint_incarnation)
-		bh__signal_relay_note_heard(c->gate->signal_relay, e, c->received_us);
+		bh__signal_relay_note_heard(c->gate->signal_relay, e, now_us);
 }
 
 /* Reports this node's requests that are overdue. Nothing is reported while this node's links are cut. */
--- a/src/libbayhoist/retry_state.c
+++ b/src/libbayhoist/retry_state.c
@@ -32,7 +32,10 @@
 											 "broken",   "stopped", "silent"};
 const char *const BH__NextActionString[] = {"done",   "pass-on", "send",     "resume",
 											"refuse", "fail",    "time-out", "break-off"};
+const char *const BH__NoRetryString[] = {"",         "stopped",   "once", "begun",
+										 "attempts", "unreached", "time", "budget"};
 
+static BH__NoRetry find_obstacle_(const BH__RetryState *state, uint64_t now_us);
 static BH__NextAction abandon_(const BH__RetryState *state, BH__DispatchEnd end);
 static BH__NextAction dispatch_again_(const BH__RetryState *state);
 static BH__NextAction end_without_retry_(const BH__RetryState *state, BH__NextAction action_if_may_have_run);
@@ -102,12 +105,21 @@
 /* Returns true if the request may be sent to one more endpoint, without regard to the retry budget. */
 bool bh__retry_state_may_dispatch_again(const BH__RetryState *state, uint64_t now_us)
 {
-	bool may_run_again = !state->may_have_run || state->retry_mode != BH__RETRY_MODE_NEVER;
-	bool can_continue =
-		!state->answer_begun || (state->retry_mode == BH__RETRY_MODE_RESUME && !state->not_resumable);
+	return find_obstacle_(state, now_us) == BH__NO_RETRY_NONE;
+}
 
-	return may_run_again && can_continue && state->dispatches < state->max_attempts &&
-		   state->unreachable <= UNREACHABLE_MAX_ && now_us + MIN_TIME_LEFT_US_ < state->deadline_us;
+/* Returns why the request may not be sent to one more endpoint, without regard to the retry budget. */
+static BH__NoRetry find_obstacle_(const BH__RetryState *state, uint64_t now_us)
+{
+	if (state->may_have_run && state->retry_mode == BH__RETRY_MODE_NEVER)
+		return BH__NO_RETRY_ONCE;
+	if (state->answer_begun && (state->retry_mode != BH__RETRY_MODE_RESUME || state->not_resumable))
+		return BH__NO_RETRY_BEGUN;
+	if (state->dispatches >= state->max_attempts)
+		return BH__NO_RETRY_ATTEMPTS;
+	if (state->unreachable > UNREACHABLE_MAX_)
+		return BH__NO_RETRY_UNREACHED;
+	return now_us + MIN_TIME_LEFT_US_ < state->deadline_us ? BH__NO_RETRY_NONE : BH__NO_RETRY_TIME;
 }
 
 /* Records how a dispatch ended and returns the next action. A retry is charged to `budget` unless no dispatch
@@ -124,11 +136,11 @@
 	if (end == BH__DISPATCH_BROKEN || end == BH__DISPATCH_UNRESPONSIVE || end == BH__DISPATCH_FAILED ||
 		end == BH__DISPATCH_STOPPED)
 		state->may_have_run = true;
-	if (end == BH__DISPATCH_STOPPED || !bh__retry_state_may_dispatch_again(state, now_us))
-		return abandon_(state, end);
-	if ((end != BH__DISPATCH_UNREACHABLE || state->dispatches > 0) && !bh__service_retry_budget_take(budget))
-		return abandon_(state, end);
-	return dispatch_again_(state);
+	state->no_retry = end == BH__DISPATCH_STOPPED ? BH__NO_RETRY_STOPPED : find_obstacle_(state, now_us);
+	if (state->no_retry == BH__NO_RETRY_NONE && (end != BH__DISPATCH_UNREACHABLE || state->dispatches > 0) &&
+		!bh__service_retry_budget_take(budget))
+		state->no_retry = BH__NO_RETRY_BUDGET;
+	return state->no_retry == BH__NO_RETRY_NONE ? dispatch_again_(state) : abandon_(state, end);
 }
 
 /* Returns true if bh__retry_state_process_end() would have another dispatch follow one that fails now. */
--- /dev/null
+++ b/src/libbayhoist/silent_dispatch.c
@@ -0,0 +1,57 @@
+/* SPDX-License-Identifier: BSD-3-Clause */
+#include "bayhoist/silent_dispatch.h"
+
+#include <string.h>
+
+/* Time between two looks at a dispatch that stays silent. Each may find that others are heard again, that the
+ * retry budget has been refilled, or that an engine has become free. */
+#define LOOK_PERIOD_US_ (200 * BH__MS_US)
+
+const char *const BH__SilentDispatchActionString[] = {"replace", "all-silent", "no-retry"};
+
+/* Collects what the requests of this node show about endpoint `e`, whose dispatch last went on at
+ * `received_us` and may be silent for `max_wait_us`. Another endpoint counts as heard if it was for half of
+ * that longer than `e`: whatever silences all does so at one moment, but each was last heard up to one event
+ * earlier. */
+void bh__silence_evidence_collect(BH__SilenceEvidence *out, const BH__Registry *registry,
+								  const BH__RegisteredEndpoint *e, uint64_t received_us, uint64_t max_wait_us,
+								  uint64_t now_us)
+{
+	uint64_t heard_us = MAX(e->silence.heard_us, received_us);
+
+	memset(out, 0, sizeof *out);
+	out->is_endpoint_heard = now_us < heard_us + max_wait_us / 2;
+	for (unsigned i = 0; i < bh__registry_get_count(registry); i++) {
+		const BH__RegisteredEndpoint *other = bh__registry_get(registry, i);
+		if (other == e || strcmp(other->entry.service, e->entry.service) != 0)
+			continue;
+		if (other->silence.heard_us > heard_us + max_wait_us / 2)
+			out->heard++;
+		else if (other->in_flight)
+			out->silent++;
+	}
+}
+
+/* Decides about a dispatch that is overdue. Without a dispatch that may follow, or while all endpoints that
+ * could be compared are as silent, giving up the answer that may still come gains nothing. */
+BH__SilentDispatchAction bh__silent_dispatch_decide(const BH__SilenceEvidence *evidence,
+													const BH__RetryState *state,
+													const BH__ServiceRetryBudget *budget, uint64_t now_us)
+{
+	bool is_alone = evidence->heard > 0 || evidence->silent == 0;
+
+	if (!bh__retry_state_may_follow_failure(state, budget, now_us))
+		return BH__SILENT_DISPATCH_NO_RETRY;
+	if (evidence->is_unreachable || evidence->is_endpoint_heard || is_alone)
+		return BH__SILENT_DISPATCH_REPLACE;
+	return BH__SILENT_DISPATCH_ALL_SILENT;
+}
+
+/* Returns when a dispatch that last went on at `received_us` is to be looked at. `looked_us`: when it last
+ * was since then; 0: it was not. */
+uint64_t bh__silent_dispatch_get_due_us(uint64_t received_us, uint64_t max_wait_us, uint64_t looked_us)
+{
+	uint64_t overdue_us = received_us + max_wait_us;
+
+	return looked_us > received_us ? MAX(overdue_us, looked_us + LOOK_PERIOD_US_) : overdue_us;
+}
