A silent engine is left only for one that has been granted, and never while all are silent

What callers saw: streams around a SIGTERM, and without one, end with a closed connection after their beginning, while their engine ran them.

A silence was taken for the engine's death, though every other engine fell silent in the same moment.

Change: decided in the library (silent_dispatch). No retry left: the node waits on. All engines in use silent since the same moment, and none answers a question of its own: it waits on. Else another engine is asked for with the retry taken beforehand, and the dispatch is ended when that is granted and can be used; a refusal leaves it as it is, and an event of the first engine ends the search. A grant for the next dispatch is held beside the current one and told to the scheduler.

--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -99,7 +99,8 @@
 	uint64_t ejected_until_us;
 	uint32_t failures; /* consecutive failures */
 	BH__Silence silence;
-	double failure_share; /* exponentially weighted share of failures in recent requests, 0 to 1 */
+	uint64_t silence_probed_us; /* when it was last probed because a dispatch to it was silent; 0: never */
+	double failure_share;       /* exponentially weighted share of failures in recent requests, 0 to 1 */
 } BH__RegisteredEndpoint;
 
 /* State of a listed endpoint as sent to other nodes. Times are relative, because the clocks of nodes differ.
--- a/include/bayhoist/retry_state.h
+++ b/include/bayhoist/retry_state.h
@@ -65,6 +65,7 @@
 void bh__service_retry_budget_set_nodes(BH__ServiceRetryBudget *b, double burst, unsigned nodes);
 void bh__service_retry_budget_note_request(BH__ServiceRetryBudget *b);
 bool bh__service_retry_budget_take(BH__ServiceRetryBudget *b);
+void bh__service_retry_budget_return(BH__ServiceRetryBudget *b);
 
 typedef struct {
 	BH__RetryMode retry_mode;
--- a/include/bayhoist/silent_dispatch.h
+++ b/include/bayhoist/silent_dispatch.h
@@ -13,8 +13,8 @@
 typedef struct {
 	unsigned heard;         /* other endpoints of the service that were heard for clearly longer */
 	unsigned silent;        /* others that hold requests of this node and were not */
-	bool is_endpoint_heard; /* the endpoint goes on with other requests of this node */
-	bool is_unreachable;    /* this node can't connect to the endpoint */
+	bool is_endpoint_heard; /* the endpoint goes on with other requests of this node, or answers a new one */
+	bool is_own_fault;      /* a peer can connect to the endpoint, and this node can't */
 } BH__SilenceEvidence;
 
 /* What is done about the dispatch now. */
@@ -33,6 +33,7 @@
 BH__SilentDispatchAction bh__silent_dispatch_decide(const BH__SilenceEvidence *evidence,
 													const BH__RetryState *state,
 													const BH__ServiceRetryBudget *budget, uint64_t now_us);
+uint64_t bh__silent_dispatch_get_probe_us(uint64_t received_us, uint64_t max_wait_us);
 uint64_t bh__silent_dispatch_get_due_us(uint64_t received_us, uint64_t max_wait_us, uint64_t looked_us);
 
 #endif
--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -28,7 +28,6 @@
  * these bounds. */
 #define RETRY_DRAIN_MIN_MS 1000
 #define RETRY_DRAIN_MAX_MS 10000
-#define BYTES_PER_TOKEN 4 /* estimate for a prompt whose token count the caller doesn't give */
 
 static const char *const StateString_[] = {"starting", "asking",    "reserving",
 										   "permit",   "suspected", "sending"};
@@ -42,10 +41,7 @@
 static void use_permit_(Call *c);
 static bool is_stale_(uint64_t counted_us);
 static void dispatch_(Call *c, uint64_t endpoint_id);
-static void ask_(Call *c);
-static void fill_ask_(Call *c);
 static void use_grant_(Call *c);
-static uint64_t find_unusable_(const Call *c);
 static void return_grant_(Call *c, uint64_t unusable_endpoint);
 static void on_memory_(void *ctx, bool held);
 static void retry_(Call *c);
@@ -175,10 +171,12 @@
 	if (call_abandon_unsendable(c))
 		return;
 	if (c->service->is_engine) {
-		if (bh__registry_get_available_us(g->registry, c->service->name, now_us))
+		if (cluster_use_next(c))
+			use_grant_(c);
+		else if (bh__registry_get_available_us(g->registry, c->service->name, now_us))
 			abandon_no_endpoint_(c);
 		else
-			ask_(c);
+			call_ask(c);
 		return;
 	}
 	e = silences_pick_endpoint(c, now_us);
@@ -297,41 +295,6 @@
 		call_act(c, next);
 }
 
-/* Sends a new ask to the scheduler in place of the current one, if any. */
-static void ask_(Call *c)
-{
-	cluster_drop_ask(c->gate->cluster, c);
-	fill_ask_(c);
-	c->state = CALL_ASKING;
-	c->queued = false;
-	c->asked_us = clock_now_us();
-	c->unanswered_since_us = c->asked_us;
-	call_set_timer(c, c->asked_us);
-	cluster_ask(c->gate->cluster, c);
-}
-
-/* Fills in the call's ask. Its times are relative, in microseconds; the time that the caller waited in
- * earlier tries counts against the first-token target. */
-static void fill_ask_(Call *c)
-{
-	const RequestMeta *m = &c->request->meta;
-	uint64_t now_us = clock_now_us();
-	uint64_t target_us = c->request->arrived_us + c->rule->target_ms * BH__MS_US;
-	uint64_t before_us = MIN(c->waited_before_us, target_us);
-	BH__Ask *a = &c->admission.ask;
-
-	memset(a, 0, sizeof *a);
-	a->prompt_tokens = m->prompt_tokens ? m->prompt_tokens : c->request->body->len / BYTES_PER_TOKEN + 1;
-	a->max_tokens = call_get_answer_tokens(c);
-	a->deadline_us = c->retry.deadline_us - now_us;
-	a->first_event_us = target_us - before_us > now_us ? target_us - before_us - now_us : 1;
-	a->event_gap_us = c->rule->event_gap_ms * BH__MS_US;
-	a->priority_level = c->owner && c->owner->has_priority ? c->owner->priority : c->rule->priority;
-	for (unsigned i = 0; i < c->retry.tried_count && a->avoid_count < BH__AVOID_MAX; i++)
-		a->avoid[a->avoid_count++] = c->retry.tried[i];
-	call_fill_backoffs(c);
-}
-
 /* Returns the call's admission state, which schedulers.c and limits.c change. */
 CallAdmission *call_get_admission(Call *c)
 {
@@ -352,22 +315,24 @@
 /* Asks again when the node that was asked is gone or no longer schedules the service. */
 void call_on_scheduler_lost(Call *c)
 {
-	if (c->state == CALL_ASKING)
-		ask_(c);
+	if (call_awaits_grant(c))
+		call_ask(c);
 }
 
 /* Processes the scheduler's refusal: ends the request, or asks again if the scheduler refused because it is
  * leaving. */
 void call_on_refuse(Call *c, BH__Reason reason, uint64_t retry_after_ms)
 {
-	if (c->state != CALL_ASKING)
+	if (!call_awaits_grant(c))
 		return;
 	if (reason == BH__REASON_NO_ENDPOINT)
 		retry_after_ms = MAX(retry_after_ms, retry_no_endpoint_ms_(c));
 	log_event("refuse", "request=%s cause=%s scheduler=%s retry_after_ms=%" G_GUINT64_FORMAT,
 			  c->request->meta.request_id, BH__ReasonString[reason], call_scheduler_name(c), retry_after_ms);
 	if (reason == BH__REASON_NODE_LEAVING)
-		ask_(c);
+		call_ask(c);
+	else if (c->is_replacing)
+		call_stop_replacing(c);
 	else
 		call_abandon(c, retry_after_ms, BH__ReasonString[reason], "no engine can take the request in time");
 }
@@ -376,7 +341,9 @@
 void call_on_grant(Call *c)
 {
 	bh__histogram_add(&c->gate->counters.grant_wait, clock_now_us() - c->asked_us);
-	if (c->state == CALL_ASKING)
+	if (c->is_replacing)
+		call_use_replacement(c);
+	else if (c->state == CALL_ASKING)
 		use_grant_(c);
 	else
 		cluster_release(c->gate->cluster, c, BH__RELEASE_UNUSED, BH__NO_ENDPOINT);
@@ -395,7 +362,7 @@
 static void use_grant_(Call *c)
 {
 	const BH__Grant *g = &c->admission.grant;
-	uint64_t unusable = find_unusable_(c);
+	uint64_t unusable = call_find_unusable(c, g);
 	bool needs_memory = false;
 
 	if (unusable) {
@@ -415,10 +382,8 @@
 
 /* Returns the id of an engine of the grant that is needed and takes no work or is gone, or BH__NO_ENDPOINT. A
  * helper without reserved memory is not needed. */
-static uint64_t find_unusable_(const Call *c)
+uint64_t call_find_unusable(const Call *c, const BH__Grant *g)
 {
-	const BH__Grant *g = &c->admission.grant;
-
 	for (unsigned i = 0; i < g->member_count; i++) {
 		bool needed = i == 0 || g->member[i].kv_bytes > 0;
 		if (needed && !call_endpoint_is_usable(c, g->member[i].endpoint_id))
@@ -438,7 +403,7 @@
 	if (++c->unused_grants > UNUSED_GRANTS_MAX)
 		call_abandon(c, RETRY_SOON_MS, "not-run", "no endpoint ran the request");
 	else
-		ask_(c);
+		call_ask(c);
 }
 
 /* Dispatches once the memory on the helpers is held; returns the grant if it can't be had. Checks the engines
@@ -447,7 +412,7 @@
 {
 	Call *c = ctx;
 	const BH__Grant *g = &c->admission.grant;
-	uint64_t unusable = held ? find_unusable_(c) : g->member[g->member_count - 1].endpoint_id;
+	uint64_t unusable = held ? call_find_unusable(c, g) : g->member[g->member_count - 1].endpoint_id;
 	const BH__RegisteredEndpoint *home = bh__registry_find(c->gate->registry, g->member[0].endpoint_id);
 	bool is_old = home && bh__endpoint_rate_is_limited(&home->rate, clock_now_us()) &&
 				  is_stale_(c->admission.granted_us);
@@ -544,7 +509,9 @@
 		bh__registry_note_end(g->registry, c->endpoint_id, c->endpoint_incarnation,
 							  BH__ENDPOINT_OUTCOME_ABANDONED, now_us);
 	}
+	call_stop_replacing(c);
 	cluster_drop_ask(g->cluster, c);
+	cluster_release_next(g->cluster, c);
 	cluster_release(g->cluster, c, BH__RELEASE_DONE, BH__NO_ENDPOINT);
 	memory_hold_delete(c->memory);
 	g->counters.outcomes[outcome]++;
@@ -590,7 +557,7 @@
 		due_us = MIN(due_us, c->suspected_us + EVALUATION_MAX_MS * BH__MS_US);
 	if (c->state == CALL_PERMIT)
 		due_us = MIN(due_us, c->send_at_us ? c->send_at_us : c->asked_us + BH__ASK_REPEAT_US);
-	if (c->state == CALL_ASKING)
+	if (call_awaits_grant(c))
 		due_us = MIN(due_us, call_get_ask_due_us(c));
 	due_us = due_us > now_us ? due_us - now_us : 0;
 	tv.tv_sec = (time_t)(due_us / BH__SECOND_US);
@@ -632,15 +599,9 @@
 		call_on_permit(c, false, RETRY_SOON_MS * BH__MS_US);
 	}
 	else if (now_us >= silent_dispatch_get_due_us(c)) {
-		silent_dispatch_look(c, now_us);
-		if (bh__retry_state_may_dispatch_again(&c->retry, now_us) &&
-			c->retry.dispatches + 1 < c->retry.max_attempts) {
-			dispatch_end(c, BH__DISPATCH_UNRESPONSIVE);
-			return;
-		}
-		call_set_timer(c, now_us);
+		call_process_silence(c, now_us);
 	}
-	else if (c->state == CALL_ASKING && now_us >= call_get_ask_due_us(c)) {
+	else if (call_awaits_grant(c) && now_us >= call_get_ask_due_us(c)) {
 		call_process_ask_due(c, now_us);
 	}
 	else {
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -4,6 +4,7 @@
 #define BAYHOIST_CALL_INTERNAL_H
 
 #include <event2/buffer.h>
+#include "bayhoist/silent_dispatch.h"
 #include "gate.h"
 
 #define RETRY_SOON_MS 200 /* retry-after of a refusal whose cause is brief */
@@ -48,6 +49,8 @@
 	uint64_t longest_pause_us; /* longest such gap of all dispatches */
 	uint64_t received_us;      /* when the endpoint last went on with its answer, or the dispatch began */
 	uint64_t looked_us;        /* when that dispatch was last looked at because it was silent; 0: never */
+	BH__SilentDispatchAction silence_action; /* what that look decided; valid if the dispatch was overdue */
+	bool is_replacing;         /* engines are asked for in place of that of the silent dispatch */
 	bool end_known;            /* the dispatch's end is known before its connection ends */
 	BH__DispatchEnd known_end; /* that end; valid if `end_known` */
 	bool is_own_fault;         /* the last dispatch failed on the way to its endpoint */
@@ -65,6 +68,7 @@
 
 /* call.c */
 bool call_endpoint_is_usable(const Call *c, uint64_t endpoint_id);
+uint64_t call_find_unusable(const Call *c, const BH__Grant *g);
 void call_act(Call *c, BH__NextAction next);
 void call_set_timer(Call *c, uint64_t now_us);
 void call_abandon(Call *c, uint64_t retry_after_ms, const char *code, const char *message);
@@ -82,22 +86,28 @@
 
 /* silences.c */
 BH__RegisteredEndpoint *silences_pick_endpoint(const Call *c, uint64_t now_us);
+bool silences_has_other(const Call *c, uint64_t now_us);
 void silences_note_heard(const Call *c, uint64_t now_us);
 
 /* silent_dispatches.c */
 uint64_t silent_dispatch_get_due_us(const Call *c);
-void silent_dispatch_look(Call *c, uint64_t now_us);
+bool silent_dispatch_look(Call *c, const BH__ServiceRetryBudget *budget, uint64_t now_us);
 
 /* call_refusal.c */
 bool call_refuse_unrouted(Call *c);
 bool call_abandon_unsendable(Call *c);
+bool call_is_sendable(const Call *c);
 uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us);
 
 /* call_ask.c */
 const char *call_scheduler_name(const Call *c);
-void call_fill_backoffs(Call *c);
+bool call_awaits_grant(const Call *c);
+void call_ask(Call *c);
 uint64_t call_get_ask_due_us(const Call *c);
 void call_process_ask_due(Call *c, uint64_t now_us);
+void call_process_silence(Call *c, uint64_t now_us);
+void call_use_replacement(Call *c);
+void call_stop_replacing(Call *c);
 
 /* dispatch.c */
 bool call_is_streaming(const Call *c);
--- a/src/bayhoist-gate/call_refusal.c
+++ b/src/bayhoist-gate/call_refusal.c
@@ -22,6 +22,7 @@
 static bool abandon_quarantined_(Call *c);
 static bool abandon_cut_off_(Call *c);
 static bool abandon_stopping_(Call *c);
+static bool outlasts_stop_(const Call *c);
 static uint64_t longest_while_stopping_us_(const Call *c);
 static bool has_usable_peer_(const Gate *g);
 
@@ -90,6 +91,13 @@
 	return abandon_quarantined_(c) || abandon_stopping_(c) || abandon_cut_off_(c);
 }
 
+/* Returns true unless call_abandon_unsendable() would end the request. */
+bool call_is_sendable(const Call *c)
+{
+	return !crashes_is_quarantined(c->gate->crashes, &c->subjects) && !outlasts_stop_(c) &&
+		   !links_get_retry_after_ms(c->gate->links);
+}
+
 /* Ends a request of which a subject is quarantined because it crashes endpoints. Returns false if none is. */
 static bool abandon_quarantined_(Call *c)
 {
@@ -122,22 +130,27 @@
 {
 	const Gate *g = c->gate;
 	uint64_t now_us = clock_now_us();
-	uint64_t longest_us;
 
-	if (!g->leaving_since_us || c->retry.answer_begun)
-		return false;
-	longest_us = longest_while_stopping_us_(c);
-	if (now_us + longest_us <= g->stop_at_us)
+	if (!outlasts_stop_(c))
 		return false;
 	log_event("refuse",
 			  "request=%s cause=stopping left_ms=%" G_GUINT64_FORMAT " longest_ms=%" G_GUINT64_FORMAT,
 			  c->request->meta.request_id, (g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US,
-			  longest_us / BH__MS_US);
+			  longest_while_stopping_us_(c) / BH__MS_US);
 	call_abandon(c, call_retry_stopping_ms(g, now_us), "node-leaving",
 				 "this node stops before the answer would end");
 	return true;
 }
 
+/* Returns true if this node is leaving, and an answer that begins now would probably outlast it. */
+static bool outlasts_stop_(const Call *c)
+{
+	const Gate *g = c->gate;
+
+	return g->leaving_since_us && !c->retry.answer_begun &&
+		   clock_now_us() + longest_while_stopping_us_(c) > g->stop_at_us;
+}
+
 /* Returns a time from dispatch to end, in microseconds, that the answer of a request which this leaving node
  * sends rarely exceeds. If all nodes leave, each schedules for itself, and engines get more than any of them
  * knows of: their first events may be as late as is borne of an engine. */
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -161,6 +161,7 @@
 	GString *headers = c->head.headers;
 
 	c->received_us = clock_now_us();
+	call_stop_replacing(c);
 	silences_note_heard(c, c->received_us);
 	c->head = *head;
 	c->head.headers = headers;
@@ -240,6 +241,7 @@
 	if (c->retry.answer_begun)
 		note_pause_(c, now_us - c->received_us);
 	c->received_us = now_us;
+	call_stop_replacing(c);
 }
 
 /* Forwards what has come of a plain answer if it has outgrown its buffer. A failure may be followed by
@@ -437,6 +439,7 @@
 	uint64_t at_fault = c->endpoint_id;
 	BH__NextAction next;
 
+	call_stop_replacing(c);
 	if (c->out) {
 		c->is_own_fault |= outbound_is_own_fault(c->out);
 		outbound_cancel(c->out);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -24,6 +24,7 @@
 #include "bayhoist/memory_budget.h"
 #include "bayhoist/routing.h"
 #include "bayhoist/signal_relay.h"
+#include "bayhoist/silent_dispatch.h"
 #include "peers.h"
 #include "port.h"
 #include "settings.h"
@@ -47,8 +48,9 @@
 	uint64_t requests;                     /* requests received */
 	uint64_t outcomes[CALL_OUTCOME_COUNT]; /* requests ended, by outcome */
 	uint64_t dispatches;                   /* requests sent to endpoints */
-	uint64_t silence_reports;          /* overdue requests that were reported to the endpoint's home node */
-	uint64_t last_endpoint_dispatches; /* dispatches to one of the last endpoints of a service */
+	uint64_t silence_reports; /* overdue requests that were reported to the endpoint's home node */
+	uint64_t overdue[BH__SILENT_DISPATCH_ACTION_COUNT]; /* overdue dispatches, by what was done about them */
+	uint64_t last_endpoint_dispatches;              /* dispatches to one of the last endpoints of a service */
 	uint64_t dispatch_ends[BH__DISPATCH_END_COUNT]; /* dispatches ended, by result */
 	uint64_t repeats;                               /* decisions to dispatch a request again */
 	uint64_t resumes;                               /* decisions to dispatch again that resume a stream */
@@ -204,9 +206,12 @@
 /* The admission state of a call: its ask to the scheduler of its service and the grant that it holds. */
 typedef struct {
 	BH__Ask ask;                /* current ask; ask_id 0: none */
-	uint64_t asked_node;        /* node that was asked, or that granted */
+	uint64_t asked_node;        /* node that was asked last */
 	BH__Grant grant;            /* grant held; grant_id 0: none */
 	uint64_t granted_us;        /* when the grant was received */
+	uint64_t granted_node;      /* node that granted */
+	BH__Grant next;             /* grant for the next dispatch while the current one holds `grant`, from
+								   `asked_node`; grant_id 0: none */
 	char service[BH__NAME_LEN]; /* name of the service */
 } CallAdmission;
 
@@ -257,6 +262,8 @@
 void cluster_notify_progress(Cluster *c, Call *call);
 void cluster_notify_iteration(Cluster *c, Call *call, uint64_t iteration_us);
 void cluster_release(Cluster *c, Call *call, BH__ReleaseKind kind, uint64_t failed_endpoint);
+void cluster_release_next(Cluster *c, Call *call);
+bool cluster_use_next(Call *call);
 void cluster_write_status(const Cluster *c, struct evbuffer *out);
 struct json_object *cluster_describe_division(const Gate *g);
 
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -21,7 +21,10 @@
 static void send_hold_(Cluster *c, const Service *s, GArray *grants, bool full, bool is_complete);
 static void on_recorded_(void *service, bool recorded);
 static void record_unanswered_(Cluster *c, Service *s, uint64_t node_id);
-static void notify_nodes_(Cluster *c, Call *call, BH__Message *m);
+static void add_hold_(const Service *s, const BH__Grant *grant, uint64_t granted_us, uint64_t now_us,
+					  GArray *held);
+static void notify_nodes_(Cluster *c, const BH__Grant *g, uint64_t granted_node, const char *service,
+						  BH__Message *m);
 
 /* Returns the service whose planner has this id, or NULL. */
 Service *schedulers_find(const Cluster *c, uint64_t pool_id)
@@ -300,10 +303,8 @@
 	g_hash_table_iter_init(&it, c->gate->calls);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		const CallAdmission *p = call_get_admission(key);
-		BH__Grant g = p->grant;
-		g.age_us = now_us - MIN(now_us, p->granted_us);
-		if (g.grant_id && g.pool_id == bh__planner_get_id(s->planner))
-			g_array_append_val(held, g);
+		add_hold_(s, &p->grant, p->granted_us, now_us, held);
+		add_hold_(s, &p->next, now_us, now_us, held);
 	}
 	s->scheduler_boot = info ? info->boot_id : bh__members_get_self(c->members)->boot_id;
 	if (info && s->scheduler != bh__members_get_self(c->members)->node_id &&
@@ -313,6 +314,17 @@
 	g_array_unref(held);
 }
 
+/* Appends a grant to the list, with its age, if it is one of the service. */
+static void add_hold_(const Service *s, const BH__Grant *grant, uint64_t granted_us, uint64_t now_us,
+					  GArray *held)
+{
+	BH__Grant g = *grant;
+
+	g.age_us = now_us - MIN(now_us, granted_us);
+	if (g.grant_id && g.pool_id == bh__planner_get_id(s->planner))
+		g_array_append_val(held, g);
+}
+
 /* Processes a hold message: a node's own grants, or those of all nodes from the previous scheduler. */
 void schedulers_process_hold(Cluster *c, const BH__Message *m, uint64_t now_us)
 {
@@ -419,19 +431,20 @@
 	if (!p->grant.grant_id)
 		return;
 	p->grant.has_first_event = true;
-	notify_nodes_(c, call, &(BH__Message){.type = BH__MESSAGE_PROGRESS});
+	notify_nodes_(c, &p->grant, p->granted_node, p->service, &(BH__Message){.type = BH__MESSAGE_PROGRESS});
 }
 
 /* Notifies the scheduler that the engine has just ended a long iteration of `iteration_us`, during which the
  * answer paused. */
 void cluster_notify_iteration(Cluster *c, Call *call, uint64_t iteration_us)
 {
+	const CallAdmission *p = call_get_admission(call);
 	BH__Message m = {.type = BH__MESSAGE_ITERATION};
 
-	if (!call_get_admission(call)->grant.has_first_event)
+	if (!p->grant.has_first_event)
 		return;
 	m.as.release.iteration_us = iteration_us;
-	notify_nodes_(c, call, &m);
+	notify_nodes_(c, &p->grant, p->granted_node, p->service, &m);
 }
 
 /* Releases the grant that the call holds, if it holds one. `failed_endpoint` names the endpoint that failed,
@@ -449,25 +462,53 @@
 	m.as.release.failed_endpoint = failed_endpoint;
 	m.as.release.backoff_us =
 		failed ? failed->signals.backoff_until_us - MIN(now_us, failed->signals.backoff_until_us) : 0;
-	notify_nodes_(c, call, &m);
+	notify_nodes_(c, &p->grant, p->granted_node, p->service, &m);
 	memset(&p->grant, 0, sizeof p->grant);
 }
 
-/* Sends a message on the call's grant to this node's own planner, the scheduler, and the node that gave the
- * grant. */
-static void notify_nodes_(Cluster *c, Call *call, BH__Message *m)
+/* Releases the grant for the next dispatch, if there is one, unused. */
+void cluster_release_next(Cluster *c, Call *call)
 {
 	CallAdmission *p = call_get_admission(call);
-	Service *s = add_service_(c, p->service);
+	BH__Message m = {.type = BH__MESSAGE_RELEASE};
+
+	if (!p->next.grant_id)
+		return;
+	m.as.release.kind = BH__RELEASE_UNUSED;
+	notify_nodes_(c, &p->next, p->asked_node, p->service, &m);
+	memset(&p->next, 0, sizeof p->next);
+}
+
+/* Makes the grant for the next dispatch, if there is one, the one that the call holds. The previous one must
+ * have been released. Returns false if there is none. */
+bool cluster_use_next(Call *call)
+{
+	CallAdmission *p = call_get_admission(call);
+
+	if (!p->next.grant_id)
+		return false;
+	p->grant = p->next;
+	p->granted_us = clock_now_us();
+	p->granted_node = p->asked_node;
+	memset(&p->next, 0, sizeof p->next);
+	return true;
+}
+
+/* Sends a message on a grant of a service to this node's own planner, the scheduler, and the node that gave
+ * the grant. */
+static void notify_nodes_(Cluster *c, const BH__Grant *g, uint64_t granted_node, const char *service,
+						  BH__Message *m)
+{
+	Service *s = add_service_(c, service);
 	uint64_t self = bh__members_get_self(c->members)->node_id;
 
-	m->as.release.pool_id = p->grant.pool_id;
-	m->as.release.grant_id = p->grant.grant_id;
+	m->as.release.pool_id = g->pool_id;
+	m->as.release.grant_id = g->grant_id;
 	cluster_send(c, self, m);
 	if (s->scheduler != self)
 		cluster_send(c, s->scheduler, m);
-	if (p->asked_node != self && p->asked_node != s->scheduler)
-		cluster_send(c, p->asked_node, m);
+	if (granted_node != self && granted_node != s->scheduler)
+		cluster_send(c, granted_node, m);
 	cluster_drain_inbox(c);
 }
 
@@ -514,9 +555,10 @@
 	p = call_get_admission(call);
 	g_hash_table_remove(c->by_ask, &p->ask.ask_id);
 	p->ask.ask_id = 0;
-	p->grant = *g;
-	p->granted_us = clock_now_us();
 	p->asked_node = from_node;
+	p->next = *g;
+	if (!p->grant.grant_id)
+		cluster_use_next(call);
 	if (s)
 		bh__planner_process_remote_grant(s->planner, g, clock_now_us());
 	call_on_grant(call);
--- a/src/bayhoist-gate/silences.c
+++ b/src/bayhoist-gate/silences.c
@@ -28,6 +28,21 @@
 							 c->retry.may_have_run, now_us);
 }
 
+/* Returns true if a request that a plain endpoint leaves unanswered can be sent to another one at once, which
+ * is not silent as well and needs no permit. */
+bool silences_has_other(const Call *c, uint64_t now_us)
+{
+	uint64_t except[BH__TRIED_MAX + 1];
+	unsigned count = c->retry.tried_count;
+	const BH__RegisteredEndpoint *e;
+
+	memcpy(except, c->retry.tried, sizeof c->retry.tried);
+	except[count++] = c->endpoint_id;
+	e = bh__registry_pick(c->gate->registry, c->service->name, c->gate->settings.hall, except, count, false,
+						  now_us);
+	return e && now_us >= e->silence.until_us && !bh__endpoint_rate_is_limited(&e->rate, now_us);
+}
+
 /* Records that something was received from a call's endpoint at `now_us`. */
 void silences_note_heard(const Call *c, uint64_t now_us)
 {
@@ -96,13 +111,17 @@
 	return !has_neighbour && hears_any;
 }
 
-/* Writes, as metrics, the overdue requests that were reported and the endpoints that are silent now. */
+/* Writes, as metrics, what was done about overdue dispatches, the overdue requests that were reported and the
+ * endpoints that are silent now. */
 void silences_write_status(const Gate *g, struct evbuffer *out)
 {
 	uint64_t now_us = clock_now_us();
 
 	evbuffer_add_printf(out, "bayhoist_silence_reports_total %" G_GUINT64_FORMAT "\n",
 						g->counters.silence_reports);
+	for (int i = 0; i < BH__SILENT_DISPATCH_ACTION_COUNT; i++)
+		evbuffer_add_printf(out, "bayhoist_overdue_total{what=\"%s\"} %" G_GUINT64_FORMAT "\n",
+							BH__SilentDispatchActionString[i], g->counters.overdue[i]);
 	for (unsigned i = 0; i < bh__registry_get_count(g->registry); i++) {
 		const BH__RegisteredEndpoint *e = bh__registry_get(g->registry, i);
 		if (now_us < e->silence.until_us)
--- a/src/libbayhoist/retry_state.c
+++ b/src/libbayhoist/retry_state.c
@@ -76,6 +76,13 @@
 	return true;
 }
 
+/* Returns a retry that was taken and not used. */
+void bh__service_retry_budget_return(BH__ServiceRetryBudget *b)
+{
+	b->level = MIN(b->level + 1, b->max);
+	b->spent--;
+}
+
 /* Initializes the state of a new request. `rule` allows at least one dispatch, even with a `max_attempts` of
  * 0. */
 void bh__retry_state_init(BH__RetryState *state, const BH__RouteRule *rule, uint64_t deadline_us)
--- a/src/libbayhoist/silent_dispatch.c
+++ b/src/libbayhoist/silent_dispatch.c
@@ -7,6 +7,10 @@
  * retry budget has been refilled, or that an engine has become free. */
 #define LOOK_PERIOD_US_ (200 * BH__MS_US)
 
+/* Time before a dispatch is overdue at which its endpoint is probed: as long as a probe takes, so that its
+ * result is there by then. */
+#define PROBE_AHEAD_US_ (450 * BH__MS_US)
+
 const char *const BH__SilentDispatchActionString[] = {"replace", "all-silent", "no-retry"};
 
 /* Collects what the requests of this node show about endpoint `e`, whose dispatch last went on at
@@ -42,16 +46,22 @@
 
 	if (!bh__retry_state_may_follow_failure(state, budget, now_us))
 		return BH__SILENT_DISPATCH_NO_RETRY;
-	if (evidence->is_unreachable || evidence->is_endpoint_heard || is_alone)
+	if (evidence->is_own_fault || evidence->is_endpoint_heard || is_alone)
 		return BH__SILENT_DISPATCH_REPLACE;
 	return BH__SILENT_DISPATCH_ALL_SILENT;
 }
 
-/* Returns when a dispatch that last went on at `received_us` is to be looked at. `looked_us`: when it last
- * was since then; 0: it was not. */
+/* Returns when the endpoint of a dispatch that last went on at `received_us` is probed. */
+uint64_t bh__silent_dispatch_get_probe_us(uint64_t received_us, uint64_t max_wait_us)
+{
+	return received_us + max_wait_us - MIN(max_wait_us, PROBE_AHEAD_US_);
+}
+
+/* Returns when such a dispatch is to be looked at: once it has been silent for `max_wait_us`, and then again
+ * and again. `looked_us`: when it was last looked at. */
 uint64_t bh__silent_dispatch_get_due_us(uint64_t received_us, uint64_t max_wait_us, uint64_t looked_us)
 {
 	uint64_t overdue_us = received_us + max_wait_us;
 
-	return looked_us > received_us ? MAX(overdue_us, looked_us + LOOK_PERIOD_US_) : overdue_us;
+	return looked_us >= overdue_us ? looked_us + LOOK_PERIOD_US_ : overdue_us;
 }
