--- a/test/check-silent-engines.sh
+++ b/test/check-silent-engines.sh
@@ -115,6 +115,17 @@
 	judge "30 streams, 2 s after it" 0
 done
 
+# An engine that is dead, without a reset, is not waited for: ten events with gaps of 0.4 s, 1.7 s without one, a gap before that, and the aim of another one's first event (0.3 s).
+LONGEST_MS=$((10 * 400 + 1700 + 400 + 300))
+begin dead 12
+curl -sf -m 3 "http://$(address 71)/set?link=e1&mode=lost&ms=0&from="
+judge "12 streams, one engine is dead" 0
+is "some were left for it" "$(($(cat "$RUN"/gate[123].log | grep -c "event=sent request=dead-.* end=silent") > 0))" 1
+took_ms=$(cat "$RUN"/gate[123].log | grep "event=end request=dead-" | sed 's/.*took_ms=\([0-9]*\).*/\1/' | sort -n | tail -n 1)
+is "the longest took $took_ms ms, of which $LONGEST_MS are allowed" "$((took_ms <= LONGEST_MS))" 1
+curl -sf -m 3 "http://$(address 71)/set?link=e1&mode=pass&ms=0&from="
+sleep 5 # it is tried again
+
 # What may not be resumed, and lookups that come while their endpoints are silent.
 configure 's/"resumable":true/"resumable":false/'
 sleep 1.5
