soak: sound engines that fall silent at once, and answers that are given up for a silence

PAUSES=1: all engines or some are silent for 1 to 3 s among kills, stops, pauses and cuts. In every soak an answer that is given up for its endpoint's silence without another endpoint to go on with it is a violation.

--- a/test/soak-gate.sh
+++ b/test/soak-gate.sh
@@ -14,6 +14,8 @@
 #   - with PATHS=1, gateways and endpoints stand in three halls, and connections between two halls, or between one and both others,
 #     can't be set up in one direction or both, for half a second to six, some of them on and off;
 #   - with HANGS=1, one endpoint at a time takes requests and answers none, for half a second to six; then it goes on with them;
+#   - with PAUSES=1, all engines, or some of them, fall silent at once for half a second to two and a half, and go on;
+#   - an answer is not given up for its endpoint's silence unless another endpoint is to go on with it;
 #   - with READERS=1, callers read long answers at a crawl or not at all and hold their connections until their gateway's process
 #     has gone; what they have read is a clean beginning, and others are served within two seconds while they hang on;
 #   - with ODD=1, a stream is resumed at an engine that gives something else, or comes to one that sends bytes without an end; what
@@ -197,6 +199,15 @@
 	[ $face = hang ] && tell "go-on?id=i-$link" || set_link $link pass
 	sleep 0.$((RANDOM % 9 + 1))
 }
+pauses() { # sound engines fall silent in the same moment
+	local links link
+	pick links "e1 e2 e3" "e1 e2 e3" "e1 e2" "e2"
+	echo "pauses $links" >>"$RUN/faults"
+	for link in $links; do set_link $link silent; done
+	sleep $((RANDOM % 2 + 1)).$((RANDOM % 10))
+	for link in $links; do set_link $link pass; done
+	sleep 0.$((RANDOM % 9 + 1))
+}
 hang_on() { # ID GATEWAY KIND BYTES_PER_S: a caller that reads a long answer so fast, until its gateway's process has gone
 	curl -s -N --limit-rate "$4" -o "$RUN/read.$1" -D "$RUN/read-head.$1" "http://$(node "$2" 0)/$3/bulk/$1" -H 'Host: a.example' \
 		-H "X-Attempt-Id: $1" -H 'X-Time-Budget-Ms: 9000' -H 'X-Api-Key: key1' -H 'X-Token-Usage: 3000,100' & # a body would be sent as slowly
@@ -267,6 +278,8 @@
 			[[ 1,2,3,4,5,6,7,8,9,10, = "$events"* || $events = none ]] || violation "id=$id events=$events"
 		fi
 	done < <(cat "$RUN"/calls.*)
+	n=$(cat "$RUN"/gate[123].log | grep -c "event=sent .* end=silent .* next=\(break-off\|time-out\|fail\) ")
+	[ "$n" = 0 ] || violation "$n answers were given up for a silence"
 	for n in 1 2 3; do
 		is_alive $n || violation "gate$n has ended"
 		for i in 1 2 3; do
@@ -361,7 +374,7 @@
 		caller "$n" &
 		callers="$callers $!"
 	done
-	for n in ${CULPRITS:+culprit,99} ${PARTS:+deadly_part,93} ${HISTORY:+history,98} ${CUTS:+cuts,97} ${PATHS:+paths,96} ${HANGS:+hangs,95} ${ODD:+odd,92} ${CONFIGS:+configs,91}; do
+	for n in ${CULPRITS:+culprit,99} ${PARTS:+deadly_part,93} ${HISTORY:+history,98} ${CUTS:+cuts,97} ${PATHS:+paths,96} ${HANGS:+hangs,95} ${PAUSES:+pauses,90} ${ODD:+odd,92} ${CONFIGS:+configs,91}; do
 		series ${n/,/ } &
 		callers="$callers $!"
 	done
