A gateway that ends is closed to new callers before it answers its last ones

Cause: the gateway listened until its process had gone; what the kernel had accepted and nothing had read went with the socket.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -151,6 +151,7 @@
 } InboundRequest;
 
 bool inbounds_listen(Gate *g);
+void inbounds_stop_listening(Gate *g);
 void inbounds_free(Gate *g);
 unsigned inbounds_count_unsent(const Gate *g);
 const InboundRequest *inbound_get_request(const Inbound *in);
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 #include "clock.h"
 #include "log.h"
+#include "quiet_socket.h"
 #include "relay_server.h"
 
 /* Bytes buffered for a slow caller before the gateway stops reading from the endpoint. */
@@ -125,6 +126,23 @@
 	return g->listener != NULL;
 }
 
+/* Stops listening for callers. Connections that wait to be accepted are: a request that its caller has sent
+ * would be cut with the socket. */
+void inbounds_stop_listening(Gate *g)
+{
+	evutil_socket_t listening;
+	evutil_socket_t fd;
+
+	if (!g->listener)
+		return;
+	listening = evconnlistener_get_fd(g->listener);
+	quiet_socket_refuse_new(listening);
+	while ((fd = quiet_socket_accept(listening)) >= 0)
+		on_accept_(g->listener, fd, NULL, 0, g);
+	evconnlistener_free(g->listener);
+	g->listener = NULL;
+}
+
 /* Sets up a new connection. The listener is disabled while the number of connections is at its maximum. */
 static void on_accept_(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len, void *arg)
 {
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -193,6 +193,7 @@
 			  relay_server_get_count(g->relay_server), unsent);
 	g->is_ending = true;
 	g->stop_at_us = now_us; /* new requests are refused from now on */
+	inbounds_stop_listening(g);
 	calls_stop(g);
 	event_base_loopexit(g->base, &flush);
 }
