--- a/src/bayhoist-gate/call_ask.c
+++ b/src/bayhoist-gate/call_ask.c
@@ -11,7 +11,6 @@
 #define BYTES_PER_TOKEN 4 /* estimate for a prompt whose token count the caller doesn't give */
 #define QUEUED_REPEAT_US (200 * BH__MS_US) /* interval at which a queued request repeats its ask */
 
-static void send_ask_(Call *c);
 static void fill_ask_(Call *c);
 static void fill_backoffs_(Call *c);
 static bool may_replace_(const Call *c, uint64_t now_us);
@@ -32,18 +31,14 @@
 	return c->state == CALL_ASKING || c->is_replacing;
 }
 
-/* Sends a new ask to the scheduler in place of the current one, if any. */
+/* Asks the scheduler for engines, anew if an ask is pending. A dispatch that is to be replaced goes on
+ * meanwhile. */
 void call_ask(Call *c)
-{
-	if (!c->is_replacing)
-		c->state = CALL_ASKING;
-	send_ask_(c);
-}
-
-static void send_ask_(Call *c)
 {
 	cluster_drop_ask(c->gate->cluster, c);
 	fill_ask_(c);
+	if (!c->is_replacing)
+		c->state = CALL_ASKING;
 	c->queued = false;
 	c->asked_us = clock_now_us();
 	c->unanswered_since_us = c->asked_us;
