An engine that was sent a request just now is not taken for a silent one

What callers saw: of several streams at an engine that is dead, while the others are idle at this node, the first goes on after the wait; the next ones wait about a second longer, past the two seconds after which callers give up. Cause: an endpoint counted as being as silent as the dead one as soon as it held a request, also the one that has just gone on there. Change: it counts once it has held requests of this node for half a wait without being heard; the registry keeps since when it has.

--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -94,6 +94,7 @@
 	uint64_t no_grant_until_us;     /* its home node grants no request until then; 0: grants are possible */
 	uint64_t incarnation;           /* number of this incarnation, unique within the registry */
 	uint32_t in_flight;             /* requests that this node currently has at the endpoint */
+	uint64_t in_use_since_us;       /* since when it has had one; valid if `in_flight` */
 	uint32_t reported; /* running and waiting requests of all nodes, as last reported by the endpoint */
 	uint64_t reported_us;
 	uint64_t ejected_until_us;
@@ -165,7 +166,7 @@
 										  uint64_t now_us);
 BH__RegisteredEndpoint *bh__registry_pick_once(BH__Registry *r, const char *service, const char *hall,
 											   const uint64_t *tried, unsigned tried_count, uint64_t now_us);
-uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id);
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id, uint64_t now_us);
 void bh__registry_note_end(BH__Registry *r, uint64_t endpoint_id, uint64_t incarnation,
 						   BH__EndpointOutcome use, uint64_t now_us);
 void bh__registry_withdraw_failures(BH__Registry *r);
--- a/include/bayhoist/silent_dispatch.h
+++ b/include/bayhoist/silent_dispatch.h
@@ -12,7 +12,7 @@
 /* What this node observes around a silent dispatch. */
 typedef struct {
 	unsigned heard;         /* other endpoints of the service that were heard for clearly longer */
-	unsigned silent;        /* others that hold requests of this node and were not */
+	unsigned silent;        /* others that have held requests of this node for as long, and were not */
 	bool is_endpoint_heard; /* the endpoint goes on with other requests of this node, or answers a new one */
 	bool is_own_fault;      /* a peer can connect to the endpoint, and this node can't */
 } BH__SilenceEvidence;
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -75,7 +75,7 @@
 	evbuffer_drain(c->body, evbuffer_get_length(c->body));
 	write_request_(c, e, out);
 	g->counters.dispatches++;
-	c->endpoint_incarnation = bh__registry_note_start(g->registry, endpoint_id);
+	c->endpoint_incarnation = bh__registry_note_start(g->registry, endpoint_id, c->sent_us);
 	log_dispatch_(c, e);
 	last_endpoints_note_dispatch(g, e, c->sent_us);
 	c->out = outbound_start(g, e, out, c->request->meta.request_id, &Callbacks_, c);
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -190,7 +190,7 @@
 	(void)c;
 	y->is_open = true;
 	y->server->opened++;
-	y->incarnation = bh__registry_note_start(g->registry, y->endpoint_id);
+	y->incarnation = bh__registry_note_start(g->registry, y->endpoint_id, clock_now_us());
 	links_note_connected(g->links, y->endpoint_id, clock_now_us() - y->began_us);
 	log_event("relay", "what=opened request=%s from=%s endpoint=%s", y->request_id,
 			  links_get_name(g->links, y->from_node), links_get_endpoint(g->links, y->endpoint_id));
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -128,13 +128,14 @@
 
 /* Records that a request is sent to an endpoint. Returns the endpoint's incarnation for
  * bh__registry_note_end(), or 0 if the endpoint is not in the table. */
-uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id)
+uint64_t bh__registry_note_start(BH__Registry *r, uint64_t endpoint_id, uint64_t now_us)
 {
 	BH__RegisteredEndpoint *e = bh__registry_find(r, endpoint_id);
 
 	if (!e)
 		return 0;
-	e->in_flight++;
+	if (!e->in_flight++)
+		e->in_use_since_us = now_us;
 	return e->incarnation;
 }
 
--- a/src/libbayhoist/silent_dispatch.c
+++ b/src/libbayhoist/silent_dispatch.c
@@ -16,7 +16,8 @@
 /* Collects what the requests of this node show about endpoint `e`, whose dispatch last went on at
  * `received_us` and may be silent for `max_wait_us`. Another endpoint counts as heard if it was for half of
  * that longer than `e`: whatever silences all does so at one moment, but each was last heard up to one event
- * earlier. */
+ * earlier. It counts as silent if it was not, and has had requests for as long: one that was sent just now,
+ * perhaps from `e`, can't have been answered. */
 void bh__silence_evidence_collect(BH__SilenceEvidence *out, const BH__Registry *registry,
 								  const BH__RegisteredEndpoint *e, uint64_t received_us, uint64_t max_wait_us,
 								  uint64_t now_us)
@@ -31,7 +32,7 @@
 			continue;
 		if (other->silence.heard_us > heard_us + max_wait_us / 2)
 			out->heard++;
-		else if (other->in_flight)
+		else if (other->in_flight && now_us >= other->in_use_since_us + max_wait_us / 2)
 			out->silent++;
 	}
 }
--- a/src/test_libbayhoist/test_gateway.c
+++ b/src/test_libbayhoist/test_gateway.c
@@ -248,8 +248,8 @@
 	e.draining = true;
 	old = e;
 	put_(r, &e, 1);
-	incarnation = bh__registry_note_start(r, id);
-	bh__registry_note_start(r, id);
+	incarnation = bh__registry_note_start(r, id, 10);
+	bh__registry_note_start(r, id, 10);
 	for (int i = 0; i < 5; i++)
 		bh__registry_note_end(r, id, incarnation, BH__ENDPOINT_OUTCOME_FAILED, 10);
 	e.born_ms = 2000;
@@ -260,7 +260,7 @@
 	assert_int_equal(known->in_flight, 0);
 	assert_int_equal(known->failures, 0);
 	assert_int_equal(known->ejected_until_us, 0);
-	bh__registry_note_start(r, id);
+	bh__registry_note_start(r, id, 12);
 	bh__registry_note_end(r, id, incarnation, BH__ENDPOINT_OUTCOME_FAILED,
 						  12); /* of a request that died with the old one */
 	assert_int_equal(known->in_flight, 1);
@@ -281,7 +281,7 @@
 	(void)state;
 	put_(r, &a, 1);
 	put_(r, &b, 2);
-	bh__registry_note_start(r, first);
+	bh__registry_note_start(r, first, 1);
 	assert_true(bh__registry_pick(r, "s", "h1", NULL, 0, false, 1)->endpoint_id == second);
 	assert_true(bh__registry_pick(r, "s", "h1", &second, 1, false, 1)->endpoint_id == first);
 	assert_null(bh__registry_pick(r, "t", "h1", NULL, 0, false, 1));
--- a/src/test_libbayhoist/test_last_endpoints.c
+++ b/src/test_libbayhoist/test_last_endpoints.c
@@ -167,13 +167,13 @@
 	uint64_t life;
 
 	(void)state;
-	life = bh__registry_note_start(r, id[1]);
+	life = bh__registry_note_start(r, id[1], READ_US);
 	bh__registry_note_end(r, id[1], life, BH__ENDPOINT_OUTCOME_FAILED, READ_US);
 	remove_(r, 1, 10, LEARNED_US);
 	bh__registry_put_hall(r, "a", true, version_at_(11), LEARNED_US);
 	assert_string_equal(pick_(r, LEARNED_US), "i-0");
 	for (unsigned i = 0; i < 2; i++) {
-		life = bh__registry_note_start(r, id[0]);
+		life = bh__registry_note_start(r, id[0], LEARNED_US);
 		bh__registry_note_end(r, id[0], life, BH__ENDPOINT_OUTCOME_FAILED, LEARNED_US);
 	}
 	assert_string_equal(pick_(r, LEARNED_US), "none");
--- a/src/test_libbayhoist/test_signal_relay.c
+++ b/src/test_libbayhoist/test_signal_relay.c
@@ -383,7 +383,7 @@
 
 	for (guint i = 0; i < requests->len; i++)
 		running += g_array_index(requests, RunningRequest, i).endpoint == index;
-	w.incarnation = bh__registry_note_start(self->registry, e->endpoint_id);
+	w.incarnation = bh__registry_note_start(self->registry, e->endpoint_id, f->now_us);
 	w.end_us = f->now_us + LOAD_SERVICE_TIME_US * MAX(running / LOAD_SLOTS, 1u);
 	if ((rejects_all && index == 0) || running >= LOAD_SLOTS + LOAD_QUEUE) {
 		bh__registry_note_end(self->registry, e->endpoint_id, w.incarnation, BH__ENDPOINT_OUTCOME_REFUSED,
--- a/src/test_libbayhoist/test_silence.c
+++ b/src/test_libbayhoist/test_silence.c
@@ -141,7 +141,7 @@
 	assert_non_null(e); /* none is refused while two others serve */
 	while (id_(q.endpoint) != e->endpoint_id)
 		q.endpoint++;
-	bh__registry_note_start(node_(f, q.node)->registry, e->endpoint_id);
+	bh__registry_note_start(node_(f, q.node)->registry, e->endpoint_id, f->now_us);
 	g_array_append_val(open, q);
 }
 
--- a/src/test_libbayhoist/test_silent_dispatch.c
+++ b/src/test_libbayhoist/test_silent_dispatch.c
@@ -41,6 +41,7 @@
 	unsigned silent_ms;
 	unsigned later_ms; /* by which each engine is heard later than the one before, after the silence */
 	bool engine_answers_report; /* the silent ones live, behind connections that are dead */
+	bool uses_first_only;       /* all streams are at the first engine, and the others are idle */
 } Case;
 
 typedef struct {
@@ -77,12 +78,12 @@
 	for (unsigned i = 0; i < c->streams; i++) {
 		Stream *s = &r->stream[i];
 		s->node = i % c->nodes;
-		s->engine = (i / c->nodes + i) % c->engines;
+		s->engine = c->uses_first_only ? 0 : (i / c->nodes + i) % c->engines;
 		s->phase_ms = i * 7 % GAP_MS / STEP_MS * STEP_MS;
 		bh__retry_state_init(&s->retry, &rule, STREAM_MS * BH__MS_US * 2);
 		s->retry.answer_begun = true;
 		s->retry.may_have_run = true;
-		bh__registry_note_start(r->registry[s->node], r->engine_id[s->engine]);
+		bh__registry_note_start(r->registry[s->node], r->engine_id[s->engine], 0);
 	}
 }
 
@@ -134,7 +135,7 @@
 	s->engine = c->engines - 1;
 	s->received_us = now_us;
 	s->silence = (BH__SilentDispatch){0};
-	bh__registry_note_start(r->registry[s->node], r->engine_id[s->engine]);
+	bh__registry_note_start(r->registry[s->node], r->engine_id[s->engine], now_us);
 	s->replaced_ms = now_ms - SILENT_FROM_MS;
 	r->first_ms = r->replaced++ ? MIN(r->first_ms, s->replaced_ms) : s->replaced_ms;
 	r->last_ms = MAX(r->last_ms, s->replaced_ms);
@@ -229,6 +230,27 @@
 	delete_(r, &c);
 }
 
+/* Streams that are all at a dead engine go on at an idle one. That has sent nothing yet when the next of them
+ * is looked at, which does not show that it is silent as well. */
+static void test_a_dead_engine_beside_idle_ones_is_left_after_its_wait(void **state)
+{
+	static const unsigned Streams[] = {2, 4, 12};
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(Streams); i++) {
+		Case c = {.nodes = 1,
+				  .engines = 3,
+				  .streams = Streams[i],
+				  .silent_engines = 1,
+				  .silent_ms = STREAM_MS,
+				  .uses_first_only = true};
+		Run *r = play_(&c);
+		assert_int_equal(r->replaced, Streams[i]);
+		assert_true(r->last_ms <= 1700);
+		delete_(r, &c);
+	}
+}
+
 /* Connections that are dead while their engines live: all are silent, and each answers a new one. */
 static void test_streams_on_dead_connections_go_on_after_their_wait(void **state)
 {
@@ -305,6 +327,7 @@
 		cmocka_unit_test(test_none_is_given_up_while_all_engines_are_silent),
 		cmocka_unit_test(test_none_is_given_up_as_engines_come_back_one_by_one),
 		cmocka_unit_test(test_a_dead_engine_is_left_after_its_wait),
+		cmocka_unit_test(test_a_dead_engine_beside_idle_ones_is_left_after_its_wait),
 		cmocka_unit_test(test_streams_on_dead_connections_go_on_after_their_wait),
 		cmocka_unit_test(test_decisions),
 		cmocka_unit_test(test_an_unused_retry_is_returned),
