An engine is looked at again after its caller has caught up

What callers saw: an engine that falls silent for good after an event of 128 kB, or one that a slow caller did not take at once, is never left: the stream ends broken off with its time. Cause: reading pauses with such an event, and the call's timer is set to the end of the request's time; when the caller has caught up reading goes on, and nothing set the timer again before the next event, which did not come. Change: call_on_drained() sets it.

--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -556,7 +556,8 @@
 		a->first_id[0] ? a->events.last_id : "", a->dispatch_bytes, cause);
 }
 
-/* Resumes reading from the endpoint once the caller has taken the data that was queued for it. */
+/* Resumes reading from the endpoint once the caller has taken the data that was queued for it. From then on
+ * the endpoint may be silent again for no longer than others. */
 void call_on_drained(Call *c)
 {
 	if (!c->paused || !c->out)
@@ -566,4 +567,5 @@
 	if (c->received_us >= c->paused_us + UNREAD_MS * BH__MS_US)
 		c->unread_until_us = c->received_us + UNREAD_CUT_MS * BH__MS_US;
 	outbound_pause(c->out, false);
+	call_set_timer(c, c->received_us);
 }
