What goes through a node for a peer shows that its engine goes on

What callers saw: where all requests of a node are at an engine that is dead, and the node also relays a peer's request to another engine, its streams are not left for that other one as long as the relayed request runs. Cause: a relayed request counts as one that this node has at the engine, but what came of its answer was not noted as heard. So the engine counted as being as silent as the dead one. Change: the relay notes it.

--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -51,6 +51,7 @@
 static void on_closed_(void *ctx);
 static void on_open_(void *ctx, Channel *c);
 static void on_data_(void *ctx, Channel *c, struct evbuffer *data);
+static void note_heard_(const Relay *y);
 static void read_head_(Relay *y, struct evbuffer *data);
 static void on_channel_drained_(void *ctx, Channel *c);
 static void on_channel_end_(void *ctx, Channel *c, ChannelEnd end);
@@ -202,6 +203,7 @@
 {
 	Relay *y = ctx;
 
+	note_heard_(y);
 	if (!y->has_head)
 		read_head_(y, data);
 	y->bytes_out += evbuffer_get_length(data);
@@ -214,6 +216,17 @@
 	}
 }
 
+/* Records that the endpoint goes on with its requests: those of peers count as this node's own when it is
+ * compared with one that is silent. */
+static void note_heard_(const Relay *y)
+{
+	const Gate *g = y->server->gate;
+	BH__RegisteredEndpoint *e = bh__registry_find(g->registry, y->endpoint_id);
+
+	if (e && e->incarnation == y->incarnation)
+		bh__signal_relay_note_heard(g->signal_relay, e, clock_now_us());
+}
+
 /* Parses a copy of the first bytes of the answer, up to the end of its head; nothing here needs the body. */
 static void read_head_(Relay *y, struct evbuffer *data)
 {
