--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -75,7 +75,7 @@
 	evbuffer_drain(c->body, evbuffer_get_length(c->body));
 	write_request_(c, e, out);
 	g->counters.dispatches++;
-	c->endpoint_incarnation = bh__registry_note_start(g->registry, endpoint_id);
+	c->endpoint_incarnation = bh__registry_note_start(g->registry, endpoint_id, c->sent_us);
 	log_dispatch_(c, e);
 	last_endpoints_note_dispatch(g, e, c->sent_us);
 	c->out = outbound_start(g, e, out, c->request->meta.request_id, &Callbacks_, c);
@@ -556,7 +556,8 @@
 		a->first_id[0] ? a->events.last_id : "", a->dispatch_bytes, cause);
 }
 
-/* Resumes reading from the endpoint once the caller has taken the data that was queued for it. */
+/* Resumes reading from the endpoint once the caller has taken the data that was queued for it. From then on
+ * the endpoint may be silent again for no longer than others. */
 void call_on_drained(Call *c)
 {
 	if (!c->paused || !c->out)
@@ -566,4 +567,5 @@
 	if (c->received_us >= c->paused_us + UNREAD_MS * BH__MS_US)
 		c->unread_until_us = c->received_us + UNREAD_CUT_MS * BH__MS_US;
 	outbound_pause(c->out, false);
+	call_set_timer(c, c->received_us);
 }
