An answer that names another request says nothing of this one, "not run" least of all

Cause: the head of an answer was asked whether the request had run before it was asked whose answer it is. Change: the library compares the ids and decides by them first. Another request's answer breaks its dispatch: the request may have run, is not repeated if it may run only once, and its caller gets 502; what may be repeated goes on at another endpoint. Refusals that name this request, or none, stay. The whole suite and arm64 were not run.

--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -40,7 +40,6 @@
 static void report_crash_(Call *c, BH__DispatchEnd end, uint64_t at_fault);
 static void decide_(Call *c);
 static void decide_end_(Call *c, BH__DispatchEnd end);
-static bool is_own_(const Call *c);
 static void forward_plain_(Call *c);
 static void forward_events_(Call *c, uint64_t now_us);
 static void check_event_size_(Call *c, size_t len);
@@ -294,12 +293,12 @@
 	const AnswerMeta *m = &c->head.meta;
 	BH__AnswerHead head = {.status = c->head.status,
 						   .not_run = m->not_run || c->gate->port->status_says_not_run(c->head.status),
-						   .is_own = is_own_(c),
-						   .is_proven = m->has_mac && m->request_id[0],
 						   .is_event_stream = c->head.is_event_stream,
 						   .is_encoded = c->head.is_encoded};
-	BH__HeadVerdict verdict = bh__answer_assembly_process_head(&c->answer, &head);
+	BH__HeadVerdict verdict;
 
+	bh__answer_head_set_origin(&head, c->request->meta.request_id, m->request_id, m->has_mac);
+	verdict = bh__answer_assembly_process_head(&c->answer, &head);
 	if (verdict.body != BH__ANSWER_BODY_UNUSED)
 		return;
 	decide_end_(c, verdict.end);
@@ -317,14 +316,6 @@
 	outbound_end_after_read(c->out);
 }
 
-/* Returns true unless the answer names another request. */
-static bool is_own_(const Call *c)
-{
-	const char *id = c->head.meta.request_id;
-
-	return !id[0] || !strcmp(id, c->request->meta.request_id);
-}
-
 /* Returns true if the current dispatch's answer is a stream that is forwarded event by event. */
 bool call_is_streaming(const Call *c)
 {
--- a/src/libbayhoist/answer_assembly.c
+++ b/src/libbayhoist/answer_assembly.c
@@ -12,6 +12,15 @@
 static bool is_stream_(const BH__AnswerAssembly *a, const BH__AnswerHead *head);
 static BH__EventState process_first_(BH__AnswerAssembly *a, const char *data, size_t len, size_t *event_len);
 
+/* Sets whose answer it is that names `named_id`, which is empty if it names none, for the request
+ * `request_id`. `has_proof`: it proves that an endpoint gave it. */
+void bh__answer_head_set_origin(BH__AnswerHead *head, const char *request_id, const char *named_id,
+								bool has_proof)
+{
+	head->is_own = !named_id[0] || !strcmp(named_id, request_id);
+	head->is_proven = has_proof && named_id[0];
+}
+
 /* Initializes the answer of a new request. `streams`: the request's route answers in event streams, and its
  * method allows a body. */
 void bh__answer_assembly_init(BH__AnswerAssembly *a, bool streams)
@@ -30,16 +39,19 @@
 	a->comment_bytes = 0;
 }
 
-/* Decides what becomes of the answer of the current dispatch. Without a proof that an endpoint gave it, a
- * success is no answer. */
+/* Decides what becomes of the answer of the current dispatch. Whose answer it is comes first: one that names
+ * another request says nothing of this one, which may have run. Then a refusal counts, whatever its status.
+ * Without a proof that an endpoint gave it, a success is no answer. */
 BH__HeadVerdict bh__answer_assembly_process_head(BH__AnswerAssembly *a, const BH__AnswerHead *head)
 {
 	BH__HeadVerdict verdict = {.body = BH__ANSWER_BODY_UNUSED};
 	bool is_success = head->status / 100 == 2;
 
-	if (head->not_run)
+	if (!head->is_own)
+		verdict.end = BH__DISPATCH_BROKEN;
+	else if (head->not_run)
 		verdict.end = BH__DISPATCH_REFUSED;
-	else if (!head->is_own || (is_success && !head->is_proven))
+	else if (is_success && !head->is_proven)
 		verdict.end = BH__DISPATCH_BROKEN;
 	else if (is_stream_(a, head))
 		verdict.body = BH__ANSWER_BODY_EVENTS;
--- a/src/test_libbayhoist/test_answer_assembly.c
+++ b/src/test_libbayhoist/test_answer_assembly.c
@@ -99,6 +99,7 @@
 	{"500 as a stream", {.status = 500, .is_own = true, .is_proven = true, .is_event_stream = true}},
 	{"500 without a proof", {.status = 500, .is_own = true}},
 	{"500 to another request", {.status = 500, .is_proven = true}},
+	{"503 to another request", {.status = 503, .is_proven = true}},
 	{"503", {.status = 503, .is_own = true, .is_proven = true}},
 	{"504", {.status = 504, .is_own = true, .is_proven = true}},
 };
@@ -150,6 +151,105 @@
 	}
 }
 
+/* Which request an answer names. */
+typedef enum { NAMES_OWN, NAMES_OTHER, NAMES_NONE, NAMES_COUNT } Named;
+
+static const char *const Ids_[NAMES_COUNT] = {"attempt-7", "attempt-6", ""};
+
+/* What becomes of a request by the head of its first answer: how the body is used, how the dispatch ends if
+ * the body is not used, and what follows. */
+typedef struct {
+	BH__AnswerBody body;
+	BH__DispatchEnd end;
+	BH__NextAction once;       /* next action, of a request that may run only once and has a dispatch left */
+	BH__NextAction repeatable; /* of one that may be repeated, with a dispatch left */
+	BH__NextAction without_more; /* of either, with none left */
+} Becomes;
+
+static const Becomes Broken_ = {BH__ANSWER_BODY_UNUSED, BH__DISPATCH_BROKEN, BH__NEXT_ACTION_FAIL,
+								BH__NEXT_ACTION_SEND, BH__NEXT_ACTION_FAIL};
+static const Becomes Refusal_ = {BH__ANSWER_BODY_UNUSED, BH__DISPATCH_REFUSED, BH__NEXT_ACTION_SEND,
+								 BH__NEXT_ACTION_SEND, BH__NEXT_ACTION_REFUSE};
+static const Becomes Plain_ = {BH__ANSWER_BODY_PLAIN, BH__DISPATCH_ANSWERED, BH__NEXT_ACTION_DONE,
+							   BH__NEXT_ACTION_DONE, BH__NEXT_ACTION_DONE};
+static const Becomes Failure_ = {BH__ANSWER_BODY_FAILURE, BH__DISPATCH_FAILED, BH__NEXT_ACTION_PASS_THROUGH,
+								 BH__NEXT_ACTION_SEND, BH__NEXT_ACTION_PASS_THROUGH};
+
+/* Returns what is wanted of an answer: whose it is comes first, then what it says of the request, and its
+ * status last. */
+static const Becomes *wanted_(Named named, int status, bool not_run, bool has_proof)
+{
+	if (named == NAMES_OTHER)
+		return &Broken_;
+	if (not_run)
+		return &Refusal_;
+	if (status / 100 == 2)
+		return named == NAMES_OWN && has_proof ? &Plain_ : &Broken_;
+	return status >= 500 ? &Failure_ : &Plain_;
+}
+
+/* Returns the next action after a request's only dispatch so far was answered by `head`. */
+static BH__NextAction follow_(const BH__AnswerHead *head, BH__RetryMode mode, uint32_t max_attempts)
+{
+	BH__RouteRule rule = {.retry_mode = mode, .max_attempts = max_attempts};
+	Play p = {0};
+
+	bh__answer_assembly_init(&p.answer, false);
+	bh__retry_state_init(&p.retry, &rule, DEADLINE_US);
+	bh__service_retry_budget_init(&p.budget, 0.2, 100);
+	return dispatch_(&p, head, "", BH__TRANSFER_COMPLETE);
+}
+
+/* Guards against an answer to another request that is believed in what it says of this one: that it did not
+ * run, above all, after which it would run twice, or its caller be told that it never will. */
+static void whose_an_answer_is_comes_first_(void **state)
+{
+	static const int Statuses[] = {200, 204, 400, 404, 408, 421, 429, 500, 502, 503, 504};
+
+	(void)state;
+	for (size_t i = 0; i < NAMES_COUNT * G_N_ELEMENTS(Statuses) * 4; i++) {
+		Named named = (Named)(i % NAMES_COUNT);
+		bool not_run = i / NAMES_COUNT % 2;
+		bool has_proof = i / NAMES_COUNT / 2 % 2;
+		int status = Statuses[i / NAMES_COUNT / 4];
+		const Becomes *wanted = wanted_(named, status, not_run, has_proof);
+		BH__AnswerHead head = {.status = status, .not_run = not_run};
+		BH__AnswerAssembly a;
+		BH__HeadVerdict verdict;
+
+		bh__answer_head_set_origin(&head, Ids_[NAMES_OWN], Ids_[named], has_proof);
+		bh__answer_assembly_init(&a, false);
+		bh__answer_assembly_process_dispatch(&a);
+		verdict = bh__answer_assembly_process_head(&a, &head);
+		assert_int_equal(verdict.body, wanted->body);
+		if (verdict.body == BH__ANSWER_BODY_UNUSED)
+			assert_int_equal(verdict.end, wanted->end);
+		assert_int_equal(follow_(&head, BH__RETRY_MODE_NEVER, 2), wanted->once);
+		assert_int_equal(follow_(&head, BH__RETRY_MODE_FREELY, 2), wanted->repeatable);
+		assert_int_equal(follow_(&head, BH__RETRY_MODE_NEVER, 1), wanted->without_more);
+		assert_int_equal(follow_(&head, BH__RETRY_MODE_FREELY, 1), wanted->without_more);
+	}
+}
+
+/* A dispatch that another request's answer ended may have run: a refusal by the next endpoint does not take
+ * that back. */
+static void a_refusal_after_anothers_answer_promises_nothing_(void **state)
+{
+	BH__AnswerHead foreign = {.status = 503, .not_run = true};
+	BH__AnswerHead refusal = foreign;
+	BH__RouteRule rule = {.retry_mode = BH__RETRY_MODE_FREELY, .max_attempts = 2};
+	Play p = {0};
+
+	(void)state;
+	bh__answer_head_set_origin(&foreign, Ids_[NAMES_OWN], Ids_[NAMES_OTHER], true);
+	bh__answer_head_set_origin(&refusal, Ids_[NAMES_OWN], Ids_[NAMES_OWN], true);
+	bh__answer_assembly_init(&p.answer, false);
+	bh__retry_state_init(&p.retry, &rule, DEADLINE_US);
+	bh__service_retry_budget_init(&p.budget, 0.2, 100);
+	assert_int_equal(dispatch_(&p, &foreign, "", BH__TRANSFER_COMPLETE), BH__NEXT_ACTION_SEND);
+	assert_int_equal(dispatch_(&p, &refusal, "", BH__TRANSFER_COMPLETE), BH__NEXT_ACTION_FAIL);
+}
+
 /* Every beginning of a stream that does not go on after event 3, in a dispatch that was to. */
 static const struct {
 	const char *what;
@@ -296,6 +396,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(only_a_stream_continues_a_stream_),
 		cmocka_unit_test(the_first_answer_is_handed_on_),
+		cmocka_unit_test(whose_an_answer_is_comes_first_),
+		cmocka_unit_test(a_refusal_after_anothers_answer_promises_nothing_),
 		cmocka_unit_test(a_resumed_stream_is_whole_),
 		cmocka_unit_test(only_what_goes_on_continues_a_stream_),
 		cmocka_unit_test(what_goes_on_is_taken_),
--- a/test/platform/fake_answers.c
+++ b/test/platform/fake_answers.c
@@ -18,6 +18,10 @@
 #define STREAM_ "Content-Type: text/event-stream\r\n"
 #define CHUNKED_ "Transfer-Encoding: chunked\r\n"
 #define CLOSE_ "Connection: close\r\n"
+#define OTHER_ "X-Attempt-Id: earlier\r\n" /* names another request than the one that is answered */
+#define PROOF_ "X-Replica-Signature: stand-in\r\n"
+#define NOT_RUN_ "X-Not-Executed: 1\r\n"
+#define EMPTY_ "Content-Length: 0\r\n\r\n"
 
 /* One kind of answer. In `head` and `body` "%u" stands for the id of the event that is due. */
 typedef struct {
@@ -63,6 +67,18 @@
 	 600000},
 	{"first-plain", OK_, true, "Content-Type: text/plain\r\nContent-Length: 1000000\r\n\r\n", "",
 	 "plain text\n", 600000},
+	{"other-503", "HTTP/1.1 503 Busy\r\n", false, OTHER_ NOT_RUN_ "Retry-After: 0.1\r\n" EMPTY_, "", NULL, 0},
+	{"other-503-proof", "HTTP/1.1 503 Busy\r\n", false, OTHER_ PROOF_ NOT_RUN_ EMPTY_, "", NULL, 0},
+	{"other-503-run", "HTTP/1.1 503 Busy\r\n", false, OTHER_ PROOF_ EMPTY_, "", NULL, 0},
+	{"other-429", "HTTP/1.1 429 Slow\r\n", false, OTHER_ NOT_RUN_ EMPTY_, "", NULL, 0},
+	{"other-421", "HTTP/1.1 421 Misdirected\r\n", false, OTHER_ NOT_RUN_ EMPTY_, "", NULL, 0},
+	{"other-421-bare", "HTTP/1.1 421 Misdirected\r\n", false, OTHER_ EMPTY_, "", NULL, 0},
+	{"other-408", "HTTP/1.1 408 Late\r\n", false, OTHER_ NOT_RUN_ EMPTY_, "", NULL, 0},
+	{"other-400", "HTTP/1.1 400 Bad\r\n", false, OTHER_ NOT_RUN_ EMPTY_, "", NULL, 0},
+	{"other-500", "HTTP/1.1 500 Broken\r\n", false, OTHER_ PROOF_ EMPTY_, "", NULL, 0},
+	{"other-200", OK_, false, OTHER_ PROOF_ STREAM_ "Content-Length: 20\r\n\r\n", "id: %u\ndata: another\n",
+	 NULL, 0},
+	{"other-200-not-run", OK_, false, OTHER_ PROOF_ NOT_RUN_ EMPTY_, "", NULL, 0},
 	{"endless-status", "HTTP/1.1 200 ", false, NULL, "", "x", 0},
 	{"endless-name", OK_, false, NULL, "", "x", 0},
 	{"endless-value", OK_, false, NULL, "X-A: ", "x", 0},
