Endpoints that close in the middle of a head, as a test

Callers would see: nothing new. Looked for was a 200 with an empty or short body, framed as whole, when a replica stops in the middle of its answer's head and closes.

--- a/test/platform/fake_answers.c
+++ b/test/platform/fake_answers.c
@@ -9,6 +9,7 @@
 #include <event2/http_struct.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include "web.h"
 
 #define FILL_MS 5               /* between looks at how much of an endless answer was taken */
@@ -18,6 +19,7 @@
 #define STREAM_ "Content-Type: text/event-stream\r\n"
 #define CHUNKED_ "Transfer-Encoding: chunked\r\n"
 #define CLOSE_ "Connection: close\r\n"
+#define HINTS_ "HTTP/1.1 103 Early Hints\r\n"
 
 /* One kind of answer. In `head` and `body` "%u" stands for the id of the event that is due. */
 typedef struct {
@@ -80,6 +82,38 @@
 	{"endless-lines", OK_, true, STREAM_ CLOSE_ "\r\n", "", "data: x\n", 0},
 	{"endless-comments", OK_, true, STREAM_ CLOSE_ "\r\n", "", ": x\n\n", 0},
 	{"endless-body", OK_, true, "Content-Type: text/plain\r\n" CLOSE_ "\r\n", "", "plain text\n", 0},
+	{"cut-nothing", "", false, NULL, "", NULL, 0},
+	{"cut-version", "HTTP/1.", false, NULL, "", NULL, 0},
+	{"cut-status", "HTTP/1.1 20", false, NULL, "", NULL, 0},
+	{"cut-code", "HTTP/1.1 200", false, NULL, "", NULL, 0},
+	{"cut-reason", "HTTP/1.1 200 O", false, NULL, "", NULL, 0},
+	{"cut-line", OK_, false, NULL, "", NULL, 0},
+	{"cut-half-line", "HTTP/1.1 200 OK\r", false, NULL, "", NULL, 0},
+	{"cut-name", OK_, true, NULL, "Content-Ty", NULL, 0},
+	{"cut-colon", OK_, true, NULL, "Content-Type:", NULL, 0},
+	{"cut-value", OK_, true, NULL, "Content-Type: text/event-str", NULL, 0},
+	{"cut-half-value", OK_, true, NULL, "Content-Type: text/event-stream\r", NULL, 0},
+	{"cut-plain", OK_, true, NULL, "Content-Type: text/plain\r\n", NULL, 0},
+	{"cut-last", OK_, true, NULL, STREAM_, NULL, 0},
+	{"cut-half-last", OK_, true, NULL, STREAM_ "\r", NULL, 0},
+	{"cut-close", OK_, true, NULL, STREAM_ CLOSE_, NULL, 0},
+	{"cut-length", OK_, true, NULL, "Content-Type: text/plain\r\nContent-Length: 6\r\n", NULL, 0},
+	{"cut-in-length", OK_, true, NULL, "Content-Type: text/plain\r\nContent-Length: 6", NULL, 0},
+	{"cut-no-length", OK_, true, NULL, "Content-Type: text/plain\r\nContent-Length: 0\r\n", NULL, 0},
+	{"cut-chunked", OK_, true, NULL, STREAM_ CHUNKED_, NULL, 0},
+	{"cut-204", "HTTP/1.1 204 Nothing\r\n", true, NULL, "", NULL, 0},
+	{"cut-304", "HTTP/1.1 304 Same\r\n", true, NULL, "", NULL, 0},
+	{"cut-500", "HTTP/1.1 500 Broken\r\n", true, NULL, "Content-Length: 0\r\n", NULL, 0},
+	{"cut-not-run", "HTTP/1.1 503 Busy\r\n", true, NULL, "X-Not-Executed: 1\r\n", NULL, 0},
+	{"cut-interim", HINTS_, false, NULL, "Link: x", NULL, 0},
+	{"cut-interim-last", HINTS_, false, NULL, "Link: x\r\n", NULL, 0},
+	{"cut-after-interim", HINTS_, false, "\r\n", "", NULL, 0},
+	{"cut-after-100", "HTTP/1.1 100 Continue\r\n", false, "\r\n", "", NULL, 0},
+	{"cut-after-101", "HTTP/1.1 101 Other\r\n", false, "Connection: upgrade\r\nUpgrade: x\r\n\r\n", "", NULL,
+	 0},
+	{"cut-after-length", HINTS_, false, "Content-Length: 6\r\n\r\n", "", NULL, 0},
+	{"cut-second-line", HINTS_ "\r\n" OK_, false, NULL, "", NULL, 0},
+	{"cut-second-head", HINTS_ "\r\n" OK_, true, NULL, STREAM_ CHUNKED_, NULL, 0},
 	{NULL, NULL, false, NULL, NULL, NULL, 0},
 };
 
@@ -91,6 +125,7 @@
 	size_t len; /* of `repeated` */
 	bool is_slow;
 	bool is_silent; /* sends one of `repeated`, and nothing after that */
+	bool is_reset;  /* ends with a reset */
 	size_t next;    /* byte of a slow one that is due */
 	size_t left;    /* bytes after which the connection is closed; 0: no end */
 } Answer;
@@ -100,16 +135,19 @@
 static const Kind *find_(const char *kind);
 static void add_text_(struct evbuffer *out, const char *text, unsigned id);
 static void on_time_(evutil_socket_t fd, short what, void *arg);
+static void reset_(struct evhttp_connection *conn);
 static void on_closed_(struct evhttp_connection *conn, void *arg);
 
 /* Gives the answer of a kind, to a request whose caller has all events up to `after`. A kind that begins with
- * "slow-" is the same, byte by byte in what has no end, and one that begins with "stop-" falls silent there.
- * Returns false if there is none of this name. */
+ * "slow-" is the same, byte by byte in what has no end, one that begins with "stop-" falls silent there, and
+ * one that begins with "reset-" ends with a reset of the connection. Returns false if there is none of this
+ * name. */
 bool fake_answers_start(struct event_base *base, struct evhttp_request *req, const char *kind, unsigned after)
 {
 	bool is_slow = g_str_has_prefix(kind, "slow-");
 	bool is_silent = g_str_has_prefix(kind, "stop-");
-	const Kind *k = find_(is_slow || is_silent ? kind + strlen("slow-") : kind);
+	bool is_reset = g_str_has_prefix(kind, "reset-");
+	const Kind *k = find_(is_slow || is_silent || is_reset ? strchr(kind, '-') + 1 : kind);
 	const char *id = web_get_header(req, "X-Attempt-Id");
 	struct evhttp_connection *conn = evhttp_request_get_connection(req);
 	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
@@ -133,6 +171,7 @@
 	a->is_slow = is_slow;
 	a->left = k->repeated_max;
 	a->is_silent = is_silent;
+	a->is_reset = is_reset;
 	Open_++;
 	a->timer = evtimer_new(base, on_time_, a);
 	evhttp_connection_set_closecb(conn, on_closed_, a);
@@ -171,6 +210,8 @@
 	(void)fd;
 	(void)what;
 	if (!a->repeated && !evbuffer_get_length(out)) {
+		if (a->is_reset)
+			reset_(a->conn);
 		evhttp_connection_free(a->conn); /* which calls on_closed_() */
 		return;
 	}
@@ -194,6 +235,15 @@
 	evtimer_add(a->timer, &tv);
 }
 
+/* Has the connection end with a reset when it is closed. */
+static void reset_(struct evhttp_connection *conn)
+{
+	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+	evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn));
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 static void on_closed_(struct evhttp_connection *conn, void *arg)
 {
 	Answer *a = arg;
