bayhoistd takes no interim head for an answer

Callers saw, behind bayhoistd: status 103 and no answer, until their own time was up, when an endpoint sent an interim head (103) and closed behind it or within the final head; also for what might have been sent to another endpoint.

Cause: evhttp takes each 1xx head but 100 for the final one, and the call counted as answered with that status.

Change: such a head breaks the call off: it may have run, is sent again where that is allowed, and fails otherwise.

Left: an endpoint that sends a whole answer behind an interim head, 100 or 103, gets its caller a 502, since evhttp doesn't read on after either. Engines' streams were only read: they end as whole only with their last event under the attempt's own id.

--- a/src/bayhoistd/upstream.c
+++ b/src/bayhoistd/upstream.c
@@ -13,6 +13,7 @@
 #include "web.h"
 #include "web_call.h"
 
+#define STATUS_CONTINUE 100
 #define ANSWER_TIMEOUT_S 60 /* without a byte from the endpoint */
 #define CANCEL_TIMEOUT_S 5
 #define ERROR_TEXT_MAX 120
@@ -187,6 +188,8 @@
 	evbuffer_add_printf(out, ",\"stream\":true}");
 }
 
+/* Reads the head of an answer. Returns -1, which breaks the call off, for an interim head other than 100:
+ * evhttp takes it for the final one and reads no further. */
 static int on_head_(struct evhttp_request *req, void *arg)
 {
 	Upstream *u = arg;
@@ -194,6 +197,8 @@
 	const char *verdict = web_get_header(req, "X-Bayhoist-Verdict");
 
 	u->status = evhttp_request_get_response_code(req);
+	if (u->status / 100 == 1)
+		return u->status == STATUS_CONTINUE ? 0 : -1;
 	u->not_run = verdict && !strcmp(verdict, BH__VerdictString[BH__VERDICT_NOT_RUN]);
 	if (caller && u->call.kind == BH__CALL_SERVICE && !u->not_run)
 		caller_set_head(caller, u->status, web_get_header(req, "Content-Type"));
--- a/src/bh-fake-service/main.c
+++ b/src/bh-fake-service/main.c
@@ -1,14 +1,18 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* bh-fake-service: a small stand-in for a plain service beside the engines. It echoes what it was sent and
- * logs every call that it ran. Faults: POST /fault {"slow_ms": N, "fail_before": N, "cut_after": N}: refuse
- * the next N calls as not run, or run the next N and break the connection instead of answering. */
+ * logs every call that it ran. Faults: POST /fault {"slow_ms": N, "fail_before": N, "cut_after": N,
+ * "cut_head": N, "cut_interim": N}: refuse the next N calls as not run; run the next N and break the
+ * connection instead of answering; run the next one and close the connection behind N bytes of the answer's
+ * head, or of an interim one and that. */
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <getopt.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sysexits.h>
 #include <xxhash.h>
 #include "bayhoist/field.h"
@@ -17,11 +21,16 @@
 #include "version.h"
 #include "web.h"
 
+#define INTERIM_ "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+#define HEAD_ "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
+
 typedef struct {
 	struct event_base *base;
 	uint64_t slow_ms;
 	uint64_t fail_before;
 	uint64_t cut_after;
+	uint64_t cut_head;    /* bytes; 0: the head is whole */
+	uint64_t cut_interim; /* the same of an interim head and the final one */
 	uint64_t calls;
 } Service;
 
@@ -31,6 +40,17 @@
 	bool cut;
 } Call;
 
+/* Closes a call's connection behind so many bytes of its answer's head. They fit in the socket's buffer. */
+static void cut_head_(const Call *c, const char *head, size_t len)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(c->req);
+	evutil_socket_t fd = bufferevent_getfd(evhttp_connection_get_bufferevent(conn));
+
+	if (send(fd, head, MIN(len, strlen(head)), 0) < 0)
+		log_event("fault", "what=head-not-sent");
+	evhttp_connection_free(conn);
+}
+
 static void on_due_(evutil_socket_t fd, short what, void *arg)
 {
 	Call *c = arg;
@@ -40,6 +60,15 @@
 
 	(void)fd;
 	(void)what;
+	if (c->service->cut_head || c->service->cut_interim) {
+		if (c->service->cut_head)
+			cut_head_(c, HEAD_, c->service->cut_head);
+		else
+			cut_head_(c, INTERIM_ HEAD_, c->service->cut_interim);
+		c->service->cut_head = c->service->cut_interim = 0;
+		g_free(c);
+		return;
+	}
 	if (c->cut) {
 		evhttp_connection_free(evhttp_request_get_connection(c->req));
 		g_free(c);
@@ -68,6 +97,10 @@
 				s->fail_before = n;
 			else if (!strcmp(name, "cut_after"))
 				s->cut_after = n;
+			else if (!strcmp(name, "cut_head"))
+				s->cut_head = n;
+			else if (!strcmp(name, "cut_interim"))
+				s->cut_interim = n;
 			log_event("fault", "switch=%s value=%" G_GUINT64_FORMAT, name, n);
 		}
 	}
