--- a/test/platform/fake_answers.c
+++ b/test/platform/fake_answers.c
@@ -19,14 +19,11 @@
 #define STREAM_ "Content-Type: text/event-stream\r\n"
 #define CHUNKED_ "Transfer-Encoding: chunked\r\n"
 #define CLOSE_ "Connection: close\r\n"
-<<<<<<< HEAD
 #define OTHER_ "X-Attempt-Id: earlier\r\n" /* names another request than the one that is answered */
 #define PROOF_ "X-Replica-Signature: stand-in\r\n"
 #define NOT_RUN_ "X-Not-Executed: 1\r\n"
 #define EMPTY_ "Content-Length: 0\r\n\r\n"
-=======
 #define HINTS_ "HTTP/1.1 103 Early Hints\r\n"
->>>>>>> 23e66f23a1de81afe1282f68f4b3f0729c90f2c9
 
 /* One kind of answer. In `head` and `body` "%u" stands for the id of the event that is due. */
 typedef struct {
