The retry of a search is the next dispatch's, without a return in between

What callers would see: a stream whose silent engine is left for one that has been granted, and that is broken off then, since the retry which was taken for the search went back to the budget and could not be taken again: nodes that came meanwhile have made its maximum smaller than one (14 of them with the default burst become 15). Change: the call keeps the retry when it has the grant; the end of the dispatch does not charge it again. Measured (test_a_retry_taken_for_a_search_is_used_whatever_nodes_come): broken off before, resumed now.

--- a/include/bayhoist/retry_state.h
+++ b/include/bayhoist/retry_state.h
@@ -76,6 +76,7 @@
 	bool may_have_run;     /* an endpoint may have run the request */
 	bool answer_begun;     /* the caller has received the head of an answer */
 	bool not_resumable;    /* no other dispatch can continue that answer */
+	bool has_retry;        /* the retry for the next dispatch has been taken from the budget already */
 	BH__NoRetry no_retry;  /* why the last dispatch that ended is not followed by another */
 	unsigned tried_count;
 	uint64_t tried[BH__TRIED_MAX]; /* endpoints not to be used again */
--- a/src/bayhoist-gate/call_ask.c
+++ b/src/bayhoist-gate/call_ask.c
@@ -148,16 +148,19 @@
 }
 
 /* Processes the grant for the dispatch that is to follow a silent one: ends that one, after which the grant
- * is used. Keeps it, and returns the grant, if the request can't go on there. May free the call. */
+ * and the retry that was taken are used. Keeps it, and returns the grant, if the request can't go on there.
+ * May free the call. */
 void call_use_replacement(Call *c)
 {
-	bool may_replace = may_replace_(c, clock_now_us());
-
-	call_stop_replacing(c);
-	if (may_replace)
+	if (may_replace_(c, clock_now_us())) {
+		c->is_replacing = false;
+		c->retry.has_retry = true;
 		dispatch_end(c, BH__DISPATCH_UNRESPONSIVE);
-	else
+	}
+	else {
+		call_stop_replacing(c);
 		cluster_release_next(c->gate->cluster, c);
+	}
 }
 
 /* Returns true if the grant for the next dispatch can be used. Memory that must be reserved first may be
--- a/src/libbayhoist/retry_state.c
+++ b/src/libbayhoist/retry_state.c
@@ -130,7 +130,7 @@
 }
 
 /* Records how a dispatch ended and returns the next action. A retry is charged to `budget` unless no dispatch
- * has reached an endpoint so far, since nothing has arrived then. */
+ * has reached an endpoint so far, since nothing has arrived then, or it has been charged already. */
 BH__NextAction bh__retry_state_process_end(BH__RetryState *state, BH__DispatchEnd end,
 										   BH__ServiceRetryBudget *budget, uint64_t now_us)
 {
@@ -145,8 +145,9 @@
 		state->may_have_run = true;
 	state->no_retry = end == BH__DISPATCH_STOPPED ? BH__NO_RETRY_STOPPED : find_obstacle_(state, now_us);
 	if (state->no_retry == BH__NO_RETRY_NONE && (end != BH__DISPATCH_UNREACHABLE || state->dispatches > 0) &&
-		!bh__service_retry_budget_take(budget))
+		!state->has_retry && !bh__service_retry_budget_take(budget))
 		state->no_retry = BH__NO_RETRY_BUDGET;
+	state->has_retry = false;
 	return state->no_retry == BH__NO_RETRY_NONE ? dispatch_again_(state) : abandon_(state, end);
 }
 
--- a/src/test_libbayhoist/test_silent_dispatch.c
+++ b/src/test_libbayhoist/test_silent_dispatch.c
@@ -321,6 +321,27 @@
 	assert_false(bh__service_retry_budget_take(&budget));
 }
 
+/* A retry that was taken for a search is the dispatch's when an engine has been granted, also if nodes that
+ * came meanwhile have made the budget's maximum smaller than one. */
+static void test_a_retry_taken_for_a_search_is_used_whatever_nodes_come(void **state)
+{
+	BH__RouteRule rule = {.retry_mode = BH__RETRY_MODE_RESUME, .max_attempts = 2};
+	BH__ServiceRetryBudget budget;
+	BH__RetryState retry;
+
+	(void)state;
+	bh__service_retry_budget_init(&budget, 0.1, BURST);
+	bh__service_retry_budget_set_nodes(&budget, BURST, 13);
+	bh__retry_state_init(&retry, &rule, STREAM_MS * BH__MS_US);
+	retry.answer_begun = true;
+	assert_true(bh__service_retry_budget_take(&budget));
+	bh__service_retry_budget_set_nodes(&budget, BURST, 15);
+	retry.has_retry = true;
+	assert_int_equal(bh__retry_state_process_end(&retry, BH__DISPATCH_UNRESPONSIVE, &budget, 1),
+					 BH__NEXT_ACTION_RESUME);
+	assert_int_equal(budget.spent, 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -331,6 +352,7 @@
 		cmocka_unit_test(test_streams_on_dead_connections_go_on_after_their_wait),
 		cmocka_unit_test(test_decisions),
 		cmocka_unit_test(test_an_unused_retry_is_returned),
+		cmocka_unit_test(test_a_retry_taken_for_a_search_is_used_whatever_nodes_come),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
