An endpoint that turns cold in use is noticed in time, and what it got before counts

Cause: that it is cold stands in its entry alone, which the reader looks at each quarter of the drain time (0.75 s there); until then it got what it gets when warm (8 to 24 requests in a tenth of a second by the record), and that did not count against the second. Change: each node estimates from its own requests what all send to an endpoint (endpoint_demand.c). While that is more than a cold endpoint bears, the reader looks in the time in which one gets a second's worth, at most ten times a second; a limit on an endpoint that was in use begins in debt for what it is estimated to have had. Where an endpoint gets less than it bears when cold the looks stay as they were. Evidence: test_cold, becoming_cold_in_use_is_noticed_in_time_ (80 a second to each endpoint, 44 allowed; 9 and 85 nodes, 3 and 30 endpoints, one, a third and all cold): 70 to 85 in the worst second with both parts switched off, at most 36 now. usual_demand_costs_no_reads_: 2 and 20 a second, up to 300 nodes.

--- a/include/bayhoist/endpoint_rate.h
+++ b/include/bayhoist/endpoint_rate.h
@@ -22,6 +22,10 @@
 typedef struct {
 	double per_s;      /* requests per second of all nodes; 0: no limit of this kind */
 	uint64_t until_us; /* end of the limit; BH__LIMIT_NO_END: until it is changed */
+	/* Requests that the endpoint may have received from all nodes just before they knew of the limit. They
+	 * count against it if the node begins to grant within a second of `since_us`. */
+	double spent;
+	uint64_t since_us; /* when this node learned of the limit; used only with `spent` */
 } BH__Limit;
 
 typedef struct {
@@ -32,6 +36,8 @@
 
 void bh__endpoint_rate_set_limit(BH__EndpointRate *r, BH__LimitKind kind, double per_s, uint64_t until_us,
 								 uint64_t now_us);
+void bh__endpoint_rate_begin_limit(BH__EndpointRate *r, BH__LimitKind kind, const BH__Limit *limit,
+								   uint64_t now_us);
 void bh__endpoint_rate_set_advertised(BH__EndpointRate *r, const BH__AdvertisedLimit *named, uint64_t now_us);
 void bh__endpoint_rate_set_rate_share(BH__EndpointRate *r, double share, uint64_t now_us);
 bool bh__endpoint_rate_is_limited(const BH__EndpointRate *r, uint64_t now_us);
--- a/include/bayhoist/platform_sync.h
+++ b/include/bayhoist/platform_sync.h
@@ -86,6 +86,7 @@
 										const BH__Members *members, BH__Registry *registry);
 void bh__platform_sync_delete(BH__PlatformSync *s);
 void bh__platform_sync_set_options(BH__PlatformSync *s, const BH__PlatformSyncOptions *options);
+void bh__platform_sync_set_notice_time(BH__PlatformSync *s, uint64_t notice_us);
 void bh__platform_sync_process_tick(BH__PlatformSync *s, uint64_t now_us);
 void bh__platform_sync_process_ask(BH__PlatformSync *s, const BH__Message *ask, uint64_t now_us);
 void bh__platform_sync_process_reader(BH__PlatformSync *s, const BH__Message *m, uint64_t now_us);
--- a/include/bayhoist/registry.h
+++ b/include/bayhoist/registry.h
@@ -63,6 +63,14 @@
 	BH__StoreVersion ends_version; /* store version without the drain; not sent to other nodes */
 } BH__HallDrain;
 
+#define BH__DEMAND_WINDOWS 2 /* times over which requests are counted */
+
+/* Requests that this node has sent to an endpoint, as counts that decay (endpoint_demand.c). */
+typedef struct {
+	double count[BH__DEMAND_WINDOWS]; /* as of updated_us */
+	uint64_t updated_us;              /* 0: none yet */
+} BH__EndpointDemand;
+
 /* Signals that the current incarnation of an endpoint sent in its responses, and which nodes this node has
  * notified. The history of the endpoint records that it is leaving. */
 typedef struct {
@@ -93,8 +101,9 @@
 									   schedules its service */
 	uint64_t no_grant_until_us;     /* its home node grants no request until then; 0: grants are possible */
 	uint64_t incarnation;           /* number of this incarnation, unique within the registry */
-	uint32_t in_flight;             /* requests that this node currently has at the endpoint */
-	uint32_t reported; /* running and waiting requests of all nodes, as last reported by the endpoint */
+	BH__EndpointDemand demand;
+	uint32_t in_flight; /* requests that this node currently has at the endpoint */
+	uint32_t reported;  /* running and waiting requests of all nodes, as last reported by the endpoint */
 	uint64_t reported_us;
 	uint64_t ejected_until_us;
 	uint32_t failures; /* consecutive failures */
@@ -121,6 +130,12 @@
 	BH__EndpointSignals signals;     /* not sent to other nodes */
 } BH__EndpointDeparture;
 
+/* Estimates of the requests per second that all nodes together send to the endpoints of a service. */
+typedef struct {
+	double mean_per_s; /* to an endpoint on average */
+	double max_per_s;  /* to the endpoint that gets most, at least the average */
+} BH__ServiceDemand;
+
 typedef struct BH__Registry BH__Registry;
 
 BH__Registry *bh__registry_new(uint32_t seed);
@@ -148,7 +163,7 @@
 BH__RegisteredEndpoint *bh__registry_find_address(const BH__Registry *r, const char *address);
 unsigned bh__registry_get_count(const BH__Registry *r);
 BH__RegisteredEndpoint *bh__registry_get(const BH__Registry *r, unsigned index);
-void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us);
+uint64_t bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us);
 bool bh__registered_endpoint_receive_limit(BH__RegisteredEndpoint *e, const BH__AdvertisedLimit *update,
 										   uint64_t now_us);
 bool bh__registry_has_unlimited(const BH__Registry *r, const char *service, uint64_t now_us);
@@ -172,6 +187,13 @@
 void bh__registry_note_load(BH__Registry *r, uint64_t endpoint_id, uint32_t running, uint32_t waiting,
 							uint64_t now_us);
 
+/* endpoint_demand.c */
+void bh__registry_set_node_count(BH__Registry *r, unsigned nodes);
+void bh__endpoint_demand_note_start(BH__EndpointDemand *d, uint64_t now_us);
+BH__ServiceDemand bh__registry_get_demand(const BH__Registry *r, const char *service, uint64_t now_us);
+double bh__registry_get_endpoint_demand_per_s(const BH__Registry *r, const BH__ServiceDemand *s,
+											  const BH__RegisteredEndpoint *e, uint64_t now_us);
+
 /* registry_halls.c */
 bool bh__registry_put_hall(BH__Registry *r, const char *name, bool draining, BH__StoreVersion changed,
 						   uint64_t now_us);
--- a/src/bayhoist-gate/schedulers.c
+++ b/src/bayhoist-gate/schedulers.c
@@ -116,15 +116,22 @@
 		bh__planner_set_limits(s->planner, e->endpoint_id, e->rate.limit, clock_now_us());
 }
 
-/* Sets the rate limit of cold endpoints of each service to the configured one. */
+/* Sets the rate limit of cold endpoints of each service to the configured one, and how soon a reader has to
+ * notice that an endpoint has become cold. */
 void schedulers_apply_cold_rates(Cluster *c, uint64_t now_us)
 {
 	const BH__Routing *r = c->gate->routing;
+	uint64_t notice_us = UINT64_MAX;
 
+	bh__registry_set_node_count(c->gate->registry, cluster_count_nodes(c));
 	for (unsigned i = 0; r && i < bh__routing_get_service_count(r); i++) {
 		const BH__ServiceSpec *spec = bh__routing_get_service(r, i);
-		bh__registry_set_cold_rate(c->gate->registry, spec->name, spec->cold_per_s, now_us);
+		uint64_t service_us =
+			bh__registry_set_cold_rate(c->gate->registry, spec->name, spec->cold_per_s, now_us);
+		notice_us = MIN(notice_us, service_us);
 	}
+	if (c->gate->sync)
+		bh__platform_sync_set_notice_time(c->gate->sync, notice_us);
 }
 
 /* Sets the share of the engines' rate limits that each planner enforces: that of the home if this node
--- a/src/libbayhoist/endpoint_rate.c
+++ b/src/libbayhoist/endpoint_rate.c
@@ -15,6 +15,7 @@
 
 static bool is_in_force_(const BH__Limit *l, uint64_t now_us);
 static void update_bucket_(BH__EndpointRate *r, bool was_limited, uint64_t now_us);
+static double get_spent_(const BH__EndpointRate *r, uint64_t now_us);
 
 /* Returns true if the limit is set and has not ended. */
 static bool is_in_force_(const BH__Limit *l, uint64_t now_us)
@@ -25,11 +26,20 @@
 /* Sets the limit of one kind to `per_s` requests per second until `until_us`; `per_s` 0 removes it. */
 void bh__endpoint_rate_set_limit(BH__EndpointRate *r, BH__LimitKind kind, double per_s, uint64_t until_us,
 								 uint64_t now_us)
+{
+	BH__Limit limit = {.per_s = per_s, .until_us = until_us};
+
+	bh__endpoint_rate_begin_limit(r, kind, &limit, now_us);
+}
+
+/* Sets the limit of one kind, with the requests that already count against it. */
+void bh__endpoint_rate_begin_limit(BH__EndpointRate *r, BH__LimitKind kind, const BH__Limit *limit,
+								   uint64_t now_us)
 {
 	bool was_limited = bh__endpoint_rate_is_limited(r, now_us);
 
 	bh__bucket_spend(&r->requests, 0, now_us); /* refills the bucket up to now at the old rate */
-	r->limit[kind] = (BH__Limit){.per_s = per_s, .until_us = until_us};
+	r->limit[kind] = *limit;
 	update_bucket_(r, was_limited, now_us);
 }
 
@@ -55,17 +65,28 @@
 }
 
 /* Updates the bucket after a change of the limits or of this node's share. The bucket of an endpoint that was
- * not limited before starts empty, because the requests that this node or another granted just before were
- * not counted. */
+ * not limited before starts without a request, because those that this node or another granted just before
+ * were not counted, and in debt for those that the endpoint is estimated to have received. */
 static void update_bucket_(BH__EndpointRate *r, bool was_limited, uint64_t now_us)
 {
 	bh__bucket_set_rate(&r->requests, bh__endpoint_rate_get_per_s(r, now_us) * r->rate_share, BURST_);
 	if (!was_limited) {
-		r->requests.level = 0;
+		r->requests.level = -get_spent_(r, now_us);
 		r->requests.updated_us = now_us;
 	}
 }
 
+/* Returns the requests that already count against a limit in force. */
+static double get_spent_(const BH__EndpointRate *r, uint64_t now_us)
+{
+	double max_spent = 0;
+
+	for (int k = 0; k < BH__LIMIT_KIND_COUNT; k++)
+		if (is_in_force_(&r->limit[k], now_us) && now_us < r->limit[k].since_us + BH__SECOND_US)
+			max_spent = MAX(max_spent, r->limit[k].spent);
+	return max_spent;
+}
+
 /* Returns true if any limit is in force. */
 bool bh__endpoint_rate_is_limited(const BH__EndpointRate *r, uint64_t now_us)
 {
--- a/src/libbayhoist/endpoint_use.c
+++ b/src/libbayhoist/endpoint_use.c
@@ -18,6 +18,8 @@
 #define HALL_COST_ 0.4      /* cost of an endpoint in another data hall, in requests in flight */
 #define SILENT_MAX_ 8       /* silent endpoints of a service that a request is kept from */
 #define REPORT_FRESH_US_ (1 * BH__SECOND_US) /* maximum age of a load report that counts */
+/* Time from when a read of the platform is due until all nodes have its result. */
+#define NOTICE_LAG_US_ (100 * BH__MS_US)
 
 const char *const BH__EndpointOutcomeString[] = {"served", "refused", "failed", "abandoned"};
 
@@ -35,6 +37,8 @@
 static double cost_(const BH__RegisteredEndpoint *e, const char *hall, uint64_t now_us);
 static BH__RegisteredEndpoint *find_cheapest_(const BH__Registry *r, const Search_ *s, bool with_last,
 											  uint64_t now_us);
+static void set_cold_limit_(const BH__Registry *r, const BH__ServiceDemand *demand, BH__RegisteredEndpoint *e,
+							double per_s, uint64_t now_us);
 
 static bool is_tried_(const uint64_t *tried, unsigned count, uint64_t endpoint_id)
 {
@@ -135,6 +139,7 @@
 	if (!e)
 		return 0;
 	e->in_flight++;
+	bh__endpoint_demand_note_start(&e->demand, r->now_us);
 	return e->incarnation;
 }
 
@@ -186,16 +191,45 @@
 
 /* Sets the rate in requests per second that each endpoint of a service accepts from all nodes together while
  * it is cold; 0: unlimited. Must be called after each change of the table, before an endpoint that has become
- * cold is used. */
-void bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us)
+ * cold is used. Returns the longest time in microseconds between two reads of the platform with which an
+ * endpoint that has become cold receives no more until all nodes know of it than it accepts in a second;
+ * UINT64_MAX if it never receives more. */
+uint64_t bh__registry_set_cold_rate(BH__Registry *r, const char *service, double per_s, uint64_t now_us)
 {
+	BH__ServiceDemand demand = {0};
+	uint64_t notice_us;
+
+	if (per_s > 0)
+		demand = bh__registry_get_demand(r, service, now_us);
 	for (guint i = 0; i < r->table->len; i++) {
 		BH__RegisteredEndpoint *e = bh__registry_get(r, i);
 		const BH__Limit *l = &e->rate.limit[BH__LIMIT_COLD];
 		if ((l->per_s != per_s || l->until_us != e->entry.cold_until_us) &&
 			!strcmp(e->entry.service, service))
-			bh__endpoint_rate_set_limit(&e->rate, BH__LIMIT_COLD, per_s, e->entry.cold_until_us, now_us);
+			set_cold_limit_(r, &demand, e, per_s, now_us);
+	}
+	if (demand.max_per_s <= per_s)
+		return UINT64_MAX;
+	notice_us = (uint64_t)(per_s / demand.max_per_s * BH__SECOND_US);
+	return notice_us - MIN(notice_us, NOTICE_LAG_US_);
+}
+
+/* Sets the cold limit of an endpoint. An endpoint that was in use while it was warm has received requests
+ * since it became cold; those of a second are counted, up to what it accepts. */
+static void set_cold_limit_(const BH__Registry *r, const BH__ServiceDemand *demand, BH__RegisteredEndpoint *e,
+							double per_s, uint64_t now_us)
+{
+	const BH__Limit *was = &e->rate.limit[BH__LIMIT_COLD];
+	BH__Limit limit = {.per_s = per_s, .until_us = e->entry.cold_until_us, .since_us = now_us};
+
+	if (was->per_s > 0 && now_us >= was->until_us) {
+		limit.spent = MIN(bh__registry_get_endpoint_demand_per_s(r, demand, e, now_us), per_s);
+	}
+	else if (was->per_s > 0) {
+		limit.spent = was->spent;
+		limit.since_us = was->since_us;
 	}
+	bh__endpoint_rate_begin_limit(&e->rate, BH__LIMIT_COLD, &limit, now_us);
 }
 
 /* Merges the limit that an endpoint advertises. `update->received_us` is the time when the limit was read or,
--- a/src/libbayhoist/include/private/registry_internal.h
+++ b/src/libbayhoist/include/private/registry_internal.h
@@ -21,6 +21,7 @@
 	GHashTable *by_id;
 	GRand *rand;
 	uint64_t now_us;                 /* time of the latest tick */
+	unsigned node_count;             /* reachable nodes, with this one */
 	uint64_t version;                /* incremented with each change of the set of usable endpoints */
 	uint64_t incarnation_count;      /* number of endpoint incarnations observed */
 	BH__StoreVersion store_version;  /* store version up to which all changes are merged */
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -161,8 +161,7 @@
 	}
 	for (int k = 0; k < BH__LIMIT_KIND_COUNT; k++)
 		if (limit[k].per_s != e->rate.limit[k].per_s || limit[k].until_us != e->rate.limit[k].until_us)
-			bh__endpoint_rate_set_limit(&e->rate, (BH__LimitKind)k, limit[k].per_s, limit[k].until_us,
-										now_us);
+			bh__endpoint_rate_begin_limit(&e->rate, (BH__LimitKind)k, &limit[k], now_us);
 	bh__endpoint_rate_set_rate_share(&e->rate, p->rate_share, now_us);
 }
 
--- a/src/libbayhoist/platform_sync.c
+++ b/src/libbayhoist/platform_sync.c
@@ -18,6 +18,8 @@
  * applying a configuration. They leave time to repeat a failed read and to send its result to all nodes. */
 #define ENDPOINTS_PERIOD_SHARE_ 0.25
 #define CONFIGURATION_PERIOD_SHARE_ 0.35 /* a watch reports most changes at once */
+/* Shortest period of the reader's endpoints reads while endpoints may become cold that get many requests. */
+#define NOTICE_MIN_US_ (100 * BH__MS_US)
 /* Maximum age of the endpoints, as a share of the same time limit. Older state is not fresh. */
 #define ENDPOINTS_MAX_AGE_SHARE_ 0.65
 /* Period of the platform reads of a node that has just started and has no answer yet. It cannot serve
@@ -88,6 +90,7 @@
 	uint64_t asked_us;                /* when the open request was sent; 0: none is open */
 	uint64_t answer_by_us;            /* time-out of the open request */
 	bool asks_newer_node; /* the open request went to a node with a later configuration, not to the source */
+	uint64_t notice_us;   /* see bh__platform_sync_set_notice_time() */
 	uint64_t reader_since_us;      /* when this node became the reader; 0: it is not */
 	uint64_t next_own_read_us;     /* next own read of a node other than the reader, in an outage */
 	uint64_t draw_count;           /* number of random times drawn */
@@ -159,6 +162,7 @@
 	s->options = *options;
 	s->members = members;
 	s->registry = registry;
+	s->notice_us = UINT64_MAX;
 	s->held = g_array_new(FALSE, FALSE, sizeof(HeldRequest_));
 	return s;
 }
@@ -172,6 +176,13 @@
 	g_free(s);
 }
 
+/* Sets the longest time in microseconds between two reads of the endpoints by a reader, where that is shorter
+ * than the options say. */
+void bh__platform_sync_set_notice_time(BH__PlatformSync *s, uint64_t notice_us)
+{
+	s->notice_us = notice_us;
+}
+
 /* Sets changed options. */
 void bh__platform_sync_set_options(BH__PlatformSync *s, const BH__PlatformSyncOptions *options)
 {
@@ -412,6 +423,8 @@
 	uint64_t configuration_us = answered_us ? configuration_period_us_(s) : STARTUP_PERIOD_US_;
 	uint64_t endpoints_us = s->as_of_us ? endpoints_period_us_(s) : STARTUP_PERIOD_US_;
 
+	if (s->as_of_us && !is_unavailable)
+		endpoints_us = MIN(endpoints_us, MAX(s->notice_us, NOTICE_MIN_US_));
 	if (!is_unavailable &&
 		bh__read_schedule_process(&s->configuration_schedule, configuration_us, answered_us, true, now_us))
 		s->port->read_configuration(s->port);
--- a/src/test_libbayhoist/test_cold.c
+++ b/src/test_libbayhoist/test_cold.c
@@ -20,6 +20,10 @@
 #define COLD_US (6 * BH__SECOND_US)
 #define STEP_US (10 * BH__MS_US)
 #define NOW_US (1000 * BH__SECOND_US)
+#define TICK_US (100 * BH__MS_US)    /* of a gateway's periodic work */
+#define PERIOD_US (750 * BH__MS_US)  /* of a reader's reads, a quarter of the drain time of 3 s */
+#define NEWS_US (30 * BH__MS_US)     /* from the start of a read until all nodes have its result */
+#define WARM_US (20 * BH__SECOND_US) /* time for which endpoints are used before they become cold */
 
 typedef struct {
 	BH__PlannerPort port; /* must be the first member */
@@ -337,6 +341,157 @@
 	bh__registry_delete(r);
 }
 
+/* A number of nodes send requests to the endpoints of a service, some of which become cold at once. */
+typedef struct {
+	unsigned nodes;
+	unsigned endpoints;
+	unsigned cold;
+	double demand_per_s; /* on each endpoint */
+} ColdCase;
+
+typedef struct {
+	unsigned max_in_second; /* most requests that a cold endpoint gets in a second */
+	unsigned reads;         /* reads of the platform per second before */
+} ColdCounts;
+
+/* Merges the entries of all endpoints into the registry of a node. */
+static void put_all_(BH__Registry *r, const ColdCase *c, uint64_t revision, uint64_t cold_until_us)
+{
+	BH__StoreVersion place = {.revision = revision};
+
+	for (unsigned i = 0; i < c->endpoints; i++) {
+		BH__EndpointEntry e = {.service = "web", .hall = "h1", .slots = 6};
+		g_snprintf(e.id, sizeof e.id, "i-%u", i);
+		g_snprintf(e.address, sizeof e.address, "1.1.1.1:%u", i + 1);
+		e.cold_until_us = i < c->cold ? cold_until_us : 0;
+		bh__registry_put(r, &e, place, place);
+	}
+	bh__registry_set_store_version(r, place);
+}
+
+/* Sends a request from a node to an endpoint, unless that is limited and its home, node 0, grants none. */
+static void send_one_(BH__Registry **r, unsigned node, unsigned endpoint, GArray **arrivals, uint64_t now_us)
+{
+	BH__RegisteredEndpoint *e = bh__registry_get(r[node], endpoint);
+	BH__RegisteredEndpoint *home = bh__registry_get(r[0], endpoint);
+	uint64_t wait_us;
+
+	if (bh__endpoint_rate_is_limited(&e->rate, now_us)) {
+		bh__endpoint_rate_set_rate_share(&home->rate, 1, now_us);
+		if (!bh__endpoint_rate_reserve(&home->rate, 0, now_us, &wait_us))
+			return;
+	}
+	bh__registry_note_start(r[node], e->endpoint_id);
+	record_arrival_(arrivals[endpoint], now_us);
+}
+
+/* Plays a case on virtual time. The last node reads the platform; the others have its news NEWS_US later. The
+ * endpoints become cold `phase_us` after WARM_US. */
+static ColdCounts play_(const ColdCase *c, uint64_t phase_us)
+{
+	GRand *rand = g_rand_new_with_seed(7);
+	BH__Registry **r = g_new0(BH__Registry *, c->nodes);
+	GArray **arrivals = g_new0(GArray *, c->endpoints);
+	uint64_t cold_us = 0;
+	uint64_t read_us = NOW_US;
+	uint64_t news_us = UINT64_MAX;
+	uint64_t notice_us = UINT64_MAX;
+	ColdCounts counts = {0};
+	double requests = 0;
+
+	for (unsigned n = 0; n < c->nodes; n++) {
+		r[n] = bh__registry_new(n);
+		bh__registry_set_node_count(r[n], c->nodes);
+		put_all_(r[n], c, 1, 0);
+		bh__registry_process_tick(r[n], NOW_US);
+		bh__registry_set_cold_rate(r[n], "web", COLD_RATE_PER_S, NOW_US);
+	}
+	for (unsigned i = 0; i < c->endpoints; i++)
+		arrivals[i] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (uint64_t us = NOW_US; us < NOW_US + WARM_US + 4 * BH__SECOND_US; us += BH__MS_US) {
+		bool is_tick = !((us - NOW_US) % TICK_US);
+		cold_us = us == NOW_US + WARM_US + phase_us ? us : cold_us;
+		if (us == news_us) {
+			for (unsigned n = 0; n < c->nodes; n++) {
+				put_all_(r[n], c, 2, cold_us + COLD_US);
+				bh__registry_set_cold_rate(r[n], "web", COLD_RATE_PER_S, us);
+			}
+		}
+		for (unsigned n = 0; is_tick && n < c->nodes; n++) {
+			uint64_t node_notice_us = bh__registry_set_cold_rate(r[n], "web", COLD_RATE_PER_S, us);
+			bh__registry_process_tick(r[n], us);
+			notice_us = n == c->nodes - 1 ? node_notice_us : notice_us;
+		}
+		if (is_tick && us >= read_us + MIN(notice_us, PERIOD_US)) {
+			counts.reads += us >= NOW_US + WARM_US - BH__SECOND_US && us < NOW_US + WARM_US;
+			read_us = us;
+			if (cold_us && news_us == UINT64_MAX)
+				news_us = us + NEWS_US;
+		}
+		for (requests += c->demand_per_s * c->endpoints / 1000; requests >= 1; requests--)
+			send_one_(r, (unsigned)g_rand_int_range(rand, 0, (gint32)c->nodes),
+					  (unsigned)g_rand_int_range(rand, 0, (gint32)c->endpoints), arrivals, us);
+	}
+	for (unsigned i = 0; i < c->endpoints; i++) {
+		guint first = 0;
+		while (first < arrivals[i]->len && g_array_index(arrivals[i], uint64_t, first) < cold_us)
+			first++;
+		g_array_remove_range(arrivals[i], 0, first);
+		first = arrivals[i]->len;
+		while (first && g_array_index(arrivals[i], uint64_t, first - 1) >= cold_us + COLD_US)
+			first--;
+		g_array_set_size(arrivals[i], first);
+		if (i < c->cold)
+			counts.max_in_second = MAX(counts.max_in_second, max_per_second_(arrivals[i]));
+		g_array_unref(arrivals[i]);
+	}
+	for (unsigned n = 0; n < c->nodes; n++)
+		bh__registry_delete(r[n]);
+	g_free(r);
+	g_free(arrivals);
+	g_rand_free(rand);
+	return counts;
+}
+
+/* Endpoints that become cold while they are in use get no more than they bear, also before all nodes know of
+ * it, whenever between two reads of the platform that is. */
+static void becoming_cold_in_use_is_noticed_in_time_(void **state)
+{
+	const unsigned nodes[] = {9, 85};
+	const unsigned endpoints[] = {3, 30};
+
+	(void)state;
+	for (unsigned k = 0; k < 12; k++) {
+		ColdCase c = {.nodes = nodes[k % 2], .endpoints = endpoints[k / 2 % 2], .demand_per_s = 80};
+		ColdCounts worst = {0};
+		c.cold = k / 4 == 0 ? 1 : k / 4 == 1 ? c.endpoints / 3 : c.endpoints;
+		for (uint64_t phase_us = BH__MS_US; phase_us < PERIOD_US; phase_us += PERIOD_US / 8) {
+			ColdCounts counts = play_(&c, phase_us);
+			worst.max_in_second = MAX(worst.max_in_second, counts.max_in_second);
+			worst.reads = MAX(worst.reads, counts.reads);
+		}
+		print_message("%u nodes, %u of %u endpoints become cold: at most %u in a second, %u reads\n", c.nodes,
+					  c.cold, c.endpoints, worst.max_in_second, worst.reads);
+		assert_true(worst.max_in_second <= COLD_RATE_PER_S * OVERLOAD_FACTOR + OVERLOAD_BURST);
+	}
+}
+
+/* Where the demand is within what a cold endpoint bears, the platform is read no more often. */
+static void usual_demand_costs_no_reads_(void **state)
+{
+	const unsigned nodes[] = {9, 85, 300};
+
+	(void)state;
+	for (unsigned k = 0; k < 6; k++) {
+		ColdCase c = {.nodes = nodes[k / 2], .endpoints = 30, .cold = 1, .demand_per_s = k % 2 ? 20 : 2};
+		ColdCounts counts = play_(&c, PERIOD_US / 2);
+		print_message("%u nodes, %.0f a second to each: at most %u in a second, %u reads\n", c.nodes,
+					  c.demand_per_s, counts.max_in_second, counts.reads);
+		assert_true(counts.reads <= (BH__SECOND_US + PERIOD_US - 1) / PERIOD_US);
+		assert_true(counts.max_in_second <= COLD_RATE_PER_S * OVERLOAD_FACTOR + OVERLOAD_BURST);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -347,6 +502,8 @@
 		cmocka_unit_test(reserved_requests_use_the_cold_rate_),
 		cmocka_unit_test(becoming_cold_is_a_change_),
 		cmocka_unit_test(becoming_warm_early_is_a_change_),
+		cmocka_unit_test(becoming_cold_in_use_is_noticed_in_time_),
+		cmocka_unit_test(usual_demand_costs_no_reads_),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
