--- a/src/test_libbayhoist/fleet.c
+++ b/src/test_libbayhoist/fleet.c
@@ -687,6 +687,12 @@
 	return w;
 }
 
+void fleet_set_notice_time(Fleet *f, uint64_t us)
+{
+	for (unsigned i = 0; i < f->options.nodes; i++)
+		bh__platform_sync_set_notice_time(f->node[i].looks, us);
+}
+
 void fleet_set_store(Fleet *f, unsigned served_per_mille, FleetStoreAway away)
 {
 	bool was_up = f->is_up;
--- a/src/test_libbayhoist/fleet.h
+++ b/src/test_libbayhoist/fleet.h
@@ -50,6 +50,7 @@
 FleetWork fleet_take_work(Fleet *f);
 
 /* The store serves so many of a thousand nodes from now on, drawn anew. */
+void fleet_set_notice_time(Fleet *f, uint64_t us); /* see bh__platform_sync_set_notice_time() */
 void fleet_set_store(Fleet *f, unsigned served_per_mille, FleetStoreAway away);
 void fleet_set_answer(Fleet *f, uint64_t us); /* that an answer of the store takes */
 void fleet_lapse(
--- a/src/test_libbayhoist/test_fleet.c
+++ b/src/test_libbayhoist/test_fleet.c
@@ -188,6 +188,47 @@
 	}
 }
 
+/* While changes have to be noticed sooner, the reader alone reads sooner, and all nodes have the result a few
+ * messages later. Without an answer of the store it reads no more often than usual. */
+static void changes_are_noticed_sooner_on_demand_(void **state)
+{
+	const unsigned counts[] = {9, 85, 300};
+	const uint64_t notice_us = 200 * BH__MS_US;
+
+	(void)state;
+	for (unsigned i = 0; i < G_N_ELEMENTS(counts); i++) {
+		FleetOptions o = {.nodes = counts[i], .halls = 5, .endpoints = 20, .seed = 151 + i};
+		unsigned calls[2] = {0};
+		unsigned messages[2] = {0};
+		unsigned away_calls[2] = {0};
+		for (int sooner = 0; sooner < 2; sooner++) {
+			Fleet *f = fleet_new(&o);
+			FleetWork w;
+			fleet_set_notice_time(f, sooner ? notice_us : UINT64_MAX);
+			fleet_run(f, 4 * BH__SECOND_US);
+			fleet_take_work(f);
+			for (uint64_t us = 0; us < 4 * BH__SECOND_US; us += POLL_US) {
+				fleet_run(f, POLL_US);
+				if (sooner)
+					assert_int_equal(fleet_count_unaware(f, fleet_now_us(f) - 2 * notice_us), 0);
+			}
+			w = fleet_take_work(f);
+			calls[sooner] = w.calls;
+			messages[sooner] = w.messages;
+			fleet_set_store(f, 0, FLEET_STORE_SILENT);
+			fleet_run(f, 4 * BH__SECOND_US);
+			away_calls[sooner] = fleet_take_work(f).calls;
+			fleet_delete(f);
+		}
+		print_message("%u nodes, 4 s: %u calls of the store and %u messages, usually %u and %u; without "
+					  "answers %u and %u calls\n",
+					  counts[i], calls[1], messages[1], calls[0], messages[0], away_calls[1], away_calls[0]);
+		assert_true(calls[1] > calls[0]);
+		assert_true(calls[1] <= calls[0] + 4 * BH__SECOND_US / notice_us);
+		assert_true(away_calls[1] <= away_calls[0] + away_calls[0] / 10 + 3);
+	}
+}
+
 /* When the store answers one node in twenty at first, all others learn from these. */
 static void a_few_that_are_served_suffice_(void **state)
 {
@@ -457,6 +498,7 @@
 		cmocka_unit_test(a_short_one_is_not_felt_),
 		cmocka_unit_test(entries_that_lapse_unseen_come_back_),
 		cmocka_unit_test(a_slow_store_is_asked_no_more_often_),
+		cmocka_unit_test(changes_are_noticed_sooner_on_demand_),
 		cmocka_unit_test(a_few_that_are_served_suffice_),
 		cmocka_unit_test(the_return_is_no_stampede_),
 		cmocka_unit_test(a_store_that_goes_back_takes_nothing_back_),
