--- a/test/check-silent-engines.sh
+++ b/test/check-silent-engines.sh
@@ -129,6 +129,7 @@
 
 # An engine that is dead, without a reset, is not waited for: ten events with gaps of 0.4 s, 1.7 s without one, a gap before that, and the aim of another one's first event (0.3 s).
 LONGEST_MS=$((10 * 400 + 1700 + 400 + 300))
+for n in 1 2 3; do signal gate$n KILL; done # whose retries the rounds before have not used
 begin dead 12
 curl -sf -m 3 "http://$(address 71)/set?link=e1&mode=lost&ms=0&from="
 judge "12 streams, one engine is dead" 0
