check-silent-engines: rounds begin with gateways that run and have their retries

A round began while the gateway that the one before had stopped was still ending: its ten streams met nobody (one run of the whole script, 10 of 30 "other"). And the round with a dead engine met a gateway whose retries the rounds before had used (a reviewer's two of six runs): it begins with new gateways now, and judges as before.

--- a/test/check-silent-engines.sh
+++ b/test/check-silent-engines.sh
@@ -41,7 +41,7 @@
 	sleep 0.3
 }
 stop_gates() { local n; for n in ${*:-1 2 3}; do signal gate$n TERM; done; }
-have_ended() { local n; for n in 1 2 3; do ! kill -0 "$(pid_of gate$n)" 2>/dev/null || return 1; done; }
+have_ended() { local n; for n in ${*:-1 2 3}; do ! kill -0 "$(pid_of gate$n)" 2>/dev/null || return 1; done; }
 judge() { # WHAT REFUSED_MAX: of the round's streams, each is whole, or one of so few that were refused with a time to come back and did not run
 	local i id whole=0 cut=0 refused=0 other=0 ran=0
 	wait $callers
@@ -83,7 +83,8 @@
 sleep 0.3
 silence 2.0 e1 e2 e3
 judge "30 streams, silence of 2 s, one gateway stops" 0
-for n in 1 2 3; do signal gate$n KILL; done
+wait_for 12 have_ended 1
+kill_all_gates
 begin usual 48 # by which the new gateways know how long such streams take
 judge "48 streams without a silence" 0
 stop_gates 1
@@ -95,6 +96,7 @@
 sleep 2.1
 for n in 1 2 3; do tell "go-on?id=i-e$n"; done
 judge "9 streams that fit in a stop, pause of 2.1 s" 0
+wait_for 12 have_ended 1
 begin later 30
 silence 2.0 e1 e2 e3
 stop_gates
@@ -129,7 +131,7 @@
 
 # An engine that is dead, without a reset, is not waited for: ten events with gaps of 0.4 s, 1.7 s without one, a gap before that, and the aim of another one's first event (0.3 s).
 LONGEST_MS=$((10 * 400 + 1700 + 400 + 300))
-for n in 1 2 3; do signal gate$n KILL; done # whose retries the rounds before have not used
+kill_all_gates # the rounds before have used some of their retries
 begin dead 12
 curl -sf -m 3 "http://$(address 71)/set?link=e1&mode=lost&ms=0&from="
 judge "12 streams, one engine is dead" 0
