check-silent-engines: a gateway that has ended is not killed by its old id

Of four runs at once one lost two of its callers to a KILL (28 of 30 lookups): recorded ids of processes that have ended are killed at the end of a run, and here by kill_all_gates, and may be another's by then.

--- a/test/check-silent-engines.sh
+++ b/test/check-silent-engines.sh
@@ -84,6 +84,7 @@
 silence 2.0 e1 e2 e3
 judge "30 streams, silence of 2 s, one gateway stops" 0
 wait_for 12 have_ended 1
+start_gate 1 # what has ended must not be killed: its id may be another's by now
 kill_all_gates
 begin usual 48 # by which the new gateways know how long such streams take
 judge "48 streams without a silence" 0
