stop: what a leaving node sends, refuses and leaves unfinished is logged and counted

Change: event=stop what=taken and what=unfinished, three metrics; the planned stop moves from main.c and call.c to stop.c, what a leaving node may send to call_stop.c. No logic changes.

--- a/src/bayhoist-gate/call.c
+++ b/src/bayhoist-gate/call.c
@@ -609,26 +609,6 @@
 	}
 }
 
-/* Ends all calls shortly before the node exits: refuses requests that have not run, fails those that may have
- * run and have no answer yet, and breaks off answers that have begun. */
-void calls_stop(Gate *g)
-{
-	GList *all = g_hash_table_get_keys(g->calls);
-
-	for (GList *it = all; it; it = it->next) {
-		Call *c = it->data;
-		if (!g_hash_table_contains(g->calls, c))
-			continue;
-		if (c->state == CALL_STARTING) {
-			call_refuse(c, 503, RETRY_SOON_MS, "node-leaving", "this node stops");
-			continue;
-		}
-		c->retry.may_have_run |= c->state == CALL_DISPATCHED && c->out && outbound_is_connected(c->out);
-		call_abandon(c, call_retry_stopping_ms(g, clock_now_us()), "node-leaving", "this node stops");
-	}
-	g_list_free(all);
-}
-
 /* Frees all calls without an answer to their callers, at the end of the process. */
 void calls_free(Gate *g)
 {
--- a/src/bayhoist-gate/call_internal.h
+++ b/src/bayhoist-gate/call_internal.h
@@ -96,7 +96,13 @@
 bool call_refuse_unrouted(Call *c);
 bool call_abandon_unsendable(Call *c);
 bool call_is_sendable(const Call *c);
+
+/* call_stop.c */
+bool call_outlasts_stop(const Call *c);
 uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us);
+void call_note_sent_at_stop(const Call *c);
+void call_note_refused_at_stop(const Call *c);
+void call_note_unfinished(const Call *c);
 
 /* call_ask.c */
 const char *call_scheduler_name(const Call *c);
--- a/src/bayhoist-gate/call_refusal.c
+++ b/src/bayhoist-gate/call_refusal.c
@@ -22,9 +22,6 @@
 static bool abandon_quarantined_(Call *c);
 static bool abandon_cut_off_(Call *c);
 static bool abandon_stopping_(Call *c);
-static bool outlasts_stop_(const Call *c);
-static uint64_t longest_while_stopping_us_(const Call *c);
-static bool has_usable_peer_(const Gate *g);
 
 /* Refuses a request, and frees its call, if no configuration is known to be the newest, or if that sends it
  * nowhere. Returns false if its route, and the account of its key, are known. */
@@ -94,7 +91,7 @@
 /* Returns true unless call_abandon_unsendable() would end the request. */
 bool call_is_sendable(const Call *c)
 {
-	return !crashes_is_quarantined(c->gate->crashes, &c->subjects) && !outlasts_stop_(c) &&
+	return !crashes_is_quarantined(c->gate->crashes, &c->subjects) && !call_outlasts_stop(c) &&
 		   !links_get_retry_after_ms(c->gate->links);
 }
 
@@ -128,60 +125,10 @@
  * in time or has begun; an answer that has begun is forwarded until the node exits. */
 static bool abandon_stopping_(Call *c)
 {
-	const Gate *g = c->gate;
-	uint64_t now_us = clock_now_us();
-
-	if (!outlasts_stop_(c))
+	if (!call_outlasts_stop(c))
 		return false;
-	log_event("refuse",
-			  "request=%s cause=stopping left_ms=%" G_GUINT64_FORMAT " longest_ms=%" G_GUINT64_FORMAT,
-			  c->request->meta.request_id, (g->answers_due_us - MIN(now_us, g->answers_due_us)) / BH__MS_US,
-			  longest_while_stopping_us_(c) / BH__MS_US);
-	call_abandon(c, call_retry_stopping_ms(g, now_us), "node-leaving",
+	call_note_refused_at_stop(c);
+	call_abandon(c, call_retry_stopping_ms(c->gate, clock_now_us()), "node-leaving",
 				 "this node stops before the answer would end");
 	return true;
 }
-
-/* Returns true if this node is leaving, and an answer that begins now would probably outlast it. */
-static bool outlasts_stop_(const Call *c)
-{
-	const Gate *g = c->gate;
-
-	return g->leaving_since_us && !c->retry.answer_begun &&
-		   clock_now_us() + longest_while_stopping_us_(c) > g->answers_due_us;
-}
-
-/* Returns a time from dispatch to end, in microseconds, that the answer of a request which this leaving node
- * sends rarely exceeds. If all nodes leave, each schedules for itself, and engines get more than any of them
- * knows of: their first events may be as late as is borne of an engine. */
-static uint64_t longest_while_stopping_us_(const Call *c)
-{
-	uint64_t longest_us = call_longest_answer_us(c);
-	uint64_t target_us = c->rule->target_ms * BH__MS_US;
-	uint64_t max_wait_us;
-
-	if (!c->service->is_engine || has_usable_peer_(c->gate))
-		return longest_us;
-	max_wait_us = bh__response_max_wait_us(c->rule, true, false);
-	return longest_us + max_wait_us - MIN(target_us, max_wait_us);
-}
-
-/* Returns the retry-after in milliseconds of a refusal by a leaving node: short if there is another usable
- * node, otherwise the time until this one has exited. */
-uint64_t call_retry_stopping_ms(const Gate *g, uint64_t now_us)
-{
-	if (has_usable_peer_(g))
-		return RETRY_SOON_MS;
-	return MAX((g->stop_at_us - MIN(now_us, g->stop_at_us)) / BH__MS_US, RETRY_SOON_MS);
-}
-
-/* Returns true if this node knows another one that takes requests. */
-static bool has_usable_peer_(const Gate *g)
-{
-	const BH__Members *m = g->members;
-
-	for (unsigned i = 1; i < bh__members_get_count(m); i++)
-		if (bh__member_is_usable(bh__members_get(m, i)))
-			return true;
-	return false;
-}
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -76,6 +76,7 @@
 	g->counters.dispatches++;
 	c->endpoint_incarnation = bh__registry_note_start(g->registry, endpoint_id, c->sent_us);
 	log_dispatch_(c, e);
+	call_note_sent_at_stop(c);
 	last_endpoints_note_dispatch(g, e, c->sent_us);
 	c->out = outbound_start(g, e, out, c->request->meta.request_id, &Callbacks_, c);
 	evbuffer_free(out);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -54,14 +54,17 @@
 	uint64_t dispatch_ends[BH__DISPATCH_END_COUNT]; /* dispatches ended, by result */
 	uint64_t repeats;                               /* decisions to dispatch a request again */
 	uint64_t resumes;                               /* decisions to dispatch again that resume a stream */
-	uint64_t local_grants;      /* placements by this node because the scheduler did not answer */
-	uint64_t denied_keys;       /* requests refused for an unknown or missing API key */
-	uint64_t no_route;          /* requests that match no route */
-	uint64_t part_refusals;     /* requests refused because a part of the routing can't be decoded */
-	uint64_t stale_refusals;    /* requests refused because the routing was missing or too old */
-	uint64_t directory_answers; /* answers of the directory */
-	uint64_t bad_answers;       /* answers to another request, or without proof that an endpoint gave them */
-	uint64_t limit_changes;     /* changes of endpoints' rate limits */
+	uint64_t local_grants;       /* placements by this node because the scheduler did not answer */
+	uint64_t denied_keys;        /* requests refused for an unknown or missing API key */
+	uint64_t no_route;           /* requests that match no route */
+	uint64_t part_refusals;      /* requests refused because a part of the routing can't be decoded */
+	uint64_t stale_refusals;     /* requests refused because the routing was missing or too old */
+	uint64_t directory_answers;  /* answers of the directory */
+	uint64_t bad_answers;        /* answers to another request, or without proof that an endpoint gave them */
+	uint64_t stop_dispatches;    /* requests sent to endpoints while the node was leaving */
+	uint64_t stop_refusals;      /* requests ended because their answers would have outlasted the node */
+	uint64_t stop_unfinished[2]; /* requests without a whole answer when the node exited; [1]: begun */
+	uint64_t limit_changes;      /* changes of endpoints' rate limits */
 	uint64_t signals[BH__SIGNAL_KIND_COUNT];            /* answers with a valid signal, by kind */
 	uint64_t unreadable_signals[BH__SIGNAL_KIND_COUNT]; /* answers with an invalid signal, by kind */
 	BH__Histogram grant_wait;                           /* from ask to grant */
@@ -203,6 +206,7 @@
 void outbound_pause(Outbound *o, bool paused);
 bool outbound_is_connected(const Outbound *o);
 bool outbound_is_own_fault(const Outbound *o);
+bool outbound_is_relayed(const Outbound *o);
 
 /* call.c */
 
@@ -229,9 +233,11 @@
 CallAdmission *call_get_admission(Call *c);
 void calls_process_startup_state(Gate *g);
 void calls_process_quarantined(Gate *g, const BH__Fingerprint *f);
-void calls_stop(Gate *g);
 void calls_free(Gate *g);
 
+/* stop.c */
+void stop_begin(Gate *g, int signal);
+
 /* memory.c */
 
 /* The memory of one grant that is reserved on its helpers. */
--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -17,16 +17,6 @@
 #include "version.h"
 #include "web.h"
 
-/* Minimum duration of a planned stop: callers find other nodes through the directory and may use cached
- * answers for this long. */
-#define STOP_MIN_MS 3200
-/* Part of stop_grace_ms within which an answer must end that is begun while the node leaves, as far as can be
- * told. The rest is for answers that take longer than that, since an engine may pause. */
-#define STOP_GRACE_FRACTION 0.9
-/* Time before the end of stop_grace_ms at which calls are ended: for the last answers and the exit. */
-#define STOP_MARGIN_MS 400
-#define STOP_CHECK_PERIOD_MS 50
-#define STOP_FLUSH_MS 100 /* time to send the last answers */
 #define MB (1024ull * 1024)
 #define LOG_LINES_PER_S 400 /* a node receives about 20 requests per second, each with 3 to 6 log lines */
 
@@ -35,7 +25,6 @@
 static void register_event_(Gate *g, struct event *event, const struct timeval *period);
 static void on_terminate_(evutil_socket_t sig, short what, void *arg);
 static void on_reload_(evutil_socket_t sig, short what, void *arg);
-static void on_stop_check_(evutil_socket_t fd, short what, void *arg);
 static void free_(Gate *g);
 
 static const char *SettingsPath_;
@@ -157,52 +146,10 @@
 	g_ptr_array_add(g->own_events, event);
 }
 
-/* Begins a planned stop: callers are directed to other nodes, and requests in progress are completed. A
- * second signal stops at once. */
 static void on_terminate_(evutil_socket_t sig, short what, void *arg)
 {
-	Gate *g = arg;
-	struct timeval check = {0, STOP_CHECK_PERIOD_MS * 1000};
-
 	(void)what;
-	log_event("stop", "what=begun signal=%d calls=%u connections=%u", (int)sig, g_hash_table_size(g->calls),
-			  g_hash_table_size(g->inbounds));
-	if (g->leaving_since_us) {
-		event_base_loopbreak(g->base);
-		return;
-	}
-	g->leaving_since_us = clock_now_us();
-	g->answers_due_us =
-		g->leaving_since_us + (uint64_t)((double)g->settings.stop_grace_ms * BH__MS_US * STOP_GRACE_FRACTION);
-	g->stop_at_us = g->leaving_since_us + g->settings.stop_grace_ms * BH__MS_US;
-	g->stop_at_us = MAX(g->answers_due_us, g->stop_at_us - STOP_MARGIN_MS * BH__MS_US);
-	cluster_leave(g->cluster, g->leaving_since_us);
-	register_event_(g, event_new(g->base, -1, EV_PERSIST, on_stop_check_, g), &check);
-}
-
-/* Ends a planned stop when no calls are left and the minimum duration is over, or when the grace period is
- * used up. */
-static void on_stop_check_(evutil_socket_t fd, short what, void *arg)
-{
-	Gate *g = arg;
-	const struct timeval flush = {0, STOP_FLUSH_MS * 1000};
-	uint64_t now_us = clock_now_us();
-	bool min_time_over = now_us >= g->leaving_since_us + STOP_MIN_MS * BH__MS_US;
-	unsigned unsent = inbounds_count_unsent(g);
-	unsigned busy = g_hash_table_size(g->calls) + relay_server_get_count(g->relay_server) + unsent;
-
-	(void)fd;
-	(void)what;
-	if (g->is_ending || (now_us < g->stop_at_us && !(min_time_over && !busy)))
-		return;
-	log_event("stop", "what=ending calls=%u relays=%u unread=%u", g_hash_table_size(g->calls),
-			  relay_server_get_count(g->relay_server), unsent);
-	g->is_ending = true;
-	g->stop_at_us = now_us;
-	g->answers_due_us = now_us; /* new requests are refused from now on */
-	inbounds_stop_listening(g);
-	calls_stop(g);
-	event_base_loopexit(g->base, &flush);
+	stop_begin(arg, (int)sig);
 }
 
 /* Reloads the settings that can change at run time. Invalid settings change nothing. */
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -155,6 +155,12 @@
 	return links_is_own_fault(o->gate->links, o->endpoint_id, o->began_us);
 }
 
+/* Returns true if the request was sent through a peer. */
+bool outbound_is_relayed(const Outbound *o)
+{
+	return o->is_relayed;
+}
+
 /* Pauses or resumes reading the answer. */
 void outbound_pause(Outbound *o, bool paused)
 {
