A repeated SIGTERM changes nothing

What callers saw: all streams that a gateway has under way are closed midway when it gets SIGTERM again while it stops. Cause: a second SIGTERM was taken as an order to stop at once, in the gateway and in bayhoistd. Supervisors, and rolling stops that overlap, send it to a process that is stopping already. Evidence: check-repeated-stop: 0 of 9 streams whole after three signals; no line but stop what=begun twice, what=done calls=9. Change: only SIGINT ends a stop at once; a repeated SIGTERM is logged. Why it works: the end of the stop is set once, by its beginning.

--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -36,7 +36,7 @@
 	"      --check        check the settings and exit\n"
 	"  -h, --help         show this text\n"
 	"  -V, --version      show the version\n"
-	"SIGTERM completes the requests in progress and stops; a second one stops at once. SIGHUP reloads the "
+	"SIGTERM completes the requests in progress and stops; SIGINT after it stops at once. SIGHUP reloads the "
 	"settings.\n"
 	"Exit status: 0 normal stop, 64 usage error, 69 startup failed (an address cannot be used), 78 invalid "
 	"settings.\n"};
--- a/src/bayhoist-gate/stop.c
+++ b/src/bayhoist-gate/stop.c
@@ -3,6 +3,7 @@
  * the event loop ends when none is left, or when the grace period is used up. */
 #include "call_internal.h"
 
+#include <signal.h>
 #include "clock.h"
 #include "log.h"
 #include "relay_server.h"
@@ -14,7 +15,8 @@
 static void end_calls_(Gate *g);
 
 /* Begins a planned stop: callers are directed to other nodes, and requests in progress are completed. A
- * second `signal` stops at once. */
+ * repeated SIGTERM changes nothing, since whoever supervises the node may send it again while it stops; only
+ * SIGINT, which a person sends, ends a stop at once. */
 void stop_begin(Gate *g, int signal)
 {
 	struct timeval check = {0, STOP_CHECK_PERIOD_MS * 1000};
@@ -24,7 +26,8 @@
 			  g->shutdown.began_us ? "repeated" : "begun", signal, g_hash_table_size(g->calls),
 			  g_hash_table_size(g->inbounds));
 	if (g->shutdown.began_us) {
-		event_base_loopbreak(g->base);
+		if (signal == SIGINT)
+			event_base_loopbreak(g->base);
 		return;
 	}
 	bh__shutdown_begin(&g->shutdown, g->settings.stop_grace_ms * BH__MS_US, clock_now_us());
--- a/src/bayhoistd/main.c
+++ b/src/bayhoistd/main.c
@@ -46,7 +46,7 @@
 	"      --check        check the settings and exit\n"
 	"  -h, --help         show this text\n"
 	"  -V, --version      show the version\n"
-	"SIGTERM stops without cutting off a request; a second one stops at once. SIGHUP loads TLS files "
+	"SIGTERM stops without cutting off a request; SIGINT after it stops at once. SIGHUP loads TLS files "
 	"anew.\n"
 	"Exit status: 0 stopped as asked, 64 wrong usage, 69 an address cannot be used, 78 wrong settings.\n"};
 
@@ -264,13 +264,15 @@
 		event_base_loopbreak(d->base);
 }
 
+/* Begins a planned stop. A repeated SIGTERM changes nothing, since whoever supervises the node may send it
+ * again while it stops; only SIGINT, which a person sends, ends a stop at once. */
 static void on_terminate_(evutil_socket_t sig, short what, void *arg)
 {
 	Daemon *d = arg;
 
 	(void)what;
 	log_event("node", "what=signal signal=%d", (int)sig);
-	d->stop_now = d->leave_at_us != 0;
+	d->stop_now = d->stop_now || (d->leave_at_us && sig == SIGINT);
 	bh__node_leave(d->node, clock_now_us());
 }
 
