A gateway that stops waits for requests that are still arriving

What callers saw: a request whose body is sent over some seconds has its connection closed without an answer by a gateway that stops. Cause: the end of the stop looked at calls, relays and answers that are not sent, not at requests of which a part has arrived: an idle gateway ended 3.2 s after SIGTERM in the middle of them, and at the end of the grace nothing answered them. Change: such a request keeps the node up as a call does, and is refused (503) right before the end; logged (refuse what=incomplete, incomplete= of stop what=ending). Why it works: what is refused there has not been read whole, so it can't have run.

--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -158,6 +158,8 @@
 void inbounds_stop_listening(Gate *g);
 void inbounds_free(Gate *g);
 unsigned inbounds_count_unsent(const Gate *g);
+unsigned inbounds_count_incomplete(const Gate *g);
+void inbounds_refuse_incomplete(Gate *g, uint64_t retry_after_ms);
 const InboundRequest *inbound_get_request(const Inbound *in);
 void inbound_send_error(Inbound *in, int status, uint64_t retry_after_ms, const char *code,
 						const char *message);
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -95,6 +95,7 @@
 static void close_when_sent_(Inbound *in);
 static bool note_unsent_(Inbound *in);
 static uint64_t idle_timeout_ms_(const Inbound *in);
+static bool is_arriving_(const Inbound *in);
 static void close_connection_(Inbound *in);
 static void on_input_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate);
 static bool is_caught_up_(const Inbound *in);
@@ -685,6 +686,43 @@
 	return count;
 }
 
+/* Returns the number of connections with a request that has begun to arrive and is not complete. */
+unsigned inbounds_count_incomplete(const Gate *g)
+{
+	GHashTableIter it;
+	gpointer in;
+	unsigned count = 0;
+
+	g_hash_table_iter_init(&it, g->inbounds);
+	while (g_hash_table_iter_next(&it, &in, NULL))
+		count += is_arriving_(in);
+	return count;
+}
+
+/* Refuses the requests that have begun to arrive and are not complete, shortly before the node exits. None of
+ * them has run. */
+void inbounds_refuse_incomplete(Gate *g, uint64_t retry_after_ms)
+{
+	GList *all = g_hash_table_get_keys(g->inbounds);
+
+	for (GList *it = all; it; it = it->next) {
+		Inbound *in = it->data;
+		if (!is_arriving_(in))
+			continue;
+		log_event("refuse", "what=incomplete head=%s body_bytes=%u", in->head_complete ? "yes" : "no",
+				  in->head_complete ? in->request.body->len : 0);
+		in->state = BUSY;
+		inbound_send_error(in, 503, retry_after_ms, "node-leaving", "this node stops");
+	}
+	g_list_free(all);
+}
+
+/* Returns true if a part of a request has arrived, and not all of it. */
+static bool is_arriving_(const Inbound *in)
+{
+	return in->state == READING && in->has_bytes;
+}
+
 /* Handles an empty output buffer: shuts down a closing connection, lets the call send more, or begins the
  * next request. */
 static void on_written_(struct bufferevent *bev, void *arg)
--- a/src/bayhoist-gate/stop.c
+++ b/src/bayhoist-gate/stop.c
@@ -43,17 +43,20 @@
 	Gate *g = arg;
 	const struct timeval flush = {0, STOP_FLUSH_MS * 1000};
 	unsigned unsent = inbounds_count_unsent(g);
-	unsigned busy = g_hash_table_size(g->calls) + relay_server_get_count(g->relay_server) + unsent;
+	unsigned incomplete = inbounds_count_incomplete(g);
+	unsigned busy =
+		g_hash_table_size(g->calls) + relay_server_get_count(g->relay_server) + unsent + incomplete;
 
 	(void)fd;
 	(void)what;
 	if (g->shutdown.is_ending || !bh__shutdown_is_due(&g->shutdown, busy > 0, clock_now_us()))
 		return;
-	log_event("stop", "what=ending calls=%u relays=%u unread=%u", g_hash_table_size(g->calls),
-			  relay_server_get_count(g->relay_server), unsent);
+	log_event("stop", "what=ending calls=%u relays=%u unread=%u incomplete=%u", g_hash_table_size(g->calls),
+			  relay_server_get_count(g->relay_server), unsent, incomplete);
 	bh__shutdown_end(&g->shutdown, clock_now_us());
 	inbounds_stop_listening(g);
 	end_calls_(g);
+	inbounds_refuse_incomplete(g, call_retry_stopping_ms(g, clock_now_us()));
 	event_base_loopexit(g->base, &flush);
 }
 
