A request's body has its own time-out, and one that is late is answered

What callers saw: the connection of a request whose body takes longer than the headers may (header-timeout-ms) is closed without an answer, at any time. Cause: the timer of the headers, set at the first byte, went on while the body came; when it fired after the head it closed. Change: each part of a body is waited for as long as a connection may be idle, and all of it no longer than the caller waits, or 30 s; a late one is answered 408 as a late head is. The test uses the usual header-timeout-ms now. Why it works: the headers' bound binds the headers; nothing has been sent to an endpoint before the body is whole.

--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -27,6 +27,7 @@
  */
 #define READ_AHEAD_MAX (4 * 1024)
 #define IDLE_TIMEOUT_MS 15000   /* as long as no configuration is loaded */
+#define BODY_MAX_MS 30000       /* for a whole request of a caller that does not say how long it waits */
 #define LINGER_MS 1000          /* time a caller has to close the connection after the last answer */
 #define UNACKED_TIMEOUT_MS 5000 /* longest time that sent bytes may stay unacknowledged */
 #define LISTEN_BACKLOG 512
@@ -95,6 +96,7 @@
 static void close_when_sent_(Inbound *in);
 static bool note_unsent_(Inbound *in);
 static uint64_t idle_timeout_ms_(const Inbound *in);
+static uint64_t body_timeout_ms_(const Inbound *in);
 static bool is_arriving_(const Inbound *in);
 static void close_connection_(Inbound *in);
 static void on_input_changed_(struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *gate);
@@ -210,6 +212,17 @@
 	return in->gate->routing ? bh__routing_get_limits(in->gate->routing)->idle_timeout_ms : IDLE_TIMEOUT_MS;
 }
 
+/* Returns for how long the next part of a request's body is waited for: the idle timeout, but not longer than
+ * the caller waits for the answer. */
+static uint64_t body_timeout_ms_(const Inbound *in)
+{
+	uint64_t caller_ms = in->request.meta.time_left_us / BH__MS_US;
+	uint64_t taken_ms = (clock_now_us() - in->request.arrived_us) / BH__MS_US;
+
+	caller_ms = caller_ms ? caller_ms : BODY_MAX_MS;
+	return MIN(idle_timeout_ms_(in), caller_ms - MIN(taken_ms, caller_ms));
+}
+
 /* Starts or restarts the timer of the connection, to fire after `ms`. */
 static void set_timer_(Inbound *in, uint64_t ms)
 {
@@ -276,6 +289,8 @@
 	if (!in->is_complete && HTTP_PARSER_ERRNO(&in->parser) != HPE_OK &&
 		HTTP_PARSER_ERRNO(&in->parser) != HPE_PAUSED)
 		set_error_(in, 400, http_errno_description(HTTP_PARSER_ERRNO(&in->parser)));
+	if (in->head_complete && !in->is_complete)
+		set_timer_(in, body_timeout_ms_(in));
 	if (in->error_status && !in->is_complete) { /* the start of the next request can't be found */
 		in->state = BUSY;
 		answer_error_(in);
@@ -711,6 +726,7 @@
 			continue;
 		log_event("refuse", "what=incomplete head=%s body_bytes=%u", in->head_complete ? "yes" : "no",
 				  in->head_complete ? in->request.body->len : 0);
+		in->keep_alive = false;
 		in->state = BUSY;
 		inbound_send_error(in, 503, retry_after_ms, "node-leaving", "this node stops");
 	}
@@ -755,18 +771,18 @@
 	close_connection_(in);
 }
 
-/* Handles a timeout: answers 408 if the headers of a request are late, and closes a connection that was idle
- * for too long or that the caller has not closed after the last answer. */
+/* Handles a timeout: answers 408 if the headers or the body of a request are late, and closes a connection
+ * that was idle for too long or that the caller has not closed after the last answer. */
 static void on_timer_(evutil_socket_t fd, short what, void *arg)
 {
 	Inbound *in = arg;
 
 	(void)fd;
 	(void)what;
-	if (in->state == READING && in->has_bytes && !in->head_complete) {
+	if (is_arriving_(in)) {
 		in->keep_alive = false;
 		in->state = BUSY;
-		inbound_send_error(in, 408, 0, "request-timeout", "the request's headers were not received in time");
+		inbound_send_error(in, 408, 0, "request-timeout", "the request was not received in time");
 	}
 	else if (in->state == CLOSING && note_unsent_(in)) {
 		set_timer_(in, LINGER_MS);
--- a/test/check-stop-under-way.sh
+++ b/test/check-stop-under-way.sh
@@ -61,12 +61,20 @@
 	echo "$1:$(ends "${@:2}")"
 }
 is_whole() { is "$1" "$(ends "${@:2}")" " $(($# - 1)) whole "; }
-limits() { sed 's/"header-timeout-ms":1000/"header-timeout-ms":9000/;s/"timeout-ms":3000/"timeout-ms":9000/'; } # a body may take its time
 
 start_site_behind_proxy
-start_three_gates "$(config 1 key1 | limits)"
+start_three_gates
+
+# Bodies that take longer than a head may.
+run slow_body 2 calm-length length 2
+run slow_body 2 calm-chunks chunks 3
+run slow_body 2 calm-half length 0
+wait $callers
+is_whole "bodies that take longer than a head may" calm-length calm-chunks
+is "one whose rest does not come is told so" "$(cat "$RUN/status.calm-half") $(tell runs?id=calm-half)" "408 0 0"
 
 # What is under way.
+callers=
 run slow_body 1 before-chunks chunks 3.8
 run stream 1 before-no-length /ask/no-length/long/x -0
 run stream 1 before-broken /ask/long/break/x
@@ -80,6 +88,7 @@
 run slow_body 1 chunks chunks 2
 run slow_body 1 length length 2
 run slow_body 1 late chunks 4.6
+at 3500
 run slow_body 1 endless chunks 0
 run slow_body 1 half length 0
 wait $callers
@@ -100,7 +109,7 @@
 signal gate1 HUP
 run stream 1 reload-after
 at 400
-config 2 key2 | limits | sed 's/"timeout-ms":8000/"timeout-ms":1000/;s/"idle-timeout-ms":5000/"idle-timeout-ms":200/;s/"name":"ask"/"name":"other"/;s|/ask/|/other/|' >"$RUN/config"
+config 2 key2 | sed 's/"timeout-ms":8000/"timeout-ms":1000/;s/"idle-timeout-ms":5000/"idle-timeout-ms":200/;s/"name":"ask"/"name":"other"/;s|/ask/|/other/|' >"$RUN/config"
 tell config -d "@$RUN/config"
 at 1000
 signal gate3 KILL
@@ -110,7 +119,7 @@
 is_whole "streams under way while settings, version and other gateways change" reload-before reload-resumed reload-after reload-elsewhere
 wait_for 9 have_ended 1
 settings 1 >"$RUN/gate1.json"
-config 3 key1 | limits >"$RUN/config"
+config 3 key1 >"$RUN/config"
 tell config -d "@$RUN/config"
 
 # The store is away; the other gateways stop faster than the first one ends, and more is asked for than engines take at once.
