log: a line stays one whatever its fields hold

Cause: fields that come from outside (a state or key of an entry, a field's name in an error) were written as they are; a line break in one began a line that no process wrote. Change: the text of a line is escaped in one place, write_(): control characters, line and paragraph separators and bytes that are no UTF-8 stand as \xNN, within the bound of a line, cut between characters.

--- a/src/share/log.c
+++ b/src/share/log.c
@@ -17,6 +17,7 @@
 #define FLUSH_AT 2048          /* bytes that are written without waiting for log_flush() */
 #define BURST_S 2.0            /* lines of so many seconds may come at once */
 #define LINE_MAX_LEN 1400
+#define ESCAPE_LEN 4 /* of a byte, as "\\x0a" */
 
 static log4c_category_t *category;
 static char identity[200];
@@ -38,6 +39,8 @@
 static LineBudget error_budget;
 
 static void write_(int priority, const char *event, const char *format, va_list args);
+static void escape_(char *out, size_t size, const char *text);
+static size_t plain_sign_len_(const char *text);
 static bool take_line_(LineBudget *b);
 static void tell_left_out_(void);
 static const char *format_plain_(const log4c_layout_t *layout, const log4c_logging_event_t *event);
@@ -164,14 +167,54 @@
 	log_event("log", "what=left-out lines=%" G_GUINT64_FORMAT, count);
 }
 
+/* Returns the bytes of the character that a text begins with, if it can stand in a line; 0: it is a control
+ * character, ends lines for some readers, or is no UTF-8. */
+static size_t plain_sign_len_(const char *text)
+{
+	gunichar sign = g_utf8_get_char_validated(text, -1);
+
+	if (sign == (gunichar)-1 || sign == (gunichar)-2)
+		return 0;
+	switch (g_unichar_type(sign)) {
+	case G_UNICODE_CONTROL:
+	case G_UNICODE_LINE_SEPARATOR:
+	case G_UNICODE_PARAGRAPH_SEPARATOR:
+		return 0;
+	default:
+		return (size_t)(g_utf8_next_char(text) - text);
+	}
+}
+
+/* Writes a text that may stand in a line, whatever its fields hold: bytes that may not are written in
+ * hexadecimal. What does not fit is cut, between characters. */
+static void escape_(char *out, size_t size, const char *text)
+{
+	size_t used = 0;
+
+	while (*text) {
+		size_t len = plain_sign_len_(text);
+		if (used + MAX(len, (size_t)ESCAPE_LEN) >= size)
+			break;
+		if (len)
+			memcpy(out + used, text, len);
+		else
+			g_snprintf(out + used, ESCAPE_LEN + 1, "\\x%02x", (unsigned char)*text);
+		used += len ? len : ESCAPE_LEN;
+		text += MAX(len, (size_t)1);
+	}
+	out[used] = '\0';
+}
+
 static void write_(int priority, const char *event, const char *format, va_list args)
 {
+	char text[LINE_MAX_LEN];
 	char rest[LINE_MAX_LEN];
 
 	if (!take_line_(priority == LOG4C_PRIORITY_ERROR ? &error_budget : &event_budget))
 		return;
 	tell_left_out_();
-	g_vsnprintf(rest, sizeof rest, format, args);
+	g_vsnprintf(text, sizeof text, format, args);
+	escape_(rest, sizeof rest, text);
 	if (category)
 		log4c_category_log(category, priority,
 						   "time_us=%" G_GUINT64_FORMAT " %s seq=%" G_GUINT64_FORMAT
--- a/src/share/log.h
+++ b/src/share/log.h
@@ -1,6 +1,7 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* Logs: one line of key=value pairs for each event, through log4c on standard output. A reader that does not
- * keep up never stops the process: lines that can't be written are left out and counted. */
+ * keep up never stops the process: lines that can't be written are left out and counted. A line stays one
+ * whatever its fields hold: control characters and bytes that are no UTF-8 are written as "\xNN". */
 #ifndef BAYHOIST_SHARE_LOG_H
 #define BAYHOIST_SHARE_LOG_H
 
