Numbers from outside are read once, with their bounds, into a type that holds them

Cause: numbers were read as doubles and cast, or by strtoull: kv-tokens below zero or above 64 bits, born of 20 digits, NaN and places of the store above 64 bits were undefined casts; a time budget of ms wrapped to a short one; slots of a model could be 0; a configuration's version of 20 digits counted as the highest one that there is. SAN=1 has float-cast-overflow, without recovery.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith -Wvla
 comma := ,
 CPPFLAGS := -Iinclude -Isrc/libbayhoist/include/private -Isrc/share -D_GNU_SOURCE -MMD -MP $(shell pkg-config --cflags $(PKGS))
-CFLAGS := -std=gnu11 -O2 -g -fno-omit-frame-pointer $(WARN) $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined)
+CFLAGS := -std=gnu11 -O2 -g -fno-omit-frame-pointer $(WARN) $(if $(SAN),-fsanitize=address$(comma)undefined$(comma)float-cast-overflow -fno-sanitize-recover=undefined$(comma)float-cast-overflow)
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lhttp_parser -lm
-LDFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined)
+LDFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined$(comma)float-cast-overflow)
 
 LIB_O := $(patsubst %.c,$B/%.o,$(wildcard src/libbayhoist/*.c))
 SHARE_O := $(patsubst %.c,$B/%.o,$(wildcard src/share/*.c))
--- a/include/bayhoist/field.h
+++ b/include/bayhoist/field.h
@@ -46,6 +46,10 @@
 bool bh__json_is_same(const char *a, const char *b);
 bool bh__fields_decode(const BH__Field *fields, size_t count, struct json_object *object, const char *where,
 					   void *out, GError **error);
+bool bh__json_is_whole(struct json_object *value, uint64_t min, uint64_t max);
+uint64_t bh__json_get_u64(struct json_object *value, uint64_t min, uint64_t max, uint64_t otherwise);
+double bh__json_get_real(struct json_object *value, double min, double max, double otherwise);
+uint64_t bh__digits_get_u64(const char *text, uint64_t max, const char **end);
 unsigned bh__field_find_line(const char *text, const char *message);
 
 #endif
--- a/src/libbayhoist/field.c
+++ b/src/libbayhoist/field.c
@@ -2,6 +2,7 @@
 /* Table-driven decoding of JSON objects. Error messages name the field and the cause. */
 #include "bayhoist/field.h"
 
+#include <math.h>
 #include <string.h>
 
 #define MAX_DEPTH_ 32 /* nesting levels of a JSON text */
@@ -180,19 +181,15 @@
 static bool read_u64_(const BH__Field *f, struct json_object *value, const char *where, uint64_t *out,
 					  GError **error)
 {
-	int64_t n;
-
 	if (!json_object_is_type(value, json_type_int))
 		return set_type_error_(f, where, "a whole number", error);
-	n = json_object_get_int64(value);
-	if (n < 0 || (uint64_t)n < f->min || (uint64_t)n > f->max) {
+	if (!bh__json_is_whole(value, f->min, f->max)) {
 		g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD,
-					"%s: field \"%s\": %" G_GINT64_FORMAT " is outside %" G_GUINT64_FORMAT
-					"..%" G_GUINT64_FORMAT,
-					where, f->name, n, f->min, f->max);
+					"%s: field \"%s\": %s is outside %" G_GUINT64_FORMAT "..%" G_GUINT64_FORMAT, where,
+					f->name, json_object_get_string(value), f->min, f->max);
 		return false;
 	}
-	*out = (uint64_t)n;
+	*out = json_object_get_uint64(value);
 	return true;
 }
 
@@ -239,6 +236,61 @@
 	return true;
 }
 
+/* Returns true if a value is a whole number within [min, max]. The parser takes one that no 64 bits hold for
+ * UINT64_MAX, so that `max` is to be less. */
+bool bh__json_is_whole(struct json_object *value, uint64_t min, uint64_t max)
+{
+	uint64_t n;
+
+	if (!json_object_is_type(value, json_type_int) || json_object_get_int64(value) < 0)
+		return false;
+	n = json_object_get_uint64(value);
+	return n >= min && n <= max;
+}
+
+/* Returns a number without its fraction, brought within [min, max], or `otherwise` if the value is none. */
+uint64_t bh__json_get_u64(struct json_object *value, uint64_t min, uint64_t max, uint64_t otherwise)
+{
+	double n;
+
+	if (json_object_is_type(value, json_type_int))
+		return json_object_get_int64(value) < 0 ? min : CLAMP(json_object_get_uint64(value), min, max);
+	n = bh__json_get_real(value, -1, ldexp(1, 64), NAN);
+	if (isnan(n))
+		return otherwise;
+	if (n <= 0)
+		return min;
+	return n < ldexp(1, 64) ? CLAMP((uint64_t)n, min, max) : max;
+}
+
+/* Returns a number brought within [min, max], or `otherwise` if the value is none. */
+double bh__json_get_real(struct json_object *value, double min, double max, double otherwise)
+{
+	double n;
+
+	if (!json_object_is_type(value, json_type_int) && !json_object_is_type(value, json_type_double))
+		return otherwise;
+	n = json_object_get_double(value);
+	return isnan(n) ? otherwise : CLAMP(n, min, max);
+}
+
+/* Returns the number that a text begins with in decimal digits, after white space; `max` if it is larger, 0
+ * if there is none. Sets `*end`, unless NULL, to what follows it. */
+uint64_t bh__digits_get_u64(const char *text, uint64_t max, const char **end)
+{
+	uint64_t n = 0;
+
+	while (g_ascii_isspace(*text))
+		text++;
+	for (; g_ascii_isdigit(*text); text++) {
+		uint64_t digit = (uint64_t)g_ascii_digit_value(*text);
+		n = n > max / 10 || digit > max - n * 10 ? max : n * 10 + digit;
+	}
+	if (end)
+		*end = text;
+	return n;
+}
+
 /* Extracts the field name that `message` quotes as `field "NAME"` and returns the number of the first line of
  * `text` with an object key of this name. Returns 0 if the message quotes no field or the text has no such
  * key. */
--- a/src/test_libbayhoist/test_inputs.c
+++ b/src/test_libbayhoist/test_inputs.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include "bayhoist/catalog.h"
+#include "bayhoist/field.h"
 #include "bayhoist/message.h"
 #include "frame.h"
 #include "prompt.h"
@@ -394,18 +395,72 @@
 	g_string_free(text, TRUE);
 }
 
+/* A number is brought within its bounds or refused, whatever its size and type; none is made of another. */
+static void numbers_are_read_within_bounds_(void **state)
+{
+	static const struct {
+		const char *text;
+		uint64_t clamped; /* within 10 to 1000, otherwise 77 */
+		double real;      /* within -5 to 1000, otherwise 77 */
+		bool is_whole;    /* within 0 to 1000 */
+	} Cases[] = {
+		{"12", 12, 12, true},
+		{"0", 10, 0, true},
+		{"1000", 1000, 1000, true},
+		{"1001", 1000, 1000, false},
+		{"12.9", 12, 12.9, false},
+		{"-12.9", 10, -5, false},
+		{"-1", 10, -1, false},
+		{"1e999", 1000, 1000, false},
+		{"-1e999", 10, -5, false},
+		{"1.8446744073709552e19", 1000, 1000, false},
+		{"18446744073709551615", 1000, 1000, false},
+		{"99999999999999999999999", 1000, 1000, false},
+		{"-99999999999999999999999", 10, -5, false},
+		{"NaN", 77, 77, false},
+		{"\"12\"", 77, 77, false},
+		{"true", 77, 77, false},
+		{"[12]", 77, 77, false},
+		{"null", 77, 77, false},
+	};
+	static const struct {
+		const char *text;
+		uint64_t n; /* up to 1000 */
+		const char *rest;
+	} Digits[] = {{"12,7", 12, ",7"}, {" 12", 12, ""},    {"1000", 1000, ""},
+				  {"1001", 1000, ""}, {"-3", 0, "-3"},    {"", 0, ""},
+				  {"x", 0, "x"},      {"0x10", 0, "x10"}, {"18446744073709551617", 1000, ""}};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+		char *text = g_strdup_printf("{\"n\":%s}", Cases[i].text);
+		struct json_object *o = bh__json_parse(text, strlen(text), NULL);
+		struct json_object *v = json_object_object_get(o, "n");
+		assert_non_null(o);
+		assert_true(bh__json_get_u64(v, 10, 1000, 77) == Cases[i].clamped);
+		assert_true(bh__json_get_real(v, -5, 1000, 77) == Cases[i].real);
+		assert_true(bh__json_is_whole(v, 0, 1000) == Cases[i].is_whole);
+		json_object_put(o);
+		g_free(text);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(Digits); i++) {
+		const char *rest;
+		assert_true(bh__digits_get_u64(Digits[i].text, 1000, &rest) == Digits[i].n);
+		assert_string_equal(rest, Digits[i].rest);
+	}
+	assert_true(bh__digits_get_u64("9", 5, NULL) == 5);
+	assert_true(bh__digits_get_u64("18446744073709551615", UINT64_MAX, NULL) == UINT64_MAX);
+	assert_true(bh__digits_get_u64("18446744073709551616", UINT64_MAX, NULL) == UINT64_MAX);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(refuses_bad_changes_),
-		cmocka_unit_test(counts_generations_),
-		cmocka_unit_test(finds_the_line_),
-		cmocka_unit_test(messages_come_back_as_sent_),
-		cmocka_unit_test(damaged_messages_crash_nothing_),
-		cmocka_unit_test(frames_are_checked_),
-		cmocka_unit_test(reads_completion_requests_),
-		cmocka_unit_test(damaged_json_crashes_nothing_),
-		cmocka_unit_test(packed_texts_come_back_),
+		cmocka_unit_test(refuses_bad_changes_),          cmocka_unit_test(numbers_are_read_within_bounds_),
+		cmocka_unit_test(counts_generations_),           cmocka_unit_test(finds_the_line_),
+		cmocka_unit_test(messages_come_back_as_sent_),   cmocka_unit_test(damaged_messages_crash_nothing_),
+		cmocka_unit_test(frames_are_checked_),           cmocka_unit_test(reads_completion_requests_),
+		cmocka_unit_test(damaged_json_crashes_nothing_), cmocka_unit_test(packed_texts_come_back_),
 	};
 	return cmocka_run_group_tests_name("inputs", tests, NULL, NULL);
 }
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -395,6 +395,120 @@
 	}
 }
 
+/* Numbers of any size and kind. */
+static const char *const Numbers_[] = {"-1",
+									   "-1e999",
+									   "1e999",
+									   "-1e30",
+									   "1e30",
+									   "1.8446744073709552e19",
+									   "9223372036854775808",
+									   "18446744073709551615",
+									   "18446744073709551616",
+									   "99999999999999999999",
+									   "-99999999999999999999",
+									   "NaN",
+									   "Infinity",
+									   "-Infinity",
+									   "0.5",
+									   "1e-320",
+									   "null",
+									   "\"7\"",
+									   "[]"};
+
+/* A number of an entry that no endpoint can have names the field; no value is made of it. */
+static void numbers_that_no_endpoint_has_are_refused_(void **state)
+{
+	static const char *const Fields[] = {"slots", "born"};
+	static const char *const Large[] = {"1e999",
+										"9223372036854775808",
+										"18446744073709551615",
+										"99999999999999999999",
+										"9007199254740993",
+										"-1",
+										"NaN"};
+	BH__EndpointEntry e;
+
+	(void)state;
+	for (size_t f = 0; f < G_N_ELEMENTS(Fields); f++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(Large); i++) {
+			char *text =
+				g_strdup_printf("{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"state\":\"ready\","
+								"\"%s\":%s}",
+								Fields[f], Large[i]);
+			GError *error = NULL;
+			assert_false(platform_decode_endpoint("i-1", text, strlen(text), NOW_US, &e, &error));
+			assert_non_null(strstr(error->message, Fields[f]));
+			g_clear_error(&error);
+			g_free(text);
+		}
+	}
+}
+
+/* Whatever number stands in a field of an entry or of the configuration, what is taken lies within bounds. */
+static void numbers_of_any_size_are_taken_within_bounds_(void **state)
+{
+	static const char *const Fields[] = {"slots",       "kv-tokens",  "stride",        "chunk",
+										 "step_ms",     "per_seq_ms", "context_per_k", "read_per_s",
+										 "pairs_per_m", "hop_ms",     "report_lag_ms"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Numbers_); i++) {
+		char *entry = g_strdup_printf("{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"state\":\"ready\","
+									  "\"cold-remaining-ms\":%s,\"sequence\":%s}",
+									  Numbers_[i], Numbers_[i]);
+		BH__EndpointEntry e;
+		assert_true(platform_decode_endpoint("i-1", entry, strlen(entry), NOW_US, &e, NULL));
+		assert_true(!e.cold_until_us ||
+					(e.cold_until_us >= NOW_US && e.cold_until_us <= NOW_US + 3600 * BH__SECOND_US));
+		g_free(entry);
+		for (size_t f = 0; f < G_N_ELEMENTS(Fields); f++) {
+			char *text = g_strdup_printf("{\"version\":1,\"services\":[{\"name\":\"llm\",\"cold-per-s\":%s,"
+										 "\"max-connections\":%s,\"engine-kind\":{\"%s\":%s}}],"
+										 "\"limits\":{\"max-body-bytes\":%s}}",
+										 Numbers_[i], Numbers_[i], Fields[f], Numbers_[i], Numbers_[i]);
+			uint64_t version;
+			BH__Routing *r = platform_decode_routing(text, strlen(text), &version, NULL);
+			const BH__ServiceSpec *s = bh__routing_find_service(r, "llm");
+			const BH__EngineModel *m = &s->engine;
+			assert_true(s->cold_per_s >= 0 && s->cold_per_s <= 1e9);
+			assert_true(m->slots >= 1 && m->slots <= 1000000);
+			assert_true(m->kv_tokens <= UINT64_C(1000000000000));
+			assert_true(m->step_ms >= 0 && m->step_ms <= 1e5);
+			assert_true(m->per_stream_ms >= 0 && m->per_stream_ms <= 1e5);
+			assert_true(m->per_kilotoken_ms >= 0 && m->per_kilotoken_ms <= 1e5);
+			assert_true(m->per_megapair_ms >= 0 && m->per_megapair_ms <= 1e5);
+			assert_true(m->hop_ms >= 0 && m->hop_ms <= 1e5);
+			assert_true(m->report_lag_ms >= 0 && m->report_lag_ms <= 1e5);
+			assert_true(m->prefill_tokens_per_ms > 0 && m->prefill_tokens_per_ms <= 1e9);
+			assert_true(bh__routing_get_limits(r)->max_body_bytes >= 1 &&
+						bh__routing_get_limits(r)->max_body_bytes <= UINT64_C(1000000000000000));
+			bh__routing_unref(r);
+			g_free(text);
+		}
+	}
+}
+
+/* Numbers of callers' headers that no 64 bits hold, or not in our unit, are large ones and no others. */
+static void large_numbers_of_callers_stay_large_(void **state)
+{
+	static const char *const Large[] = {"18446744073709552", "18446744073709551615",
+										"99999999999999999999999"};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Large); i++) {
+		RequestMeta m = {0};
+		char *tokens = g_strdup_printf("%s,%s", Large[i], Large[i]);
+		platform_read_request_header(&m, "X-Time-Budget-Ms", Large[i]);
+		platform_read_request_header(&m, "X-Token-Usage", tokens);
+		assert_true(m.time_left_us >= 3600 * BH__SECOND_US && m.time_left_us <= INT64_MAX / 1000);
+		assert_true(m.prompt_tokens == 100000000 && m.max_tokens == 100000000);
+		platform_read_request_header(&m, "X-Time-Budget-Ms", "-5");
+		assert_int_equal(m.time_left_us, 0);
+		g_free(tokens);
+	}
+}
+
 static void an_endpoint_tells_when_it_started_(void **state)
 {
 	static const char Text[] = "{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,"
@@ -733,6 +847,9 @@
 		cmocka_unit_test(an_endpoint_tells_how_long_it_is_cold_),
 		cmocka_unit_test(an_entry_of_another_writer_names_no_endpoint_),
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
+		cmocka_unit_test(numbers_that_no_endpoint_has_are_refused_),
+		cmocka_unit_test(numbers_of_any_size_are_taken_within_bounds_),
+		cmocka_unit_test(large_numbers_of_callers_stay_large_),
 		cmocka_unit_test(an_endpoint_with_an_id_that_does_not_fit_is_refused_),
 		cmocka_unit_test(callers_headers_are_sorted_),
 		cmocka_unit_test(a_key_is_read_whole_),
