What is no numeric address and port is refused, and a text with a NUL is no other

Cause: an address was split at its last colon and its port read by strtoull: names, blanks, IPv6, ports with signs or with anything behind them were taken; a request that was sent there was held until the name was not found. json-c's texts were read up to a NUL in them: "ready\\u0000x" was the state ready, and an API key with one opened what its beginning opens.

--- a/src/bayhoist-gate/main.c
+++ b/src/bayhoist-gate/main.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sysexits.h>
 #include "clock.h"
+#include "bayhoist/address.h"
 #include "crashes.h"
 #include "links.h"
 #include "relay_server.h"
@@ -130,10 +131,10 @@
 	uint16_t port;
 	uint16_t peer_port;
 
-	web_split_address(g->settings.peer_address, own_ip, sizeof own_ip, &peer_port);
+	bh__address_split(g->settings.peer_address, own_ip, sizeof own_ip, &peer_port);
 	for (char **seed = g->settings.seeds; seed && *seed; seed++) {
 		char address[BH__ADDRESS_LEN + 8];
-		if (!web_split_address(*seed, ip, sizeof ip, &port) || !strcmp(ip, own_ip))
+		if (!bh__address_split(*seed, ip, sizeof ip, &port) || !strcmp(ip, own_ip))
 			continue;
 		g_snprintf(address, sizeof address, "%s:%u", ip, peer_port);
 		cluster_add_seed(g->cluster, address);
--- a/src/bayhoist-gate/web.c
+++ b/src/bayhoist-gate/web.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <openssl/crypto.h>
 #include <string.h>
+#include "bayhoist/address.h"
 #include "bayhoist/verdict.h"
 #include "clock.h"
 #include "crashes.h"
@@ -73,7 +74,7 @@
 	evhttp_set_max_body_size(http, BODY_MAX_BYTES);
 	evhttp_set_timeout(http, IDLE_TIMEOUT_S);
 	evhttp_set_gencb(http, cb, g);
-	if (web_split_address(address, ip, sizeof ip, &port) && evhttp_bind_socket(http, ip, port) == 0)
+	if (bh__address_split(address, ip, sizeof ip, &port) && evhttp_bind_socket(http, ip, port) == 0)
 		return http;
 	log_error("listen-failed", "address=%s", address);
 	evhttp_free(http);
--- a/src/bayhoistd/connect.c
+++ b/src/bayhoistd/connect.c
@@ -2,6 +2,7 @@
 /* Connections that the daemon opens over HTTP. */
 #include "daemon.h"
 
+#include "bayhoist/address.h"
 #include "web.h"
 #include "web_call.h"
 
@@ -12,7 +13,7 @@
 	uint16_t port = 0;
 	struct evhttp_connection *conn;
 
-	web_split_address(address, ip, sizeof ip, &port);
+	bh__address_split(address, ip, sizeof ip, &port);
 	conn = evhttp_connection_base_bufferevent_new(d->base, NULL, tls ? tls_client_bufferevent(d) : NULL, ip,
 												  port);
 	evhttp_connection_set_max_headers_size(conn, WEB_ANSWER_HEAD_MAX);
--- a/src/bayhoistd/main.c
+++ b/src/bayhoistd/main.c
@@ -10,6 +10,7 @@
 #include <sysexits.h>
 #include <dirent.h>
 #include "clock.h"
+#include "bayhoist/address.h"
 #include "daemon.h"
 #include "daemon_options.h"
 #include "log.h"
@@ -134,7 +135,7 @@
 	char ip[64];
 	uint16_t port;
 
-	web_split_address(d->settings.caller_address, ip, sizeof ip, &port);
+	bh__address_split(d->settings.caller_address, ip, sizeof ip, &port);
 	d->http = evhttp_new(d->base);
 	evhttp_set_allowed_methods(d->http,
 							   EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
--- a/src/bench/bench_path.c
+++ b/src/bench/bench_path.c
@@ -13,6 +13,7 @@
 #include <sysexits.h>
 #include <unistd.h>
 #include "clock.h"
+#include "bayhoist/address.h"
 #include "web.h"
 
 typedef struct {
@@ -90,7 +91,7 @@
 
 	b->left--;
 	b->live++;
-	web_split_address(b->address, ip, sizeof ip, &port);
+	bh__address_split(b->address, ip, sizeof ip, &port);
 	s->bench = b;
 	s->start_us = clock_now_us();
 	s->end = event_new(b->base, -1, 0, on_end_, s);
--- a/src/bh-fake-engine/main.c
+++ b/src/bh-fake-engine/main.c
@@ -17,6 +17,7 @@
 #include <string.h>
 #include <sysexits.h>
 #include <unistd.h>
+#include "bayhoist/address.h"
 #include "bayhoist/field.h"
 #include "bayhoist/hash.h"
 #include "bayhoist/types.h"
@@ -351,7 +352,7 @@
 		slash = strchr(*at, '/');
 		if (slash)
 			*slash++ = '\0';
-		if (!slash || !web_split_address(*at, ip, sizeof ip, &port)) {
+		if (!slash || !bh__address_split(*at, ip, sizeof ip, &port)) {
 			g_free(ref);
 			a->import_failed = true;
 			a->imports--;
@@ -588,7 +589,7 @@
 
 	(void)fd;
 	(void)what;
-	if (!l->engine->weights || !web_split_address(l->engine->weights, ip, sizeof ip, &port)) {
+	if (!l->engine->weights || !bh__address_split(l->engine->weights, ip, sizeof ip, &port)) {
 		finish_load_(l);
 		return;
 	}
--- a/src/bh-load/main.c
+++ b/src/bh-load/main.c
@@ -16,6 +16,7 @@
 #include <string.h>
 #include <sysexits.h>
 #include <xxhash.h>
+#include "bayhoist/address.h"
 #include "bayhoist/field.h"
 #include "bayhoist/types.h"
 #include "clock.h"
@@ -141,7 +142,7 @@
 	char key[64];
 	struct evhttp_request *req = evhttp_request_new(cb, c);
 
-	web_split_address(address_(c), ip, sizeof ip, &port);
+	bh__address_split(address_(c), ip, sizeof ip, &port);
 	if (c->conn)
 		evhttp_connection_free(c->conn);
 	c->conn = evhttp_connection_base_new(c->load->base, NULL, ip, port);
--- a/src/libbayhoist/resource.c
+++ b/src/libbayhoist/resource.c
@@ -3,6 +3,7 @@
 #include "bayhoist/resource.h"
 
 #include <string.h>
+#include "bayhoist/address.h"
 #include "bayhoist/hash.h"
 #include "bayhoist/pool.h"
 
@@ -149,11 +150,10 @@
 /* Returns false with an error unless the endpoint's address ends in a colon and a port number. */
 static bool check_address_(const BH__Resource *r, GError **error)
 {
-	const char *colon = strrchr(r->as.endpoint.address, ':');
-	char *end = NULL;
-	guint64 port = colon ? g_ascii_strtoull(colon + 1, &end, 10) : 0;
+	char ip[BH__ADDRESS_LEN];
+	uint16_t port;
 
-	if (colon && port > 0 && port < 65536 && !*end)
+	if (bh__address_split(r->as.endpoint.address, ip, sizeof ip, &port))
 		return true;
 	g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD,
 				"endpoint \"%s\": field \"address\": must be IP:port", r->name);
--- a/src/share/fetch.c
+++ b/src/share/fetch.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <openssl/ssl.h>
 #include <string.h>
+#include "bayhoist/address.h"
 #include "bayhoist/field.h"
 #include "web.h"
 
@@ -54,7 +55,7 @@
 	struct evkeyvalq *headers;
 
 	memset(reply, 0, sizeof *reply);
-	if (web_split_address(call->address, ip, sizeof ip, &port)) {
+	if (bh__address_split(call->address, ip, sizeof ip, &port)) {
 		conn = evhttp_connection_base_bufferevent_new(w.base, NULL, ctx ? tls_(w.base, ctx, call->ca) : NULL,
 													  ip, port);
 		req = evhttp_request_new(on_done_, &w);
--- a/src/share/settings_file.c
+++ b/src/share/settings_file.c
@@ -2,6 +2,7 @@
 /* Reading and checking a file of settings. */
 #include "settings_file.h"
 
+#include "bayhoist/address.h"
 #include "web.h"
 
 static void tell_where_(const char *path, const char *text, GError **error);
@@ -47,7 +48,7 @@
 	char ip[BH__ADDRESS_LEN];
 	uint16_t port;
 
-	if (web_split_address(address, ip, sizeof ip, &port))
+	if (bh__address_split(address, ip, sizeof ip, &port))
 		return true;
 	g_set_error(error, BH__INPUT_ERROR, BH__INPUT_ERROR_FIELD, "field \"%s\": \"%s\" is not IP:port", field,
 				address);
--- a/src/share/web.c
+++ b/src/share/web.c
@@ -1,5 +1,6 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* Helpers over evhttp. */
+#include "bayhoist/address.h"
 #include "web.h"
 
 #include <event2/buffer.h>
@@ -13,23 +14,6 @@
 static void on_hangup_(evutil_socket_t fd, short what, void *conn);
 static void on_signal_(evutil_socket_t sig, short what, void *base);
 
-/* Splits "IP:port". Returns false if it is not of that form. */
-bool web_split_address(const char *address, char *ip, size_t ip_size, uint16_t *port)
-{
-	const char *colon = strrchr(address, ':');
-	guint64 n;
-
-	if (!colon || (size_t)(colon - address) >= ip_size)
-		return false;
-	n = g_ascii_strtoull(colon + 1, NULL, 10);
-	if (n == 0 || n > UINT16_MAX)
-		return false;
-	memcpy(ip, address, (size_t)(colon - address));
-	ip[colon - address] = '\0';
-	*port = (uint16_t)n;
-	return true;
-}
-
 /* Sends `body`, which it frees. */
 void web_reply_json(struct evhttp_request *req, int status, struct json_object *body)
 {
@@ -126,7 +110,7 @@
 	uint16_t port;
 	struct evhttp *http;
 
-	if (!web_split_address(address, ip, sizeof ip, &port))
+	if (!bh__address_split(address, ip, sizeof ip, &port))
 		return NULL;
 	http = evhttp_new(base);
 	evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
--- a/src/share/web.h
+++ b/src/share/web.h
@@ -9,7 +9,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-bool web_split_address(const char *address, char *ip, size_t ip_size, uint16_t *port);
 void web_reply_json(struct evhttp_request *req, int status, struct json_object *body);
 void web_reply_error(struct evhttp_request *req, int status, const char *verdict, const char *code,
 					 const char *message);
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -395,6 +395,23 @@
 	}
 }
 
+/* A text with a NUL in it is not the one before that: neither a state nor a key. */
+static void texts_with_a_nul_are_no_others_(void **state)
+{
+	static const char Entry[] = "{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,"
+								"\"state\":\"ready\\u0000x\"}";
+	static const char Keys[] = "{\"version\":1,\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"k1\\u0000x\"]}]}";
+	uint64_t version;
+	BH__Routing *r = platform_decode_routing(Keys, strlen(Keys), &version, NULL);
+	BH__EndpointEntry e;
+
+	(void)state;
+	assert_false(platform_decode_endpoint("i-1", Entry, strlen(Entry), NOW_US, &e, NULL));
+	assert_null(bh__routing_find_owner(r, "k1"));
+	assert_int_equal(bh__routing_get_refusal_count(r), 1);
+	bh__routing_unref(r);
+}
+
 /* Numbers of any size and kind. */
 static const char *const Numbers_[] = {"-1",
 									   "-1e999",
@@ -509,6 +526,64 @@
 	}
 }
 
+static const char *const WrongAddresses_[] = {"nowhere.example:80",
+											  "localhost:80",
+											  "a b:80",
+											  "127.0.0.1:80abc",
+											  "127.0.0.1: 80",
+											  "127.0.0.1:+80",
+											  "127.0.0.1:-1",
+											  "127.0.0.1:0",
+											  "127.0.0.1:080",
+											  "127.0.0.1:70000",
+											  "127.0.0.1:65536",
+											  "127.0.0.1:99999999999999999999",
+											  "127.0.0.1:",
+											  "127.0.0.1",
+											  ":80",
+											  "[::1]:80",
+											  "::1:80",
+											  "127.0.0.1:18446744073709551696",
+											  "127.1:80",
+											  "0x7f.0.0.1:80",
+											  "127.0.0.1 :80",
+											  " 127.0.0.1:80",
+											  "127.0.0.1:80\\n",
+											  "127.0.0.1:80\\u0000",
+											  "0.0.0.0:80",
+											  "127.0.0.1:80/",
+											  "http://127.0.0.1:80",
+											  "127.0.0.1:80,10.0.0.1:80",
+											  "127.0.0.256:80",
+											  "127.0.0.1:-18446744073709551536"};
+
+/* What is no numeric address and port is refused with its field, wherever an address comes from. */
+static void addresses_that_are_none_are_refused_(void **state)
+{
+	static const char *const Fields[] = {"peer_address", "caller_address"};
+	BH__EndpointEntry e;
+	BH__MemberInfo info;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(WrongAddresses_); i++) {
+		GError *error = NULL;
+		char *text = g_strdup_printf(
+			"{\"service\":\"llm\",\"address\":\"%s\",\"slots\":16,\"state\":\"ready\"}", WrongAddresses_[i]);
+		assert_false(platform_decode_endpoint("i-1", text, strlen(text), NOW_US, &e, &error));
+		assert_non_null(strstr(error->message, "\"address\""));
+		g_clear_error(&error);
+		g_free(text);
+		for (size_t f = 0; f < G_N_ELEMENTS(Fields); f++) {
+			text = g_strdup_printf("{\"node\":\"n-1\",\"hall\":\"h\",\"%s\":\"%s\",\"%s\":\"10.0.0.1:80\"}",
+								   Fields[f], WrongAddresses_[i], Fields[1 - f]);
+			assert_false(platform_decode_node("s", text, strlen(text), &info, &error));
+			assert_non_null(strstr(error->message, Fields[f]));
+			g_clear_error(&error);
+			g_free(text);
+		}
+	}
+}
+
 static void an_endpoint_tells_when_it_started_(void **state)
 {
 	static const char Text[] = "{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,"
@@ -847,6 +922,8 @@
 		cmocka_unit_test(an_endpoint_tells_how_long_it_is_cold_),
 		cmocka_unit_test(an_entry_of_another_writer_names_no_endpoint_),
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
+		cmocka_unit_test(texts_with_a_nul_are_no_others_),
+		cmocka_unit_test(addresses_that_are_none_are_refused_),
 		cmocka_unit_test(numbers_that_no_endpoint_has_are_refused_),
 		cmocka_unit_test(numbers_of_any_size_are_taken_within_bounds_),
 		cmocka_unit_test(large_numbers_of_callers_stay_large_),
