--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -81,6 +81,7 @@
 	bool is_engine;
 	bool draining;
 	bool gone;
+	bool overwritten;    /* another writer's entry stands in place of its own */
 	char odd[40];        /* kind of fake_answers.c that it gives to all requests; empty: none */
 	bool hangs;          /* takes requests and answers none, until it goes on */
 	struct evhttp *http; /* NULL: it has crashed */
@@ -119,7 +120,9 @@
 static GHashTable *Items_;  /* the latest Change by key */
 static GList *Watches_;     /* Watch */
 static uint64_t Revision_;
-static guint PageSize_;       /* items of a list's page; 0: all */
+static struct json_object *OddItem_;   /* see make_odd_(); NULL: none */
+static struct json_object *OddAnswer_; /* see make_odd_(); NULL: none */
+static guint PageSize_;                /* items of a list's page; 0: all */
 static Replica *GoneBetween_; /* that leaves between the first and the second page of the next list */
 static uint64_t Era_;
 static GHashTable *Copy_; /* a Change by key, as Items_ held it when the copy was made; NULL: none was */
@@ -141,6 +144,9 @@
 static unsigned SentAgain_;  /* crashing requests that came later than a tenth of CONTACT_MS after it */
 
 static void put_(const char *key, const char *text);
+static void put_odd_(const char *key, const char *data, size_t len);
+static void put_many_odd_(guint count);
+static void make_odd_(struct json_object *answer, struct json_object *list);
 static void set_(const char *key, const char *base64);
 static void answer_watches_(void);
 static struct json_object *item_(const Change *c);
@@ -350,7 +356,7 @@
 	(void)what;
 	(void)arg;
 	for (unsigned i = 0; !Down_ && i < ReplicaCount_; i++)
-		if (!Replicas_[i].gone && Replicas_[i].http)
+		if (!Replicas_[i].gone && !Replicas_[i].overwritten && Replicas_[i].http)
 			write_entry_(&Replicas_[i]);
 }
 
@@ -376,6 +382,45 @@
 	return (r->cold_until_us - MIN(now_us, r->cold_until_us)) / 1000;
 }
 
+/* Another writer writes bytes under a key. An endpoint whose own that is writes it no more until it is told
+ * to be back. */
+static void put_odd_(const char *key, const char *data, size_t len)
+{
+	char *value = g_base64_encode((const guchar *)data, len);
+
+	for (unsigned i = 0; i < ReplicaCount_; i++) {
+		char *own = g_strdup_printf("servers/%s", Replicas_[i].id);
+		Replicas_[i].overwritten |= !strcmp(own, key);
+		g_free(own);
+	}
+	set_(key, value);
+	g_free(value);
+}
+
+/* Another writer leaves so many entries. */
+static void put_many_odd_(guint count)
+{
+	for (guint i = 0; i < count; i++) {
+		char *key = g_strdup_printf("servers/odd-%05u", i);
+		char *text = g_strdup_printf("{\"state\":\"odd\\n%u\"}", i);
+		put_(key, text);
+		g_free(text);
+		g_free(key);
+	}
+}
+
+/* What a test wants of the store's answers to lists and watches: an item more among the others, and fields
+ * instead of the store's own. */
+static void make_odd_(struct json_object *answer, struct json_object *list)
+{
+	if (OddItem_)
+		json_object_array_add(list, json_object_get(OddItem_));
+	if (!json_object_is_type(OddAnswer_, json_type_object))
+		return;
+	json_object_object_foreach(OddAnswer_, field, value)
+		json_object_object_add(answer, field, json_object_get(value));
+}
+
 static void put_(const char *key, const char *text)
 {
 	char *value = text ? g_base64_encode((const guchar *)text, strlen(text)) : NULL;
@@ -496,6 +541,7 @@
 	json_object_object_add(o, "items", list);
 	json_object_object_add(o, "more", json_object_new_boolean(more));
 	json_object_object_add(o, "at", json_object_new_int64((int64_t)Revision_));
+	make_odd_(o, list);
 	web_reply_json(req, 200, o);
 	if (more && GoneBetween_) {
 		GoneBetween_->gone = true;
@@ -580,6 +626,7 @@
 	o = json_object_new_object();
 	json_object_object_add(o, "events", list);
 	json_object_object_add(o, "at", json_object_new_int64((int64_t)Revision_));
+	make_odd_(o, list);
 	web_reply_json(w->req, 200, o);
 	if (w->timer)
 		event_free(w->timer);
@@ -623,6 +670,24 @@
 		put_("op/config", text);
 		g_free(text);
 	}
+	else if (!strcmp(what, "entry")) {
+		char *key = web_get_query(req, "key");
+		web_get_body(req, &data, &len);
+		put_odd_(key ? key : "", data, len);
+		g_free(key);
+	}
+	else if (!strcmp(what, "odd-entries")) {
+		put_many_odd_(id ? (guint)strtoul(id, NULL, 10) : 0);
+	}
+	else if (!strcmp(what, "odd-item") || !strcmp(what, "odd-answer")) {
+		struct json_object **odd = what[4] == 'i' ? &OddItem_ : &OddAnswer_;
+		char *text;
+		web_get_body(req, &data, &len);
+		text = g_strndup(data, len);
+		json_object_put(*odd);
+		*odd = json_tokener_parse(text);
+		g_free(text);
+	}
 	else if (!strcmp(what, "down") || !strcmp(what, "up")) {
 		Down_ = !strcmp(what, "down");
 	}
@@ -723,6 +788,7 @@
 		r->draining |= !strcmp(what, "drain");
 		if (!strcmp(what, "back")) {
 			r->gone = false;
+			r->overwritten = false;
 			write_entry_(r);
 		}
 		if (!strcmp(what, "gone-between-pages"))
