Odd entries are named in the log within a bound, also those without an id, and none becomes a header

Cause: an empty id and keys that are no text were passed over without a line; each odd entry had one at each reading, so that 10,000 used up the log's rate; an id with a line break went into the header that names the endpoint, and ended it; the first key of the platform's that names no duty was taken for a node; the record of duties was read as a list whatever it was. Change: odd_entries.c names each refused entry once a minute and at most 32, and counts the others, for endpoints, halls, duties and held requests. An id with control characters is refused. Keys that name no duty, and items that are no list, are passed over.

--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,7 @@
 
 # tests of the binding, and the stand-in that it is played against
 $B/test_decode: $B/test/platform/test_decode.o $B/platform/decode.o $B/platform/headers.o $B/platform/http_client.o \
+		$B/platform/odd_entries.o \
 		$B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
--- a/test/check-odd-entries.sh
+++ b/test/check-odd-entries.sh
@@ -38,4 +38,61 @@
 tell 'back?id=i-p1'
 sleep 1.5
 is "its own entry is taken by all" "$(knows 1)$(knows 2)$(knows 3)" "$ALL$ALL$ALL"
+
+# All kinds at once, beside sound ones; then ten thousand, and one that is written again all the time.
+FORGED='time_us=1 process=gate1 event=start'
+nested() { head -c "$1" /dev/zero | tr '\0' '['; } # DEPTH
+with() { printf '{"service":"web","address":"%s","zone":"h1","slots":%s,"state":"%s","born":%s}' "$@"; } # ADDRESS SLOTS STATE BORN
+with "$(address 4)" 16 ready 1 | entry "servers/o-key%0A${FORGED// /%20}%0A" # it is to name no endpoint either
+with "$(address 4)" 16 ready 1 | entry servers/
+sleep 1 # these are read before the lines of a minute are used up
+for depth in 31 33 1000 100000; do
+	nested $depth | entry servers/o-nested$depth
+	{ printf '{"service":"web","state":"ready","slots":'; nested $depth; } | entry servers/o-slots$depth
+done
+odd=0
+for number in -1 1.5 1e999 99999999999999999999 18446744073709551616 NaN '"16"' null '[]'; do
+	odd=$((odd + 1))
+	with "$(address 4)" "$number" ready 1 | entry servers/o-slots-$odd
+	with "$(address 4)" 16 ready "$number" | entry servers/o-born-$odd
+done
+for odd_address in nowhere.example:80 'a b:80' 127.0.0.1:80abc '[::1]:80' 127.0.0.1:0 127.0.0.1:70000 127.0.0.1:-1 \
+	127.0.0.1:99999999999999999999 "127.0.0.1:$((BASE + 4))\\u0000"; do
+	odd=$((odd + 1))
+	with "$odd_address" 16 ready 1 | entry servers/o-address-$odd
+done
+with "$(address 4)" 16 "odd\\n$FORGED\\n" 1 | entry servers/o-state
+printf '\xff\xfe\0' | entry servers/o-bytes
+head -c 1000000 /dev/zero | entry servers/o-zeros
+printf '' | entry servers/o-empty
+for text in null '[]' 17 '"ready"' '{}'; do odd=$((odd + 1)); printf '%s' "$text" | entry servers/o-$odd; done
+sleep 1.5
+is "odd entries name no endpoint" "$(knows 1)$(knows 2)$(knows 3)" "$ALL$ALL$ALL"
+look 2
+served "lookups are served beside odd entries of all kinds"
+is "one with line breaks in its key has a line" "$(($(lines 'key=servers/o-key\\x0atime_us=1 process') > 0))" 1
+is "an entry without an id has a line" "$(($(lines 'what=entry-refused key=servers/ cause="names no endpoint"') > 0))" 1
+tell 'odd-entries?id=10000'
+sleep 0.5
+tell 'gone?id=i-p2'
+sleep 1
+is "that an endpoint goes is followed within a second beside 10,000 odd entries" "$(knows 1)$(knows 2)$(knows 3)" \
+	"i-e1 i-e2 i-e3 i-p1 i-e1 i-e2 i-e3 i-p1 i-e1 i-e2 i-e3 i-p1 "
+tell 'back?id=i-p2'
+sleep 1
+is "and that it returns" "$(knows 1)$(knows 2)$(knows 3)" "$ALL$ALL$ALL"
+signal gate2 KILL
+sleep 0.3
+start_gate 2
+is "a gateway that starts beside them gets ready" "$(wait_for 5 ready 2 200 && echo yes)" yes
+for i in 1 2 3 4 5; do with "$(address 4)" 16 "odd$i" "$i" | entry servers/o-again; sleep 0.4; done
+look 1
+served "lookups are served then too"
+is "all gateways know the same" "$(knows 1)$(knows 2)$(knows 3)" "$ALL$ALL$ALL"
+is "an entry that is written again has a line a gateway" "$(($(lines 'key=servers/o-again ') <= 4))" 1
+is "few of the refused have a line of their own" "$(($(lines what=entry-refused) <= 5 * 32))" 1
+is "the others are counted" "$(($(lines what=entries-refused) > 0))" 1
+is "no line was left out" "$(lines what=left-out)" 0
+is "each line of the logs is a gateway's own" "$(cat "$RUN"/gate?.log | LC_ALL=C grep -cvE '^time_us=[0-9]{10,} process=gate[123] hall=h1 boot=[0-9a-f]+ seq=[0-9]+ level=(info|error) event=')" 0
+is "no gateway has ended" "$(for n in 1 2 3; do kill -0 "$(pid_of gate$n)" && echo $n; done | tr '\n' ' ')" "1 2 3 "
 exit $FAILED
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -395,6 +395,52 @@
 	}
 }
 
+/* Ten thousand entries that are refused, and one that is refused each second for ten minutes, cost few lines.
+ */
+static void few_of_many_odd_entries_are_named_(void **state)
+{
+	OddEntries o = {0};
+	unsigned named = 0;
+	unsigned told = 0;
+	uint64_t counted = 0;
+	unsigned noted = 0;
+
+	(void)state;
+	for (unsigned i = 0; i < 10000; i++, noted++) {
+		char *key = g_strdup_printf("servers/odd-%u", i);
+		named += odd_entries_note(&o, key, NOW_US);
+		g_free(key);
+	}
+	assert_int_equal(named, ODD_ENTRIES_NAMED_MAX);
+	for (unsigned s = 0; s < 600; s++, noted++) {
+		uint64_t unnamed;
+		named += odd_entries_note(&o, "servers/again", NOW_US + (s + 60) * BH__SECOND_US);
+		unnamed = odd_entries_take_unnamed(&o, NOW_US + (s + 60) * BH__SECOND_US);
+		counted += unnamed;
+		told += unnamed > 0;
+	}
+	assert_int_equal(named, ODD_ENTRIES_NAMED_MAX + 10);
+	assert_true(told <= 61);
+	assert_int_equal(named + counted + o.unnamed, noted);
+}
+
+/* An id that breaks the line would end the header in which its endpoint gets it. */
+static void an_endpoint_with_control_characters_in_its_id_is_refused_(void **state)
+{
+	static const char *const Ids[] = {"i\n1", "i\r\nPriority: 1", "\x01", "i\x7f"};
+	static const char Entry[] =
+		"{\"service\":\"llm\",\"address\":\"10.1.0.9:80\",\"slots\":16,\"state\":\"ready\"}";
+	BH__EndpointEntry e;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Ids); i++) {
+		GError *error = NULL;
+		assert_false(platform_decode_endpoint(Ids[i], Entry, strlen(Entry), NOW_US, &e, &error));
+		assert_non_null(strstr(error->message, "id"));
+		g_error_free(error);
+	}
+}
+
 /* A text with a NUL in it is not the one before that: neither a state nor a key. */
 static void texts_with_a_nul_are_no_others_(void **state)
 {
@@ -922,6 +968,8 @@
 		cmocka_unit_test(an_endpoint_tells_how_long_it_is_cold_),
 		cmocka_unit_test(an_entry_of_another_writer_names_no_endpoint_),
 		cmocka_unit_test(an_endpoint_tells_when_it_started_),
+		cmocka_unit_test(few_of_many_odd_entries_are_named_),
+		cmocka_unit_test(an_endpoint_with_control_characters_in_its_id_is_refused_),
 		cmocka_unit_test(texts_with_a_nul_are_no_others_),
 		cmocka_unit_test(addresses_that_are_none_are_refused_),
 		cmocka_unit_test(numbers_that_no_endpoint_has_are_refused_),
