--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wpointer-arith -Wvla
 comma := ,
 CPPFLAGS := -Iinclude -Isrc/libbayhoist/include/private -Isrc/share -D_GNU_SOURCE -MMD -MP $(shell pkg-config --cflags $(PKGS))
-CFLAGS := -std=gnu11 -O2 -g -fno-omit-frame-pointer $(WARN) $(if $(SAN),-fsanitize=address$(comma)undefined -fno-sanitize-recover=undefined)
+CFLAGS := -std=gnu11 -O2 -g -fno-omit-frame-pointer $(WARN) $(if $(SAN),-fsanitize=address$(comma)undefined$(comma)float-cast-overflow -fno-sanitize-recover=undefined$(comma)float-cast-overflow)
 LDLIBS := $(shell pkg-config --libs $(PKGS)) -lmsgpackc -lhttp_parser -lm
-LDFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined)
+LDFLAGS := $(if $(SAN),-fsanitize=address$(comma)undefined$(comma)float-cast-overflow)
 
 LIB_O := $(patsubst %.c,$B/%.o,$(wildcard src/libbayhoist/*.c))
 SHARE_O := $(patsubst %.c,$B/%.o,$(wildcard src/share/*.c))
@@ -59,6 +59,7 @@
 
 # tests of the binding, and the stand-in that it is played against
 $B/test_decode: $B/test/platform/test_decode.o $B/platform/decode.o $B/platform/headers.o $B/platform/http_client.o \
+		$B/platform/odd_entries.o \
 		$B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
