log: plain ASCII is looked at first

Cause: each character of each line went through the tables of Unicode. Change: printable ASCII is passed at once; names say character.

--- a/src/share/log.c
+++ b/src/share/log.c
@@ -40,7 +40,7 @@
 
 static void write_(int priority, const char *event, const char *format, va_list args);
 static void escape_(char *out, size_t size, const char *text);
-static size_t plain_sign_len_(const char *text);
+static size_t plain_char_len_(const char *text);
 static bool take_line_(LineBudget *b);
 static void tell_left_out_(void);
 static const char *format_plain_(const log4c_layout_t *layout, const log4c_logging_event_t *event);
@@ -169,13 +169,16 @@
 
 /* Returns the bytes of the character that a text begins with, if it can stand in a line; 0: it is a control
  * character, ends lines for some readers, or is no UTF-8. */
-static size_t plain_sign_len_(const char *text)
+static size_t plain_char_len_(const char *text)
 {
-	gunichar sign = g_utf8_get_char_validated(text, -1);
+	gunichar c;
 
-	if (sign == (gunichar)-1 || sign == (gunichar)-2)
+	if (g_ascii_isprint(*text)) /* nearly all that is logged */
+		return 1;
+	c = g_utf8_get_char_validated(text, -1);
+	if (c == (gunichar)-1 || c == (gunichar)-2)
 		return 0;
-	switch (g_unichar_type(sign)) {
+	switch (g_unichar_type(c)) {
 	case G_UNICODE_CONTROL:
 	case G_UNICODE_LINE_SEPARATOR:
 	case G_UNICODE_PARAGRAPH_SEPARATOR:
@@ -192,7 +195,7 @@
 	size_t used = 0;
 
 	while (*text) {
-		size_t len = plain_sign_len_(text);
+		size_t len = plain_char_len_(text);
 		if (used + MAX(len, (size_t)ESCAPE_LEN) >= size)
 			break;
 		if (len)
