--- a/test/check-stop-under-way.sh
+++ b/test/check-stop-under-way.sh
@@ -47,6 +47,7 @@
 	stop_ms=$(now_ms)
 	signal "gate$1" TERM
 }
+links_are_cut() { "$B/bayhoistctl" --node "$(node 1 3)" links | head -n 1 | grep -q ' cut'; }
 have_ended() { local n; for n in "$@"; do ! kill -0 "$(pid_of gate$n)" 2>/dev/null || return 1; done; }
 begin() { # gateways that have ended start again; all know each other and the first configuration
 	local n
@@ -144,8 +145,8 @@
 # A gateway that reaches its endpoints through others: they stop, and so does it.
 begin
 cut_endpoints reset 1
-for i in 1 2 3 4; do ask 1 /ask/x "learn$i" >/dev/null; done
-sleep 0.5
+for i in 1 2 3 4; do ask 1 /ask/x "learn$i" >/dev/null; call 1 /free/x "look$i" >/dev/null; done
+wait_for 5 links_are_cut || is "the gateway knows that its links are cut" no yes
 for i in $(seq 8); do run stream 1 "through$i"; done
 for i in $(seq 9 12); do run stream 1 "through$i" /ask/long/break/x; done
 sleep 0.5
