A late beginning of an answer is no silence, also after its head or a resumption

What callers saw: for a minute after streams whose first event came late, a gateway that stops refuses streams in its first seconds that it could end. Cause: whether an answer had begun was looked up after its first event had been counted, and over all dispatches. So every late first event whose head had come before, and the beginning of every resumption, counted as a silence of the service although the other engines were heard, and was taken out of the recorded time of the answer. Evidence: check-stop-under-way on the code before, two streams whose first event comes 1 s after the head: needed_ms - longest_ms = 1001 for 3 of 3 streams taken soon after SIGTERM; and longest_ms=2962 where 3339 is right. Change: call_note_gap asks whether this dispatch has given the caller an event. Why it works: a wait for the first event of a dispatch counts only where a look found all engines silent, as the design says.

--- a/src/bayhoist-gate/call_times.c
+++ b/src/bayhoist-gate/call_times.c
@@ -48,11 +48,11 @@
  * down to a silence only if all endpoints were silent: an engine that has much to do begins late, too. */
 void call_note_gap(Call *c, uint64_t gap_us)
 {
-	uint64_t max_wait_us =
-		bh__response_max_wait_us(c->rule, c->service->is_engine, c->answer.events.events > 0);
+	bool has_begun = call_is_streaming(c) && c->progress_notified; /* with this dispatch's first event */
+	uint64_t max_wait_us = bh__response_max_wait_us(c->rule, c->service->is_engine, has_begun);
 	uint64_t excess_us = bh__silence_get_excess_us(gap_us, max_wait_us);
 
-	if (!excess_us || (!c->answer.events.events && !c->silence.all_silent_us))
+	if (!excess_us || (!has_begun && !c->silence.all_silent_us))
 		return;
 	c->silence_us += excess_us;
 	bh__silence_history_record(silence_history_(c), gap_us, clock_now_us());
--- a/test/check-stop-under-way.sh
+++ b/test/check-stop-under-way.sh
@@ -74,7 +74,11 @@
 is_whole "bodies that take longer than a head may" calm-length calm-chunks
 is "one whose rest does not come is told so" "$(cat "$RUN/status.calm-half") $(tell runs?id=calm-half)" "408 0 0"
 
-# What is under way.
+# What is under way. Engines that begin late, while others are heard, are no silence that the stop leaves room for.
+callers=
+run stream 1 late-begin /ask/hold/x
+run stream 1 late-resumed /ask/hold/break/x
+wait $callers
 callers=
 run slow_body 1 before-chunks chunks 3.8
 run stream 1 before-no-length /ask/no-length/long/x -0
@@ -96,6 +100,9 @@
 is_whole "streams from before that have no length, or go on at another engine" before-no-length before-broken
 is_whole "the same from soon after the stop" early-no-length early-broken
 is "one that is read slowly is whole" "$(cat "$RUN/status.before-slow") $(($(stat -c %s "$RUN/body.before-slow") > 10000000))" "200 0 1"
+is_whole "streams that begin late" late-begin late-resumed
+is "room for silences in what was taken soon after the stop, of which there were none, in ms" \
+	"$(sed -n 's/.*what=taken request=early.* longest_ms=\([0-9]*\) needed_ms=\([0-9]*\).*/\1 \2/p' "$RUN/gate1.log" | awk '{ print $2 - $1 }' | sort | uniq -c | tr -s ' \n' ' ')" " 3 0 "
 is_not_cut "bodies that take their time" before-chunks chunks length late
 is_not_cut "bodies that never end" endless half
 
