silence: what may run only once does not try a silent endpoint

Cause: nodes return one by one to an endpoint declared silent, the last one the declared time and a second later, and find out with requests that may be repeated. What may run only once was kept away for three times the declared time: 1.2 s at the first declaration, before the last node's 1.4 s. With three nodes and 20 requests a second, or fewer beside a load, it came first and was lost.

--- a/src/libbayhoist/silence.c
+++ b/src/libbayhoist/silence.c
@@ -14,7 +14,8 @@
 /* Shortest time in which the nodes return one by one: longer than what a request takes to be overdue, so that
  * few try an endpoint that is still silent. */
 #define RETURN_MIN_US_ BH__SECOND_US
-/* A request that may run only once is kept away for this multiple of the declaration. */
+/* A request that may run only once is kept away for this multiple of the declaration, or of RETURN_MIN_US_ if
+ * that is longer: the last node has returned by then, and what it tried the endpoint with is overdue. */
 #define ONCE_HOLD_FACTOR_ 3
 #define HOLD_MAX_US_ (2 * BH__SECOND_US)
 /* Shortest time after which a request is overdue: a packet that is lost is sent again within this time. */
@@ -72,7 +73,7 @@
 	s->hold_us = hold_us;
 	s->declared_until_us = now_us + hold_us;
 	s->until_us = s->declared_until_us + (uint64_t)((double)MAX(hold_us, RETURN_MIN_US_) * stretch);
-	s->once_until_us = now_us + ONCE_HOLD_FACTOR_ * hold_us;
+	s->once_until_us = now_us + ONCE_HOLD_FACTOR_ * MAX(hold_us, RETURN_MIN_US_);
 	return true;
 }
 
--- a/src/test_libbayhoist/test_silence.c
+++ b/src/test_libbayhoist/test_silence.c
@@ -17,7 +17,11 @@
 #define ENDPOINTS 3
 #define SILENT 1 /* the endpoint that falls silent */
 #define REQUESTS_PER_S 48
-#define ONCE_EVERY 4   /* each fourth request may run once only */
+#define ONCE_EVERY 4 /* each fourth request may run once only */
+#define FEW_NODES 3  /* a small site, whose three nodes may all be late in trying a silent endpoint */
+#define FEW_REQUESTS_PER_S 20
+#define FEW_ONCE_EVERY 2 /* each second request may run once only */
+#define FEW_SEEDS 60
 #define STEP_MS 10     /* what a message or an answer takes, and the period of ticks */
 #define TARGET_MS 250  /* in which callers want an answer */
 #define GIVE_UP_MS 800 /* after which callers leave */
@@ -41,6 +45,13 @@
 	bool is_reported;
 } Request;
 
+/* The requests of a run, and what else is drawn. */
+typedef struct {
+	unsigned per_s;
+	unsigned once_every;
+	unsigned seed;
+} Load;
+
 typedef struct {
 	unsigned lost;          /* requests that got no answer from the silent endpoint, long ones apart */
 	unsigned lost_once;     /* those of them that may run once only */
@@ -49,6 +60,8 @@
 	unsigned messages;      /* of the busiest node */
 } Cost;
 
+static Cost play_load_(unsigned nodes, const Load *load, unsigned silent_ms, bool tells);
+
 static void send_(BH__SignalRelayPort *port, uint64_t node_id, BH__Message *m)
 {
 	member_fleet_send(((Node *)port)->node, node_id, m);
@@ -127,12 +140,13 @@
 }
 
 /* Sends a request from a random node, as the gateway does. */
-static void send_request_(const MemberFleet *f, GArray *open, GRand *rand, unsigned number, unsigned ms)
+static void send_request_(const MemberFleet *f, const Load *load, GArray *open, GRand *rand, unsigned number,
+						  unsigned ms)
 {
 	Request q = {.node = (unsigned)g_rand_int_range(rand, 0, (gint32)f->count),
 				 .sent_ms = ms,
 				 .is_long = number % LONG_EVERY == 0,
-				 .runs_once = number % ONCE_EVERY == 0};
+				 .runs_once = number % load->once_every == 0};
 	BH__Registry *r = node_(f, q.node)->registry;
 	const BH__RegisteredEndpoint *e = q.runs_once
 										  ? bh__registry_pick_once(r, "web", "h", NULL, 0, f->now_us)
@@ -176,9 +190,17 @@
 
 /* Plays a fleet before three endpoints, of which one is silent for `silent_ms`. */
 static Cost play_(unsigned nodes, unsigned silent_ms, bool tells)
+{
+	const Load load = {.per_s = REQUESTS_PER_S, .once_every = ONCE_EVERY, .seed = nodes};
+
+	return play_load_(nodes, &load, silent_ms, tells);
+}
+
+/* The same with a load of its own. */
+static Cost play_load_(unsigned nodes, const Load *load, unsigned silent_ms, bool tells)
 {
 	MemberFleet *f = fleet_new_(nodes);
-	GRand *rand = g_rand_new_with_seed(nodes);
+	GRand *rand = g_rand_new_with_seed(load->seed);
 	GArray *open = g_array_new(FALSE, FALSE, sizeof(Request));
 	Cost cost = {0};
 	unsigned number = 0;
@@ -190,8 +212,8 @@
 		for (guint i = open->len; i-- > 0;)
 			if (process_request_(f, &g_array_index(open, Request, i), is_silent, tells, ms, &cost))
 				g_array_remove_index_fast(open, i);
-		for (; number < ms * REQUESTS_PER_S / 1000; number++)
-			send_request_(f, open, rand, number, ms);
+		for (; number < ms * load->per_s / 1000; number++)
+			send_request_(f, load, open, rand, number, ms);
 		for (unsigned i = 0; i < nodes; i++) {
 			if (ms >= SILENT_FROM_MS + silent_ms && is_avoided_(f, i, SILENT))
 				cost.avoided_after = ms - SILENT_FROM_MS - silent_ms;
@@ -226,6 +248,38 @@
 	}
 }
 
+/* On a small site with little load one endpoint hangs: what may run only once is lost until the endpoint is
+ * known to be silent, one request a node at most, and is not what finds out whether it still is. */
+static void what_runs_once_tries_no_silent_endpoint_(void **state)
+{
+	unsigned lost = 0;
+	unsigned most = 0;
+
+	(void)state;
+	for (unsigned seed = 1; seed <= FEW_SEEDS; seed++) {
+		const Load load = {.per_s = FEW_REQUESTS_PER_S, .once_every = FEW_ONCE_EVERY, .seed = seed};
+		Cost told = play_load_(FEW_NODES, &load, 5000, true);
+		lost += told.lost_once;
+		most = MAX(most, told.lost_once);
+	}
+	print_message("%u nodes, hangs for 5 s, %u seeds: %u that run once lost, %u at most\n", FEW_NODES,
+				  FEW_SEEDS, lost, most);
+	assert_in_range(most, 0, FEW_NODES);
+}
+
+/* A silent endpoint is kept from what may run only once until the last node has tried it with another request
+ * and has had time to notice, however long the silence is declared for. */
+static void runs_once_after_the_last_try_(void **state)
+{
+	(void)state;
+	for (uint64_t hold_us = 400 * BH__MS_US; hold_us <= 2 * BH__SECOND_US; hold_us *= 2) {
+		BH__Silence last = {0};
+		assert_true(bh__silence_declare(&last, 1, hold_us, 1.0, BH__SECOND_US));
+		assert_true(last.once_until_us >=
+					last.until_us + 2 * bh__silence_get_overdue_us(0, TARGET_MS * BH__MS_US));
+	}
+}
+
 /* One is silent for a second and goes on: it is used again within the time for which it was silent. */
 static void a_short_silence_ends_for_all_(void **state)
 {
@@ -291,6 +345,8 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {cmocka_unit_test(a_hanging_endpoint_costs_few_requests_),
+									   cmocka_unit_test(what_runs_once_tries_no_silent_endpoint_),
+									   cmocka_unit_test(runs_once_after_the_last_try_),
 									   cmocka_unit_test(a_short_silence_ends_for_all_),
 									   cmocka_unit_test(long_requests_condemn_nobody_),
 									   cmocka_unit_test(many_overdue_requests_make_few_reports_),
