planner: if all engines are ejected, those that answer for their report are used

What callers saw: after requests whose answers are cut at any engine, sound streams get 503 (overload) for up to 4 s, while all engines live. Cause: the scheduler ejects an engine at its first failure, for 0.6 s to 4 s. Ejection tells engines that fail from those that do not; once all are ejected it tells nothing, and leaves no engine. Evidence: event=engine what=failed ejected=3 engines=3, then event=refuse request=s1 cause=overload retry_after_ms=1980. Hypothesis: what all engines fail may be due to the requests. Those that have answered a request for their report since their last failure may be used then; those that have not (dead, restarting, stopped) stay ejected. Change: ejection.c keeps the last failure and the last request for a report that was answered; planner_ejection.c has all engines asked when all are ejected, each at most every 50 ms after further failures, and every 500 ms if it does not answer; an ask waits for 200 ms after a failure for that. While one engine is not ejected, nothing changes.

--- a/src/bayhoist-gate/planner_port.c
+++ b/src/bayhoist-gate/planner_port.c
@@ -73,6 +73,7 @@
 	Cluster *cluster;
 	uint64_t pool_id;
 	uint64_t endpoint_id;
+	uint64_t asked_us;
 } Inspection;
 
 /* Requests an engine's report. Does nothing if the engine takes no work or this node is not the scheduler of
@@ -92,6 +93,7 @@
 	i->cluster = s->cluster;
 	i->pool_id = bh__planner_get_id(s->planner);
 	i->endpoint_id = endpoint_id;
+	i->asked_us = clock_now_us();
 	to = (EndpointRef){
 		.address = e->entry.address, .endpoint_id = e->endpoint_id, .incarnation = e->incarnation};
 	g->port->report(g, &to, on_slowdown_, i);
@@ -108,6 +110,8 @@
 		if (slowdown > 1)
 			log_event("engine", "endpoint=%016" G_GINT64_MODIFIER "x pace=%.2f", i->endpoint_id, slowdown);
 		bh__planner_process_slowdown(s->planner, i->endpoint_id, slowdown, clock_now_us());
+		bh__planner_process_heard(s->planner, i->endpoint_id, i->asked_us, clock_now_us());
+		cluster_drain_inbox(s->cluster);
 	}
 	g_free(i);
 }
--- a/src/libbayhoist/ejection.c
+++ b/src/libbayhoist/ejection.c
@@ -9,6 +9,12 @@
 #define FIRST_US_ (600 * BH__MS_US)
 #define MAX_US_ (4 * BH__SECOND_US)
 #define DOUBLINGS_MAX_ 8u
+/* Minimum time between two requests for an engine's report after further failures, and after one that was not
+ * answered. */
+#define ASK_PERIOD_US_ (50 * BH__MS_US)
+#define ASK_AGAIN_US_ (500 * BH__MS_US)
+/* Time from a failure in which the answer of an engine that lives is waited for. */
+#define ANSWER_WAIT_US_ (200 * BH__MS_US)
 
 static BH__EjectionReport *find_report_(BH__Ejection *e, uint64_t node_id);
 static void update_(BH__Ejection *e);
@@ -23,6 +29,7 @@
 	for (unsigned i = 0; i < e->count; i++)
 		failures += e->report[i].failures;
 	r->failures++;
+	e->failed_us = now_us;
 	r->until_us = now_us + MIN(FIRST_US_ << MIN(failures, DOUBLINGS_MAX_), MAX_US_);
 	if (max_until_us)
 		r->until_us = MIN(r->until_us, max_until_us);
@@ -50,6 +57,40 @@
 		e->report[i].failures = 0;
 }
 
+/* Returns true if the engine has answered a request for its report that was sent after the last failure. It
+ * lives then, though it may fail further requests. */
+bool bh__ejection_is_alive(const BH__Ejection *e)
+{
+	return e->heard_us && e->heard_us >= e->failed_us;
+}
+
+/* Returns true if the engine should be asked for its report now, in order to learn whether it lives, and
+ * records that it is asked. */
+bool bh__ejection_take_ask(BH__Ejection *e, uint64_t now_us)
+{
+	uint64_t period_us = e->asked_us < e->failed_us ? ASK_PERIOD_US_ : ASK_AGAIN_US_;
+
+	if (bh__ejection_is_alive(e) || (e->asked_us && now_us < e->asked_us + period_us))
+		return false;
+	e->asked_us = now_us;
+	return true;
+}
+
+/* Returns for how long it is worth to wait for evidence that the engine lives; 0: there is some, or none came
+ * in time. */
+uint64_t bh__ejection_get_answer_wait_us(const BH__Ejection *e, uint64_t now_us)
+{
+	uint64_t until_us = e->failed_us + ANSWER_WAIT_US_;
+
+	return !bh__ejection_is_alive(e) && now_us < until_us ? until_us - now_us : 0;
+}
+
+/* Records that the engine has answered the request for its report that was sent at `asked_us`. */
+void bh__ejection_note_heard(BH__Ejection *e, uint64_t asked_us)
+{
+	e->heard_us = MAX(e->heard_us, asked_us);
+}
+
 /* Returns the report of a node, a new one if there is none; the one that ends first makes room for it. */
 static BH__EjectionReport *find_report_(BH__Ejection *e, uint64_t node_id)
 {
--- a/src/libbayhoist/include/private/placement.h
+++ b/src/libbayhoist/include/private/placement.h
@@ -61,6 +61,8 @@
 double bh__placement_utility(uint64_t prompt_tokens);
 bool bh__placement_is_tight(uint64_t event_gap_us);
 bool bh__iteration_engine_is_usable(const BH__IterationEngine *e, uint64_t now_us);
+bool bh__iteration_engine_is_last_resort(const BH__IterationEngine *e, uint64_t now_us);
+bool bh__iteration_engines_are_ejected(const GPtrArray *engines, uint64_t now_us);
 bool bh__iteration_engine_is_overdue(const BH__IterationEngine *e, uint64_t now_us);
 bool bh__ask_backs_off_from(const BH__Ask *ask, uint64_t endpoint_id);
 
--- a/src/libbayhoist/placement.c
+++ b/src/libbayhoist/placement.c
@@ -116,18 +116,21 @@
 	return contains_(ask->backoff, ask->backoff_count, endpoint_id);
 }
 
-/* Fills `out` with the usable engines and returns their number. Engines that requested a backoff from the
- * asking node are left out. Engines that the ask avoids or where answers are overdue are listed only if there
- * are no others. */
+/* Fills `out` with the usable engines and returns their number. If all engines are ejected, those of them
+ * that live are used. Engines that requested a backoff from the asking node are left out. Engines that the
+ * ask avoids or where answers are overdue are listed only if there are no others. */
 static unsigned list_candidates_(const BH__EngineModel *m, GPtrArray *engines, const BH__Ask *ask,
 								 uint64_t now_us, Candidate_ *out)
 {
+	bool all_ejected = bh__iteration_engines_are_ejected(engines, now_us);
 	unsigned count = 0;
 
 	for (int avoid = 1; avoid >= 0 && !count; avoid--) {
 		for (guint i = 0; i < engines->len; i++) {
 			BH__IterationEngine *e = g_ptr_array_index(engines, i);
-			if (!bh__iteration_engine_is_usable(e, now_us) || bh__ask_backs_off_from(ask, e->endpoint_id) ||
+			bool usable = all_ejected ? bh__iteration_engine_is_last_resort(e, now_us)
+									  : bh__iteration_engine_is_usable(e, now_us);
+			if (!usable || bh__ask_backs_off_from(ask, e->endpoint_id) ||
 				(avoid && (contains_(ask->avoid, ask->avoid_count, e->endpoint_id) ||
 						   bh__iteration_engine_is_overdue(e, now_us))))
 				continue;
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -466,21 +466,6 @@
 	bh__ejection_add(&e->ejection, node_id, now_us < backoff_us ? backoff_us : 0, now_us);
 }
 
-/* Takes back the failures that a node reported before it knew that its own links were cut. Returns the number
- * of engines that it had reported. */
-unsigned bh__planner_withdraw_failures(BH__Planner *p, uint64_t node_id, uint64_t now_us)
-{
-	unsigned count = 0;
-
-	for (guint i = 0; i < p->engines->len; i++) {
-		BH__IterationEngine *e = g_ptr_array_index(p->engines, i);
-		count += bh__ejection_withdraw(&e->ejection, node_id);
-	}
-	if (count)
-		bh__planner_place_waiting(p, now_us);
-	return count;
-}
-
 /* Records that an engine has requested a backoff of `backoff_us` from a node. This must be called before the
  * release of the grant that the engine rejected, so that the engine is not ejected for longer than the
  * backoff that it requested. */
@@ -504,6 +489,7 @@
 		eject_(p, failed, r ? r->grant.node_id : 0, now_us);
 	if (r)
 		remove_grant_(p, r, kind == BH__RELEASE_LOST, now_us);
+	bh__planner_ask_ejected(p, now_us);
 	bh__planner_place_waiting(p, now_us);
 }
 
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -16,7 +16,6 @@
 static bool refuse_if_hopeless_(BH__Planner *p, const BH__Ask *ask, uint64_t waited_us, uint64_t now_us);
 static bool has_engine_(const BH__Planner *p, const BH__Ask *ask);
 static uint64_t rate_limit_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
-static uint64_t ejection_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 static void place_some_(BH__Planner *p, bool late, bool over_share, uint64_t now_us);
 static uint64_t soonest_free_us_(const BH__Planner *p);
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us);
@@ -105,6 +104,7 @@
 	uint64_t target_us = bh__start_rules_first_event_target_us(ask);
 
 	bh__planner_update_division(p, now_us);
+	bh__planner_ask_ejected(p, now_us);
 	if (waited_us < ask->deadline_us && bh__start_rules_find(&p->model, p->engines, &p->long_work, ask, late,
 															 waited_us, now_us, &placement)) {
 		bh__account_shares_note_work(p->shares, ask->account_id, ask->weight,
@@ -127,7 +127,8 @@
 		refuse_(p, ask, BH__REASON_DEADLINE, now_us);
 	else if (!has_engine_(p, ask))
 		refuse_(p, ask, BH__REASON_NO_ENDPOINT, now_us);
-	else if (waited_us + MAX(rate_limit_wait_us_(p, ask, now_us), ejection_wait_us_(p, ask, now_us)) >=
+	else if (waited_us +
+				 MAX(rate_limit_wait_us_(p, ask, now_us), bh__planner_get_ejection_wait_us(p, ask, now_us)) >=
 			 bh__start_rules_max_wait_us(ask))
 		refuse_(p, ask, BH__REASON_OVERLOAD, now_us);
 	else
@@ -174,20 +175,6 @@
 	return (uint64_t)(ahead / per_s * BH__SECOND_US);
 }
 
-/* Returns how long an ask has to wait if all engines are ejected; 0 if any engine is not. Engines that
- * requested a backoff from the asking node are not considered. */
-static uint64_t ejection_wait_us_(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us)
-{
-	uint64_t min_us = UINT64_MAX;
-
-	for (guint i = 0; i < p->engines->len; i++) {
-		const BH__IterationEngine *e = g_ptr_array_index(p->engines, i);
-		if (!e->leaving && !bh__ask_backs_off_from(ask, e->endpoint_id))
-			min_us = MIN(min_us, e->ejection.until_us);
-	}
-	return min_us != UINT64_MAX && min_us > now_us ? min_us - now_us : 0;
-}
-
 /* Returns the earliest known time at which an engine that is not leaving may accept a request, or UINT64_MAX
  * if there is no such engine. */
 static uint64_t soonest_free_us_(const BH__Planner *p)
@@ -208,7 +195,8 @@
 static void refuse_(BH__Planner *p, const BH__Ask *ask, BH__Reason reason, uint64_t now_us)
 {
 	uint64_t soonest_us = soonest_free_us_(p);
-	uint64_t wait_us = MAX(rate_limit_wait_us_(p, ask, now_us), ejection_wait_us_(p, ask, now_us));
+	uint64_t wait_us =
+		MAX(rate_limit_wait_us_(p, ask, now_us), bh__planner_get_ejection_wait_us(p, ask, now_us));
 	uint64_t retry_after_ms;
 
 	if (soonest_us == UINT64_MAX)
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -1069,9 +1069,119 @@
 	fixture_free_(f);
 }
 
+/* Has each of three engines fail a request, as when answers to requests of one kind are cut at any engine:
+ * all are ejected at `at_us`. */
+static void eject_all_(Fixture *f, uint64_t at_us)
+{
+	for (unsigned endpoint = 1; endpoint <= 3; endpoint++)
+		bh__planner_process_release(f->planner, 0, BH__RELEASE_FAILED, endpoint, at_us);
+	assert_int_equal(bh__planner_count_ejected(f->planner, at_us), 3);
+}
+
+/* Streams whose answers three engines cut, one after another, eject all of them for up to 4 s. Sound streams
+ * after them wait until an engine has shown that it lives, and are placed there; none is refused. */
+static void ejected_engines_that_live_are_used_if_all_are_ejected_(void **state)
+{
+	Fixture *f = fixture_new_(3);
+	BH__Ask a = ask_(f, SHORT);
+
+	(void)state;
+	for (unsigned i = 0; i < 5; i++)
+		eject_all_(f, (1000 + 100 * i) * MS);
+	assert_int_equal(f->inspected, 5 * 3);
+	bh__planner_process_ask(f->planner, &a, 1401 * MS);
+	assert_int_equal(f->queued, 1);
+	bh__planner_process_heard(f->planner, 2, 1400 * MS, 1410 * MS);
+	assert_int_equal(f->grants->len, 1);
+	assert_int_equal(grant_(f, 0)->member[0].endpoint_id, 2);
+	bh__planner_process_heard(f->planner, 3, 1400 * MS, 1410 * MS);
+	a = ask_(f, SHORT);
+	bh__planner_process_ask(f->planner, &a, 3000 * MS);
+	assert_int_equal(f->grants->len, 2);
+	assert_int_not_equal(grant_(f, 1)->member[0].endpoint_id, 1);
+	assert_int_equal(f->refused, 0);
+	fixture_free_(f);
+}
+
+/* Engines that are dead, or were heard only before their last failure, get nothing: asks are refused after
+ * 0.2 s at the latest, and later ones at once. */
+static void ejected_engines_that_are_not_heard_get_nothing_(void **state)
+{
+	Fixture *f = fixture_new_(3);
+	BH__Ask a = ask_(f, SHORT);
+
+	(void)state;
+	for (unsigned i = 0; i < 5; i++)
+		eject_all_(f, (1000 + 100 * i) * MS);
+	bh__planner_process_ask(f->planner, &a, 1401 * MS);
+	bh__planner_process_heard(f->planner, 1, 1300 * MS, 1410 * MS); /* answers from before the failure */
+	bh__planner_process_heard(f->planner, 2, 1399 * MS, 1410 * MS);
+	bh__planner_process_tick(f->planner, 1599 * MS);
+	assert_int_equal(f->refused, 0);
+	bh__planner_process_tick(f->planner, 1601 * MS);
+	assert_int_equal(f->refused, 1);
+	assert_in_range(f->retry_after_ms, 3700, 3900);
+	a = ask_(f, SHORT);
+	bh__planner_process_ask(f->planner, &a, 1700 * MS);
+	assert_int_equal(f->refused, 2);
+	bh__planner_process_heard(f->planner, 3, 1400 * MS, 1800 * MS); /* lives, and then fails again */
+	bh__planner_process_release(f->planner, 0, BH__RELEASE_FAILED, 3, 1900 * MS);
+	a = ask_(f, SHORT);
+	bh__planner_process_ask(f->planner, &a, 2200 * MS);
+	assert_int_equal(f->refused, 3);
+	assert_int_equal(f->grants->len, 0);
+	fixture_free_(f);
+}
+
+/* While any engine is not ejected, those that are get nothing although they live, and are not asked. */
+static void ejected_engines_get_nothing_while_others_are_not_(void **state)
+{
+	Fixture *f = fixture_new_(3);
+
+	(void)state;
+	for (unsigned endpoint = 1; endpoint <= 2; endpoint++)
+		bh__planner_process_release(f->planner, 0, BH__RELEASE_FAILED, endpoint, 1000 * MS);
+	assert_int_equal(f->inspected, 0);
+	for (unsigned endpoint = 1; endpoint <= 2; endpoint++)
+		bh__planner_process_heard(f->planner, endpoint, 1001 * MS, 1010 * MS);
+	for (unsigned i = 0; i < 6; i++) {
+		BH__Ask a = ask_(f, SHORT);
+		bh__planner_process_ask(f->planner, &a, (1020 + 60 * i) * MS);
+		bh__planner_process_tick(f->planner, (1050 + 60 * i) * MS);
+	}
+	for (unsigned i = 0; i < f->grants->len; i++)
+		assert_int_equal(grant_(f, i)->member[0].endpoint_id, 3);
+	assert_int_not_equal(f->grants->len, 0);
+	fixture_free_(f);
+}
+
+/* Thirty streams on engines that all fail at once cost each engine two requests for its report, and engines
+ * that never answer one more each half second. */
+static void ejected_engines_are_asked_seldom_(void **state)
+{
+	Fixture *f = fixture_new_(3);
+
+	(void)state;
+	for (unsigned i = 0; i < 30; i++)
+		eject_all_(f, (1000 + i) * MS);
+	assert_int_equal(f->inspected, 3);
+	for (unsigned ms = 1030; ms < 3030; ms += 10) {
+		BH__Ask a = ask_(f, SHORT);
+		bh__planner_process_ask(f->planner, &a, ms * MS);
+		bh__planner_process_tick(f->planner, ms * MS);
+	}
+	assert_in_range(f->inspected, 3 * 2, 3 * 6);
+	assert_int_equal(f->grants->len, 0);
+	fixture_free_(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(ejected_engines_that_live_are_used_if_all_are_ejected_),
+		cmocka_unit_test(ejected_engines_that_are_not_heard_get_nothing_),
+		cmocka_unit_test(ejected_engines_get_nothing_while_others_are_not_),
+		cmocka_unit_test(ejected_engines_are_asked_seldom_),
 		cmocka_unit_test(limited_engines_get_no_more_parts_than_their_limit_),
 		cmocka_unit_test(asks_beyond_the_limits_are_refused_at_once_),
 		cmocka_unit_test(local_planners_avoid_limited_engines_),
