planner: grants on ejected engines are counted

last_resorts counts the grants on engines that were ejected, since all were (bayhoist_planner{what="last_resorts"}), so that operators see when a service runs on engines that fail. test_planner holds it.

--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -55,6 +55,7 @@
 	uint64_t late;             /* grants whose first event was predicted to be late */
 	uint64_t account_refusals; /* refusals because of what already waited for the account */
 	uint64_t ejections;        /* times that a failure ejected an engine */
+	uint64_t last_resorts;     /* grants on engines that were ejected, since all were */
 } BH__PlannerCounters;
 
 /* Booked starts of long prompts. */
--- a/src/bayhoist-gate/cluster_status.c
+++ b/src/bayhoist-gate/cluster_status.c
@@ -75,6 +75,7 @@
 				  {"refusals", k->refusals},
 				  {"late", k->late},
 				  {"ejections", k->ejections},
+				  {"last_resorts", k->last_resorts},
 				  {"account_refusals", k->account_refusals},
 				  {"bookings", bh__planner_count_bookings(s->planner)},
 				  {"booked", b->booked},
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -258,6 +258,7 @@
 		if (placement->engine[i]->clock.slowdown > INSPECT_SLOWDOWN_)
 			request_report_(p, placement->engine[i], now_us);
 	p->counters.grants++;
+	p->counters.last_resorts += now_us < placement->engine[0]->ejection.until_us;
 	p->counters.helped += placement->count > 1;
 	p->port->grant(p->port, &r->grant);
 }
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -1099,6 +1099,7 @@
 	bh__planner_process_ask(f->planner, &a, 3000 * MS);
 	assert_int_equal(f->grants->len, 2);
 	assert_int_not_equal(grant_(f, 1)->member[0].endpoint_id, 1);
+	assert_int_equal(bh__planner_get_counters(f->planner)->last_resorts, 2);
 	assert_int_equal(f->refused, 0);
 	fixture_free_(f);
 }
