What another system answers at an endpoint's address is not the endpoint's

Seen: an entry among the endpoints' own gave the address of the store, or of a gateway, and callers got the store's 404 or the gateway's 401 as their answer.

Cause: an answer that names no request counted as one to this request, and a proof was asked of successes only. A 4xx ended the request whoever gave it, and its endpoint counted as one that had served, so it got ever more.

Changed: an answer that names no request is no endpoint's, unless it says "not run"; nor is a 401 without a proof, since endpoints get no keys to check. The request goes elsewhere where it may, what may run only once gets 502, and the address is avoided. Any other failure without a proof is repeated where it may be, and else handed on as before (408, 429 and 503 without a proof become 502). Load and signals are taken after it is known whose the answer is, also by a node that relays.

--- a/include/bayhoist/answer_assembly.h
+++ b/include/bayhoist/answer_assembly.h
@@ -12,8 +12,9 @@
 typedef struct {
 	int status;           /* HTTP status */
 	bool not_run;         /* the endpoint says that it did not run the request that it answers */
-	bool is_own;          /* it names this request, or none */
-	bool is_proven;       /* it names the request, and proves that an endpoint gave it */
+	bool is_own;          /* it names this request */
+	bool is_nameless;     /* it names no request */
+	bool is_proven;       /* it names a request, and proves that an endpoint gave it */
 	bool is_event_stream; /* its media type is that of an event stream */
 	bool is_encoded;      /* a content coding has been applied to its body */
 } BH__AnswerHead;
@@ -54,6 +55,7 @@
 
 void bh__answer_head_set_origin(BH__AnswerHead *head, const char *request_id, const char *named_id,
 								bool has_proof);
+bool bh__answer_head_is_foreign(const BH__AnswerHead *head);
 void bh__answer_assembly_init(BH__AnswerAssembly *a, bool streams);
 void bh__answer_assembly_process_dispatch(BH__AnswerAssembly *a);
 BH__HeadVerdict bh__answer_assembly_process_head(BH__AnswerAssembly *a, const BH__AnswerHead *head);
--- a/src/bayhoist-gate/dispatch.c
+++ b/src/bayhoist-gate/dispatch.c
@@ -30,7 +30,7 @@
 static void on_head_(void *ctx, const OutboundHead *head);
 static void on_body_(void *ctx, const char *data, size_t len);
 static void process_failure_(Call *c);
-static void note_signals_(const Call *c);
+static void note_endpoint_(const Call *c);
 static void note_part_(Call *c, uint64_t now_us);
 static void note_pause_(Call *c, uint64_t pause_us);
 static void on_end_(void *ctx, BH__TransferEnd end, bool is_own_fault);
@@ -169,11 +169,8 @@
 	c->head = *head;
 	c->head.headers = headers;
 	g_string_assign(headers, head->headers->str);
-	if (head->meta.has_load)
-		bh__registry_note_load(c->gate->registry, c->endpoint_id, head->meta.running, head->meta.waiting,
-							   c->received_us);
 	decide_(c);
-	note_signals_(c);
+	note_endpoint_(c);
 	if (c->answer.body == BH__ANSWER_BODY_FAILURE)
 		process_failure_(c);
 	call_set_timer(c, c->received_us);
@@ -191,9 +188,10 @@
 		outbound_limit_rest(c->out);
 }
 
-/* Records the endpoint signals in an answer's head. Skips an answer that another endpoint at the same address
- * gave, since it says nothing about this one, and one whose status means that the request did not run. */
-static void note_signals_(const Call *c)
+/* Records the load and the signals of the endpoint that are in an answer's head. Skips an answer that another
+ * endpoint at the same address gave, or another system, since it says nothing about this one, and one whose
+ * status means that the request did not run. */
+static void note_endpoint_(const Call *c)
 {
 	const AnswerMeta *m = &c->head.meta;
 	bool is_foreign = c->end_known && c->known_end == BH__DISPATCH_BROKEN;
@@ -205,8 +203,11 @@
 						   .is_served = !m->not_run && m->has_mac,
 						   .request_id = c->request->meta.request_id};
 
-	if (!is_foreign && !c->gate->port->status_says_not_run(c->head.status))
-		signals_note_answer(c->gate, &origin, m);
+	if (is_foreign || c->gate->port->status_says_not_run(c->head.status))
+		return;
+	if (m->has_load)
+		bh__registry_note_load(c->gate->registry, c->endpoint_id, m->running, m->waiting, c->received_us);
+	signals_note_answer(c->gate, &origin, m);
 }
 
 /* Processes a part of the answer's body: forwards it, or buffers it up to BUFFERED_MAX bytes. Of an answer
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -248,7 +248,8 @@
 	y->channel->ops->pause(y->channel, false);
 }
 
-/* Records the load and the signals of the endpoint that are in the head of its answer. */
+/* Records the load and the signals of the endpoint that are in the head of its answer, unless another
+ * endpoint or another system gave it. */
 static void on_head_(void *ctx, const OutboundHead *head)
 {
 	Relay *y = ctx;
@@ -261,13 +262,16 @@
 						   .status = head->status,
 						   .is_served = !head->meta.not_run && head->meta.has_mac,
 						   .request_id = y->request_id};
+	BH__AnswerHead answer = {.status = head->status, .not_run = head->meta.not_run};
 
 	y->has_head = true;
 	answer_parser_end(y->parser);
+	bh__answer_head_set_origin(&answer, y->request_id, head->meta.request_id, head->meta.has_mac);
+	if (bh__answer_head_is_foreign(&answer) || g->port->status_says_not_run(head->status))
+		return;
 	if (head->meta.has_load)
 		bh__registry_note_load(g->registry, y->endpoint_id, head->meta.running, head->meta.waiting, now_us);
-	if (!g->port->status_says_not_run(head->status))
-		signals_note_answer(g, &origin, &head->meta);
+	signals_note_answer(g, &origin, &head->meta);
 }
 
 /* Tells the peer that the endpoint could not be connected to. The fault may be that of this node's links. */
--- a/src/libbayhoist/answer_assembly.c
+++ b/src/libbayhoist/answer_assembly.c
@@ -7,20 +7,43 @@
 #include <string.h>
 
 #define STATUS_OK_ 200
+#define STATUS_UNAUTHORIZED_ 401
 #define COMMENTS_MAX_ (64 * 1024) /* bytes of comments between two events */
 
+static bool is_success_(const BH__AnswerHead *head);
+static bool is_failure_(const BH__AnswerHead *head);
 static bool is_stream_(const BH__AnswerAssembly *a, const BH__AnswerHead *head);
 static BH__EventState process_first_(BH__AnswerAssembly *a, const char *data, size_t len, size_t *event_len);
 
 /* Sets whose answer it is that names `named_id`, which is empty if it names none, for the request
- * `request_id`. `has_proof`: it proves that an endpoint gave it. */
+ * `request_id`, which is empty if it has no id. `has_proof`: it proves that an endpoint gave it. */
 void bh__answer_head_set_origin(BH__AnswerHead *head, const char *request_id, const char *named_id,
 								bool has_proof)
 {
-	head->is_own = !named_id[0] || !strcmp(named_id, request_id);
+	head->is_own = !strcmp(named_id, request_id);
+	head->is_nameless = !named_id[0];
 	head->is_proven = has_proof && named_id[0];
 }
 
+/* Returns true if no endpoint gave the answer to this request: nothing that it says is believed, and the
+ * request may have run. Endpoints name the request in each answer; one that refuses it may leave that out,
+ * since no other system says that a request has not run. Without a proof neither a success is an endpoint's,
+ * nor the demand for a key: endpoints are given none. */
+bool bh__answer_head_is_foreign(const BH__AnswerHead *head)
+{
+	if (head->not_run)
+		return !head->is_own && !head->is_nameless;
+	if (!head->is_own)
+		return true;
+	return !head->is_proven && (is_success_(head) || head->status == STATUS_UNAUTHORIZED_);
+}
+
+/* Returns true if the answer's status is one of success. */
+static bool is_success_(const BH__AnswerHead *head)
+{
+	return head->status / 100 == 2;
+}
+
 /* Initializes the answer of a new request. `streams`: the request's route answers in event streams, and its
  * method allows a body. */
 void bh__answer_assembly_init(BH__AnswerAssembly *a, bool streams)
@@ -39,30 +62,33 @@
 	a->comment_bytes = 0;
 }
 
-/* Decides what becomes of the answer of the current dispatch. Whose answer it is comes first: one that names
- * another request says nothing of this one, which may have run. Then a refusal counts, whatever its status.
- * Without a proof that an endpoint gave it, a success is no answer. */
+/* Decides what becomes of the answer of the current dispatch. Whose answer it is comes first: what no
+ * endpoint gave to this request says nothing of it. Then a refusal counts, whatever its status. */
 BH__HeadVerdict bh__answer_assembly_process_head(BH__AnswerAssembly *a, const BH__AnswerHead *head)
 {
 	BH__HeadVerdict verdict = {.body = BH__ANSWER_BODY_UNUSED};
-	bool is_success = head->status / 100 == 2;
 
-	if (!head->is_own)
+	if (bh__answer_head_is_foreign(head))
 		verdict.end = BH__DISPATCH_BROKEN;
 	else if (head->not_run)
 		verdict.end = BH__DISPATCH_REFUSED;
-	else if (is_success && !head->is_proven)
-		verdict.end = BH__DISPATCH_BROKEN;
 	else if (is_stream_(a, head))
 		verdict.body = BH__ANSWER_BODY_EVENTS;
 	else if (a->begun != BH__ANSWER_BODY_UNUSED)
 		verdict.end = BH__DISPATCH_FAILED;
 	else
-		verdict.body = head->status >= 500 ? BH__ANSWER_BODY_FAILURE : BH__ANSWER_BODY_PLAIN;
+		verdict.body = is_failure_(head) ? BH__ANSWER_BODY_FAILURE : BH__ANSWER_BODY_PLAIN;
 	a->body = verdict.body;
 	return verdict;
 }
 
+/* Returns true if another endpoint may do better: one has failed, or, without a proof, it may be another
+ * system that does not know the request's path. */
+static bool is_failure_(const BH__AnswerHead *head)
+{
+	return head->status >= 500 || (!head->is_proven && !is_success_(head));
+}
+
 /* Returns true if the answer is a stream whose events can be told apart. */
 static bool is_stream_(const BH__AnswerAssembly *a, const BH__AnswerHead *head)
 {
@@ -143,5 +169,5 @@
 		return BH__DISPATCH_BROKEN;
 	if (end == BH__TRANSFER_CLOSED && is_stream && !a->dispatch_events)
 		return BH__DISPATCH_BROKEN;
-	return status >= 500 ? BH__DISPATCH_FAILED : BH__DISPATCH_ANSWERED;
+	return status >= 500 || a->body == BH__ANSWER_BODY_FAILURE ? BH__DISPATCH_FAILED : BH__DISPATCH_ANSWERED;
 }
--- a/src/test_libbayhoist/test_answer_assembly.c
+++ b/src/test_libbayhoist/test_answer_assembly.c
@@ -91,7 +91,12 @@
 	{"206", {.status = 206, .is_own = true, .is_proven = true, .is_event_stream = true}},
 	{"302", {.status = 302, .is_own = true, .is_proven = true}},
 	{"400", {.status = 400, .is_own = true, .is_proven = true}},
-	{"404", {.status = 404, .is_own = true}},
+	{"401", {.status = 401, .is_own = true, .is_proven = true}},
+	{"401 without a proof", {.status = 401, .is_own = true}},
+	{"404", {.status = 404, .is_own = true, .is_proven = true}},
+	{"404 without a proof", {.status = 404, .is_own = true}},
+	{"404 that names no request", {.status = 404, .is_nameless = true}},
+	{"500 that names no request", {.status = 500, .is_nameless = true}},
 	{"408", {.status = 408, .is_own = true, .is_proven = true}},
 	{"421", {.status = 421, .is_own = true, .is_proven = true}},
 	{"429", {.status = 429, .is_own = true, .is_proven = true}},
@@ -139,14 +144,16 @@
 		const BH__AnswerHead *head = &Heads_[i].head;
 		BH__AnswerAssembly a;
 		BH__HeadVerdict verdict;
-		bool is_none = !head->is_own || (head->status / 100 == 2 && !head->is_proven);
+		bool is_success = head->status / 100 == 2;
+		bool is_none = !head->is_own || (!head->is_proven && (is_success || head->status == 401));
+		bool is_failure = head->status >= 500 || (!head->is_proven && !is_success);
 
 		bh__answer_assembly_init(&a, true);
 		bh__answer_assembly_process_dispatch(&a);
 		verdict = bh__answer_assembly_process_head(&a, head);
-		assert_int_equal(verdict.body, is_none               ? BH__ANSWER_BODY_UNUSED
-									   : head->status >= 500 ? BH__ANSWER_BODY_FAILURE
-															 : BH__ANSWER_BODY_PLAIN);
+		assert_int_equal(verdict.body, is_none      ? BH__ANSWER_BODY_UNUSED
+									   : is_failure ? BH__ANSWER_BODY_FAILURE
+													: BH__ANSWER_BODY_PLAIN);
 		assert_true(!is_none || verdict.end == BH__DISPATCH_BROKEN);
 	}
 }
@@ -176,16 +183,19 @@
 								 BH__NEXT_ACTION_SEND, BH__NEXT_ACTION_PASS_THROUGH};
 
 /* Returns what is wanted of an answer: whose it is comes first, then what it says of the request, and its
- * status last. */
+ * status last. Without a request's id only a refusal is an endpoint's, and without a proof no success and no
+ * demand for a key; any other failure without one goes to another endpoint, or else to the caller. */
 static const Becomes *wanted_(Named named, int status, bool not_run, bool has_proof)
 {
 	if (named == NAMES_OTHER)
 		return &Broken_;
 	if (not_run)
 		return &Refusal_;
-	if (status / 100 == 2)
-		return named == NAMES_OWN && has_proof ? &Plain_ : &Broken_;
-	return status >= 500 ? &Failure_ : &Plain_;
+	if (named == NAMES_NONE)
+		return &Broken_;
+	if (has_proof)
+		return status >= 500 ? &Failure_ : &Plain_;
+	return status / 100 == 2 || status == 401 ? &Broken_ : &Failure_;
 }
 
 /* Returns the next action after a request's only dispatch so far was answered by `head`. */
@@ -204,7 +214,7 @@
  * run, above all, after which it would run twice, or its caller be told that it never will. */
 static void whose_an_answer_is_comes_first_(void **state)
 {
-	static const int Statuses[] = {200, 204, 400, 404, 408, 421, 429, 500, 502, 503, 504};
+	static const int Statuses[] = {200, 204, 302, 400, 401, 404, 408, 410, 421, 429, 500, 502, 503, 504};
 
 	(void)state;
 	for (size_t i = 0; i < NAMES_COUNT * G_N_ELEMENTS(Statuses) * 4; i++) {
@@ -231,6 +241,41 @@
 	}
 }
 
+/* Guards against the answer of another system, which has the address of an endpoint, as that of the endpoint.
+ * A request without an id has no name that an answer could bring back. */
+static void another_system_is_no_endpoint_(void **state)
+{
+	static const struct {
+		const char *what;
+		int status;
+		const char *request_id;
+		const char *named_id;
+		bool is_foreign;
+	} Table[] = {
+		{"the store knows no such path", 404, "attempt-7", "", true},
+		{"the store has dropped what was asked for", 410, "attempt-7", "", true},
+		{"a web server greets", 200, "attempt-7", "", true},
+		{"a web server leads elsewhere", 302, "attempt-7", "", true},
+		{"a web server has failed", 500, "attempt-7", "", true},
+		{"a proxy has no server", 503, "attempt-7", "", true},
+		{"a gateway misses the key", 401, "attempt-7", "attempt-7", true},
+		{"a system that brings back all headers greets", 200, "attempt-7", "attempt-7", true},
+		{"an endpoint does not know the path", 404, "attempt-7", "attempt-7", false},
+		{"an endpoint has failed", 500, "attempt-7", "attempt-7", false},
+		{"an endpoint misses the id", 400, "", "", false},
+		{"a success without an id", 200, "", "", true},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Table); i++) {
+		BH__AnswerHead head = {.status = Table[i].status};
+
+		bh__answer_head_set_origin(&head, Table[i].request_id, Table[i].named_id, false);
+		if (bh__answer_head_is_foreign(&head) != Table[i].is_foreign)
+			fail_msg("%s", Table[i].what);
+	}
+}
+
 /* A dispatch that another request's answer ended may have run: a refusal by the next endpoint does not take
  * that back. */
 static void a_refusal_after_anothers_answer_promises_nothing_(void **state)
@@ -397,6 +442,7 @@
 		cmocka_unit_test(only_a_stream_continues_a_stream_),
 		cmocka_unit_test(the_first_answer_is_handed_on_),
 		cmocka_unit_test(whose_an_answer_is_comes_first_),
+		cmocka_unit_test(another_system_is_no_endpoint_),
 		cmocka_unit_test(a_refusal_after_anothers_answer_promises_nothing_),
 		cmocka_unit_test(a_resumed_stream_is_whole_),
 		cmocka_unit_test(only_what_goes_on_continues_a_stream_),
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -1138,6 +1138,7 @@
 	(void)fd;
 	(void)what;
 	json_object_object_add(o, "free", json_object_new_int(1));
+	json_object_object_add(o, "running", json_object_new_int(0));
 	json_object_object_add(o, "pace", json_object_new_double(1));
 	web_reply_json(req, 200, o);
 }
--- a/test/platform/test_decode.c
+++ b/test/platform/test_decode.c
@@ -719,6 +719,39 @@
 	evbuffer_free(out);
 }
 
+/* Guards against another system's success as an engine's answer to an order, or its report. */
+static void another_systems_success_is_no_answer_(void **state)
+{
+	static const struct {
+		int status;
+		const char *body;
+		bool is_answer;
+	} Table[] = {
+		{200, "{\"free\":41200}", true},
+		{200, "{\"free\":0,\"held\":3}", true},
+		{202, "{\"free\":41200}", false}, /* it is waited for */
+		{503, "{\"free\":41200}", false},
+		{0, "", false},
+		{200, "", false},
+		{200, "{}", false},
+		{200, "null", false},
+		{200, "[1]", false},
+		{200, "<html>welcome</html>", false},
+		{200, "{\"free\":\"yes\"}", false},
+		{200, "{\"free\":null}", false},
+		{200, "{\"items\":[],\"more\":false,\"at\":530}", false},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Table); i++) {
+		struct json_object *o =
+			http_parse_answer(Table[i].status, Table[i].body, strlen(Table[i].body), "free");
+		if ((o != NULL) != Table[i].is_answer)
+			fail_msg("%d %s", Table[i].status, Table[i].body);
+		json_object_put(o);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -744,6 +777,7 @@
 		cmocka_unit_test(the_strictest_of_two_signals_counts_),
 		cmocka_unit_test(unknown_headers_are_told_apart_),
 		cmocka_unit_test(a_call_that_fails_at_once_says_so_later_),
+		cmocka_unit_test(another_systems_success_is_no_answer_),
 		cmocka_unit_test(a_call_says_that_its_answer_has_begun_),
 		cmocka_unit_test(sendings_name_their_helpers_),
 	};
