check-odd-entries: a gateway starts before each odd answer of the store

The record of duties, which is read at a start, was taken for a list whatever it was: json-c asserts that. The stand-in writes 10,000 entries without asking all watches after each: sanitized, it answered nobody for 2.7 s.

--- a/test/check-odd-entries.sh
+++ b/test/check-odd-entries.sh
@@ -92,8 +92,11 @@
 	'{"items":{},"events":{}}' '{"items":7,"events":"x"}' '{"more":"yes"}' '{"items":[],"more":true}' '{"items":[{"private-key":7}],"more":true}' \
 	'{"items":[{"private-key":"servers/a"}],"more":true}'; do
 	tell odd-answer -d "$answer"
-	[ $((++odd % 3)) = 0 ] && { signal gate3 KILL; sleep 0.1; start_gate 3; }
-	sleep 0.6
+	signal gate3 KILL # it starts before such an answer
+	sleep 0.1
+	start_gate 3
+	sleep 1
+	kill -0 "$(pid_of gate3)" || is "a gateway that starts before $answer lives" no yes
 done
 look 1
 tell odd-answer -d null
--- a/test/platform/fake_site.c
+++ b/test/platform/fake_site.c
@@ -144,6 +144,7 @@
 static unsigned SentAgain_;  /* crashing requests that came later than a tenth of CONTACT_MS after it */
 
 static void put_(const char *key, const char *text);
+static void keep_(const char *key, const char *base64);
 static void put_odd_(const char *key, const char *data, size_t len);
 static void put_many_odd_(guint count);
 static void make_odd_(struct json_object *answer, struct json_object *list);
@@ -403,10 +404,13 @@
 	for (guint i = 0; i < count; i++) {
 		char *key = g_strdup_printf("servers/odd-%05u", i);
 		char *text = g_strdup_printf("{\"state\":\"odd\\n%u\"}", i);
-		put_(key, text);
+		char *value = g_base64_encode((const guchar *)text, strlen(text));
+		keep_(key, value);
+		g_free(value);
 		g_free(text);
 		g_free(key);
 	}
+	answer_watches_();
 }
 
 /* What a test wants of the store's answers to lists and watches: an item more among the others, and fields
@@ -431,6 +435,12 @@
 
 /* Sets a key to a value in base64; NULL removes it. */
 static void set_(const char *key, const char *base64)
+{
+	keep_(key, base64);
+	answer_watches_();
+}
+
+static void keep_(const char *key, const char *base64)
 {
 	Change *c = g_new0(Change, 1);
 
@@ -442,7 +452,6 @@
 		g_hash_table_replace(Items_, c->key, c);
 	else
 		g_hash_table_remove(Items_, c->key);
-	answer_watches_();
 }
 
 static struct json_object *item_(const Change *c)
