--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -171,8 +171,8 @@
 		return;
 	}
 	o = take_(c, MSGPACK_OBJECT_STR);
-	if (o)
-		*value = g_strndup(o->via.str.ptr, o->via.str.size);
+	if (o) /* an empty one has no place in the data */
+		*value = o->via.str.size ? g_strndup(o->via.str.ptr, o->via.str.size) : g_strdup("");
 }
 
 /* Packs or takes a compressed text. Decoded data is allocated; an empty one leaves `data` NULL. */
