A mutation fuzzer over the binding's decoders; what it found in entries of held requests and in heads

test_outside_entries has endpoints' entries, nodes' entries, configurations, entries of held requests and answers decoded from the texts of mutator.c, 15,000 of each kind.

Now an interim answer has no body, so what follows its head is the next head, or no answer.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,11 @@
 		$B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+$B/test_outside_entries: $B/test/platform/test_outside_entries.o $B/src/test_libbayhoist/mutator.o $B/platform/decode.o \
+		$B/platform/headers.o $B/platform/http_client.o $B/platform/quarantine.o $B/src/bayhoist-gate/answer_parser.o \
+		$B/libshare.a $B/libbayhoist.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
 $B/bh-fake-site: $B/test/platform/fake_site.o $B/test/platform/fake_answers.o $B/test/platform/fake_signals.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
@@ -71,10 +76,10 @@
 $B/bh-slow-callers: $B/test/platform/slow_callers.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
-$B/test/platform/test_decode.o: CPPFLAGS += -Isrc/bayhoist-gate -Iplatform
+$B/test/platform/test_decode.o $B/test/platform/test_outside_entries.o: CPPFLAGS += -Isrc/bayhoist-gate -Iplatform -Isrc/test_libbayhoist
 
-check: all $(TESTS:%=$B/%) $B/test_decode $B/bh-fake-site $B/bh-fault-proxy $B/bh-slow-callers
-	@B=$B sh test/run-all.sh $(TESTS) test_decode
+check: all $(TESTS:%=$B/%) $B/test_decode $B/test_outside_entries $B/bh-fake-site $B/bh-fault-proxy $B/bh-slow-callers
+	@B=$B sh test/run-all.sh $(TESTS) test_decode test_outside_entries
 
 demo:
 	@sh test/install-packages.sh
--- a/src/bayhoist-gate/answer_parser.c
+++ b/src/bayhoist-gate/answer_parser.c
@@ -5,7 +5,8 @@
 #include <http_parser.h>
 #include <string.h>
 
-#define HEAD_MAX (32 * 1024)    /* bytes of an answer before its body, interim answers included */
+#define HEAD_MAX (32 * 1024) /* bytes of an answer before its body, interim answers included */
+#define STATUS_MIN 100
 #define FRAMING_MAX (16 * 1024) /* bytes between two parts of a body: chunk extensions, trailers */
 
 struct AnswerParser {
@@ -216,17 +217,19 @@
 }
 
 /* Reports the head of the final answer to the owner; interim (1xx) answers are skipped. Returns 1 if the
- * parser must not expect a body. */
+ * parser must not expect a body, and a negative number, which ends it, if the status has not three digits. */
 static int on_headers_complete_(http_parser *p)
 {
 	AnswerParser *a = p->data;
 
 	if (a->value_started)
 		process_header_(a);
+	if (p->status_code < STATUS_MIN)
+		return -1;
 	a->is_in_head = false;
 	a->is_interim = p->status_code / 100 == 1;
 	if (a->is_interim)
-		return 0;
+		return 1; /* whatever length it names */
 	a->head_complete = true;
 	a->head.status = (int)p->status_code;
 	a->cb.on_head(a->ctx, &a->head);
