A stopping gateway answers a request that came behind one from before

What callers saw: of two requests sent at once on one connection, the second gets no answer and the connection closes, where SIGTERM comes during the first one's answer. Cause: in a stop the connection was closed after each answer, and what had arrived was discarded, although the head of an answer that began before the stop does not say that the connection closes. Evidence: check-stop-under-way on the code before: "200 1 2 3 4 5 6 7 8 9 10", one answer of two. Change: a connection whose answer did not announce its end goes on if the next request has begun to arrive; that one's answer announces it. Why it works: what has been read is served or refused like any other request in a stop; there is one at most after the stop began.

--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -640,12 +640,15 @@
 }
 
 /* Ends a request after its answer has been written: prepares the connection for the next request, or closes
- * it. */
+ * it. A node that stops still serves a request which has arrived behind one whose answer did not say that the
+ * connection closes. */
 static void finish_answer_(Inbound *in)
 {
+	bool has_next = evbuffer_get_length(bufferevent_get_input(in->bev)) > 0;
+
 	in->call = NULL;
 	in->chunked = false;
-	if (!in->keep_alive || in->gate->shutdown.began_us) {
+	if (!in->keep_alive || (in->gate->shutdown.began_us && !has_next)) {
 		close_when_sent_(in);
 		return;
 	}
@@ -659,7 +662,7 @@
 	in->head_complete = false;
 	wait_for_request_(in);
 	/* input that has arrived meanwhile is read from the event loop: this may be a parser callback */
-	if (evbuffer_get_length(bufferevent_get_input(in->bev)) > 0)
+	if (has_next)
 		bufferevent_trigger(in->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
 }
 
--- a/test/check-stop-under-way.sh
+++ b/test/check-stop-under-way.sh
@@ -31,6 +31,16 @@
 	echo 0 >>"$RUN/status.$2"
 	exec {fd}>&-
 }
+two_at_once() { # N ID: a stream, and the next request of its connection sent right behind it
+	local fd i
+	exec {fd}<>"/dev/tcp/$(node "$1" 0 | tr : /)" || return
+	for i in 1 2; do
+		printf 'POST /ask/%s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\nX-Time-Budget-Ms: 9000\r\nX-Api-Key: %s\r\nX-Token-Usage: 3000,100\r\nContent-Length: 8\r\n\r\na prompt' \
+			"$([ $i = 1 ] && echo long/)x" "$2-$i" "$CALLER_KEY" >&$fd
+	done
+	timeout 12 cat <&$fd 2>/dev/null >"$RUN/body.$2"
+	exec {fd}>&-
+}
 end_of() { # ID
 	case "$(cat "$RUN/status.$1" 2>/dev/null) $(event_ids "$RUN/body.$1") $(tell "runs?id=$1")" in
 	"200 0 1 2 3 4 5 6 7 8 9 10  "*) echo whole ;;
@@ -83,6 +93,7 @@
 run slow_body 1 before-chunks chunks 3.8
 run stream 1 before-no-length /ask/no-length/long/x -0
 run stream 1 before-broken /ask/long/break/x
+run two_at_once 1 before-two
 run stream 1 before-slow /ask/bulk/x --limit-rate 2500k
 sleep 0.3
 stop 1
@@ -103,6 +114,11 @@
 is_whole "streams that begin late" late-begin late-resumed
 is "room for silences in what was taken soon after the stop, of which there were none, in ms" \
 	"$(sed -n 's/.*what=taken request=early.* longest_ms=\([0-9]*\) needed_ms=\([0-9]*\).*/\1 \2/p' "$RUN/gate1.log" | awk '{ print $2 - $1 }' | sort | uniq -c | tr -s ' \n' ' ')" " 3 0 "
+two="$(grep -ao '^HTTP/1.1 [0-9]*' "$RUN/body.before-two" | cut -d' ' -f2 | tr '\n' ' ')$(event_ids "$RUN/body.before-two")$(tell "runs?id=before-two-2")"
+case $two in
+"200 503 1 2 3 4 5 6 7 8 9 10 0" | "200 200 1 2 3 4 5 6 7 8 9 10 1 2 3 4 5 6 7 8 9 10 1") two=answered ;;
+esac
+is "a stream from before, and the request behind it" "$two" answered
 is_not_cut "bodies that take their time" before-chunks chunks length late
 is_not_cut "bodies that never end" endless half
 
