--- a/src/bayhoist-gate/call_times.c
+++ b/src/bayhoist-gate/call_times.c
@@ -48,7 +48,7 @@
  * down to a silence only if all endpoints were silent: an engine that has much to do begins late, too. */
 void call_note_gap(Call *c, uint64_t gap_us)
 {
-	bool has_begun = call_is_streaming(c) && c->progress_notified; /* with this dispatch's first event */
+	bool has_begun = c->progress_notified && c->answer.body == BH__ANSWER_BODY_EVENTS;
 	uint64_t max_wait_us = bh__response_max_wait_us(c->rule, c->service->is_engine, has_begun);
 	uint64_t excess_us = bh__silence_get_excess_us(gap_us, max_wait_us);
 
