stop: callers that connect before a gateway ends, and ask later, are answered

Causes, two: connections whose callers had not asked were closed 100 ms after the listening socket; and the kernel dropped all that came for that socket, also the last packet of handshakes that it had answered, whose callers count them as set up.

Change: when a stop is due only new connections' first packets are dropped; 100 ms later the socket is closed; callers that have connected and not asked have a second, within the grace.

--- a/include/bayhoist/shutdown.h
+++ b/include/bayhoist/shutdown.h
@@ -11,9 +11,10 @@
 
 /* A planned stop. */
 typedef struct {
-	uint64_t began_us; /* when it began; 0: none has begun */
-	uint64_t exit_us;  /* when the node exits at the latest; valid if one has begun */
-	bool is_ending;    /* the node sends its last answers and takes nothing more */
+	uint64_t began_us;  /* when it began; 0: none has begun */
+	uint64_t exit_us;   /* when the node exits at the latest; valid if one has begun */
+	uint64_t closed_us; /* since then no new connections begin; 0: they still do */
+	bool is_ending;     /* the node sends its last answers and takes nothing more */
 } BH__Shutdown;
 
 /* What is known of a request that the node is about to send. All times in microseconds. */
@@ -30,6 +31,10 @@
 
 void bh__shutdown_begin(BH__Shutdown *s, uint64_t grace_us, uint64_t now_us);
 void bh__shutdown_end(BH__Shutdown *s, uint64_t now_us);
+void bh__shutdown_close(BH__Shutdown *s, uint64_t now_us);
+bool bh__shutdown_is_closing_due(const BH__Shutdown *s, bool is_busy, uint64_t now_us);
+bool bh__shutdown_awaits_handshakes(const BH__Shutdown *s, uint64_t now_us);
+bool bh__shutdown_awaits_callers(const BH__Shutdown *s, unsigned callers, uint64_t now_us);
 bool bh__shutdown_is_due(const BH__Shutdown *s, bool is_busy, uint64_t now_us);
 uint64_t bh__shutdown_get_left_us(const BH__Shutdown *s, uint64_t now_us);
 uint64_t bh__shutdown_get_needed_us(const BH__Shutdown *s, const BH__ShutdownRequest *r, uint64_t now_us);
--- a/src/bayhoist-gate/gate.h
+++ b/src/bayhoist-gate/gate.h
@@ -155,9 +155,11 @@
 } InboundRequest;
 
 bool inbounds_listen(Gate *g);
+void inbounds_refuse_new(Gate *g);
 void inbounds_stop_listening(Gate *g);
 void inbounds_free(Gate *g);
 unsigned inbounds_count_unsent(const Gate *g);
+unsigned inbounds_count_unasked(const Gate *g);
 const InboundRequest *inbound_get_request(const Inbound *in);
 void inbound_send_error(Inbound *in, int status, uint64_t retry_after_ms, const char *code,
 						const char *message);
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -58,6 +58,7 @@
 	int error_status;          /* HTTP status for a request that can't be served; 0: no error */
 	const char *error_message; /* text of the error answer; valid if error_status is not 0 */
 	Call *call;                /* call that serves the request; NULL: none */
+	bool has_asked;            /* a request was answered on this connection */
 	bool keep_alive;           /* the connection stays open after the answer */
 	bool chunked;              /* the answer in progress uses chunked transfer coding */
 	bool is_closed;            /* closed; the event loop frees the memory later */
@@ -126,8 +127,15 @@
 	return g->listener != NULL;
 }
 
-/* Stops listening for callers. Connections that wait to be accepted are: a request that its caller has sent
- * would be cut with the socket. */
+/* Lets no new connections begin; those that are being set up are accepted still. */
+void inbounds_refuse_new(Gate *g)
+{
+	if (g->listener)
+		quiet_socket_refuse_new(evconnlistener_get_fd(g->listener));
+}
+
+/* Stops listening for callers, after inbounds_refuse_new(). Connections that wait to be accepted are: a
+ * request that its caller has sent would be cut with the socket. */
 void inbounds_stop_listening(Gate *g)
 {
 	evutil_socket_t listening;
@@ -136,7 +144,6 @@
 	if (!g->listener)
 		return;
 	listening = evconnlistener_get_fd(g->listener);
-	quiet_socket_refuse_new(listening);
 	while ((fd = quiet_socket_accept(listening)) >= 0)
 		on_accept_(g->listener, fd, NULL, 0, g);
 	evconnlistener_free(g->listener);
@@ -629,6 +636,7 @@
 {
 	in->call = NULL;
 	in->chunked = false;
+	in->has_asked = true;
 	if (!in->keep_alive || in->gate->shutdown.began_us) {
 		close_when_sent_(in);
 		return;
@@ -685,6 +693,19 @@
 	return count;
 }
 
+/* Returns the number of connections whose first request has not been read. */
+unsigned inbounds_count_unasked(const Gate *g)
+{
+	GHashTableIter it;
+	gpointer in;
+	unsigned count = 0;
+
+	g_hash_table_iter_init(&it, g->inbounds);
+	while (g_hash_table_iter_next(&it, &in, NULL))
+		count += ((Inbound *)in)->state == READING && !((Inbound *)in)->has_asked;
+	return count;
+}
+
 /* Handles an empty output buffer: shuts down a closing connection, lets the call send more, or begins the
  * next request. */
 static void on_written_(struct bufferevent *bev, void *arg)
--- a/src/bayhoist-gate/stop.c
+++ b/src/bayhoist-gate/stop.c
@@ -37,22 +37,33 @@
 	g_ptr_array_add(g->own_events, timer);
 }
 
-/* Ends the planned stop when it is due. */
+/* Ends the planned stop when it is due: first no new connections begin, then those that were being set up are
+ * accepted, and callers that have not asked yet get the time to. */
 static void on_check_(evutil_socket_t fd, short what, void *arg)
 {
 	Gate *g = arg;
 	const struct timeval flush = {0, STOP_FLUSH_MS * 1000};
 	unsigned unsent = inbounds_count_unsent(g);
 	unsigned busy = g_hash_table_size(g->calls) + relay_server_get_count(g->relay_server) + unsent;
+	uint64_t now_us = clock_now_us();
 
 	(void)fd;
 	(void)what;
-	if (g->shutdown.is_ending || !bh__shutdown_is_due(&g->shutdown, busy > 0, clock_now_us()))
+	if (g->shutdown.is_ending || !bh__shutdown_is_closing_due(&g->shutdown, busy > 0, now_us))
+		return;
+	if (!g->shutdown.closed_us) {
+		bh__shutdown_close(&g->shutdown, now_us);
+		inbounds_refuse_new(g);
+	}
+	if (bh__shutdown_awaits_handshakes(&g->shutdown, now_us))
 		return;
-	log_event("stop", "what=ending calls=%u relays=%u unread=%u", g_hash_table_size(g->calls),
-			  relay_server_get_count(g->relay_server), unsent);
-	bh__shutdown_end(&g->shutdown, clock_now_us());
 	inbounds_stop_listening(g);
+	if (!bh__shutdown_is_due(&g->shutdown, busy > 0, now_us) ||
+		bh__shutdown_awaits_callers(&g->shutdown, inbounds_count_unasked(g), now_us))
+		return;
+	log_event("stop", "what=ending calls=%u relays=%u unread=%u unasked=%u", g_hash_table_size(g->calls),
+			  relay_server_get_count(g->relay_server), unsent, inbounds_count_unasked(g));
+	bh__shutdown_end(&g->shutdown, now_us);
 	end_calls_(g);
 	event_base_loopexit(g->base, &flush);
 }
--- a/src/libbayhoist/shutdown.c
+++ b/src/libbayhoist/shutdown.c
@@ -15,6 +15,14 @@
  * process take part of it. */
 #define MARGIN_US_ (250 * BH__MS_US)
 
+/* Time in which connections that are being set up are completed: a round trip in a region, and the time that
+ * busy hosts take for it. New ones are dropped meanwhile, and tried again by their callers after a second. */
+#define HANDSHAKES_US_ (100 * BH__MS_US)
+
+/* Time that callers which have connected have for their first requests once no new connections begin.
+ * A caller that connects in order to ask does so at once, or after a packet that was lost is sent again. */
+#define FIRST_REQUESTS_US_ BH__SECOND_US
+
 /* Silences that an answer is given time for, each as long as its caller waits through one. While no other
  * node takes requests, what is refused finds nobody, so that only one is thought of. */
 #define SILENCES_WITH_PEERS_ 2
@@ -27,9 +35,36 @@
 {
 	s->began_us = now_us;
 	s->exit_us = now_us + grace_us - MIN(grace_us, MARGIN_US_);
+	s->closed_us = 0;
 	s->is_ending = false;
 }
 
+/* Returns true if no new connections are to begin: the node is to exit, or will when those that are being set
+ * up are completed. */
+bool bh__shutdown_is_closing_due(const BH__Shutdown *s, bool is_busy, uint64_t now_us)
+{
+	return s->closed_us || bh__shutdown_is_due(s, is_busy, now_us) || now_us + HANDSHAKES_US_ >= s->exit_us;
+}
+
+/* Returns true if connections may still be set up that began before no new ones did. */
+bool bh__shutdown_awaits_handshakes(const BH__Shutdown *s, uint64_t now_us)
+{
+	return now_us < MIN(s->closed_us + HANDSHAKES_US_, s->exit_us);
+}
+
+/* Records that no new connections begin. */
+void bh__shutdown_close(BH__Shutdown *s, uint64_t now_us)
+{
+	s->closed_us = now_us;
+}
+
+/* Returns true if the node, which takes no new connections, still waits for the first requests of
+ * `callers` that have connected: one that is sent to a node which has gone meets a reset. */
+bool bh__shutdown_awaits_callers(const BH__Shutdown *s, unsigned callers, uint64_t now_us)
+{
+	return callers > 0 && now_us < MIN(s->closed_us + FIRST_REQUESTS_US_, s->exit_us);
+}
+
 /* Ends the stop: nothing more may be sent. */
 void bh__shutdown_end(BH__Shutdown *s, uint64_t now_us)
 {
--- a/src/test_libbayhoist/test_shutdown.c
+++ b/src/test_libbayhoist/test_shutdown.c
@@ -211,6 +211,29 @@
 	assert_int_equal(bh__shutdown_get_left_us(&s, T0_US), 0);
 }
 
+/* Once no new connections begin, those being set up have a tenth of a second, and callers that have connected
+ * have a second for their first requests, as far as the grace period goes; nobody is waited for if there are
+ * none. */
+static void test_first_requests(void **state)
+{
+	BH__Shutdown s = {0};
+
+	(void)state;
+	bh__shutdown_begin(&s, GRACE_MS * BH__MS_US, T0_US);
+	bh__shutdown_close(&s, T0_US + 3200 * BH__MS_US);
+	assert_true(bh__shutdown_awaits_handshakes(&s, T0_US + 3299 * BH__MS_US));
+	assert_false(bh__shutdown_awaits_handshakes(&s, T0_US + 3300 * BH__MS_US));
+	assert_false(bh__shutdown_awaits_callers(&s, 0, T0_US + 3200 * BH__MS_US));
+	assert_true(bh__shutdown_awaits_callers(&s, 1, T0_US + 4199 * BH__MS_US));
+	assert_false(bh__shutdown_awaits_callers(&s, 1, T0_US + 4200 * BH__MS_US));
+	bh__shutdown_begin(&s, 3300 * BH__MS_US, T0_US);
+	assert_false(bh__shutdown_is_closing_due(&s, true, T0_US + 2949 * BH__MS_US));
+	assert_true(bh__shutdown_is_closing_due(&s, true, T0_US + 2950 * BH__MS_US));
+	bh__shutdown_close(&s, T0_US + 3050 * BH__MS_US);
+	assert_false(bh__shutdown_awaits_handshakes(&s, T0_US + 3050 * BH__MS_US));
+	assert_false(bh__shutdown_awaits_callers(&s, 1, T0_US + 3050 * BH__MS_US));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -220,6 +243,7 @@
 		cmocka_unit_test(test_no_silence),
 		cmocka_unit_test(test_silence_is_remembered),
 		cmocka_unit_test(test_exit),
+		cmocka_unit_test(test_first_requests),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
