planner: an engine is asked for its report once, at its failure

Cause: asked again every half second, an engine that had crashed answered as soon as it had been started again, and was used before its ejection ended. Change: the report is asked for at each failure, whether or not others are ejected, and not again: an engine that does not answer has ended, and what answers later has been started since. Failures within 50 ms after the request belong to the same event.

--- a/src/libbayhoist/ejection.c
+++ b/src/libbayhoist/ejection.c
@@ -9,10 +9,9 @@
 #define FIRST_US_ (600 * BH__MS_US)
 #define MAX_US_ (4 * BH__SECOND_US)
 #define DOUBLINGS_MAX_ 8u
-/* Minimum time between two requests for an engine's report after further failures, and after one that was not
- * answered. */
-#define ASK_PERIOD_US_ (50 * BH__MS_US)
-#define ASK_AGAIN_US_ (500 * BH__MS_US)
+/* Failures within this time after a request for the engine's report belong to the one that the request was
+ * for: nodes report the same event one after another, and streams that break together one by one. */
+#define SAME_EVENT_US_ (50 * BH__MS_US)
 /* Time from a failure in which the answer of an engine that lives is waited for. */
 #define ANSWER_WAIT_US_ (200 * BH__MS_US)
 
@@ -57,20 +56,19 @@
 		e->report[i].failures = 0;
 }
 
-/* Returns true if the engine has answered a request for its report that was sent after the last failure. It
- * lives then, though it may fail further requests. */
+/* Returns true if the engine has answered the request for its report that followed its last failure. It lives
+ * then, though it may fail further requests. */
 bool bh__ejection_is_alive(const BH__Ejection *e)
 {
-	return e->heard_us && e->heard_us >= e->failed_us;
+	return e->heard_us && e->failed_us <= e->heard_us + SAME_EVENT_US_;
 }
 
-/* Returns true if the engine should be asked for its report now, in order to learn whether it lives, and
- * records that it is asked. */
+/* Returns true if the engine should be asked for its report now, at a failure, in order to learn whether it
+ * lives, and records that it is asked. It is asked once: an engine that does not answer has ended, and what
+ * answers later has been started since, to which the failure may happen again. */
 bool bh__ejection_take_ask(BH__Ejection *e, uint64_t now_us)
 {
-	uint64_t period_us = e->asked_us < e->failed_us ? ASK_PERIOD_US_ : ASK_AGAIN_US_;
-
-	if (bh__ejection_is_alive(e) || (e->asked_us && now_us < e->asked_us + period_us))
+	if (e->asked_us && e->failed_us <= e->asked_us + SAME_EVENT_US_)
 		return false;
 	e->asked_us = now_us;
 	return true;
--- a/src/libbayhoist/include/private/planner_internal.h
+++ b/src/libbayhoist/include/private/planner_internal.h
@@ -44,7 +44,6 @@
 					   uint64_t first_event_target_us, uint64_t now_us);
 
 /* planner_ejection.c */
-void bh__planner_ask_ejected(BH__Planner *p, uint64_t now_us);
 uint64_t bh__planner_get_ejection_wait_us(const BH__Planner *p, const BH__Ask *ask, uint64_t now_us);
 
 /* planner_queue.c */
--- a/src/libbayhoist/planner_ejection.c
+++ b/src/libbayhoist/planner_ejection.c
@@ -1,6 +1,6 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* What a planner does when engines are ejected: withdrawn failures, and what follows if all are. Then those
- * that live are used all the same, so the planner asks all of them for a sign of life. */
+ * that live are used all the same. */
 #include "planner_internal.h"
 
 /* Takes back the failures that a node reported before it knew that its own links were cut. Returns the number
@@ -18,20 +18,6 @@
 	return count;
 }
 
-/* If all engines are ejected, requests the reports of those that have not shown since their last failure that
- * they live. Engines at a rate limit are not asked. */
-void bh__planner_ask_ejected(BH__Planner *p, uint64_t now_us)
-{
-	if (!bh__iteration_engines_are_ejected(p->engines, now_us))
-		return;
-	for (guint i = 0; i < p->engines->len; i++) {
-		BH__IterationEngine *e = g_ptr_array_index(p->engines, i);
-		if (!e->leaving && !bh__endpoint_rate_is_limited(&e->rate, now_us) &&
-			bh__ejection_take_ask(&e->ejection, now_us))
-			p->port->inspect(p->port, e->endpoint_id);
-	}
-}
-
 /* Records that an engine has answered the request for its report that was sent at `asked_us`. */
 void bh__planner_process_heard(BH__Planner *p, uint64_t endpoint_id, uint64_t asked_us, uint64_t now_us)
 {
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -104,7 +104,6 @@
 	uint64_t target_us = bh__start_rules_first_event_target_us(ask);
 
 	bh__planner_update_division(p, now_us);
-	bh__planner_ask_ejected(p, now_us);
 	if (waited_us < ask->deadline_us && bh__start_rules_find(&p->model, p->engines, &p->long_work, ask, late,
 															 waited_us, now_us, &placement)) {
 		bh__account_shares_note_work(p->shares, ask->account_id, ask->weight,
