planner: asks wait only for engines that may still answer

Cause: an ask waited for 0.2 s after a failure also for engines that refuse connections or were not asked; an answer that came later, from a process started since, or to a request for another reason counted as a sign of life. Change: a request for a report that fails ends the wait; answers later than 0.2 s and to other requests don't count; a planner that does not schedule the service neither asks nor waits.

--- a/include/bayhoist/planner.h
+++ b/include/bayhoist/planner.h
@@ -38,8 +38,8 @@
 	/* The node that held the grant is gone, and the grant's memory on the helpers has to be freed. */
 	void (*abandoned)(struct BH__PlannerPort *port, const BH__Grant *grant);
 	/* An engine may be slower than its model, or dead. The receiver requests the engine's report, passes the
-	 * slowdown factor in it to bh__planner_process_slowdown(), and tells bh__planner_process_heard() that the
-	 * engine has answered. */
+	 * slowdown factor in it to bh__planner_process_slowdown(), and tells bh__planner_process_answer() whether
+	 * the engine has answered. */
 	void (*inspect)(struct BH__PlannerPort *port, uint64_t endpoint_id);
 	/* A booked start has changed. `start_in_us`: time until the start, or until the caller's return if it is
 	 * refused; `waited_us`: time since the ask arrived. May be NULL. */
@@ -121,7 +121,8 @@
 							  const BH__Grant *grant, uint32_t count, uint64_t now_us);
 void bh__planner_list_grants(const BH__Planner *p, GArray *out, uint64_t now_us);
 void bh__planner_process_slowdown(BH__Planner *p, uint64_t endpoint_id, double slowdown, uint64_t now_us);
-void bh__planner_process_heard(BH__Planner *p, uint64_t endpoint_id, uint64_t asked_us, uint64_t now_us);
+void bh__planner_process_answer(BH__Planner *p, uint64_t endpoint_id, uint64_t asked_us, bool answered,
+								uint64_t now_us);
 void bh__planner_process_node_gone(BH__Planner *p, uint64_t node_id, uint64_t now_us);
 void bh__planner_process_tick(BH__Planner *p, uint64_t now_us);
 void bh__planner_drop_other_nodes(BH__Planner *p, uint64_t node_id, uint64_t now_us);
--- a/src/bayhoist-gate/planner_port.c
+++ b/src/bayhoist-gate/planner_port.c
@@ -110,8 +110,10 @@
 		if (slowdown > 1)
 			log_event("engine", "endpoint=%016" G_GINT64_MODIFIER "x pace=%.2f", i->endpoint_id, slowdown);
 		bh__planner_process_slowdown(s->planner, i->endpoint_id, slowdown, clock_now_us());
-		bh__planner_process_heard(s->planner, i->endpoint_id, i->asked_us, clock_now_us());
-		cluster_drain_inbox(s->cluster);
+	}
+	if (s) {
+		bh__planner_process_answer(s->planner, i->endpoint_id, i->asked_us, slowdown > 0, clock_now_us());
+		cluster_drain_inbox(i->cluster);
 	}
 	g_free(i);
 }
--- a/src/libbayhoist/ejection.c
+++ b/src/libbayhoist/ejection.c
@@ -12,7 +12,8 @@
 /* Failures within this time after a request for the engine's report belong to the one that the request was
  * for: nodes report the same event one after another, and streams that break together one by one. */
 #define SAME_EVENT_US_ (50 * BH__MS_US)
-/* Time from a failure in which the answer of an engine that lives is waited for. */
+/* Time in which an engine that lives answers. A connection that is set up at the second attempt, a second
+ * later, may reach a process that has been started since the failure. */
 #define ANSWER_WAIT_US_ (200 * BH__MS_US)
 
 static BH__EjectionReport *find_report_(BH__Ejection *e, uint64_t node_id);
@@ -74,19 +75,27 @@
 	return true;
 }
 
-/* Returns for how long it is worth to wait for evidence that the engine lives; 0: there is some, or none came
- * in time. */
+/* Returns for how long it is worth to wait for evidence that the engine lives; 0: there is some, there will
+ * be none, or none came in time. */
 uint64_t bh__ejection_get_answer_wait_us(const BH__Ejection *e, uint64_t now_us)
 {
-	uint64_t until_us = e->failed_us + ANSWER_WAIT_US_;
+	bool is_pending = e->asked_us && e->failed_us <= e->asked_us + SAME_EVENT_US_ &&
+					  MAX(e->heard_us, e->unheard_us) < e->asked_us;
+	uint64_t until_us = e->asked_us + ANSWER_WAIT_US_;
 
-	return !bh__ejection_is_alive(e) && now_us < until_us ? until_us - now_us : 0;
+	return is_pending && now_us < until_us ? until_us - now_us : 0;
 }
 
-/* Records that the engine has answered the request for its report that was sent at `asked_us`. */
-void bh__ejection_note_heard(BH__Ejection *e, uint64_t asked_us)
+/* Records whether the engine has answered a request for its report that was sent at `asked_us`. Requests for
+ * other reasons than the last failure, and answers that took long, do not count. */
+void bh__ejection_note_answer(BH__Ejection *e, uint64_t asked_us, bool answered, uint64_t now_us)
 {
-	e->heard_us = MAX(e->heard_us, asked_us);
+	if (asked_us > e->asked_us + SAME_EVENT_US_ || now_us > asked_us + ANSWER_WAIT_US_)
+		return;
+	if (answered)
+		e->heard_us = MAX(e->heard_us, asked_us);
+	else
+		e->unheard_us = MAX(e->unheard_us, asked_us);
 }
 
 /* Returns the report of a node, a new one if there is none; the one that ends first makes room for it. */
--- a/src/libbayhoist/include/private/ejection.h
+++ b/src/libbayhoist/include/private/ejection.h
@@ -17,10 +17,11 @@
 } BH__EjectionReport;
 
 typedef struct {
-	uint64_t until_us;  /* no grants before this time */
-	uint64_t failed_us; /* time of the last failure; 0: none */
-	uint64_t asked_us;  /* time of the last request for the engine's report because of a failure; 0: none */
-	uint64_t heard_us;  /* time of the last such request that the engine has answered; 0: none */
+	uint64_t until_us;   /* no grants before this time */
+	uint64_t failed_us;  /* time of the last failure; 0: none */
+	uint64_t asked_us;   /* time of the last request for the engine's report because of a failure; 0: none */
+	uint64_t heard_us;   /* time of the last such request that the engine has answered; 0: none */
+	uint64_t unheard_us; /* time of the last such request that failed; 0: none */
 	unsigned count;
 	BH__EjectionReport report[BH__EJECTION_REPORTS_MAX];
 } BH__Ejection;
@@ -31,6 +32,6 @@
 bool bh__ejection_is_alive(const BH__Ejection *e);
 bool bh__ejection_take_ask(BH__Ejection *e, uint64_t now_us);
 uint64_t bh__ejection_get_answer_wait_us(const BH__Ejection *e, uint64_t now_us);
-void bh__ejection_note_heard(BH__Ejection *e, uint64_t asked_us);
+void bh__ejection_note_answer(BH__Ejection *e, uint64_t asked_us, bool answered, uint64_t now_us);
 
 #endif
--- a/src/libbayhoist/planner.c
+++ b/src/libbayhoist/planner.c
@@ -457,7 +457,8 @@
 }
 
 /* Ejects an engine after a failure that a node reports, but not beyond a backoff that the engine itself has
- * requested, and asks for its report as a sign of life, unless it is rate-limited. */
+ * requested, and asks for its report as a sign of life, unless it is rate-limited or another node
+ * schedules the service. */
 static void eject_(BH__Planner *p, BH__IterationEngine *e, uint64_t node_id, uint64_t now_us)
 {
 	uint64_t backoff_us = e->requested_backoff_until_us;
@@ -465,7 +466,8 @@
 	p->counters.ejections++;
 	bh__booking_table_request_update(p->bookings);
 	bh__ejection_add(&e->ejection, node_id, now_us < backoff_us ? backoff_us : 0, now_us);
-	if (!bh__endpoint_rate_is_limited(&e->rate, now_us) && bh__ejection_take_ask(&e->ejection, now_us))
+	if (!p->is_local && !bh__endpoint_rate_is_limited(&e->rate, now_us) &&
+		bh__ejection_take_ask(&e->ejection, now_us))
 		p->port->inspect(p->port, e->endpoint_id);
 }
 
--- a/src/libbayhoist/planner_ejection.c
+++ b/src/libbayhoist/planner_ejection.c
@@ -18,14 +18,15 @@
 	return count;
 }
 
-/* Records that an engine has answered the request for its report that was sent at `asked_us`. */
-void bh__planner_process_heard(BH__Planner *p, uint64_t endpoint_id, uint64_t asked_us, uint64_t now_us)
+/* Records whether an engine has answered a request for its report that was sent at `asked_us`. */
+void bh__planner_process_answer(BH__Planner *p, uint64_t endpoint_id, uint64_t asked_us, bool answered,
+								uint64_t now_us)
 {
 	BH__IterationEngine *e = g_hash_table_lookup(p->by_id, &endpoint_id);
 
 	if (!e)
 		return;
-	bh__ejection_note_heard(&e->ejection, asked_us);
+	bh__ejection_note_answer(&e->ejection, asked_us, answered, now_us);
 	if (bh__iteration_engines_are_ejected(p->engines, now_us))
 		bh__planner_place_waiting(p, now_us);
 }
--- a/src/test_libbayhoist/test_planner.c
+++ b/src/test_libbayhoist/test_planner.c
@@ -1091,10 +1091,10 @@
 	assert_int_equal(f->inspected, 5 * 3);
 	bh__planner_process_ask(f->planner, &a, 1401 * MS);
 	assert_int_equal(f->queued, 1);
-	bh__planner_process_heard(f->planner, 2, 1400 * MS, 1410 * MS);
+	bh__planner_process_answer(f->planner, 2, 1400 * MS, true, 1410 * MS);
 	assert_int_equal(f->grants->len, 1);
 	assert_int_equal(grant_(f, 0)->member[0].endpoint_id, 2);
-	bh__planner_process_heard(f->planner, 3, 1400 * MS, 1410 * MS);
+	bh__planner_process_answer(f->planner, 3, 1400 * MS, true, 1410 * MS);
 	a = ask_(f, SHORT);
 	bh__planner_process_ask(f->planner, &a, 3000 * MS);
 	assert_int_equal(f->grants->len, 2);
@@ -1115,8 +1115,9 @@
 	for (unsigned i = 0; i < 5; i++)
 		eject_all_(f, (1000 + 100 * i) * MS);
 	bh__planner_process_ask(f->planner, &a, 1401 * MS);
-	bh__planner_process_heard(f->planner, 1, 1300 * MS, 1410 * MS); /* answers from before the failure */
-	bh__planner_process_heard(f->planner, 2, 1349 * MS, 1410 * MS);
+	bh__planner_process_answer(f->planner, 1, 1300 * MS, true,
+							   1410 * MS); /* answers from before the failure */
+	bh__planner_process_answer(f->planner, 2, 1349 * MS, true, 1410 * MS);
 	bh__planner_process_tick(f->planner, 1599 * MS);
 	assert_int_equal(f->refused, 0);
 	bh__planner_process_tick(f->planner, 1601 * MS);
@@ -1125,12 +1126,42 @@
 	a = ask_(f, SHORT);
 	bh__planner_process_ask(f->planner, &a, 1700 * MS);
 	assert_int_equal(f->refused, 2);
-	bh__planner_process_heard(f->planner, 3, 1400 * MS, 1800 * MS); /* lives, and then fails again */
-	bh__planner_process_release(f->planner, 0, BH__RELEASE_FAILED, 3, 1900 * MS);
+	bh__planner_process_answer(f->planner, 1, 1400 * MS, true,
+							   2410 * MS); /* a connection set up a second later */
+	bh__planner_process_answer(f->planner, 2, 1500 * MS, true, 1510 * MS); /* asked for another reason */
 	a = ask_(f, SHORT);
-	bh__planner_process_ask(f->planner, &a, 2200 * MS);
+	bh__planner_process_ask(f->planner, &a, 1800 * MS);
 	assert_int_equal(f->refused, 3);
 	assert_int_equal(f->grants->len, 0);
+	bh__planner_process_release(f->planner, 0, BH__RELEASE_FAILED, 3, 2500 * MS);
+	bh__planner_process_answer(f->planner, 3, 2500 * MS, true, 2510 * MS); /* lives, and then fails again */
+	bh__planner_process_release(f->planner, 0, BH__RELEASE_FAILED, 3, 2600 * MS);
+	a = ask_(f, SHORT);
+	bh__planner_process_ask(f->planner, &a, 2900 * MS);
+	assert_int_equal(f->refused, 4);
+	assert_int_equal(f->grants->len, 0);
+	fixture_free_(f);
+}
+
+/* An ask does not wait for engines that are known not to answer, as those that refuse connections. */
+static void asks_do_not_wait_for_engines_that_are_dead_(void **state)
+{
+	Fixture *f = fixture_new_(3);
+	BH__Ask a = ask_(f, SHORT);
+
+	(void)state;
+	for (unsigned i = 0; i < 5; i++)
+		eject_all_(f, (1000 + 100 * i) * MS);
+	for (unsigned endpoint = 1; endpoint <= 2; endpoint++)
+		bh__planner_process_answer(f->planner, endpoint, 1400 * MS, false, 1401 * MS);
+	bh__planner_process_ask(f->planner, &a, 1402 * MS); /* the third one may answer */
+	assert_int_equal(f->queued, 1);
+	bh__planner_process_answer(f->planner, 3, 1400 * MS, false, 1403 * MS);
+	assert_int_equal(f->refused, 1);
+	a = ask_(f, SHORT);
+	bh__planner_process_ask(f->planner, &a, 1410 * MS);
+	assert_int_equal(f->refused, 2);
+	assert_int_equal(f->grants->len, 0);
 	fixture_free_(f);
 }
 
@@ -1143,7 +1174,7 @@
 	for (unsigned endpoint = 1; endpoint <= 2; endpoint++)
 		bh__planner_process_release(f->planner, 0, BH__RELEASE_FAILED, endpoint, 1000 * MS);
 	for (unsigned endpoint = 1; endpoint <= 2; endpoint++)
-		bh__planner_process_heard(f->planner, endpoint, 1001 * MS, 1010 * MS);
+		bh__planner_process_answer(f->planner, endpoint, 1001 * MS, true, 1010 * MS);
 	for (unsigned i = 0; i < 6; i++) {
 		BH__Ask a = ask_(f, SHORT);
 		bh__planner_process_ask(f->planner, &a, (1020 + 60 * i) * MS);
@@ -1182,6 +1213,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(ejected_engines_that_live_are_used_if_all_are_ejected_),
 		cmocka_unit_test(ejected_engines_that_are_not_heard_get_nothing_),
+		cmocka_unit_test(asks_do_not_wait_for_engines_that_are_dead_),
 		cmocka_unit_test(ejected_engines_get_nothing_while_others_are_not_),
 		cmocka_unit_test(ejected_engines_are_asked_once_),
 		cmocka_unit_test(limited_engines_get_no_more_parts_than_their_limit_),
