links: a look must stand for longer while peers serve

Cause: a look ended a cut once its connection had stood for 30 ms. What is on the way may accept connections and reset them later: in check-cut-links, beside a load, the proxy came to it after more than 30 ms.

Change: 200 ms while the endpoint is reached through peers. The proxy can reset new connections later (refuse with ms).

--- a/src/bayhoist-gate/link_probe.c
+++ b/src/bayhoist-gate/link_probe.c
@@ -8,6 +8,10 @@
 #define PATIENCE_MS 400 /* for connecting, by this node and by the peer */
 /* Something on the way may accept a connection and reset it at once. */
 #define LINGER_MS 30
+/* The same while the endpoint is reached through peers: what is on the way may reset a connection only when
+ * it has failed to reach the endpoint itself, a round trip between regions later. Peers serve meanwhile, and
+ * with the period of looks, 250 ms, links that are back are still used within a second. */
+#define LINGER_CUT_MS 200
 
 /* One of the two connections. */
 typedef struct {
@@ -69,11 +73,12 @@
 /* A connection of this node's must stay open for a moment; a peer has seen to that itself. */
 static void on_open_(void *ctx, Channel *c)
 {
-	static const struct timeval Linger = {0, LINGER_MS * 1000};
 	LinkProbe *p = ctx;
+	bool is_cut = links_choose(p->gate->links, p->endpoint_id) == BH__LINK_ROUTE_PEER;
+	const struct timeval linger = {0, (is_cut ? LINGER_CUT_MS : LINGER_MS) * 1000};
 
 	if (half_of_(p, c) == &p->own)
-		evtimer_add(p->own.linger, &Linger);
+		evtimer_add(p->own.linger, &linger);
 	else
 		finish_half_(p, &p->peer, LINK_PROBE_CONNECTED);
 }
--- a/test/platform/fault_proxy.c
+++ b/test/platform/fault_proxy.c
@@ -11,7 +11,7 @@
  * - out: the same towards callers only;
  * - lost: connections that are open, and new ones, carry nothing any more, also when the mode has changed;
  * - reset: open connections are reset, and new ones as they come;
- * - refuse: open connections live on, new ones are reset as they come;
+ * - refuse: open connections live on, new ones are reset as they come, or N ms later;
  * - dark: the kernel drops the packets of callers, for N ms if given, and then passes them. */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -91,7 +91,8 @@
 	char ip[IP_LEN]; /* of the caller */
 	struct bufferevent *caller;
 	struct bufferevent *server;
-	bool lost; /* it carries nothing any more */
+	bool lost;    /* it carries nothing any more */
+	bool refused; /* it is reset when its timer fires, and carries nothing */
 	Way in;
 	Way out;
 };
@@ -190,9 +191,15 @@
 	g_hash_table_add(link->pairs, p);
 	init_way_(&p->in, p, p->caller, p->server, true);
 	init_way_(&p->out, p, p->server, p->caller, false);
-	if (source_of_(p)->mode == MODE_RESET || source_of_(p)->mode == MODE_REFUSE ||
-		evutil_parse_sockaddr_port(link->to, (struct sockaddr *)&to, &to_len) != 0 ||
-		bufferevent_socket_connect(p->server, (struct sockaddr *)&to, to_len) != 0)
+	if (source_of_(p)->mode == MODE_REFUSE && source_of_(p)->delay_ms) {
+		unsigned ms = source_of_(p)->delay_ms;
+		struct timeval tv = {ms / 1000, (suseconds_t)(ms % 1000 * 1000)};
+		p->refused = true;
+		evtimer_add(p->in.timer, &tv);
+	}
+	else if (source_of_(p)->mode == MODE_RESET || source_of_(p)->mode == MODE_REFUSE ||
+			 evutil_parse_sockaddr_port(link->to, (struct sockaddr *)&to, &to_len) != 0 ||
+			 bufferevent_socket_connect(p->server, (struct sockaddr *)&to, to_len) != 0)
 		end_pair_(p, true);
 }
 
@@ -217,7 +224,8 @@
 {
 	Mode mode = source_of_(w->pair)->mode;
 
-	return w->pair->lost || mode == MODE_SILENT || mode == (w->from_caller ? MODE_IN : MODE_OUT);
+	return w->pair->lost || w->pair->refused || mode == MODE_SILENT ||
+		   mode == (w->from_caller ? MODE_IN : MODE_OUT);
 }
 
 /* Lets what has come go on, and after it the end. */
@@ -244,9 +252,14 @@
 
 static void on_timer_(evutil_socket_t fd, short what, void *arg)
 {
+	Way *w = arg;
+
 	(void)fd;
 	(void)what;
-	move_(arg);
+	if (w->pair->refused)
+		end_pair_(w->pair, true);
+	else
+		move_(w);
 }
 
 static void on_read_(struct bufferevent *bev, void *arg)
