A wait for tokens is bounded before it is cast

What callers saw: nothing traced; a rate limit that is all but 0 gave a wait that no 64 bits hold, whose cast is undefined: on x86-64 it may be 0 or half of the range, on arm64 the greatest. Cause: the hour that a bucket without refill names did not bound one with hardly any. Change: at most an hour in bh__bucket_get_wait_us(), and in the planner's wait for limited engines.

--- a/include/bayhoist/bucket.h
+++ b/include/bayhoist/bucket.h
@@ -5,6 +5,8 @@
 
 #include "bayhoist/types.h"
 
+#define BH__BUCKET_WAIT_MAX_S 3600 /* for tokens that come seldom, or never */
+
 typedef struct {
 	double rate_per_s;   /* tokens added per second; 0: none */
 	double burst;        /* maximum level, in tokens */
--- a/src/libbayhoist/bucket.c
+++ b/src/libbayhoist/bucket.c
@@ -46,12 +46,15 @@
 	return passes;
 }
 
-/* Returns the time in microseconds, counted from the last update, until `amount` tokens can be taken. Returns
- * one hour if the bucket is not refilled. */
+/* Returns the time in microseconds, counted from the last update, until `amount` tokens can be taken, at most
+ * one hour. */
 uint64_t bh__bucket_get_wait_us(const BH__Bucket *b, double amount)
 {
 	double missing = MIN(amount, b->burst) - b->level;
+
 	if (missing <= 0)
 		return 0;
-	return b->rate_per_s > 0 ? (uint64_t)(missing / b->rate_per_s * 1e6) : 3600 * BH__SECOND_US;
+	if (missing >= b->rate_per_s * BH__BUCKET_WAIT_MAX_S)
+		return BH__BUCKET_WAIT_MAX_S * BH__SECOND_US;
+	return (uint64_t)(missing / b->rate_per_s * 1e6);
 }
--- a/src/libbayhoist/planner_queue.c
+++ b/src/libbayhoist/planner_queue.c
@@ -171,7 +171,7 @@
 	}
 	if (ahead <= 0 || per_s <= 0)
 		return 0;
-	return (uint64_t)(ahead / per_s * BH__SECOND_US);
+	return (uint64_t)(MIN(ahead / per_s, BH__BUCKET_WAIT_MAX_S) * BH__SECOND_US);
 }
 
 /* Returns the earliest known time at which an engine that is not leaving may accept a request, or UINT64_MAX
--- a/src/test_libbayhoist/test_limits.c
+++ b/src/test_libbayhoist/test_limits.c
@@ -7,6 +7,7 @@
 #include <setjmp.h>
 #include <cmocka.h>
 #include <string.h>
+#include "bayhoist/bucket.h"
 #include "bayhoist/memory_budget.h"
 #include "bayhoist/hash.h"
 #include "bayhoist/idempotency.h"
@@ -341,12 +342,30 @@
 	}
 }
 
+/* Tokens that come seldom, or never, are waited for an hour; a wait never exceeds what its type holds. */
+static void waits_are_bounded_(void **state)
+{
+	static const double Rates_per_s[] = {0, 1e-300, 1e-13, 1e-4, 1e6};
+	BH__Bucket b;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Rates_per_s); i++) {
+		bh__bucket_init(&b, Rates_per_s[i], 10);
+		bh__bucket_spend(&b, 1e30, BH__SECOND_US);
+		assert_int_equal(bh__bucket_get_wait_us(&b, 1), 3600 * BH__SECOND_US);
+	}
+	bh__bucket_init(&b, 2, 10);
+	bh__bucket_spend(&b, 10, BH__SECOND_US);
+	assert_int_equal(bh__bucket_get_wait_us(&b, 1), BH__SECOND_US / 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(memory_budget_is_bounded_),
 		cmocka_unit_test(callers_that_come_in_turn_share_the_budget_),
 		cmocka_unit_test(answers_stay_within_their_share_),
+		cmocka_unit_test(waits_are_bounded_),
 		cmocka_unit_test(rate_is_met_),
 		cmocka_unit_test(rate_is_met_while_nodes_join_and_leave_),
 		cmocka_unit_test(rate_is_met_during_a_partition_),
