A channel's end is good only if nothing failed and the request was taken

What callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is being written; the part is handed on as a complete answer. The same of streams, of what may run only once, and through a peer.

Cause: a write meets the reset first and takes the error off the socket; the read after it finds an end, as after a good close. libevent hands both on as one event (callbacks are deferred), of which end_of_() looked at the end only. And an end in good order counted although a part of the request was still in our buffer, at the peer's node or in the kernel.

It is good if nothing failed and the endpoint's VM has acknowledged request_bytes; relay-open tells these to the peer's node (protocol 14). An endpoint that ends its side while the request is being sent ends an answer that is framed at once (it was cut); one without a length waits for the rest of the request (on_answer_end). Why that works: of the three ways an end can lie (failed write, unsent rest, unmet error) none passes for CHANNEL_CLOSED any more, whatever order they come in.

--- a/Makefile
+++ b/Makefile
@@ -52,11 +52,15 @@
 TEST_SHARED := $(patsubst %.c,$B/%.o,$(filter-out $(wildcard src/test_libbayhoist/test_*.c),$(wildcard src/test_libbayhoist/*.c)))
 $(TESTS:%=$B/%): $B/%: $B/src/test_libbayhoist/%.o $(TEST_SHARED) $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
-	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) -lcmocka
+	@$(CC) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS) -lcmocka
 
 # the model engines are the benches'
 $B/test_engine_division: $B/src/bench/pass_engine.o
 
+# the test of channels to endpoints, which are the gateway's
+$B/test_channel: $B/src/bayhoist-gate/direct_channel.o
+$B/src/test_libbayhoist/test_channel.o: CPPFLAGS += -Isrc/bayhoist-gate
+
 # tests of the binding, and the stand-in that it is played against
 $B/test_decode: $B/test/platform/test_decode.o $B/platform/decode.o $B/platform/headers.o $B/platform/http_client.o \
 		$B/platform/odd_entries.o \
@@ -74,12 +78,15 @@
 $B/bh-fault-proxy: $B/test/platform/fault_proxy.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+$B/bh-early-endpoints: $B/test/platform/early_endpoints.o $B/libshare.a $B/libbayhoist.a
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $B/bh-slow-callers: $B/test/platform/slow_callers.o $B/libshare.a $B/libbayhoist.a
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 $B/test/platform/test_decode.o $B/test/platform/test_outside_entries.o: CPPFLAGS += -Isrc/bayhoist-gate -Iplatform -Isrc/test_libbayhoist
 
-check: all $(TESTS:%=$B/%) $B/test_decode $B/test_outside_entries $B/bh-fake-site $B/bh-fault-proxy $B/bh-slow-callers
+check: all $(TESTS:%=$B/%) $B/test_decode $B/test_outside_entries $B/bh-fake-site $B/bh-fault-proxy $B/bh-early-endpoints $B/bh-slow-callers
 	@B=$B sh test/run-all.sh $(TESTS) test_decode test_outside_entries
 
 demo:
--- a/include/bayhoist/message.h
+++ b/include/bayhoist/message.h
@@ -13,7 +13,7 @@
 #include "bayhoist/registry.h"
 #include "bayhoist/verdict.h"
 
-#define BH__MESSAGE_VERSION 13
+#define BH__MESSAGE_VERSION 14
 #define BH__MESSAGE_UPDATES_MAX 8 /* member records piggybacked on a ping or its ack */
 #define BH__MEMBER_PARTITIONS 64  /* partitions of the member table, by the highest bits of the node id */
 /* Number of broadcast trees that each update is sent along. An unresponsive node that is not yet known to be
@@ -361,8 +361,9 @@
 		/* Asks a peer to connect to an endpoint and to pass bytes both ways. */
 		struct {
 			uint64_t endpoint_id;
-			uint64_t time_us; /* for connecting */
-			bool is_probe;    /* no request follows */
+			uint64_t time_us;       /* for connecting */
+			bool is_probe;          /* no request follows */
+			uint64_t request_bytes; /* that follow */
 			char request_id[BH__REQUEST_ID_LEN];
 		} relay_open;
 		struct {
@@ -372,7 +373,7 @@
 			char *bytes;
 			uint32_t len;
 		} relay_data;
-		/* The endpoint has closed the connection, or it broke. */
+		/* The endpoint has closed the connection after it took the whole request, or it broke. */
 		struct {
 			bool is_clean;
 		} relay_end;
--- a/src/bayhoist-gate/channel.h
+++ b/src/bayhoist-gate/channel.h
@@ -10,8 +10,10 @@
 typedef struct Channel Channel;
 
 typedef enum {
-	CHANNEL_CLOSED, /* the endpoint closed the open channel in an orderly way */
-	CHANNEL_BROKEN, /* the endpoint broke the open channel off */
+	/* the endpoint closed the open channel in an orderly way, has been sent the whole request, and nothing
+	 * failed in either direction: only then is an answer whole whose end nothing else tells */
+	CHANNEL_CLOSED,
+	CHANNEL_BROKEN, /* the open channel broke, or was closed before the request had been sent to its end */
 	CHANNEL_LOST, /* the open channel was lost on the way to the peer, which tells nothing of the endpoint */
 	CHANNEL_REFUSED, /* it could not be opened: the connection to the endpoint was refused */
 	CHANNEL_SILENT,  /* it could not be opened in time */
@@ -19,11 +21,14 @@
 } ChannelEnd;
 
 /* Receivers of what happens on a channel. on_end() is called once, from the event loop; the channel is freed
- * afterwards. on_drained() is called when all that was written has been passed on. */
+ * afterwards. on_drained() is called when all that was written has been passed on. on_answer_end(), which may
+ * be NULL, is called when the endpoint has ended its side in an orderly way while the request is still being
+ * sent: on_end() follows when it is known whether the endpoint took the rest. */
 typedef struct {
 	void (*on_open)(void *ctx, Channel *c);
 	void (*on_data)(void *ctx, Channel *c, struct evbuffer *data);
 	void (*on_drained)(void *ctx, Channel *c);
+	void (*on_answer_end)(void *ctx, Channel *c);
 	void (*on_end)(void *ctx, Channel *c, ChannelEnd end);
 } ChannelCallbacks;
 
@@ -41,9 +46,9 @@
 	void *ctx;
 };
 
-Channel *direct_channel_new(Gate *g, const char *address, uint64_t patience_us, const ChannelCallbacks *cb,
-							void *ctx);
-Channel *relay_channel_new(Gate *g, uint64_t endpoint_id, const char *request_id, uint64_t patience_us,
-						   const ChannelCallbacks *cb, void *ctx);
+Channel *direct_channel_new(Gate *g, const char *address, uint64_t request_bytes, uint64_t patience_us,
+							const ChannelCallbacks *cb, void *ctx);
+Channel *relay_channel_new(Gate *g, uint64_t endpoint_id, const char *request_id, uint64_t request_bytes,
+						   uint64_t patience_us, const ChannelCallbacks *cb, void *ctx);
 
 #endif
--- a/src/bayhoist-gate/hall_paths.c
+++ b/src/bayhoist-gate/hall_paths.c
@@ -154,7 +154,7 @@
 		probe->paths = p;
 		probe->target = target;
 		g_strlcpy(probe->hall, hall, sizeof probe->hall);
-		probe->channel = direct_channel_new(p->gate, address, patience_us, &Callbacks_, probe);
+		probe->channel = direct_channel_new(p->gate, address, 0, patience_us, &Callbacks_, probe);
 		g_hash_table_add(p->probes, probe);
 		p->probes_total++;
 	}
--- a/src/bayhoist-gate/link_probe.c
+++ b/src/bayhoist-gate/link_probe.c
@@ -54,10 +54,10 @@
 	p->ctx = ctx;
 	p->own.pending = true;
 	p->own.linger = evtimer_new(g->base, on_linger_, p);
-	p->own.channel = direct_channel_new(g, address, patience_us, &Callbacks_, p);
+	p->own.channel = direct_channel_new(g, address, 0, patience_us, &Callbacks_, p);
 	if (with_peer) {
 		p->peer.pending = true;
-		p->peer.channel = relay_channel_new(g, endpoint_id, "", patience_us, &Callbacks_, p);
+		p->peer.channel = relay_channel_new(g, endpoint_id, "", 0, patience_us, &Callbacks_, p);
 	}
 	return p;
 }
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -29,6 +29,7 @@
 	char address[BH__ADDRESS_LEN];
 	char request_id[BH__REQUEST_ID_LEN];
 	struct evbuffer *request; /* the request's bytes, until a channel has opened */
+	uint64_t request_bytes;
 	AnswerParser *parser;
 	OutboundCallbacks cb;
 	void *ctx;           /* first argument of the callbacks */
@@ -58,6 +59,7 @@
 static void on_open_(void *ctx, Channel *c);
 static void drop_other_(Outbound *o);
 static void on_data_(void *ctx, Channel *c, struct evbuffer *data);
+static void on_answer_end_(void *ctx, Channel *c);
 static void on_channel_end_(void *ctx, Channel *c, ChannelEnd end);
 static void on_used_end_(Outbound *o, ChannelEnd end);
 static void probe_end_(Outbound *o);
@@ -72,7 +74,7 @@
 static void on_free_(evutil_socket_t fd, short what, void *arg);
 
 static const ChannelCallbacks ChannelCallbacks_ = {
-	.on_open = on_open_, .on_data = on_data_, .on_end = on_channel_end_};
+	.on_open = on_open_, .on_data = on_data_, .on_answer_end = on_answer_end_, .on_end = on_channel_end_};
 
 /* Sends `request`, whose bytes are moved out of it, to an endpoint. `request_id` is for the log. The on_end
  * callback always runs from the event loop, never from within this function. */
@@ -92,6 +94,7 @@
 	o->request = evbuffer_new();
 	evbuffer_copyout(request, method, 5);
 	evbuffer_add_buffer(o->request, request);
+	o->request_bytes = evbuffer_get_length(o->request);
 	o->parser = answer_parser_new(g, !strcmp(method, "HEAD "), &answer, ctx);
 	o->timer = evtimer_new(g->base, on_timer_, o);
 	o->began_us = clock_now_us();
@@ -107,7 +110,7 @@
 {
 	o->direct_tried = true;
 	o->direct_began_us = clock_now_us();
-	o->direct = direct_channel_new(o->gate, o->address, left_us_(o), &ChannelCallbacks_, o);
+	o->direct = direct_channel_new(o->gate, o->address, o->request_bytes, left_us_(o), &ChannelCallbacks_, o);
 	if (!o->relay_tried)
 		set_timer_(o, links_get_patience_us(o->gate->links));
 }
@@ -124,7 +127,8 @@
 {
 	evtimer_del(o->timer);
 	o->relay_tried = true;
-	o->relay = relay_channel_new(o->gate, o->endpoint_id, o->request_id, left_us_(o), &ChannelCallbacks_, o);
+	o->relay = relay_channel_new(o->gate, o->endpoint_id, o->request_id, o->request_bytes, left_us_(o),
+								 &ChannelCallbacks_, o);
 }
 
 /* Returns the time that is left for opening a channel, at least 1. */
@@ -232,6 +236,17 @@
 		evtimer_del(o->timer);
 }
 
+/* Handles the end of the answer's bytes while the request is still being sent. Only an answer that the end of
+ * its channel completes depends on what becomes of the rest; any other has been cut. */
+static void on_answer_end_(void *ctx, Channel *c)
+{
+	Outbound *o = ctx;
+
+	(void)c;
+	if (answer_parser_finish(o->parser) != ANSWER_COMPLETE)
+		finish_(o, BH__TRANSFER_BROKEN);
+}
+
 /* Handles the end of a channel: of the one in use, or of one that could not be opened. */
 static void on_channel_end_(void *ctx, Channel *c, ChannelEnd end)
 {
--- a/src/bayhoist-gate/relay_channel.c
+++ b/src/bayhoist-gate/relay_channel.c
@@ -23,6 +23,7 @@
 	unsigned asked_count;
 	uint64_t endpoint_id;
 	char request_id[BH__REQUEST_ID_LEN];
+	uint64_t request_bytes; /* of the whole request */
 	uint64_t began_us;
 	uint64_t give_up_us; /* when no further peer is asked */
 	struct event *timer; /* fires when the current peer is left for the next one, or there is none */
@@ -50,16 +51,18 @@
 static const PeerStreamCallbacks StreamCallbacks_ = {
 	.on_message = on_message_, .on_drained = on_drained_, .on_closed = on_closed_};
 
-/* Begins to open a channel to an endpoint through some peer, for `patience_us` at most. An empty `request_id`
- * means a probe, after which no request is sent. */
-Channel *relay_channel_new(Gate *g, uint64_t endpoint_id, const char *request_id, uint64_t patience_us,
-						   const ChannelCallbacks *cb, void *ctx)
+/* Begins to open a channel to an endpoint through some peer, for `patience_us` at most. `request_bytes` are
+ * to be written, so that the peer can tell whether the endpoint took them all. An empty `request_id` means a
+ * probe, after which no request is sent. */
+Channel *relay_channel_new(Gate *g, uint64_t endpoint_id, const char *request_id, uint64_t request_bytes,
+						   uint64_t patience_us, const ChannelCallbacks *cb, void *ctx)
 {
 	RelayChannel *r = g_new0(RelayChannel, 1);
 
 	r->base = (Channel){.ops = &Ops_, .cb = *cb, .ctx = ctx};
 	r->gate = g;
 	r->endpoint_id = endpoint_id;
+	r->request_bytes = request_bytes;
 	r->began_us = clock_now_us();
 	r->give_up_us = r->began_us + patience_us;
 	g_strlcpy(r->request_id, request_id, sizeof r->request_id);
@@ -100,6 +103,7 @@
 	m.as.relay_open.endpoint_id = r->endpoint_id;
 	m.as.relay_open.time_us = time_us;
 	m.as.relay_open.is_probe = !r->request_id[0];
+	m.as.relay_open.request_bytes = r->request_bytes;
 	g_strlcpy(m.as.relay_open.request_id, r->request_id, sizeof m.as.relay_open.request_id);
 	peer_stream_send(r->stream, &m);
 }
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -126,7 +126,7 @@
 		return;
 	}
 	y->parser = answer_parser_new(r->gate, false, &answer, y);
-	y->channel = direct_channel_new(r->gate, e->entry.address,
+	y->channel = direct_channel_new(r->gate, e->entry.address, open->as.relay_open.request_bytes,
 									MIN(open->as.relay_open.time_us, PATIENCE_MAX_US), &ChannelCallbacks_, y);
 }
 
@@ -289,7 +289,8 @@
 		links_verify(links, y->endpoint_id);
 }
 
-/* Tells the peer how the channel to the endpoint ended. The peer closes the stream then. */
+/* Tells the peer how the channel to the endpoint ended. The peer closes the stream then, which is noticed
+ * only while it is read. */
 static void on_channel_end_(void *ctx, Channel *c, ChannelEnd end)
 {
 	Relay *y = ctx;
--- a/src/libbayhoist/message.c
+++ b/src/libbayhoist/message.c
@@ -659,6 +659,7 @@
 		u64_(c, &m->as.relay_open.endpoint_id);
 		u64_(c, &m->as.relay_open.time_us);
 		flag_(c, &m->as.relay_open.is_probe);
+		u64_(c, &m->as.relay_open.request_bytes);
 		string_(c, m->as.relay_open.request_id, sizeof m->as.relay_open.request_id);
 		break;
 	case BH__MESSAGE_RELAY_REPLY:
--- a/test/gate.sh
+++ b/test/gate.sh
@@ -52,14 +52,14 @@
 settings_in_halls() { # N: as settings(), for start_site_in_halls
 	settings "$1" | sed "s/\"hall\":\"h1\"/\"hall\":\"h$1\"/;s/\"peer_address\":\"[^\"]*\"/\"peer_address\":\"$(address $((80 + $1)))\",\"peer_listen_address\":\"$(node "$1" 4)\"/;s/\"seeds\":\[[^]]*\]/\"seeds\":[\"$(address 81)\",\"$(address 82)\",\"$(address 83)\"]/"
 }
-config() { # VERSION KEY; ASK_ATTEMPTS: most engines for a stream; ONCE_ATTEMPTS: most endpoints for what may run only once
+config() { # VERSION KEY; ASK_ATTEMPTS: most engines for a stream; ONCE_ATTEMPTS: most endpoints for what may run only once; MAX_BODY: bytes of a request's body
 	cat <<JSON
 {"version":$1,"routes":[
 {"name":"ask","host":"a.example","path-prefix":"/ask/","route-kind":"streaming","timeout-ms":8000,"target-latency-ms":300,"service":"llm","max-attempts":${ASK_ATTEMPTS:-2},"resumable":true,"gap_aim_ms":200},
 {"name":"once","host":"a.example","path-prefix":"/once/","route-kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":${ONCE_ATTEMPTS:-1}},
 {"name":"free","host":"a.example","path-prefix":"/free/","route-kind":"idempotent","timeout-ms":3000,"target-latency-ms":300,"service":"web","max-attempts":2}],
 "services":[{"name":"llm","engine-kind":{"slots":16,"kv-tokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}},{"name":"web"}],
-"limits":{"max-header-bytes":4096,"max-body-bytes":100000,"header-timeout-ms":1000,"idle-timeout-ms":5000},
+"limits":{"max-header-bytes":4096,"max-body-bytes":${MAX_BODY:-100000},"header-timeout-ms":1000,"idle-timeout-ms":5000},
 "tenants":[{"name":"acct","api-keys":["$2"]}]}
 JSON
 }
