A relay whose endpoint has closed notices that its peer is gone

What operators would have seen: relays that never end on the node that connects for peers, until it counts as full and refuses all (one in eight of its callers' connections at most), after endpoints that closed while a request was still being sent.

Cause: reading from the peer pauses until the endpoint has taken what came; an endpoint that closes takes nothing more, and a connection that is not read shows no close.

Change: the end of the endpoint's channel resumes reading; what still comes for it is dropped.

--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -305,6 +305,7 @@
 	m.as.relay_end.is_clean = end == CHANNEL_CLOSED;
 	links_fill_sender(y->server->gate->links, &m);
 	peer_stream_send(y->stream, &m);
+	peer_stream_pause(y->stream, false);
 }
 
 /* The peer has closed the stream: it has the whole answer, nobody waits for it, or it does not wait for the
--- a/test/check-early-answers.sh
+++ b/test/check-early-answers.sh
@@ -90,5 +90,7 @@
 broken relay "1 2"
 served relay "1 2"
 is "relay: an answer without a length is served where its endpoint reads the request to its end" "$(rounds relay "1 2" end-read upload)" "$ROUNDS 200 0 1 early;"
+none_relayed() { ! for n in 1 2 3; do curl -s -m 3 "http://$(node $n 3)/metrics"; done | grep '^bayhoist_relays ' | grep -qv ' 0$'; }
+wait_for 3 none_relayed || is "no relay is left" "some" "none"
 is "requests went through a peer: $(($(relayed) - before))" "$(($(relayed) - before > 200))" 1
 exit $FAILED
