The head of an answer is taken whole or not at all

What callers saw: answers in whose head a name held a blank, a folded line stood, the reason held a control byte, or the status was 0200, 600 or 999; with that line or status passed on, or with a body that was not the endpoint's (a blank before the first name).

Cause: http-parser is lenient as Debian builds it: a blank is part of a name, folded lines are joined, a status is any number. Content-Length with a blank behind it is then no length.

Change: http_head in the library checks heads, interim ones too, and trailers byte by byte by RFC 9110 and 9112 before http-parser gets them; answer_parser gives up at the first bad byte, so that neither a framing, an id nor a proof in or behind such a line acts. The cause is logged (answer what=bad). A relay believes nothing of such a head either.

--- a/src/bayhoist-gate/answer_parser.c
+++ b/src/bayhoist-gate/answer_parser.c
@@ -1,17 +1,22 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
-/* Parses the HTTP/1 answer of an endpoint from the bytes of its channel, and reports its head and body. */
+/* Parses the HTTP/1 answer of an endpoint from the bytes of its channel, and reports its head and body. Heads
+ * and trailers are checked (bayhoist/http_head.h) ahead of http-parser, which takes blanks for parts of
+ * names, joins folded lines and reads a status of any length. */
 #include "answer_parser.h"
 
 #include <http_parser.h>
 #include <string.h>
+#include "bayhoist/http_head.h"
 
-#define HEAD_MAX (32 * 1024) /* bytes of an answer before its body, interim answers included */
-#define STATUS_MIN 100
+#define HEAD_MAX (32 * 1024)    /* bytes of an answer before its body, interim answers included */
 #define FRAMING_MAX (16 * 1024) /* bytes between two parts of a body: chunk extensions, trailers */
 
 struct AnswerParser {
 	Gate *gate;
 	http_parser parser;
+	BH__HttpHead check; /* of the head or the trailers that are being read */
+	bool is_checking;   /* the next byte belongs to these */
+	const char *cause;  /* why what was read is no answer; NULL: it may be one */
 	AnswerCallbacks cb;
 	void *ctx;            /* first argument of the callbacks */
 	OutboundHead head;    /* head of the answer being read */
@@ -29,6 +34,10 @@
 	bool no_body;         /* the request is a HEAD request, so the answer has no body */
 };
 
+static void start_check_(AnswerParser *a, BH__HttpHeadKind kind);
+static bool check_(AnswerParser *a, const char *data, size_t *len);
+static bool parse_(AnswerParser *a, const char *data, size_t len, size_t *used);
+static bool is_too_long_(AnswerParser *a);
 static int on_message_begin_(http_parser *p);
 static int on_status_(http_parser *p, const char *at, size_t len);
 static int on_header_name_(http_parser *p, const char *at, size_t len);
@@ -67,9 +76,23 @@
 	a->value = g_string_new(NULL);
 	http_parser_init(&a->parser, HTTP_RESPONSE);
 	a->parser.data = a;
+	start_check_(a, BH__HTTP_HEAD_ANSWER);
 	return a;
 }
 
+/* Has the bytes that follow checked as a head or as trailers. */
+static void start_check_(AnswerParser *a, BH__HttpHeadKind kind)
+{
+	bh__http_head_init(&a->check, kind);
+	a->is_checking = true;
+}
+
+/* Returns why answer_parser_read() has returned ANSWER_BAD. */
+const char *answer_parser_get_cause(const AnswerParser *a)
+{
+	return a->cause ? a->cause : "";
+}
+
 /* Returns true if a part of a head has been read, interim or final, or the last chunk of a body, and not the
  * end of the head or of the trailers. */
 bool answer_parser_is_in_head(const AnswerParser *a)
@@ -99,23 +122,15 @@
 	while (!a->is_ended && evbuffer_get_length(input) > 0) {
 		size_t len = evbuffer_get_contiguous_space(input);
 		const char *data = (const char *)evbuffer_pullup(input, (ev_ssize_t)len);
-		bool had_head = a->head_complete;
-		size_t used;
-		bool failed;
+		size_t used = 0;
+		bool is_sound = check_(a, data, &len) && parse_(a, data, len, &used);
 
-		a->body_bytes = 0;
-		used = http_parser_execute(&a->parser, &Callbacks_, data, len);
-		failed = HTTP_PARSER_ERRNO(&a->parser) != HPE_OK && HTTP_PARSER_ERRNO(&a->parser) != HPE_PAUSED;
 		if (a->is_ended)
 			break;
 		evbuffer_drain(input, used);
-		if (had_head)
-			a->framing_bytes = a->body_bytes ? 0 : a->framing_bytes + used;
-		else if (!a->head_complete)
-			a->head_bytes += used;
 		if (a->is_complete)
 			return ANSWER_COMPLETE;
-		if (failed || a->head_bytes > HEAD_MAX || a->framing_bytes > FRAMING_MAX) {
+		if (!is_sound || is_too_long_(a)) {
 			a->gate->counters.bad_answers++;
 			return ANSWER_BAD;
 		}
@@ -123,6 +138,61 @@
 	return ANSWER_INCOMPLETE;
 }
 
+/* Checks bytes of a head or of trailers. Sets `*len` to the number of those that the parser may read now.
+ * Returns false if they are bad, of which the parser gets nothing. */
+static bool check_(AnswerParser *a, const char *data, size_t *len)
+{
+	size_t used = *len;
+
+	if (!a->is_checking)
+		return true;
+	switch (bh__http_head_process(&a->check, data, *len, &used)) {
+	case BH__HTTP_HEAD_BAD:
+		a->cause = a->check.cause;
+		return false;
+	case BH__HTTP_HEAD_COMPLETE:
+		a->is_checking = false;
+		break;
+	case BH__HTTP_HEAD_INCOMPLETE:
+		break;
+	}
+	*len = used;
+	return true;
+}
+
+/* Has http-parser read bytes, and counts them. Sets `*used` to the number of those that it took. Returns
+ * false if they are malformed. */
+static bool parse_(AnswerParser *a, const char *data, size_t len, size_t *used)
+{
+	bool had_head = a->head_complete;
+	enum http_errno error;
+
+	a->body_bytes = 0;
+	*used = http_parser_execute(&a->parser, &Callbacks_, data, len);
+	error = HTTP_PARSER_ERRNO(&a->parser);
+	if (a->is_ended)
+		return true;
+	if (had_head)
+		a->framing_bytes = a->body_bytes ? 0 : a->framing_bytes + *used;
+	else if (!a->head_complete)
+		a->head_bytes += *used;
+	if (error == HPE_PAUSED && !a->is_complete)
+		http_parser_pause(&a->parser, 0); /* before the trailers, see on_chunk_header_() */
+	if (error != HPE_OK && error != HPE_PAUSED)
+		a->cause = http_errno_description(error);
+	return error == HPE_OK || error == HPE_PAUSED;
+}
+
+/* Returns true if the head, or what stands between two parts of the body, exceeds its bound. */
+static bool is_too_long_(AnswerParser *a)
+{
+	if (a->head_bytes <= HEAD_MAX && a->framing_bytes <= FRAMING_MAX)
+		return false;
+	a->cause =
+		a->head_bytes > HEAD_MAX ? "a head that is too long" : "too many bytes between parts of a body";
+	return true;
+}
+
 /* Tells the parser that the endpoint has closed the channel in an orderly way, which completes an answer
  * without a length. */
 AnswerStatus answer_parser_finish(AnswerParser *a)
@@ -217,19 +287,19 @@
 }
 
 /* Reports the head of the final answer to the owner; interim (1xx) answers are skipped. Returns 1 if the
- * parser must not expect a body, and a negative number, which ends it, if the status has not three digits. */
+ * parser must not expect a body. */
 static int on_headers_complete_(http_parser *p)
 {
 	AnswerParser *a = p->data;
 
 	if (a->value_started)
 		process_header_(a);
-	if (p->status_code < STATUS_MIN)
-		return -1;
 	a->is_in_head = false;
 	a->is_interim = p->status_code / 100 == 1;
-	if (a->is_interim)
+	if (a->is_interim) {
+		start_check_(a, BH__HTTP_HEAD_ANSWER);
 		return 1; /* whatever length it names */
+	}
 	a->head_complete = true;
 	a->head.status = (int)p->status_code;
 	a->cb.on_head(a->ctx, &a->head);
@@ -247,10 +317,17 @@
 	return 0;
 }
 
-/* Notes the last chunk, behind which only trailers come. */
+/* Notes the last chunk, behind which only trailers come. The parser pauses, so that these are checked first.
+ */
 static int on_chunk_header_(http_parser *p)
 {
-	((AnswerParser *)p->data)->is_in_head = p->content_length == 0;
+	AnswerParser *a = p->data;
+
+	a->is_in_head = p->content_length == 0;
+	if (a->is_in_head) {
+		start_check_(a, BH__HTTP_HEAD_TRAILERS);
+		http_parser_pause(p, 1);
+	}
 	return 0;
 }
 
--- a/src/bayhoist-gate/answer_parser.h
+++ b/src/bayhoist-gate/answer_parser.h
@@ -22,6 +22,7 @@
 AnswerParser *answer_parser_new(Gate *g, bool no_body, const AnswerCallbacks *cb, void *ctx);
 void answer_parser_delete(AnswerParser *a);
 bool answer_parser_is_in_head(const AnswerParser *a);
+const char *answer_parser_get_cause(const AnswerParser *a);
 void answer_parser_end(AnswerParser *a);
 AnswerStatus answer_parser_read(AnswerParser *a, struct evbuffer *input);
 AnswerStatus answer_parser_finish(AnswerParser *a);
--- a/src/bayhoist-gate/outbound.c
+++ b/src/bayhoist-gate/outbound.c
@@ -66,6 +66,7 @@
 static void on_end_probed_(void *ctx, uint64_t endpoint_id, LinkProbeResult own, LinkProbeResult peer);
 static void on_direct_failed_(Outbound *o, ChannelEnd end);
 static void on_relay_failed_(Outbound *o, ChannelEnd end);
+static void end_bad_answer_(Outbound *o);
 static void limit_head_(Outbound *o);
 static void set_timer_(Outbound *o, uint64_t wait_us);
 static void on_timer_(evutil_socket_t fd, short what, void *arg);
@@ -220,11 +221,19 @@
 	if (status == ANSWER_COMPLETE || (status == ANSWER_INCOMPLETE && o->is_decided))
 		finish_(o, BH__TRANSFER_COMPLETE);
 	else if (status == ANSWER_BAD)
-		finish_(o, BH__TRANSFER_BROKEN);
+		end_bad_answer_(o);
 	else if (!o->is_closed)
 		limit_head_(o);
 }
 
+/* Breaks off what is no answer. */
+static void end_bad_answer_(Outbound *o)
+{
+	log_event("answer", "what=bad request=%s cause=\"%s\"", o->request_id,
+			  answer_parser_get_cause(o->parser));
+	finish_(o, BH__TRANSFER_BROKEN);
+}
+
 /* Breaks the answer off if the head that is being read, if any, is late. */
 static void limit_head_(Outbound *o)
 {
--- a/src/bayhoist-gate/relay_server.c
+++ b/src/bayhoist-gate/relay_server.c
@@ -32,7 +32,7 @@
 	uint64_t bytes_out; /* to the peer */
 	bool is_probe;      /* no request follows, and this node does not look in turn */
 	bool is_open;
-	bool has_head;  /* the head of the answer has been read */
+	bool has_head;  /* the head of the answer has been read, or is none */
 	bool is_paused; /* reading from the endpoint pauses until the peer has caught up */
 } Relay;
 
@@ -227,13 +227,15 @@
 		bh__signal_relay_note_heard(g->signal_relay, e, clock_now_us());
 }
 
-/* Parses a copy of the first bytes of the answer, up to the end of its head; nothing here needs the body. */
+/* Parses a copy of the first bytes of the answer, up to the end of its head; nothing here needs the body, and
+ * nothing that is no answer is believed. */
 static void read_head_(Relay *y, struct evbuffer *data)
 {
 	struct evbuffer *copy = evbuffer_new();
 
 	evbuffer_add(copy, evbuffer_pullup(data, -1), evbuffer_get_length(data));
-	answer_parser_read(y->parser, copy);
+	if (answer_parser_read(y->parser, copy) == ANSWER_BAD)
+		y->has_head = true;
 	evbuffer_free(copy);
 }
 
--- a/test/platform/fake_answers.c
+++ b/test/platform/fake_answers.c
@@ -23,6 +23,7 @@
 #define PROOF_ "X-Replica-Signature: stand-in\r\n"
 #define NOT_RUN_ "X-Not-Executed: 1\r\n"
 #define EMPTY_ "Content-Length: 0\r\n\r\n"
+#define WHOLE_ "Content-Type: text/plain\r\nContent-Length: 6\r\n"
 #define HINTS_ "HTTP/1.1 103 Early Hints\r\n"
 
 /* One kind of answer. In `head` and `body` "%u" stands for the id of the event that is due. */
@@ -130,6 +131,48 @@
 	{"cut-after-length", HINTS_, false, "Content-Length: 6\r\n\r\n", "", NULL, 0},
 	{"cut-second-line", HINTS_ "\r\n" OK_, false, NULL, "", NULL, 0},
 	{"cut-second-head", HINTS_ "\r\n" OK_, true, NULL, STREAM_ CHUNKED_, NULL, 0},
+	{"head-status-000", "HTTP/1.1 000 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-status-001", "HTTP/1.1 001 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-status-099", "HTTP/1.1 099 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-status-20", "HTTP/1.1 20 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-status-600", "HTTP/1.1 600 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-status-999", "HTTP/1.1 999 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-status-1000", "HTTP/1.1 1000 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-status-0200", "HTTP/1.1 0200 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-version", "HTTP/2.0 200 OK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-reason", "HTTP/1.1 200 O\001K\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-reason-cr", "HTTP/1.1 200 O\rK\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-blank-first", OK_ " X-Bad: v\r\n", true, WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-name-blank", OK_, true, WHOLE_ "X Bad: v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-name-blank-end", OK_, true, WHOLE_ "X-Bad : v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-name-tab", OK_, true, WHOLE_ "X\tBad: v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-name-control", OK_, true, WHOLE_ "X\001Bad: v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-name-del", OK_, true, WHOLE_ "X\177Bad: v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-name-cr", OK_, true, WHOLE_ "X\rBad: v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-name-high", OK_, true, WHOLE_ "X\351: v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-name-paren", OK_, true, WHOLE_ "X(Bad): v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-no-name", OK_, true, WHOLE_ ": v\r\n\r\n", "whole\n", NULL, 0},
+	{"head-no-colon", OK_, true, WHOLE_ "X-Bad\r\n\r\n", "whole\n", NULL, 0},
+	{"head-value-control", OK_, true, WHOLE_ "X-Bad: a\001b\r\n\r\n", "whole\n", NULL, 0},
+	{"head-value-cr", OK_, true, WHOLE_ "X-Bad: a\rb\r\n\r\n", "whole\n", NULL, 0},
+	{"head-folded", OK_, true, WHOLE_ "X-A: b\r\n folded\r\n\r\n", "whole\n", NULL, 0},
+	{"head-length-blank", OK_, true, "Content-Type: text/plain\r\n" CLOSE_ "Content-Length : 6\r\n\r\n",
+	 "whole\n", NULL, 0},
+	{"head-chunked-blank", OK_, true, WHOLE_ "Transfer-Encoding : chunked\r\n\r\n", "whole\n", NULL, 0},
+	{"head-chunked-name", OK_, true, WHOLE_ "Transfer Encoding: chunked\r\n\r\n", "whole\n", NULL, 0},
+	{"head-proof-blank", OK_ OTHER_, false, "X-Replica-Signature : stand-in\r\n" WHOLE_ "\r\n", "whole\n",
+	 NULL, 0},
+	{"head-stream-folded", OK_, true, STREAM_ "X-A: b\r\n folded\r\n" CLOSE_ "\r\n",
+	 "id: %u\ndata: piece %u\n\n", NULL, 0},
+	{"head-interim", HINTS_, false, "X Bad: v\r\n\r\n" OK_ OTHER_ WHOLE_ "\r\n", "whole\n", NULL, 0},
+	{"head-trailer-blank", OK_, true, "Content-Type: text/plain\r\n" CHUNKED_ "\r\n",
+	 "6\r\nwhole\n\r\n0\r\nX Bad: v\r\n\r\n", NULL, 0},
+	{"head-trailer-folded", OK_, true, "Content-Type: text/plain\r\n" CHUNKED_ "\r\n",
+	 "6\r\nwhole\n\r\n0\r\nX-A: b\r\n folded\r\n\r\n", NULL, 0},
+	{"trailer", OK_, true, "Content-Type: text/plain\r\n" CHUNKED_ "\r\n",
+	 "6\r\nwhole\n\r\n0\r\nX-A: b\r\nX-B: c\r\n\r\n", NULL, 0},
+	{"sound", "HTTP/1.1 200\r\n", true, WHOLE_ "X-Odd!#$%&'*+-.^_`|~: \t\"(x): \351 \t\r\nX-Empty:\r\n\r\n",
+	 "whole\n", NULL, 0},
 	{NULL, NULL, false, NULL, NULL, NULL, 0},
 };
 
