A caller's head that is none is refused, and nothing is sent

What endpoints saw: requests in whose head a blank stood in or behind a name (Content-Length and Transfer-Encoding too), a folded line, a tab in the request line or an odd trailer; what a lenient parser takes for an unknown field may be a framing to the endpoint, which then reads another request than the gateway did. A blank before the first name cost the caller a 502.

Cause: as of answers: http-parser is lenient as Debian builds it.

Change: inbound.c checks heads and trailers with http_head before the parser; 400 with the cause. An error in the first bytes of a request is answered as that request's own, not with the id of the one before on its connection.

--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -1,8 +1,10 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* HTTP/1 connections from callers. Each connection reads one complete request at a time and passes it to
  * call.c; answers are forwarded as they arrive. http-parser parses the requests and rejects those whose
- * length is ambiguous. This file does not use evhttp, because evhttp answers malformed requests by itself,
- * does not report that a caller has disconnected, and sets headers of its own. */
+ * length is ambiguous; heads and trailers are checked first (bayhoist/http_head.h), since an endpoint may
+ * read what http-parser lets pass in another way. This file does not use evhttp, because evhttp answers
+ * malformed requests by itself, does not report that a caller has disconnected, and sets headers of its own.
+ */
 #include "gate.h"
 
 #include <arpa/inet.h>
@@ -14,6 +16,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include "bayhoist/http_head.h"
 #include "clock.h"
 #include "log.h"
 #include "quiet_socket.h"
@@ -27,6 +30,7 @@
  */
 #define READ_AHEAD_MAX (4 * 1024)
 #define IDLE_TIMEOUT_MS 15000   /* as long as no configuration is loaded */
+#define HEADER_TIMEOUT_MS 3000  /* the same, for a head */
 #define BODY_MAX_MS 30000       /* for a whole request of a caller that does not say how long it waits */
 #define LINGER_MS 1000          /* time a caller has to close the connection after the last answer */
 #define UNACKED_TIMEOUT_MS 5000 /* longest time that sent bytes may stay unacknowledged */
@@ -44,6 +48,8 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	http_parser parser;
+	BH__HttpHead check; /* of the head or the trailers that are being read */
+	bool is_checking;   /* the next byte belongs to these */
 	InboundState state;
 	InboundRequest request;
 	GString *name;             /* name of the header being read */
@@ -78,9 +84,14 @@
 static int on_header_value_(http_parser *p, const char *at, size_t len);
 static int on_headers_complete_(http_parser *p);
 static int on_body_(http_parser *p, const char *at, size_t len);
+static int on_chunk_header_(http_parser *p);
 static int on_message_complete_(http_parser *p);
 static void process_input_(Inbound *in);
 static bool parse_input_(Inbound *in);
+static void begin_request_(Inbound *in);
+static void start_check_(Inbound *in, BH__HttpHeadKind kind);
+static bool check_(Inbound *in, const char *data, size_t *len);
+static size_t execute_(Inbound *in, const char *data, size_t len);
 static void add_header_(Inbound *in);
 static const char *find_header_(const Inbound *in, const char *name, unsigned *count);
 static bool is_listed_(const char *list, const char *name);
@@ -110,6 +121,7 @@
 												.on_header_value = on_header_value_,
 												.on_headers_complete = on_headers_complete_,
 												.on_body = on_body_,
+												.on_chunk_header = on_chunk_header_,
 												.on_message_complete = on_message_complete_};
 
 /* Hop-by-hop headers, which are not forwarded (RFC 9110, section 7.6.1). */
@@ -280,22 +292,17 @@
 	size_t len = evbuffer_get_contiguous_space(input);
 	const char *data = (const char *)evbuffer_pullup(input, (ev_ssize_t)len);
 	bool head_complete = in->head_complete;
-	size_t used;
+	size_t used = 0;
 
-	if (!in->has_bytes) {
-		in->has_bytes = true;
-		in->request.arrived_us = clock_now_us();
-		set_timer_(in, limits ? limits->header_timeout_ms : 3000);
-	}
-	used = http_parser_execute(&in->parser, &Callbacks_, data, len);
+	if (!in->has_bytes)
+		begin_request_(in);
+	if (check_(in, data, &len))
+		used = execute_(in, data, len);
 	evbuffer_drain(input, used);
 	if (!head_complete)
 		in->head_bytes += used;
 	if (!in->head_complete && limits && in->head_bytes > limits->max_header_bytes)
 		set_error_(in, 431, "the request's headers are larger than the limit");
-	if (!in->is_complete && HTTP_PARSER_ERRNO(&in->parser) != HPE_OK &&
-		HTTP_PARSER_ERRNO(&in->parser) != HPE_PAUSED)
-		set_error_(in, 400, http_errno_description(HTTP_PARSER_ERRNO(&in->parser)));
 	if (in->head_complete && !in->is_complete)
 		set_timer_(in, body_timeout_ms_(in));
 	if (in->error_status && !in->is_complete) { /* the start of the next request can't be found */
@@ -306,6 +313,54 @@
 	return true;
 }
 
+/* Prepares for a request of which the first bytes have come. An error in them is not the last request's. */
+static void begin_request_(Inbound *in)
+{
+	const BH__RequestLimits *limits = in->gate->routing ? bh__routing_get_limits(in->gate->routing) : NULL;
+
+	clear_request_(in);
+	in->has_bytes = true;
+	in->request.arrived_us = clock_now_us();
+	start_check_(in, BH__HTTP_HEAD_REQUEST);
+	set_timer_(in, limits ? limits->header_timeout_ms : HEADER_TIMEOUT_MS);
+}
+
+/* Has the bytes that follow checked as a head or as trailers. */
+static void start_check_(Inbound *in, BH__HttpHeadKind kind)
+{
+	bh__http_head_init(&in->check, kind);
+	in->is_checking = true;
+}
+
+/* Checks bytes of a head or of trailers. Sets `*len` to the number of those that the parser may read now.
+ * Records an error and returns false if they are bad. */
+static bool check_(Inbound *in, const char *data, size_t *len)
+{
+	BH__HttpHeadState state;
+
+	if (!in->is_checking)
+		return true;
+	state = bh__http_head_process(&in->check, data, *len, len);
+	in->is_checking = state == BH__HTTP_HEAD_INCOMPLETE;
+	if (state == BH__HTTP_HEAD_BAD)
+		set_error_(in, 400, in->check.cause);
+	return state != BH__HTTP_HEAD_BAD;
+}
+
+/* Has http-parser read bytes. Returns the number of those that it took; records an error if they are
+ * malformed. */
+static size_t execute_(Inbound *in, const char *data, size_t len)
+{
+	size_t used = http_parser_execute(&in->parser, &Callbacks_, data, len);
+	enum http_errno error = HTTP_PARSER_ERRNO(&in->parser);
+
+	if (error == HPE_PAUSED && !in->is_complete)
+		http_parser_pause(&in->parser, 0); /* before the trailers, see on_chunk_header_() */
+	if (error != HPE_OK && error != HPE_PAUSED && !in->is_complete)
+		set_error_(in, 400, http_errno_description(error));
+	return used;
+}
+
 /* Records the error that the request is answered with; the first error of a request stays. */
 static void set_error_(Inbound *in, int status, const char *message)
 {
@@ -491,6 +546,16 @@
 	return 0;
 }
 
+/* Has the parser pause behind the last chunk, so that the trailers are checked first. */
+static int on_chunk_header_(http_parser *p)
+{
+	if (p->content_length == 0) {
+		start_check_(p->data, BH__HTTP_HEAD_TRAILERS);
+		http_parser_pause(p, 1);
+	}
+	return 0;
+}
+
 /* Marks the request as complete and pauses the parser until its answer has been written. */
 static int on_message_complete_(http_parser *p)
 {
--- a/test/check-odd-heads.sh
+++ b/test/check-odd-heads.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Heads of endpoints that are none by RFC 9110 and 9112: a status that is no status, a blank or a control byte in a
-# field's name, a folded line. Guards against such a head as an answer: what a lenient parser takes for a field of its own
+# Heads that are none by RFC 9110 and 9112, of endpoints and of callers: a status that is no status, a blank or a control byte in a
+# field's name, a folded line. Guards against such a head as an answer or a request: what a lenient parser takes for a field of its own
 # may have been the framing, the id or the proof to another reader.
 set -u
 . test/cluster.sh
@@ -38,6 +38,63 @@
 }
 answers direct "1 2 3"
 
+# Callers' heads: nothing is sent to an endpoint. Each request has an id, by which its runs are counted.
+raw() { # ID TEXT: sends a request to gateway 1 as it stands, in printf's format, and prints the status of the answer
+	exec 3<>"/dev/tcp/127.0.0.11/$((BASE + 20))"
+	printf "$2" >&3
+	timeout 2 head -n 1 <&3 | cut -d' ' -f2
+	exec 3>&-
+}
+fields() { # ID: the fields of a sound request
+	printf 'Host: a.example\\r\\nX-Attempt-Id: %s\\r\\nX-Api-Key: %s\\r\\nX-Time-Budget-Ms: 2000\\r\\n' "$1" "$CALLER_KEY"
+}
+n=0
+refused() { # WHAT REQUEST_LINE LINES BODY: a request with further lines, which are at its end and, where that says more, at its beginning
+	n=$((n + 1))
+	is "a caller's head, $1: is refused, and sent nowhere" "$(raw c$n "$2\\r\\n$(fields c$n)$3\\r\\n$4") $(tell "runs?id=c$n")" "400 0"
+}
+served() {
+	n=$((n + 1))
+	is "a caller's head, $1: is taken" "$(raw c$n "$2\\r\\n$(fields c$n)$3\\r\\n$4") $(tell "runs?id=c$n")" "200 1"
+}
+GET='GET /once/x HTTP/1.1'
+POST='POST /once/x HTTP/1.1'
+served "sound" "$GET" 'X-A: b\r\n' ''
+served "with a body" "$POST" 'Content-Length: 5\r\n' 'bytes'
+served "in chunks, with trailers" "$POST" 'Transfer-Encoding: chunked\r\n' '5\r\nbytes\r\n0\r\nX-A: b\r\n\r\n'
+served "with empty lines before it" "\r\n\r\n$GET" '' ''
+served "with all that names and values may hold" "$GET" "X-Odd!#\$%%&'*+-.^_\`|~: \t\"(x): \351 \t\r\nX-Empty:\r\n" ''
+refused "a blank in a name" "$GET" 'X Bad: v\r\n' ''
+refused "a blank behind a name" "$GET" 'X-Bad : v\r\n' ''
+refused "a blank before the first name" "$GET\r\n X-Bad: v" '' ''
+refused "a tab in a name" "$GET" 'X\tBad: v\r\n' ''
+refused "a control byte in a name" "$GET" 'X\001Bad: v\r\n' ''
+refused "a NUL in a name" "$GET" 'X\000Bad: v\r\n' ''
+refused "a byte over 127 in a name" "$GET" 'X\351: v\r\n' ''
+refused "a parenthesis in a name" "$GET" 'X(Bad): v\r\n' ''
+refused "no name" "$GET" ': v\r\n' ''
+refused "no colon" "$GET" 'X-Bad\r\n' ''
+refused "a control byte in a value" "$GET" 'X-Bad: a\001b\r\n' ''
+refused "a NUL in a value" "$GET" 'X-Bad: a\000b\r\n' ''
+refused "a carriage return in a value" "$GET" 'X-Bad: a\rb\r\n' ''
+refused "a folded line" "$GET" 'X-A: b\r\n folded\r\n' ''
+refused "a blank behind Content-Length" "$POST" 'Content-Length : 5\r\n' 'bytes'
+refused "a blank in Transfer-Encoding" "$POST" 'Transfer Encoding: chunked\r\nContent-Length: 5\r\n' 'bytes'
+refused "a blank behind Transfer-Encoding" "$POST" 'Transfer-Encoding : chunked\r\nContent-Length: 5\r\n' 'bytes'
+refused "a control byte in the request line" 'GET /once/\001x HTTP/1.1' '' ''
+refused "a tab in the request line" 'GET /once/\tx HTTP/1.1' '' ''
+refused "a blank in a trailer's name" "$POST" 'Transfer-Encoding: chunked\r\n' '5\r\nbytes\r\n0\r\nX Bad: v\r\n\r\n'
+refused "a folded trailer" "$POST" 'Transfer-Encoding: chunked\r\n' '5\r\nbytes\r\n0\r\nX-A: b\r\n folded\r\n\r\n'
+second() { # LINE: of two requests on one connection, the second with this line: the statuses, and whether its answer names the first
+	n=$((n + 1))
+	exec 3<>"/dev/tcp/127.0.0.11/$((BASE + 20))"
+	printf "$GET\r\n$(fields "d$n")\r\n$GET\r\n$(fields "e$n")$1\r\n" >&3
+	timeout 2 cat <&3 >"$RUN/both"
+	exec 3>&-
+	echo "$(grep -a '^HTTP' "$RUN/both" | cut -d' ' -f2 | tr '\n' ' ')$(grep -aci "x-attempt-id: d$n" "$RUN/both") $(tell "runs?id=d$n") $(tell "runs?id=e$n")"
+}
+is "a head that is refused behind a sound request: that is answered, and named once" "$(second 'X Bad: v\r\n')" "200 400 1 1 0"
+
 cut_endpoints reset 1 2
 for i in 1 2 3 4; do for g in 1 2; do call $g /free/x "look$g$i" >/dev/null; ask $g /ask/x "learn$g$i" >/dev/null; done; done
 sleep 0.5
