Heads that evhttp reads are checked too

What callers of bayhoistd saw: answers of plain services with a blank in a name, a folded line, a control byte in the reason, Content-Length with a blank behind it or the status 0200 as whole ones, a 600 with that status, and a 001 or 20 as an answer that no client can read. Of the store, engines' reports, reservations and orders the same heads were believed.

Cause: evhttp takes any number but 0 as a status and anything up to a colon as a name, and joins folded lines.

Change: head_check sees a connection's bytes before evhttp does, with http_head. Wherever evhttp reads an answer, one whose head is none is no answer: calls to endpoints, bayhoistd's store, reports, passes to other nodes, web_call (the gateway's store, reports, reservations, orders; bayhoistd's orders, cancels, VM list), fetch (bayhoistctl). The cause is logged.

--- a/src/bayhoistd/forward.c
+++ b/src/bayhoistd/forward.c
@@ -6,6 +6,8 @@
 #include <event2/event.h>
 #include <event2/http_struct.h>
 #include <string.h>
+#include "head_check.h"
+#include "log.h"
 #include "web.h"
 
 #define FORWARD_TIMEOUT_S 300
@@ -13,6 +15,7 @@
 typedef struct {
 	struct evhttp_request *caller; /* NULL once it hung up */
 	struct evhttp_connection *conn;
+	HeadCheck *check;
 	struct event *end;
 	struct event *hangup; /* NULL once it is no longer watched */
 	bool started;
@@ -51,6 +54,7 @@
 
 	f->caller = req;
 	f->conn = connect_open(d, address, d->server_tls != NULL);
+	f->check = head_check_new(f->conn);
 	f->end = event_new(d->base, -1, 0, on_end_, f);
 	evhttp_connection_set_timeout(f->conn, FORWARD_TIMEOUT_S);
 	evhttp_connection_set_closecb(evhttp_request_get_connection(req), on_closed_, f);
@@ -71,10 +75,15 @@
 	f->hangup = NULL;
 }
 
+/* Begins the caller's answer. Returns -1, which breaks the call off, for a head that is none. */
 static int on_head_(struct evhttp_request *req, void *arg)
 {
 	Forward *f = arg;
 
+	if (head_check_get_fault(f->check)) {
+		log_event("answer", "what=bad cause=\"%s\"", head_check_get_fault(f->check));
+		return -1;
+	}
 	if (!f->caller)
 		return 0;
 	copy_headers_(req, f->caller, ReturnedHeaders_, G_N_ELEMENTS(ReturnedHeaders_));
@@ -117,6 +126,7 @@
 
 	(void)fd;
 	(void)what;
+	head_check_delete(f->check);
 	evhttp_connection_free(f->conn);
 	event_free(f->end);
 	g_free(f);
--- a/src/bayhoistd/poll.c
+++ b/src/bayhoistd/poll.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include "bayhoist/field.h"
 #include "clock.h"
+#include "head_check.h"
 #include "log.h"
 #include "web.h"
 #include "web_call.h"
@@ -22,6 +23,7 @@
 	uint64_t endpoint_id;
 	char address[BH__ADDRESS_LEN];
 	struct evhttp_connection *conn;
+	HeadCheck *check;
 	bool waiting;
 	bool was_reachable;
 } Poll;
@@ -68,11 +70,13 @@
 		p->was_reachable = true;
 		g_strlcpy(p->address, r->as.endpoint.address, sizeof p->address);
 		p->conn = connect_open(d, p->address, r->as.endpoint.tls);
+		p->check = head_check_new(p->conn);
 		evhttp_connection_set_timeout(p->conn, POLL_TIMEOUT_S);
 		evhttp_connection_set_max_body_size(p->conn, REPORT_MAX_BYTES);
 		g_hash_table_insert(d->polls, &p->endpoint_id, p);
 	}
 	p->waiting = true;
+	head_check_restart(p->check);
 	req = evhttp_request_new(on_report_, p);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", p->address);
 	g_snprintf(path, sizeof path, "/v1/load?cache_since=%" G_GUINT64_FORMAT "&attempts=%d", cache_sequence,
@@ -82,6 +86,7 @@
 
 static void free_poll_(Poll *p)
 {
+	head_check_delete(p->check);
 	evhttp_connection_free(p->conn);
 	g_free(p);
 }
@@ -104,7 +109,9 @@
 	BH__LoadReport r = {.endpoint_id = p->endpoint_id};
 
 	p->waiting = false;
-	r.reachable = req && read_report_(req, &r, attempts, events, loaded);
+	if (head_check_get_fault(p->check))
+		log_event("report", "what=bad-answer cause=\"%s\"", head_check_get_fault(p->check));
+	r.reachable = req && !head_check_get_fault(p->check) && read_report_(req, &r, attempts, events, loaded);
 	g_ptr_array_add(loaded, NULL);
 	r.attempt = (const BH__ReportedAttempt *)(void *)attempts->data;
 	r.attempt_count = attempts->len;
--- a/src/bayhoistd/store.c
+++ b/src/bayhoistd/store.c
@@ -6,6 +6,8 @@
 #include <event2/buffer.h>
 #include <string.h>
 #include "clock.h"
+#include "head_check.h"
+#include "log.h"
 #include "web.h"
 
 #define CALL_TIMEOUT_S 2
@@ -22,6 +24,7 @@
 	uint64_t call_id;
 	BH__StoreOp op;
 	struct evhttp_connection *conn;
+	HeadCheck *check;
 	struct event *end; /* frees the call outside evhttp's callbacks */
 } Call;
 
@@ -150,6 +153,7 @@
 	c->call_id = call->call_id;
 	c->op = call->op;
 	c->conn = connect_open(s->daemon, s->daemon->settings.store_address, false);
+	c->check = head_check_new(c->conn);
 	c->end = event_new(s->daemon->base, -1, 0, on_end_, c);
 	evhttp_connection_set_timeout(c->conn, CALL_TIMEOUT_S);
 	evhttp_connection_set_max_body_size(c->conn, REPLY_MAX_BYTES);
@@ -169,7 +173,10 @@
 	BH__StoreReply reply = {.call_id = c->call_id, .status = BH__STORE_UNKNOWN};
 	char *value = NULL;
 
-	if (req && evhttp_request_get_response_code(req) == 200) {
+	if (head_check_get_fault(c->check)) {
+		log_event("store", "what=bad-answer cause=\"%s\"", head_check_get_fault(c->check));
+	}
+	else if (req && evhttp_request_get_response_code(req) == 200) {
 		const char *data;
 		size_t len;
 		struct json_object *root;
@@ -252,6 +259,7 @@
 {
 	Call *c = call;
 	event_free(c->end);
+	head_check_delete(c->check);
 	evhttp_connection_free(c->conn);
 	g_free(c);
 }
--- a/src/bayhoistd/upstream.c
+++ b/src/bayhoistd/upstream.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 #include "clock.h"
+#include "head_check.h"
 #include "log.h"
 #include "web.h"
 #include "web_call.h"
@@ -24,6 +25,7 @@
 	Daemon *daemon;
 	BH__AttemptCall call;
 	struct evhttp_connection *conn;
+	HeadCheck *check;
 	struct event *end; /* frees the call outside evhttp's callbacks */
 	struct evbuffer *lines;
 	Body *body;
@@ -101,6 +103,7 @@
 	}
 	u->body = body_ref(caller_get_body(caller));
 	u->conn = connect_open(d, e->address, e->tls);
+	u->check = head_check_new(u->conn);
 	evhttp_connection_set_timeout(u->conn, ANSWER_TIMEOUT_S);
 	req = evhttp_request_new(on_done_, u);
 	evhttp_request_set_header_cb(req, on_head_);
@@ -188,14 +191,18 @@
 	evbuffer_add_printf(out, ",\"stream\":true}");
 }
 
-/* Reads the head of an answer. Returns -1, which breaks the call off, for an interim head other than 100:
- * evhttp takes it for the final one and reads no further. */
+/* Reads the head of an answer. Returns -1, which breaks the call off, for a head that is none, and for an
+ * interim one other than 100: evhttp takes it for the final one and reads no further. */
 static int on_head_(struct evhttp_request *req, void *arg)
 {
 	Upstream *u = arg;
 	Caller *caller = caller_find(u->daemon, u->call.request_id);
 	const char *verdict = web_get_header(req, "X-Bayhoist-Verdict");
 
+	if (head_check_get_fault(u->check)) {
+		log_event("answer", "what=bad cause=\"%s\"", head_check_get_fault(u->check));
+		return -1;
+	}
 	u->status = evhttp_request_get_response_code(req);
 	if (u->status / 100 == 1)
 		return u->status == STATUS_CONTINUE ? 0 : -1;
@@ -349,6 +356,7 @@
 
 static void free_(Upstream *u)
 {
+	head_check_delete(u->check);
 	if (u->conn)
 		evhttp_connection_free(u->conn);
 	event_free(u->end);
--- a/src/bh-fake-service/main.c
+++ b/src/bh-fake-service/main.c
@@ -1,9 +1,10 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
 /* bh-fake-service: a small stand-in for a plain service beside the engines. It echoes what it was sent and
  * logs every call that it ran. Faults: POST /fault {"slow_ms": N, "fail_before": N, "cut_after": N,
- * "cut_head": N, "cut_interim": N}: refuse the next N calls as not run; run the next N and break the
- * connection instead of answering; run the next one and close the connection behind N bytes of the answer's
- * head, or of an interim one and that. */
+ * "cut_head": N, "cut_interim": N, "odd_head": N}: refuse the next N calls as not run; run the next N and
+ * break the connection instead of answering; run the next one and close the connection behind N bytes of the
+ * answer's head, or of an interim one and that; run the next one and answer with the Nth head that is none.
+ */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -24,6 +25,25 @@
 #define INTERIM_ "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
 #define HEAD_ "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n"
 
+/* Whole answers in whose heads something is wrong, or right, as in the last one. */
+static const char *const OddHeads_[] = {
+	"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 001 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 O\001K\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX-Bad : v\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\n X-Bad: v\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX\001Bad: v\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX-Bad: a\001b\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX-A: b\r\n folded\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nContent-Length : 200\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Odd!#$%&'*+-.^_`|~: \t\"(x): \351\r\n\r\n{}",
+};
+
 typedef struct {
 	struct event_base *base;
 	uint64_t slow_ms;
@@ -31,6 +51,7 @@
 	uint64_t cut_after;
 	uint64_t cut_head;    /* bytes; 0: the head is whole */
 	uint64_t cut_interim; /* the same of an interim head and the final one */
+	uint64_t odd_head;    /* 1 for the first of OddHeads_; 0: none */
 	uint64_t calls;
 } Service;
 
@@ -69,6 +90,12 @@
 		g_free(c);
 		return;
 	}
+	if (c->service->odd_head > 0 && c->service->odd_head <= G_N_ELEMENTS(OddHeads_)) {
+		cut_head_(c, OddHeads_[c->service->odd_head - 1], SIZE_MAX);
+		c->service->odd_head = 0;
+		g_free(c);
+		return;
+	}
 	if (c->cut) {
 		evhttp_connection_free(evhttp_request_get_connection(c->req));
 		g_free(c);
@@ -101,6 +128,8 @@
 				s->cut_head = n;
 			else if (!strcmp(name, "cut_interim"))
 				s->cut_interim = n;
+			else if (!strcmp(name, "odd_head"))
+				s->odd_head = n;
 			log_event("fault", "switch=%s value=%" G_GUINT64_FORMAT, name, n);
 		}
 	}
--- a/src/share/fetch.c
+++ b/src/share/fetch.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include "bayhoist/address.h"
 #include "bayhoist/field.h"
+#include "head_check.h"
 #include "web.h"
 
 #define DEFAULT_TIMEOUT_S 10
@@ -17,6 +18,7 @@
 typedef struct {
 	struct event_base *base;
 	FetchReply *reply;
+	HeadCheck *check;
 } Waiting;
 
 static void on_done_(struct evhttp_request *req, void *arg);
@@ -27,7 +29,7 @@
 	Waiting *w = arg;
 	const char *data;
 
-	if (req && evhttp_request_get_response_code(req)) {
+	if (req && evhttp_request_get_response_code(req) && !head_check_get_fault(w->check)) {
 		web_get_body(req, &data, &w->reply->len);
 		w->reply->status = evhttp_request_get_response_code(req);
 		w->reply->body = g_strndup(data, w->reply->len);
@@ -58,6 +60,7 @@
 	if (bh__address_split(call->address, ip, sizeof ip, &port)) {
 		conn = evhttp_connection_base_bufferevent_new(w.base, NULL, ctx ? tls_(w.base, ctx, call->ca) : NULL,
 													  ip, port);
+		w.check = head_check_new(conn);
 		req = evhttp_request_new(on_done_, &w);
 		headers = evhttp_request_get_output_headers(req);
 		evhttp_connection_set_timeout(conn, call->timeout_s ? call->timeout_s : DEFAULT_TIMEOUT_S);
@@ -74,6 +77,7 @@
 			evbuffer_add(evhttp_request_get_output_buffer(req), call->body, strlen(call->body));
 		if (evhttp_make_request(conn, req, call->method, call->path) == 0)
 			event_base_dispatch(w.base);
+		head_check_delete(w.check);
 		evhttp_connection_free(conn);
 	}
 	event_base_free(w.base);
--- a/src/share/web_call.c
+++ b/src/share/web_call.c
@@ -1,17 +1,21 @@
 /* SPDX-License-Identifier: BSD-3-Clause */
-/* One HTTP call on a connection of its own. Two habits of evhttp are kept from its callers: it tells of a
- * connection that fails at once before the call to it returns, and a connection that it is to free by itself
- * (evhttp_connection_free_on_completion) stays for good where it could not be established. */
+/* One HTTP call on a connection of its own. An answer whose head is none is no answer. Two habits of evhttp
+ * are kept from its callers: it tells of a connection that fails at once before the call to it returns, and a
+ * connection that it is to free by itself (evhttp_connection_free_on_completion) stays for good where it
+ * could not be established. */
 #include "web_call.h"
 
 #include <glib.h>
 #include <stdbool.h>
+#include "head_check.h"
+#include "log.h"
 
 struct WebCall {
 	WebCallDone done;
 	void *arg;
 	struct event_base *base;
 	struct evhttp_connection *conn;
+	HeadCheck *check;
 	struct evhttp_request *req; /* evhttp's, until it has ended */
 	bool is_starting;           /* web_call_start() has not returned yet */
 	bool has_failed_at_once;
@@ -37,6 +41,7 @@
 	call->arg = arg;
 	call->base = base;
 	call->conn = conn;
+	call->check = head_check_new(conn);
 	call->req = evhttp_request_new(on_done_, call);
 	evhttp_request_set_header_cb(call->req, on_head_);
 	return call;
@@ -111,6 +116,10 @@
 		return;
 	}
 	stop_timer_(call);
+	if (head_check_get_fault(call->check)) {
+		log_event("answer", "what=bad cause=\"%s\"", head_check_get_fault(call->check));
+		req = NULL;
+	}
 	call->done(req, call->arg);
 	run_from_loop_(call, on_end_); /* evhttp still uses the connection */
 }
@@ -130,6 +139,7 @@
 	(void)fd;
 	(void)what;
 	stop_timer_(call);
+	head_check_delete(call->check);
 	evhttp_connection_free(call->conn);
 	g_free(call);
 }
--- a/src/test_libbayhoist/test_web.c
+++ b/src/test_libbayhoist/test_web.c
@@ -221,6 +221,36 @@
 	}
 }
 
+/* Guards against heads that evhttp takes and that are none: the store's, and engines' reports and orders. */
+static void answers_with_a_head_that_is_none_are_none_(void **state)
+{
+	static const char *const Odd[] = {
+		"HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 O\001K\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nX-Bad : v\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nX\001Bad: v\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nX-A: b\r\n folded\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 100 Continue\r\nX Bad: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	};
+	static const char *const Sound[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200\r\nX-Odd!: \t\"(x): \351\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(Odd) + G_N_ELEMENTS(Sound); i++) {
+		bool is_odd = i < G_N_ELEMENTS(Odd);
+		Endless x = {.begin = is_odd ? Odd[i] : Sound[i - G_N_ELEMENTS(Odd)], .repeated = ""};
+		Ended e = {0};
+
+		call_endless_(&x, &e);
+		assert_int_equal(e.told, 1);
+		assert_int_equal(e.status, is_odd ? 0 : 200);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -228,6 +258,7 @@
 		cmocka_unit_test(calls_that_fail_at_once_leave_nothing_behind_),
 		cmocka_unit_test(calls_that_are_answered_end_once_),
 		cmocka_unit_test(answers_without_an_end_are_left_),
+		cmocka_unit_test(answers_with_a_head_that_is_none_are_none_),
 	};
 
 	signal(SIGPIPE, SIG_IGN);
