bayhoistd bounds what it reads of orders, cancels and the list of VMs

What operators would see: a faulty engine, or what gives the list of VMs, sends bytes without an end as its answer; the node that has called keeps them all and runs out of memory, and the requests of other callers end with it. The report is of other systems; here it could happen at bayhoistd.

Cause: evhttp keeps a whole body unless it is told a bound; three of the calls told none.

Change: web_call_limit() for all three: 64 KiB and 20 or 5 s, 16 MiB and 4 s.

--- a/src/bayhoistd/poll.c
+++ b/src/bayhoistd/poll.c
@@ -16,6 +16,7 @@
 #define POLL_TIMEOUT_S 1
 #define REPORT_MAX_BYTES (4 * 1024 * 1024) /* of an engine's load, with its cache events and attempts */
 #define ORDER_TIMEOUT_S 20
+#define ORDER_REPLY_MAX_BYTES (64 * 1024) /* of which only the status is of use */
 
 /* The connection on which one endpoint is polled; it is kept open. */
 typedef struct {
@@ -251,6 +252,7 @@
 	conn = connect_open(d, r->as.endpoint.address, r->as.endpoint.tls);
 	evhttp_connection_set_timeout(conn, ORDER_TIMEOUT_S);
 	web = web_call_new(d->base, conn, on_ordered_, call);
+	web_call_limit(web, ORDER_REPLY_MAX_BYTES, ORDER_TIMEOUT_S * 1000);
 	req = web_call_get_request(web);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", r->as.endpoint.address);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
--- a/src/bayhoistd/upstream.c
+++ b/src/bayhoistd/upstream.c
@@ -18,6 +18,7 @@
 #define STATUS_CONTINUE 100
 #define ANSWER_TIMEOUT_S 60 /* without a byte from the endpoint */
 #define CANCEL_TIMEOUT_S 5
+#define CANCEL_REPLY_MAX_BYTES (64 * 1024) /* of which nothing is of use */
 #define ERROR_TEXT_MAX 120
 #define LINE_MAX_BYTES (256 * 1024)       /* of an engine's events */
 #define ATTACH_LEN (BH__ADDRESS_LEN + 20) /* "IP:port/attempt," */
@@ -416,6 +417,7 @@
 	g_snprintf(path, sizeof path, "/v1/attempts/%016" G_GINT64_MODIFIER "x", attempt_id);
 	evhttp_connection_set_timeout(conn, CANCEL_TIMEOUT_S);
 	call = web_call_new(d->base, conn, on_cancelled_, NULL);
+	web_call_limit(call, CANCEL_REPLY_MAX_BYTES, CANCEL_TIMEOUT_S * 1000);
 	req = web_call_get_request(call);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", e->address);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
--- a/src/bayhoistd/vmlist.c
+++ b/src/bayhoistd/vmlist.c
@@ -11,6 +11,8 @@
 
 #define TIMEOUT_S 2
 #define VMS_MAX 100000
+#define LIST_MAX_BYTES (16 * 1024 * 1024) /* of that many VMs */
+#define LIST_TIME_MAX_MS 4000             /* for all of it */
 
 static void on_list_(struct evhttp_request *req, void *arg);
 static void read_vm_(struct json_object *item, BH__Vm *vm);
@@ -27,6 +29,7 @@
 	conn = connect_open(d, d->settings.vm_list_address, false);
 	evhttp_connection_set_timeout(conn, TIMEOUT_S);
 	call = web_call_new(d->base, conn, on_list_, d);
+	web_call_limit(call, LIST_MAX_BYTES, LIST_TIME_MAX_MS);
 	req = web_call_get_request(call);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Host", d->settings.vm_list_address);
 	evhttp_add_header(evhttp_request_get_output_headers(req), "Connection", "close");
--- a/test/platform/early_endpoints.c
+++ b/test/platform/early_endpoints.c
@@ -34,6 +34,7 @@
 					   meanwhile */
 	END_AND_READ,   /* ended in good order by this side, which reads the request to its end */
 	READ,           /* stays open, and the request is read to its end */
+	ENDLESS,        /* goes on until the other side closes */
 	CLOSE           /* closed, with the rest of the request unread */
 } Then;
 
@@ -54,6 +55,8 @@
 #define SIX_ "Content-Length: 6\r\n"
 #define CLOSE_ "Connection: close\r\n"
 
+static const Kind EndlessKind_ = {"endless", OK_, "", "", ENDLESS, false};
+
 static const Kind Kinds_[] = {
 	{"reset", OK_, "", "abc", RESET, false},
 	{"reset-late", OK_, "", "abc", RESET_LATE, false},
@@ -87,7 +90,9 @@
 } Connection;
 
 static struct event_base *Base_;
-static GHashTable *Runs_;  /* counts by request's name */
+static char Filler_[LARGE_BYTES]; /* of large answers */
+static GHashTable *Runs_;         /* counts by request's name */
+static char *Endless_;     /* what the head of a request holds that is answered without an end; NULL: none */
 static GHashTable *Reset_; /* set of addresses of callers whose connections are reset */
 
 static bool add_link_(const char *text);
@@ -203,9 +208,9 @@
 {
 	char *path = word_(head, "/early=", " ");
 	char **parts = g_strsplit(path ? path : "", "/", 2);
-	const Kind *k = NULL;
+	const Kind *k = Endless_ && strstr(head, Endless_) ? &EndlessKind_ : NULL;
 
-	if (parts[0] && parts[1] && !g_hash_table_contains(Runs_, parts[1])) {
+	if (!k && parts[0] && parts[1] && !g_hash_table_contains(Runs_, parts[1])) {
 		for (k = Kinds_; k->kind && strcmp(k->kind, parts[0]) != 0; k++)
 			;
 		if (!k->kind)
@@ -231,7 +236,6 @@
 /* Writes an answer. Of the request only what has come with its head is read for now. */
 static void start_answer_(Connection *c, const char *head)
 {
-	static char large[LARGE_BYTES];
 	struct evbuffer *out = bufferevent_get_output(c->caller);
 	char *id = word_(head, "X-Attempt-Id: ", "\r");
 
@@ -240,9 +244,9 @@
 	evbuffer_drain(bufferevent_get_input(c->caller), evbuffer_get_length(bufferevent_get_input(c->caller)));
 	evbuffer_add_printf(out, "%sX-Attempt-Id: %s\r\nX-Replica-Signature: stand-in\r\n%s\r\n%s",
 						c->kind->status, id ? id : "", c->kind->head, c->kind->body);
-	memset(large, 'x', sizeof large);
+	memset(Filler_, 'x', sizeof Filler_);
 	if (c->kind->is_large)
-		evbuffer_add(out, large, sizeof large);
+		evbuffer_add(out, Filler_, sizeof Filler_);
 	g_free(id);
 }
 
@@ -308,6 +312,10 @@
 		break;
 	case READ:
 		break;
+	case ENDLESS:
+		c->is_sent = false; /* on_caller_written_() calls again */
+		evbuffer_add(bufferevent_get_output(c->caller), Filler_, sizeof Filler_);
+		break;
 	case CLOSE:
 		end_(c, false);
 		break;
@@ -363,12 +371,17 @@
 static void on_control_(struct evhttp_request *req, void *arg)
 {
 	char *from = web_get_query(req, "from");
+	char *path = web_get_query(req, "path");
 	char *id = web_get_query(req, "id");
 	struct evbuffer *out = evbuffer_new();
 
 	(void)arg;
 	if (from)
 		g_hash_table_add(Reset_, from);
+	if (path) {
+		g_free(Endless_);
+		Endless_ = path;
+	}
 	evbuffer_add_printf(out, "%u\n", GPOINTER_TO_UINT(g_hash_table_lookup(Runs_, id ? id : "")));
 	evhttp_send_reply(req, 200, NULL, out);
 	evbuffer_free(out);
