--- a/test/run-all.sh
+++ b/test/run-all.sh
@@ -34,7 +34,7 @@
 run test_source-aim env TEST_LOOKS_PER_S=10 "$B/test_source" &
 wait
 # these start many processes and are kept apart, so that none waits long for a processor
-for t in tls api slow slow-callers slow-thousands unread-cut limits gate alone looks cut-links late-resets hall-paths relay silence crashes crash-parts no-length early-answers configuration long-values odd-entries resumed foreign-answers other-systems odd-heads endless cut-heads cut-heads-wire broken-answers-wire endless-wire refused-after-cuts memory leaving store-era halls last-endpoints one-of-three room cold limit-overrun leaving-told rest unread-at-stop stop-all stop-in-silence repeated-stop stop-under-way last-callers silent-engines drained-silence dead-beside-relay soak soak-gate soak-parts; do
+for t in tls api slow slow-callers slow-thousands unread-cut limits gate alone looks cut-links late-resets hall-paths relay silence crashes crash-parts no-length early-answers configuration long-values odd-entries resumed foreign-answers other-systems odd-heads endless cut-heads cut-heads-wire broken-answers-wire endless-wire refused-after-cuts memory leaving store-era halls last-endpoints one-of-three room cold limit-overrun leaving-told rest unread-at-stop stop-all stop-in-calm stop-in-silence repeated-stop stop-under-way last-callers silent-engines drained-silence dead-beside-relay soak soak-gate soak-parts; do
 	run "check-$t" bash "test/check-$t.sh"
 done
 passed=$(wc -l <"$out/.passed")
