--- a/test/check-early-answers.sh
+++ b/test/check-early-answers.sh
@@ -43,6 +43,7 @@
 heard() { [ "$(early_runs "$1")" = 1 ] && echo early || echo "not early"; }
 one() { # N KIND FILE ID: one request; prints its status, curl's exit status, lines or events, and whether it was answered early
 	case $2 in
+	resumed-*) echo "$(send "$1" "/ask/break/early=$2/$4" "$4" "$3" -H "$PROMPT") $(event_ids "$RUN/body.$4")$(foreign_lines "$RUN/body.$4") $(heard "$4")" ;;
 	stream-*) echo "$(send "$1" "/ask/early=$2/$4" "$4" "$3" -H "$PROMPT") $(event_ids "$RUN/body.$4")$(foreign_lines "$RUN/body.$4") $(heard "$4")" ;;
 	*) echo "$(send "$1" "/free/early=$2/$4" "$4" "$3") $(wc -l <"$RUN/body.$4") $(heard "$4")" ;;
 	esac
@@ -69,6 +70,7 @@
 			is "$1, $file, $kind: an answer without a length comes whole from another endpoint" "$(rounds "$1" "$2" $kind $file)" "$ROUNDS 200 0 3 early;"
 			is "$1, $file, $kind: what may run only once fails" "$(once "$1" "$2" $kind $file)" "4 502 0 early 0;"
 			is "$1, $file, $kind: a stream comes whole" "$(rounds "$1" "$2" stream-$kind $file)" "$ROUNDS 200 0 ${ALL}0 early;"
+			is "$1, $file, $kind: so does one that is gone on with so" "$(times 4 one "$1" "$2" resumed-$kind $file)" "4 200 0 ${ALL}0 early;"
 		done
 	done
 }
--- a/test/platform/early_endpoints.c
+++ b/test/platform/early_endpoints.c
@@ -5,8 +5,9 @@
  * A request whose path holds "/early=KIND/NAME" is answered the first time that the name comes, by its head,
  * with one of the kinds below. All else goes through. GET /runs?id=NAME on the control address tells how
  * often a request was answered here, GET /reset?from=IP has all connections of callers at an address reset as
- * they come. What becomes of the connection tells a sound endpoint from one in trouble, so answers are
- * written byte for byte, and only the kernel's limits hold back what the caller sends. */
+ * they come. A kind that begins with "resumed-" is given to a request that resumes a stream. What becomes of
+ * the connection tells a sound endpoint from one in trouble, so answers are written byte for byte, and only
+ * the kernel's limits hold back what the caller sends. */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -52,6 +53,7 @@
 #define LARGE_ "HTTP/1.1 413 Large\r\n"
 #define STREAM_ "Content-Type: text/event-stream\r\n"
 #define EVENT_ "id: 1\ndata: piece 1\n\n"
+#define NEXT_ "id: 5\ndata: piece 5\n\n"
 #define SIX_ "Content-Length: 6\r\n"
 #define CLOSE_ "Connection: close\r\n"
 
@@ -66,6 +68,9 @@
 	{"stream-reset-late", OK_, STREAM_, EVENT_, RESET_LATE, false},
 	{"stream-end-reset", OK_, STREAM_, EVENT_, END_THEN_RESET, false},
 	{"stream-end-read", OK_, STREAM_, EVENT_, END_AND_READ, false},
+	{"resumed-reset", OK_, STREAM_, NEXT_, RESET, false},
+	{"resumed-reset-late", OK_, STREAM_, NEXT_, RESET_LATE, false},
+	{"resumed-end-reset", OK_, STREAM_, NEXT_, END_THEN_RESET, false},
 	{"length", OK_, SIX_, "whole\n", READ, false},
 	{"length-close", OK_, SIX_ CLOSE_, "whole\n", CLOSE, false},
 	{"large-close", OK_, "Content-Length: 40000\r\n" CLOSE_, "", CLOSE, true},
@@ -207,10 +212,12 @@
 static const Kind *choose_(const char *head)
 {
 	char *path = word_(head, "/early=", " ");
+	bool is_resumed = strstr(head, "Last-Event-Id: ") != NULL;
 	char **parts = g_strsplit(path ? path : "", "/", 2);
 	const Kind *k = Endless_ && strstr(head, Endless_) ? &EndlessKind_ : NULL;
 
-	if (!k && parts[0] && parts[1] && !g_hash_table_contains(Runs_, parts[1])) {
+	if (!k && parts[0] && parts[1] && (!g_str_has_prefix(parts[0], "resumed-") || is_resumed) &&
+		!g_hash_table_contains(Runs_, parts[1])) {
 		for (k = Kinds_; k->kind && strcmp(k->kind, parts[0]) != 0; k++)
 			;
 		if (!k->kind)
