--- a/src/test_libbayhoist/test_outside_texts.c
+++ b/src/test_libbayhoist/test_outside_texts.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include "bayhoist/answer_assembly.h"
 #include "bayhoist/field.h"
+#include "bayhoist/http_head.h"
 #include "bayhoist/message.h"
 #include "mutator.h"
 
@@ -219,12 +220,62 @@
 		free((char *)sample[i].text);
 }
 
+/* A head is taken, up to its end, if and only if the grammar of RFC 9112 has it; the same in two pieces. */
+static void check_head_(const char *text, size_t len, void *grammar)
+{
+	GMatchInfo *match = NULL;
+	bool is_head = g_regex_match_full(grammar, text, (gssize)len, 0, G_REGEX_MATCH_ANCHORED, &match, NULL);
+	BH__HttpHead h;
+	size_t used;
+	size_t more;
+	gint end = 0;
+
+	bh__http_head_init(&h, BH__HTTP_HEAD_ANSWER);
+	assert_int_equal(bh__http_head_process(&h, text, len, &used) == BH__HTTP_HEAD_COMPLETE, is_head);
+	assert_int_equal(h.state == BH__HTTP_HEAD_BAD, h.cause != NULL);
+	assert_true(h.state != BH__HTTP_HEAD_INCOMPLETE || used == len);
+	if (is_head) {
+		g_match_info_fetch_pos(match, 0, NULL, &end);
+		assert_int_equal(used, end);
+		assert_in_range(h.status, 100, 599);
+	}
+	g_match_info_free(match);
+	bh__http_head_init(&h, BH__HTTP_HEAD_ANSWER);
+	bh__http_head_process(&h, text, len / 2, &more);
+	end = (gint)more;
+	bh__http_head_process(&h, text + more, len - more, &more);
+	assert_int_equal(h.state == BH__HTTP_HEAD_COMPLETE, is_head);
+	assert_int_equal((size_t)end + more, used);
+}
+
+static void heads_are_taken_by_their_grammar_(void **state)
+{
+	static const char *const Texts[] = {
+		"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 5\r\n\r\nbytes",
+		"HTTP/1.0 404 Not Found\nA:\nB: \tc \t\n\nx",
+		"HTTP/1.1 599 \xc3\xa9\r\n!#$%&'*+-.^_`|~09azAZ: \xff\r\n\r\n",
+		"HTTP/1.1 100\r\nX-A: b\r\n folded\r\n\r\n",
+	};
+	GRegex *grammar = g_regex_new("HTTP/1\\.[0-9] [1-5][0-9][0-9]( [\\t\\x20-\\x7e\\x80-\\xff]*)?\\r?\\n"
+								  "([!#$%&'*+.^_`|~0-9A-Za-z-]+:[\\t\\x20-\\x7e\\x80-\\xff]*\\r?\\n)*\\r?\\n",
+								  G_REGEX_RAW, 0, NULL);
+	Sample sample[G_N_ELEMENTS(Texts)];
+
+	(void)state;
+	assert_non_null(grammar);
+	for (size_t i = 0; i < G_N_ELEMENTS(Texts); i++)
+		sample[i] = (Sample){.text = Texts[i], .len = strlen(Texts[i])};
+	mutator_run(sample, G_N_ELEMENTS(sample), 4, mutator_get_rounds(ROUNDS), check_head_, grammar);
+	g_regex_unref(grammar);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_teardown(objects_hold_what_their_table_says_, mutator_tell),
 		cmocka_unit_test_teardown(streams_are_cut_at_their_events_, mutator_tell),
 		cmocka_unit_test_teardown(messages_are_whole_, mutator_tell),
+		cmocka_unit_test_teardown(heads_are_taken_by_their_grammar_, mutator_tell),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
