check-early-answers, check-odd-heads: an end and then nothing, bodies behind refused heads

An endpoint that ends an answer without a length while the upload is written, and then neither reads nor resets: a lookup is served by another one, what may run once fails within its time (4 of 4 each). A caller that goes on sending 90 kB behind a head that is refused reads the 400 (8 of 8). Both hold already: nothing is changed for them.

--- a/test/check-early-answers.sh
+++ b/test/check-early-answers.sh
@@ -51,7 +51,7 @@
 one_once() { # N KIND FILE ID: the same of what may run only once, and how often it ran elsewhere
 	echo "$(send "$1" "/once/early=$2/$4" "$4" "$3") $(heard "$4") $(tell "runs?id=$4")"
 }
-times() { # COUNT COMMAND LABEL GATEWAYS KIND FILE: at each of some gateways in turn, four at a time
+times() { # COUNT COMMAND LABEL GATEWAYS KIND FILE: at each of some gateways in turn, four at a time, of which COUNT is a multiple
 	local i gates=($4) callers=()
 	rm -f "$RUN"/row.*
 	for i in $(seq "$1"); do
@@ -84,6 +84,8 @@
 broken direct "1 2 3"
 served direct "1 2 3"
 is "direct: an answer without a length is served where its endpoint reads the request to its end" "$(rounds direct "1 2 3" end-read upload)" "$ROUNDS 200 0 1 early;"
+is "direct: a lookup whose endpoint ends its answer and reads no further is served by another one" "$(times 4 one direct "1 2 3" end-stop upload)" "4 200 0 3 early;"
+is "direct: what may run only once fails within its time" "$(times 4 one_once direct "1 2 3" end-stop upload | sed 's/50[24]/failed/')" "4 failed 0 early 0;"
 for n in 1 2; do curl -s -m 3 "http://$EARLY/reset?from=127.0.0.$((10 + n))" >/dev/null; done
 for i in 1 2 3 4; do for n in 1 2; do call $n /free/x "look$n$i" >/dev/null; ask $n /ask/x "learn$n$i" >/dev/null; done; done
 sleep 0.5
--- a/test/check-odd-heads.sh
+++ b/test/check-odd-heads.sh
@@ -85,6 +85,10 @@
 refused "a tab in the request line" 'GET /once/\tx HTTP/1.1' '' ''
 refused "a blank in a trailer's name" "$POST" 'Transfer-Encoding: chunked\r\n' '5\r\nbytes\r\n0\r\nX Bad: v\r\n\r\n'
 refused "a folded trailer" "$POST" 'Transfer-Encoding: chunked\r\n' '5\r\nbytes\r\n0\r\nX-A: b\r\n folded\r\n\r\n'
+head -c 90000 /dev/zero | tr '\0' 'u' >"$RUN/upload"
+for i in 1 2 3 4 5 6 7 8; do
+	is "a caller that goes on sending a body behind such a head reads the refusal, $i" "$(call 1 /once/x "long$i" -H 'X Bad: v' -H 'Expect:' --data-binary "@$RUN/upload") $?" "400 0"
+done
 second() { # LINE: of two requests on one connection, the second with this line: the statuses, and whether its answer names the first
 	n=$((n + 1))
 	exec 3<>"/dev/tcp/127.0.0.11/$((BASE + 20))"
--- a/test/platform/early_endpoints.c
+++ b/test/platform/early_endpoints.c
@@ -33,6 +33,7 @@
 	RESET_LATE,     /* the same, RESET_LATE_MS later */
 	END_THEN_RESET, /* ended in good order by this side, and reset RESET_AFTER_MS later, nothing read
 					   meanwhile */
+	END_AND_STOP,   /* ended in good order by this side, and nothing more is read or sent */
 	END_AND_READ,   /* ended in good order by this side, which reads the request to its end */
 	READ,           /* stays open, and the request is read to its end */
 	ENDLESS,        /* goes on until the other side closes */
@@ -63,6 +64,7 @@
 	{"reset", OK_, "", "abc", RESET, false},
 	{"reset-late", OK_, "", "abc", RESET_LATE, false},
 	{"end-reset", OK_, "", "abc", END_THEN_RESET, false},
+	{"end-stop", OK_, "", "abc", END_AND_STOP, false},
 	{"end-read", OK_, "", "whole\n", END_AND_READ, false},
 	{"stream-reset", OK_, STREAM_, EVENT_, RESET, false},
 	{"stream-reset-late", OK_, STREAM_, EVENT_, RESET_LATE, false},
@@ -313,6 +315,9 @@
 		shutdown(bufferevent_getfd(c->caller), SHUT_WR);
 		set_timer_(c, RESET_AFTER_MS);
 		break;
+	case END_AND_STOP:
+		shutdown(bufferevent_getfd(c->caller), SHUT_WR);
+		break;
 	case END_AND_READ:
 		shutdown(bufferevent_getfd(c->caller), SHUT_WR);
 		bufferevent_enable(c->caller, EV_READ);
