check-early-answers: the long upload is 3 MB again

Cause: when the large answer of the stand-in went from 300000 to 40000 bytes, the same replacement made the upload 400000 bytes, which the kernel takes at once.

Change: the size as meant; a comment's line break in check-endless-wire.

--- a/test/check-early-answers.sh
+++ b/test/check-early-answers.sh
@@ -8,7 +8,7 @@
 . test/gate.sh
 FAILED=0
 ROUNDS=16 # of each kind, since what is seen first of the reset is a race
-head -c 400000 /dev/zero | tr '\0' 'u' >"$RUN/upload"
+head -c 3000000 /dev/zero | tr '\0' 'u' >"$RUN/upload" # more than the kernel takes
 head -c 1000000 /dev/zero | tr '\0' 'u' >"$RUN/upload1m" # which the kernel takes at once, and the endpoint does not
 # Endpoints behind the stand-in that answers early, which can also cut gateways off from them.
 early=
--- a/test/check-endless-wire.sh
+++ b/test/check-endless-wire.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
 # What bayhoistd calls sends bytes without an end: an engine as its answer to a prompt, an order or a cancel, or as its report, the
-# list of VMs. Guards against
-# memory that they cost: evhttp keeps all of a body unless it is told a bound.
+# list of VMs. Guards against memory that they cost: evhttp keeps all of a body unless it is told a bound.
 set -u
 . test/cluster.sh
 begin_run
