Whether a head is being checked is the check's own state

Cause: reading the change again: answer_parser.c and inbound.c kept a flag and a function beside BH__HttpHead for what its state says, complete while a body is read, incomplete or bad otherwise.

Change: both ask for the state; 31 lines fewer, behaviour as before. An unused local of check-stop-in-calm is gone.

--- a/src/bayhoist-gate/answer_parser.c
+++ b/src/bayhoist-gate/answer_parser.c
@@ -14,8 +14,7 @@
 struct AnswerParser {
 	Gate *gate;
 	http_parser parser;
-	BH__HttpHead check; /* of the head or the trailers that are being read */
-	bool is_checking;   /* the next byte belongs to these */
+	BH__HttpHead check; /* of the head or the trailers; complete while a body is read */
 	const char *cause;  /* why what was read is no answer; NULL: it may be one */
 	AnswerCallbacks cb;
 	void *ctx;            /* first argument of the callbacks */
@@ -34,7 +33,6 @@
 	bool no_body;         /* the request is a HEAD request, so the answer has no body */
 };
 
-static void start_check_(AnswerParser *a, BH__HttpHeadKind kind);
 static bool check_(AnswerParser *a, const char *data, size_t *len);
 static bool parse_(AnswerParser *a, const char *data, size_t len, size_t *used);
 static bool is_too_long_(AnswerParser *a);
@@ -76,17 +74,10 @@
 	a->value = g_string_new(NULL);
 	http_parser_init(&a->parser, HTTP_RESPONSE);
 	a->parser.data = a;
-	start_check_(a, BH__HTTP_HEAD_ANSWER);
+	bh__http_head_init(&a->check, BH__HTTP_HEAD_ANSWER);
 	return a;
 }
 
-/* Has the bytes that follow checked as a head or as trailers. */
-static void start_check_(AnswerParser *a, BH__HttpHeadKind kind)
-{
-	bh__http_head_init(&a->check, kind);
-	a->is_checking = true;
-}
-
 /* Returns why answer_parser_read() has returned ANSWER_BAD. */
 const char *answer_parser_get_cause(const AnswerParser *a)
 {
@@ -142,22 +133,12 @@
  * Returns false if they are bad, of which the parser gets nothing. */
 static bool check_(AnswerParser *a, const char *data, size_t *len)
 {
-	size_t used = *len;
-
-	if (!a->is_checking)
+	if (a->check.state == BH__HTTP_HEAD_COMPLETE)
 		return true;
-	switch (bh__http_head_process(&a->check, data, *len, &used)) {
-	case BH__HTTP_HEAD_BAD:
-		a->cause = a->check.cause;
-		return false;
-	case BH__HTTP_HEAD_COMPLETE:
-		a->is_checking = false;
-		break;
-	case BH__HTTP_HEAD_INCOMPLETE:
-		break;
-	}
-	*len = used;
-	return true;
+	if (bh__http_head_process(&a->check, data, *len, len) != BH__HTTP_HEAD_BAD)
+		return true;
+	a->cause = a->check.cause;
+	return false;
 }
 
 /* Has http-parser read bytes, and counts them. Sets `*used` to the number of those that it took. Returns
@@ -297,7 +278,7 @@
 	a->is_in_head = false;
 	a->is_interim = p->status_code / 100 == 1;
 	if (a->is_interim) {
-		start_check_(a, BH__HTTP_HEAD_ANSWER);
+		bh__http_head_init(&a->check, BH__HTTP_HEAD_ANSWER);
 		return 1; /* whatever length it names */
 	}
 	a->head_complete = true;
@@ -325,7 +306,7 @@
 
 	a->is_in_head = p->content_length == 0;
 	if (a->is_in_head) {
-		start_check_(a, BH__HTTP_HEAD_TRAILERS);
+		bh__http_head_init(&a->check, BH__HTTP_HEAD_TRAILERS);
 		http_parser_pause(p, 1);
 	}
 	return 0;
--- a/src/bayhoist-gate/inbound.c
+++ b/src/bayhoist-gate/inbound.c
@@ -48,8 +48,7 @@
 	struct bufferevent *bev;
 	struct event *timer;
 	http_parser parser;
-	BH__HttpHead check; /* of the head or the trailers that are being read */
-	bool is_checking;   /* the next byte belongs to these */
+	BH__HttpHead check; /* of the head or the trailers; complete while a body is read */
 	InboundState state;
 	InboundRequest request;
 	GString *name;             /* name of the header being read */
@@ -89,7 +88,6 @@
 static void process_input_(Inbound *in);
 static bool parse_input_(Inbound *in);
 static void begin_request_(Inbound *in);
-static void start_check_(Inbound *in, BH__HttpHeadKind kind);
 static bool check_(Inbound *in, const char *data, size_t *len);
 static size_t execute_(Inbound *in, const char *data, size_t len);
 static void add_header_(Inbound *in);
@@ -321,30 +319,20 @@
 	clear_request_(in);
 	in->has_bytes = true;
 	in->request.arrived_us = clock_now_us();
-	start_check_(in, BH__HTTP_HEAD_REQUEST);
+	bh__http_head_init(&in->check, BH__HTTP_HEAD_REQUEST);
 	set_timer_(in, limits ? limits->header_timeout_ms : HEADER_TIMEOUT_MS);
 }
 
-/* Has the bytes that follow checked as a head or as trailers. */
-static void start_check_(Inbound *in, BH__HttpHeadKind kind)
-{
-	bh__http_head_init(&in->check, kind);
-	in->is_checking = true;
-}
-
 /* Checks bytes of a head or of trailers. Sets `*len` to the number of those that the parser may read now.
  * Records an error and returns false if they are bad. */
 static bool check_(Inbound *in, const char *data, size_t *len)
 {
-	BH__HttpHeadState state;
-
-	if (!in->is_checking)
+	if (in->check.state == BH__HTTP_HEAD_COMPLETE)
+		return true;
+	if (bh__http_head_process(&in->check, data, *len, len) != BH__HTTP_HEAD_BAD)
 		return true;
-	state = bh__http_head_process(&in->check, data, *len, len);
-	in->is_checking = state == BH__HTTP_HEAD_INCOMPLETE;
-	if (state == BH__HTTP_HEAD_BAD)
-		set_error_(in, 400, in->check.cause);
-	return state != BH__HTTP_HEAD_BAD;
+	set_error_(in, 400, in->check.cause);
+	return false;
 }
 
 /* Has http-parser read bytes. Returns the number of those that it took; records an error if they are
@@ -550,7 +538,7 @@
 static int on_chunk_header_(http_parser *p)
 {
 	if (p->content_length == 0) {
-		start_check_(p->data, BH__HTTP_HEAD_TRAILERS);
+		bh__http_head_init(&((Inbound *)p->data)->check, BH__HTTP_HEAD_TRAILERS);
 		http_parser_pause(p, 1);
 	}
 	return 0;
--- a/test/check-stop-in-calm.sh
+++ b/test/check-stop-in-calm.sh
@@ -38,7 +38,7 @@
 	esac
 }
 stop() { # LABEL N: gateway N, under requests
-	local label=$1 n=$2 from at i=0 kind callers=() before
+	local label=$1 n=$2 from at i=0 kind callers=()
 	for at in 1 2; do
 		for kind in $KINDS; do i=$((i + 1)); one $n $kind "$label-$kind-$i" & callers+=($!); done
 		sleep $EVERY_S
